--- /dev/null
+++ b/src/briardock_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, targets, callers and the network, for tests."""
