--- /dev/null
+++ b/src/briardock/admission.py
@@ -0,0 +1,350 @@
+"""Admission of calls to one target: levels, priority queue, refusal threshold."""
+
+import asyncio
+import zlib
+from bisect import bisect_left, insort
+from collections import deque
+from dataclasses import dataclass, field
+
+import anyio
+
+from briardock.clock import Clock
+from briardock.limiter import LimiterSettings, make_limiter
+from briardock.metrics import Metrics
+from briardock.outcomes import NotRun, Reason
+
+LEVELS_PER_CLASS = 128
+CLASS_COUNT = 8
+MAX_LEVEL = LEVELS_PER_CLASS * CLASS_COUNT - 1
+TICK_MS = 10.0
+HISTORY_WINDOWS = 3
+OWN_TIME_WEIGHT = 0.05
+
+
+def admission_level(class_rank: int, key: str) -> int:
+    """Return the level of an action; a lower level is more important.
+
+    All calls of one action get the same level on every node, because only the
+    root part of the key is hashed.
+
+    :param class_rank: rank of the action's class, 0 is the most important
+    :param key: action or child key in text form
+    """
+    rank = min(max(class_rank, 0), CLASS_COUNT - 1)
+    root = key.partition("/")[0]
+    return rank * LEVELS_PER_CLASS + zlib.crc32(root.encode()) % LEVELS_PER_CLASS
+
+
+@dataclass(frozen=True, slots=True)
+class AdmissionSettings:
+    """Settings of the admission to one target.
+
+    :param queue_length: most requests that wait
+    :param sojourn_least_ms: longest wait of the least important class in ms
+    :param sojourn_most_ms: longest wait of the most important class in ms
+    :param window_ms: period of the threshold's moves in ms
+    :param overload_wait_ms: mean wait in a window that shows overload in ms
+    :param limiter: settings of the concurrency limit
+    """
+
+    queue_length: int = 256
+    sojourn_least_ms: float = 50.0
+    sojourn_most_ms: float = 200.0
+    window_ms: float = 100.0
+    overload_wait_ms: float = 5.0
+    limiter: LimiterSettings = field(default_factory=LimiterSettings)
+
+
+@dataclass(slots=True, eq=False)
+class Ticket:
+    """Permission to run one request in the target.
+
+    :param level: admission level
+    :param admitted_at_ms: time of admission in ms
+    :param in_flight: requests in the target, this one included
+    """
+
+    level: int
+    admitted_at_ms: float
+    in_flight: int
+    released: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class _Waiter:
+    level: int
+    arrived_ms: float
+    expires_ms: float
+    deadline_at_ms: float
+    future: "asyncio.Future[Ticket | NotRun]"
+
+
+@dataclass(slots=True)
+class _Window:
+    """Counts of one window."""
+
+    started_ms: float
+    arrivals: dict[int, int] = field(default_factory=dict)
+    started_count: int = 0
+    wait_ms: float = 0.0
+    dropped_count: int = 0
+    queue_emptied: bool = False
+
+
+class Admission:
+    """Admission queue and refusal threshold in front of one target.
+
+    :param settings: checked settings
+    :param clock: time source
+    :param metrics: counters of the process
+    """
+
+    def __init__(
+        self, settings: AdmissionSettings, clock: Clock, metrics: Metrics
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._metrics = metrics
+        self._limiter = make_limiter(settings.limiter, clock)
+        self._queue: list[tuple[int, int, _Waiter]] = []
+        self._sequence = 0
+        self._in_flight = 0
+        self._threshold = MAX_LEVEL
+        self._step = 16
+        self._service_ms = 0.0
+        self._window = _Window(clock.now_ms(), queue_emptied=True)
+        self._history: deque[_Window] = deque(maxlen=HISTORY_WINDOWS)
+        self._windows_since_release = 0
+
+    @property
+    def in_flight(self) -> int:
+        """Requests in the target."""
+        return self._in_flight
+
+    @property
+    def queued(self) -> int:
+        """Requests that wait."""
+        return len(self._queue)
+
+    def refusal_level(self) -> int:
+        """Return the threshold; levels above it are refused."""
+        self._roll_window(self._clock.now_ms())
+        return self._threshold
+
+    def load(self) -> float:
+        """Return requests running and waiting by the limit; 1.0 is full."""
+        return (self._in_flight + len(self._queue)) / self._limiter.limit
+
+    def state(self) -> dict[str, object]:
+        """Return the state for a dump."""
+        return {
+            "in_flight": self._in_flight,
+            "queued": len(self._queue),
+            "limit": self._limiter.limit,
+            "refusal_level": self._threshold,
+            "load": round(self.load(), 3),
+            "expected_service_ms": round(self._service_ms, 3),
+        }
+
+    async def admit(self, level: int, deadline_at_ms: float) -> Ticket | NotRun:
+        """Wait for a slot of the target.
+
+        :param level: admission level
+        :param deadline_at_ms: deadline of the request on the injected clock in ms
+        :returns: a ticket to be released, or why the request is refused
+        """
+        now_ms = self._clock.now_ms()
+        self._roll_window(now_ms)
+        arrivals = self._window.arrivals
+        arrivals[level] = arrivals.get(level, 0) + 1
+        if level > self._threshold:
+            return self._refuse(Reason.OVERLOADED, "above the refusal level")
+        if deadline_at_ms - self._service_ms <= now_ms:
+            return self._refuse(Reason.DEADLINE_EXCEEDED, "too little time left")
+        if not self._queue and self._in_flight < self._limiter.limit:
+            return self._start(level, now_ms, 0.0)
+        return await self._wait(level, deadline_at_ms, now_ms)
+
+    def release(self, ticket: Ticket, own_time_ms: float, ok: bool) -> None:
+        """Give the slot of a finished request back.
+
+        :param ticket: ticket of the request; a second release has no effect
+        :param own_time_ms: time in the target without its child calls in ms
+        :param ok: whether the target answered
+        """
+        if ticket.released:
+            return
+        ticket.released = True
+        self._in_flight -= 1
+        self._limiter.observe(own_time_ms, ticket.in_flight, ok)
+        if ok:
+            self._record_service(own_time_ms)
+        self._dispatch(self._clock.now_ms())
+
+    async def run(self) -> None:
+        """Move windows and expire waiters until cancelled."""
+        while True:
+            await anyio.sleep(TICK_MS / 1000.0)
+            now_ms = self._clock.now_ms()
+            self._roll_window(now_ms)
+            self._expire(now_ms)
+            self._dispatch(now_ms)
+
+    def _record_service(self, own_time_ms: float) -> None:
+        self._windows_since_release = 0
+        if self._service_ms == 0.0:
+            self._service_ms = own_time_ms
+        self._service_ms += OWN_TIME_WEIGHT * (own_time_ms - self._service_ms)
+
+    def _refuse(self, reason: Reason, detail: str) -> NotRun:
+        self._metrics.count(f"admission.refused.{reason}")
+        return NotRun(reason, detail)
+
+    def _start(self, level: int, now_ms: float, waited_ms: float) -> Ticket:
+        self._in_flight += 1
+        self._window.started_count += 1
+        self._window.wait_ms += waited_ms
+        return Ticket(level, now_ms, self._in_flight)
+
+    async def _wait(
+        self, level: int, deadline_at_ms: float, now_ms: float
+    ) -> Ticket | NotRun:
+        if len(self._queue) >= self._settings.queue_length and not self._evict(level):
+            self._window.dropped_count += 1
+            return self._refuse(Reason.OVERLOADED, "admission queue is full")
+        latest_ms = deadline_at_ms - self._service_ms
+        expires_ms = min(now_ms + self._sojourn_ms(level), latest_ms)
+        future = asyncio.get_running_loop().create_future()
+        waiter = _Waiter(level, now_ms, expires_ms, deadline_at_ms, future)
+        self._sequence += 1
+        entry = (level, self._sequence, waiter)
+        insort(self._queue, entry)
+        self._dispatch(now_ms)
+        try:
+            return await future
+        except asyncio.CancelledError:
+            self._abandon(entry)
+            raise
+
+    def _abandon(self, entry: tuple[int, int, _Waiter]) -> None:
+        future = entry[2].future
+        if future.done() and not future.cancelled():
+            result = future.result()
+            if isinstance(result, Ticket) and not result.released:
+                result.released = True
+                self._in_flight -= 1
+                self._dispatch(self._clock.now_ms())
+            return
+        index = bisect_left(self._queue, entry[:2], key=lambda item: item[:2])
+        if index < len(self._queue) and self._queue[index] is entry:
+            del self._queue[index]
+
+    def _evict(self, level: int) -> bool:
+        if not self._queue or self._queue[-1][0] <= level:
+            return False
+        self._drop(self._queue.pop()[2], "displaced by a more important request")
+        return True
+
+    def _drop(self, waiter: _Waiter, detail: str) -> None:
+        self._window.dropped_count += 1
+        if not waiter.future.done():
+            waiter.future.set_result(self._refuse(Reason.OVERLOADED, detail))
+
+    def _expire_one(self, waiter: _Waiter, now_ms: float) -> None:
+        if waiter.deadline_at_ms - self._service_ms <= now_ms:
+            self._window.dropped_count += 1
+            if not waiter.future.done():
+                refusal = self._refuse(Reason.DEADLINE_EXCEEDED, "waited too long")
+                waiter.future.set_result(refusal)
+            return
+        self._drop(waiter, "waited too long for a slot")
+
+    def _expire(self, now_ms: float) -> None:
+        kept = []
+        for entry in self._queue:
+            if entry[2].expires_ms <= now_ms:
+                self._expire_one(entry[2], now_ms)
+            else:
+                kept.append(entry)
+        self._queue = kept
+
+    def _dispatch(self, now_ms: float) -> None:
+        queue = self._queue
+        if queue:
+            limit = self._limiter.limit
+            while queue and self._in_flight < limit:
+                waiter = queue.pop(0)[2]
+                if waiter.future.done():
+                    continue
+                if waiter.expires_ms <= now_ms:
+                    self._expire_one(waiter, now_ms)
+                    continue
+                waited_ms = now_ms - waiter.arrived_ms
+                ticket = self._start(waiter.level, now_ms, waited_ms)
+                waiter.future.set_result(ticket)
+        if not queue:
+            self._window.queue_emptied = True
+
+    def _sojourn_ms(self, level: int) -> float:
+        settings = self._settings
+        share = level / MAX_LEVEL
+        most_ms = settings.sojourn_most_ms
+        return most_ms + share * (settings.sojourn_least_ms - most_ms)
+
+    def _roll_window(self, now_ms: float) -> None:
+        window = self._window
+        elapsed_ms = now_ms - window.started_ms
+        if elapsed_ms < self._settings.window_ms:
+            return
+        self._history.append(window)
+        if self._overloaded(window):
+            self._lower()
+        else:
+            self._raise()
+        self._windows_since_release += 1
+        if self._windows_since_release > 1:
+            # Without completions the estimate decays, so that a slowdown cannot
+            # make every deadline look too short forever.
+            self._service_ms *= 0.7
+        self._window = _Window(now_ms, queue_emptied=not self._queue)
+
+    def _overloaded(self, window: _Window) -> bool:
+        if window.dropped_count:
+            return True
+        if window.queue_emptied or not window.started_count:
+            return False
+        mean_wait_ms = window.wait_ms / window.started_count
+        return mean_wait_ms > self._settings.overload_wait_ms
+
+    def _lower(self) -> None:
+        self._step = 16
+        arrivals: dict[int, int] = {}
+        capacity = 0
+        for window in self._history:
+            capacity += window.started_count
+            for level, count in window.arrivals.items():
+                arrivals[level] = arrivals.get(level, 0) + count
+        total = 0
+        for level in sorted(arrivals):
+            total += arrivals[level]
+            if total > capacity:
+                self._threshold = min(self._threshold, max(0, level - 1))
+                return
+
+    def _raise(self) -> None:
+        if self._threshold >= MAX_LEVEL:
+            return
+        self._threshold = min(MAX_LEVEL, self._threshold + self._step)
+        self._step = min(256, self._step * 2)
+
+
+def make_admission(
+    settings: AdmissionSettings, clock: Clock, metrics: Metrics
+) -> Admission:
+    """Return the admission of one target.
+
+    :param settings: checked settings
+    :param clock: time source
+    :param metrics: counters of the process
+    """
+    return Admission(settings, clock, metrics)
