--- /dev/null
+++ b/src/briardock/actions.py
@@ -0,0 +1,196 @@
+"""Actions known to their issuer: first sight, resends, outcomes, expiry."""
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+import anyio
+
+from briardock.budget import RetryBudget
+from briardock.clock import Clock
+from briardock.outcomes import Completed, NotRun, Outcome, Reason, Unknown
+
+MAX_HELD_BYTES = 4 * 1024 * 1024
+MAX_RECORDS = 50_000
+
+
+@dataclass(slots=True)
+class Action:
+    """One action or child call that must run at most once.
+
+    :param key: key in text form
+    :param digest: digest of the request first seen with the key
+    :param budget: retries left for the whole chain, resends included
+    :param expires_at_ms: time at which the record may be dropped
+    :param outcome: ``None`` while it runs
+    """
+
+    key: str
+    digest: str
+    budget: RetryBudget
+    expires_at_ms: float
+    outcome: Outcome | None = None
+    finished: anyio.Event = field(default_factory=anyio.Event)
+
+
+@dataclass(frozen=True, slots=True)
+class Begun:
+    """The caller of ``begin`` runs the action and must call ``finish``."""
+
+    action: Action
+
+
+@dataclass(frozen=True, slots=True)
+class InProgress:
+    """An earlier request with the key still runs; wait for its outcome."""
+
+    action: Action
+
+
+@dataclass(frozen=True, slots=True)
+class Finished:
+    """The action has an outcome that answers the resend."""
+
+    outcome: Outcome
+
+
+Beginning = Begun | InProgress | Finished
+
+
+class ActionTable:
+    """Records of actions of one issuer.
+
+    A record is kept until its key expires, since dropping it earlier would let a
+    resend run a second time. When the table is full, new actions are refused.
+    Only the bodies of answers are dropped to save memory.
+
+    :param clock: monotonic clock
+    :param max_records: bound on the number of records
+    :param max_held_bytes: bound on the sum of held answer bodies
+    """
+
+    def __init__(self, clock: Clock, max_records: int, max_held_bytes: int) -> None:
+        self._clock = clock
+        self._max_records = max_records
+        self._max_held_bytes = max_held_bytes
+        self._records: dict[str, Action] = {}
+        self._bodies: OrderedDict[str, int] = OrderedDict()
+        self.held_bytes = 0
+
+    def __len__(self) -> int:
+        return len(self._records)
+
+    def begin(
+        self, key: str, digest: str, budget: RetryBudget, expires_at_ms: float
+    ) -> Beginning:
+        """Register a request and say whether to run, to wait or to answer at once.
+
+        A resend after ``NotRun`` runs again if the action's budget allows it.
+
+        :param key: key in text form
+        :param digest: digest of the request
+        :param budget: budget of a new action; a known one keeps its own
+        :param expires_at_ms: expiry of the key on this node's clock
+        """
+        action = self._records.get(key)
+        if action is None:
+            return self._add(key, digest, budget, expires_at_ms)
+        if action.digest != digest:
+            return Finished(
+                NotRun(Reason.KEY_REUSED, "the key belongs to another request")
+            )
+        match action.outcome:
+            case None:
+                return InProgress(action)
+            case NotRun():
+                return self._restart(action)
+            case outcome:
+                return Finished(outcome)
+
+    def finish(self, action: Action, outcome: Outcome) -> None:
+        """Store the outcome and wake the resends that wait for it.
+
+        :param action: record returned by ``begin``
+        :param outcome: final outcome
+        """
+        action.outcome = outcome
+        action.finished.set()
+        match outcome:
+            case Completed(body=body) if body:
+                self._hold(action.key, len(body))
+
+    def discard(self, key: str) -> None:
+        """Drop the record of a child call whose parent has ended.
+
+        :param key: key in text form
+        """
+        if self._records.pop(key, None) is not None:
+            self._release_body(key)
+
+    def expire(self) -> None:
+        """Drop the records whose keys have expired."""
+        now_ms = self._clock.now_ms()
+        # A record that still runs stays, so that its outcome has a place.
+        gone = [
+            key
+            for key, action in self._records.items()
+            if action.expires_at_ms <= now_ms and action.outcome is not None
+        ]
+        for key in gone:
+            self.discard(key)
+
+    def state(self) -> dict[str, int]:
+        """Return counts for a state dump."""
+        running = sum(action.outcome is None for action in self._records.values())
+        return {
+            "records": len(self._records),
+            "running": running,
+            "held_bytes": self.held_bytes,
+        }
+
+    def _add(
+        self, key: str, digest: str, budget: RetryBudget, expires_at_ms: float
+    ) -> Beginning:
+        if len(self._records) >= self._max_records:
+            self.expire()
+        if len(self._records) >= self._max_records:
+            return Finished(NotRun(Reason.OVERLOADED, "the action table is full"))
+        action = Action(key, digest, budget, expires_at_ms)
+        self._records[key] = action
+        return Begun(action)
+
+    def _restart(self, action: Action) -> Beginning:
+        if not action.budget.spend():
+            return Finished(
+                NotRun(Reason.BUDGET_SPENT, "the retries of the action are used up")
+            )
+        action.outcome = None
+        action.finished = anyio.Event()
+        return Begun(action)
+
+    def _hold(self, key: str, size_bytes: int) -> None:
+        self._bodies[key] = size_bytes
+        self.held_bytes += size_bytes
+        while self.held_bytes > self._max_held_bytes:
+            oldest = next(iter(self._bodies))
+            self._release_body(oldest)
+            if (action := self._records.get(oldest)) is not None:
+                action.outcome = Unknown(
+                    Reason.ANSWER_DROPPED, "it completed; the answer was dropped"
+                )
+
+    def _release_body(self, key: str) -> None:
+        self.held_bytes -= self._bodies.pop(key, 0)
+
+
+def make_action_table(
+    clock: Clock,
+    max_records: int = MAX_RECORDS,
+    max_held_bytes: int = MAX_HELD_BYTES,
+) -> ActionTable:
+    """Return an empty table.
+
+    :param clock: monotonic clock
+    :param max_records: bound on the number of records
+    :param max_held_bytes: bound on the sum of held answer bodies
+    """
+    return ActionTable(clock, max_records, max_held_bytes)
--- /dev/null
+++ b/src/briardock/entry.py
@@ -0,0 +1,410 @@
+"""Entry of calls: requests of callers, of the target beside this node, forwards."""
+
+import itertools
+import math
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import anyio
+import msgspec
+
+from briardock.actions import Action, ActionTable, Begun, Finished, InProgress
+from briardock.admission import admission_level
+from briardock.budget import RetryBudget, make_budget
+from briardock.clock import Clock
+from briardock.configuration import Catalog, Operation
+from briardock.dispatch import Dispatch, Dispatcher, answer_of, outcome_of
+from briardock.drain import Drain
+from briardock.inbound import (
+    CONTEXT_HEADER,
+    DEADLINE_HEADER,
+    RESERVED_HEADERS,
+    Inbound,
+    RunningCall,
+)
+from briardock.keys import (
+    ActionKey,
+    KeyIssuer,
+    child_key,
+    parse_key,
+    request_digest,
+)
+from briardock.listener import HttpRequest, HttpResponse
+from briardock.messages import Answer, Forward
+from briardock.metrics import Metrics
+from briardock.outcomes import Completed, Headers, NotRun, Outcome, Reason, Unknown
+from briardock.peers import LinkFailure, PeerAddress, PeerLinks
+from briardock.quarantine import fingerprint
+from briardock.refusals import ChainLevels
+from briardock.replies import ACTION_HEADER, json_response, outcome_response
+
+KEY_HEADER = b"idempotency-key"
+MAX_KEYS_PER_REQUEST = 1_000
+
+FindIssuer = Callable[[str, int], PeerAddress | None]
+
+
+@dataclass(frozen=True, slots=True)
+class _Request:
+    """One request after its operation was found."""
+
+    operation: Operation
+    method: str
+    path: str
+    headers: Headers
+    body: bytes
+    deadline_at_ms: float
+
+
+class Entry:
+    """Turns requests into calls with a key, a level, a deadline and a budget.
+
+    :param clock: monotonic clock
+    :param catalog: returns the configuration in force, ``None`` before the first
+    :param issuer: issues and verifies keys
+    :param actions: records of actions of this issuer
+    :param dispatcher: runs calls
+    :param inbound: inbound side of this node, for child calls
+    :param links: links to other nodes, for forwards
+    :param find_issuer: returns the address of an issuer by id and incarnation
+    :param levels: thresholds learned from answers
+    :param drain: drain state of this node
+    :param metrics: counters
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        catalog: Callable[[], Catalog | None],
+        issuer: KeyIssuer,
+        actions: ActionTable,
+        dispatcher: Dispatcher,
+        inbound: Inbound,
+        links: PeerLinks,
+        find_issuer: FindIssuer,
+        levels: ChainLevels,
+        drain: Drain,
+        metrics: Metrics,
+    ) -> None:
+        self.in_flight = 0
+        self._clock = clock
+        self._catalog = catalog
+        self._issuer = issuer
+        self._actions = actions
+        self._dispatcher = dispatcher
+        self._inbound = inbound
+        self._links = links
+        self._find_issuer = find_issuer
+        self._levels = levels
+        self._drain = drain
+        self._metrics = metrics
+        self._child_numbers = itertools.count(1)
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answer one request of a caller or of the target beside this node.
+
+        :param request: whole HTTP request
+        """
+        self.in_flight += 1
+        try:
+            headers = {name.lower(): value for name, value in request.headers}
+            context = headers.get(CONTEXT_HEADER.lower())
+            if context is None:
+                outcome, key = await self._handle_entry(request, headers)
+            else:
+                outcome, key = await self._handle_child(request, headers, context)
+        finally:
+            self.in_flight -= 1
+        self._count(outcome)
+        return outcome_response(outcome, ((ACTION_HEADER, key.encode()),))
+
+    async def handle_forward(self, forward: Forward) -> Answer:
+        """Answer a request whose key was issued by this node.
+
+        :param forward: request received by another node
+        """
+        key = parse_key(forward.key)
+        if isinstance(key, NotRun):
+            return answer_of(key, forward.call_id)
+        found = self._find(forward.service, forward.method, forward.path)
+        if isinstance(found, NotRun):
+            return answer_of(found, forward.call_id)
+        request = _Request(
+            found,
+            forward.method,
+            forward.path,
+            tuple(forward.headers),
+            forward.body,
+            self._clock.now_ms() + forward.remaining_ms,
+        )
+        self.in_flight += 1
+        try:
+            outcome = await self._run_own(request, key)
+        finally:
+            self.in_flight -= 1
+        return answer_of(outcome, forward.call_id)
+
+    def issue_keys(self, count: int) -> HttpResponse:
+        """Return new keys for callers.
+
+        :param count: how many, up to 1,000
+        """
+        if self._drain.refuses_new:
+            # The records of a leaving issuer end with its process.
+            return outcome_response(NotRun(Reason.LEAVING, "this node is leaving"))
+        if not 1 <= count <= MAX_KEYS_PER_REQUEST:
+            detail = f"count must be between 1 and {MAX_KEYS_PER_REQUEST}"
+            return outcome_response(NotRun(Reason.BAD_REQUEST, detail))
+        keys = [str(self._issuer.issue()) for _ in range(count)]
+        body = {"keys": keys, "lifetime_s": self._issuer.lifetime_ms / 1000.0}
+        return json_response(200, msgspec.json.encode(body))
+
+    def drop_children(self, running: RunningCall) -> None:
+        """Forget the child calls of a call that has ended.
+
+        Their context is unknown from now on, so none can be sent again.
+
+        :param running: the ended call
+        """
+        for key in running.child_keys:
+            self._actions.discard(key)
+
+    def _find(self, service: str, method: str, path: str) -> Operation | NotRun:
+        catalog = self._catalog()
+        if catalog is None:
+            return NotRun(Reason.NO_CONFIGURATION, "no configuration received yet")
+        operation = catalog.find(service, method, path)
+        if operation is None:
+            return NotRun(Reason.UNKNOWN_OPERATION, f"{method} {service}{path}")
+        return operation
+
+    def _read(
+        self, request: HttpRequest, headers: dict[bytes, bytes], limit_at_ms: float
+    ) -> _Request | NotRun:
+        service, _, rest = request.path.lstrip("/").partition("/")
+        path = f"/{rest}"
+        operation = self._find(service, request.method, path)
+        if isinstance(operation, NotRun):
+            return operation
+        if len(request.body) > operation.max_body_bytes:
+            detail = f"{operation.name} takes {operation.max_body_bytes} bytes"
+            return NotRun(Reason.BODY_TOO_LARGE, detail)
+        remaining_ms = _parse_ms(headers.get(DEADLINE_HEADER.lower()))
+        if remaining_ms is None:
+            return NotRun(Reason.BAD_REQUEST, "Briardock-Deadline-Ms is no number")
+        deadline_at_ms = self._clock.now_ms() + min(
+            remaining_ms, operation.deadline_ms
+        )
+        kept = tuple(
+            (name, value)
+            for name, value in request.headers
+            if name.lower() not in RESERVED_HEADERS
+        )
+        return _Request(
+            operation,
+            request.method,
+            path,
+            kept,
+            request.body,
+            min(deadline_at_ms, limit_at_ms),
+        )
+
+    async def _handle_entry(
+        self, request: HttpRequest, headers: dict[bytes, bytes]
+    ) -> tuple[Outcome, str]:
+        key_text = headers.get(KEY_HEADER)
+        read = self._read(request, headers, math.inf)
+        if isinstance(read, NotRun):
+            return read, (key_text or b"").decode("latin-1")
+        if key_text is not None:
+            shown = key_text.decode("latin-1")
+            return await self._handle_keyed(read, shown), shown
+        key = str(self._issuer.issue())
+        if not read.operation.idempotent:
+            return NotRun(Reason.KEY_REQUIRED, read.operation.name), ""
+        level = admission_level(read.operation.class_rank, key)
+        budget = make_budget(read.operation.retries)
+        return await self._dispatch(read, key, level, budget), key
+
+    async def _handle_keyed(self, request: _Request, key_text: str) -> Outcome:
+        key = parse_key(key_text)
+        if isinstance(key, NotRun):
+            return key
+        if key.node_id == self._issuer.node_id:
+            return await self._run_own(request, key)
+        return await self._forward(request, key)
+
+    async def _run_own(self, request: _Request, key: ActionKey) -> Outcome:
+        verified = self._issuer.verify(key)
+        if not isinstance(verified, ActionKey):
+            return verified
+        level = admission_level(request.operation.class_rank, str(key))
+        budget = make_budget(request.operation.retries)
+        expires_at_ms = self._issuer.expires_at_ms(key)
+        return await self._run_once(request, str(key), level, budget, expires_at_ms)
+
+    async def _run_once(
+        self,
+        request: _Request,
+        key: str,
+        level: int,
+        budget: RetryBudget,
+        expires_at_ms: float,
+    ) -> Outcome:
+        digest = request_digest(
+            request.operation.name, request.path, request.body
+        )
+        beginning = self._actions.begin(key, digest, budget, expires_at_ms)
+        match beginning:
+            case Finished(outcome):
+                self._metrics.count("actions.resends_answered")
+                return outcome
+            case InProgress(action):
+                self._metrics.count("actions.resends_waiting")
+                return await self._wait(action, request.deadline_at_ms)
+            case Begun(action):
+                return await self._run_begun(request, action, level)
+
+    async def _run_begun(
+        self, request: _Request, action: Action, level: int
+    ) -> Outcome:
+        outcome: Outcome = Unknown(Reason.INTERNAL, "the dispatch failed")
+        try:
+            # The outcome must be recorded even if this caller has gone.
+            with anyio.CancelScope(shield=True):
+                outcome = await self._dispatch(
+                    request, action.key, level, action.budget
+                )
+        finally:
+            self._actions.finish(action, outcome)
+        return outcome
+
+    async def _wait(self, action: Action, deadline_at_ms: float) -> Outcome:
+        while action.outcome is None:
+            remaining_s = (deadline_at_ms - self._clock.now_ms()) / 1000.0
+            with anyio.move_on_after(max(0.0, remaining_s)) as scope:
+                await action.finished.wait()
+            if scope.cancelled_caught:
+                return Unknown(Reason.DEADLINE_EXCEEDED, "the action still runs")
+        return action.outcome
+
+    async def _forward(self, request: _Request, key: ActionKey) -> Outcome:
+        # Whatever goes wrong here, an earlier request with this key may have run.
+        issuer = self._find_issuer(key.node_id, key.incarnation)
+        if issuer is None:
+            return Unknown(Reason.ISSUER_GONE, f"{key.node_id} is not a member")
+        self._metrics.count("actions.forwards")
+
+        def build(call_id: int) -> Forward:
+            return Forward(
+                call_id,
+                str(key),
+                request.operation.service,
+                request.method,
+                request.path,
+                list(request.headers),
+                request.body,
+                request.deadline_at_ms - self._clock.now_ms(),
+            )
+
+        answer = await self._links.call(issuer, build, request.deadline_at_ms)
+        match answer:
+            case LinkFailure(detail=detail):
+                return Unknown(Reason.ISSUER_GONE, detail)
+            case _:
+                return outcome_of(answer)
+
+    async def _handle_child(
+        self, request: HttpRequest, headers: dict[bytes, bytes], context: bytes
+    ) -> tuple[Outcome, str]:
+        running = self._inbound.running.get(context.decode("latin-1"))
+        limit_at_ms = math.inf if running is None else running.deadline_at_ms
+        read = self._read(request, headers, limit_at_ms)
+        if isinstance(read, NotRun):
+            return read, ""
+        if running is None:
+            return _unknown_context(read.operation), ""
+        key = self._child_key(running, read, headers)
+        if isinstance(key, NotRun):
+            return key, ""
+        running.child_started(self._clock.now_ms())
+        try:
+            outcome = await self._run_child(running, read, key)
+        finally:
+            running.child_finished(self._clock.now_ms())
+        return outcome, key
+
+    def _child_key(
+        self, running: RunningCall, request: _Request, headers: dict[bytes, bytes]
+    ) -> str | NotRun:
+        operation = request.operation
+        if operation.idempotent:
+            label = f"n{next(self._child_numbers)}"
+        elif not running.call.once:
+            detail = f"{running.call.operation} calls {operation.name}"
+            return NotRun(Reason.REPEATABLE_PARENT, detail)
+        elif (own := headers.get(KEY_HEADER)) is not None:
+            label = own.decode("latin-1")
+        else:
+            label = request_digest(operation.name, request.path, request.body)
+        return child_key(running.call.key, operation.name, label)
+
+    async def _run_child(
+        self, running: RunningCall, request: _Request, key: str
+    ) -> Outcome:
+        level = running.call.level
+        if request.operation.idempotent:
+            return await self._dispatch(request, key, level, running.budget)
+        running.child_keys.add(key)
+        return await self._run_once(request, key, level, running.budget, math.inf)
+
+    async def _dispatch(
+        self, request: _Request, key: str, level: int, budget: RetryBudget
+    ) -> Outcome:
+        operation = request.operation
+        if not self._levels.admits(operation.name, level):
+            self._metrics.count("entry.refused_early")
+            return NotRun(Reason.OVERLOADED, f"{operation.name} sheds this level")
+        return await self._dispatcher.run(
+            Dispatch(
+                key,
+                operation.name,
+                operation.service,
+                request.method,
+                request.path,
+                request.headers,
+                request.body,
+                level,
+                not operation.idempotent,
+                request.deadline_at_ms,
+                budget,
+                fingerprint(operation.name, request.path, request.body),
+            )
+        )
+
+    def _count(self, outcome: Outcome) -> None:
+        match outcome:
+            case Completed():
+                self._metrics.count("entry.completed")
+            case NotRun(reason=reason):
+                self._metrics.count(f"entry.not_run.{reason}")
+            case Unknown(reason=reason):
+                self._metrics.count(f"entry.unknown.{reason}")
+
+
+def _unknown_context(operation: Operation) -> Outcome:
+    detail = "no request with this context is running"
+    if operation.idempotent:
+        return NotRun(Reason.UNKNOWN_CONTEXT, detail)
+    # An equal child call may have run before its parent ended.
+    return Unknown(Reason.UNKNOWN_CONTEXT, detail)
+
+
+def _parse_ms(value: bytes | None) -> float | None:
+    if value is None:
+        return math.inf
+    try:
+        parsed = float(value)
+    except ValueError:
+        return None
+    return parsed if parsed >= 0 and not math.isnan(parsed) else None
--- a/src/briardock/messages.py
+++ b/src/briardock/messages.py
@@ -8,6 +8,7 @@
 PROTOCOL_VERSION = 1
 FRAME_HEADER_BYTES = 4
 MAX_FRAME_BYTES = 16 * 1024 * 1024
+MAX_LEVEL = 1023
 
 HeaderList = list[tuple[bytes, bytes]]
 
@@ -102,6 +103,8 @@
     :param refusal_level: admission threshold of the instance
     :param load: load of the instance, 1.0 is full
     :param own_time_ms: time spent in the instance without its child calls
+    :param chain_level: lowest threshold of the instance and the services its
+        operation calls
     """
 
     call_id: int
@@ -113,9 +116,10 @@
     reason: str = ""
     detail: str = ""
     retries_left: int = 0
-    refusal_level: int = 0
+    refusal_level: int = MAX_LEVEL
     load: float = 0.0
     own_time_ms: float = 0.0
+    chain_level: int = MAX_LEVEL
 
 
 class Cancel(Message, frozen=True):
