--- /dev/null
+++ b/src/briardock/_http.py
@@ -0,0 +1,98 @@
+"""Parts shared by the HTTP server and the HTTP client of a node."""
+
+import os
+import select
+from collections.abc import Iterable
+
+import anyio.abc
+
+from briardock.outcomes import Headers
+
+RECEIVE_BYTES = 65_536
+MAX_HEADER_BYTES = 65_536
+
+# RFC 9110 section 7.6.1, with the obsolete names that callers still send.
+HOP_BY_HOP = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    )
+)
+# Fields that each connection computes itself.
+_OWN = HOP_BY_HOP | {b"content-length"}
+_OWN_OF_REQUEST = _OWN | {b"host", b"expect"}
+
+
+def end_to_end(
+    headers: Iterable[tuple[bytes, bytes]], *, request: bool
+) -> list[tuple[bytes, bytes]]:
+    """Return the headers that pass a hop, with names in lower case.
+
+    Hop-by-hop fields, fields named by ``Connection`` and the framing fields
+    are left out; for a request, so are ``Host`` and ``Expect``.
+
+    :param headers: fields of one message
+    :param request: whether the message is a request
+    """
+    own = _OWN_OF_REQUEST if request else _OWN
+    kept = []
+    named: set[bytes] = set()
+    for name, value in headers:
+        lower = name.lower()
+        if lower not in own:
+            kept.append((lower, value))
+        elif lower == b"connection":
+            named.update(token.strip().lower() for token in value.split(b","))
+    if named:
+        kept = [field for field in kept if field[0] not in named]
+    return kept
+
+
+def find_header(headers: Headers, name: bytes) -> bytes | None:
+    """Return the value of the first field of a name.
+
+    :param headers: fields with names in lower case
+    :param name: name in lower case
+    """
+    for field, value in headers:
+        if field == name:
+            return value
+    return None
+
+
+def stream_fd(stream: anyio.abc.SocketStream) -> int:
+    """Return the file descriptor of a stream."""
+    raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+    return int(raw.fileno())
+
+
+class IdleProbe:
+    """Tells whether an idle connection has input, an end or an error waiting.
+
+    :param stream: connection; nothing may read it while it is idle
+    """
+
+    def __init__(self, stream: anyio.abc.SocketStream) -> None:
+        self._poll = select.poll()
+        # The duplicate stays valid when the transport closes its descriptor.
+        self._fd = os.dup(stream_fd(stream))
+        self._poll.register(self._fd, select.POLLIN | select.POLLRDHUP)
+        protocol = getattr(stream, "_protocol", None)
+        self._unread = getattr(protocol, "read_queue", ())
+
+    def is_quiet(self) -> bool:
+        """Return whether nothing has arrived since the last whole answer."""
+        return not self._unread and not self._poll.poll(0)
+
+    def close(self) -> None:
+        """Release the duplicate descriptor."""
+        if self._fd >= 0:
+            os.close(self._fd)
+            self._fd = -1
--- a/src/briardock/events.py
+++ b/src/briardock/events.py
@@ -43,6 +43,12 @@
     INTERNAL_ERROR = EventInfo(504, "ERROR", "unexpected error in a handler")
     TASK_RESTARTED = EventInfo(505, "WARNING", "background task failed; restarting")
     PAUSE_DETECTED = EventInfo(506, "WARNING", "process was paused")
+    HTTP_REQUEST_REFUSED = EventInfo(100, "WARNING", "listener refused a request")
+    HTTP_HANDLER_FAILED = EventInfo(101, "ERROR", "request handler failed")
+    PEER_REJECTED = EventInfo(110, "WARNING", "peer connection broke the protocol")
+    PEER_LINK_FAILED = EventInfo(111, "WARNING", "link to a peer failed")
+    PEER_HANDLER_FAILED = EventInfo(112, "ERROR", "handler of a peer's call failed")
+    ANSWER_DROPPED = EventInfo(113, "WARNING", "answer of a peer dropped")
 
 
 class _QueueHandler(logbook.Handler):
--- /dev/null
+++ b/src/briardock/target.py
@@ -0,0 +1,307 @@
+"""HTTP leg to the target: one request at a time on each kept connection."""
+
+import errno
+from collections import deque
+from dataclasses import dataclass
+
+import anyio
+import anyio.abc
+import h11
+
+from briardock._http import MAX_HEADER_BYTES, RECEIVE_BYTES, IdleProbe, end_to_end
+from briardock.clock import Clock
+from briardock.messages import MAX_FRAME_BYTES
+from briardock.metrics import Metrics
+from briardock.outcomes import Completed, Headers
+
+# An answer has to fit into one frame together with its headers.
+MAX_ANSWER_BYTES = MAX_FRAME_BYTES - 2 * MAX_HEADER_BYTES
+
+_STREAM_ERRORS = (
+    OSError,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+    anyio.EndOfStream,
+)
+_EOF = b""
+
+
+@dataclass(frozen=True, slots=True)
+class NotSent:
+    """No byte of the request was written.
+
+    :param detail: what was found
+    """
+
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class Lost:
+    """The request was written, at least in part, and no whole answer came.
+
+    :param detail: what was found
+    :param died: connection lost, and a new one is refused
+    """
+
+    detail: str
+    died: bool
+
+
+class _AnswerError(Exception):
+    """The target's answer was cut, malformed or too large.
+
+    :param connection_lost: whether the connection ended before the answer
+    """
+
+    def __init__(self, detail: str, connection_lost: bool) -> None:
+        super().__init__(detail)
+        self.connection_lost = connection_lost
+
+
+class _Connection:
+    """One connection to the target, used by one request at a time."""
+
+    def __init__(self, stream: anyio.abc.SocketStream) -> None:
+        self.stream = stream
+        self.write_started = False
+        self._probe = IdleProbe(stream)
+        self._http = h11.Connection(h11.CLIENT, MAX_HEADER_BYTES)
+
+    def is_reusable(self) -> bool:
+        """Return whether the last answer was read whole and nothing followed it."""
+        http = self._http
+        if http.our_state is not h11.DONE or http.their_state is not h11.DONE:
+            return False
+        return not http.trailing_data[0]
+
+    def is_quiet(self) -> bool:
+        """Return whether the target has neither closed nor sent since."""
+        return self._probe.is_quiet()
+
+    def encode(self, request: h11.Request, body: bytes) -> bytes:
+        """Return the bytes of a request.
+
+        :raises h11.LocalProtocolError: if the request is not valid HTTP
+        """
+        http = self._http
+        if http.our_state is h11.DONE:
+            http.start_next_cycle()
+        head = http.send(request) or b""
+        if body:
+            http.send(h11.Data(data=body))
+        http.send(h11.EndOfMessage())
+        return head + body if body else head
+
+    async def exchange(self, data: bytes) -> Completed:
+        """Write a request and read its whole answer.
+
+        :raises _AnswerError: if no whole answer came
+        """
+        self.write_started = True
+        try:
+            await self.stream.send(data)
+            return await self._read_answer()
+        except _STREAM_ERRORS as error:
+            raise _AnswerError(f"connection lost: {error!r}", True) from error
+        except h11.RemoteProtocolError as error:
+            cut = self._http.their_state is h11.ERROR and self._at_eof
+            raise _AnswerError(f"bad answer: {error}", cut) from error
+
+    async def _read_answer(self) -> Completed:
+        http = self._http
+        self._at_eof = False
+        status = 0
+        headers: Headers = ()
+        parts: list[bytes] = []
+        size_bytes = 0
+        while True:
+            event = http.next_event()
+            if event is h11.NEED_DATA:
+                http.receive_data(await self._receive())
+            elif type(event) is h11.Data:
+                parts.append(bytes(event.data))
+                size_bytes += len(event.data)
+                if size_bytes > MAX_ANSWER_BYTES:
+                    raise _AnswerError("answer exceeds the frame limit", False)
+            elif type(event) is h11.Response:
+                status = event.status_code
+                headers = tuple(end_to_end(event.headers, request=False))
+            elif type(event) is h11.EndOfMessage:
+                return Completed(status, headers, b"".join(parts))
+            elif type(event) is not h11.InformationalResponse:
+                raise _AnswerError("connection lost: closed by the target", True)
+
+    async def _receive(self) -> bytes:
+        try:
+            return await self.stream.receive(RECEIVE_BYTES)
+        except anyio.EndOfStream:
+            self._at_eof = True
+            return _EOF
+
+    async def close(self) -> None:
+        """Close at once; this is the cancellation signal to the target."""
+        self._probe.close()
+        with anyio.CancelScope(shield=True):
+            await self.stream.aclose()
+
+
+class TargetClient:
+    """HTTP client of the one target beside this node.
+
+    :param clock: time source
+    :param metrics: counters
+    :param connect_timeout_ms: limit of one connection attempt
+    :param max_idle: kept connections that are not in use
+    """
+
+    def __init__(
+        self, clock: Clock, metrics: Metrics, connect_timeout_ms: float, max_idle: int
+    ) -> None:
+        self._clock = clock
+        self._metrics = metrics
+        self._connect_timeout_s = connect_timeout_ms / 1000.0
+        self._max_idle = max_idle
+        self._idle: deque[_Connection] = deque()
+        self._host = ""
+        self._port = 0
+        self._host_header = b""
+
+    def set_address(self, host: str, port: int) -> None:
+        """Set where the target listens; connections to another address end.
+
+        :param host: numeric IP address
+        :param port: TCP port
+        """
+        if (host, port) == (self._host, self._port):
+            return
+        self._host = host
+        self._port = port
+        shown = f"[{host}]" if ":" in host else host
+        self._host_header = f"{shown}:{port}".encode()
+
+    async def run(
+        self,
+        method: str,
+        path: str,
+        headers: Headers,
+        body: bytes,
+        deadline_at_ms: float,
+    ) -> Completed | NotSent | Lost:
+        """Run one request on the target.
+
+        Cancelling the task closes the connection, which tells the target.
+
+        :param method: HTTP method
+        :param path: path with query
+        :param headers: end-to-end headers; hop-by-hop fields are dropped
+        :param body: whole request body
+        :param deadline_at_ms: clock reading in ms at which the request is lost
+        """
+        remaining_ms = deadline_at_ms - self._clock.now_ms()
+        if remaining_ms <= 0:
+            return NotSent("deadline")
+        connection: _Connection | None = None
+        result: Completed | NotSent | Lost = NotSent("deadline")
+        with anyio.move_on_after(remaining_ms / 1000.0) as scope:
+            found = await self._connection()
+            if isinstance(found, NotSent):
+                return found
+            connection = found
+            result = await self._run_on(connection, method, path, headers, body)
+        if scope.cancelled_caught and connection and connection.write_started:
+            self._metrics.count("target.timeouts")
+            return Lost("deadline", died=False)
+        if isinstance(result, Lost) and result.died:
+            return Lost(result.detail, await self._is_refused())
+        return result
+
+    async def _run_on(
+        self,
+        connection: _Connection,
+        method: str,
+        path: str,
+        headers: Headers,
+        body: bytes,
+    ) -> Completed | NotSent | Lost:
+        keep = False
+        try:
+            data = connection.encode(self._request(method, path, headers, body), body)
+            completed = await connection.exchange(data)
+            keep = connection.is_reusable()
+            return completed
+        except h11.LocalProtocolError as error:
+            return NotSent(f"request is not valid HTTP: {error}")
+        except _AnswerError as error:
+            self._metrics.count("target.lost")
+            return Lost(str(error), died=error.connection_lost)
+        finally:
+            if keep and len(self._idle) < self._max_idle:
+                connection.write_started = False
+                self._idle.append(connection)
+            else:
+                await connection.close()
+
+    def _request(
+        self, method: str, path: str, headers: Headers, body: bytes
+    ) -> h11.Request:
+        fields = end_to_end(headers, request=True)
+        fields.append((b"host", self._host_header))
+        if body or method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
+            fields.append((b"content-length", b"%d" % len(body)))
+        return h11.Request(method=method, target=path, headers=fields)
+
+    async def _connection(self) -> _Connection | NotSent:
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.is_quiet():
+                return connection
+            self._metrics.count("target.stale_connections")
+            await connection.close()
+        if not self._port:
+            return NotSent("no target address is known")
+        try:
+            return _Connection(await self._connect())
+        except TimeoutError:
+            return NotSent("connection attempt timed out")
+        except OSError as error:
+            return NotSent(f"connection failed: {error}")
+
+    async def _connect(self) -> anyio.abc.SocketStream:
+        self._metrics.count("target.connects")
+        with anyio.fail_after(self._connect_timeout_s):
+            return await anyio.connect_tcp(self._host, self._port)
+
+    async def _is_refused(self) -> bool:
+        try:
+            stream = await self._connect()
+        except OSError as error:
+            return _is_refusal(error)
+        await stream.aclose()
+        return False
+
+    async def aclose(self) -> None:
+        """Close all idle connections."""
+        while self._idle:
+            await self._idle.pop().close()
+
+
+def _is_refusal(error: BaseException | None) -> bool:
+    while error is not None:
+        if isinstance(error, OSError) and error.errno == errno.ECONNREFUSED:
+            return True
+        error = error.__cause__
+    return False
+
+
+def make_target_client(
+    clock: Clock, metrics: Metrics, connect_timeout_ms: float, max_idle: int
+) -> TargetClient:
+    """Return a client without an address; ``set_address`` gives it one.
+
+    :param clock: time source
+    :param metrics: counters
+    :param connect_timeout_ms: limit of one connection attempt
+    :param max_idle: kept connections that are not in use
+    """
+    return TargetClient(clock, metrics, connect_timeout_ms, max_idle)
