--- /dev/null
+++ b/src/briardock/_catalog.py
@@ -0,0 +1,212 @@
+"""Catalog of services, operations and classes that the operators published."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+from briardock._ini import IniError, parse_ini
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """One problem of a configuration.
+
+    :param file: file name; empty when the problem is in no single file
+    :param line: line counted from 1; 0 when unknown
+    :param section: section name
+    :param key: key; empty when the section itself is meant
+    :param message: what is wrong
+    :param remedy: what the operator can do
+    """
+
+    file: str
+    line: int
+    section: str
+    key: str
+    message: str
+    remedy: str
+
+    def __str__(self) -> str:
+        place = f"{self.file}:{self.line}" if self.line else self.file
+        parts = [place, f"[{self.section}]" if self.section else "", self.key]
+        where = " ".join(part for part in parts if part)
+        return f"{where}: {self.message}; {self.remedy}"
+
+
+@dataclass(frozen=True, slots=True)
+class Operation:
+    """One operation of a service.
+
+    :param name: full name, ``service.name``
+    :param service: name of the service
+    :param method: HTTP method
+    :param pattern: path pattern below the service
+    :param class_name: class of calls that enter here
+    :param class_rank: rank of the class; 0 is most important
+    :param idempotent: whether a call may run more than once
+    :param deadline_ms: default time for the whole action
+    :param retries: retry budget of the whole action
+    :param max_body_bytes: largest request body
+    :param calls: full names of the operations it calls
+    """
+
+    name: str
+    service: str
+    method: str
+    pattern: str
+    class_name: str
+    class_rank: int
+    idempotent: bool
+    deadline_ms: int
+    retries: int
+    max_body_bytes: int
+    calls: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Service:
+    """One service.
+
+    :param name: name of the service
+    :param domains: failure domains that hold instances; empty for any
+    :param slots_hint: expected concurrent runs per instance, or ``None``
+    :param cold_start_s: time until a new instance gets its full share, or ``None``
+    """
+
+    name: str
+    domains: tuple[str, ...]
+    slots_hint: int | None
+    cold_start_s: float | None
+
+
+@dataclass(frozen=True, slots=True)
+class OperationClass:
+    """Class of actions that are shed together; rank 0 is shed last."""
+
+    name: str
+    rank: int
+
+
+@dataclass(frozen=True, slots=True)
+class Policy:
+    """What the deployment weighs, and defaults of operations.
+
+    :param weigh: ``goodput`` or ``recovery``
+    :param sojourn_ms: queueing time that counts as overload
+    :param queue_length: calls waiting for a target
+    """
+
+    weigh: str = "goodput"
+    sojourn_ms: int = 20
+    queue_length: int = 64
+    default_class: str = ""
+    default_deadline_ms: int = 2_000
+    default_retries: int = 2
+    default_max_body_kb: int = 1_024
+
+
+class Catalog:
+    """Checked configuration; it never changes after it was built.
+
+    :param files: text of each file
+    :param services: services by name
+    :param classes: classes by name
+    :param operations: operations by full name
+    :param policy: policy of the deployment
+    :param warnings: problems that do not prevent publishing
+    """
+
+    def __init__(
+        self,
+        files: Mapping[str, str],
+        services: dict[str, Service],
+        classes: dict[str, OperationClass],
+        operations: dict[str, Operation],
+        policy: Policy,
+        warnings: tuple[Fault, ...] = (),
+    ) -> None:
+        self.files = files
+        self.services = services
+        self.classes = classes
+        self.operations = operations
+        self.policy = policy
+        self.warnings = warnings
+        self._literals: dict[str, Operation] = {}
+        self._patterns: dict[str, list[Operation]] = {}
+        self._index(operations.values())
+
+    def find(self, service: str, method: str, path: str) -> Operation | None:
+        """Return the operation of a request.
+
+        A literal segment goes before a ``{parameter}``, from left to right.
+
+        :param service: name of the service
+        :param method: HTTP method
+        :param path: path below the service, with or without query
+        """
+        path = path.partition("?")[0]
+        if found := self._literals.get(f"{service} {method} {path}"):
+            return found
+        shape = f"{service} {method} {path.count('/')}"
+        for operation in self._patterns.get(shape, ()):
+            if _matches(operation.pattern, path):
+                return operation
+        return None
+
+    def operation(self, name: str) -> Operation | None:
+        """Return an operation by its full name, ``service.name``."""
+        return self.operations.get(name)
+
+    def source_of(self, section: str, key: str) -> str:
+        """Return the file a value came from; empty for a default.
+
+        The files are parsed on demand, which keeps the catalog small.
+
+        :param section: section name
+        :param key: key in the section
+        """
+        return find_place(self.files, section, key)[0]
+
+    def _index(self, operations: Iterable[Operation]) -> None:
+        """Fill the tables that ``find`` uses."""
+        for operation in operations:
+            prefix = f"{operation.service} {operation.method}"
+            if "{" not in operation.pattern:
+                self._literals[f"{prefix} {operation.pattern}"] = operation
+                continue
+            shape = f"{prefix} {operation.pattern.count('/')}"
+            self._patterns.setdefault(shape, []).append(operation)
+        for found in self._patterns.values():
+            found.sort(key=_specificity)
+
+
+def find_place(files: Mapping[str, str], section: str, key: str) -> tuple[str, int]:
+    """Return file and line that set a key, or ``("", 0)``.
+
+    :param files: text of each file
+    :param section: section name
+    :param key: key; empty for the section itself
+    """
+    for name in sorted(files, reverse=True):
+        if f"[{section}]" not in files[name]:
+            continue
+        parsed = parse_ini(files[name])
+        if isinstance(parsed, IniError) or section not in parsed:
+            continue
+        if not key:
+            return name, parsed[section].line
+        if value := parsed[section].values.get(key):
+            return name, value.line
+    return "", 0
+
+
+def _matches(pattern: str, path: str) -> bool:
+    """Return whether a path of the same number of segments fits a pattern."""
+    for wanted, given in zip(pattern.split("/"), path.split("/"), strict=True):
+        if wanted != given and not (given and wanted.startswith("{")):
+            return False
+    return True
+
+
+def _specificity(operation: Operation) -> list[bool]:
+    """Return a sort key that puts literal segments first."""
+    return [part.startswith("{") for part in operation.pattern.split("/")]
--- /dev/null
+++ b/src/briardock/configuration.py
@@ -0,0 +1,364 @@
+"""Operators' configuration: a folder of INI files merged in the order of names.
+
+A later file overrides single keys of an earlier one, so teams add files without
+editing those of others.
+"""
+
+import re
+from collections.abc import Iterable, Iterator, Mapping
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from briardock._callgraph import check_calls
+from briardock._catalog import (
+    Catalog,
+    Fault,
+    Operation,
+    OperationClass,
+    Policy,
+    Service,
+    find_place,
+)
+from briardock._ini import IniError, IniSection, nearest, parse_ini
+from briardock._sections import KEYS, REQUIRED, check_section_name, convert_value
+from briardock.exceptions import ConfigurationError
+
+__all__ = [
+    "Catalog",
+    "Fault",
+    "Operation",
+    "OperationClass",
+    "Policy",
+    "Service",
+    "load_folder",
+    "merge_and_check",
+]
+
+MAX_FILES = 2_000
+MAX_FILE_BYTES = 256 * 1024
+MAX_TOTAL_BYTES = 4 * 1024 * 1024
+FILE_SUFFIX = ".ini"
+_FILE_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,99}\.ini\Z")
+_PARAMETER = re.compile(r"\{[^}]*\}")
+
+# A short queue empties sooner after a surge; a long one wastes fewer slots.
+_WEIGHED = {
+    "goodput": {"sojourn_ms": 40, "queue_length": 64},
+    "recovery": {"sojourn_ms": 15, "queue_length": 24},
+}
+
+
+class _Value(NamedTuple):
+    """Merged text of one key and where it came from."""
+
+    text: str
+    file: str
+    line: int
+
+
+_Merged = dict[str, dict[str, _Value]]
+
+
+def load_folder(path: str | Path) -> dict[str, str]:
+    """Return the text of each INI file of a folder; other files are skipped.
+
+    :param path: folder
+    :raises ConfigurationError: if the folder or a file cannot be used
+    """
+    folder = Path(path)
+    try:
+        found = sorted(
+            item
+            for item in folder.iterdir()
+            if item.suffix == FILE_SUFFIX and not item.name.startswith(".")
+        )
+        files = {item.name: _read_text(item) for item in found}
+    except OSError as error:
+        raise ConfigurationError(
+            f"{error.filename or folder}: cannot be read: {error.strerror}",
+            "give the path of a readable folder of INI files",
+        ) from error
+    if not files:
+        raise ConfigurationError(
+            f"{folder}: holds no *{FILE_SUFFIX} file", "give a configuration folder"
+        )
+    return files
+
+
+def merge_and_check(
+    files: Mapping[str, str], previous: Catalog | None = None
+) -> Catalog | list[Fault]:
+    """Return the catalog of the merged files, or every fault at once.
+
+    :param files: text by file name
+    :param previous: catalog that differs in a few files, to reuse its parts; the
+        result is the same with and without it
+    """
+    faults = list(_check_files(files))
+    if faults:
+        return faults
+    affected = _affected_sections(files, previous) if previous else None
+    merged = _merge(files, affected, faults)
+    if previous is None or affected is None:
+        catalog = _build(
+            files, merged, faults, Catalog({}, {}, {}, {}, _make_policy({}))
+        )
+    else:
+        catalog = _build(files, merged, faults, previous, affected)
+    warnings = _check_whole(catalog, faults)
+    catalog.warnings = tuple(sorted(warnings, key=_place_of))
+    return sorted(faults, key=_place_of) or catalog
+
+
+def _place_of(fault: Fault) -> tuple[str, int, str, str, str]:
+    """Return a sort key that does not depend on the order of the checks."""
+    return fault.file, fault.line, fault.section, fault.key, fault.message
+
+
+def _read_text(path: Path) -> str:
+    """Return the text of one file.
+
+    :raises ConfigurationError: if it is too large or not UTF-8
+    """
+    with path.open("rb") as file:
+        data = file.read(MAX_FILE_BYTES + 1)
+    if len(data) > MAX_FILE_BYTES:
+        raise ConfigurationError(
+            f"{path}: larger than {MAX_FILE_BYTES} bytes", "split it into several files"
+        )
+    try:
+        return data.decode("utf-8-sig").replace("\r\n", "\n")
+    except UnicodeDecodeError as error:
+        raise ConfigurationError(
+            f"{path}: not UTF-8 text", "save it as UTF-8"
+        ) from error
+
+
+def _check_files(files: Mapping[str, str]) -> Iterator[Fault]:
+    """Check names and sizes of the files."""
+    if len(files) > MAX_FILES:
+        message = f"{len(files)} files are more than {MAX_FILES}"
+        yield Fault("", 0, "", "", message, "join some of them")
+    total_bytes = 0
+    for name, text in files.items():
+        size_bytes = len(text) if text.isascii() else len(text.encode())
+        total_bytes += size_bytes
+        if not _FILE_NAME.match(name):
+            remedy = f"use letters, digits, '.', '_', '-' and end in {FILE_SUFFIX}"
+            yield Fault(name, 0, "", "", "bad file name", remedy)
+        if size_bytes > MAX_FILE_BYTES:
+            message = f"larger than {MAX_FILE_BYTES} bytes"
+            yield Fault(name, 0, "", "", message, "split it into several files")
+    if total_bytes > MAX_TOTAL_BYTES:
+        message = f"{total_bytes} bytes in all are more than {MAX_TOTAL_BYTES}"
+        yield Fault("", 0, "", "", message, "shorten the descriptions and comments")
+
+
+def _affected_sections(files: Mapping[str, str], previous: Catalog) -> set[str] | None:
+    """Return the sections that changed files hold, or ``None`` for a full build."""
+    affected: set[str] = set()
+    for name in files.keys() | previous.files.keys():
+        old, new = previous.files.get(name), files.get(name)
+        if old == new:
+            continue
+        for text in (old, new):
+            parsed = parse_ini(text or "")
+            if not isinstance(parsed, IniError):
+                affected.update(parsed)
+    kinds = {section.partition(" ")[0] for section in affected}
+    return None if kinds & {"policy", "class"} else affected
+
+
+def _merge(
+    files: Mapping[str, str], affected: set[str] | None, faults: list[Fault]
+) -> _Merged:
+    """Merge the sections in the order of file names.
+
+    :param affected: sections wanted, or ``None`` for all
+    """
+    merged: _Merged = {}
+    for name in sorted(files):
+        text = files[name]
+        if affected is not None and not any(f"[{item}]" in text for item in affected):
+            continue
+        parsed = parse_ini(text)
+        if isinstance(parsed, IniError):
+            remedy = "write [section] headers and 'key = value' lines"
+            faults.append(Fault(name, parsed.line, "", "", parsed.message, remedy))
+            continue
+        for section, content in parsed.items():
+            if affected is None or section in affected:
+                _merge_section(merged, name, section, content, faults)
+    return merged
+
+
+def _merge_section(
+    merged: _Merged, file: str, section: str, content: IniSection, faults: list[Fault]
+) -> None:
+    """Add the keys of one section of one file."""
+    kind, _, name = section.partition(" ")
+    problem = check_section_name(kind, name)
+    if problem:
+        faults.append(Fault(file, content.line, section, "", *problem))
+        return
+    target = merged.setdefault(section, {})
+    for key, value in content.values.items():
+        if key not in KEYS[kind]:
+            remedy = nearest(key, KEYS[kind])
+            faults.append(Fault(file, value.line, section, key, "unknown key", remedy))
+        else:
+            target[key] = _Value(value.text, file, value.line)
+
+
+def _build(
+    files: Mapping[str, str],
+    merged: _Merged,
+    faults: list[Fault],
+    base: Catalog,
+    affected: Iterable[str] = (),
+) -> Catalog:
+    """Return a catalog of the merged sections on top of those kept from a base."""
+    values = {
+        section: _convert_section(files, section, content, faults)
+        for section, content in merged.items()
+    }
+    services = dict(base.services)
+    operations = dict(base.operations)
+    for section in affected:
+        kind, _, name = section.partition(" ")
+        if kind == "service":
+            services.pop(name, None)
+        elif kind == "operation":
+            operations.pop(name, None)
+    classes = dict(base.classes) or {
+        section[6:]: OperationClass(section[6:], content.get("rank", 0))
+        for section, content in values.items()
+        if section.startswith("class ")
+    }
+    policy = _make_policy(values["policy"]) if "policy" in values else base.policy
+    for section, content in values.items():
+        kind, _, name = section.partition(" ")
+        if kind == "service":
+            services[name] = _make_service(name, content)
+        elif kind == "operation":
+            operations[name] = _make_operation(name, content, policy, classes)
+    return Catalog(files, services, classes, operations, policy)
+
+
+def _convert_section(
+    files: Mapping[str, str],
+    section: str,
+    content: dict[str, _Value],
+    faults: list[Fault],
+) -> dict[str, Any]:
+    """Return the values of a section in their types; report bad ones."""
+    kind = section.partition(" ")[0]
+    values: dict[str, Any] = {}
+    for key, value in content.items():
+        try:
+            values[key] = convert_value(key, value.text, KEYS[kind][key])
+        except ValueError as error:
+            message = str(error)[:1].lower() + str(error)[1:]
+            remedy = f"got '{value.text[:60]}'"
+            faults.append(Fault(value.file, value.line, section, key, message, remedy))
+    for key in REQUIRED.get(kind, ()):
+        if key not in content:
+            file, line = find_place(files, section, "")
+            faults.append(Fault(file, line, section, key, "missing", "add it"))
+    return values
+
+
+def _make_policy(values: dict[str, Any]) -> Policy:
+    """Return the policy with the bounds that its weighing implies."""
+    weigh = values.get("weigh", "goodput")
+    return Policy(**{**_WEIGHED[weigh], **values})
+
+
+def _make_service(name: str, values: dict[str, Any]) -> Service:
+    """Return a service."""
+    return Service(
+        name,
+        values.get("domains", ()),
+        values.get("slots_hint"),
+        values.get("cold_start_s"),
+    )
+
+
+def _make_operation(
+    name: str,
+    values: dict[str, Any],
+    policy: Policy,
+    classes: Mapping[str, OperationClass],
+) -> Operation:
+    """Return an operation; the caller checks its references."""
+    method, pattern = values.get("match", ("", ""))
+    class_name = values.get("class", policy.default_class)
+    rank = classes[class_name].rank if class_name in classes else 0
+    max_body_kb = values.get("max_body_kb", policy.default_max_body_kb)
+    return Operation(
+        name=name,
+        service=name.partition(".")[0],
+        method=method,
+        pattern=pattern,
+        class_name=class_name,
+        class_rank=rank,
+        idempotent=values.get("idempotent", False),
+        deadline_ms=values.get("deadline_ms", policy.default_deadline_ms),
+        retries=values.get("retries", policy.default_retries),
+        max_body_bytes=max_body_kb * 1024,
+        calls=values.get("calls", ()),
+    )
+
+
+def _check_whole(catalog: Catalog, faults: list[Fault]) -> list[Fault]:
+    """Report faults between sections and return the warnings."""
+    warnings: list[Fault] = []
+
+    def report(section: str, key: str, message: str, remedy: str) -> None:
+        place = find_place(catalog.files, section, key)
+        if not place[0]:
+            place = find_place(catalog.files, section, "")
+        faults.append(Fault(*place, section, key, message, remedy))
+
+    default_class = catalog.policy.default_class
+    if default_class and default_class not in catalog.classes:
+        remedy = nearest(default_class, catalog.classes)
+        report("policy", "default_class", f"unknown class '{default_class}'", remedy)
+    for operation in catalog.operations.values():
+        for problem in _check_references(operation, catalog):
+            report(f"operation {operation.name}", *problem)
+    for name, message in _duplicates(catalog.operations.values()):
+        report(f"operation {name}", "match", message, "change one of them")
+    for found in check_calls(catalog.operations):
+        report(f"operation {found.operation}", found.key, found.message, found.remedy)
+        if found.warning:
+            warnings.append(faults.pop())
+    return warnings
+
+
+def _check_references(
+    operation: Operation, catalog: Catalog
+) -> Iterator[tuple[str, str, str]]:
+    """Return key, message and remedy of bad references of an operation."""
+    if operation.service not in catalog.services:
+        message = f"no section [service {operation.service}]"
+        yield "", message, nearest(operation.service, catalog.services)
+    name = operation.class_name
+    if not name:
+        yield "class", "missing", "add it or set default_class in [policy]"
+    elif name not in catalog.classes and name != catalog.policy.default_class:
+        yield "class", f"unknown class '{name}'", nearest(name, catalog.classes)
+
+
+def _duplicates(operations: Iterable[Operation]) -> Iterator[tuple[str, str]]:
+    """Return name and message of operations whose pattern is taken."""
+    seen: dict[str, str] = {}
+    for operation in operations:
+        if not operation.pattern:
+            continue
+        shape = _PARAMETER.sub("{}", operation.pattern)
+        match = f"{operation.service} {operation.method} {shape}"
+        owner = seen.setdefault(match, operation.name)
+        if owner != operation.name:
+            text = f"{operation.method} {operation.pattern}"
+            yield operation.name, f"'{text}' is already matched by {owner}"
