Add target and load stand-ins with ledgers

A target stand-in with slots, child calls, faults and a ledger of its runs, an open-loop load generator with a ledger of what callers were told, and the check that compares the two. They use h11 on anyio; ledgers are JSON lines, so that a killed process leaves its entries.

--- /dev/null
+++ b/src/briardock_standins/_children.py
@@ -0,0 +1,160 @@
+"""Child calls of a target stand-in, through its node or directly."""
+
+import enum
+import random
+from dataclasses import dataclass
+
+import anyio
+import msgspec
+
+from briardock_standins._client import HttpClient
+from briardock_standins._http import (
+    Address,
+    HttpRequest,
+    HttpResponse,
+    parse_address,
+)
+from briardock_standins.ledger import body_digest
+from briardock_standins.plans import ChildCall, OperationPlan, TargetPlan
+
+
+class _AnswerHead(msgspec.Struct):
+    """Fields of an answer that tell its receiver that it is whole and its own."""
+
+    nonce: str
+    request_digest: str
+    pad_bytes: int
+    pad: str
+
+
+_decoder = msgspec.json.Decoder(_AnswerHead)
+
+
+def is_own_answer(body: bytes, nonce: str, request_body: bytes) -> bool:
+    """Return whether an answer is whole and belongs to a request.
+
+    :param body: answer body
+    :param nonce: nonce of the request
+    :param request_body: request body
+    """
+    try:
+        answer = _decoder.decode(body)
+    except msgspec.DecodeError:
+        return False
+    if answer.nonce != nonce or answer.request_digest != body_digest(request_body):
+        return False
+    return len(answer.pad) == answer.pad_bytes
+
+
+class ChildResult(enum.Enum):
+    """How a child call ended."""
+
+    OK = "ok"
+    FAILED = "failed"
+    FOREIGN = "foreign"
+
+
+@dataclass(frozen=True, slots=True)
+class Parent:
+    """The run that makes child calls.
+
+    :param run: id of the run
+    :param nonce: nonce of its call
+    :param context: ``Briardock-Context`` it received
+    """
+
+    run: str
+    nonce: str
+    context: str
+
+
+@dataclass(frozen=True, slots=True)
+class ChildCaller:
+    """Makes the child calls of a target.
+
+    :param plan: plan of the target
+    :param client: HTTP client
+    :param rng: random source
+    """
+
+    plan: TargetPlan
+    client: HttpClient
+    rng: random.Random
+
+    async def call_all(
+        self, operation: OperationPlan, parent: Parent
+    ) -> list[ChildResult]:
+        """Make the child calls of an operation.
+
+        Sequential calls end at the first failure of a required one.
+
+        :param operation: calling operation
+        :param parent: calling run
+        """
+        if operation.parallel and len(operation.calls) > 1:
+            return await self._call_parallel(operation, parent)
+        results: list[ChildResult] = []
+        for position, call in enumerate(operation.calls):
+            result = await self._call(call, parent, position)
+            results.append(result)
+            if call.required and result is not ChildResult.OK:
+                break
+        return results
+
+    async def _call_parallel(
+        self, operation: OperationPlan, parent: Parent
+    ) -> list[ChildResult]:
+        results = [ChildResult.FAILED] * len(operation.calls)
+
+        async def run(position: int, call: ChildCall) -> None:
+            results[position] = await self._call(call, parent, position)
+
+        async with anyio.create_task_group() as tasks:
+            for position, call in enumerate(operation.calls):
+                tasks.start_soon(run, position, call)
+        return results
+
+    async def _call(
+        self, call: ChildCall, parent: Parent, position: int
+    ) -> ChildResult:
+        nonce = f"{parent.nonce}/{position}"
+        headers = [
+            (b"x-nonce", nonce.encode()),
+            (b"x-parent-run", parent.run.encode()),
+        ]
+        if parent.context:
+            headers.append((b"briardock-context", parent.context.encode()))
+        if call.label:
+            headers.append((b"idempotency-key", call.label.encode()))
+        body = b"" if call.method == "GET" else nonce.encode()
+        path = call.path if self._is_direct(call) else f"/{call.service}{call.path}"
+        request = HttpRequest(call.method, path, tuple(headers), body)
+        result = ChildResult.FAILED
+        for _ in range(self.plan.attempts if self._is_direct(call) else 1):
+            address = self._choose_address(call)
+            answer = await self.client.request(
+                address, request, self.plan.call_timeout_ms
+            )
+            result = _judge(answer, nonce, body)
+            if result is not ChildResult.FAILED:
+                break
+        return result
+
+    def _is_direct(self, call: ChildCall) -> bool:
+        return call.service in self.plan.upstreams
+
+    def _choose_address(self, call: ChildCall) -> Address:
+        if self._is_direct(call):
+            return parse_address(self.rng.choice(self.plan.upstreams[call.service]))
+        return parse_address(self.plan.node)
+
+
+def _judge(answer: object, nonce: str, request_body: bytes) -> ChildResult:
+    if not isinstance(answer, HttpResponse):
+        return ChildResult.FAILED
+    outcome = answer.header("briardock-outcome")
+    if outcome not in ("", "completed") or answer.status != 200:
+        return ChildResult.FAILED
+    if is_own_answer(answer.body, nonce, request_body):
+        return ChildResult.OK
+    return ChildResult.FOREIGN
--- /dev/null
+++ b/src/briardock_standins/load.py
@@ -0,0 +1,409 @@
+"""Open-loop load generator with a ledger of what callers were told."""
+
+import json
+import random
+import sys
+from collections import defaultdict
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import anyio
+import anyio.abc
+import defopt
+import msgspec
+
+from briardock.clock import Clock, SystemClock, make_random
+from briardock.exceptions import BriardockError
+from briardock_standins._children import is_own_answer
+from briardock_standins._client import HttpClient
+from briardock_standins._http import (
+    Address,
+    AnswerMissing,
+    ConnectFailed,
+    Exchange,
+    HttpRequest,
+    HttpResponse,
+    TimedOut,
+    parse_address,
+)
+from briardock_standins.ledger import LedgerWriter, Told
+from briardock_standins.plans import ActionPlan, LoadPlan, Phase, read_plan
+
+KEY_BATCH = 100
+KEY_LOW_WATER = 30
+KEY_MAX_AGE_MS = 60_000.0
+KEY_TIMEOUT_MS = 2_000.0
+
+
+@dataclass(frozen=True, slots=True)
+class _Key:
+    text: str
+    issuer: Address
+    issued_ms: float
+
+
+class KeyStore:
+    """Keys fetched in batches ahead of their use, as a caller would.
+
+    :param client: HTTP client
+    :param entries: nodes to fetch from, in rotation
+    :param clock: time
+    """
+
+    def __init__(
+        self, client: HttpClient, entries: list[Address], clock: Clock
+    ) -> None:
+        self._client = client
+        self._entries = entries
+        self._clock = clock
+        self._keys: list[_Key] = []
+        self._turn = 0
+        self._lock = anyio.Lock()
+
+    async def take(self) -> _Key | None:
+        """Return a key, or ``None`` where no node issues any."""
+        key = self._pop()
+        if key is not None:
+            return key
+        async with self._lock:
+            for _ in self._entries:
+                if self._keys:
+                    break
+                await self.fetch()
+        return self._pop()
+
+    def is_low(self) -> bool:
+        """Return whether a batch should be fetched ahead."""
+        return len(self._keys) < KEY_LOW_WATER and not self._lock.locked()
+
+    async def fetch_ahead(self) -> None:
+        """Fetch a batch unless another task does."""
+        if not self._lock.locked():
+            async with self._lock:
+                await self.fetch()
+
+    async def fetch(self) -> None:
+        """Fetch one batch from the next node; a failure leaves the store as it is."""
+        entry = self._entries[self._turn % len(self._entries)]
+        self._turn += 1
+        request = HttpRequest("POST", f"/_briardock/keys?count={KEY_BATCH}")
+        answer = await self._client.request(entry, request, KEY_TIMEOUT_MS)
+        if not isinstance(answer, HttpResponse) or answer.status != 200:
+            return
+        now_ms = self._clock.now_ms()
+        texts = json.loads(answer.body)["keys"]
+        self._keys = [_Key(text, entry, now_ms) for text in texts] + self._keys
+
+    def _pop(self) -> _Key | None:
+        oldest_ms = self._clock.now_ms() - KEY_MAX_AGE_MS
+        while self._keys:
+            key = self._keys.pop()
+            if key.issued_ms >= oldest_ms:
+                return key
+        return None
+
+
+@dataclass(slots=True)
+class ClassReport:
+    """Counts of one class; latencies are of succeeded actions, in ms."""
+
+    sent: int = 0
+    completed: int = 0
+    succeeded: int = 0
+    not_run: int = 0
+    unknown: int = 0
+    sends: int = 0
+    latencies_ms: list[float] = field(default_factory=list)
+
+    def summary(self) -> dict[str, float]:
+        """Return the counts with quantiles in place of the latencies."""
+        found = sorted(self.latencies_ms)
+        return {
+            "sent": self.sent,
+            "completed": self.completed,
+            "succeeded": self.succeeded,
+            "not_run": self.not_run,
+            "unknown": self.unknown,
+            "sends": self.sends,
+            "p50_ms": round(quantile(found, 0.5), 2),
+            "p99_ms": round(quantile(found, 0.99), 2),
+        }
+
+
+def quantile(ordered: list[float], share: float) -> float:
+    """Return a quantile of sorted values, or 0.0 without any."""
+    if not ordered:
+        return 0.0
+    return ordered[min(int(len(ordered) * share), len(ordered) - 1)]
+
+
+def summarise(entries: list[Told]) -> dict[str, ClassReport]:
+    """Return the report per class of a caller ledger."""
+    reports: dict[str, ClassReport] = defaultdict(ClassReport)
+    first_ms: dict[str, float] = {}
+    for entry in entries:
+        report = reports[entry.class_name]
+        report.sends += 1
+        first_ms.setdefault(entry.action, entry.start_ms)
+        if not entry.final:
+            continue
+        report.sent += 1
+        report.completed += entry.outcome == "completed"
+        report.not_run += entry.outcome == "not-run"
+        report.unknown += entry.outcome == "unknown"
+        if entry.succeeded:
+            report.succeeded += 1
+            report.latencies_ms.append(entry.end_ms - first_ms[entry.action])
+    return dict(reports)
+
+
+def arrivals(
+    phases: tuple[Phase, ...], rate_per_s: float, rng: random.Random
+) -> Iterator[float]:
+    """Yield arrival times in s from the start, Poisson within each phase.
+
+    :param phases: schedule
+    :param rate_per_s: rate at multiple 1
+    :param rng: random source
+    """
+    begin_s = 0.0
+    for phase in phases:
+        end_s = begin_s + phase.duration_s
+        rate = rate_per_s * phase.multiple
+        at_s = begin_s
+        while rate > 0.0:
+            at_s += rng.expovariate(rate)
+            if at_s >= end_s:
+                break
+            yield at_s
+        begin_s = end_s
+
+
+class LoadGenerator:
+    """Sends actions on a schedule that answers do not slow down.
+
+    :param plan: schedule and mix
+    :param clock: time
+    """
+
+    def __init__(self, plan: LoadPlan, clock: Clock) -> None:
+        self.plan = plan
+        self.ledger = LedgerWriter(Path(plan.ledger) if plan.ledger else None)
+        self._clock = clock
+        self._rng = make_random(plan.seed)
+        self._entries = [parse_address(entry) for entry in plan.entries]
+        self._client = HttpClient(plan.source_host or None)
+        self._keys = KeyStore(self._client, self._entries, clock)
+        self._sequence = 0
+
+    @property
+    def told(self) -> list[Told]:
+        """Return what callers were told so far."""
+        return [entry for entry in self.ledger.entries if isinstance(entry, Told)]
+
+    async def run(self) -> list[Told]:
+        """Run the schedule, wait for the last answers, and return the ledger."""
+        if any(action.keyed for action in self.plan.actions):
+            await self._keys.fetch()
+        weights = [action.weight for action in self.plan.actions]
+        start_ms = self._clock.now_ms()
+        async with anyio.create_task_group() as tasks:
+            for at_s in arrivals(self.plan.phases, self.plan.rate_per_s, self._rng):
+                wait_ms = start_ms + at_s * 1000.0 - self._clock.now_ms()
+                if wait_ms > 0.0:
+                    await anyio.sleep(wait_ms / 1000.0)
+                action = self._rng.choices(self.plan.actions, weights)[0]
+                tasks.start_soon(self.perform, action)
+                if action.keyed and self._keys.is_low():
+                    tasks.start_soon(self._keys.fetch_ahead)
+        await self.close()
+        return self.told
+
+    async def close(self) -> None:
+        """Close the connections and the ledger file."""
+        await self._client.close()
+        self.ledger.close()
+
+    async def perform(self, action: ActionPlan) -> Told:
+        """Send one action with its resends and return what was told last.
+
+        :param action: action to send
+        """
+        self._sequence += 1
+        name = f"a{self.plan.seed}-{self._sequence}"
+        key = await self._keys.take() if action.keyed else None
+        if action.keyed and key is None:
+            return self._record_unsent(name, action)
+        deadline_ms = self._clock.now_ms() + action.deadline_ms
+        attempt = 0
+        while True:
+            start_ms = self._clock.now_ms()
+            answer = await self._send(name, action, key, deadline_ms - start_ms)
+            told = self._judge(name, action, key, answer, start_ms, attempt)
+            resend_ms = self._clock.now_ms() + action.resend_delay_ms
+            if told.succeeded or attempt >= action.resends or resend_ms >= deadline_ms:
+                self.ledger.append(told)
+                return told
+            self.ledger.append(msgspec.structs.replace(told, final=False))
+            attempt += 1
+            await anyio.sleep(action.resend_delay_ms / 1000.0)
+
+    async def _send(
+        self, name: str, action: ActionPlan, key: _Key | None, left_ms: float
+    ) -> Exchange:
+        entry = self._choose_entry(key)
+        headers = [
+            (b"x-nonce", name.encode()),
+            (b"briardock-deadline-ms", b"%d" % max(int(left_ms), 0)),
+        ]
+        if key is not None:
+            headers.append((b"idempotency-key", key.text.encode()))
+        path = action.path if self.plan.direct else f"/{action.service}{action.path}"
+        request = HttpRequest(action.method, path, tuple(headers), action.body.encode())
+        timeout_ms = left_ms + self.plan.answer_grace_ms
+        return await self._client.request(entry, request, timeout_ms)
+
+    def _choose_entry(self, key: _Key | None) -> Address:
+        if key is not None and self._rng.random() >= self.plan.foreign_key_share:
+            return key.issuer
+        return self._rng.choice(self._entries)
+
+    def _record_unsent(self, name: str, action: ActionPlan) -> Told:
+        now_ms = self._clock.now_ms()
+        told = Told(
+            action=name,
+            attempt=0,
+            final=True,
+            key="",
+            operation=action.operation,
+            class_name=action.class_name,
+            outcome="not-run",
+            reason="caller-without-key",
+            status=0,
+            body_ok=False,
+            start_ms=now_ms,
+            end_ms=now_ms,
+        )
+        self.ledger.append(told)
+        return told
+
+    def _judge(
+        self,
+        name: str,
+        action: ActionPlan,
+        key: _Key | None,
+        answer: Exchange,
+        start_ms: float,
+        attempt: int,
+    ) -> Told:
+        verdict = _read_answer(answer, name, action.body.encode())
+        return Told(
+            action=name,
+            attempt=attempt,
+            final=True,
+            key=key.text if key is not None else "",
+            operation=action.operation,
+            class_name=action.class_name,
+            outcome=verdict.outcome,
+            reason=verdict.reason,
+            status=verdict.status,
+            body_ok=verdict.body_ok,
+            start_ms=start_ms,
+            end_ms=self._clock.now_ms(),
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class _Verdict:
+    """What an exchange tells the caller."""
+
+    outcome: str
+    reason: str = ""
+    status: int = 0
+    body_ok: bool = False
+
+
+def _read_answer(answer: Exchange, nonce: str, body: bytes) -> _Verdict:
+    match answer:
+        case ConnectFailed(detail=detail):
+            return _Verdict("not-run", f"caller-connect: {detail}")
+        case AnswerMissing(detail=detail):
+            return _Verdict("unknown", f"caller-lost: {detail}")
+        case TimedOut():
+            return _Verdict("unknown", "caller-timeout")
+        case HttpResponse():
+            return _read_response(answer, nonce, body)
+
+
+def _read_response(answer: HttpResponse, nonce: str, body: bytes) -> _Verdict:
+    """Return the verdict of a response; direct targets send no outcome header."""
+    outcome = answer.header("briardock-outcome")
+    if not outcome:
+        shed = answer.header("briardock-not-run") == "1"
+        outcome = "not-run" if shed else "completed"
+    if outcome == "completed":
+        body_ok = is_own_answer(answer.body, nonce, body)
+        return _Verdict(outcome, "", answer.status, body_ok)
+    return _Verdict(outcome, _read_reason(answer.body), answer.status)
+
+
+def _read_reason(body: bytes) -> str:
+    try:
+        return str(json.loads(body)["reason"])
+    except (ValueError, KeyError, TypeError):
+        return "unreadable-refusal"
+
+
+async def run_load(plan: LoadPlan) -> list[Told]:
+    """Run a load plan and return what callers were told.
+
+    :param plan: schedule and mix
+    """
+    return await LoadGenerator(plan, SystemClock()).run()
+
+
+def _command(
+    plan: Path,
+    *,
+    entries: list[str] | None = None,
+    rate_per_s: float = 0.0,
+    ledger: Path | None = None,
+    seed: int = -1,
+) -> None:
+    """Send open-loop load and print one JSON line with the report per class.
+
+    Options replace the values of the plan.
+
+    :param plan: JSON file with a load plan
+    :param entries: host:port of the nodes to send to
+    :param rate_per_s: mean arrivals per second at multiple 1
+    :param ledger: file to append the caller ledger to
+    :param seed: seed of arrivals and choices
+    """
+    settings = read_plan(plan, LoadPlan)
+    changes: dict[str, object] = {
+        "entries": tuple(entries or ()),
+        "rate_per_s": rate_per_s,
+        "ledger": str(ledger) if ledger else "",
+    }
+    changes = {name: value for name, value in changes.items() if value}
+    if seed >= 0:
+        changes["seed"] = seed
+    settings = msgspec.structs.replace(settings, **changes)
+    told = anyio.run(run_load, settings, backend_options={"use_uvloop": True})
+    reports = summarise(told)
+    print(json.dumps({name: r.summary() for name, r in sorted(reports.items())}))
+
+
+def main() -> None:
+    """Run the command ``briardock-load``."""
+    try:
+        defopt.run(_command)
+    except BriardockError as error:
+        print(error, file=sys.stderr)
+        sys.exit(error.exit_code)
+
+
+if __name__ == "__main__":
+    main()
