Add publishing rule, configuration reader and gossip deltas

The acceptance rule depends on offsets and contents of log records only, so all nodes reach the same state. Deleted files keep their version, and an absent file has base version -1 because offset 0 is a valid version.

--- /dev/null
+++ b/src/briardock/_configstate.py
@@ -0,0 +1,334 @@
+"""Version state of the configuration, a function of the log alone.
+
+Every node that applies the same records reaches the same state: the rule uses
+offsets and contents of records, never times or the order of arrival.
+"""
+
+from collections.abc import Mapping
+
+from briardock._catalog import Catalog
+from briardock._changes import (
+    Accepted,
+    Applied,
+    Behind,
+    Ignored,
+    RecentChanges,
+    Rejected,
+    Stale,
+)
+from briardock._records import (
+    ABSENT,
+    MAX_REASON_LENGTH,
+    NO_VERSION,
+    ChangeResult,
+    Checkpoint,
+    Delta,
+    FileVersion,
+    Publish,
+    decode_delta,
+    decode_record,
+    digest_of,
+    encode_delta,
+)
+from briardock.configuration import merge_and_check
+from briardock.events import Event, emit
+
+# Deleted files keep their version, so that a late duplicate of the record that
+# created one cannot bring it back. This bounds live and deleted names.
+MAX_NAMES = 4_000
+
+
+class ConfigState:
+    """Files, versions and recent changes of one node."""
+
+    def __init__(self) -> None:
+        self.version = NO_VERSION
+        self.last_offset = -1
+        self.checkpoint_offset = -1
+        self.log_restarted = False
+        self.catalog = _empty_catalog()
+        self._files: dict[str, FileVersion] = {}
+        self._changes = RecentChanges()
+        self._snapshot: bytes | None = None
+        self._missing_before: int | None = None
+        self._scan_offset = 0
+
+    @property
+    def files(self) -> Mapping[str, str]:
+        """Text of each file that exists."""
+        return self.catalog.files
+
+    @property
+    def versions(self) -> dict[str, int]:
+        """Version of each file, with the deleted ones."""
+        return {name: entry.version for name, entry in self._files.items()}
+
+    @property
+    def next_offset(self) -> int:
+        """Offset to read next from the log."""
+        if self._missing_before is not None:
+            return max(self._scan_offset, self.last_offset + 1)
+        return self.last_offset + 1
+
+    @property
+    def is_incomplete(self) -> bool:
+        """Whether records needed here were trimmed and no checkpoint covers them."""
+        return self._missing_before is not None
+
+    @property
+    def digest(self) -> str:
+        """Digest of version and files."""
+        return digest_of(self.version, self._files)
+
+    def result_of(self, change_id: str) -> ChangeResult | None:
+        """Return what became of a recent change, or ``None`` if it was not seen."""
+        return self._changes.get(change_id)
+
+    def observe_log(self, first: int, following: int) -> None:
+        """Take note of the range of offsets that the log holds.
+
+        :param first: oldest offset that can be read
+        :param following: offset of the next append
+        """
+        restarted = following <= self.last_offset
+        if restarted and not self.log_restarted:
+            emit(
+                Event.CONFIG_LOG_RESTARTED,
+                log_next=following,
+                applied=self.last_offset,
+                version=self.version,
+            )
+        self.log_restarted = restarted
+        if first <= self.last_offset + 1:
+            self._missing_before = None
+        elif self._missing_before is None:
+            emit(Event.CONFIG_HISTORY_TRIMMED, first=first, applied=self.last_offset)
+            self._missing_before = first
+            self._scan_offset = first
+        else:
+            self._missing_before = first
+            self._scan_offset = max(self._scan_offset, first)
+
+    def apply(self, offset: int, body: bytes) -> Accepted | Rejected | Ignored:
+        """Apply one record of the log.
+
+        :param offset: offset of the record
+        :param body: content of the record
+        """
+        if offset <= self.last_offset:
+            return Ignored("already applied")
+        record = decode_record(body)
+        if self._missing_before is not None:
+            self._scan_offset = offset + 1
+            return self._restore_from(offset, record)
+        self.last_offset = offset
+        match record:
+            case Publish():
+                return self._apply_publish(offset, record)
+            case Checkpoint():
+                return self._compare(offset, record)
+        emit(Event.CONFIG_RECORD_IGNORED, offset=offset, size_bytes=len(body))
+        return Ignored("not a configuration record")
+
+    def checkpoint(self) -> Checkpoint:
+        """Return the whole state as of the last applied record."""
+        return Checkpoint(
+            as_of=self.last_offset,
+            version=self.version,
+            files=dict(self._files),
+            results=self._changes.between(-1, self.last_offset),
+            digest=self.digest,
+        )
+
+    def restore(self, checkpoint: Checkpoint) -> bool:
+        """Replace the state by a checkpoint of a later version.
+
+        :param checkpoint: from the log
+        :returns: whether the state covers ``checkpoint.as_of`` now
+        """
+        if digest_of(checkpoint.version, checkpoint.files) != checkpoint.digest:
+            emit(Event.CONFIG_CHECKPOINT_DAMAGED, as_of=checkpoint.as_of)
+            return False
+        if checkpoint.version < self.version or checkpoint.as_of < checkpoint.version:
+            emit(
+                Event.CONFIG_OLDER_REFUSED,
+                offered=checkpoint.version,
+                version=self.version,
+            )
+            return False
+        if checkpoint.version > self.version and not self._install(
+            checkpoint.version, dict(checkpoint.files)
+        ):
+            return False
+        self._changes.add(checkpoint.results)
+        self._advance(checkpoint.as_of)
+        return True
+
+    def snapshot(self) -> bytes:
+        """Return the whole state of the current version, for gossip."""
+        if self._snapshot is None:
+            results = self._changes.between(-1, self.version)
+            whole = Delta(NO_VERSION, self.version, self._files, results)
+            self._snapshot = encode_delta(whole)
+        return self._snapshot
+
+    def install_snapshot(self, data: bytes) -> bool:
+        """Take over a snapshot if it is newer, and return whether it was.
+
+        :param data: from :meth:`snapshot` of another node
+        """
+        return isinstance(self.apply_delta(data), Applied)
+
+    def apply_delta(self, data: bytes) -> Applied | Behind | Stale:
+        """Apply a step or snapshot of another node.
+
+        :param data: from :class:`Accepted` or :meth:`snapshot`
+        """
+        delta = decode_delta(data)
+        if delta is None:
+            emit(Event.CONFIG_DELTA_DAMAGED, size_bytes=len(data))
+            return Stale("damaged")
+        if delta.version <= self.version:
+            return Stale("not newer")
+        if delta.previous not in (NO_VERSION, self.version):
+            return Behind(delta.version)
+        kept = {} if delta.previous == NO_VERSION else self._files
+        if not self._install(delta.version, {**kept, **delta.files}):
+            return Stale("does not pass the checks")
+        self._changes.add(delta.results)
+        self._advance(delta.version)
+        return Applied(self.version)
+
+    def _advance(self, offset: int) -> None:
+        """Count all records up to an offset as applied."""
+        self.last_offset = max(self.last_offset, offset)
+        first = self._missing_before
+        if first is not None and first <= self.last_offset + 1:
+            self._missing_before = None
+
+    def _apply_publish(
+        self, offset: int, record: Publish
+    ) -> Accepted | Rejected | Ignored:
+        """Accept or reject a change."""
+        if self._changes.recognises(record.change_id):
+            return Ignored("change id already seen")
+        conflicts = tuple(
+            sorted(
+                name
+                for name in record.changes
+                if record.base.get(name, ABSENT) != self._version_of(name)
+            )
+        )
+        if conflicts:
+            reason = f"changed by another publish: {', '.join(conflicts)}"
+            return self._reject(offset, record, reason, conflicts)
+        changed = {
+            name: FileVersion(offset, text) for name, text in record.changes.items()
+        }
+        files = {**self._files, **changed}
+        if len(files) > MAX_NAMES:
+            return self._reject(offset, record, f"more than {MAX_NAMES} file names", ())
+        checked = merge_and_check(_present(files), self.catalog)
+        if isinstance(checked, list):
+            return self._reject(offset, record, f"{checked[0]}", ())
+        previous = self.version
+        self._take(offset, files, checked)
+        self._changes.append(ChangeResult(offset, record.change_id, True))
+        results = self._changes.between(previous, offset)
+        emit(
+            Event.CONFIG_ACCEPTED,
+            version=offset,
+            change_id=record.change_id,
+            author=record.author,
+            files=len(changed),
+        )
+        return Accepted(offset, encode_delta(Delta(previous, offset, changed, results)))
+
+    def _reject(
+        self, offset: int, record: Publish, reason: str, conflicts: tuple[str, ...]
+    ) -> Rejected:
+        """Remember that a change has no effect."""
+        reason = reason[:MAX_REASON_LENGTH]
+        result = ChangeResult(offset, record.change_id, False, reason, conflicts)
+        self._changes.append(result)
+        emit(
+            Event.CONFIG_REJECTED,
+            offset=offset,
+            change_id=record.change_id,
+            author=record.author,
+            reason=reason,
+        )
+        return Rejected(record.change_id, reason, conflicts)
+
+    def _compare(self, offset: int, checkpoint: Checkpoint) -> Ignored:
+        """Compare a checkpoint with the own state, where both are comparable."""
+        if checkpoint.as_of >= offset:
+            emit(Event.CONFIG_CHECKPOINT_DAMAGED, as_of=checkpoint.as_of, offset=offset)
+            return Ignored("checkpoint of a later record")
+        if checkpoint.as_of >= self.version and checkpoint.digest != self.digest:
+            emit(
+                Event.CONFIG_CHECKPOINT_MISMATCH,
+                offset=offset,
+                as_of=checkpoint.as_of,
+                version=self.version,
+            )
+            return Ignored("checkpoint differs from the own state")
+        self.checkpoint_offset = offset
+        return Ignored("checkpoint")
+
+    def _restore_from(
+        self, offset: int, record: Publish | Checkpoint | None
+    ) -> Accepted | Ignored:
+        """Use a record of a trimmed log if it is a checkpoint that covers the gap."""
+        first = self._missing_before or 0
+        if not isinstance(record, Checkpoint) or not first - 1 <= record.as_of < offset:
+            return Ignored("records are missing; waiting for a checkpoint")
+        before = self.version
+        if not self.restore(record):
+            return Ignored("checkpoint cannot be used")
+        self.checkpoint_offset = offset
+        emit(Event.CONFIG_RESTORED, as_of=record.as_of, version=self.version)
+        if self.version == before:
+            return Ignored("checkpoint of the current version")
+        return Accepted(self.version, self.snapshot())
+
+    def _version_of(self, name: str) -> int:
+        """Return the version of a file."""
+        entry = self._files.get(name)
+        return entry.version if entry else ABSENT
+
+    def _install(self, version: int, files: dict[str, FileVersion]) -> bool:
+        """Take over files that another node accepted, and return whether possible."""
+        checked = merge_and_check(_present(files), self.catalog)
+        if isinstance(checked, list):
+            emit(Event.CONFIG_NOT_INSTALLED, version=version, fault=checked[0])
+            return False
+        self._take(version, files, checked)
+        return True
+
+    def _take(
+        self, version: int, files: dict[str, FileVersion], catalog: Catalog
+    ) -> None:
+        """Put a version in force."""
+        self.version = version
+        self.catalog = catalog
+        self._files = files
+        self._snapshot = None
+
+
+def make_config_state() -> ConfigState:
+    """Return the state before any publish."""
+    return ConfigState()
+
+
+def _present(files: Mapping[str, FileVersion]) -> dict[str, str]:
+    """Return the text of the files that are not deleted."""
+    return {name: entry.text for name, entry in files.items() if entry.text is not None}
+
+
+def _empty_catalog() -> Catalog:
+    """Return the catalog of no files."""
+    checked = merge_and_check({})
+    if isinstance(checked, list):
+        raise AssertionError(checked)
+    return checked
--- a/src/briardock/events.py
+++ b/src/briardock/events.py
@@ -43,6 +43,36 @@
     INTERNAL_ERROR = EventInfo(504, "ERROR", "unexpected error in a handler")
     TASK_RESTARTED = EventInfo(505, "WARNING", "background task failed; restarting")
     PAUSE_DETECTED = EventInfo(506, "WARNING", "process was paused")
+    CONFIG_ACCEPTED = EventInfo(400, "INFO", "configuration change accepted")
+    CONFIG_REJECTED = EventInfo(401, "WARNING", "configuration change rejected")
+    CONFIG_RECORD_IGNORED = EventInfo(402, "WARNING", "log record cannot be decoded")
+    CONFIG_LOG_REACHABLE = EventInfo(403, "INFO", "log service answers")
+    CONFIG_LOG_UNREACHABLE = EventInfo(
+        404, "WARNING", "log service does not answer; the configuration stays in force"
+    )
+    CONFIG_LOG_RESTARTED = EventInfo(
+        405, "ERROR", "log ends before the version in force; keeping that version"
+    )
+    CONFIG_HISTORY_TRIMMED = EventInfo(
+        406, "WARNING", "log records were trimmed; waiting for a checkpoint or a peer"
+    )
+    CONFIG_RESTORED = EventInfo(407, "INFO", "configuration restored from a checkpoint")
+    CONFIG_CHECKPOINT_DAMAGED = EventInfo(
+        408, "ERROR", "checkpoint is damaged; ignored"
+    )
+    CONFIG_CHECKPOINT_MISMATCH = EventInfo(
+        409, "ERROR", "checkpoint differs from the state of this node; ignored"
+    )
+    CONFIG_CHECKPOINT_FAILED = EventInfo(
+        410, "WARNING", "checkpoint could not be appended; trying again"
+    )
+    CONFIG_OLDER_REFUSED = EventInfo(
+        411, "ERROR", "older configuration refused; keeping the newer one"
+    )
+    CONFIG_DELTA_DAMAGED = EventInfo(412, "WARNING", "gossip delta cannot be decoded")
+    CONFIG_NOT_INSTALLED = EventInfo(
+        413, "ERROR", "configuration of another node does not pass the checks here"
+    )
 
 
 class _QueueHandler(logbook.Handler):
--- a/src/briardock/platformlog.py
+++ b/src/briardock/platformlog.py
@@ -133,10 +133,21 @@
             try:
                 data = await self._stream.receive(RECEIVE_BYTES)
             except anyio.EndOfStream:
-                data = b""
+                return self._end_of_stream()
             self._http.receive_data(data)
         return event
 
+    def _end_of_stream(self) -> object:
+        """Return the event that the end of the stream makes.
+
+        :raises anyio.EndOfStream: if it cuts the answer short
+        """
+        self._http.receive_data(b"")
+        try:
+            return self._http.next_event()
+        except h11.RemoteProtocolError:
+            raise anyio.EndOfStream from None
+
     def reuse(self) -> bool:
         """Make the connection ready for another request, if it can carry one."""
         if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
--- a/src/briardock_standins/log.py
+++ b/src/briardock_standins/log.py
@@ -281,6 +281,14 @@
     await stream.send(StreamClosed(stream_id=stream.stream_id))
 
 
+def _report_unless_cancelled(
+    loop: asyncio.AbstractEventLoop, context: dict[str, Any]
+) -> None:
+    """Report an error of the loop, but not connections cut by the shutdown."""
+    if not isinstance(context.get("exception"), asyncio.CancelledError):
+        loop.default_exception_handler(context)
+
+
 async def serve_log(host: str, port: int, retention_records: int, seed: int) -> None:
     """Serve the log until the process is told to stop.
 
@@ -299,6 +307,7 @@
     config.h11_max_incomplete_size = 64 * 1024
     config.graceful_timeout = 0.5
     config.accesslog = None
+    asyncio.get_running_loop().set_exception_handler(_report_unless_cancelled)
     app = LogApp(retention_records, random.Random(seed))
     await serve(app, config)  # type: ignore[arg-type]
 
