--- a/src/briardock/admin.py
+++ b/src/briardock/admin.py
@@ -50,7 +50,7 @@
     drain: Drain
     on_drained: Callable[[], None]
     quarantine: Quarantine
-    on_lift: Callable[[], None]
+    on_lift: Callable[[str], None]
 
 
 class Admin:
@@ -120,7 +120,7 @@
         if not self._sources.quarantine.lift(lift.fingerprint):
             remedy = "list the entries with 'briardock quarantine list'"
             return _error(STATUS_NOT_FOUND, "no such fingerprint", remedy)
-        self._sources.on_lift()
+        self._sources.on_lift(lift.fingerprint)
         return json_response(STATUS_OK, msgspec.json.encode(lift))
 
 
--- a/src/briardock/cluster.py
+++ b/src/briardock/cluster.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from briardock._records import decode_delta
 from briardock.clock import Clock
 from briardock.contacts import Contact, Contacts, make_contacts
 from briardock.directory import Directory
@@ -21,7 +22,6 @@
 from briardock.metrics import Metrics
 from briardock.platformlog import LogClient, make_log_client
 from briardock.publishing import (
-    Accepted,
     Applied,
     ConfigReader,
     ConfigState,
@@ -221,9 +221,11 @@
         settings.log.host, settings.log.port, float(settings.log.timeout_ms)
     )
 
-    def accepted(step: Accepted) -> None:
+    def accepted(payload: bytes) -> None:
         hooks.accepted()
-        gossip.push_config(step.previous + 1, step.version + 1, step.delta)
+        step = decode_delta(payload)
+        if step is not None:
+            gossip.push_config(step.previous + 1, step.version + 1, payload)
 
     reader = make_config_reader(
         log,
--- a/src/briardock/dispatch.py
+++ b/src/briardock/dispatch.py
@@ -1,11 +1,11 @@
 """Issuer side of a call: choose an instance, send, then retry or report."""
 
-import functools
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 from briardock.budget import RetryBudget, RetryRatio
 from briardock.clock import Clock
+from briardock.directory import Directory
 from briardock.messages import Answer, Call
 from briardock.metrics import Metrics
 from briardock.outcomes import Completed, Headers, NotRun, Outcome, Reason, Unknown
@@ -70,6 +70,7 @@
     :param incarnation: incarnation of this process
     :param clock: monotonic clock
     :param router: chooses instances
+    :param directory: tracks the services that are called
     :param links: links to other nodes
     :param local: inbound side of this node
     :param ratio: bound on the retries of this node
@@ -84,6 +85,7 @@
         incarnation: int,
         clock: Clock,
         router: Router,
+        directory: Directory,
         links: PeerLinks,
         local: LocalHandler,
         ratio: RetryRatio,
@@ -95,6 +97,7 @@
         self._incarnation = incarnation
         self._clock = clock
         self._router = router
+        self._directory = directory
         self._links = links
         self._local = local
         self._ratio = ratio
@@ -157,6 +160,7 @@
     async def _attempt(self, call: Dispatch, tried: set[str]) -> Outcome:
         if self._quarantine.refuses(call.fingerprint):
             return NotRun(Reason.QUARANTINED, f"fingerprint {call.fingerprint}")
+        self._directory.use(call.service)
         if not self._router.admits(call.service, call.level):
             return NotRun(Reason.OVERLOADED, f"{call.service} sheds this level")
         choice = self._router.choose(call.service, tried)
@@ -172,16 +176,16 @@
         if started_ms >= call.deadline_at_ms:
             return NotRun(Reason.DEADLINE_EXCEEDED, "the deadline passed first")
         share = call.budget.delegate()
-        build = functools.partial(self._message, call, instance, share, started_ms)
+        message = self._message(call, instance, share, started_ms)
         self._metrics.count("dispatch.attempts")
         self._router.started(instance.node_id)
         answer: Answer | LinkFailure = LinkFailure(True, "cancelled")
         try:
             if instance.node_id == self._node_id:
-                answer = await self._local(build(0))
+                answer = await self._local(message)
             else:
                 answer = await self._links.call(
-                    _address_of(instance), build, call.deadline_at_ms
+                    _address_of(instance), message, call.deadline_at_ms
                 )
         finally:
             outcome = self._outcome_of(answer)
@@ -200,10 +204,9 @@
         instance: Instance,
         share: int,
         started_ms: float,
-        call_id: int,
     ) -> Call:
         return Call(
-            call_id,
+            0,
             instance.incarnation,
             call.key,
             call.operation,
@@ -268,9 +271,7 @@
     """
     match outcome:
         case Completed(status, headers, body):
-            return Answer(
-                call_id, "completed", status, list(headers), body, len(body)
-            )
+            return Answer(call_id, "completed", status, list(headers), body, len(body))
         case NotRun(reason, detail):
             return Answer(call_id, "not-run", reason=reason.value, detail=detail)
         case Unknown(reason, detail):
--- a/src/briardock/entry.py
+++ b/src/briardock/entry.py
@@ -192,9 +192,7 @@
         remaining_ms = _parse_ms(headers.get(DEADLINE_HEADER.lower()))
         if remaining_ms is None:
             return NotRun(Reason.BAD_REQUEST, "Briardock-Deadline-Ms is no number")
-        deadline_at_ms = self._clock.now_ms() + min(
-            remaining_ms, operation.deadline_ms
-        )
+        deadline_at_ms = self._clock.now_ms() + min(remaining_ms, operation.deadline_ms)
         kept = tuple(
             (name, value)
             for name, value in request.headers
@@ -251,9 +249,7 @@
         budget: RetryBudget,
         expires_at_ms: float,
     ) -> Outcome:
-        digest = request_digest(
-            request.operation.name, request.path, request.body
-        )
+        digest = request_digest(request.operation.name, request.path, request.body)
         beginning = self._actions.begin(key, digest, budget, expires_at_ms)
         match beginning:
             case Finished(outcome):
@@ -294,20 +290,17 @@
         if issuer is None:
             return Unknown(Reason.ISSUER_GONE, f"{key.node_id} is not a member")
         self._metrics.count("actions.forwards")
-
-        def build(call_id: int) -> Forward:
-            return Forward(
-                call_id,
-                str(key),
-                request.operation.service,
-                request.method,
-                request.path,
-                list(request.headers),
-                request.body,
-                request.deadline_at_ms - self._clock.now_ms(),
-            )
-
-        answer = await self._links.call(issuer, build, request.deadline_at_ms)
+        message = Forward(
+            0,
+            str(key),
+            request.operation.service,
+            request.method,
+            request.path,
+            list(request.headers),
+            request.body,
+            0.0,
+        )
+        answer = await self._links.call(issuer, message, request.deadline_at_ms)
         match answer:
             case LinkFailure(detail=detail):
                 return Unknown(Reason.ISSUER_GONE, detail)
--- a/src/briardock/inbound.py
+++ b/src/briardock/inbound.py
@@ -12,6 +12,7 @@
 from briardock.clock import Clock
 from briardock.dispatch import answer_of
 from briardock.drain import Drain
+from briardock.events import Event, emit
 from briardock.messages import MAX_LEVEL, Answer, Call
 from briardock.metrics import Metrics
 from briardock.outcomes import Completed, Headers, NotRun, Outcome, Reason, Unknown
@@ -124,7 +125,9 @@
     :param quarantine: requests that kill their targets
     :param chain_level: returns the lowest threshold of the services that an
         operation calls
-    :param on_death: told the changed quarantine entries when the target died
+    :param on_quarantine: spreads changed quarantine entries
+    :param on_end: told when a call has left the target
+    :param on_death: told when the target died
     :param metrics: counters
     """
 
@@ -138,7 +141,9 @@
         drain: Drain,
         quarantine: Quarantine,
         chain_level: Callable[[str], int],
-        on_death: Callable[[list[QuarantineEntry]], None],
+        on_quarantine: Callable[[list[QuarantineEntry]], None],
+        on_end: Callable[[RunningCall], None],
+        on_death: Callable[[], None],
         metrics: Metrics,
     ) -> None:
         self.running: dict[str, RunningCall] = {}
@@ -151,6 +156,8 @@
         self._drain = drain
         self._quarantine = quarantine
         self._chain_level = chain_level
+        self._on_quarantine = on_quarantine
+        self._on_end = on_end
         self._on_death = on_death
         self._metrics = metrics
         self._prefix = secrets.token_hex(6)
@@ -209,11 +216,10 @@
                 with anyio.CancelScope(shield=call.once):
                     outcome = await self._run_on_target(running)
         finally:
-            self.running.pop(running.context, None)
+            if self.running.pop(running.context, None) is not None:
+                self._on_end(running)
             own_time_ms = running.own_time_ms(self._clock.now_ms())
-            self._admission.release(
-                ticket, own_time_ms, isinstance(outcome, Completed)
-            )
+            self._admission.release(ticket, own_time_ms, isinstance(outcome, Completed))
         return self._answer(call, outcome, running.budget.left, own_time_ms)
 
     async def _run_on_target(self, running: RunningCall) -> Outcome:
@@ -248,7 +254,9 @@
             if NOT_RUN_HEADER in names:
                 return NotRun(Reason.TARGET_REFUSED, "the target shed the request")
         else:
-            self._quarantine.record_success(running.call.fingerprint)
+            changed = self._quarantine.record_success(running.call.fingerprint)
+            if changed:
+                self._on_quarantine(changed)
         return answer
 
     def _target_headers(self, running: RunningCall) -> Headers:
@@ -273,7 +281,9 @@
         fingerprints = {one.call.fingerprint for one in self.running.values()}
         death_id = f"{self._node_id}:{instance}"
         changed = self._quarantine.record_death(sorted(fingerprints), death_id)
-        self._on_death(changed)
+        emit(Event.TARGET_DIED, instance=instance, in_flight=len(fingerprints))
+        self._on_quarantine(changed)
+        self._on_death()
 
     def _answer(
         self, call: Call, outcome: Outcome, retries_left: int, own_time_ms: float
--- a/src/briardock/keys.py
+++ b/src/briardock/keys.py
@@ -100,9 +100,7 @@
         self._sequence += 1
         issued_ms = int(self._clock.now_ms())
         mac = self._mac(issued_ms, self._sequence)
-        return ActionKey(
-            self.node_id, self.incarnation, issued_ms, self._sequence, mac
-        )
+        return ActionKey(self.node_id, self.incarnation, issued_ms, self._sequence, mac)
 
     def is_own(self, key: ActionKey) -> bool:
         """Return whether this incarnation is the issuer named by a key."""
@@ -146,9 +144,7 @@
     :param clock: monotonic clock
     :param lifetime_ms: time from issue to expiry in ms
     """
-    return KeyIssuer(
-        node_id, incarnation, clock, lifetime_ms, secrets.token_bytes(16)
-    )
+    return KeyIssuer(node_id, incarnation, clock, lifetime_ms, secrets.token_bytes(16))
 
 
 def request_digest(operation: str, path: str, body: bytes) -> str:
--- /dev/null
+++ b/src/briardock/report.py
@@ -0,0 +1,141 @@
+"""State of a node for operators: a short status and a whole dump."""
+
+import resource
+from collections.abc import Mapping
+from dataclasses import asdict
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from briardock._ini import IniError, parse_ini
+from briardock.publishing import NO_VERSION
+
+if TYPE_CHECKING:
+    from briardock.node import Node
+
+
+def node_status(node: "Node") -> dict[str, object]:
+    """Return what an operator looks at first.
+
+    :param node: node to describe
+    """
+    config = node.cluster.config
+    target = node.inbound.target_state
+    return {
+        "node_id": node.settings.node.node_id,
+        "incarnation": node.incarnation,
+        "state": node.drain.state.value,
+        "service": target.service,
+        "target": "leaving" if target.leaving else _presence(target.present),
+        "configuration_version": config.version,
+        "configuration_digest": config.digest if config.version >= 0 else "",
+        "configuration_source": _source_of(node),
+        "log_reachable": node.cluster.reader.reachable,
+        "members_reachable": _reachable_count(node),
+        "in_flight": len(node.inbound.running),
+        "queued": node.admission.queued,
+        "load": node.admission.load(),
+        "refusal_level": node.admission.refusal_level(),
+    }
+
+
+def dump_node(node: "Node") -> dict[str, object]:
+    """Return the whole state of a node.
+
+    :param node: node to describe
+    """
+    usage = resource.getrusage(resource.RUSAGE_SELF)
+    return {
+        "status": node_status(node),
+        "settings": _settings(node),
+        "configuration": _configuration(node),
+        "members": [
+            msgspec.structs.asdict(one) for one in node.cluster.table.records()
+        ],
+        "gossip": node.cluster.gossip.state(),
+        "admission": node.admission.state(),
+        "routing": node.router.state(),
+        "chain_levels": node.levels.state(),
+        "actions": node.actions.state(),
+        "running": _running(node),
+        "target": asdict(node.inbound.target_state),
+        "quarantine": node.quarantine.state(),
+        "counters": dict(sorted(node.metrics.counters.items())),
+        "process": {
+            "cpu_s": usage.ru_utime + usage.ru_stime,
+            "max_rss_kb": usage.ru_maxrss,
+        },
+    }
+
+
+def _presence(present: bool) -> str:
+    return "ready" if present else "absent"
+
+
+def _source_of(node: "Node") -> str:
+    """Say where the configuration can come from, plainly if from nowhere."""
+    if node.cluster.config.version != NO_VERSION:
+        return "in force"
+    if not node.cluster.reader.reachable and node.cluster.table.is_alone():
+        return "none: neither the log nor another node can be reached"
+    return "none: nothing has been published"
+
+
+def _reachable_count(node: "Node") -> int:
+    table = node.cluster.table
+    return sum(table.is_reachable(record.node_id) for record in table.records())
+
+
+def _settings(node: "Node") -> dict[str, object]:
+    sections = asdict(node.settings)
+    if sections["admin"]["token"]:
+        sections["admin"]["token"] = "(set)"
+    return sections
+
+
+def _configuration(node: "Node") -> dict[str, object]:
+    config = node.cluster.config
+    if config.version == NO_VERSION:
+        return {"version": NO_VERSION}
+    catalog = config.catalog
+    sources = _sources(config.files)
+    return {
+        "version": config.version,
+        "file_versions": dict(config.versions),
+        "operations": {
+            name: {
+                **asdict(operation),
+                "sources": sources.get(f"operation {name}", {}),
+            }
+            for name, operation in catalog.operations.items()
+        },
+        "warnings": [str(warning) for warning in catalog.warnings],
+    }
+
+
+def _running(node: "Node") -> list[dict[str, object]]:
+    now_ms = node.clock.now_ms()
+    return [
+        {
+            "key": running.call.key,
+            "operation": running.call.operation,
+            "level": running.call.level,
+            "remaining_ms": round(running.deadline_at_ms - now_ms, 1),
+            "retries_left": running.budget.left,
+            "own_time_ms": round(running.own_time_ms(now_ms), 1),
+        }
+        for running in node.inbound.running.values()
+    ]
+
+
+def _sources(files: Mapping[str, str]) -> dict[str, dict[str, str]]:
+    """Return the file that set each key, by section."""
+    sources: dict[str, dict[str, str]] = {}
+    for name in sorted(files):
+        parsed = parse_ini(files[name])
+        if isinstance(parsed, IniError):
+            continue
+        for section, content in parsed.items():
+            found = sources.setdefault(section, {})
+            found.update(dict.fromkeys(content.values, name))
+    return sources
