--- a/src/briardock_standins/_children.py
+++ b/src/briardock_standins/_children.py
@@ -13,6 +13,7 @@
     HttpResponse,
     parse_address,
 )
+from briardock_standins._state import Status
 from briardock_standins.answers import is_own_answer
 from briardock_standins.plans import ChildCall, OperationPlan, TargetPlan
 
@@ -46,11 +47,13 @@
     :param plan: plan of the target
     :param client: HTTP client
     :param rng: random source
+    :param status: counters to add to
     """
 
     plan: TargetPlan
     client: HttpClient
     rng: random.Random
+    status: Status
 
     async def call_all(
         self, operation: OperationPlan, parent: Parent
@@ -101,8 +104,10 @@
         path = call.path if self._is_direct(call) else f"/{call.service}{call.path}"
         request = HttpRequest(call.method, path, tuple(headers), body)
         result = ChildResult.FAILED
+        self.status.child_call_count += 1
         for _ in range(self.plan.attempts if self._is_direct(call) else 1):
             address = self._choose_address(call)
+            self.status.child_send_count += 1
             answer = await self.client.request(
                 address, request, self.plan.call_timeout_ms
             )
--- a/src/briardock_standins/_state.py
+++ b/src/briardock_standins/_state.py
@@ -32,3 +32,5 @@
     shed_count: int = 0
     expired_count: int = 0
     cancelled_count: int = 0
+    child_call_count: int = 0
+    child_send_count: int = 0
--- a/src/briardock_standins/deployments.py
+++ b/src/briardock_standins/deployments.py
@@ -29,6 +29,7 @@
     :param config: operators' configuration folder, ``None`` to publish nothing
     :param domains: source IP address of each failure domain
     :param region: region of all nodes
+    :param direct: whether targets call each other without nodes, log and relay
     :param relay: whether a relay carries the traffic between nodes
     :param delay_ms: delay between failure domains, one way, with a relay
     :param tunables: further settings of nodes, by section and key
@@ -40,6 +41,7 @@
     config: Path | None = None
     domains: dict[str, str] = field(default_factory=lambda: {"a": "127.0.1.1"})
     region: str = "region"
+    direct: bool = False
     relay: bool = False
     delay_ms: float = 0.0
     tunables: dict[str, dict[str, str]] = field(default_factory=dict)
--- a/src/briardock_standins/harness.py
+++ b/src/briardock_standins/harness.py
@@ -14,13 +14,13 @@
 from functools import partial
 from pathlib import Path
 from types import TracebackType
-from typing import Any
 
 import httpx
 import msgspec
 
 from briardock.exceptions import BriardockError
 from briardock_standins._processes import ManagedProcess, PortPool
+from briardock_standins._remote import Remote
 from briardock_standins.deployments import (
     RELAYED_PURPOSES,
     DeploymentSpec,
@@ -34,7 +34,6 @@
 READY_BOUND_S = 30.0
 POLL_S = 0.02
 STOP_BOUND_S = 10.0
-HTTP_TIMEOUT_S = 5.0
 PLATFORM = "platform"
 
 
@@ -42,22 +41,20 @@
     """A process of the deployment did not do what the harness waited for."""
 
 
-class Deployment:
+class Deployment(Remote):
     """Processes of one deployment; use it as a context manager.
 
     :param spec: what to run
     """
 
     def __init__(self, spec: DeploymentSpec) -> None:
+        super().__init__()
         self.spec = spec
         self.folder = Path(tempfile.mkdtemp(prefix="briardock-"))
         self.processes: dict[str, ManagedProcess] = {}
-        self.instances: dict[str, Instance] = {}
         self.ports = PortPool()
         self.log_port = self.ports.take()
-        self.relay_control = ""
         self._relay_ports: dict[str, int] = {}
-        self._http = httpx.Client(timeout=HTTP_TIMEOUT_S, trust_env=False)
         for service in spec.services:
             for domain in service.domains:
                 self._add_instance(service, domain)
@@ -84,17 +81,21 @@
             for one in self.instances.values()
         )
         name = f"{service.target.service}-{number}"
-        purposes = ("http", "call", "gossip", "admin")
+        purposes = ("http", "call", "gossip", "admin", "target")
         ports = {purpose: self.ports.take() for purpose in purposes}
         plan = msgspec.structs.replace(
             service.target,
-            node=f"127.0.0.1:{ports['http']}",
+            node="" if self.spec.direct else f"127.0.0.1:{ports['http']}",
+            port=ports["target"],
             seed=self.spec.seed * 1_000 + len(self.instances),
         )
         self.instances[name] = Instance(name, domain, plan, ports)
 
     def start(self) -> None:
         """Start all processes, publish the configuration and wait until ready."""
+        if self.spec.direct:
+            self._start_direct()
+            return
         self.start_log()
         if self.spec.relay:
             self._start_relay()
@@ -109,6 +110,17 @@
             self.start_target(name)
         self.wait_for_members()
 
+    def _start_direct(self) -> None:
+        """Start targets that call each other without nodes, callees first."""
+        upstreams: dict[str, tuple[str, ...]] = {}
+        for instance in self.instances.values():
+            address = f"127.0.0.1:{instance.ports['target']}"
+            service = instance.plan.service
+            upstreams[service] = (*upstreams.get(service, ()), address)
+        for name, instance in self.instances.items():
+            instance.plan = msgspec.structs.replace(instance.plan, upstreams=upstreams)
+            self.start_target(name)
+
     def stop(self) -> None:
         """End all processes that run and remove the temporary folder."""
         for process in self.processes.values():
@@ -117,7 +129,7 @@
         deadline = time.monotonic() + STOP_BOUND_S
         for process in self.processes.values():
             process.end(deadline - time.monotonic())
-        self._http.close()
+        self.close()
         self.ports.release()
         shutil.rmtree(self.folder, ignore_errors=True)
 
@@ -134,7 +146,7 @@
             f"--seed={self.spec.seed}",
         )
         url = f"http://127.0.0.1:{self.log_port}/streams/members?from=0"
-        self.wait_until("the log to answer", lambda: self._answers(url), "log")
+        self.wait_until("the log to answer", lambda: self.answers(url), "log")
 
     def _start_relay(self) -> None:
         links = [self._add_link("log", self.log_port, PLATFORM)]
@@ -167,7 +179,7 @@
         :param name: node id
         """
         url = f"http://{self.instances[name].admin}/status"
-        self.wait_until(f"node {name} to answer", lambda: self._answers(url), name)
+        self.wait_until(f"node {name} to answer", lambda: self.answers(url), name)
 
     def start_target(self, name: str) -> None:
         """Start the target beside a node and wait until it listens.
@@ -236,65 +248,8 @@
         assert code is not None
         return code
 
-    def set_target_faults(self, name: str, **faults: object) -> None:
-        """Set the faults of the target beside a node; others are reset.
-
-        :param name: node id
-        :param faults: fields of :class:`briardock_standins.target.Faults`
-        """
-        self._post(f"http://{self.instances[name].control}/faults", faults)
-
-    def set_log_faults(self, mode: str, delay_ms: int = 0, count: int = 0) -> None:
-        """Set the fault of the log stand-in.
-
-        :param mode: ``none``, ``outage``, ``slow`` or ``lose_ack``
-        :param delay_ms: delay of each answer
-        :param count: answers concerned, 0 for all
-        """
-        body = {"mode": mode, "delay_ms": delay_ms, "count": count}
-        self._post(f"http://127.0.0.1:{self.log_port}/faults", body)
-
-    def set_path(
-        self, source: str, destination: str, mode: str, delay_ms: float = 0.0
-    ) -> None:
-        """Cut, hold or open the traffic between two domains in both directions.
-
-        :param source: failure domain
-        :param destination: failure domain or ``platform``
-        :param mode: ``open``, ``refuse`` or ``black-hole``
-        :param delay_ms: delay one way
-        """
-        body = {"source": source, "destination": destination, "mode": mode}
-        url = f"http://{self.relay_control}/paths"
-        self._post(url, body | {"delay_ms": delay_ms})
-
-    def _post(self, url: str, body: object) -> None:
-        self._http.post(url, json=body).raise_for_status()
-
     # Observation
 
-    def status(self, name: str) -> dict[str, Any]:
-        """Return ``GET /status`` of a node."""
-        return self.admin_get(name, "/status")
-
-    def admin_get(self, name: str, path: str) -> dict[str, Any]:
-        """Return the JSON answer of a node's operator endpoint.
-
-        :param name: node id
-        :param path: path with query
-        :raises httpx.HTTPError: if the node does not answer
-        """
-        answer = self._http.get(f"http://{self.instances[name].admin}{path}")
-        answer.raise_for_status()
-        found: dict[str, Any] = answer.json()
-        return found
-
-    def target_status(self, name: str) -> dict[str, Any]:
-        """Return ``GET /status`` of the target beside a node."""
-        url = f"http://{self.instances[name].control}/status"
-        found: dict[str, Any] = self._http.get(url).raise_for_status().json()
-        return found
-
     def target_ledgers(self) -> list[list[Entry]]:
         """Return the ledger of each start of each target."""
         return [
@@ -306,7 +261,10 @@
 
     def entries(self, *names: str) -> tuple[str, ...]:
         """Return the caller addresses of nodes, of all without names."""
-        return tuple(self.instances[name].entry for name in names or self.instances)
+        chosen = [self.instances[name] for name in names or self.instances]
+        if self.spec.direct:
+            return tuple(instance.address for instance in chosen)
+        return tuple(instance.entry for instance in chosen)
 
     # Configuration
 
@@ -400,9 +358,6 @@
                 raise HarnessError(f"waited {bound_s} s for {what}; {shown}")
             time.sleep(POLL_S)
 
-    def _answers(self, url: str) -> bool:
-        return self._http.get(url).status_code < 500
-
 
 def target_name(node: str) -> str:
     """Return the process name of the target beside a node."""
--- a/src/briardock_standins/load.py
+++ b/src/briardock_standins/load.py
@@ -181,10 +181,10 @@
         self, name: str, action: ActionPlan, key: IssuedKey | None, left_ms: float
     ) -> Exchange:
         entry = self._choose_entry(key)
-        headers = [
-            (b"x-nonce", name.encode()),
-            (b"briardock-deadline-ms", b"%d" % max(int(left_ms), 0)),
-        ]
+        headers = [(b"x-nonce", name.encode())]
+        if not self.plan.direct:
+            deadline = b"%d" % max(int(left_ms), 0)
+            headers.append((b"briardock-deadline-ms", deadline))
         if key is not None:
             headers.append((b"idempotency-key", key.text.encode()))
         path = action.path if self.plan.direct else f"/{action.service}{action.path}"
--- a/src/briardock_standins/target.py
+++ b/src/briardock_standins/target.py
@@ -79,7 +79,7 @@
         self._slots = anyio.Semaphore(plan.slots)
         self._resumed = anyio.Event()
         self._client = HttpClient()
-        self._children = ChildCaller(plan, self._client, rng)
+        self._children = ChildCaller(plan, self._client, rng, self.status)
         self._started_ms = clock.now_ms()
         self._last_request_ms = self._started_ms
         self._sequence = 0
