--- a/src/briardock/report.py
+++ b/src/briardock/report.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from briardock._ini import IniError, parse_ini
+from briardock.membership import MemberRecord, MemberState
 from briardock.publishing import NO_VERSION
 
 if TYPE_CHECKING:
@@ -27,11 +28,14 @@
         "state": node.drain.state.value,
         "service": target.service,
         "target": "leaving" if target.leaving else _presence(target.present),
-        "configuration_version": config.version,
-        "configuration_digest": config.digest if config.version >= 0 else "",
-        "configuration_source": _source_of(node),
+        "configuration": {
+            "version": None if config.version == NO_VERSION else config.version,
+            "digest": "" if config.version == NO_VERSION else config.digest,
+            "state": _source_of(node),
+        },
         "log_reachable": node.cluster.reader.reachable,
-        "members_reachable": _reachable_count(node),
+        "log_reader": node.directory.is_log_reader(),
+        "members": [_member(node, one) for one in node.cluster.table.records()],
         "in_flight": len(node.inbound.running),
         "queued": node.admission.queued,
         "load": node.admission.load(),
@@ -73,7 +77,6 @@
 
 
 def _source_of(node: "Node") -> str:
-    """Say where the configuration can come from, plainly if from nowhere."""
     if node.cluster.config.version != NO_VERSION:
         return "in force"
     if not node.cluster.reader.reachable and node.cluster.table.is_alone():
@@ -81,9 +84,20 @@
     return "none: nothing has been published"
 
 
-def _reachable_count(node: "Node") -> int:
-    table = node.cluster.table
-    return sum(table.is_reachable(record.node_id) for record in table.records())
+def _member(node: "Node", record: MemberRecord) -> dict[str, object]:
+    return {
+        "node_id": record.node_id,
+        "service": record.service,
+        "failure_domain": record.failure_domain,
+        "reachable": node.cluster.table.is_reachable(record.node_id),
+        "state": _member_state(record),
+    }
+
+
+def _member_state(record: MemberRecord) -> str:
+    if record.state is not MemberState.ALIVE:
+        return record.state.name.lower()
+    return "ready" if record.target_instance else "no target"
 
 
 def _settings(node: "Node") -> dict[str, object]:
