--- a/src/briardock/_frames.py
+++ b/src/briardock/_frames.py
@@ -6,9 +6,11 @@
 import anyio.abc
 import msgspec
 
+from briardock._http import RECEIVE_BYTES, STREAM_ERRORS
 from briardock.messages import (
     FRAME_HEADER_BYTES,
     MAX_FRAME_BYTES,
+    PROTOCOL_VERSION,
     Hello,
     LinkMessage,
     Message,
@@ -17,19 +19,13 @@
 )
 
 HELLO_TIMEOUT_S = 2.0
-RECEIVE_BYTES = 65_536
+# A stranger cannot make a node buffer more than this.
+MAX_HELLO_BYTES = 4_096
 # One frame of the largest size always fits; more is refused, not buffered.
 MAX_QUEUED_BYTES = MAX_FRAME_BYTES
 
 _HEADER = struct.Struct(">I")
 
-STREAM_ERRORS = (
-    OSError,
-    anyio.BrokenResourceError,
-    anyio.ClosedResourceError,
-    anyio.EndOfStream,
-)
-
 
 class FrameError(Exception):
     """The other side broke the protocol; the connection has to be closed."""
@@ -55,6 +51,7 @@
     def __init__(self, stream: anyio.abc.SocketStream) -> None:
         self._stream = stream
         self._buffer = bytearray()
+        self.max_frame_bytes = MAX_HELLO_BYTES
 
     async def receive(self) -> list[LinkMessage]:
         """Wait for input and return all messages that are complete.
@@ -98,8 +95,9 @@
         if len(data) - start < FRAME_HEADER_BYTES:
             return 0
         size_bytes = int(_HEADER.unpack_from(data, start)[0])
-        if size_bytes > MAX_FRAME_BYTES:
-            raise FrameError(f"frame of {size_bytes} bytes exceeds {MAX_FRAME_BYTES}")
+        if size_bytes > self.max_frame_bytes:
+            limit_bytes = self.max_frame_bytes
+            raise FrameError(f"frame of {size_bytes} bytes exceeds {limit_bytes}")
         return size_bytes
 
 
@@ -168,8 +166,13 @@
         while True:
             await self._wake.wait()
             self._wake = anyio.Event()
-            if not self._busy:
+            if self._busy:
+                continue
+            try:
                 await self._send_queued()
+            except STREAM_ERRORS:
+                # The task that reads the stream reports the loss.
+                return
 
     async def _send_queued(self) -> None:
         self._busy = True
@@ -191,13 +194,18 @@
         return batch[0] if len(batch) == 1 else b"".join(batch)
 
 
-def expect_hello(message: LinkMessage, version: int) -> Hello:
+def expect_hello(reader: FrameReader, message: LinkMessage) -> Hello:
     """Return the message if it is a greeting of this protocol version.
 
+    Frames of full size are accepted from then on.
+
     :raises FrameError: if it is anything else
     """
     if not isinstance(message, Hello):
         raise FrameError(f"{type(message).__name__} before Hello")
-    if message.version != version:
-        raise FrameError(f"protocol version {message.version}, expected {version}")
+    if message.version != PROTOCOL_VERSION:
+        raise FrameError(
+            f"protocol version {message.version}, expected {PROTOCOL_VERSION}"
+        )
+    reader.max_frame_bytes = MAX_FRAME_BYTES
     return message
--- a/src/briardock/_http.py
+++ b/src/briardock/_http.py
@@ -2,14 +2,32 @@
 
 import os
 import select
-from collections.abc import Iterable
+from collections.abc import Awaitable, Callable, Iterable, Sequence
 
+import anyio
 import anyio.abc
+from anyio.streams.stapled import MultiListener
 
+from briardock.events import Event, emit
 from briardock.outcomes import Headers
 
 RECEIVE_BYTES = 65_536
 MAX_HEADER_BYTES = 65_536
+# Pause after a failed accept, which fails again at once while the process has
+# no free descriptor.
+ACCEPT_RETRY_S = 0.1
+
+AnyListener = (
+    anyio.abc.Listener[anyio.abc.SocketStream] | MultiListener[anyio.abc.SocketStream]
+)
+StreamHandler = Callable[[anyio.abc.SocketStream], Awaitable[None]]
+
+STREAM_ERRORS = (
+    OSError,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+    anyio.EndOfStream,
+)
 
 # RFC 9110 section 7.6.1, with the obsolete names that callers still send.
 HOP_BY_HOP = frozenset(
@@ -55,6 +73,23 @@
     return kept
 
 
+async def accept_forever(
+    listener: AnyListener, handler: StreamHandler, tasks: anyio.abc.TaskGroup
+) -> None:
+    """Accept connections until cancelled; errors of one accept are logged.
+
+    :param listener: TCP listener
+    :param handler: serves one connection in a task of its own
+    :param tasks: owner of these tasks
+    """
+    while True:
+        try:
+            await listener.serve(handler, tasks)
+        except* OSError as errors:
+            emit(Event.ACCEPT_FAILED, error=repr(errors.exceptions[0]))
+        await anyio.sleep(ACCEPT_RETRY_S)
+
+
 def find_header(headers: Headers, name: bytes) -> bytes | None:
     """Return the value of the first field of a name.
 
@@ -73,6 +108,21 @@
     return int(raw.fileno())
 
 
+def has_input(stream: anyio.abc.SocketStream) -> bool:
+    """Return whether a stream that nothing reads has input or an end waiting."""
+    if _unread(stream):
+        return True
+    poll = select.poll()
+    poll.register(stream_fd(stream), select.POLLIN | select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
+def _unread(stream: anyio.abc.SocketStream) -> Sequence[bytes]:
+    """Return the chunks that anyio has read ahead; it has no public access."""
+    protocol = getattr(stream, "_protocol", None)
+    return getattr(protocol, "read_queue", ())
+
+
 class IdleProbe:
     """Tells whether an idle connection has input, an end or an error waiting.
 
@@ -84,8 +134,7 @@
         # The duplicate stays valid when the transport closes its descriptor.
         self._fd = os.dup(stream_fd(stream))
         self._poll.register(self._fd, select.POLLIN | select.POLLRDHUP)
-        protocol = getattr(stream, "_protocol", None)
-        self._unread = getattr(protocol, "read_queue", ())
+        self._unread = _unread(stream)
 
     def is_quiet(self) -> bool:
         """Return whether nothing has arrived since the last whole answer."""
--- a/src/briardock/_peerserver.py
+++ b/src/briardock/_peerserver.py
@@ -6,17 +6,16 @@
 import anyio
 import anyio.abc
 import msgspec
-from anyio.streams.stapled import MultiListener
 
 from briardock._frames import (
     HELLO_TIMEOUT_S,
-    STREAM_ERRORS,
     FrameError,
     FrameReader,
     FrameWriter,
     encode_frame,
     expect_hello,
 )
+from briardock._http import STREAM_ERRORS, AnyListener, accept_forever
 from briardock.clock import Clock
 from briardock.events import Event, emit
 from briardock.messages import (
@@ -41,10 +40,6 @@
 # drift does not make the frames of a long-lived link look delayed.
 CLOCK_DRIFT = 500e-6
 
-AnyListener = (
-    anyio.abc.Listener[anyio.abc.SocketStream] | MultiListener[anyio.abc.SocketStream]
-)
-
 
 @dataclass(frozen=True, slots=True)
 class PeerInfo:
@@ -142,7 +137,7 @@
             raise FrameError("no greeting from the peer")
         if isinstance(messages[0], Hello):
             await self._stream.send(self._server.hello_frame)
-        hello = expect_hello(messages[0], PROTOCOL_VERSION)
+        hello = expect_hello(self._reader, messages[0])
         self._node_id = hello.node_id
         self._incarnation = hello.incarnation
         return messages[1:]
@@ -275,7 +270,7 @@
         while True:
             await anyio.sleep(SWEEP_PERIOD_S)
             oldest_ms = self.clock.now_ms() - SERVER_IDLE_MS
-            for connection in self._connections:
+            for connection in list(self._connections):
                 if connection.is_idle() and connection.active_at_ms < oldest_ms:
                     self.metrics.count("peers.idle_closed")
                     connection.scope.cancel()
@@ -310,7 +305,7 @@
     try:
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(server.sweep_idle)
-            tasks.start_soon(listener.serve, server.accept, tasks)
+            await accept_forever(listener, server.accept, tasks)
     finally:
         with anyio.CancelScope(shield=True):
             await listener.aclose()
--- a/src/briardock/events.py
+++ b/src/briardock/events.py
@@ -45,6 +45,7 @@
     PAUSE_DETECTED = EventInfo(506, "WARNING", "process was paused")
     HTTP_REQUEST_REFUSED = EventInfo(100, "WARNING", "listener refused a request")
     HTTP_HANDLER_FAILED = EventInfo(101, "ERROR", "request handler failed")
+    ACCEPT_FAILED = EventInfo(102, "ERROR", "accepting a connection failed; retrying")
     PEER_REJECTED = EventInfo(110, "WARNING", "peer connection broke the protocol")
     PEER_LINK_FAILED = EventInfo(111, "WARNING", "link to a peer failed")
     PEER_HANDLER_FAILED = EventInfo(112, "ERROR", "handler of a peer's call failed")
--- a/src/briardock/peers.py
+++ b/src/briardock/peers.py
@@ -6,27 +6,13 @@
 import anyio.abc
 import msgspec
 
-from briardock._frames import (
-    HELLO_TIMEOUT_S,
-    STREAM_ERRORS,
-    FrameError,
-    FrameReader,
-    FrameWriter,
-    encode_frame,
-    expect_hello,
-)
+from briardock._frames import FrameError, encode_frame
+from briardock._http import STREAM_ERRORS
+from briardock._link import Link, LinkFailure, PeerAddress, Pending
 from briardock._peerserver import PeerHandler, PeerInfo, serve_peers
 from briardock.clock import Clock
 from briardock.events import Event, emit
-from briardock.messages import (
-    PROTOCOL_VERSION,
-    Answer,
-    Call,
-    Cancel,
-    Forward,
-    Hello,
-    LinkMessage,
-)
+from briardock.messages import PROTOCOL_VERSION, Answer, Call, Forward, Hello
 from briardock.metrics import Metrics
 
 __all__ = [
@@ -39,7 +25,6 @@
     "serve_peers",
 ]
 
-CONNECT_TIMEOUT_S = 1.0
 BACKOFF_FIRST_MS = 50.0
 BACKOFF_MAX_MS = 2_000.0
 # A link that ends sooner than this counts as a failed attempt.
@@ -49,190 +34,6 @@
 SWEEP_PERIOD_S = 5.0
 
 
-@dataclass(frozen=True, slots=True)
-class LinkFailure:
-    """No answer came for a call.
-
-    :param sent: whether the frame may have reached the peer
-    :param detail: what was found
-    """
-
-    sent: bool
-    detail: str
-
-
-@dataclass(frozen=True, slots=True)
-class PeerAddress:
-    """Node to call, with the incarnation it is believed to have.
-
-    :param node_id: node
-    :param incarnation: process incarnation
-    :param host: numeric IP address
-    :param port: TCP port of its peer listener
-    """
-
-    node_id: str
-    incarnation: int
-    host: str
-    port: int
-
-
-class _Pending:
-    """A call that waits for its answer."""
-
-    __slots__ = ("done", "result", "sent", "sent_at_ms")
-
-    def __init__(self) -> None:
-        self.done = anyio.Event()
-        self.result: Answer | LinkFailure | None = None
-        self.sent = False
-        self.sent_at_ms = 0.0
-
-    def resolve(self, result: Answer | LinkFailure) -> None:
-        self.result = result
-        self.done.set()
-
-
-class _Link:
-    """Connection to one peer; its task runs ``run``."""
-
-    def __init__(self, owner: "PeerLinks", peer: PeerAddress) -> None:
-        self.peer = peer
-        self.writer: FrameWriter | None = None
-        self.failure: LinkFailure | None = None
-        self.pending: dict[int, _Pending] = {}
-        self.retired = False
-        self.started_at_ms = owner.clock.now_ms()
-        self.received_at_ms = self.started_at_ms
-        self.scope = anyio.CancelScope()
-        self._owner = owner
-        self._ready = anyio.Event()
-        self._waiting_count = 0
-
-    def is_idle(self) -> bool:
-        """Return whether no call uses the link."""
-        return not self.pending and not self._waiting_count
-
-    async def wait_ready(self) -> FrameWriter | LinkFailure:
-        """Return the writer once the peer has greeted."""
-        self._waiting_count += 1
-        try:
-            await self._ready.wait()
-        finally:
-            self._waiting_count -= 1
-        if self.failure is not None or self.writer is None:
-            return self.failure or LinkFailure(False, "link closed")
-        return self.writer
-
-    async def run(self) -> None:
-        """Connect, greet and read answers until the link ends."""
-        detail = "link closed"
-        try:
-            with self.scope:
-                detail = await self._connect_and_read()
-        finally:
-            self._end(detail)
-
-    async def _connect_and_read(self) -> str:
-        """Return why the link ended."""
-        try:
-            with anyio.fail_after(CONNECT_TIMEOUT_S):
-                stream = await anyio.connect_tcp(
-                    self.peer.host, self.peer.port, local_host=self._owner.source_host
-                )
-        except OSError as error:
-            return f"connection failed: {error!r}"
-        try:
-            return await self._read(stream)
-        except FrameError as error:
-            return str(error)
-        except STREAM_ERRORS as error:
-            return f"connection lost: {error!r}"
-        finally:
-            with anyio.CancelScope(shield=True):
-                await stream.aclose()
-
-    async def _read(self, stream: anyio.abc.SocketStream) -> str:
-        reader = FrameReader(stream)
-        messages = await self._greet(stream, reader)
-        writer = FrameWriter(stream)
-        self.writer = writer
-        self._ready.set()
-        detail = ""
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(writer.run)
-            detail = await self._read_answers(reader, messages)
-            tasks.cancel_scope.cancel()
-        return detail
-
-    async def _greet(
-        self, stream: anyio.abc.SocketStream, reader: FrameReader
-    ) -> list[LinkMessage]:
-        """Exchange greetings; return messages that came with the peer's.
-
-        :raises FrameError: if the peer is not the expected one
-        """
-        with anyio.move_on_after(HELLO_TIMEOUT_S) as scope:
-            await stream.send(self._owner.hello_frame)
-            messages = await reader.receive()
-        if scope.cancelled_caught:
-            raise FrameError("no greeting from the peer")
-        hello = expect_hello(messages[0], PROTOCOL_VERSION)
-        expected = (self.peer.node_id, self.peer.incarnation)
-        if (hello.node_id, hello.incarnation) != expected:
-            raise FrameError(
-                f"the peer is {hello.node_id} incarnation {hello.incarnation}"
-            )
-        return messages[1:]
-
-    async def _read_answers(
-        self, reader: FrameReader, messages: list[LinkMessage]
-    ) -> str:
-        try:
-            while True:
-                self.received_at_ms = self._owner.clock.now_ms()
-                for message in messages:
-                    if type(message) is not Answer:
-                        return f"unexpected {type(message).__name__} from the peer"
-                    self._resolve(message)
-                messages = await reader.receive()
-        except FrameError as error:
-            return str(error)
-        except STREAM_ERRORS as error:
-            return f"connection lost: {error!r}"
-
-    def _resolve(self, answer: Answer) -> None:
-        pending = self.pending.pop(answer.call_id, None)
-        if pending is None:
-            # Answers to abandoned calls also end here.
-            self._owner.metrics.count("peers.answers_unknown")
-        elif answer.body_bytes == len(answer.body):
-            pending.resolve(answer)
-        else:
-            self._owner.metrics.count("peers.answers_wrong_length")
-            emit(Event.ANSWER_DROPPED, peer=self.peer.node_id, call_id=answer.call_id)
-            pending.resolve(LinkFailure(True, "answer of wrong length"))
-
-    def _end(self, detail: str) -> None:
-        self.failure = LinkFailure(False, detail)
-        self._ready.set()
-        for call_id, pending in self.pending.items():
-            withdrawn = self.writer is not None and self.writer.withdraw(call_id)
-            pending.resolve(LinkFailure(not withdrawn, detail))
-        self.pending.clear()
-        self._owner.link_ended(self, detail)
-
-    def abandon(self, call_id: int) -> bool:
-        """Give a call up; return whether its frame may have been written."""
-        pending = self.pending.pop(call_id, None)
-        if pending is None or self.writer is None:
-            return pending is None
-        if self.writer.withdraw(call_id):
-            return False
-        self.writer.queue(encode_frame(Cancel(call_id)), -call_id)
-        return True
-
-
 @dataclass(slots=True)
 class _Backoff:
     """Wait before the next connection attempt to one peer.
@@ -270,8 +71,8 @@
         self.metrics = metrics
         self.source_host = source_host
         self._max_links = max_links
-        self._links: dict[PeerAddress, _Link] = {}
-        self._retired: set[_Link] = set()
+        self._links: dict[PeerAddress, Link] = {}
+        self._retired: set[Link] = set()
         self._backoffs: dict[PeerAddress, _Backoff] = {}
         self._tasks: anyio.abc.TaskGroup | None = None
         self._last_call_id = 0
@@ -306,7 +107,7 @@
         link = self._links.get(peer) or self._start_link(peer)
         if isinstance(link, LinkFailure):
             return link
-        pending = _Pending()
+        pending = Pending()
         with anyio.move_on_after(remaining_ms / 1000.0):
             await self._exchange(link, message, deadline_at_ms, pending)
         if pending.result is not None:
@@ -316,10 +117,10 @@
 
     async def _exchange(
         self,
-        link: _Link,
+        link: Link,
         message: Call | Forward,
         deadline_at_ms: float,
-        pending: _Pending,
+        pending: Pending,
     ) -> None:
         """Send a call and wait until it is resolved."""
         writer = link.writer or await link.wait_ready()
@@ -348,7 +149,7 @@
                 pending.sent = link.abandon(call_id)
             self._close_if_unused(link)
 
-    def _start_link(self, peer: PeerAddress) -> _Link | LinkFailure:
+    def _start_link(self, peer: PeerAddress) -> Link | LinkFailure:
         if self._tasks is None:
             return LinkFailure(False, "links are not running")
         backoff = self._backoffs.get(peer)
@@ -360,7 +161,7 @@
             self.metrics.count("peers.links_refused")
             return LinkFailure(False, f"all {self._max_links} links are in use")
         self.metrics.count("peers.links_started")
-        link = _Link(self, peer)
+        link = Link(self, peer)
         self._links[peer] = link
         self._tasks.start_soon(link.run)
         return link
@@ -374,7 +175,7 @@
             oldest.retired = True
             oldest.scope.cancel()
 
-    def _deadline_passed(self, link: _Link, pending: _Pending) -> None:
+    def _deadline_passed(self, link: Link, pending: Pending) -> None:
         """Count a missed deadline; take a silent link out of use.
 
         A link through a partition stays open for minutes. Nothing received
@@ -382,10 +183,9 @@
         anew, so that it fails before it is sent if the peer is unreachable.
         """
         self.metrics.count("peers.deadlines")
-        silent_since_ms = max(link.received_at_ms, pending.sent_at_ms)
         if not pending.sent or link.received_at_ms > pending.sent_at_ms:
             return
-        if self.clock.now_ms() - silent_since_ms < SILENCE_MS:
+        if self.clock.now_ms() - pending.sent_at_ms < SILENCE_MS:
             return
         if self._links.get(link.peer) is link:
             self.metrics.count("peers.links_silent")
@@ -394,11 +194,11 @@
             self._retired.add(link)
             self._close_if_unused(link)
 
-    def _close_if_unused(self, link: _Link) -> None:
+    def _close_if_unused(self, link: Link) -> None:
         if link.retired and link.is_idle():
             link.scope.cancel()
 
-    def link_ended(self, link: _Link, detail: str) -> None:
+    def link_ended(self, link: Link, detail: str) -> None:
         """Forget a link; after a failure, delay the next attempt.
 
         :param link: link whose task ends
--- a/src/briardock/target.py
+++ b/src/briardock/target.py
@@ -8,7 +8,13 @@
 import anyio.abc
 import h11
 
-from briardock._http import MAX_HEADER_BYTES, RECEIVE_BYTES, IdleProbe, end_to_end
+from briardock._http import (
+    MAX_HEADER_BYTES,
+    RECEIVE_BYTES,
+    STREAM_ERRORS,
+    IdleProbe,
+    end_to_end,
+)
 from briardock.clock import Clock
 from briardock.messages import MAX_FRAME_BYTES
 from briardock.metrics import Metrics
@@ -17,12 +23,6 @@
 # An answer has to fit into one frame together with its headers.
 MAX_ANSWER_BYTES = MAX_FRAME_BYTES - 2 * MAX_HEADER_BYTES
 
-_STREAM_ERRORS = (
-    OSError,
-    anyio.BrokenResourceError,
-    anyio.ClosedResourceError,
-    anyio.EndOfStream,
-)
 _EOF = b""
 
 
@@ -62,9 +62,13 @@
 class _Connection:
     """One connection to the target, used by one request at a time."""
 
-    def __init__(self, stream: anyio.abc.SocketStream) -> None:
+    def __init__(
+        self, stream: anyio.abc.SocketStream, address: tuple[str, int]
+    ) -> None:
         self.stream = stream
+        self.address = address
         self.write_started = False
+        self._at_eof = False
         self._probe = IdleProbe(stream)
         self._http = h11.Connection(h11.CLIENT, MAX_HEADER_BYTES)
 
@@ -102,15 +106,13 @@
         try:
             await self.stream.send(data)
             return await self._read_answer()
-        except _STREAM_ERRORS as error:
+        except STREAM_ERRORS as error:
             raise _AnswerError(f"connection lost: {error!r}", True) from error
         except h11.RemoteProtocolError as error:
-            cut = self._http.their_state is h11.ERROR and self._at_eof
-            raise _AnswerError(f"bad answer: {error}", cut) from error
+            raise _AnswerError(f"bad answer: {error}", self._at_eof) from error
 
     async def _read_answer(self) -> Completed:
         http = self._http
-        self._at_eof = False
         status = 0
         headers: Headers = ()
         parts: list[bytes] = []
@@ -126,7 +128,8 @@
                     raise _AnswerError("answer exceeds the frame limit", False)
             elif type(event) is h11.Response:
                 status = event.status_code
-                headers = tuple(end_to_end(event.headers, request=False))
+                fields = event.headers.raw_items()
+                headers = tuple(end_to_end(fields, request=False))
             elif type(event) is h11.EndOfMessage:
                 return Completed(status, headers, b"".join(parts))
             elif type(event) is not h11.InformationalResponse:
@@ -163,20 +166,18 @@
         self._connect_timeout_s = connect_timeout_ms / 1000.0
         self._max_idle = max_idle
         self._idle: deque[_Connection] = deque()
-        self._host = ""
-        self._port = 0
+        self._address = ("", 0)
         self._host_header = b""
 
     def set_address(self, host: str, port: int) -> None:
-        """Set where the target listens; connections to another address end.
+        """Set where the target listens.
+
+        Connections to another address are not used again.
 
         :param host: numeric IP address
         :param port: TCP port
         """
-        if (host, port) == (self._host, self._port):
-            return
-        self._host = host
-        self._port = port
+        self._address = (host, port)
         shown = f"[{host}]" if ":" in host else host
         self._host_header = f"{shown}:{port}".encode()
 
@@ -212,8 +213,8 @@
         if scope.cancelled_caught and connection and connection.write_started:
             self._metrics.count("target.timeouts")
             return Lost("deadline", died=False)
-        if isinstance(result, Lost) and result.died:
-            return Lost(result.detail, await self._is_refused())
+        if connection and isinstance(result, Lost) and result.died:
+            return Lost(result.detail, await self._is_refused(connection.address))
         return result
 
     async def _run_on(
@@ -230,12 +231,13 @@
             completed = await connection.exchange(data)
             keep = connection.is_reusable()
             return completed
-        except h11.LocalProtocolError as error:
+        except (h11.LocalProtocolError, UnicodeError) as error:
             return NotSent(f"request is not valid HTTP: {error}")
         except _AnswerError as error:
             self._metrics.count("target.lost")
             return Lost(str(error), died=error.connection_lost)
         finally:
+            keep = keep and connection.address == self._address
             if keep and len(self._idle) < self._max_idle:
                 connection.write_started = False
                 self._idle.append(connection)
@@ -254,27 +256,28 @@
     async def _connection(self) -> _Connection | NotSent:
         while self._idle:
             connection = self._idle.pop()
-            if connection.is_quiet():
+            if connection.address == self._address and connection.is_quiet():
                 return connection
             self._metrics.count("target.stale_connections")
             await connection.close()
-        if not self._port:
+        address = self._address
+        if not address[1]:
             return NotSent("no target address is known")
         try:
-            return _Connection(await self._connect())
+            return _Connection(await self._connect(address), address)
         except TimeoutError:
             return NotSent("connection attempt timed out")
         except OSError as error:
             return NotSent(f"connection failed: {error}")
 
-    async def _connect(self) -> anyio.abc.SocketStream:
+    async def _connect(self, address: tuple[str, int]) -> anyio.abc.SocketStream:
         self._metrics.count("target.connects")
         with anyio.fail_after(self._connect_timeout_s):
-            return await anyio.connect_tcp(self._host, self._port)
+            return await anyio.connect_tcp(*address)
 
-    async def _is_refused(self) -> bool:
+    async def _is_refused(self, address: tuple[str, int]) -> bool:
         try:
-            stream = await self._connect()
+            stream = await self._connect(address)
         except OSError as error:
             return _is_refusal(error)
         await stream.aclose()
