Compare own times of two nearby limits in the concurrency limiter

The regression slope over all observations was dominated by rare long requests: in benchmarks/limiter_policy.py (2x demand) the limit collapsed and used 4-34% of the slots.

--- /dev/null
+++ b/benchmarks/limiter_policy.py
@@ -0,0 +1,302 @@
+"""Compare concurrency limit algorithms against a model target in simulated time.
+
+The target has an unknown number of slots and an internal FIFO queue. Requests
+arrive at random; those beyond the limit wait in a short queue or are dropped.
+Usage: ``python benchmarks/limiter_policy.py [seeds]``; the last line is JSON.
+"""
+
+import heapq
+import json
+import random
+import sys
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from statistics import mean
+from typing import Protocol
+
+from briardock.clock import ManualClock
+from briardock.limiter import LimiterSettings, make_limiter
+
+OPERATIONS = ((0.6, 5.0), (0.3, 20.0), (0.1, 60.0))
+MEAN_SERVICE_MS = sum(share * mean_ms for share, mean_ms in OPERATIONS)
+QUEUE_LENGTH = 200
+SIGMA = 0.5
+
+
+class LimitPolicy(Protocol):
+    """What the model drives."""
+
+    @property
+    def limit(self) -> int:
+        """Requests that may run now."""
+        ...
+
+    def observe(self, own_time_ms: float, in_flight: int, ok: bool) -> None:
+        """Record one finished request."""
+        ...
+
+
+class FixedLimit:
+    """Constant limit; with the true slots it is the best that can be reached."""
+
+    def __init__(self, limit: int) -> None:
+        self.limit = limit
+
+    def observe(self, own_time_ms: float, in_flight: int, ok: bool) -> None:
+        """Ignore the observation."""
+
+
+class AimdLimit:
+    """Additive increase, decrease when own time exceeds twice its minimum."""
+
+    def __init__(self) -> None:
+        self._value = 32.0
+        self._smallest_ms = 1e9
+        self._recent_ms = 0.0
+
+    @property
+    def limit(self) -> int:
+        """Requests that may run now."""
+        return int(self._value)
+
+    def observe(self, own_time_ms: float, in_flight: int, ok: bool) -> None:
+        """Move the limit after each request."""
+        self._recent_ms += 0.02 * (own_time_ms - self._recent_ms)
+        self._smallest_ms = min(self._smallest_ms * 1.00001, max(self._recent_ms, 0.1))
+        if self._recent_ms > 2.0 * self._smallest_ms:
+            self._value = max(8.0, self._value * 0.995)
+        elif in_flight > 0.7 * self._value:
+            self._value = min(400.0, self._value + 1.0 / self._value)
+
+
+class GradientLimit:
+    """Limit scaled by long-term over short-term own time, plus room for a queue."""
+
+    def __init__(self) -> None:
+        self._value = 32.0
+        self._short_ms = 0.0
+        self._long_ms = 0.0
+
+    @property
+    def limit(self) -> int:
+        """Requests that may run now."""
+        return int(self._value)
+
+    def observe(self, own_time_ms: float, in_flight: int, ok: bool) -> None:
+        """Move the limit after each request."""
+        self._short_ms += 0.02 * (own_time_ms - self._short_ms)
+        self._long_ms += 0.0005 * (own_time_ms - self._long_ms)
+        if self._long_ms > 2.0 * self._short_ms:
+            self._long_ms *= 0.95
+        if in_flight < 0.5 * self._value or self._short_ms <= 0.0:
+            return
+        gradient = min(1.0, max(0.5, 1.5 * self._long_ms / self._short_ms))
+        wanted = self._value * gradient + 4.0
+        self._value += 0.01 * (wanted - self._value)
+        self._value = min(400.0, max(8.0, self._value))
+
+
+@dataclass(frozen=True, slots=True)
+class Scenario:
+    """Conditions of one run.
+
+    :param name: shown in the result
+    :param slots: slots of the target
+    :param demand: arrivals by capacity
+    :param slow_factor: service time factor from 10 s to 20 s
+    :param child_ms: time of child calls that hold the slot, from 10 s to 20 s
+    """
+
+    name: str
+    slots: int
+    demand: float
+    slow_factor: float = 1.0
+    child_ms: float = 0.0
+
+
+DURATION_MS = 30_000.0
+FAULT_FROM_MS = 10_000.0
+FAULT_UNTIL_MS = 20_000.0
+SCENARIOS = (
+    *(Scenario(f"2x/{slots}", slots, 2.0) for slots in (25, 65, 90, 125, 210)),
+    Scenario("0.5x/90", 90, 0.5),
+    Scenario("1x/90", 90, 1.0),
+    Scenario("4x/25", 25, 4.0),
+    Scenario("slow5/25", 25, 1.5, slow_factor=5.0),
+    Scenario("slow5/90", 90, 1.5, slow_factor=5.0),
+    Scenario("slow5-0.5x/90", 90, 0.5, slow_factor=5.0),
+    Scenario("slow20/90", 90, 1.5, slow_factor=20.0),
+    Scenario("child50/90", 90, 1.5, child_ms=50.0),
+)
+
+
+@dataclass(slots=True)
+class Request:
+    """One request in the model."""
+
+    service_ms: float
+    child_ms: float
+    admitted_ms: float = 0.0
+    in_flight: int = 0
+
+
+@dataclass(slots=True)
+class Phase:
+    """What was seen in one part of a run."""
+
+    work_ms: float = 0.0
+    own_ms: float = 0.0
+    service_ms: float = 0.0
+    limits: list[int] = field(default_factory=list)
+
+
+class Model:
+    """Event-driven target with a policy in front."""
+
+    def __init__(self, scenario: Scenario, policy: LimitPolicy, seed: int) -> None:
+        self.scenario = scenario
+        self.policy = policy
+        self.rng = random.Random(seed)
+        self.now_ms = 0.0
+        self.events: list[tuple[float, int, Request | None]] = []
+        self.sequence = 0
+        self.outer: deque[Request] = deque()
+        self.inner: deque[Request] = deque()
+        self.in_flight = 0
+        self.running = 0
+        self.phases = {name: Phase() for name in ("ramp", "before", "fault", "after")}
+
+    def phase(self) -> Phase:
+        """Return the part of the run that now belongs to."""
+        if self.now_ms < 5_000.0:
+            return self.phases["ramp"]
+        if self.now_ms < FAULT_FROM_MS:
+            return self.phases["before"]
+        if self.now_ms < FAULT_UNTIL_MS:
+            return self.phases["fault"]
+        return self.phases["after"]
+
+    def push(self, delay_ms: float, request: Request | None) -> None:
+        """Schedule an arrival (``None``) or the end of a request."""
+        self.sequence += 1
+        heapq.heappush(self.events, (self.now_ms + delay_ms, self.sequence, request))
+
+    def new_request(self) -> Request:
+        """Draw the operation and service time of an arrival."""
+        draw = self.rng.random()
+        mean_ms = OPERATIONS[-1][1]
+        for share, candidate_ms in OPERATIONS:
+            if draw < share:
+                mean_ms = candidate_ms
+                break
+            draw -= share
+        service_ms = mean_ms * self.rng.lognormvariate(-SIGMA * SIGMA / 2, SIGMA)
+        child_ms = 0.0
+        if FAULT_FROM_MS <= self.now_ms < FAULT_UNTIL_MS:
+            service_ms *= self.scenario.slow_factor
+            child_ms = self.scenario.child_ms
+        return Request(service_ms, child_ms)
+
+    def run(self, clock: ManualClock) -> None:
+        """Run until the end of the scenario."""
+        gap_ms = MEAN_SERVICE_MS / self.scenario.slots / self.scenario.demand
+        self.push(0.0, None)
+        while self.events:
+            at_ms, _, request = heapq.heappop(self.events)
+            if at_ms > DURATION_MS:
+                return
+            clock.advance(at_ms - self.now_ms)
+            self.now_ms = at_ms
+            if request is None:
+                self.push(self.rng.expovariate(1.0 / gap_ms), None)
+                if len(self.outer) < QUEUE_LENGTH:
+                    self.outer.append(self.new_request())
+                self.phase().limits.append(self.policy.limit)
+            else:
+                self.finish(request)
+            self.admit()
+
+    def admit(self) -> None:
+        """Pass waiting requests to the target while the limit allows it."""
+        limit = self.policy.limit
+        while self.outer and self.in_flight < limit:
+            request = self.outer.popleft()
+            self.in_flight += 1
+            request.admitted_ms = self.now_ms
+            request.in_flight = self.in_flight
+            self.inner.append(request)
+        while self.inner and self.running < self.scenario.slots:
+            request = self.inner.popleft()
+            self.running += 1
+            self.push(request.service_ms + request.child_ms, request)
+
+    def finish(self, request: Request) -> None:
+        """Record a finished request."""
+        self.running -= 1
+        self.in_flight -= 1
+        own_ms = self.now_ms - request.admitted_ms - request.child_ms
+        phase = self.phase()
+        phase.work_ms += request.service_ms + request.child_ms
+        phase.own_ms += own_ms
+        phase.service_ms += request.service_ms
+        self.policy.observe(own_ms, request.in_flight, True)
+
+
+def measure(scenario: Scenario, policy: LimitPolicy, clock: ManualClock, seed: int):
+    """Return utilisation, own time by service time and limits of each phase."""
+    model = Model(scenario, policy, seed)
+    model.run(clock)
+    spans_ms = {"ramp": 5e3, "before": 5e3, "fault": 10e3, "after": 10e3}
+    result = {}
+    for name, phase in model.phases.items():
+        result[name] = {
+            "used": phase.work_ms / spans_ms[name] / scenario.slots,
+            "stretch": phase.own_ms / max(1e-9, phase.service_ms),
+            "limit": mean(phase.limits),
+            "limit_min": min(phase.limits),
+            "limit_max": max(phase.limits),
+        }
+    return result
+
+
+def make_policies(slots: int) -> dict[str, Callable[[ManualClock], LimitPolicy]]:
+    """Return the compared policies for a target."""
+    return {
+        "oracle": lambda clock: FixedLimit(slots),
+        "fixed400": lambda clock: FixedLimit(400),
+        "aimd": lambda clock: AimdLimit(),
+        "gradient": lambda clock: GradientLimit(),
+        "slope": lambda clock: make_limiter(LimiterSettings(), clock),
+    }
+
+
+def main() -> None:
+    """Run all scenarios and print one line per policy and scenario."""
+    seeds = range(int(sys.argv[1]) if len(sys.argv) > 1 else 3)
+    only = sys.argv[2:]
+    summary: dict[str, dict[str, dict[str, float]]] = {}
+    for scenario in SCENARIOS:
+        for name, make in make_policies(scenario.slots).items():
+            if only and name not in only:
+                continue
+            runs = []
+            for seed in seeds:
+                clock = ManualClock()
+                runs.append(measure(scenario, make(clock), clock, seed))
+            cells = []
+            summary.setdefault(name, {})[scenario.name] = {}
+            for phase in ("ramp", "before", "fault", "after"):
+                used = min(run[phase]["used"] for run in runs)
+                stretch = mean(run[phase]["stretch"] for run in runs)
+                low = min(run[phase]["limit_min"] for run in runs)
+                high = max(run[phase]["limit_max"] for run in runs)
+                cells.append(f"{used:5.2f} {stretch:5.2f} {low:3.0f}-{high:3.0f}")
+                summary[name][scenario.name][phase] = round(used, 3)
+                summary[name][scenario.name][f"{phase}_stretch"] = round(stretch, 2)
+            print(f"{scenario.name:14} {name:9}", " | ".join(cells), flush=True)
+    print(json.dumps(summary))
+
+
+if __name__ == "__main__":
+    main()
--- a/src/briardock/limiter.py
+++ b/src/briardock/limiter.py
@@ -1,12 +1,34 @@
-"""Adaptive concurrency limit of one target with an unknown number of slots."""
+"""Adaptive concurrency limit of one target with an unknown number of slots.
 
+A target whose slots are all taken queues requests inside. By Little's law every
+request then waits (n - slots) / throughput, where n is the concurrency at its
+admission; with free slots own time does not depend on n, however slow the
+service is. The limit alternates between a high and a low value. Each decision
+compares the own times of requests admitted near the two values, as a share of
+the difference that queueing would cause.
+"""
+
+import math
 from dataclasses import dataclass
 
 from briardock.clock import Clock
 
-# Elasticity of own time by concurrency is 0 with free slots and 1 with a queue.
-QUEUEING_ELASTICITY = 0.5
-FREE_ELASTICITY = 0.3
+# Low quantiles move with the internal queue but hardly with rare long requests;
+# the median over several is robust against gaps between operations.
+QUANTILES = (0.1, 0.2, 0.3, 0.4, 0.5)
+# Queueing share that holds the limit. Below 1 the low value stays near the
+# number of slots, so that the low phases hardly leave slots idle.
+HELD_SHARE = 0.8
+SHARE_BOUNDS = (-1.0, 2.0)
+START_SHARE = 0.4
+START_GROWTH = 1.5
+GAIN = 0.3
+MAX_STREAK = 4
+GROUP_SAMPLES = 64
+MIN_PHASE_REQUESTS = 32
+LOW_PHASE_SHARE = 0.5
+MIN_PAIRS = 2
+MAX_PAIRS = 8
 
 
 @dataclass(frozen=True, slots=True)
@@ -18,9 +40,7 @@
     :param initial_limit: limit before anything was measured
     :param cold_start_s: time of the ramp from the fraction to the full limit in s
     :param cold_start_fraction: share of the limit at the start of the ramp
-    :param dither: relative amplitude of the changes that probe the target
-    :param phase_ms: duration of one high or low phase of the probing in ms
-    :param decision_samples: observations per decision
+    :param probe_share: relative difference of the high and the low value
     """
 
     min_limit: int = 8
@@ -28,19 +48,32 @@
     initial_limit: int = 32
     cold_start_s: float = 0.0
     cold_start_fraction: float = 0.2
-    dither: float = 0.15
-    phase_ms: float = 100.0
-    decision_samples: int = 200
+    probe_share: float = 0.25
 
 
-class Limiter:
-    """Concurrency limit moved by the slope of own time over concurrency.
+class _Group:
+    """Observations made near one of the two values."""
+
+    __slots__ = ("concurrency_sum", "times_ms")
+
+    def __init__(self) -> None:
+        self.times_ms: list[float] = []
+        self.concurrency_sum = 0
+
+    def add(self, own_time_ms: float, in_flight: int) -> None:
+        self.times_ms.append(own_time_ms)
+        self.concurrency_sum += in_flight
+
+    def mean_concurrency(self) -> float:
+        return self.concurrency_sum / len(self.times_ms)
 
-    A target with free slots has an own time that does not depend on the
-    concurrency, however slow its service is; a target whose slots are taken
-    queues inside, and own time grows in proportion to the concurrency. The limit
-    alternates between a high and a low phase so that the slope is measurable at
-    saturation, and the decision compares only observations made close in time.
+    def quantiles_ms(self) -> list[float]:
+        ordered = sorted(self.times_ms)
+        return [ordered[int(share * len(ordered))] for share in QUANTILES]
+
+
+class Limiter:
+    """Concurrency limit held where the target starts to queue inside.
 
     :param settings: checked settings
     :param clock: time source
@@ -53,38 +86,38 @@
         self._base = float(settings.initial_limit)
         self._ramping = settings.cold_start_s > 0
         self._starting = True
-        self._reset_sums()
-
-    def _reset_sums(self) -> None:
-        self._count = 0
-        self._sum_n = 0.0
-        self._sum_t = 0.0
-        self._sum_nn = 0.0
-        self._sum_nt = 0.0
+        self._streak = 0
+        self._low_phase = False
+        self._phase_left = MIN_PHASE_REQUESTS
+        self._reset_batch()
+
+    def _reset_batch(self) -> None:
+        self._high = _Group()
+        self._low = _Group()
+        self._finished_count = 0
+        self._pairs_count = 0
+        self._batch_from_ms = self._clock.now_ms()
 
     @property
     def base_limit(self) -> float:
-        """Limit without ramp and probing phase."""
+        """High value without the ramp."""
         return self._base
 
     @property
     def limit(self) -> int:
         """Requests that may run in the target now."""
         settings = self._settings
-        now_ms = self._clock.now_ms()
-        value = self._base * self._phase_factor(now_ms)
+        value = self._base
+        if self._low_phase:
+            value *= 1.0 - settings.probe_share
         if self._ramping:
-            value *= self._ramp_factor(now_ms)
-        bounded = min(float(settings.max_limit), max(float(settings.min_limit), value))
-        return int(bounded)
-
-    def _phase_factor(self, now_ms: float) -> float:
-        phase = int((now_ms - self._started_ms) / self._settings.phase_ms)
-        return 1.0 - self._settings.dither if phase % 2 else 1.0
+            value *= self._ramp_factor()
+        return max(settings.min_limit, int(value))
 
-    def _ramp_factor(self, now_ms: float) -> float:
+    def _ramp_factor(self) -> float:
         settings = self._settings
-        done = (now_ms - self._started_ms) / (settings.cold_start_s * 1000.0)
+        elapsed_ms = self._clock.now_ms() - self._started_ms
+        done = elapsed_ms / (settings.cold_start_s * 1000.0)
         if done >= 1.0:
             self._ramping = False
             return 1.0
@@ -95,33 +128,69 @@
         """Record one finished request.
 
         :param own_time_ms: time in the target without its child calls in ms
-        :param in_flight: requests in the target when this one was admitted
-        :param ok: whether the target answered; fast failures say nothing
+        :param in_flight: requests in the target at its admission, itself included
+        :param ok: whether the target answered; a failure's time is not its service
         """
-        if not ok and own_time_ms * self._count < self._sum_t:
-            return
-        self._count += 1
-        self._sum_n += in_flight
-        self._sum_t += own_time_ms
-        self._sum_nn += in_flight * in_flight
-        self._sum_nt += in_flight * own_time_ms
-        if self._count >= self._settings.decision_samples:
-            self._decide()
-
-    def _decide(self) -> None:
-        mean_n = self._sum_n / self._count
-        mean_t = self._sum_t / self._count
-        variance = self._sum_nn / self._count - mean_n * mean_n
-        covariance = self._sum_nt / self._count - mean_n * mean_t
-        self._reset_sums()
-        if variance <= 0.0 or mean_t <= 0.0:
+        self._finished_count += 1
+        if ok and not self._ramping:
+            self._group_by_concurrency(own_time_ms, in_flight)
+        self._phase_left -= 1
+        if self._phase_left <= 0:
+            self._end_phase()
+
+    def _group_by_concurrency(self, own_time_ms: float, in_flight: int) -> None:
+        share = in_flight / self._base
+        probe_share = self._settings.probe_share
+        if share > 1.0 - 0.4 * probe_share:
+            self._high.add(own_time_ms, in_flight)
+        elif 1.0 - 1.4 * probe_share < share <= 1.0 - 0.6 * probe_share:
+            self._low.add(own_time_ms, in_flight)
+
+    def _end_phase(self) -> None:
+        if self._low_phase:
+            self._pairs_count += 1
+            if self._pairs_count >= MIN_PAIRS:
+                self._end_pair()
+        self._low_phase = not self._low_phase
+        requests = max(MIN_PHASE_REQUESTS, int(self._base))
+        if self._low_phase:
+            requests = int(requests * LOW_PHASE_SHARE * 2)
+        self._phase_left = requests
+
+    def _end_pair(self) -> None:
+        smaller = min(len(self._high.times_ms), len(self._low.times_ms))
+        if smaller >= GROUP_SAMPLES:
+            share = self._queueing_share()
+            if share is not None:
+                self._decide(share)
+        elif self._pairs_count < MAX_PAIRS:
             return
-        elasticity = covariance / variance * mean_n / mean_t
-        if elasticity > QUEUEING_ELASTICITY:
+        self._reset_batch()
+
+    def _queueing_share(self) -> float | None:
+        """Return 0 for free slots up to 1 for a queue at both values."""
+        elapsed_ms = self._clock.now_ms() - self._batch_from_ms
+        step = self._high.mean_concurrency() - self._low.mean_concurrency()
+        if elapsed_ms <= 0.0 or step <= 0.0:
+            return None
+        expected_ms = step * elapsed_ms / self._finished_count
+        pairs = zip(self._high.quantiles_ms(), self._low.quantiles_ms(), strict=True)
+        shifts_ms = sorted(high - low for high, low in pairs)
+        share = shifts_ms[len(shifts_ms) // 2] / expected_ms
+        return min(SHARE_BOUNDS[1], max(SHARE_BOUNDS[0], share))
+
+    def _decide(self, share: float) -> None:
+        if self._starting:
+            if share < START_SHARE:
+                self._move(START_GROWTH)
+                return
             self._starting = False
-            self._move(0.9)
-        elif elasticity < FREE_ELASTICITY and mean_n > 0.7 * self.limit:
-            self._move(1.5 if self._starting else 1.08)
+        excess = share - HELD_SHARE
+        same_direction = excess * self._streak > 0
+        self._streak = self._streak if same_direction else 0
+        self._streak += 1 if excess > 0 else -1
+        boost = min(MAX_STREAK, abs(self._streak))
+        self._move(math.exp(-GAIN * boost * excess / MAX_STREAK))
 
     def _move(self, factor: float) -> None:
         settings = self._settings
