--- /dev/null
+++ b/src/briardock/_publisher.py
@@ -0,0 +1,341 @@
+"""Operator side of publishing: the base of a folder, and one publish attempt."""
+
+import getpass
+import uuid
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+
+import anyio
+
+from briardock._basefile import (
+    Base,
+    BaseEntry,
+    digest_of_text,
+    read_base,
+    write_atomically,
+    write_base,
+)
+from briardock._records import (
+    ABSENT,
+    MAX_PUBLISH_BYTES,
+    STREAM,
+    ChangeResult,
+    Publish,
+    decode_record,
+    encode_record,
+)
+from briardock.configuration import load_folder, merge_and_check
+from briardock.exceptions import (
+    ConfigurationError,
+    LogUnavailableError,
+    PublishConflictError,
+)
+from briardock.platformlog import LogClient, LogFailure
+from briardock.publishing import Accepted, ConfigState, make_config_state
+
+READ_RECORDS = 200
+READ_WAIT_MS = 200.0
+RETRY_PAUSE_S = 0.2
+
+
+@dataclass(frozen=True, slots=True)
+class Published:
+    """Result of a publish.
+
+    :param version: version now in force, or the current one without changes
+    :param changed: names of the changed files
+    """
+
+    version: int
+    changed: tuple[str, ...]
+
+
+class LogView:
+    """The published state as an operator reads it from the log.
+
+    :param client: client of the log
+    :param timeout_s: longest time for one command
+    """
+
+    def __init__(self, client: LogClient, timeout_s: float) -> None:
+        self.state: ConfigState = make_config_state()
+        self.authors: dict[str, str] = {}
+        self._failure = "it has too many records"
+        self._client = client
+        self._timeout_s = timeout_s
+
+    async def read_to_end(self) -> None:
+        """Read all records that the log holds now.
+
+        :raises LogUnavailableError: if the log does not answer in time
+        """
+        with anyio.move_on_after(self._timeout_s):
+            while not await self._read_once(0.0):
+                pass
+            self._require_complete()
+            return
+        raise LogUnavailableError(
+            f"the log was not read within {self._timeout_s:g} s: {self._failure}",
+            "check the log service or raise --timeout-s",
+        )
+
+    async def send(self, record: Publish) -> ChangeResult:
+        """Append a change and return what became of it.
+
+        The change id makes it safe to append again when the outcome is unknown.
+
+        :raises LogUnavailableError: if the outcome is still unknown in the end
+        """
+        body = encode_record(record)
+        if len(body) > MAX_PUBLISH_BYTES:
+            raise ConfigurationError(
+                f"the change has {len(body)} bytes, more than {MAX_PUBLISH_BYTES}",
+                "publish fewer files at a time",
+            )
+        detail, uncertain = "no answer", False
+        with anyio.move_on_after(self._timeout_s):
+            while True:
+                appended = await self._client.append(STREAM, body)
+                if isinstance(appended, LogFailure):
+                    detail = appended.detail
+                    uncertain = uncertain or appended.outcome_unknown
+                if not isinstance(appended, LogFailure) or appended.outcome_unknown:
+                    found = await self._find(record.change_id, appended)
+                    if found:
+                        return found
+                await anyio.sleep(RETRY_PAUSE_S)
+        if uncertain:
+            raise LogUnavailableError(
+                f"outcome of change {record.change_id} is unknown: {detail}",
+                "run publish again; it sends nothing if the change took effect",
+            )
+        raise LogUnavailableError(f"nothing was published: {detail}", "try again later")
+
+    async def _find(
+        self, change_id: str, appended: int | LogFailure
+    ) -> ChangeResult | None:
+        """Read on until a change shows up or the end of the log is reached."""
+        while True:
+            at_end = await self._read_once(READ_WAIT_MS)
+            if result := self.state.result_of(change_id):
+                return result
+            if at_end and isinstance(appended, LogFailure):
+                return None
+            if isinstance(appended, int) and self.state.last_offset >= appended:
+                return None
+
+    async def _read_once(self, wait_ms: float) -> bool:
+        """Apply the next records and return whether the end is reached."""
+        state = self.state
+        result = await self._client.read(
+            STREAM, state.next_offset, READ_RECORDS, wait_ms
+        )
+        if isinstance(result, LogFailure):
+            self._failure = result.detail
+            await anyio.sleep(RETRY_PAUSE_S)
+            return False
+        state.observe_log(result.first, result.next)
+        for item in result.records:
+            was_incomplete = state.is_incomplete
+            if isinstance(state.apply(item.offset, item.body), Accepted):
+                self._note_author(item.body)
+            if was_incomplete and not state.is_incomplete:
+                break
+        return state.next_offset >= result.next
+
+    def _note_author(self, body: bytes) -> None:
+        """Remember who changed which file last."""
+        record = decode_record(body)
+        if isinstance(record, Publish):
+            self.authors.update(dict.fromkeys(record.changes, record.author))
+
+    def _require_complete(self) -> None:
+        """Check that the state could be reconstructed."""
+        if self.state.is_incomplete:
+            raise LogUnavailableError(
+                "old records were trimmed and no checkpoint covers them",
+                "wait until a running node has appended a checkpoint",
+            )
+
+
+def fetch_into(folder: Path, state: ConfigState, overwrite: bool) -> int:
+    """Write the published files and their versions, and return their number.
+
+    :param folder: created if missing
+    :param state: published state
+    :param overwrite: replace files that were edited locally
+    :raises ConfigurationError: if that would lose local edits
+    """
+    folder.mkdir(parents=True, exist_ok=True)
+    local = load_folder(folder) if any(folder.glob("*.ini")) else {}
+    base = read_base(folder) or Base({})
+    edited = [
+        name
+        for name in sorted(local)
+        if local[name] != state.files.get(name) and _is_edited(name, local, base)
+    ]
+    if edited and not overwrite:
+        raise ConfigurationError(
+            f"{folder}: not yet published: {', '.join(edited)}",
+            "publish or move them, or give --overwrite",
+        )
+    for name, text in state.files.items():
+        if local.get(name) != text:
+            write_atomically(folder / name, text.encode())
+    for name in local.keys() - state.files.keys():
+        (folder / name).unlink(missing_ok=True)
+    write_base(folder, _base_of(state))
+    return len(state.files)
+
+
+async def publish_folder(
+    folder: Path, view: LogView, author: str, base_current: bool
+) -> Published:
+    """Publish what differs from the base of a folder.
+
+    :param folder: folder of INI files
+    :param view: view of the log, not yet read
+    :param author: shown to others; empty for the user name
+    :param base_current: take the current published state as the base
+    :raises ConfigurationError: if the files or their base do not fit
+    :raises PublishConflictError: if another publish changed the same file
+    """
+    local = load_folder(folder)
+    require_checked(local, str(folder))
+    await view.read_to_end()
+    state = view.state
+    base = _base_of(state) if base_current else _require_base(folder, state)
+    changes = _changes(local, base, state)
+    if not changes:
+        _update_base(folder, base, local, state)
+        return Published(state.version, ())
+    _require_current(changes, base, view)
+    merged = {**state.files, **changes}
+    require_checked(
+        {name: text for name, text in merged.items() if text is not None},
+        "merged with the files of others",
+    )
+    versions = {name: base.version_of(name) for name in changes}
+    record = Publish(uuid.uuid4().hex, author or _user_name(), versions, changes)
+    result = await view.send(record)
+    if not result.accepted:
+        raise _rejection(result, view)
+    _update_base(folder, base, local, state)
+    return Published(result.offset, tuple(sorted(changes)))
+
+
+def require_checked(files: Mapping[str, str], what: str) -> None:
+    """Check merged files.
+
+    :raises ConfigurationError: naming the first fault and their number
+    """
+    checked = merge_and_check(files)
+    if isinstance(checked, list):
+        more = f" (and {len(checked) - 1} more)" if len(checked) > 1 else ""
+        raise ConfigurationError(
+            f"{what}: {checked[0]}{more}", "run 'briardock check' on the folder"
+        )
+
+
+def _base_of(state: ConfigState) -> Base:
+    """Return the base that equals the published state."""
+    return Base(
+        {
+            name: BaseEntry(version, digest_of_text(state.files.get(name)))
+            for name, version in state.versions.items()
+        }
+    )
+
+
+def _require_base(folder: Path, state: ConfigState) -> Base:
+    """Return the base of a folder, which may only miss before the first publish."""
+    base = read_base(folder)
+    if base is None and state.versions:
+        raise ConfigurationError(
+            f"{folder}: it is not known which version the edits started from",
+            "fetch into another folder and redo the edits there, or give "
+            "--base-current to replace what is published now",
+        )
+    return base or Base({})
+
+
+def _changes(
+    local: Mapping[str, str], base: Base, state: ConfigState
+) -> dict[str, str | None]:
+    """Return the files whose text differs from both base and published state."""
+    changes: dict[str, str | None] = {}
+    known = {name for name, entry in base.files.items() if entry.digest is not None}
+    for name in sorted(local.keys() | known):
+        text = local.get(name)
+        if digest_of_text(text) != base.digest_of(name) and text != state.files.get(
+            name
+        ):
+            changes[name] = text
+    return changes
+
+
+def _require_current(
+    changes: Mapping[str, str | None], base: Base, view: LogView
+) -> None:
+    """Check that no changed file has moved since the base."""
+    current = view.state.versions
+    moved = [
+        name
+        for name in changes
+        if base.version_of(name) != current.get(name, ABSENT)
+        or base.digest_of(name) != digest_of_text(view.state.files.get(name))
+    ]
+    if moved:
+        raise PublishConflictError(
+            f"changed by another publish since your fetch: {_blame(moved, view)}",
+            "fetch into another folder, redo the edits there and publish it",
+        )
+
+
+def _rejection(result: ChangeResult, view: LogView) -> Exception:
+    """Return the error of a change that lost a race or fails with those of others."""
+    if result.conflicts:
+        return PublishConflictError(
+            "another publish came first; nothing of this one is in force: "
+            f"{_blame(result.conflicts, view)}",
+            "fetch into another folder, redo the edits there and publish it",
+        )
+    return ConfigurationError(
+        f"rejected, merged with the files of others: {result.reason}",
+        "correct the file and publish again",
+    )
+
+
+def _blame(names: list[str] | tuple[str, ...], view: LogView) -> str:
+    """Return file names with the version and author that changed them last."""
+    versions = view.state.versions
+    return ", ".join(
+        f"{name} (version {versions.get(name, ABSENT)}"
+        f" by {view.authors.get(name, 'an earlier author')})"
+        for name in names
+    )
+
+
+def _update_base(
+    folder: Path, base: Base, local: Mapping[str, str], state: ConfigState
+) -> None:
+    """Move the base of the files whose local text is the published one."""
+    entries = dict(base.files)
+    for name, version in state.versions.items():
+        if local.get(name) == state.files.get(name):
+            entries[name] = BaseEntry(version, digest_of_text(local.get(name)))
+    write_base(folder, Base(entries))
+
+
+def _is_edited(name: str, local: Mapping[str, str], base: Base) -> bool:
+    """Return whether a local file differs from its base."""
+    return digest_of_text(local[name]) != base.digest_of(name)
+
+
+def _user_name() -> str:
+    """Return the name of the user for the author field."""
+    try:
+        return getpass.getuser()
+    except (KeyError, OSError):
+        return "unknown"
