--- a/src/briardock/node.py
+++ b/src/briardock/node.py
@@ -4,7 +4,6 @@
 import random
 import signal
 import sys
-from collections.abc import Awaitable, Callable
 from functools import partial
 
 import anyio
@@ -18,10 +17,12 @@
     routing_settings,
 )
 from briardock._peerserver import PeerInfo, serve_peers
+from briardock._sockets import listen, port_of
 from briardock.actions import make_action_table
 from briardock.admin import AdminSources, make_admin
 from briardock.admission import make_admission
 from briardock.announcements import make_announcements
+from briardock.background import Task, send_metrics, supervise, watch
 from briardock.budget import make_retry_ratio
 from briardock.clock import Clock, SystemClock, make_random
 from briardock.cluster import make_cluster, make_own_record
@@ -44,7 +45,7 @@
 )
 from briardock.membership import MemberState
 from briardock.messages import MAX_LEVEL, Answer, Call, Forward
-from briardock.metrics import FLUSH_PERIOD_S, Metrics, make_statsd_client
+from briardock.metrics import Metrics
 from briardock.outcomes import NotRun, Reason
 from briardock.peers import make_peer_links
 from briardock.publishing import NO_VERSION
@@ -61,13 +62,8 @@
 MAX_ADMIN_CONNECTIONS = 16
 MAX_ADMIN_BODY_BYTES = 64 * 1024
 ADMIN_IDLE_TIMEOUT_S = 30.0
-WATCH_PERIOD_S = 0.25
-PAUSE_THRESHOLD_MS = 1_500.0
-RESTART_DELAY_S = 1.0
 LEFT_NOTICE_S = 0.3
 
-Task = Callable[[], Awaitable[None]]
-
 
 class Node:
     """All parts of one node process.
@@ -94,12 +90,12 @@
         :raises SettingsError: if an address cannot be bound
         """
         node = self.settings.node
-        http = await _listen(node.host, node.http_port, "http_port")
-        calls = await _listen(node.host, node.call_port, "call_port")
-        admin = await _listen(
+        http = await listen(node.host, node.http_port, "http_port")
+        calls = await listen(node.host, node.call_port, "call_port")
+        admin = await listen(
             self.settings.admin.host, self.settings.admin.port, "[admin] port"
         )
-        self._assemble(_port_of(calls))
+        self._assemble(port_of(calls))
         try:
             self.cluster.gossip.bind()
         except zmq.ZMQError as error:
@@ -111,8 +107,8 @@
             Event.NODE_STARTED,
             node_id=node.node_id,
             incarnation=self.incarnation,
-            http_port=_port_of(http),
-            admin_port=_port_of(admin),
+            http_port=port_of(http),
+            admin_port=port_of(admin),
         )
         async with anyio.create_task_group() as tasks:
             self._start_background(tasks)
@@ -244,23 +240,19 @@
             "configuration": self.cluster.reader.run,
             "contacts": self.cluster.contacts.run,
             "admission": self.admission.run,
-            "watch": self._watch,
-            "metrics": self._send_metrics,
+            "watch": partial(
+                watch,
+                self.clock,
+                [self.announcements.withdraw_expired, self.actions.expire],
+            ),
+            "metrics": partial(
+                send_metrics, self.settings.statsd, self.metrics, self._set_gauges
+            ),
         }
         for name, task in background.items():
-            tasks.start_soon(self._supervise, name, task)
+            tasks.start_soon(supervise, name, task, self.metrics)
         tasks.start_soon(self._handle_signals)
 
-    async def _supervise(self, name: str, task: Task) -> None:
-        while True:
-            try:
-                await task()
-                return
-            except Exception as error:
-                self.metrics.count("node.task_restarts")
-                emit(Event.TASK_RESTARTED, task=name, error=repr(error))
-            await anyio.sleep(RESTART_DELAY_S)
-
     async def _handle_signals(self) -> None:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
             async for _ in signals:
@@ -323,26 +315,10 @@
         admin = make_admin(sources, self.settings.admin.token)
         await serve_http(listener, admin.handle, limits, self.metrics)
 
-    async def _watch(self) -> None:
-        last_ms = self.clock.now_ms()
-        while True:
-            await anyio.sleep(WATCH_PERIOD_S)
-            now_ms = self.clock.now_ms()
-            if now_ms - last_ms > PAUSE_THRESHOLD_MS:
-                emit(Event.PAUSE_DETECTED, pause_ms=round(now_ms - last_ms))
-            last_ms = now_ms
-            self.announcements.withdraw_expired()
-            self.actions.expire()
-
-    async def _send_metrics(self) -> None:
-        statsd = self.settings.statsd
-        if not statsd.host:
-            return
-        client = make_statsd_client(statsd.host, statsd.port, statsd.prefix)
-        while True:
-            await anyio.sleep(FLUSH_PERIOD_S)
-            self.metrics.gauge("admission.load", self.admission.load())
-            self.metrics.flush(client)
+    def _set_gauges(self) -> None:
+        self.metrics.gauge("admission.load", self.admission.load())
+        self.metrics.gauge("admission.in_flight", self.admission.in_flight)
+        self.metrics.gauge("actions.records", len(self.actions))
 
     def _catalog(self) -> Catalog | None:
         state = self.cluster.config
@@ -400,25 +376,6 @@
     return 1
 
 
-async def _listen(host: str, port: int, key: str) -> AnyListener:
-    """Bind one TCP listener.
-
-    :raises SettingsError: if the address is taken or not local
-    """
-    try:
-        multi = await anyio.create_tcp_listener(local_host=host, local_port=port)
-    except OSError as error:
-        raise SettingsError(
-            f"cannot bind {key} {host}:{port}: {error}",
-            "choose a free port and a local address",
-        ) from error
-    return multi.listeners[0]
-
-
-def _port_of(listener: AnyListener) -> int:
-    return listener.extra(anyio.abc.SocketAttribute.local_port)
-
-
 def make_node(settings: NodeSettings) -> Node:
     """Return a node with the system's clock.
 
