--- /dev/null
+++ b/features/bench.py
@@ -0,0 +1,367 @@
+"""A small deployment, one probe booking, and the faults that strike it."""
+
+import contextlib
+import subprocess
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import anyio
+import httpx
+
+from briardock.clock import SystemClock
+from briardock_standins.deployments import DeploymentSpec, ServiceSpec
+from briardock_standins.harness import Deployment, target_name
+from briardock_standins.ledger import (
+    Entry,
+    RunEnded,
+    RunStarted,
+    Told,
+    Violation,
+    check,
+    read_ledger,
+)
+from briardock_standins.load import LoadGenerator
+from briardock_standins.plans import (
+    ActionPlan,
+    ChildCall,
+    Distribution,
+    LoadPlan,
+    OperationPlan,
+    Phase,
+    TargetPlan,
+)
+
+DOMAINS = {"a": "127.0.1.1", "b": "127.0.2.1"}
+BOOKING = "bookings.create"
+PAYMENT = "wallet.pay"
+ONCE = (BOOKING, PAYMENT)
+RETRIES = 2
+DEADLINE_MS = 3_000
+RECOVERY_BOUND_S = 25.0
+
+CONFIG = {
+    "00-classes.ini": "[class critical]\nrank = 0\n[class view]\nrank = 3\n",
+    "10-bookings.ini": (
+        "[service bookings]\n"
+        "[operation bookings.create]\nmatch = POST /bookings\nclass = critical\n"
+        f"idempotent = no\nretries = {RETRIES}\ndeadline_ms = {DEADLINE_MS}\n"
+        "calls = wallet.pay\n"
+        "[operation bookings.read]\nmatch = GET /bookings/{id}\nclass = view\n"
+        f"idempotent = yes\nretries = {RETRIES}\ncalls = wallet.balance\n"
+    ),
+    "20-wallet.ini": (
+        "[service wallet]\n"
+        "[operation wallet.pay]\nmatch = POST /payments\nclass = critical\n"
+        f"idempotent = no\nretries = {RETRIES}\ndeadline_ms = {DEADLINE_MS}\n"
+        "[operation wallet.balance]\nmatch = GET /balance\nclass = view\n"
+        f"idempotent = yes\nretries = {RETRIES}\n"
+    ),
+}
+
+
+def make_services(booking_ms: float, crash_marker: str) -> tuple[ServiceSpec, ...]:
+    """Return bookings and wallet with one instance in each failure domain."""
+    fixed = Distribution.FIXED
+    bookings = TargetPlan(
+        "bookings",
+        (
+            OperationPlan(
+                "create",
+                "/bookings",
+                "POST",
+                booking_ms,
+                fixed,
+                calls=(ChildCall("wallet", "/payments", "POST"),),
+            ),
+            OperationPlan(
+                "read",
+                "/bookings/{id}",
+                "GET",
+                5.0,
+                calls=(ChildCall("wallet", "/balance"),),
+            ),
+        ),
+        crash_marker=crash_marker,
+    )
+    wallet = TargetPlan(
+        "wallet",
+        (
+            OperationPlan("pay", "/payments", "POST", booking_ms, fixed),
+            OperationPlan("balance", "/balance", "GET", 5.0),
+        ),
+        crash_marker=crash_marker,
+    )
+    domains = tuple(DOMAINS)
+    return ServiceSpec(bookings, domains), ServiceSpec(wallet, domains)
+
+
+@dataclass(slots=True)
+class Probe:
+    """One booking sent by the test itself.
+
+    :param key: issued key
+    :param issuer: node that issued it
+    :param body: request body
+    :param told: what the caller was told, one entry for each send
+    """
+
+    key: str
+    issuer: str
+    body: str
+    told: list[Told] = field(default_factory=list)
+
+
+class Bench:
+    """Deployment, background load and probe of one scenario.
+
+    :param seed: seed of all processes and of the load
+    :param booking_ms: own time of a booking and of its payment
+    """
+
+    def __init__(self, seed: int, booking_ms: float = 250.0) -> None:
+        spec = DeploymentSpec(
+            make_services(booking_ms, "crash-target"),
+            domains=DOMAINS,
+            relay=True,
+            seed=seed,
+        )
+        self.seed = seed
+        self.deployment = Deployment(spec)
+        self.config = self.deployment.folder / "config"
+        self._client = httpx.Client(timeout=10.0, trust_env=False)
+        self._threads: list[threading.Thread] = []
+        self._load_told: list[Told] = []
+        self._sent_count = 0
+        self._recovery: list[Probe] = []
+        self._heal: list[Callable[[], None]] = []
+        self.races: list[list[subprocess.CompletedProcess[str]]] = []
+
+    def start(self) -> None:
+        """Start all processes and publish the configuration."""
+        write_config(self.config, CONFIG)
+        self.deployment.start()
+        self.deployment.publish(self.config)
+        self.deployment.wait_for_configuration()
+        self.deployment.wait_for_members()
+
+    def close(self) -> None:
+        """End all processes."""
+        for heal in self._heal:
+            heal()
+        for thread in self._threads:
+            thread.join(RECOVERY_BOUND_S)
+        self._client.close()
+        self.deployment.stop()
+
+    # Requests
+
+    def make_probe(self, issuer: str, body: str = "probe") -> Probe:
+        """Obtain a key from a node."""
+        url = f"http://{self.deployment.instances[issuer].entry}/_briardock/keys"
+        key = self._client.post(url).raise_for_status().json()["keys"][0]
+        return Probe(key, issuer, body)
+
+    def send(self, probe: Probe, node: str, deadline_ms: int = DEADLINE_MS) -> Told:
+        """Send the probe to a node and record what the caller is told."""
+        self._sent_count += 1
+        name = f"probe{self._sent_count}"
+        headers = {
+            "idempotency-key": probe.key,
+            "x-nonce": name,
+            "briardock-deadline-ms": str(deadline_ms),
+        }
+        url = f"http://{self.deployment.instances[node].entry}/bookings/bookings"
+        start_ms = time.monotonic() * 1000.0
+        outcome, reason, status, body_ok = "unknown", "no-answer", 0, False
+        try:
+            answer = self._client.post(url, headers=headers, content=probe.body)
+        except httpx.HTTPError:
+            pass
+        else:
+            outcome = answer.headers.get("briardock-outcome", "unknown")
+            status = answer.status_code
+            found = answer.json()
+            reason = found.get("reason", "")
+            # A resend is answered with the answer to the first send.
+            body_ok = str(found.get("nonce", "")).startswith("probe")
+        told = Told(
+            name,
+            len(probe.told),
+            True,
+            probe.key,
+            BOOKING,
+            "critical",
+            outcome,
+            reason,
+            status,
+            body_ok,
+            start_ms,
+            time.monotonic() * 1000.0,
+        )
+        probe.told.append(told)
+        return told
+
+    def send_later(
+        self, probe: Probe, node: str, deadline_ms: int = DEADLINE_MS
+    ) -> None:
+        """Send the probe in the background."""
+        self.in_background(lambda: self.send(probe, node, deadline_ms))
+
+    def start_load(self, duration_s: float, rate_per_s: float) -> None:
+        """Send bookings with resends, and reads, in the background."""
+        resends = {"resends": 2, "resend_delay_ms": 100.0}
+        plan = LoadPlan(
+            self.deployment.entries(),
+            (
+                ActionPlan(
+                    BOOKING, "/bookings", "critical", "POST", 1.0, True, **resends
+                ),
+                ActionPlan("bookings.read", "/bookings/7", "view", weight=2.0),
+            ),
+            (Phase(duration_s),),
+            rate_per_s,
+            seed=self.seed,
+        )
+
+        async def run() -> None:
+            self._load_told += await LoadGenerator(plan, SystemClock()).run()
+
+        self.in_background(lambda: anyio.run(run))
+
+    def in_background(self, action: Callable[[], object]) -> None:
+        """Run something while the scenario goes on."""
+        thread = threading.Thread(target=action, daemon=True)
+        thread.start()
+        self._threads.append(thread)
+
+    def join(self) -> None:
+        """Wait for everything sent in the background."""
+        for thread in self._threads:
+            thread.join(RECOVERY_BOUND_S + DEADLINE_MS / 1000.0)
+            assert not thread.is_alive(), "a background request got no answer"
+        self._threads.clear()
+
+    # Observation
+
+    def starts(self, key: str, operation: str) -> list[tuple[str, RunStarted]]:
+        """Return the runs of an operation under a root key, with their node."""
+        found = []
+        for name, ledger in self.ledgers_by_node():
+            for entry in ledger:
+                if not isinstance(entry, RunStarted) or entry.operation != operation:
+                    continue
+                if entry.key.partition("/")[0] == key:
+                    found.append((name, entry))
+        return found
+
+    def ledgers_by_node(self) -> list[tuple[str, list[Entry]]]:
+        """Return the entries of all targets by node."""
+        return [
+            (name, read_ledger(path))
+            for name, instance in self.deployment.instances.items()
+            for path in instance.ledgers
+            if path.exists()
+        ]
+
+    def wait_for_start(self, probe: Probe, operation: str) -> str:
+        """Wait until a target runs an operation of the probe; return its node."""
+        self.deployment.wait_until(
+            f"{operation} to run", lambda: bool(self.starts(probe.key, operation))
+        )
+        return self.starts(probe.key, operation)[0][0]
+
+    def wait_for_end(self, probe: Probe) -> None:
+        """Wait until the run of the probe booking has ended."""
+
+        def ended() -> bool:
+            runs = {start.run for _, start in self.starts(probe.key, BOOKING)}
+            return any(
+                isinstance(entry, RunEnded) and entry.run in runs
+                for _, ledger in self.ledgers_by_node()
+                for entry in ledger
+            )
+
+        self.deployment.wait_until("the booking to end", ended)
+
+    def violations(self, probe: Probe | None) -> list[Violation]:
+        """Return the broken rules over all ledgers so far."""
+        probes = [*self._recovery, *([probe] if probe else [])]
+        told = [*self._load_told, *(one for each in probes for one in each.told)]
+        return check(self.deployment.target_ledgers(), [told], ONCE, RETRIES)
+
+    # Faults
+
+    def heal_later(self, heal: Callable[[], None]) -> None:
+        """Remember how to undo a fault."""
+        self._heal.append(heal)
+
+    def heal(self) -> None:
+        """Undo all faults."""
+        while self._heal:
+            self._heal.pop()()
+
+    def drain(self, name: str) -> None:
+        """Drain a node through its operator endpoint; a killed one cannot answer."""
+        url = f"http://{self.deployment.instances[name].admin}/drain"
+        with contextlib.suppress(httpx.HTTPError):
+            httpx.post(url, timeout=RECOVERY_BOUND_S, trust_env=False)
+
+    def restart_ended(self) -> None:
+        """Start every process that has ended, as the platform would."""
+        for name in self.deployment.instances:
+            if not self.deployment.processes[name].is_running():
+                self.restart_node(name)
+            if not self.deployment.processes[target_name(name)].is_running():
+                self.restart_target(name)
+
+    def changed_config(self) -> Path:
+        """Return a folder with one changed file, made from what is published."""
+        folder = self.config.with_name("config-changed")
+        copy_folder(self.config, folder)
+        text = CONFIG["20-wallet.ini"] + "max_body_kb = 64\n"
+        write_config(folder, {"20-wallet.ini": text})
+        return folder
+
+    def check_races(self) -> None:
+        """Check that of racing publishes of one file at most one was accepted."""
+        for results in self.races:
+            accepted = [one for one in results if one.returncode == 0]
+            assert len(accepted) <= 1, [one.stdout for one in results]
+            for lost in (one for one in results if one.returncode):
+                assert lost.stderr.strip(), "the loser was told nothing"
+
+    def completes(self, name: str) -> bool:
+        """Return whether a fresh booking and a read complete on a node."""
+        probe = self.make_probe(name, "after the fault")
+        base = f"http://{self.deployment.instances[name].entry}/bookings/bookings"
+        self._recovery.append(probe)
+        booked = self.send(probe, name).succeeded
+        return booked and self._client.get(f"{base}/7").status_code == 200
+
+    def restart_node(self, name: str) -> None:
+        """Start a killed node again, as the platform would."""
+        self.deployment.spawn_node(name)
+        self.deployment.wait_for_node(name)
+
+    def restart_target(self, name: str) -> None:
+        """Start a killed target again, as the platform would."""
+        self.deployment.processes[target_name(name)].end(1.0)
+        self.deployment.start_target(name)
+
+
+def write_config(folder: Path, files: dict[str, str]) -> None:
+    """Write a configuration folder."""
+    folder.mkdir(exist_ok=True)
+    for name, text in files.items():
+        (folder / name).write_text(text)
+
+
+def copy_folder(source: Path, destination: Path) -> None:
+    """Copy the files of a folder, the record of its base version included."""
+    destination.mkdir(exist_ok=True)
+    for path in source.iterdir():
+        if path.is_file():
+            (destination / path.name).write_bytes(path.read_bytes())
--- a/src/briardock/_settings_table.py
+++ b/src/briardock/_settings_table.py
@@ -57,17 +57,21 @@
         Meta(description="numeric IP address told to other nodes; empty means host"),
     ] = ""
     advertise_call_port: Annotated[
-        int | None,
+        int,
         Meta(
-            ge=1, le=65535, description="call port told to other nodes, if translated"
+            ge=0,
+            le=65535,
+            description="call port told to other nodes; 0 means call_port",
         ),
-    ] = None
+    ] = 0
     advertise_gossip_port: Annotated[
-        int | None,
+        int,
         Meta(
-            ge=1, le=65535, description="gossip port told to other nodes, if translated"
+            ge=0,
+            le=65535,
+            description="gossip port told to other nodes; 0 means gossip_port",
         ),
-    ] = None
+    ] = 0
     source_host: Annotated[
         str | None,
         Meta(description="numeric IP address that outgoing connections start from"),
