--- a/src/briardock/_frames.py
+++ b/src/briardock/_frames.py
@@ -19,7 +19,8 @@
 )
 
 HELLO_TIMEOUT_S = 2.0
-# A stranger cannot make a node buffer more than this.
+# A stranger cannot make a node buffer more than this. Larger frames are sent
+# only after both sides have greeted.
 MAX_HELLO_BYTES = 4_096
 # One frame of the largest size always fits; more is refused, not buffered.
 MAX_QUEUED_BYTES = MAX_FRAME_BYTES
--- a/src/briardock/_link.py
+++ b/src/briardock/_link.py
@@ -113,7 +113,7 @@
 
     async def run(self) -> None:
         """Connect, greet and read answers until the link ends."""
-        detail = "link closed"
+        detail = ""
         try:
             with self.scope:
                 detail = await self._connect_and_read()
@@ -201,11 +201,16 @@
             pending.resolve(LinkFailure(True, "answer of wrong length"))
 
     def _end(self, detail: str) -> None:
-        self.failure = LinkFailure(False, detail)
+        """Fail all calls.
+
+        :param detail: why the link failed, empty if this node closed it
+        """
+        shown = detail or "link closed"
+        self.failure = LinkFailure(False, shown)
         self._ready.set()
         for call_id, pending in self.pending.items():
             withdrawn = self.writer is not None and self.writer.withdraw(call_id)
-            pending.resolve(LinkFailure(not withdrawn, detail))
+            pending.resolve(LinkFailure(not withdrawn, shown))
         self.pending.clear()
         self._owner.link_ended(self, detail)
 
--- a/src/briardock/peers.py
+++ b/src/briardock/peers.py
@@ -202,12 +202,12 @@
         """Forget a link; after a failure, delay the next attempt.
 
         :param link: link whose task ends
-        :param detail: why it ended
+        :param detail: why it failed, empty if this node closed it
         """
         self._retired.discard(link)
         if self._links.get(link.peer) is link:
             del self._links[link.peer]
-        if link.retired:
+        if link.retired or not detail:
             return
         self.metrics.count("peers.links_failed")
         emit(Event.PEER_LINK_FAILED, peer=link.peer.node_id, detail=detail)
--- a/src/briardock/target.py
+++ b/src/briardock/target.py
@@ -97,21 +97,24 @@
         http.send(h11.EndOfMessage())
         return head + body if body else head
 
-    async def exchange(self, data: bytes) -> Completed:
+    async def exchange(self, data: bytes, has_body: bool) -> Completed:
         """Write a request and read its whole answer.
 
+        :param data: bytes of the request
+        :param has_body: whether the answer to its method may have a body
         :raises _AnswerError: if no whole answer came
         """
         self.write_started = True
         try:
             await self.stream.send(data)
-            return await self._read_answer()
+            return await self._read_answer(has_body)
         except STREAM_ERRORS as error:
             raise _AnswerError(f"connection lost: {error!r}", True) from error
         except h11.RemoteProtocolError as error:
-            raise _AnswerError(f"bad answer: {error}", self._at_eof) from error
+            kind = "answer cut" if self._at_eof else "bad answer"
+            raise _AnswerError(f"{kind}: {error}", self._at_eof) from error
 
-    async def _read_answer(self) -> Completed:
+    async def _read_answer(self, has_body: bool) -> Completed:
         http = self._http
         status = 0
         headers: Headers = ()
@@ -125,11 +128,13 @@
                 parts.append(bytes(event.data))
                 size_bytes += len(event.data)
                 if size_bytes > MAX_ANSWER_BYTES:
-                    raise _AnswerError("answer exceeds the frame limit", False)
+                    raise _too_large()
             elif type(event) is h11.Response:
                 status = event.status_code
                 fields = event.headers.raw_items()
                 headers = tuple(end_to_end(fields, request=False))
+                if has_body:
+                    _check_length(fields)
             elif type(event) is h11.EndOfMessage:
                 return Completed(status, headers, b"".join(parts))
             elif type(event) is not h11.InformationalResponse:
@@ -228,7 +233,7 @@
         keep = False
         try:
             data = connection.encode(self._request(method, path, headers, body), body)
-            completed = await connection.exchange(data)
+            completed = await connection.exchange(data, method != "HEAD")
             keep = connection.is_reusable()
             return completed
         except (h11.LocalProtocolError, UnicodeError) as error:
@@ -289,6 +294,18 @@
             await self._idle.pop().close()
 
 
+def _check_length(fields: list[tuple[bytes, bytes]]) -> None:
+    for name, value in fields:
+        if len(name) == 14 and name.lower() == b"content-length":
+            if int(value) > MAX_ANSWER_BYTES:
+                raise _too_large()
+            return
+
+
+def _too_large() -> _AnswerError:
+    return _AnswerError(f"answer exceeds {MAX_ANSWER_BYTES} bytes", False)
+
+
 def _is_refusal(error: BaseException | None) -> bool:
     while error is not None:
         if isinstance(error, OSError) and error.errno == errno.ECONNREFUSED:
--- /dev/null
+++ b/tests/test_target.py
@@ -0,0 +1,430 @@
+"""Target client: outcomes, reuse of connections and cancellation."""
+
+import socket
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+import anyio
+import anyio.abc
+import pytest
+
+from briardock.clock import ManualClock
+from briardock.metrics import Metrics
+from briardock.outcomes import Completed, Headers
+from briardock.target import Lost, NotSent, TargetClient, make_target_client
+
+pytestmark = pytest.mark.anyio
+HOST = "127.0.0.1"
+DEADLINE_MS = 5_000.0
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+@pytest.fixture
+def anyio_backend() -> tuple[str, dict[str, bool]]:
+    return "asyncio", {"use_uvloop": True}
+
+
+Script = Callable[["Target", anyio.abc.SocketStream, bytes], Awaitable[None]]
+
+
+@dataclass
+class Target:
+    """Fake target that runs a script for each request head it receives."""
+
+    script: Script
+    port: int = 0
+    connection_count: int = 0
+    requests: list[bytes] = field(default_factory=list)
+    request_connections: list[int] = field(default_factory=list)
+    closed: anyio.Event = field(default_factory=anyio.Event)
+    received: anyio.Event = field(default_factory=anyio.Event)
+    listener: anyio.abc.Listener | None = None
+
+    async def serve(self, stream: anyio.abc.SocketStream) -> None:
+        self.connection_count += 1
+        number = self.connection_count
+        async with stream:
+            try:
+                while True:
+                    data = await stream.receive()
+                    self.requests.append(data)
+                    self.request_connections.append(number)
+                    self.received.set()
+                    await self.script(self, stream, data)
+            except (
+                anyio.EndOfStream,
+                anyio.BrokenResourceError,
+                anyio.ClosedResourceError,
+            ):
+                self.closed.set()
+
+
+@dataclass
+class Bench:
+    """A target, a client and the clock between them."""
+
+    target: Target
+    client: TargetClient
+    clock: ManualClock
+    metrics: Metrics
+    tasks: anyio.abc.TaskGroup
+
+    async def run(
+        self,
+        method: str = "GET",
+        path: str = "/a?b=1",
+        headers: Headers = (),
+        body: bytes = b"",
+        remaining_ms: float = DEADLINE_MS,
+    ) -> Completed | NotSent | Lost:
+        deadline_at_ms = self.clock.now_ms() + remaining_ms
+        return await self.client.run(method, path, headers, body, deadline_at_ms)
+
+
+async def serve_until_closed(
+    listener: anyio.abc.Listener, target: Target, tasks: anyio.abc.TaskGroup
+) -> None:
+    try:
+        await listener.serve(target.serve, tasks)
+    except* anyio.ClosedResourceError:
+        pass
+
+
+@asynccontextmanager
+async def bench(script: Script) -> AsyncIterator[Bench]:
+    target = Target(script)
+    listener = await anyio.create_tcp_listener(local_host=HOST)
+    target.listener = listener
+    target.port = listener.extra(anyio.abc.SocketAttribute.local_port)
+    clock = ManualClock()
+    metrics = Metrics()
+    client = make_target_client(clock, metrics, 1_000.0, 2)
+    client.set_address(HOST, target.port)
+    with anyio.fail_after(10):
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(serve_until_closed, listener, target, tasks)
+            yield Bench(target, client, clock, metrics, tasks)
+            await client.aclose()
+            tasks.cancel_scope.cancel()
+
+
+def replies(*chunks: bytes, then_close: bool = False) -> Script:
+    """Return a script that sends the chunks one by one."""
+
+    async def script(
+        target: Target, stream: anyio.abc.SocketStream, data: bytes
+    ) -> None:
+        for chunk in chunks:
+            await stream.send(chunk)
+            await anyio.sleep(0.002)
+        if then_close:
+            await stream.aclose()
+
+    return script
+
+
+async def never(target: Target, stream: anyio.abc.SocketStream, data: bytes) -> None:
+    """Leave each request without an answer."""
+
+
+@pytest.mark.parametrize(
+    ("script", "expected", "connection_count"),
+    [
+        pytest.param(
+            replies(b"HTTP/1.1 200 OK\r\nX-A: 1\r\nContent-Length: 2\r\n\r\no", b"k"),
+            Completed(200, ((b"x-a", b"1"),), b"ok"),
+            1,
+            id="content-length-in-parts",
+        ),
+        pytest.param(
+            replies(
+                b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\no\r\n",
+                b"1\r\nk\r\n0\r\n\r\n",
+            ),
+            Completed(200, (), b"ok"),
+            1,
+            id="chunked",
+        ),
+        pytest.param(
+            replies(b"HTTP/1.1 200 OK\r\n\r\no", b"k", then_close=True),
+            Completed(200, (), b"ok"),
+            2,
+            id="until-close",
+        ),
+        pytest.param(
+            replies(
+                b"HTTP/1.1 200 OK\r\nConnection: close, x-h\r\nX-H: 1\r\n"
+                b"Content-Length: 2\r\n\r\nok"
+            ),
+            Completed(200, (), b"ok"),
+            2,
+            id="connection-close",
+        ),
+        pytest.param(
+            replies(b"HTTP/1.1 204 No Content\r\n\r\n"), Completed(204), 1, id="empty"
+        ),
+        pytest.param(
+            replies(b"HTTP/1.1 100 Continue\r\n\r\n" + OK),
+            Completed(200, (), b"ok"),
+            1,
+            id="interim-answer",
+        ),
+        pytest.param(
+            replies(
+                b"HTTP/1.1 503 Busy\r\nBriardock-Not-Run: 1\r\n"
+                b"Content-Length: 0\r\n\r\n"
+            ),
+            Completed(503, ((b"briardock-not-run", b"1"),), b""),
+            1,
+            id="refusal-of-the-target",
+        ),
+        pytest.param(
+            replies(OK + OK), Completed(200, (), b"ok"), 2, id="duplicate-in-one-read"
+        ),
+        pytest.param(
+            replies(OK, OK), Completed(200, (), b"ok"), 2, id="duplicate-while-idle"
+        ),
+    ],
+)
+async def test_whole_answers(
+    script: Script, expected: Completed, connection_count: int
+):
+    """Guards against misread framing and against reuse after stray input."""
+    async with bench(script) as it:
+        assert await it.run() == expected
+        await anyio.sleep(0.02)
+        assert await it.run() == expected
+        assert it.target.connection_count == connection_count
+
+
+@pytest.mark.parametrize(
+    ("script", "detail"),
+    [
+        pytest.param(
+            replies(then_close=True), "answer cut", id="closed-without-answer"
+        ),
+        pytest.param(replies(OK[:-1], then_close=True), "answer cut", id="cut-body"),
+        pytest.param(replies(OK[:20], then_close=True), "answer cut", id="cut-head"),
+        pytest.param(
+            replies(
+                b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab",
+                then_close=True,
+            ),
+            "answer cut",
+            id="cut-chunk",
+        ),
+        pytest.param(replies(b"garbage\r\n\r\n"), "bad answer", id="not-http"),
+        pytest.param(
+            replies(b"HTTP/1.1 101 Switching\r\nUpgrade: x\r\n\r\n"), "", id="upgrade"
+        ),
+        pytest.param(
+            replies(b"HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n" + b"a" * 9),
+            "answer exceeds",
+            id="too-large",
+        ),
+        pytest.param(
+            replies(b"HTTP/1.1 200 OK\r\nA: " + b"a" * 200_000),
+            "bad answer",
+            id="header-too-large",
+        ),
+    ],
+)
+async def test_no_whole_answer_is_lost(script: Script, detail: str):
+    """Guards against a cut answer passed on as a whole one."""
+    async with bench(script) as it:
+        lost = await it.run()
+        assert isinstance(lost, Lost), lost
+        assert detail in lost.detail
+        assert lost.died is False
+        assert it.metrics.counters["target.lost"] == 1
+        assert isinstance(await it.run(), Lost)
+        first, second = it.target.request_connections
+        assert first != second
+
+
+@pytest.mark.parametrize("listens", [True, False])
+async def test_death_of_the_target(listens: bool):
+    """Guards against a lost connection of a living target taken for its death."""
+
+    async def die(target: Target, stream: anyio.abc.SocketStream, data: bytes) -> None:
+        if not listens:
+            await target.listener.aclose()
+        await stream.aclose()
+
+    async with bench(die) as it:
+        lost = await it.run("POST", body=b"x")
+        assert isinstance(lost, Lost)
+        assert lost.died is not listens
+
+
+async def test_refused_connection_is_not_sent():
+    """Guards against an unknown outcome for a request that was never written."""
+    async with bench(never) as it:
+        with socket.socket() as unused:
+            unused.bind((HOST, 0))
+            it.client.set_address(HOST, unused.getsockname()[1])
+            result = await it.run()
+        assert isinstance(result, NotSent)
+        assert "connection failed" in result.detail
+
+
+@pytest.mark.parametrize(
+    ("path", "headers", "remaining_ms"),
+    [
+        pytest.param("/a b", (), DEADLINE_MS, id="path"),
+        pytest.param("/\u00e9", (), DEADLINE_MS, id="path-not-ascii"),
+        pytest.param("/", ((b"a", b"x\r\ny: z"),), DEADLINE_MS, id="header"),
+        pytest.param("/", (), 0.0, id="deadline"),
+    ],
+)
+async def test_bad_request_is_not_sent(
+    path: str, headers: Headers, remaining_ms: float
+):
+    """Guards against invalid requests that reach the target or raise."""
+    async with bench(replies(OK)) as it:
+        result = await it.run(path=path, headers=headers, remaining_ms=remaining_ms)
+        assert isinstance(result, NotSent)
+        assert it.target.requests == []
+        assert isinstance(await it.run(), Completed)
+
+
+async def test_no_address_is_not_sent():
+    """Guards against a client that raises before its target is announced."""
+    client = make_target_client(ManualClock(), Metrics(), 1_000.0, 2)
+    result = await client.run("GET", "/", (), b"", DEADLINE_MS)
+    assert result == NotSent("no target address is known")
+
+
+@pytest.mark.parametrize(
+    ("method", "body", "framing"),
+    [
+        ("POST", b"abc", b"content-length: 3\r\n\r\nabc"),
+        ("POST", b"", b"content-length: 0\r\n\r\n"),
+        ("GET", b"", b"\r\n"),
+    ],
+)
+async def test_request_on_the_wire(method: str, body: bytes, framing: bytes):
+    """Guards against hop-by-hop fields and foreign framing at the target."""
+    headers = (
+        (b"Host", b"caller"),
+        (b"Content-Length", b"77"),
+        (b"Transfer-Encoding", b"chunked"),
+        (b"Connection", b"x-hop"),
+        (b"X-Hop", b"1"),
+        (b"Expect", b"100-continue"),
+        (b"Accept", b"*/*"),
+    )
+    async with bench(replies(OK)) as it:
+        await it.run(method, "/p?q=1", headers, body)
+        sent = it.target.requests[0]
+        host = f"host: {HOST}:{it.target.port}\r\n".encode()
+        start = f"{method} /p?q=1 HTTP/1.1\r\n".encode()
+        assert sent == start + host + b"accept: */*\r\n" + framing
+
+
+async def test_head_has_no_body():
+    """Guards against waiting for a body that HEAD does not have."""
+    async with bench(replies(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n")) as it:
+        result = await it.run("HEAD")
+        assert isinstance(result, Completed)
+        assert result.body == b""
+        assert await it.run("HEAD") == result
+
+
+async def test_late_answer_reaches_no_other_request():
+    """Guards against the answer of a timed-out request given to the next one."""
+
+    async def script(
+        target: Target, stream: anyio.abc.SocketStream, data: bytes
+    ) -> None:
+        if b"/slow" in data:
+            await anyio.sleep(0.05)
+        path = data.split(b" ")[1]
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(path)
+        await stream.send(head + path)
+
+    async with bench(script) as it:
+        assert (await it.run(path="/warm")).body == b"/warm"
+        late = await it.run(path="/slow", remaining_ms=10.0)
+        assert late == Lost("deadline", died=False)
+        for number in range(20):
+            path = f"/{number}"
+            result = await it.run(path=path)
+            assert result.body == path.encode()
+            await anyio.sleep(0.005)
+        assert it.target.connection_count == 2
+
+
+async def test_concurrent_requests_share_no_connection():
+    """Guards against answers swapped between requests in flight."""
+
+    async def script(
+        target: Target, stream: anyio.abc.SocketStream, data: bytes
+    ) -> None:
+        path = data.split(b" ")[1]
+        await anyio.sleep(0.01 if path in (b"/0", b"/3") else 0.001)
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(path)
+        await stream.send(head + path)
+
+    results: dict[int, Completed | NotSent | Lost] = {}
+    async with bench(script) as it:
+
+        async def run(number: int) -> None:
+            results[number] = await it.run(path=f"/{number}")
+
+        async with anyio.create_task_group() as tasks:
+            for number in range(10):
+                tasks.start_soon(run, number)
+        for number in range(10):
+            assert results[number].body == f"/{number}".encode()
+        assert it.target.connection_count == 10
+        # Only max_idle connections are kept.
+        await it.run(path="/x")
+        assert it.target.connection_count == 10
+
+
+async def test_cancelling_closes_the_connection():
+    """Guards against a target that works on for a caller that is gone."""
+    async with bench(never) as it:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(it.run)
+            await it.target.received.wait()
+            tasks.cancel_scope.cancel()
+        await it.target.closed.wait()
+
+
+async def test_stale_connection_is_not_reused():
+    """Guards against an unknown outcome after the target closed while idle."""
+    async with bench(replies(OK, then_close=True)) as it:
+        for _ in range(5):
+            assert (await it.run("POST", body=b"x")).body == b"ok"
+            await anyio.sleep(0.01)
+        assert it.metrics.counters["target.stale_connections"] == 4
+
+
+async def test_new_address_is_used_at_once():
+    """Guards against requests sent to a target that was replaced."""
+    async with bench(replies(OK)) as old, bench(replies(OK)) as new:
+        await old.run()
+        old.client.set_address(HOST, new.target.port)
+        await old.run()
+        assert len(old.target.requests) == 1
+        assert len(new.target.requests) == 1
+
+
+async def test_target_that_does_not_read():
+    """Guards against a request stuck in writing beyond its deadline."""
+
+    async def serve(stream: anyio.abc.SocketStream) -> None:
+        async with stream:
+            await anyio.sleep_forever()
+
+    async with bench(never) as it:
+        listener = await anyio.create_tcp_listener(local_host=HOST)
+        it.tasks.start_soon(listener.serve, serve)
+        it.client.set_address(
+            HOST, listener.extra(anyio.abc.SocketAttribute.local_port)
+        )
+        result = await it.run("POST", body=b"x" * 12_000_000, remaining_ms=50.0)
+        assert result == Lost("deadline", died=False)
