--- a/benchmarks/callpath_io.py
+++ b/benchmarks/callpath_io.py
@@ -12,6 +12,7 @@
 import anyio
 import anyio.abc
 import h11
+import msgspec
 
 from briardock.clock import SystemClock
 from briardock.listener import HttpLimits, HttpRequest, HttpResponse, serve_http
@@ -159,6 +160,52 @@
     return await measure(count, trip)
 
 
+async def bench_path(tasks: anyio.abc.TaskGroup, count: int) -> dict[str, float]:
+    """Measure all legs in one process: listener, link, target."""
+    clock = SystemClock()
+    client = make_target_client(clock, Metrics(), 1_000.0, 4)
+    links = make_peer_links("a", 1, clock, Metrics(), None, 10)
+
+    async def inbound(call: Call | Forward, info: PeerInfo) -> Answer:
+        deadline_at_ms = clock.now_ms() + call.remaining_ms
+        result = await client.run(
+            call.method, call.path, tuple(call.headers), call.body, deadline_at_ms
+        )
+        assert type(result) is Completed, result
+        headers = list(result.headers)
+        size_bytes = len(result.body)
+        return Answer(call.call_id, "completed", 200, headers, result.body, size_bytes)
+
+    async def issue(request: HttpRequest) -> HttpResponse:
+        call = msgspec.structs.replace(
+            CALL, headers=list(request.headers), body=request.body
+        )
+        answer = await links.call(peer, call, clock.now_ms() + DEADLINE_MS)
+        assert type(answer) is Answer, answer
+        return HttpResponse(answer.status, tuple(answer.headers), answer.body)
+
+    client.set_address(
+        HOST, await start(tasks, lambda listener: listener.serve(raw_server))
+    )
+    peer_port = await start(
+        tasks,
+        lambda listener: serve_peers(listener, inbound, "b", 2, clock, Metrics(), 10),
+    )
+    peer = PeerAddress("b", 2, HOST, peer_port)
+    tasks.start_soon(links.run)
+    port = await start(
+        tasks, lambda listener: serve_http(listener, issue, HttpLimits(), Metrics())
+    )
+    stream = await anyio.connect_tcp(HOST, port)
+
+    async def trip() -> None:
+        await stream.send(RAW_REQUEST)
+        answer = await stream.receive()
+        assert answer.startswith(b"HTTP/1.1 200"), answer
+
+    return await measure(count, trip)
+
+
 async def bench_h11(tasks: anyio.abc.TaskGroup, count: int) -> dict[str, float]:
     """Measure h11 alone: one server-side request and answer, no I/O."""
     http = h11.Connection(h11.SERVER)
@@ -185,6 +232,7 @@
         ("target", bench_target),
         ("link", bench_link),
         ("listener", bench_listener),
+        ("path", bench_path),
     ):
         async with anyio.create_task_group() as tasks:
             results[name] = await bench(tasks, count)
--- a/src/briardock/_frames.py
+++ b/src/briardock/_frames.py
@@ -18,7 +18,6 @@
     encode,
 )
 
-HELLO_TIMEOUT_S = 2.0
 # A stranger cannot make a node buffer more than this. Larger frames are sent
 # only after both sides have greeted.
 MAX_HELLO_BYTES = 4_096
--- a/src/briardock/_link.py
+++ b/src/briardock/_link.py
@@ -7,7 +7,6 @@
 import anyio.abc
 
 from briardock._frames import (
-    HELLO_TIMEOUT_S,
     FrameError,
     FrameReader,
     FrameWriter,
@@ -20,7 +19,10 @@
 from briardock.messages import Answer, Cancel, LinkMessage
 from briardock.metrics import Metrics
 
-CONNECT_TIMEOUT_S = 1.0
+# A call to an unreachable or frozen peer waits for both at most; it is not sent
+# then and can go elsewhere, so they are well below the usual deadlines.
+CONNECT_TIMEOUT_S = 0.5
+HELLO_TIMEOUT_S = 0.5
 
 
 class LinkOwner(Protocol):
--- a/src/briardock/_peerserver.py
+++ b/src/briardock/_peerserver.py
@@ -8,7 +8,6 @@
 import msgspec
 
 from briardock._frames import (
-    HELLO_TIMEOUT_S,
     FrameError,
     FrameReader,
     FrameWriter,
@@ -33,6 +32,7 @@
 # Longer than the idle time after which the calling side closes a link, so that
 # only connections of vanished peers are closed here.
 SERVER_IDLE_MS = 180_000.0
+HELLO_TIMEOUT_S = 2.0
 SWEEP_PERIOD_S = 5.0
 MAX_CALLS_PER_CONNECTION = 4_096
 # Monotonic clocks of two hosts may drift apart by 500 ppm (the slewing limit
--- a/src/briardock/target.py
+++ b/src/briardock/target.py
@@ -101,7 +101,8 @@
         """Write a request and read its whole answer.
 
         :param data: bytes of the request
-        :param has_body: whether the answer to its method may have a body
+        :param has_body: whether the answer to its method may have a body; if
+            not, its ``Content-Length`` is kept as a header
         :raises _AnswerError: if no whole answer came
         """
         self.write_started = True
@@ -135,6 +136,8 @@
                 headers = tuple(end_to_end(fields, request=False))
                 if has_body:
                     _check_length(fields)
+                else:
+                    headers += _content_length(fields)
             elif type(event) is h11.EndOfMessage:
                 return Completed(status, headers, b"".join(parts))
             elif type(event) is not h11.InformationalResponse:
@@ -269,12 +272,20 @@
         if not address[1]:
             return NotSent("no target address is known")
         try:
-            return _Connection(await self._connect(address), address)
+            return await self._open(address)
         except TimeoutError:
             return NotSent("connection attempt timed out")
         except OSError as error:
             return NotSent(f"connection failed: {error}")
 
+    async def _open(self, address: tuple[str, int]) -> _Connection:
+        stream = await self._connect(address)
+        try:
+            return _Connection(stream, address)
+        except OSError:
+            await stream.aclose()
+            raise
+
     async def _connect(self, address: tuple[str, int]) -> anyio.abc.SocketStream:
         self._metrics.count("target.connects")
         with anyio.fail_after(self._connect_timeout_s):
@@ -294,12 +305,17 @@
             await self._idle.pop().close()
 
 
-def _check_length(fields: list[tuple[bytes, bytes]]) -> None:
+def _content_length(fields: list[tuple[bytes, bytes]]) -> Headers:
     for name, value in fields:
         if len(name) == 14 and name.lower() == b"content-length":
-            if int(value) > MAX_ANSWER_BYTES:
-                raise _too_large()
-            return
+            return ((b"content-length", value),)
+    return ()
+
+
+def _check_length(fields: list[tuple[bytes, bytes]]) -> None:
+    for _name, value in _content_length(fields):
+        if int(value) > MAX_ANSWER_BYTES:
+            raise _too_large()
 
 
 def _too_large() -> _AnswerError:
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -1,5 +1,6 @@
 """HTTP listener: framing, limits, disconnects and graceful stop."""
 
+import contextlib
 import errno
 import json
 import os
@@ -10,6 +11,8 @@
 import anyio
 import anyio.abc
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from briardock._http import has_input, stream_fd
 from briardock.clock import ManualClock
@@ -58,6 +61,8 @@
                 raise ValueError("fault in the handler")
             case "/invalid":
                 return HttpResponse(200, ((b"x", b"a\r\nb: c"),))
+            case "/length":
+                return HttpResponse(200, ((b"content-length", b"9"),))
             case "/no-content":
                 return HttpResponse(204, (), b"ignored")
         headers = ((b"X-Seen", b"1"), (b"Connection", b"x-seen-not"))
@@ -194,13 +199,16 @@
         assert (first.body, second.body) == (b"GET", b"PUT")
 
 
-@pytest.mark.parametrize("path", [b"/a", b"/no-content"])
-async def test_answer_without_body(path: bytes):
+@pytest.mark.parametrize(
+    ("path", "expected"), [(b"/length", "9"), (b"/a", None), (b"/no-content", None)]
+)
+async def test_answer_without_body(path: bytes, expected: str | None):
     """Guards against a body after HEAD or 204, which shifts the next answer."""
     async with running() as server:
         caller = await connect(server)
         await caller.stream.send(b"HEAD " + path + b" HTTP/1.1\r\nHost: x\r\n\r\n")
-        await caller.answer(has_body=False)
+        head = await caller.answer(has_body=False)
+        assert head.headers.get("content-length") == expected
         await caller.stream.send(b"GET /no-content HTTP/1.1\r\nHost: x\r\n\r\n")
         empty = await caller.answer()
         assert (empty.status, "content-length" in empty.headers) == (204, False)
@@ -456,3 +464,21 @@
         if act == "close":
             await far.aclose()
         assert has_input(near) is expected
+
+
+@settings(max_examples=40, deadline=None)
+@given(data=st.binary(max_size=300), prefix=st.sampled_from([b"", GET, GET[:-2]]))
+def test_any_input_leaves_the_listener_serving(data: bytes, prefix: bytes):
+    """Guards against input that stops the process or another caller's request."""
+
+    async def run() -> None:
+        async with running() as server:
+            caller = await connect(server)
+            with contextlib.suppress(anyio.BrokenResourceError):
+                await caller.stream.send(prefix + data)
+                await caller.stream.send_eof()
+            while not await caller.is_closed():
+                pass
+            assert (await (await connect(server)).ask(GET)).status == 200
+
+    anyio.run(run, backend_options={"use_uvloop": True})
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,5 +1,6 @@
 """Links between nodes: outcomes of calls, broken peers, Cancel and limits."""
 
+import contextlib
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -8,7 +9,7 @@
 import anyio.abc
 import msgspec
 import pytest
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from briardock import _link, _peerserver, peers
@@ -817,3 +818,28 @@
         return found
 
     assert anyio.run(read) == messages
+
+
+@settings(max_examples=40, deadline=None)
+@given(
+    data=st.binary(max_size=200),
+    hello=st.sampled_from([None, CLIENT_HELLO]),
+    framed=st.booleans(),
+)
+def test_any_input_leaves_the_server_serving(
+    data: bytes, hello: Hello | None, framed: bool
+):
+    """Guards against input that stops the process or another peer's calls."""
+    if framed:
+        data = len(data).to_bytes(4, "big") + data
+
+    async def run() -> None:
+        async with serving() as server:
+            peer = await connect(server, hello)
+            with contextlib.suppress(anyio.BrokenResourceError):
+                await peer.stream.send(data)
+                await peer.stream.send_eof()
+            assert await peer.is_closed()
+            await assert_serves(server)
+
+    anyio.run(run, backend_options={"use_uvloop": True})
--- a/tests/test_target.py
+++ b/tests/test_target.py
@@ -324,11 +324,12 @@
 
 
 async def test_head_has_no_body():
-    """Guards against waiting for a body that HEAD does not have."""
+    """Guards against waiting for a body of HEAD and against its lost length."""
     async with bench(replies(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n")) as it:
         result = await it.run("HEAD")
         assert isinstance(result, Completed)
         assert result.body == b""
+        assert result.headers == ((b"content-length", b"9"),)
         assert await it.run("HEAD") == result
 
 
