--- a/src/briardock/_link.py
+++ b/src/briardock/_link.py
@@ -7,7 +7,6 @@
 import anyio.abc
 
 from briardock._frames import (
-    HELLO_TIMEOUT_S,
     FrameError,
     FrameReader,
     FrameWriter,
@@ -20,7 +19,10 @@
 from briardock.messages import Answer, Cancel, LinkMessage
 from briardock.metrics import Metrics
 
-CONNECT_TIMEOUT_S = 1.0
+# A call to an unreachable or frozen peer waits for both at most; it is not sent
+# then and can go elsewhere, so they are well below the usual deadlines.
+CONNECT_TIMEOUT_S = 0.5
+HELLO_TIMEOUT_S = 0.5
 
 
 class LinkOwner(Protocol):
@@ -113,7 +115,7 @@
 
     async def run(self) -> None:
         """Connect, greet and read answers until the link ends."""
-        detail = "link closed"
+        detail = ""
         try:
             with self.scope:
                 detail = await self._connect_and_read()
@@ -201,11 +203,16 @@
             pending.resolve(LinkFailure(True, "answer of wrong length"))
 
     def _end(self, detail: str) -> None:
-        self.failure = LinkFailure(False, detail)
+        """Fail all calls.
+
+        :param detail: why the link failed, empty if this node closed it
+        """
+        shown = detail or "link closed"
+        self.failure = LinkFailure(False, shown)
         self._ready.set()
         for call_id, pending in self.pending.items():
             withdrawn = self.writer is not None and self.writer.withdraw(call_id)
-            pending.resolve(LinkFailure(not withdrawn, detail))
+            pending.resolve(LinkFailure(not withdrawn, shown))
         self.pending.clear()
         self._owner.link_ended(self, detail)
 
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -1,33 +1,20 @@
 """HTTP listener: framing, limits, disconnects and graceful stop."""
 
+import contextlib
 import errno
 import json
 import os
-from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
 
 import anyio
 import anyio.abc
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from briardock._http import has_input, stream_fd
-from briardock.clock import ManualClock
-from briardock.listener import (
-    HttpControl,
-    HttpLimits,
-    HttpRequest,
-    HttpResponse,
-    serve_http,
-)
-from briardock.metrics import Metrics
+from listener_fakes import GET, HOST, LIMITS, connect, running
 
 pytestmark = pytest.mark.anyio
-HOST = "127.0.0.1"
-LIMITS = HttpLimits(
-    max_header_bytes=2_000, max_body_bytes=100, max_connections=3, idle_timeout_s=30.0
-)
-GET = b"GET /a?b=1 HTTP/1.1\r\nHost: x\r\n\r\n"
 
 
 @pytest.fixture
@@ -35,110 +22,6 @@
     return "asyncio", {"use_uvloop": True}
 
 
-@dataclass
-class Server:
-    """A running listener and what its handler saw."""
-
-    port: int = 0
-    requests: list[HttpRequest] = field(default_factory=list)
-    started: anyio.Event = field(default_factory=anyio.Event)
-    cancelled: anyio.Event = field(default_factory=anyio.Event)
-    release: anyio.Event = field(default_factory=anyio.Event)
-    returned: anyio.Event = field(default_factory=anyio.Event)
-    metrics: Metrics = field(default_factory=Metrics)
-    control: HttpControl = field(default_factory=HttpControl)
-    clock: ManualClock = field(default_factory=ManualClock)
-
-    async def handle(self, request: HttpRequest) -> HttpResponse:
-        self.requests.append(request)
-        match request.path:
-            case "/wait":
-                await self._wait()
-            case "/fail":
-                raise ValueError("fault in the handler")
-            case "/invalid":
-                return HttpResponse(200, ((b"x", b"a\r\nb: c"),))
-            case "/no-content":
-                return HttpResponse(204, (), b"ignored")
-        headers = ((b"X-Seen", b"1"), (b"Connection", b"x-seen-not"))
-        return HttpResponse(200, headers, request.method.encode() + request.body)
-
-    async def _wait(self) -> None:
-        self.started.set()
-        try:
-            await self.release.wait()
-        except anyio.get_cancelled_exc_class():
-            self.cancelled.set()
-            raise
-
-    async def serve(self, listener: anyio.abc.Listener) -> None:
-        await serve_http(
-            listener, self.handle, LIMITS, self.metrics, self.control, self.clock
-        )
-        self.returned.set()
-
-
-@asynccontextmanager
-async def running(
-    wrap: Callable[[anyio.abc.Listener], anyio.abc.Listener] = lambda inner: inner,
-) -> AsyncIterator[Server]:
-    server = Server()
-    listener = await anyio.create_tcp_listener(local_host=HOST)
-    server.port = listener.extra(anyio.abc.SocketAttribute.local_port)
-    with anyio.fail_after(10):
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(server.serve, wrap(listener))
-            yield server
-            tasks.cancel_scope.cancel()
-
-
-@dataclass
-class Answer:
-    """One parsed answer."""
-
-    status: int
-    headers: dict[str, str]
-    body: bytes
-
-
-class Caller:
-    """Plain socket that speaks HTTP by hand."""
-
-    def __init__(self, stream: anyio.abc.SocketStream) -> None:
-        self.stream = stream
-        self.buffer = b""
-
-    async def read_until(self, mark: bytes) -> bytes:
-        while mark not in self.buffer:
-            self.buffer += await self.stream.receive()
-        head, self.buffer = self.buffer.split(mark, 1)
-        return head
-
-    async def answer(self, has_body: bool = True) -> Answer:
-        lines = (await self.read_until(b"\r\n\r\n")).decode().split("\r\n")
-        headers = dict(line.lower().split(": ", 1) for line in lines[1:])
-        size_bytes = int(headers.get("content-length", 0)) if has_body else 0
-        while len(self.buffer) < size_bytes:
-            self.buffer += await self.stream.receive()
-        body, self.buffer = self.buffer[:size_bytes], self.buffer[size_bytes:]
-        return Answer(int(lines[0].split(" ")[1]), headers, body)
-
-    async def ask(self, data: bytes) -> Answer:
-        await self.stream.send(data)
-        return await self.answer()
-
-    async def is_closed(self) -> bool:
-        try:
-            self.buffer += await self.stream.receive()
-        except (anyio.EndOfStream, anyio.BrokenResourceError):
-            return True
-        return False
-
-
-async def connect(server: Server) -> Caller:
-    return Caller(await anyio.connect_tcp(HOST, server.port))
-
-
 @pytest.mark.parametrize(
     ("data", "body"),
     [
@@ -194,13 +77,16 @@
         assert (first.body, second.body) == (b"GET", b"PUT")
 
 
-@pytest.mark.parametrize("path", [b"/a", b"/no-content"])
-async def test_answer_without_body(path: bytes):
+@pytest.mark.parametrize(
+    ("path", "expected"), [(b"/length", "9"), (b"/a", None), (b"/no-content", None)]
+)
+async def test_answer_without_body(path: bytes, expected: str | None):
     """Guards against a body after HEAD or 204, which shifts the next answer."""
     async with running() as server:
         caller = await connect(server)
         await caller.stream.send(b"HEAD " + path + b" HTTP/1.1\r\nHost: x\r\n\r\n")
-        await caller.answer(has_body=False)
+        head = await caller.answer(has_body=False)
+        assert head.headers.get("content-length") == expected
         await caller.stream.send(b"GET /no-content HTTP/1.1\r\nHost: x\r\n\r\n")
         empty = await caller.answer()
         assert (empty.status, "content-length" in empty.headers) == (204, False)
@@ -302,8 +188,8 @@
         assert refused.status == 503
         assert json.loads(refused.body)["reason"] == "overloaded"
         await callers[0].stream.aclose()
-        await anyio.wait_all_tasks_blocked()
-        assert (await (await connect(server)).ask(GET)).status == 200
+        while (await (await connect(server)).ask(GET)).status != 200:
+            await anyio.sleep(0.01)
 
 
 @pytest.mark.parametrize("path", [b"/fail", b"/invalid"])
@@ -399,13 +285,17 @@
         await caller.ask(GET)
         if sent:
             await caller.stream.send(sent)
-            await anyio.sleep(0.02)
-        server.clock.advance(LIMITS.idle_timeout_s * 1000.0 + 1.0)
-        if closes:
-            assert await caller.is_closed()
-            assert server.metrics.counters["listener.idle_closed"] == 1
-        else:
-            await anyio.sleep(0.6)
+        async with anyio.create_task_group() as tasks:
+            if not closes:
+                await server.started.wait()
+            tasks.start_soon(server.advance, LIMITS.idle_timeout_s * 1000.0 + 1.0)
+            if closes:
+                assert await caller.is_closed()
+                assert server.metrics.counters["listener.idle_closed"] == 1
+            else:
+                await anyio.sleep(0.6)
+            tasks.cancel_scope.cancel()
+        if not closes:
             server.release.set()
             assert (await caller.answer()).status == 200
 
@@ -456,3 +346,21 @@
         if act == "close":
             await far.aclose()
         assert has_input(near) is expected
+
+
+@settings(max_examples=40, deadline=None)
+@given(data=st.binary(max_size=300), prefix=st.sampled_from([b"", GET, GET[:-2]]))
+def test_any_input_leaves_the_listener_serving(data: bytes, prefix: bytes):
+    """Guards against input that stops the process or another caller's request."""
+
+    async def run() -> None:
+        async with running() as server:
+            caller = await connect(server)
+            with contextlib.suppress(anyio.BrokenResourceError):
+                await caller.stream.send(prefix + data)
+                await caller.stream.send_eof()
+            while not await caller.is_closed():
+                pass
+            assert (await (await connect(server)).ask(GET)).status == 200
+
+    anyio.run(run, backend_options={"use_uvloop": True})
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,340 @@
+"""Links between nodes: outcomes of calls, broken peers, Cancel and limits."""
+
+import anyio
+import anyio.abc
+import msgspec
+import pytest
+
+from briardock import _link
+from briardock._frames import encode_frame
+from briardock.clock import ManualClock
+from briardock.messages import (
+    MAX_FRAME_BYTES,
+    PROTOCOL_VERSION,
+    Answer,
+    Call,
+    Cancel,
+    Hello,
+    LinkMessage,
+)
+from briardock.metrics import Metrics
+from briardock.peers import (
+    LinkFailure,
+    PeerAddress,
+    make_peer_links,
+)
+from peer_fakes import (
+    CALL,
+    DEADLINE_MS,
+    FORWARD,
+    HOST,
+    SERVER_HELLO,
+    SHORT_MS,
+    FramePeer,
+    Script,
+    answer_to,
+    client_of,
+    echo,
+    first_call,
+    first_frame,
+    greeted,
+    serving,
+    silent,
+    until,
+)
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.fixture
+def anyio_backend() -> tuple[str, dict[str, bool]]:
+    return "asyncio", {"use_uvloop": True}
+
+
+@pytest.mark.parametrize(
+    ("script", "detail"),
+    [
+        pytest.param(
+            first_frame(encode_frame(Hello(PROTOCOL_VERSION + 1, "b", 2))),
+            "protocol version",
+            id="version",
+        ),
+        pytest.param(
+            first_frame(encode_frame(Hello(PROTOCOL_VERSION, "c", 2))),
+            "the peer is c",
+            id="node",
+        ),
+        pytest.param(
+            first_frame(encode_frame(Hello(PROTOCOL_VERSION, "b", 3))),
+            "incarnation 3",
+            id="incarnation",
+        ),
+        pytest.param(
+            first_frame(encode_frame(answer_to(1))), "before Hello", id="no-hello"
+        ),
+        pytest.param(first_frame(b"HTTP/1.1 400 \r\n\r\n"), "exceeds", id="http"),
+        pytest.param(first_frame(b"\0\0\0\3abc"), "undecodable", id="garbage"),
+        pytest.param(first_frame(b"\0", True), "connection lost", id="closed"),
+        pytest.param(None, "no greeting", id="mute"),
+    ],
+)
+async def test_peer_that_does_not_greet(
+    script: Script | None, detail: str, monkeypatch: pytest.MonkeyPatch
+):
+    """Guards against calls sent to a stranger and reported as unknown."""
+    if script is None:
+        monkeypatch.setattr(_link, "HELLO_TIMEOUT_S", 0.05)
+    async with client_of(script or FramePeer.is_closed) as it:
+        failure = await it.call()
+        assert isinstance(failure, LinkFailure)
+        assert failure.sent is False
+        assert detail in failure.detail
+
+
+@pytest.mark.parametrize(
+    ("script", "expected", "counter"),
+    [
+        pytest.param(
+            first_call(lambda call: encode_frame(answer_to(call.call_id + 77))),
+            LinkFailure(True, "deadline"),
+            "peers.answers_unknown",
+            id="unknown-id",
+        ),
+        pytest.param(
+            first_call(
+                lambda call: encode_frame(
+                    msgspec.structs.replace(answer_to(call.call_id), body_bytes=9)
+                )
+            ),
+            LinkFailure(True, "answer of wrong length"),
+            "peers.answers_wrong_length",
+            id="wrong-length",
+        ),
+        pytest.param(
+            first_call(lambda call: encode_frame(SERVER_HELLO)),
+            LinkFailure(True, "unexpected Hello from the peer"),
+            "peers.links_failed",
+            id="second-hello",
+        ),
+        pytest.param(
+            first_call(lambda call: b"\xff\xff\xff\xff"),
+            LinkFailure(True, f"frame of 4294967295 bytes exceeds {MAX_FRAME_BYTES}"),
+            "peers.links_failed",
+            id="oversized",
+        ),
+        pytest.param(
+            first_call(lambda call: encode_frame(answer_to(call.call_id))[:-1], True),
+            LinkFailure(True, "connection lost: EndOfStream()"),
+            "peers.links_failed",
+            id="cut-answer",
+        ),
+        pytest.param(
+            first_call(lambda call: b"", True),
+            LinkFailure(True, "connection lost: EndOfStream()"),
+            "peers.links_failed",
+            id="closed-without-answer",
+        ),
+        pytest.param(
+            silent, LinkFailure(True, "deadline"), "peers.deadlines", id="no-answer"
+        ),
+    ],
+)
+async def test_sent_call_without_whole_answer(
+    script: Script, expected: LinkFailure, counter: str
+):
+    """Guards against "not sent" for a call that the peer may have run."""
+    async with client_of(script) as it:
+        remaining_ms = SHORT_MS if expected.detail == "deadline" else DEADLINE_MS
+        assert await it.call(remaining_ms=remaining_ms) == expected
+        assert it.metrics.counters[counter] == 1
+
+
+async def test_duplicate_answer_is_dropped():
+    """Guards against a repeated answer given to the next call."""
+
+    @greeted
+    async def script(peer: FramePeer) -> None:
+        while True:
+            call = await peer.receive()
+            body = b"%d" % call.call_id
+            await peer.send(*[answer_to(call.call_id, body)] * 2)
+
+    async with client_of(script) as it:
+        bodies = [(await it.call()).body for _ in range(5)]
+        assert len(set(bodies)) == 5
+        counters = it.metrics.counters
+        await until(lambda: counters.get("peers.answers_unknown") == 5)
+
+
+async def test_reordered_answers_reach_their_calls():
+    """Guards against answers matched by order instead of by id."""
+
+    @greeted
+    async def script(peer: FramePeer) -> None:
+        calls = [await peer.receive() for _ in range(20)]
+        await peer.send(*[answer_to(it.call_id, it.body) for it in reversed(calls)])
+        await peer.is_closed()
+
+    results: dict[int, Answer | LinkFailure] = {}
+    async with client_of(script) as it:
+
+        async def call(number: int) -> None:
+            message = msgspec.structs.replace(CALL, body=b"%d" % number)
+            results[number] = await it.call(message)
+
+        async with anyio.create_task_group() as tasks:
+            for number in range(20):
+                tasks.start_soon(call, number)
+        assert len(it.remotes) == 1
+    assert [results[number].body for number in range(20)] == [
+        b"%d" % number for number in range(20)
+    ]
+
+
+@pytest.mark.parametrize("by_deadline", [True, False])
+async def test_cancel_is_sent(by_deadline: bool):
+    """Guards against a peer that works on for a caller that gave up."""
+    seen: list[LinkMessage] = []
+    received = anyio.Event()
+    cancelled = anyio.Event()
+
+    @greeted
+    async def script(peer: FramePeer) -> None:
+        seen.append(await peer.receive())
+        received.set()
+        seen.append(await peer.receive())
+        cancelled.set()
+
+    async with client_of(script) as it:
+        if by_deadline:
+            assert await it.call(remaining_ms=SHORT_MS) == LinkFailure(True, "deadline")
+        else:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(it.call)
+                await received.wait()
+                tasks.cancel_scope.cancel()
+        await cancelled.wait()
+        call = seen[0]
+        assert isinstance(call, Call)
+        assert seen[1] == Cancel(call.call_id)
+
+
+async def test_call_is_stamped():
+    """Guards against stale times in calls that waited for their link."""
+    seen: list[LinkMessage] = []
+
+    @greeted
+    async def script(peer: FramePeer) -> None:
+        while True:
+            call = await peer.receive()
+            seen.append(call)
+            await peer.send(answer_to(call.call_id))
+
+    async with client_of(script) as it:
+        it.clock.advance(1_000.0)
+        await it.call(CALL, 400.0)
+        await it.call(FORWARD, 300.0)
+    call, forward = seen
+    assert call == msgspec.structs.replace(
+        CALL, call_id=call.call_id, remaining_ms=400.0, sent_ms=1_000.0
+    )
+    assert forward == msgspec.structs.replace(
+        FORWARD, call_id=forward.call_id, remaining_ms=300.0
+    )
+    assert 0 < call.call_id < forward.call_id
+
+
+async def test_peer_that_does_not_read():
+    """Guards against one stuck peer that blocks calls or other peers."""
+    big = msgspec.structs.replace(CALL, body=b"x" * 15_000_000)
+
+    @greeted
+    async def stuck(peer: FramePeer) -> None:
+        await anyio.sleep_forever()
+
+    results: list[Answer | LinkFailure] = []
+    async with client_of(stuck) as it, client_of(echo) as other:
+
+        async def call(message: Call) -> None:
+            results.append(await it.call(message, 2 * SHORT_MS))
+
+        async with anyio.create_task_group() as tasks:
+            for message in (big, big, CALL, big):
+                tasks.start_soon(call, message)
+            await anyio.sleep(0.05)
+            # The same links object serves the other peer meanwhile.
+            deadline_at_ms = it.clock.now_ms() + DEADLINE_MS
+            answer = await it.links.call(other.peer, CALL, deadline_at_ms)
+            assert isinstance(answer, Answer)
+        # Only the first frame was written in part; the others never were.
+        assert sorted(result.sent for result in results) == [False, False, False, True]
+
+
+async def test_link_loss_tells_unwritten_calls_apart():
+    """Guards against an unknown outcome for a frame that was still queued."""
+    big = msgspec.structs.replace(CALL, body=b"x" * 15_000_000)
+    ready = anyio.Event()
+    drop = anyio.Event()
+
+    @greeted
+    async def script(peer: FramePeer) -> None:
+        ready.set()
+        await drop.wait()
+
+    results: dict[str, Answer | LinkFailure] = {}
+    async with client_of(script) as it:
+
+        async def call(name: str, message: Call) -> None:
+            results[name] = await it.call(message)
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(call, "written", big)
+            await ready.wait()
+            await anyio.sleep(0.05)
+            tasks.start_soon(call, "queued", CALL)
+            await anyio.sleep(0.01)
+            drop.set()
+        assert results["written"].sent is True
+        assert results["queued"].sent is False
+
+
+@pytest.mark.parametrize(
+    ("message", "remaining_ms", "detail"),
+    [
+        pytest.param(CALL, 0.0, "deadline", id="deadline"),
+        pytest.param(
+            msgspec.structs.replace(CALL, body=b"x" * MAX_FRAME_BYTES),
+            DEADLINE_MS,
+            "exceeds",
+            id="too-large",
+        ),
+    ],
+)
+async def test_call_that_cannot_be_sent(
+    message: Call, remaining_ms: float, detail: str
+):
+    """Guards against an unknown outcome for a call that was never written."""
+    async with client_of(echo) as it:
+        failure = await it.call(message, remaining_ms)
+        assert failure.sent is False
+        assert detail in failure.detail
+        assert isinstance(await it.call(), Answer)
+
+
+async def test_links_that_do_not_run():
+    """Guards against calls that wait for links nobody runs."""
+    links = make_peer_links("a", 1, ManualClock(), Metrics(), None, 1)
+    result = await links.call(PeerAddress("b", 2, HOST, 1), CALL, DEADLINE_MS)
+    assert result == LinkFailure(False, "links are not running")
+
+
+@pytest.mark.parametrize("size_bytes", [0, 1, 70_000, 15_000_000])
+async def test_links_and_server_together(size_bytes: int):
+    """Guards against frames cut or joined on the way."""
+    async with serving() as server, client_of(echo) as it:
+        it.peer = PeerAddress("b", 2, HOST, server.port)
+        body = bytes(size_bytes)
+        for message in (CALL, FORWARD, CALL):
+            answer = await it.call(msgspec.structs.replace(message, body=body))
+            assert isinstance(answer, Answer)
+            assert answer.body == body
