Check that growth of the concurrency limit brings throughput

A target that serves its queue in random order hides the queue from the quantiles: the limit went to its maximum, and own time to 14.2 (25 slots) and 3.96 (90 slots) of service time. The cold start bounds the limit by a geometric ramp.

--- a/benchmarks/limiter_policy.py
+++ b/benchmarks/limiter_policy.py
@@ -19,7 +19,8 @@
 from briardock.limiter import LimiterSettings, make_limiter
 
 OPERATIONS = ((0.6, 5.0), (0.3, 20.0), (0.1, 60.0))
-MEAN_SERVICE_MS = sum(share * mean_ms for share, mean_ms in OPERATIONS)
+ONE_OPERATION = ((1.0, 20.0),)
+GAPPED_OPERATIONS = ((0.45, 1.0), (0.1, 30.0), (0.45, 300.0))
 QUEUE_LENGTH = 200
 SIGMA = 0.5
 
@@ -106,6 +107,9 @@
     :param demand: arrivals by capacity
     :param slow_factor: service time factor from 10 s to 20 s
     :param child_ms: time of child calls that hold the slot, from 10 s to 20 s
+    :param operations: shares and mean service times in ms
+    :param sigma: spread of the log-normal service time of one operation
+    :param random_order: whether the target serves its queue in random order
     """
 
     name: str
@@ -113,6 +117,13 @@
     demand: float
     slow_factor: float = 1.0
     child_ms: float = 0.0
+    operations: tuple[tuple[float, float], ...] = OPERATIONS
+    sigma: float = SIGMA
+    random_order: bool = False
+
+    def mean_service_ms(self) -> float:
+        """Return the mean service time over all operations in ms."""
+        return sum(share * mean_ms for share, mean_ms in self.operations)
 
 
 DURATION_MS = 30_000.0
@@ -128,6 +139,12 @@
     Scenario("slow5-0.5x/90", 90, 0.5, slow_factor=5.0),
     Scenario("slow20/90", 90, 1.5, slow_factor=20.0),
     Scenario("child50/90", 90, 1.5, child_ms=50.0),
+    Scenario("constant/90", 90, 2.0, operations=ONE_OPERATION, sigma=0.1),
+    Scenario("gapped/25", 25, 2.0, operations=GAPPED_OPERATIONS),
+    Scenario("gapped/90", 90, 2.0, operations=GAPPED_OPERATIONS),
+    Scenario("heavy/90", 90, 2.0, operations=ONE_OPERATION, sigma=1.5),
+    Scenario("random/25", 25, 2.0, random_order=True),
+    Scenario("random/90", 90, 2.0, random_order=True),
 )
 
 
@@ -185,13 +202,14 @@
     def new_request(self) -> Request:
         """Draw the operation and service time of an arrival."""
         draw = self.rng.random()
-        mean_ms = OPERATIONS[-1][1]
-        for share, candidate_ms in OPERATIONS:
+        mean_ms = self.scenario.operations[-1][1]
+        for share, candidate_ms in self.scenario.operations:
             if draw < share:
                 mean_ms = candidate_ms
                 break
             draw -= share
-        service_ms = mean_ms * self.rng.lognormvariate(-SIGMA * SIGMA / 2, SIGMA)
+        sigma = self.scenario.sigma
+        service_ms = mean_ms * self.rng.lognormvariate(-sigma * sigma / 2, sigma)
         child_ms = 0.0
         if FAULT_FROM_MS <= self.now_ms < FAULT_UNTIL_MS:
             service_ms *= self.scenario.slow_factor
@@ -200,7 +218,9 @@
 
     def run(self, clock: ManualClock) -> None:
         """Run until the end of the scenario."""
-        gap_ms = MEAN_SERVICE_MS / self.scenario.slots / self.scenario.demand
+        gap_ms = (
+            self.scenario.mean_service_ms() / self.scenario.slots / self.scenario.demand
+        )
         self.push(0.0, None)
         while self.events:
             at_ms, _, request = heapq.heappop(self.events)
@@ -227,6 +247,8 @@
             request.in_flight = self.in_flight
             self.inner.append(request)
         while self.inner and self.running < self.scenario.slots:
+            if self.scenario.random_order:
+                self.inner.rotate(self.rng.randrange(len(self.inner)))
             request = self.inner.popleft()
             self.running += 1
             self.push(request.service_ms + request.child_ms, request)
--- a/src/briardock/limiter.py
+++ b/src/briardock/limiter.py
@@ -20,13 +20,20 @@
 # number of slots, so that the low phases hardly leave slots idle.
 HELD_SHARE = 0.8
 SHARE_BOUNDS = (-1.0, 2.0)
+# A target that does not serve its queue in order hides the queue from the
+# quantiles. Growth by this factor must therefore bring throughput with it.
+CHECKED_GROWTH = 1.3
+NEAR_GROWTH = 1.05
+MIN_GAIN_SHARE = 0.3
+HOLD_MS = 1_000.0
+# An older comparison would mistake a slowdown under light load for a queue.
+ANCHOR_LIFETIME_MS = 3_000.0
 START_SHARE = 0.4
 START_GROWTH = 1.5
 GAIN = 0.3
 MAX_STREAK = 4
 GROUP_SAMPLES = 64
 MIN_PHASE_REQUESTS = 32
-LOW_PHASE_SHARE = 0.5
 MIN_PAIRS = 2
 MAX_PAIRS = 8
 
@@ -38,8 +45,8 @@
     :param min_limit: smallest limit
     :param max_limit: largest limit, at most the connections the target takes
     :param initial_limit: limit before anything was measured
-    :param cold_start_s: time of the ramp from the fraction to the full limit in s
-    :param cold_start_fraction: share of the limit at the start of the ramp
+    :param cold_start_s: time of the ramp to the largest limit in s
+    :param cold_start_fraction: share of the initial limit when the ramp starts
     :param probe_share: relative difference of the high and the low value
     """
 
@@ -87,6 +94,11 @@
         self._ramping = settings.cold_start_s > 0
         self._starting = True
         self._streak = 0
+        self._anchor_at_ms = -math.inf
+        self._anchor_concurrency = 0.0
+        self._anchor_rate = 0.0
+        self._anchor_base = self._base
+        self._hold_until_ms = -math.inf
         self._low_phase = False
         self._phase_left = MIN_PHASE_REQUESTS
         self._reset_batch()
@@ -95,34 +107,39 @@
         self._high = _Group()
         self._low = _Group()
         self._finished_count = 0
+        self._concurrency_sum = 0
         self._pairs_count = 0
         self._batch_from_ms = self._clock.now_ms()
 
     @property
     def base_limit(self) -> float:
-        """High value without the ramp."""
+        """High value of the limit."""
         return self._base
 
     @property
     def limit(self) -> int:
         """Requests that may run in the target now."""
         settings = self._settings
+        if self._ramping:
+            self._base = min(self._base, self._ramp_ceiling())
         value = self._base
         if self._low_phase:
             value *= 1.0 - settings.probe_share
-        if self._ramping:
-            value *= self._ramp_factor()
         return max(settings.min_limit, int(value))
 
-    def _ramp_factor(self) -> float:
+    def _ramp_ceiling(self) -> float:
+        """Return a bound that grows by a constant factor per time.
+
+        The full limit is unknown, so the ramp ends at the largest one.
+        """
         settings = self._settings
         elapsed_ms = self._clock.now_ms() - self._started_ms
         done = elapsed_ms / (settings.cold_start_s * 1000.0)
         if done >= 1.0:
             self._ramping = False
-            return 1.0
-        fraction = settings.cold_start_fraction
-        return fraction + (1.0 - fraction) * done
+            return float(settings.max_limit)
+        first = max(1.0, settings.cold_start_fraction * settings.initial_limit)
+        return first * (settings.max_limit / first) ** done
 
     def observe(self, own_time_ms: float, in_flight: int, ok: bool) -> None:
         """Record one finished request.
@@ -132,7 +149,8 @@
         :param ok: whether the target answered; a failure's time is not its service
         """
         self._finished_count += 1
-        if ok and not self._ramping:
+        self._concurrency_sum += in_flight
+        if ok:
             self._group_by_concurrency(own_time_ms, in_flight)
         self._phase_left -= 1
         if self._phase_left <= 0:
@@ -152,10 +170,7 @@
             if self._pairs_count >= MIN_PAIRS:
                 self._end_pair()
         self._low_phase = not self._low_phase
-        requests = max(MIN_PHASE_REQUESTS, int(self._base))
-        if self._low_phase:
-            requests = int(requests * LOW_PHASE_SHARE * 2)
-        self._phase_left = requests
+        self._phase_left = max(MIN_PHASE_REQUESTS, int(self._base))
 
     def _end_pair(self) -> None:
         smaller = min(len(self._high.times_ms), len(self._low.times_ms))
@@ -179,7 +194,33 @@
         share = shifts_ms[len(shifts_ms) // 2] / expected_ms
         return min(SHARE_BOUNDS[1], max(SHARE_BOUNDS[0], share))
 
+    def _growth_was_useless(self) -> bool:
+        """Compare throughput with that before the concurrency grew."""
+        now_ms = self._clock.now_ms()
+        concurrency = self._concurrency_sum / self._finished_count
+        rate = self._finished_count / (now_ms - self._batch_from_ms)
+        recent = now_ms - self._anchor_at_ms < ANCHOR_LIFETIME_MS
+        if recent and concurrency > self._anchor_concurrency * NEAR_GROWTH:
+            growth = concurrency / self._anchor_concurrency
+            if growth < CHECKED_GROWTH:
+                return False
+            gain = rate / self._anchor_rate
+            if gain < 1.0 + MIN_GAIN_SHARE * (growth - 1.0):
+                return True
+        self._anchor_at_ms = now_ms
+        self._anchor_concurrency = concurrency
+        self._anchor_rate = rate
+        self._anchor_base = self._base
+        return False
+
     def _decide(self, share: float) -> None:
+        now_ms = self._clock.now_ms()
+        if self._growth_was_useless():
+            self._base = self._anchor_base
+            self._hold_until_ms = now_ms + HOLD_MS
+            self._starting = False
+        if share < HELD_SHARE and now_ms < self._hold_until_ms:
+            return
         if self._starting:
             if share < START_SHARE:
                 self._move(START_GROWTH)
