--- a/benchmarks/limiter_policy.py
+++ b/benchmarks/limiter_policy.py
@@ -265,7 +265,9 @@
         self.policy.observe(own_ms, request.in_flight, True)
 
 
-def measure(scenario: Scenario, policy: LimitPolicy, clock: ManualClock, seed: int):
+def measure(
+    scenario: Scenario, policy: LimitPolicy, clock: ManualClock, seed: int
+) -> dict[str, dict[str, float]]:
     """Return utilisation, own time by service time and limits of each phase."""
     model = Model(scenario, policy, seed)
     model.run(clock)
