Raise the refusal threshold over levels that had arrivals, by the use of the limit

A fixed doubling step crossed empty levels slowly and overshot occupied ones, so the threshold swung between 238 and 749 at 4x demand with 25 slots.

--- a/src/briardock/admission.py
+++ b/src/briardock/admission.py
@@ -19,6 +19,15 @@
 TICK_MS = 10.0
 HISTORY_WINDOWS = 3
 OWN_TIME_WEIGHT = 0.05
+# Raising moves over levels that had arrivals in this many windows; callers that
+# refuse early still send a probing share of the levels above the threshold.
+SEEN_WINDOWS = 20
+SMALL_STEP_LEVELS = 4
+FIRST_STEP_LEVELS = 16
+MAX_STEP_LEVELS = 256
+# Above this use of the limit the threshold is near its place and moves slowly.
+BUSY_SHARE = 0.85
+CAPACITY_MARGIN = 1.03
 
 
 def admission_level(class_rank: int, key: str) -> int:
@@ -89,6 +98,7 @@
     wait_ms: float = 0.0
     dropped_count: int = 0
     queue_emptied: bool = False
+    busy_ms: float = 0.0
 
 
 class Admission:
@@ -110,7 +120,10 @@
         self._sequence = 0
         self._in_flight = 0
         self._threshold = MAX_LEVEL
-        self._step = 16
+        self._step = FIRST_STEP_LEVELS
+        self._busy_at_ms = clock.now_ms()
+        self._seen: dict[int, int] = {}
+        self._windows_count = 0
         self._service_ms = 0.0
         self._window = _Window(clock.now_ms(), queue_emptied=True)
         self._history: deque[_Window] = deque(maxlen=HISTORY_WINDOWS)
@@ -175,11 +188,12 @@
         if ticket.released:
             return
         ticket.released = True
-        self._in_flight -= 1
+        now_ms = self._clock.now_ms()
+        self._change_in_flight(-1, now_ms)
         self._limiter.observe(own_time_ms, ticket.in_flight, ok)
         if ok:
             self._record_service(own_time_ms)
-        self._dispatch(self._clock.now_ms())
+        self._dispatch(now_ms)
 
     async def run(self) -> None:
         """Move windows and expire waiters until cancelled."""
@@ -200,8 +214,13 @@
         self._metrics.count(f"admission.refused.{reason}")
         return NotRun(reason, detail)
 
+    def _change_in_flight(self, step: int, now_ms: float) -> None:
+        self._window.busy_ms += self._in_flight * (now_ms - self._busy_at_ms)
+        self._busy_at_ms = now_ms
+        self._in_flight += step
+
     def _start(self, level: int, now_ms: float, waited_ms: float) -> Ticket:
-        self._in_flight += 1
+        self._change_in_flight(1, now_ms)
         self._window.started_count += 1
         self._window.wait_ms += waited_ms
         return Ticket(level, now_ms, self._in_flight)
@@ -232,8 +251,9 @@
             result = future.result()
             if isinstance(result, Ticket) and not result.released:
                 result.released = True
-                self._in_flight -= 1
-                self._dispatch(self._clock.now_ms())
+                now_ms = self._clock.now_ms()
+                self._change_in_flight(-1, now_ms)
+                self._dispatch(now_ms)
             return
         index = bisect_left(self._queue, entry[:2], key=lambda item: item[:2])
         if index < len(self._queue) and self._queue[index] is entry:
@@ -296,17 +316,26 @@
         elapsed_ms = now_ms - window.started_ms
         if elapsed_ms < self._settings.window_ms:
             return
+        self._change_in_flight(0, now_ms)
         self._history.append(window)
+        self._windows_count += 1
+        for level in window.arrivals:
+            self._seen[level] = self._windows_count
         if self._overloaded(window):
             self._lower()
-        else:
-            self._raise()
+        elif self._threshold < MAX_LEVEL:
+            self._raise(window.busy_ms / elapsed_ms / self._limiter.limit)
+        self._decay_service()
+        self._window = _Window(now_ms, queue_emptied=not self._queue)
+
+    def _decay_service(self) -> None:
+        """Lower the estimate while nothing completes.
+
+        Otherwise a slowdown could make every deadline look too short forever.
+        """
         self._windows_since_release += 1
         if self._windows_since_release > 1:
-            # Without completions the estimate decays, so that a slowdown cannot
-            # make every deadline look too short forever.
             self._service_ms *= 0.7
-        self._window = _Window(now_ms, queue_emptied=not self._queue)
 
     def _overloaded(self, window: _Window) -> bool:
         if window.dropped_count:
@@ -317,25 +346,36 @@
         return mean_wait_ms > self._settings.overload_wait_ms
 
     def _lower(self) -> None:
-        self._step = 16
+        self._step = FIRST_STEP_LEVELS
         arrivals: dict[int, int] = {}
-        capacity = 0
+        capacity = 0.0
         for window in self._history:
-            capacity += window.started_count
+            capacity += window.started_count * CAPACITY_MARGIN
             for level, count in window.arrivals.items():
                 arrivals[level] = arrivals.get(level, 0) + count
         total = 0
         for level in sorted(arrivals):
             total += arrivals[level]
             if total > capacity:
-                self._threshold = min(self._threshold, max(0, level - 1))
+                self._threshold = min(self._threshold, level)
                 return
 
-    def _raise(self) -> None:
-        if self._threshold >= MAX_LEVEL:
+    def _raise(self, used_share: float) -> None:
+        oldest = self._windows_count - SEEN_WINDOWS
+        above = [
+            level
+            for level, window in self._seen.items()
+            if level > self._threshold and window > oldest
+        ]
+        step = SMALL_STEP_LEVELS
+        if used_share < BUSY_SHARE:
+            step = self._step
+            self._step = min(MAX_STEP_LEVELS, self._step * 2)
+        if len(above) <= step:
+            self._threshold = MAX_LEVEL
             return
-        self._threshold = min(MAX_LEVEL, self._threshold + self._step)
-        self._step = min(256, self._step * 2)
+        above.sort()
+        self._threshold = above[step - 1]
 
 
 def make_admission(
