--- a/src/briardock/admission.py
+++ b/src/briardock/admission.py
@@ -17,7 +17,11 @@
 CLASS_COUNT = 8
 MAX_LEVEL = LEVELS_PER_CLASS * CLASS_COUNT - 1
 TICK_MS = 10.0
-HISTORY_WINDOWS = 3
+# Lowering sums at least 3 windows, and more while the target is so slow that
+# the sum holds too few starts to estimate the capacity.
+MIN_HISTORY_WINDOWS = 3
+MAX_HISTORY_WINDOWS = 10
+HISTORY_STARTS = 50
 OWN_TIME_WEIGHT = 0.05
 # Raising moves over levels that had arrivals in this many windows; callers that
 # refuse early still send a probing share of the levels above the threshold.
@@ -126,7 +130,7 @@
         self._windows_count = 0
         self._service_ms = 0.0
         self._window = _Window(clock.now_ms(), queue_emptied=True)
-        self._history: deque[_Window] = deque(maxlen=HISTORY_WINDOWS)
+        self._history: deque[_Window] = deque(maxlen=MAX_HISTORY_WINDOWS)
         self._windows_since_release = 0
 
     @property
@@ -349,10 +353,12 @@
         self._step = FIRST_STEP_LEVELS
         arrivals: dict[int, int] = {}
         capacity = 0.0
-        for window in self._history:
+        for count, window in enumerate(reversed(self._history)):
+            if count >= MIN_HISTORY_WINDOWS and capacity >= HISTORY_STARTS:
+                break
             capacity += window.started_count * CAPACITY_MARGIN
-            for level, count in window.arrivals.items():
-                arrivals[level] = arrivals.get(level, 0) + count
+            for level, seen_count in window.arrivals.items():
+                arrivals[level] = arrivals.get(level, 0) + seen_count
         total = 0
         for level in sorted(arrivals):
             total += arrivals[level]
