--- a/benchmarks/admission_policy.py
+++ b/benchmarks/admission_policy.py
@@ -195,10 +195,11 @@
         self.sequence += 1
         level = admission_level(rank, f"n.{self.sequence}")
         deadline_ms = started_ms + DEADLINE_MS
-        done = await self.attempt(level, deadline_ms)
+        mean_ms = self.rng.choices(OPERATIONS_MS, OPERATION_WEIGHTS)[0]
+        done = await self.attempt(level, deadline_ms, mean_ms)
         if not done and self.in_fault():
             await asyncio.sleep(0.02)
-            done = await self.attempt(level, deadline_ms)
+            done = await self.attempt(level, deadline_ms, mean_ms)
         if not done:
             return
         bucket = int(self.clock.now_ms() / BUCKET_MS)
@@ -206,7 +207,7 @@
         if counted:
             self.tally.done[rank] = self.tally.done.get(rank, 0) + 1
 
-    async def attempt(self, level: int, deadline_ms: float) -> bool:
+    async def attempt(self, level: int, deadline_ms: float, mean_ms: float) -> bool:
         """Send one call and return whether it completed in time."""
         memory_holds = self.clock.now_ms() - self.known_at_ms < MEMORY_MS
         refused = memory_holds and level > self.known_level
@@ -214,19 +215,18 @@
             return False
         self.tally.sent += 1
         await asyncio.sleep(HOP_MS / 1000.0)
-        result = await self.admission.admit(level, deadline_ms)
+        result = await self.admission.admit(level, deadline_ms, f"op{mean_ms}")
         completed = False
         if isinstance(result, Ticket):
-            completed = await self.serve(result, deadline_ms)
+            completed = await self.serve(result, deadline_ms, mean_ms)
         answered_level = self.admission.refusal_level()
         await asyncio.sleep(HOP_MS / 1000.0)
         self.known_level = answered_level
         self.known_at_ms = self.clock.now_ms()
         return completed
 
-    async def serve(self, ticket: Ticket, deadline_ms: float) -> bool:
+    async def serve(self, ticket: Ticket, deadline_ms: float, mean_ms: float) -> bool:
         """Run an admitted call in the target."""
-        mean_ms = self.rng.choices(OPERATIONS_MS, OPERATION_WEIGHTS)[0]
         service_ms = mean_ms * self.rng.lognormvariate(-SIGMA * SIGMA / 2, SIGMA)
         if self.in_fault():
             service_ms *= self.scenario.slow_factor
--- a/src/briardock/admission.py
+++ b/src/briardock/admission.py
@@ -2,12 +2,13 @@
 
 import asyncio
 import zlib
-from bisect import bisect_left, insort
 from collections import deque
 from dataclasses import dataclass, field
 
 import anyio
 
+from briardock._holding import HoldingTimes
+from briardock._waiting import Waiter, WaitingQueue
 from briardock.clock import Clock
 from briardock.limiter import LimiterSettings, make_limiter
 from briardock.metrics import Metrics
@@ -22,7 +23,6 @@
 MIN_HISTORY_WINDOWS = 3
 MAX_HISTORY_WINDOWS = 10
 HISTORY_STARTS = 50
-OWN_TIME_WEIGHT = 0.05
 # Raising moves over levels that had arrivals in this many windows; callers that
 # refuse early still send a probing share of the levels above the threshold.
 SEEN_WINDOWS = 20
@@ -32,6 +32,7 @@
 # Above this use of the limit the threshold is near its place and moves slowly.
 BUSY_SHARE = 0.85
 CAPACITY_MARGIN = 1.03
+IDLE_WINDOWS = 20
 
 
 def admission_level(class_rank: int, key: str) -> int:
@@ -75,23 +76,17 @@
     :param level: admission level
     :param admitted_at_ms: time of admission in ms
     :param in_flight: requests in the target, this one included
+    :param operation: full name of the operation
+    :param released: whether the slot was given back
     """
 
     level: int
     admitted_at_ms: float
     in_flight: int
+    operation: str = ""
     released: bool = False
 
 
-@dataclass(slots=True, eq=False)
-class _Waiter:
-    level: int
-    arrived_ms: float
-    expires_ms: float
-    deadline_at_ms: float
-    future: "asyncio.Future[Ticket | NotRun]"
-
-
 @dataclass(slots=True)
 class _Window:
     """Counts of one window."""
@@ -120,18 +115,16 @@
         self._clock = clock
         self._metrics = metrics
         self._limiter = make_limiter(settings.limiter, clock)
-        self._queue: list[tuple[int, int, _Waiter]] = []
-        self._sequence = 0
+        self._queue: WaitingQueue[Ticket | NotRun] = WaitingQueue()
+        self._holding = HoldingTimes()
         self._in_flight = 0
         self._threshold = MAX_LEVEL
         self._step = FIRST_STEP_LEVELS
         self._busy_at_ms = clock.now_ms()
         self._seen: dict[int, int] = {}
         self._windows_count = 0
-        self._service_ms = 0.0
         self._window = _Window(clock.now_ms(), queue_emptied=True)
         self._history: deque[_Window] = deque(maxlen=MAX_HISTORY_WINDOWS)
-        self._windows_since_release = 0
 
     @property
     def in_flight(self) -> int:
@@ -160,27 +153,31 @@
             "limit": self._limiter.limit,
             "refusal_level": self._threshold,
             "load": round(self.load(), 3),
-            "expected_service_ms": round(self._service_ms, 3),
         }
 
-    async def admit(self, level: int, deadline_at_ms: float) -> Ticket | NotRun:
+    async def admit(
+        self, level: int, deadline_at_ms: float, operation: str = ""
+    ) -> Ticket | NotRun:
         """Wait for a slot of the target.
 
         :param level: admission level
         :param deadline_at_ms: deadline of the request on the injected clock in ms
+        :param operation: full name of the operation, by which the service time is
+            expected; without it all requests share one expectation
         :returns: a ticket to be released, or why the request is refused
         """
         now_ms = self._clock.now_ms()
         self._roll_window(now_ms)
+        level = min(max(level, 0), MAX_LEVEL)
         arrivals = self._window.arrivals
         arrivals[level] = arrivals.get(level, 0) + 1
         if level > self._threshold:
             return self._refuse(Reason.OVERLOADED, "above the refusal level")
-        if deadline_at_ms - self._service_ms <= now_ms:
+        if self._holding.is_doomed(operation, deadline_at_ms - now_ms, now_ms):
             return self._refuse(Reason.DEADLINE_EXCEEDED, "too little time left")
         if not self._queue and self._in_flight < self._limiter.limit:
-            return self._start(level, now_ms, 0.0)
-        return await self._wait(level, deadline_at_ms, now_ms)
+            return self._start(level, operation, now_ms)
+        return await self._wait(level, deadline_at_ms, operation, now_ms)
 
     def release(self, ticket: Ticket, own_time_ms: float, ok: bool) -> None:
         """Give the slot of a finished request back.
@@ -196,7 +193,8 @@
         self._change_in_flight(-1, now_ms)
         self._limiter.observe(own_time_ms, ticket.in_flight, ok)
         if ok:
-            self._record_service(own_time_ms)
+            holding_ms = now_ms - ticket.admitted_at_ms
+            self._holding.record(ticket.operation, holding_ms, now_ms)
         self._dispatch(now_ms)
 
     async def run(self) -> None:
@@ -205,15 +203,10 @@
             await anyio.sleep(TICK_MS / 1000.0)
             now_ms = self._clock.now_ms()
             self._roll_window(now_ms)
-            self._expire(now_ms)
+            for waiter in self._queue.pop_expired(now_ms):
+                self._expire(waiter, now_ms)
             self._dispatch(now_ms)
 
-    def _record_service(self, own_time_ms: float) -> None:
-        self._windows_since_release = 0
-        if self._service_ms == 0.0:
-            self._service_ms = own_time_ms
-        self._service_ms += OWN_TIME_WEIGHT * (own_time_ms - self._service_ms)
-
     def _refuse(self, reason: Reason, detail: str) -> NotRun:
         self._metrics.count(f"admission.refused.{reason}")
         return NotRun(reason, detail)
@@ -223,92 +216,82 @@
         self._busy_at_ms = now_ms
         self._in_flight += step
 
-    def _start(self, level: int, now_ms: float, waited_ms: float) -> Ticket:
+    def _start(self, level: int, operation: str, now_ms: float) -> Ticket:
         self._change_in_flight(1, now_ms)
         self._window.started_count += 1
-        self._window.wait_ms += waited_ms
-        return Ticket(level, now_ms, self._in_flight)
+        return Ticket(level, now_ms, self._in_flight, operation)
 
     async def _wait(
-        self, level: int, deadline_at_ms: float, now_ms: float
+        self, level: int, deadline_at_ms: float, operation: str, now_ms: float
     ) -> Ticket | NotRun:
-        if len(self._queue) >= self._settings.queue_length and not self._evict(level):
-            self._window.dropped_count += 1
-            return self._refuse(Reason.OVERLOADED, "admission queue is full")
-        latest_ms = deadline_at_ms - self._service_ms
+        if len(self._queue) >= self._settings.queue_length:
+            displaced = self._queue.pop_less_important(level)
+            if displaced is None:
+                self._window.dropped_count += 1
+                return self._refuse(Reason.OVERLOADED, "admission queue is full")
+            self._drop(displaced, "displaced by a more important request")
+        latest_ms = deadline_at_ms - self._holding.expected_ms(operation)
+        if latest_ms <= now_ms:
+            latest_ms = deadline_at_ms
         expires_ms = min(now_ms + self._sojourn_ms(level), latest_ms)
         future = asyncio.get_running_loop().create_future()
-        waiter = _Waiter(level, now_ms, expires_ms, deadline_at_ms, future)
-        self._sequence += 1
-        entry = (level, self._sequence, waiter)
-        insort(self._queue, entry)
+        waiter = Waiter(level, operation, now_ms, expires_ms, deadline_at_ms, future)
+        key = self._queue.push(waiter)
         self._dispatch(now_ms)
         try:
             return await future
         except asyncio.CancelledError:
-            self._abandon(entry)
+            self._queue.remove(key)
+            self._return_unused(future)
             raise
 
-    def _abandon(self, entry: tuple[int, int, _Waiter]) -> None:
-        future = entry[2].future
-        if future.done() and not future.cancelled():
-            result = future.result()
-            if isinstance(result, Ticket) and not result.released:
-                result.released = True
-                now_ms = self._clock.now_ms()
-                self._change_in_flight(-1, now_ms)
-                self._dispatch(now_ms)
+    def _return_unused(self, future: "asyncio.Future[Ticket | NotRun]") -> None:
+        """Free the slot given to a task that was cancelled before it woke."""
+        if not future.done() or future.cancelled():
             return
-        index = bisect_left(self._queue, entry[:2], key=lambda item: item[:2])
-        if index < len(self._queue) and self._queue[index] is entry:
-            del self._queue[index]
-
-    def _evict(self, level: int) -> bool:
-        if not self._queue or self._queue[-1][0] <= level:
-            return False
-        self._drop(self._queue.pop()[2], "displaced by a more important request")
-        return True
+        ticket = future.result()
+        if isinstance(ticket, Ticket) and not ticket.released:
+            ticket.released = True
+            now_ms = self._clock.now_ms()
+            self._change_in_flight(-1, now_ms)
+            self._dispatch(now_ms)
 
-    def _drop(self, waiter: _Waiter, detail: str) -> None:
+    def _drop(
+        self,
+        waiter: Waiter[Ticket | NotRun],
+        detail: str,
+        reason: Reason = Reason.OVERLOADED,
+    ) -> None:
         self._window.dropped_count += 1
         if not waiter.future.done():
-            waiter.future.set_result(self._refuse(Reason.OVERLOADED, detail))
-
-    def _expire_one(self, waiter: _Waiter, now_ms: float) -> None:
-        if waiter.deadline_at_ms - self._service_ms <= now_ms:
-            self._window.dropped_count += 1
-            if not waiter.future.done():
-                refusal = self._refuse(Reason.DEADLINE_EXCEEDED, "waited too long")
-                waiter.future.set_result(refusal)
-            return
-        self._drop(waiter, "waited too long for a slot")
+            waiter.future.set_result(self._refuse(reason, detail))
 
-    def _expire(self, now_ms: float) -> None:
-        kept = []
-        for entry in self._queue:
-            if entry[2].expires_ms <= now_ms:
-                self._expire_one(entry[2], now_ms)
-            else:
-                kept.append(entry)
-        self._queue = kept
+    def _expire(self, waiter: Waiter[Ticket | NotRun], now_ms: float) -> None:
+        latest_ms = now_ms + self._holding.expected_ms(waiter.operation)
+        if waiter.deadline_at_ms <= latest_ms:
+            self._drop(waiter, "too little time left", Reason.DEADLINE_EXCEEDED)
+        else:
+            self._drop(waiter, "waited too long for a slot")
 
     def _dispatch(self, now_ms: float) -> None:
         queue = self._queue
         if queue:
             limit = self._limiter.limit
             while queue and self._in_flight < limit:
-                waiter = queue.pop(0)[2]
-                if waiter.future.done():
-                    continue
-                if waiter.expires_ms <= now_ms:
-                    self._expire_one(waiter, now_ms)
-                    continue
-                waited_ms = now_ms - waiter.arrived_ms
-                ticket = self._start(waiter.level, now_ms, waited_ms)
-                waiter.future.set_result(ticket)
+                self._dispatch_one(queue.pop_first(), now_ms)
         if not queue:
             self._window.queue_emptied = True
 
+    def _dispatch_one(self, waiter: Waiter[Ticket | NotRun], now_ms: float) -> None:
+        if waiter.future.done():
+            return
+        if waiter.expires_ms <= now_ms:
+            self._expire(waiter, now_ms)
+            return
+        self._window.wait_ms += now_ms - waiter.arrived_ms
+        ticket = self._start(waiter.level, waiter.operation, now_ms)
+        waiter.future.set_result(ticket)
+
     def _sojourn_ms(self, level: int) -> float:
         settings = self._settings
         share = level / MAX_LEVEL
@@ -325,22 +308,15 @@
         self._windows_count += 1
         for level in window.arrivals:
             self._seen[level] = self._windows_count
-        if self._overloaded(window):
+        if elapsed_ms > IDLE_WINDOWS * self._settings.window_ms:
+            # Nothing arrived for long, or the process was paused.
+            self._threshold = MAX_LEVEL
+        elif self._overloaded(window):
             self._lower()
         elif self._threshold < MAX_LEVEL:
             self._raise(window.busy_ms / elapsed_ms / self._limiter.limit)
-        self._decay_service()
         self._window = _Window(now_ms, queue_emptied=not self._queue)
 
-    def _decay_service(self) -> None:
-        """Lower the estimate while nothing completes.
-
-        Otherwise a slowdown could make every deadline look too short forever.
-        """
-        self._windows_since_release += 1
-        if self._windows_since_release > 1:
-            self._service_ms *= 0.7
-
     def _overloaded(self, window: _Window) -> bool:
         if window.dropped_count:
             return True
