--- a/src/briardock/limiter.py
+++ b/src/briardock/limiter.py
@@ -25,6 +25,7 @@
 CHECKED_GROWTH = 1.3
 NEAR_GROWTH = 1.05
 MIN_GAIN_SHARE = 0.3
+BINDING_SHARE = 0.8
 HOLD_MS = 1_000.0
 # An older comparison would mistake a slowdown under light load for a queue.
 ANCHOR_LIFETIME_MS = 3_000.0
@@ -79,6 +80,17 @@
         return [ordered[int(share * len(ordered))] for share in QUANTILES]
 
 
+@dataclass(frozen=True, slots=True)
+class _Anchor:
+    """Figures of a batch to which later growth is compared."""
+
+    at_ms: float
+    base: float
+    concurrency: float
+    rate: float
+    own_time_ms: float
+
+
 class Limiter:
     """Concurrency limit held where the target starts to queue inside.
 
@@ -94,10 +106,7 @@
         self._ramping = settings.cold_start_s > 0
         self._starting = True
         self._streak = 0
-        self._anchor_at_ms = -math.inf
-        self._anchor_concurrency = 0.0
-        self._anchor_rate = 0.0
-        self._anchor_base = self._base
+        self._anchor = _Anchor(-math.inf, self._base, 0.0, 0.0, 0.0)
         self._hold_until_ms = -math.inf
         self._low_phase = False
         self._phase_left = MIN_PHASE_REQUESTS
@@ -108,6 +117,7 @@
         self._low = _Group()
         self._finished_count = 0
         self._concurrency_sum = 0
+        self._own_time_sum_ms = 0.0
         self._pairs_count = 0
         self._batch_from_ms = self._clock.now_ms()
 
@@ -150,6 +160,7 @@
         """
         self._finished_count += 1
         self._concurrency_sum += in_flight
+        self._own_time_sum_ms += own_time_ms
         if ok:
             self._group_by_concurrency(own_time_ms, in_flight)
         self._phase_left -= 1
@@ -195,28 +206,30 @@
         return min(SHARE_BOUNDS[1], max(SHARE_BOUNDS[0], share))
 
     def _growth_was_useless(self) -> bool:
-        """Compare throughput with that before the concurrency grew."""
+        """Compare throughput and own time with those before the limit grew."""
         now_ms = self._clock.now_ms()
         concurrency = self._concurrency_sum / self._finished_count
+        if concurrency < BINDING_SHARE * self._base:
+            return False
         rate = self._finished_count / (now_ms - self._batch_from_ms)
-        recent = now_ms - self._anchor_at_ms < ANCHOR_LIFETIME_MS
-        if recent and concurrency > self._anchor_concurrency * NEAR_GROWTH:
-            growth = concurrency / self._anchor_concurrency
+        own_time_ms = self._own_time_sum_ms / self._finished_count
+        anchor = self._anchor
+        recent = now_ms - anchor.at_ms < ANCHOR_LIFETIME_MS
+        if recent and concurrency > anchor.concurrency * NEAR_GROWTH:
+            growth = concurrency / anchor.concurrency
             if growth < CHECKED_GROWTH:
                 return False
-            gain = rate / self._anchor_rate
-            if gain < 1.0 + MIN_GAIN_SHARE * (growth - 1.0):
+            needed = 1.0 + MIN_GAIN_SHARE * (growth - 1.0)
+            slower = own_time_ms > anchor.own_time_ms * needed
+            if slower and rate < anchor.rate * needed:
                 return True
-        self._anchor_at_ms = now_ms
-        self._anchor_concurrency = concurrency
-        self._anchor_rate = rate
-        self._anchor_base = self._base
+        self._anchor = _Anchor(now_ms, self._base, concurrency, rate, own_time_ms)
         return False
 
     def _decide(self, share: float) -> None:
         now_ms = self._clock.now_ms()
         if self._growth_was_useless():
-            self._base = self._anchor_base
+            self._base = self._anchor.base
             self._hold_until_ms = now_ms + HOLD_MS
             self._starting = False
         if share < HELD_SHARE and now_ms < self._hold_until_ms:
