--- a/src/briardock/events.py
+++ b/src/briardock/events.py
@@ -82,6 +82,13 @@
     CONFIG_NOT_INSTALLED = EventInfo(
         413, "ERROR", "configuration of another node does not pass the checks here"
     )
+    MEMBERS_LEAVING = EventInfo(300, "INFO", "members are leaving")
+    MEMBERS_UNREACHABLE = EventInfo(301, "WARNING", "members became unreachable")
+    MEMBERS_LEFT = EventInfo(302, "INFO", "members left")
+    NODE_SUPERSEDED = EventInfo(
+        303, "ERROR", "a later process uses the id of this node; stop one of them"
+    )
+    GOSSIP_HANDLER_FAILED = EventInfo(304, "ERROR", "gossip message not handled")
 
 
 class _QueueHandler(logbook.Handler):
--- a/src/briardock/gossip_deltas.py
+++ b/src/briardock/gossip_deltas.py
@@ -35,18 +35,17 @@
 
     def take(
         self,
-        member_count: int,
+        max_sends: int,
         max_bytes: int,
         size_of: Callable[[str, float], int],
     ) -> list[str]:
         """Return the names to send in one message.
 
-        :param member_count: number of members, which sets the number of sends
+        :param max_sends: a name is dropped after this many sends
         :param max_bytes: bound on the sum of sizes
         :param size_of: size in bytes of a name's state, given also its age in
             the queue in ms; 0 drops the name
         """
-        limit = send_limit(member_count)
         now_ms = self._clock.now_ms()
         taken: list[str] = []
         left_bytes = max_bytes
@@ -59,11 +58,13 @@
                 break
             left_bytes -= size_bytes
             taken.append(name)
-            self._note_sent(name, sends + 1, added_ms, limit)
+            self._note_sent(name, sends + 1, added_ms, max_sends)
         return taken
 
-    def _note_sent(self, name: str, sends: int, added_ms: float, limit: int) -> None:
-        if sends >= limit:
+    def _note_sent(
+        self, name: str, sends: int, added_ms: float, max_sends: int
+    ) -> None:
+        if sends >= max_sends:
             del self._names[name]
             return
         self._names[name] = (sends, added_ms)
--- a/src/briardock/gossip_links.py
+++ b/src/briardock/gossip_links.py
@@ -25,6 +25,8 @@
 # limit lies above ours, so that moderately oversized messages are counted.
 ZMQ_LIMIT_FACTOR = 4
 KEEPALIVE_IDLE_S = 60
+# A burst of pushes may open this many times the usual number of sockets.
+BURST_FACTOR = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -196,13 +198,15 @@
         return peer
 
     def _evict(self) -> None:
-        """Close the least recently used sockets that are old enough."""
+        """Close the least recently used sockets, young ones only in a burst."""
         surplus = len(self._peers) + 1 - self._settings.max_open_sockets
         if surplus <= 0:
             return
         youngest_ms = self._clock.now_ms() - self._settings.min_open_ms
-        old = [a for a, p in self._peers.items() if p.opened_ms <= youngest_ms]
-        for address in old[:surplus]:
+        closable = [a for a, p in self._peers.items() if p.opened_ms <= youngest_ms]
+        if len(self._peers) >= BURST_FACTOR * self._settings.max_open_sockets:
+            closable = list(self._peers)
+        for address in closable[:surplus]:
             self.close(address)
 
     def _set_options(self, socket: zmq.asyncio.Socket) -> None:
--- a/src/briardock/gossip_messages.py
+++ b/src/briardock/gossip_messages.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from briardock.membership import BUCKET_COUNT, Counter, MemberRecord
+from briardock.member_records import BUCKET_COUNT, Counter, MemberRecord
 from briardock.messages import Message
 from briardock.quarantine import QuarantineEntry
 
--- a/src/briardock/gossip_settings.py
+++ b/src/briardock/gossip_settings.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from briardock.gossip_links import Address, LinkSettings
-from briardock.membership import MemberRecord
+from briardock.member_records import MemberRecord
 from briardock.quarantine import QuarantineEntry
 
 
@@ -68,7 +68,7 @@
     indirect_timeout_ms: float = 500.0
     indirect_count: int = 3
     fanout: int = 4
-    piggyback_bytes: int = 1_000
+    piggyback_bytes: int = 2_000
     quarantine_bytes: int = 600
     sync_interval_ms: float = 5_000.0
     urgent_delay_ms: float = 20.0
--- a/src/briardock/gossip_sync.py
+++ b/src/briardock/gossip_sync.py
@@ -12,42 +12,19 @@
     SyncReply,
     SyncRequest,
 )
-from briardock.membership import (
+from briardock.member_records import (
     MemberRecord,
-    MemberTable,
     bucket_of,
     declared,
     is_newer,
+    record_bytes,
+    within,
 )
+from briardock.membership import MemberTable
 
 BULK_RATE_BYTES_PER_S = 6_000.0
 BULK_BURST_BYTES = 512 * 1024
 REPLY_BYTES = 32 * 1024
-RECORD_OVERHEAD_BYTES = 36
-
-
-def record_bytes(record: MemberRecord) -> int:
-    """Return about the encoded size of a record in bytes."""
-    return (
-        len(record.node_id)
-        + len(record.service)
-        + len(record.failure_domain)
-        + len(record.region)
-        + len(record.host)
-        + len(record.target_instance)
-        + RECORD_OVERHEAD_BYTES
-    )
-
-
-def within(records: list[MemberRecord], max_bytes: int) -> list[MemberRecord]:
-    """Return the first records that fit into a number of bytes."""
-    taken = []
-    for record in records:
-        max_bytes -= record_bytes(record)
-        if max_bytes < 0:
-            break
-        taken.append(record)
-    return taken
 
 
 class TableSync:
@@ -62,6 +39,7 @@
     :param interval_ms: shortest time between two requests
     :param reply: sends a message on a route
     :param note: told of changed records
+    :param joined: called once the table is complete for the first time
     """
 
     def __init__(
@@ -71,6 +49,7 @@
         interval_ms: float,
         reply: Callable[[Route, GossipMessage], bool],
         note: Callable[[list[MemberRecord]], Any],
+        joined: Callable[[], None],
     ) -> None:
         self.joining = True
         self._table = table
@@ -78,6 +57,7 @@
         self._interval_ms = interval_ms
         self._reply = reply
         self._note = note
+        self._joined = joined
         self._bulk = ByteBudget(clock, BULK_RATE_BYTES_PER_S, BULK_BURST_BYTES)
         self._asked_ms = float("-inf")
 
@@ -85,7 +65,7 @@
         """Ask a member for the records of differing buckets."""
         self._asked_ms = self._clock.now_ms()
         own = self._table.own
-        digests = self._table.bucket_digests()
+        digests = self._table.digest.buckets()
         self._reply(route, SyncRequest(own, digests, self.joining))
 
     def on_difference(self, route: Route) -> None:
@@ -96,7 +76,7 @@
     def on_request(self, request: SyncRequest, route: Route) -> None:
         """Answer with as many differing buckets as the byte budget allows."""
         self._note(self._table.merge([request.sender]))
-        buckets = self._table.differing_buckets(request.digests)
+        buckets = self._table.digest.differing(request.digests)
         found = self._by_bucket(buckets, request.joining)
         room = min(REPLY_BYTES, self._bulk.left())
         sent: list[int] = []
@@ -121,6 +101,7 @@
             return
         if reply.left_count == 0:
             self.joining = False
+            self._joined()
         elif reply.buckets:
             self.ask(route)
 
--- a/src/briardock/membership.py
+++ b/src/briardock/membership.py
@@ -1,139 +1,37 @@
-"""Member records, their merge rule, suspicion and the choice of probe targets.
+"""Table of members: merge rule, suspicion, timeouts and probe targets."""
 
-Records of one node are ordered by (incarnation, version, state rank). Only the
-node itself raises its version; others may only raise the state rank of a known
-version. Merging keeps the greatest record, so tables converge in any order.
-"""
-
-import enum
 import math
 import random
-import sys
-from array import array
 from collections.abc import Iterable
-from dataclasses import dataclass
-from typing import Annotated, Any
-from zlib import crc32
+from typing import Any
 
 import msgspec
 
 from briardock.clock import Clock
-
-BUCKET_COUNT = 256
-SAMPLE_TRIES = 8
-
-ShortText = Annotated[str, msgspec.Meta(max_length=128)]
-NodeId = Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
-Counter = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
-Port = Annotated[int, msgspec.Meta(ge=0, le=65535)]
-
-
-class MemberState(enum.IntEnum):
-    """State of a member; the value is its rank between equal versions."""
-
-    ALIVE = 0
-    SUSPECT = 1
-    LEAVING = 2
-    UNREACHABLE = 3
-    LEFT = 4
-
-
-VERDICTS = (MemberState.SUSPECT, MemberState.UNREACHABLE)
-
-
-class MemberRecord(msgspec.Struct, frozen=True, array_like=True, gc=False):
-    """What is known of one node.
-
-    :param node_id: name of the node
-    :param incarnation: process incarnation; a later start has a higher one
-    :param version: raised by the node itself with each change
-    :param service: service of its target, empty for none
-    :param failure_domain: failure domain of the node
-    :param region: region of the node
-    :param host: numeric address
-    :param call_port: TCP port of the call link
-    :param gossip_port: TCP port of the gossip socket
-    :param target_instance: instance id of its target, empty for none
-    :param state: state of the member
-    """
-
-    node_id: NodeId
-    incarnation: Counter
-    version: Counter
-    service: ShortText
-    failure_domain: ShortText
-    region: ShortText
-    host: ShortText
-    call_port: Port
-    gossip_port: Port
-    target_instance: ShortText
-    state: MemberState = MemberState.ALIVE
-
-
-@dataclass(frozen=True, slots=True)
-class MembershipSettings:
-    """Limits of a member table.
-
-    :param suspicion_factor: suspicion lasts this many periods per doubling of
-        the number of members, so that a refutation can spread in time
-    :param min_suspicion_periods: shortest suspicion in probe periods
-    :param period_ms: probe period
-    :param unreachable_every: one probe in this many goes to an unreachable
-        member; together the nodes then notice a healed partition in seconds
-    :param unreachable_keep_ms: unreachable members are probed for this long
-    :param tombstone_ms: left members are remembered for this long
-    """
-
-    suspicion_factor: float = 1.2
-    min_suspicion_periods: float = 3.0
-    period_ms: float = 1_000.0
-    unreachable_every: int = 5
-    unreachable_keep_ms: float = 3 * 3_600_000.0
-    tombstone_ms: float = 3_600_000.0
-
-
-def order_key(record: MemberRecord) -> tuple[Any, ...]:
-    """Return the total order of records of one node.
-
-    The remaining fields only break ties between records that no correct node
-    issues, so that merging stays independent of order even then.
-    """
-    return (
-        record.incarnation,
-        record.version,
-        record.state,
-        msgspec.structs.astuple(record),
-    )
-
-
-def is_newer(record: MemberRecord, known: MemberRecord) -> bool:
-    """Return whether a record replaces a known one of the same node."""
-    if record.incarnation != known.incarnation:
-        return record.incarnation > known.incarnation
-    if record.version != known.version:
-        return record.version > known.version
-    return record != known and order_key(record) > order_key(known)
-
-
-def declared(record: MemberRecord) -> MemberRecord:
-    """Return a record as its node declares it, without verdicts of others."""
-    if record.state in VERDICTS:
-        return _with_state(record, MemberState.ALIVE)
-    return record
-
-
-def bucket_of(node_id: str) -> int:
-    """Return the bucket of a node for comparing tables."""
-    return crc32(node_id.encode()) % BUCKET_COUNT
-
-
-def _record_digest(record: MemberRecord) -> int:
-    """Return the digest of what the node says of itself; verdicts are left out."""
-    if record.state is MemberState.LEFT:
-        return 0
-    leaving = record.state is MemberState.LEAVING
-    text = f"{record.node_id}|{record.incarnation}|{record.version}|{leaving}"
-    return crc32(text.encode())
+from briardock.member_records import (
+    VERDICTS,
+    MemberRecord,
+    MemberState,
+    bucket_of,
+    interned,
+    is_newer,
+    with_state,
+)
+from briardock.membership_digest import TableDigest
+from briardock.membership_ring import ProbeRing
+from briardock.membership_settings import MembershipSettings
+from briardock.membership_usable import UsableIndex
+
+__all__ = [
+    "MemberRecord",
+    "MemberState",
+    "MemberTable",
+    "MembershipSettings",
+    "make_member_table",
+]
+
+
+HURRIED_EVERY = 2
 
 
 class MemberTable:
@@ -161,13 +59,11 @@
         self._records: dict[str, MemberRecord] = {}
         self._since: dict[str, float] = {}
         self._forgotten: dict[str, tuple[int, int, float]] = {}
-        self._digests = array("I", [0] * BUCKET_COUNT)
-        self._digest = 0
-        self._ring: list[str] = []
-        self._ring_index = 0
+        self.digest = TableDigest()
+        self._ring = ProbeRing(rng, self.is_reachable)
         self._probe_count = 0
-        self._usable: dict[str, list[MemberRecord]] = {}
-        self._usable_until_ms = math.inf
+        self._returned_ms = -math.inf
+        self._usable = UsableIndex(self._records)
         self._last_expire_ms = clock.now_ms()
         self._store(own, None)
 
@@ -176,11 +72,6 @@
         """Record of this node."""
         return self._own
 
-    @property
-    def digest(self) -> int:
-        """Digest of the whole table, equal in tables that agree."""
-        return self._digest
-
     def __len__(self) -> int:
         return len(self._records)
 
@@ -230,7 +121,7 @@
             return []
         if known.state is not MemberState.ALIVE:
             return []
-        return self.merge([_with_state(known, MemberState.SUSPECT)])
+        return self.merge([with_state(known, MemberState.SUSPECT)])
 
     def heard_from(self, node_id: str) -> None:
         """Note that a leaving member still answers."""
@@ -254,6 +145,12 @@
                 del self._forgotten[node_id]
         return changed
 
+    def end_grace(self) -> list[MemberRecord]:
+        """Return the unreachable members that were usable until now."""
+        ended = self._usable.end_grace(self._clock.now_ms())
+        self.revision += len(ended)
+        return ended
+
     def suspicion_ms(self) -> float:
         """Return the current suspicion timeout in ms."""
         settings = self._settings
@@ -267,19 +164,12 @@
         """Return the members that may get new calls of a service.
 
         A member found unreachable by others stays usable until its suspicion
-        would have run out here, so that outdated verdicts arriving after a
-        partition cannot empty the list. The list is shared; do not change it.
+        would have run out here; ``end_grace`` ends it. The list is shared; do not
+        change it.
 
         :param service: name of the service
         """
-        if self._clock.now_ms() >= self._usable_until_ms:
-            self._usable.clear()
-            self._usable_until_ms = math.inf
-        found = self._usable.get(service)
-        if found is None:
-            found = [r for r in self._records.values() if self._is_usable(r, service)]
-            self._usable[service] = found
-        return found
+        return self._usable.get(service)
 
     def is_reachable(self, node_id: str) -> bool:
         """Return whether a member is alive, suspect or leaving."""
@@ -297,18 +187,7 @@
         :param exclude: node ids to leave out
         """
         passed = {self._own.node_id, *exclude}
-        ring = self._ring
-        if len(ring) <= count * SAMPLE_TRIES:
-            return self._sample_small(count, passed)
-        found: list[MemberRecord] = []
-        for _ in range(count * SAMPLE_TRIES):
-            node_id = ring[self._rng.randrange(len(ring))]
-            if node_id not in passed and self.is_reachable(node_id):
-                passed.add(node_id)
-                found.append(self._records[node_id])
-                if len(found) == count:
-                    return found
-        return found + self._sample_small(count - len(found), passed)
+        return [self._records[i] for i in self._ring.sample(count, passed)]
 
     def next_probe_target(self) -> MemberRecord | None:
         """Return the member to probe in this period, if there is any.
@@ -317,42 +196,33 @@
         one comes instead.
         """
         self._probe_count += 1
-        if self._probe_count % self._settings.unreachable_every == 0:
+        if self._probe_count % self._unreachable_every() == 0:
             return self._pick_unreachable() or self._next_reachable()
         return self._next_reachable() or self._pick_unreachable()
 
-    def bucket_digests(self) -> bytes:
-        """Return the digests of all buckets, 4 bytes each, little-endian."""
-        if sys.byteorder == "little":
-            return self._digests.tobytes()
-        swapped = array("I", self._digests)
-        swapped.byteswap()
-        return swapped.tobytes()
-
-    def differing_buckets(self, digests: bytes) -> list[int]:
-        """Return the buckets whose digest differs from that of another table.
-
-        :param digests: bucket digests of the other table
-        """
-        own = self.bucket_digests()
-        starts = range(0, BUCKET_COUNT * 4, 4)
-        return [i // 4 for i in starts if own[i : i + 4] != digests[i : i + 4]]
-
     def records_in(self, buckets: set[int]) -> list[MemberRecord]:
-        """Return the records of some buckets, tombstones included."""
-        return [r for r in self._records.values() if bucket_of(r.node_id) in buckets]
+        """Return the records of some buckets that may be handed on."""
+        unshared = self.digest.unshared
+        return [
+            record
+            for node_id, record in self._records.items()
+            if bucket_of(node_id) in buckets and node_id not in unshared
+        ]
 
     def _merge_one(self, record: MemberRecord) -> MemberRecord | None:
         if record.node_id == self._own.node_id:
             return self._merge_own(record)
         known = self._records.get(record.node_id)
         if known is None:
-            if self._is_forgotten(record):
+            full = len(self._records) >= self._settings.max_members
+            if full or self._is_forgotten(record):
                 return None
         elif not is_newer(record, known):
             return None
-        kept = _interned(record, known)
+        kept = interned(record, known)
         self._store(kept, known)
+        if known is not None and known.state is MemberState.UNREACHABLE:
+            self._returned_ms = self._clock.now_ms()
         return kept
 
     def _merge_own(self, record: MemberRecord) -> MemberRecord | None:
@@ -373,55 +243,30 @@
 
     def _store(self, record: MemberRecord, known: MemberRecord | None) -> None:
         node_id = record.node_id
-        change = _record_digest(record) ^ (_record_digest(known) if known else 0)
-        self._digests[bucket_of(node_id)] ^= change
-        self._digest ^= change
+        self.digest.replace(record, known)
         self._records[node_id] = record
+        self.revision += 1
+        self._usable.changed(record, known)
         self._note_time(record, known)
-        self._touch(record, known)
         if node_id != self._own.node_id and (
             known is None or known.state is MemberState.LEFT
         ):
-            self._add_to_ring(node_id)
+            self._ring.add(node_id)
 
     def _note_time(self, record: MemberRecord, known: MemberRecord | None) -> None:
         """Keep the start of a suspicion through the verdict that ends it."""
-        if record.node_id == self._own.node_id:
+        node_id = record.node_id
+        if node_id == self._own.node_id:
             return
-        same = known is not None and known.version == record.version
-        match record.state:
-            case MemberState.ALIVE | MemberState.LEAVING:
-                self._since.pop(record.node_id, None)
-            case MemberState.UNREACHABLE if same and known and known.state in VERDICTS:
-                pass
-            case _:
-                self._since[record.node_id] = self._clock.now_ms()
-
-    def _touch(self, record: MemberRecord, known: MemberRecord | None) -> None:
-        self.revision += 1
-        self._usable.pop(record.service, None)
-        if known is not None:
-            self._usable.pop(known.service, None)
-
-    def _add_to_ring(self, node_id: str) -> None:
-        """Insert at a random place so that probe order stays unpredictable."""
-        ring = self._ring
-        place = self._rng.randrange(len(ring) + 1)
-        ring.append(node_id)
-        ring[place], ring[-1] = ring[-1], ring[place]
-
-    def _is_usable(self, record: MemberRecord, service: str) -> bool:
-        if record.service != service or not record.target_instance:
-            return False
-        if record.state < MemberState.LEAVING:
-            return True
-        if record.state is not MemberState.UNREACHABLE:
-            return False
-        until_ms = self._since[record.node_id] + self.suspicion_ms()
-        if self._clock.now_ms() >= until_ms:
-            return False
-        self._usable_until_ms = min(self._usable_until_ms, until_ms)
-        return True
+        now_ms = self._clock.now_ms()
+        if record.state in (MemberState.ALIVE, MemberState.LEAVING):
+            self._since.pop(node_id, None)
+        elif known is None or not _ends_suspicion(record, known):
+            self._since[node_id] = now_ms
+        if record.state is MemberState.UNREACHABLE and known is not None:
+            until_ms = self._since[node_id] + self.suspicion_ms()
+            if until_ms > now_ms:
+                self._usable.give_grace(record, until_ms)
 
     def _excuse_pause(self, now_ms: float) -> None:
         """Extend running suspicions after this process was paused."""
@@ -435,11 +280,13 @@
 
     def _expire_one(self, node_id: str, age_ms: float) -> list[MemberRecord]:
         record = self._records[node_id]
+        if record.state >= MemberState.UNREACHABLE:
+            self._limit_sharing(record, age_ms)
         match record.state:
             case MemberState.SUSPECT if age_ms >= self.suspicion_ms():
-                return self.merge([_with_state(record, MemberState.UNREACHABLE)])
+                return self.merge([with_state(record, MemberState.UNREACHABLE)])
             case MemberState.LEAVING if age_ms >= self.suspicion_ms():
-                return self.merge([_with_state(record, MemberState.LEFT)])
+                return self.merge([with_state(record, MemberState.LEFT)])
             case MemberState.UNREACHABLE:
                 if age_ms >= self._settings.unreachable_keep_ms:
                     self._forget(record)
@@ -448,15 +295,20 @@
                     self._forget(record)
         return []
 
+    def _limit_sharing(self, record: MemberRecord, age_ms: float) -> None:
+        if record.node_id in self.digest.unshared:
+            return
+        if age_ms >= self._settings.share_ms:
+            self.digest.stop_sharing(record)
+
     def _forget(self, record: MemberRecord) -> None:
         """Drop a record and refuse the same version from slower members."""
         node_id = record.node_id
-        digest = _record_digest(record)
-        self._digests[bucket_of(node_id)] ^= digest
-        self._digest ^= digest
+        self.digest.replace(None, record)
         del self._records[node_id]
         del self._since[node_id]
-        self._touch(record, None)
+        self.revision += 1
+        self._usable.changed(record, None)
         self._forgotten[node_id] = (
             record.incarnation,
             record.version,
@@ -472,31 +324,23 @@
         del self._forgotten[record.node_id]
         return False
 
-    def _sample_small(self, count: int, passed: set[str]) -> list[MemberRecord]:
-        ids = {i for i in self._ring if i not in passed and self.is_reachable(i)}
-        chosen = self._rng.sample(sorted(ids), min(count, len(ids)))
-        return [self._records[node_id] for node_id in chosen]
-
     def _next_reachable(self) -> MemberRecord | None:
-        for _ in range(len(self._ring) + 1):
-            if self._ring_index >= len(self._ring):
-                self._start_round()
-            if not self._ring:
-                return None
-            node_id = self._ring[self._ring_index]
-            self._ring_index += 1
-            if self.is_reachable(node_id):
-                return self._records[node_id]
-        return None
+        node_id = self._ring.next_id(self._probed_ids)
+        return None if node_id is None else self._records[node_id]
 
-    def _start_round(self) -> None:
+    def _probed_ids(self) -> list[str]:
         own_id = self._own.node_id
         left = MemberState.LEFT
-        self._ring = [
+        return [
             i for i, r in self._records.items() if i != own_id and r.state is not left
         ]
-        self._rng.shuffle(self._ring)
-        self._ring_index = 0
+
+    def _unreachable_every(self) -> int:
+        """Probe unreachable members more often once one of them returned."""
+        settings = self._settings
+        hurry_ms = settings.hurry_periods * settings.period_ms
+        hurried = self._clock.now_ms() - self._returned_ms < hurry_ms
+        return HURRIED_EVERY if hurried else settings.unreachable_every
 
     def _pick_unreachable(self) -> MemberRecord | None:
         found = [
@@ -507,19 +351,13 @@
         return self._records[self._rng.choice(found)] if found else None
 
 
-def _with_state(record: MemberRecord, state: MemberState) -> MemberRecord:
-    return msgspec.structs.replace(record, state=state)
-
-
-def _interned(record: MemberRecord, known: MemberRecord | None) -> MemberRecord:
-    """Return the record with its repeated strings shared between records."""
-    return msgspec.structs.replace(
-        record,
-        node_id=known.node_id if known else record.node_id,
-        service=sys.intern(record.service),
-        failure_domain=sys.intern(record.failure_domain),
-        region=sys.intern(record.region),
-        host=sys.intern(record.host),
+def _ends_suspicion(record: MemberRecord, known: MemberRecord) -> bool:
+    """Return whether a record only turns a suspicion into a verdict."""
+    return (
+        record.state is MemberState.UNREACHABLE
+        and known.state in VERDICTS
+        and record.incarnation == known.incarnation
+        and record.version == known.version
     )
 
 
