--- a/src/briardock/_callgraph.py
+++ b/src/briardock/_callgraph.py
@@ -19,18 +19,18 @@
     :param key: key that shows the problem
     :param message: what is wrong
     :param remedy: what the operator can do
-    :param warning: whether it does not prevent publishing
     """
 
     operation: str
     key: str
     message: str
     remedy: str
-    warning: bool = False
 
 
 def check_calls(operations: Mapping[str, Operation]) -> list[CallProblem]:
-    """Return all problems of the call graph.
+    """Return the problems of the call graph that prevent publishing.
+
+    They depend only on the names, calls and idempotence of the operations.
 
     :param operations: operations by full name
     """
@@ -43,7 +43,6 @@
     order = _order_callees_first(edges, problems)
     problems += _check_chains(edges, order)
     problems += _check_repeatable(operations, edges, order)
-    problems += _check_deadlines(operations, edges)
     return problems
 
 
@@ -121,21 +120,21 @@
             )
 
 
-def _check_deadlines(
-    operations: Mapping[str, Operation], edges: dict[str, list[str]]
-) -> Iterator[CallProblem]:
-    """Warn about callees whose deadline is longer than that of the caller."""
-    for name, callees in edges.items():
-        for callee in callees:
-            own_ms, callee_ms = (
-                operations[name].deadline_ms,
-                operations[callee].deadline_ms,
-            )
+def check_deadlines(operations: Mapping[str, Operation]) -> Iterator[CallProblem]:
+    """Report callees whose deadline is longer than that of the caller.
+
+    This does not prevent publishing: a callee that is also an entry has a
+    deadline of its own.
+
+    :param operations: operations by full name
+    """
+    for name, operation in operations.items():
+        for callee in operation.calls:
+            own_ms, callee_ms = operation.deadline_ms, operations[callee].deadline_ms
             if callee_ms > own_ms:
                 yield CallProblem(
                     name,
                     "deadline_ms",
                     f"{own_ms} ms is below the {callee_ms} ms of its callee {callee}",
                     "the callee gets only the time left; raise or lower one of them",
-                    warning=True,
                 )
--- a/src/briardock/_catalog.py
+++ b/src/briardock/_catalog.py
@@ -112,7 +112,6 @@
     :param classes: classes by name
     :param operations: operations by full name
     :param policy: policy of the deployment
-    :param warnings: problems that do not prevent publishing
     """
 
     def __init__(
@@ -122,14 +121,12 @@
         classes: dict[str, OperationClass],
         operations: dict[str, Operation],
         policy: Policy,
-        warnings: tuple[Fault, ...] = (),
     ) -> None:
         self.files = files
         self.services = services
         self.classes = classes
         self.operations = operations
         self.policy = policy
-        self.warnings = warnings
         self._literals: dict[str, Operation] = {}
         self._patterns: dict[str, list[Operation]] = {}
         self._index(operations.values())
--- a/src/briardock/_configstate.py
+++ b/src/briardock/_configstate.py
@@ -80,6 +80,18 @@
         """Digest of version and files."""
         return digest_of(self.version, self._files)
 
+    def report(self) -> dict[str, object]:
+        """Return the state without the texts, for a dump."""
+        return {
+            "version": self.version,
+            "last_offset": self.last_offset,
+            "checkpoint_offset": self.checkpoint_offset,
+            "is_incomplete": self.is_incomplete,
+            "log_restarted": self.log_restarted,
+            "digest": self.digest,
+            "files": self.versions,
+        }
+
     def result_of(self, change_id: str) -> ChangeResult | None:
         """Return what became of a recent change, or ``None`` if it was not seen."""
         return self._changes.get(change_id)
@@ -140,10 +152,11 @@
             digest=self.digest,
         )
 
-    def restore(self, checkpoint: Checkpoint) -> bool:
-        """Replace the state by a checkpoint of a later version.
+    def restore(self, checkpoint: Checkpoint, offset: int) -> bool:
+        """Replace the state by a checkpoint that is not older.
 
         :param checkpoint: from the log
+        :param offset: offset of its record
         :returns: whether the state covers ``checkpoint.as_of`` now
         """
         if digest_of(checkpoint.version, checkpoint.files) != checkpoint.digest:
@@ -162,6 +175,8 @@
             return False
         self._changes.add(checkpoint.results)
         self._advance(checkpoint.as_of)
+        self.checkpoint_offset = max(self.checkpoint_offset, offset)
+        emit(Event.CONFIG_RESTORED, as_of=checkpoint.as_of, version=self.version)
         return True
 
     def snapshot(self) -> bytes:
@@ -284,10 +299,8 @@
         if not isinstance(record, Checkpoint) or not first - 1 <= record.as_of < offset:
             return Ignored("records are missing; waiting for a checkpoint")
         before = self.version
-        if not self.restore(record):
+        if not self.restore(record, offset):
             return Ignored("checkpoint cannot be used")
-        self.checkpoint_offset = offset
-        emit(Event.CONFIG_RESTORED, as_of=record.as_of, version=self.version)
         if self.version == before:
             return Ignored("checkpoint of the current version")
         return Accepted(self.version, self.snapshot())
--- a/src/briardock/_publisher.py
+++ b/src/briardock/_publisher.py
@@ -31,8 +31,14 @@
     LogUnavailableError,
     PublishConflictError,
 )
-from briardock.platformlog import LogClient, LogFailure
-from briardock.publishing import Accepted, ConfigState, make_config_state
+from briardock.platformlog import LogClient, LogFailure, ReadResult
+from briardock.publishing import (
+    CHECKPOINT_RECORDS,
+    Accepted,
+    ConfigState,
+    make_config_state,
+    skip_to_checkpoint,
+)
 
 READ_RECORDS = 200
 READ_WAIT_MS = 200.0
@@ -62,6 +68,7 @@
         self.state: ConfigState = make_config_state()
         self.authors: dict[str, str] = {}
         self._failure = "it has too many records"
+        self._may_skip = True
         self._client = client
         self._timeout_s = timeout_s
 
@@ -136,6 +143,8 @@
             await anyio.sleep(RETRY_PAUSE_S)
             return False
         state.observe_log(result.first, result.next)
+        if await self._skip(result):
+            return False
         for item in result.records:
             was_incomplete = state.is_incomplete
             if isinstance(state.apply(item.offset, item.body), Accepted):
@@ -144,6 +153,16 @@
                 break
         return state.next_offset >= result.next
 
+    async def _skip(self, result: ReadResult) -> bool:
+        """Replace a long replay by a checkpoint, once, and return whether done."""
+        if not self._may_skip:
+            return False
+        self._may_skip = False
+        backlog = result.next - self.state.next_offset
+        return backlog > CHECKPOINT_RECORDS and await skip_to_checkpoint(
+            self._client, self.state, result.first, result.next
+        )
+
     def _note_author(self, body: bytes) -> None:
         """Remember who changed which file last."""
         record = decode_record(body)
--- a/src/briardock/_sections.py
+++ b/src/briardock/_sections.py
@@ -1,6 +1,5 @@
 """Sections and keys of the operators' configuration, with types and ranges."""
 
-import math
 import re
 from typing import Annotated, Any, Literal
 
@@ -82,7 +81,4 @@
         if not _PATH.match(path) or len(path) > 512:
             raise ValueError("expected a path such as /jobs/{id}, without query")
         return method, path
-    value = msgspec.convert(text, annotation, strict=False)
-    if isinstance(value, float) and not math.isfinite(value):
-        raise ValueError("expected a finite number")
-    return value
+    return msgspec.convert(text, annotation, strict=False)
--- a/src/briardock/_settings_table.py
+++ b/src/briardock/_settings_table.py
@@ -9,6 +9,7 @@
 
 from msgspec import Meta
 
+MAX_SEEDS = 64
 NAME_PATTERN = r"^[A-Za-z0-9][A-Za-z0-9_-]{0,63}\Z"
 
 
@@ -75,7 +76,7 @@
     seeds: Annotated[
         tuple[Address, ...],
         Meta(
-            max_length=64,
+            max_length=MAX_SEEDS,
             description="gossip addresses of first contacts, list of host:port",
         ),
     ] = ()
--- a/src/briardock/configuration.py
+++ b/src/briardock/configuration.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 from typing import Any, NamedTuple
 
-from briardock._callgraph import check_calls
+from briardock._callgraph import check_calls, check_deadlines
 from briardock._catalog import (
     Catalog,
     Fault,
@@ -30,6 +30,7 @@
     "OperationClass",
     "Policy",
     "Service",
+    "find_warnings",
     "load_folder",
     "merge_and_check",
 ]
@@ -100,16 +101,30 @@
     affected = _affected_sections(files, previous) if previous else None
     merged = _merge(files, affected, faults)
     if previous is None or affected is None:
-        catalog = _build(
-            files, merged, faults, Catalog({}, {}, {}, {}, _make_policy({}))
-        )
+        empty = Catalog({}, {}, {}, {}, _make_policy({}))
+        catalog = _build(files, merged, faults, empty)
+        calls_changed = True
     else:
         catalog = _build(files, merged, faults, previous, affected)
-    warnings = _check_whole(catalog, faults)
-    catalog.warnings = tuple(sorted(warnings, key=_place_of))
+        calls_changed = _calls_changed(catalog, previous, affected)
+    _check_whole(catalog, calls_changed, faults)
     return sorted(faults, key=_place_of) or catalog
 
 
+def find_warnings(catalog: Catalog) -> list[Fault]:
+    """Return the problems of a catalog that do not prevent publishing.
+
+    :param catalog: from :func:`merge_and_check`
+    """
+    warnings: list[Fault] = []
+    for found in check_deadlines(catalog.operations):
+        section = f"operation {found.operation}"
+        warnings.append(
+            _locate(catalog, section, found.key, found.message, found.remedy)
+        )
+    return sorted(warnings, key=_place_of)
+
+
 def _place_of(fault: Fault) -> tuple[str, int, str, str, str]:
     """Return a sort key that does not depend on the order of the checks."""
     return fault.file, fault.line, fault.section, fault.key, fault.message
@@ -163,8 +178,9 @@
             continue
         for text in (old, new):
             parsed = parse_ini(text or "")
-            if not isinstance(parsed, IniError):
-                affected.update(parsed)
+            if isinstance(parsed, IniError):
+                return None
+            affected.update(parsed)
     kinds = {section.partition(" ")[0] for section in affected}
     return None if kinds & {"policy", "class"} else affected
 
@@ -310,30 +326,46 @@
     )
 
 
-def _check_whole(catalog: Catalog, faults: list[Fault]) -> list[Fault]:
-    """Report faults between sections and return the warnings."""
-    warnings: list[Fault] = []
+def _calls_changed(catalog: Catalog, previous: Catalog, affected: set[str]) -> bool:
+    """Return whether the call graph may differ from that of a checked catalog."""
+    for section in affected:
+        kind, _, name = section.partition(" ")
+        if kind != "operation":
+            continue
+        old, new = previous.operation(name), catalog.operation(name)
+        if old is None or new is None:
+            return True
+        if (old.calls, old.idempotent) != (new.calls, new.idempotent):
+            return True
+    return False
 
-    def report(section: str, key: str, message: str, remedy: str) -> None:
-        place = find_place(catalog.files, section, key)
-        if not place[0]:
-            place = find_place(catalog.files, section, "")
-        faults.append(Fault(*place, section, key, message, remedy))
 
+def _check_whole(catalog: Catalog, calls_changed: bool, faults: list[Fault]) -> None:
+    """Report faults between sections."""
     default_class = catalog.policy.default_class
     if default_class and default_class not in catalog.classes:
+        message = f"unknown class '{default_class}'"
         remedy = nearest(default_class, catalog.classes)
-        report("policy", "default_class", f"unknown class '{default_class}'", remedy)
+        faults.append(_locate(catalog, "policy", "default_class", message, remedy))
     for operation in catalog.operations.values():
         for problem in _check_references(operation, catalog):
-            report(f"operation {operation.name}", *problem)
+            faults.append(_locate(catalog, f"operation {operation.name}", *problem))
     for name, message in _duplicates(catalog.operations.values()):
-        report(f"operation {name}", "match", message, "change one of them")
-    for found in check_calls(catalog.operations):
-        report(f"operation {found.operation}", found.key, found.message, found.remedy)
-        if found.warning:
-            warnings.append(faults.pop())
-    return warnings
+        section, remedy = f"operation {name}", "change one of them"
+        faults.append(_locate(catalog, section, "match", message, remedy))
+    for found in check_calls(catalog.operations) if calls_changed else ():
+        section = f"operation {found.operation}"
+        faults.append(_locate(catalog, section, found.key, found.message, found.remedy))
+
+
+def _locate(
+    catalog: Catalog, section: str, key: str, message: str, remedy: str
+) -> Fault:
+    """Return a fault at the place of a key, or of its section without the key."""
+    file, line = find_place(catalog.files, section, key)
+    if not file:
+        file, line = find_place(catalog.files, section, "")
+    return Fault(file, line, section, key, message, remedy)
 
 
 def _check_references(
--- a/src/briardock/publishing.py
+++ b/src/briardock/publishing.py
@@ -15,6 +15,7 @@
     ChangeResult,
     Checkpoint,
     Publish,
+    decode_record,
     encode_record,
 )
 from briardock.clock import Clock
@@ -39,6 +40,7 @@
     "encode_record",
     "make_config_reader",
     "make_config_state",
+    "skip_to_checkpoint",
 ]
 
 READ_RECORDS = 100
@@ -66,6 +68,31 @@
         ...
 
 
+async def skip_to_checkpoint(
+    log: LogStream, state: ConfigState, first: int, following: int
+) -> bool:
+    """Restore a fresh state from the latest checkpoint, to spare a long replay.
+
+    :param log: client of the log
+    :param state: state without any version
+    :param first: oldest offset that can be read
+    :param following: offset where to stop
+    :returns: whether a checkpoint was restored
+    """
+    latest: tuple[Checkpoint, int] | None = None
+    offset = first
+    while offset < following:
+        result = await log.read(STREAM, offset, READ_RECORDS)
+        if isinstance(result, LogFailure) or not result.records:
+            break
+        for item in result.records:
+            record = decode_record(item.body)
+            if isinstance(record, Checkpoint) and first - 1 <= record.as_of:
+                latest = (record, item.offset) if record.as_of < item.offset else latest
+        offset = result.records[-1].offset + 1
+    return latest is not None and state.restore(*latest)
+
+
 class ConfigReader:
     """Follows the log and applies its records to the state of this node.
 
@@ -103,6 +130,7 @@
         self._next = 0
         self._checkpoint_seen_ms = clock.now_ms()
         self._checkpoint_at_ms: float | None = None
+        self._may_skip = True
 
     async def run(self) -> None:
         """Follow the log until cancelled."""
@@ -137,6 +165,8 @@
         state = self._state
         self._first, self._next = result.first, result.next
         state.observe_log(result.first, result.next)
+        if await self._skip(result):
+            return
         checkpoint_before = state.checkpoint_offset
         for record in result.records:
             was_incomplete = state.is_incomplete
@@ -152,6 +182,20 @@
             self._checkpoint_at_ms = None
         self.caught_up = state.next_offset >= result.next
 
+    async def _skip(self, result: ReadResult) -> bool:
+        """Replace a long replay by a checkpoint, once, and return whether done."""
+        state = self._state
+        backlog = result.next - state.next_offset
+        if not self._may_skip or state.version != NO_VERSION:
+            return False
+        self._may_skip = False
+        if backlog <= CHECKPOINT_RECORDS:
+            return False
+        if not await skip_to_checkpoint(self._log, state, result.first, result.next):
+            return False
+        self._on_accepted(state.snapshot())
+        return True
+
     def _note_success(self) -> None:
         """Record that the log answers."""
         if not self.reachable:
--- a/src/briardock/settings.py
+++ b/src/briardock/settings.py
@@ -5,7 +5,6 @@
 """
 
 import ipaddress
-import math
 import typing
 from collections.abc import Mapping
 from dataclasses import MISSING, Field, fields
@@ -17,6 +16,7 @@
 
 from briardock._ini import IniError, IniSection, IniValue, nearest, parse_ini
 from briardock._settings_table import (
+    MAX_SEEDS,
     Address,
     AdminSection,
     AdmissionSection,
@@ -203,10 +203,10 @@
     """Return the value of one key in its type and range."""
     try:
         if key == "seeds":
-            return tuple(_parse_address(part) for part in _split_list(value.text))
+            return _parse_seeds(value.text)
         if (section, key) in _NUMERIC_HOSTS:
             return str(ipaddress.ip_address(value.text))
-        converted = msgspec.convert(value.text, annotation, strict=False)
+        return msgspec.convert(value.text, annotation, strict=False)
     except msgspec.ValidationError as error:
         message = str(error)[0].lower() + str(error)[1:]
         raise _error(
@@ -216,14 +216,17 @@
         raise _error(
             name, section, key, value.line, str(error), "use a numeric IP address"
         ) from error
-    if isinstance(converted, float) and not math.isfinite(converted):
-        raise _error(name, section, key, value.line, "not finite", "use a number")
-    return converted
 
 
-def _split_list(text: str) -> list[str]:
-    """Return the items of a list separated by commas or white space."""
-    return text.replace(",", " ").split()
+def _parse_seeds(text: str) -> tuple[Address, ...]:
+    """Return the addresses of a list separated by commas or white space.
+
+    :raises ValueError: if one is malformed or there are too many
+    """
+    parts = text.replace(",", " ").split()
+    if len(parts) > MAX_SEEDS:
+        raise ValueError(f"more than {MAX_SEEDS} addresses")
+    return tuple(_parse_address(part) for part in parts)
 
 
 def _parse_address(text: str) -> Address:
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,395 @@
+"""Tests of the operator command against the stand-in log and a canned node."""
+
+import http.server
+import json
+import threading
+from collections.abc import Iterator
+from pathlib import Path
+
+import anyio
+import pytest
+
+from briardock import _publisher, cli
+from briardock._basefile import BASE_FILE
+from briardock.platformlog import (
+    FailureKind,
+    LogClient,
+    LogFailure,
+    make_log_client,
+)
+from briardock.publishing import STREAM, Publish, encode_record
+from log_service import LogService, running_log
+
+HEAD = "[policy]\ndefault_class = c\n[class c]\nrank = 3\n"
+
+
+@pytest.fixture
+def service() -> Iterator[LogService]:
+    with running_log() as running:
+        yield running
+
+
+@pytest.fixture
+def folder(tmp_path: Path) -> Path:
+    made = tmp_path / "mine"
+    made.mkdir()
+    (made / "00.ini").write_text(HEAD)
+    (made / "10.ini").write_text("[service s]\n")
+    return made
+
+
+def run(*arguments: object) -> int:
+    """Run the command and return its exit code."""
+    try:
+        cli.main([str(item) for item in arguments])
+    except SystemExit as end:
+        return int(end.code or 0)
+    return 0
+
+
+def publish(service: LogService, folder: Path, *options: object) -> int:
+    return run("publish", folder, "--log", service.address, *options)
+
+
+def fetch(service: LogService, folder: Path, *options: object) -> int:
+    return run("fetch", folder, "--log", service.address, *options)
+
+
+def record_count(service: LogService) -> int:
+    async def read() -> int:
+        client = make_log_client(service.host, service.port)
+        result = await client.read(STREAM, 0, 1000)
+        await client.close()
+        assert not isinstance(result, LogFailure)
+        return len(result.records)
+
+    return anyio.run(read)
+
+
+def error_line(capsys: pytest.CaptureFixture[str]) -> str:
+    """Return the only line on standard error."""
+    lines = capsys.readouterr().err.splitlines()
+    assert len(lines) == 1 and lines[0].startswith("briardock: "), lines
+    return lines[0]
+
+
+def test_publish_sends_changes_once(service: LogService, folder: Path) -> None:
+    assert publish(service, folder) == 0
+    assert publish(service, folder) == 0
+    assert record_count(service) == 1
+    (folder / "10.ini").write_text("[service t]\n")
+    assert publish(service, folder) == 0
+    assert record_count(service) == 2
+
+
+def test_two_teams_change_different_files(
+    service: LogService, folder: Path, tmp_path: Path
+) -> None:
+    publish(service, folder)
+    other = tmp_path / "other"
+    assert fetch(service, other) == 0
+    (folder / "10.ini").write_text("[service t]\n")
+    (other / "20.ini").write_text("[service u]\n")
+    assert publish(service, folder) == 0
+    assert publish(service, other) == 0
+    assert fetch(service, other) == 0
+    names = sorted(item.name for item in other.iterdir())
+    assert names == [BASE_FILE, "00.ini", "10.ini", "20.ini"]
+    assert (other / "10.ini").read_text() == "[service t]\n"
+
+
+def test_edit_of_an_old_copy_is_refused(
+    service: LogService,
+    folder: Path,
+    tmp_path: Path,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    publish(service, folder, "--author", "ana")
+    other = tmp_path / "other"
+    fetch(service, other)
+    (folder / "10.ini").write_text("[service t]\n")
+    publish(service, folder, "--author", "ana")
+    (other / "10.ini").write_text("[service u]\n")
+    capsys.readouterr()
+    assert publish(service, other) == 4
+    line = error_line(capsys)
+    assert "10.ini" in line and "by ana" in line
+    # Neither publish nor fetch may lose the edit.
+    assert fetch(service, other) == 3
+    assert (other / "10.ini").read_text() == "[service u]\n"
+    assert fetch(service, other, "--overwrite") == 0
+    assert (other / "10.ini").read_text() == "[service t]\n"
+
+
+def test_loser_of_a_race_is_told_who_won(
+    service: LogService,
+    folder: Path,
+    monkeypatch: pytest.MonkeyPatch,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    publish(service, folder)
+    (folder / "10.ini").write_text("[service mine]\n")
+    send = _publisher.LogView.send
+    winner = Publish("w", "bob", {"10.ini": 0}, {"10.ini": "[service theirs]\n"})
+
+    async def lose(view: _publisher.LogView, record: Publish) -> object:
+        # The other change lands between the check and the append.
+        await view._client.append(STREAM, encode_record(winner))
+        return await send(view, record)
+
+    monkeypatch.setattr(_publisher.LogView, "send", lose)
+    capsys.readouterr()
+    assert publish(service, folder) == 4
+    line = error_line(capsys)
+    assert "10.ini" in line and "version 1 by bob" in line
+
+
+@pytest.mark.parametrize("lost", [1, 3])
+def test_lost_acknowledgement_does_not_double(
+    service: LogService, folder: Path, lost: int
+) -> None:
+    service.set_fault("lose_ack", count=lost)
+    assert publish(service, folder) == 0
+    service.set_fault("none")
+    assert record_count(service) == 1
+
+
+def test_lost_append_is_retried_under_its_change_id(
+    service: LogService, folder: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against a retry with a new id, which the first append, when it
+    # arrives late, would defeat.
+    append = LogClient.append
+    bodies: list[bytes] = []
+
+    async def flaky(client: LogClient, stream: str, body: bytes) -> object:
+        bodies.append(body)
+        if len(bodies) == 1:
+            kind = FailureKind.TIMEOUT
+            return LogFailure(kind, "no answer", outcome_unknown=True)
+        await append(client, stream, body)
+        return await append(client, stream, body)
+
+    monkeypatch.setattr(LogClient, "append", flaky)
+    assert publish(service, folder) == 0
+    assert len(bodies) == 2 and bodies[0] == bodies[1]
+    assert record_count(service) == 2
+
+
+def test_outage_is_a_clear_error_and_publish_can_be_repeated(
+    service: LogService, folder: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    service.set_fault("outage")
+    assert publish(service, folder, "--timeout-s", 0.5) == 5
+    assert "503" in error_line(capsys)
+    assert not (folder / BASE_FILE).exists()
+    service.set_fault("none")
+    assert publish(service, folder) == 0
+
+
+def test_folder_without_base_is_refused(
+    service: LogService, folder: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    publish(service, folder)
+    (folder / BASE_FILE).unlink()
+    (folder / "10.ini").write_text("[service t]\n")
+    capsys.readouterr()
+    assert publish(service, folder) == 3
+    assert "--base-current" in error_line(capsys)
+    assert publish(service, folder, "--base-current") == 0
+
+
+def test_base_of_another_log_is_refused(service: LogService, folder: Path) -> None:
+    # Guards against versions that agree by chance.
+    publish(service, folder)
+    (folder / "10.ini").write_text("[service t]\n")
+    with running_log() as other:
+        theirs = Publish("x", "bob", {}, {"10.ini": "[service u]\n", "00.ini": HEAD})
+
+        async def append() -> None:
+            client = make_log_client(other.host, other.port)
+            await client.append(STREAM, encode_record(theirs))
+
+        anyio.run(append)
+        assert publish(other, folder) == 4
+
+
+def test_deleted_file_is_published_as_deleted(
+    service: LogService, folder: Path, tmp_path: Path
+) -> None:
+    publish(service, folder)
+    (folder / "10.ini").unlink()
+    assert publish(service, folder) == 0
+    other = tmp_path / "other"
+    fetch(service, other)
+    assert sorted(item.name for item in other.iterdir()) == [BASE_FILE, "00.ini"]
+    # The name can be used again, from the version of its deletion.
+    (other / "10.ini").write_text("[service v]\n")
+    assert publish(service, other) == 0
+
+
+@pytest.mark.parametrize("base", ["{", '{"files":{"a":1}}'])
+def test_damaged_base_is_a_clear_error(
+    service: LogService, folder: Path, base: str, capsys: pytest.CaptureFixture[str]
+) -> None:
+    (folder / BASE_FILE).write_text(base)
+    assert publish(service, folder) == 3
+    assert "damaged" in error_line(capsys)
+
+
+def test_check_reports_every_fault(
+    folder: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    assert run("check", folder) == 0
+    assert "2 files, 1 services" in capsys.readouterr().out
+    (folder / "20.ini").write_text("[service a]\nx = 1\n[class b]\nrank = 9\n")
+    assert run("check", folder) == 3
+    lines = capsys.readouterr().err.splitlines()
+    assert len(lines) == 3 and "20.ini:2" in lines[0]
+
+
+@pytest.mark.parametrize(
+    "arguments, exit_code",
+    [
+        (["bogus"], 2),
+        (["check"], 2),
+        (["check", "/nonexistent"], 3),
+        (["status"], 1),
+        (["status", "nohost"], 1),
+        (["status", "127.0.0.1:99999"], 1),
+        (["dump", "127.0.0.1:1"], 6),
+        (["publish", ".", "--wait-s", "1"], 1),
+        (["--help"], 0),
+    ],
+)
+def test_usage_errors_have_documented_exit_codes(
+    arguments: list[str], exit_code: int, capsys: pytest.CaptureFixture[str]
+) -> None:
+    assert run(*arguments) == exit_code
+    captured = capsys.readouterr()
+    assert "Traceback" not in captured.err
+    assert exit_code or "Exit codes:" in captured.out
+
+
+@pytest.mark.parametrize(
+    "error, exit_code, text",
+    [
+        (KeyboardInterrupt(), 130, "interrupted"),
+        (ValueError("odd\nthing"), 70, "internal error: ValueError: odd thing"),
+        (PermissionError(13, "Permission denied", "/x"), 1, "/x: Permission denied"),
+    ],
+)
+def test_unexpected_end_is_one_line(
+    monkeypatch: pytest.MonkeyPatch,
+    capsys: pytest.CaptureFixture[str],
+    error: BaseException,
+    exit_code: int,
+    text: str,
+) -> None:
+    def fail(argv: list[str] | None) -> None:
+        raise error
+
+    monkeypatch.setattr(cli, "_run", fail)
+    assert run() == exit_code
+    assert text in error_line(capsys)
+
+
+class CannedNode(http.server.BaseHTTPRequestHandler):
+    """Admin endpoint of a node whose version rises with every question."""
+
+    version = 0
+    seen: list[tuple[str, str, str]] = []
+
+    def do_GET(self) -> None:
+        self._reply()
+
+    def do_POST(self) -> None:
+        self._reply()
+
+    def _reply(self) -> None:
+        size = int(self.headers.get("Content-Length", 0))
+        body = self.rfile.read(size).decode()
+        CannedNode.seen.append((self.command, self.path, body))
+        CannedNode.version += 1
+        status, content = 200, {"configuration_version": CannedNode.version}
+        if self.headers.get("Authorization") != "Bearer secret":
+            status = 401
+        elif self.path == "/quarantine/lift" and "known" not in body:
+            status, content = 404, {"error": "no such fingerprint", "remedy": "list"}
+        data = json.dumps(content).encode()
+        self.send_response(status)
+        self.send_header("Content-Length", str(len(data)))
+        self.end_headers()
+        self.wfile.write(data)
+
+    def log_message(self, format: str, *args: object) -> None:
+        return
+
+
+@pytest.fixture
+def node(monkeypatch: pytest.MonkeyPatch) -> Iterator[str]:
+    monkeypatch.setenv(cli.TOKEN_VARIABLE, "secret")
+    CannedNode.version, CannedNode.seen = 0, []
+    server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), CannedNode)
+    thread = threading.Thread(target=server.serve_forever)
+    thread.start()
+    yield f"127.0.0.1:{server.server_port}"
+    server.shutdown()
+    thread.join()
+    server.server_close()
+
+
+@pytest.mark.parametrize(
+    "arguments, method, path",
+    [
+        (["status"], "GET", "/status"),
+        (["dump"], "GET", "/dump"),
+        (["drain"], "POST", "/drain"),
+        (["quarantine", "list"], "GET", "/quarantine"),
+    ],
+)
+def test_node_commands_ask_their_endpoint(
+    node: str,
+    arguments: list[str],
+    method: str,
+    path: str,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    assert run(*arguments, node) == 0
+    assert [item[:2] for item in CannedNode.seen] == [(method, path)]
+    assert '"configuration_version": 1' in capsys.readouterr().out
+
+
+def test_quarantine_lift_names_the_fingerprint(
+    node: str, capsys: pytest.CaptureFixture[str]
+) -> None:
+    assert run("quarantine", "lift", node, "known") == 0
+    assert json.loads(CannedNode.seen[0][2]) == {"fingerprint": "known"}
+    capsys.readouterr()
+    assert run("quarantine", "lift", node, "other") == 6
+    assert "no such fingerprint; list" in error_line(capsys)
+
+
+def test_refused_token_names_the_remedy(
+    node: str, capsys: pytest.CaptureFixture[str]
+) -> None:
+    assert run("status", node, "--token", "wrong") == 6
+    assert cli.TOKEN_VARIABLE in error_line(capsys)
+
+
+@pytest.mark.parametrize("wait_s, exit_code", [(20, 0), (0.1, 6)])
+def test_publish_waits_until_nodes_have_the_version(
+    service: LogService,
+    folder: Path,
+    node: str,
+    wait_s: float,
+    exit_code: int,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    publish(service, folder)
+    (folder / "10.ini").write_text("[service t]\n")
+    CannedNode.version = -3 if exit_code == 0 else -1000
+    capsys.readouterr()
+    options = ("--wait-s", wait_s, "--admin", node)
+    assert publish(service, folder, *options) == exit_code
+    assert exit_code == 0 or "not in force" in error_line(capsys)
