--- a/src/briardock/publishing.py
+++ b/src/briardock/publishing.py
@@ -179,7 +179,6 @@
             await anyio.sleep(0)
         if state.checkpoint_offset != checkpoint_before:
             self._checkpoint_seen_ms = self._clock.now_ms()
-            self._checkpoint_at_ms = None
         self.caught_up = state.next_offset >= result.next
 
     async def _skip(self, result: ReadResult) -> bool:
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -17,6 +17,8 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 HEAD = "[policy]\ndefault_class = c\n[class c]\nrank = 3\n[service s]\n"
+SERVICE_T = "[service t]\n"
+YES = "idempotent = yes"
 
 
 def operation(name: str, *lines: str, match: str = "") -> str:
@@ -274,6 +276,27 @@
     return checked.operations, checked.services, checked.classes, found
 
 
+@pytest.mark.parametrize(
+    "after",
+    [
+        SERVICE_T + operation("b", YES, "calls = s.a"),
+        SERVICE_T + operation("b", "idempotent = no"),
+        SERVICE_T + operation("b", YES, match="GET /a"),
+        SERVICE_T,
+        operation("b", YES),
+    ],
+)
+def test_change_of_one_file_is_checked_against_the_others(after: str) -> None:
+    # The fault of each change shows only together with a file not changed.
+    callers = operation("a", YES, "calls = s.b") + "[operation t.x]\nmatch = GET /\n"
+    before = SERVICE_T + operation("b", YES)
+    files = {"00.ini": HEAD, "10.ini": callers, "20.ini": before}
+    previous = build(files)
+    changed = {**files, "20.ini": after}
+    checked = merge_and_check(changed, previous)
+    assert isinstance(checked, list) and checked == merge_and_check(changed)
+
+
 @settings(max_examples=300, deadline=None)
 @given(steps=st.lists(_FILES, min_size=2, max_size=6))
 def test_result_does_not_depend_on_the_catalog_before(
--- a/tests/test_publishing.py
+++ b/tests/test_publishing.py
@@ -248,7 +248,10 @@
     assert (fresh.digest, fresh.last_offset) == (whole.digest, 6)
 
 
-def test_older_checkpoint_is_not_enough_for_a_trimmed_log() -> None:
+@pytest.mark.parametrize("trimmed, covered", [(2, True), (3, False), (4, False)])
+def test_checkpoint_must_reach_the_first_record_held(
+    trimmed: int, covered: bool
+) -> None:
     # Guards against a state that misses the records between the checkpoint and
     # the first one that is still held.
     state, _ = published(2)
@@ -257,10 +260,35 @@
     for offset in range(5):
         log.add(body(f"id{offset}", {NAMES[0]: offset - 1}, {NAMES[0]: BASE}))
     log.add(encode_record(early))
-    log.trim(4)
+    log.trim(trimmed)
     fresh = make_config_state()
     follow(fresh, log)
-    assert fresh.is_incomplete and fresh.version == -1
+    assert fresh.is_incomplete != covered
+    assert fresh.version == (4 if covered else -1)
+
+
+def test_checkpoint_of_a_lower_version_does_not_fill_a_gap() -> None:
+    # Guards against a log that lost its end and then grew past this node.
+    state, _ = published(4)
+    other, _ = published(2)
+    old = other.checkpoint()
+    later = type(old)(30, old.version, old.files, old.results, old.digest)
+    state.observe_log(20, 32)
+    assert isinstance(state.apply(31, encode_record(later)), Ignored)
+    assert (state.version, state.is_incomplete) == (3, True)
+
+
+@pytest.mark.parametrize("accepted", [True, False])
+def test_duplicate_keeps_the_first_result(accepted: bool) -> None:
+    # Guards against a retried append that tells its author the wrong result.
+    state, _ = published(1)
+    base = 0 if accepted else 5
+    record = body("twice", {NAMES[0]: base}, {NAMES[0]: text(NAMES[0], 4)})
+    state.apply(1, record)
+    assert state.apply(2, record) == Ignored("change id already seen")
+    result = state.result_of("twice")
+    assert result is not None
+    assert (result.offset, result.accepted) == (1, accepted)
 
 
 def test_damaged_or_foreign_checkpoint_is_ignored() -> None:
