Add restore command, store typed values while merging

A log whose records were trimmed before any node appended a checkpoint would refuse every later publish; restore starts again from known files.

--- a/src/briardock/_sections.py
+++ b/src/briardock/_sections.py
@@ -1,6 +1,7 @@
 """Sections and keys of the operators' configuration, with types and ranges."""
 
 import re
+import sys
 from typing import Annotated, Any, Literal
 
 import msgspec
@@ -73,12 +74,15 @@
             raise ValueError("expected yes or no")
         return text.lower() == "yes"
     if annotation is _List:
-        return tuple(dict.fromkeys(text.replace(",", " ").split()))
+        names = dict.fromkeys(text.replace(",", " ").split())
+        return tuple(sys.intern(name) for name in names)
     if key == "match":
         method, _, path = text.partition(" ")
         if method not in _METHODS:
             raise ValueError(f"expected one of {', '.join(_METHODS)} and a path")
         if not _PATH.match(path) or len(path) > 512:
             raise ValueError("expected a path such as /jobs/{id}, without query")
-        return method, path
+        return sys.intern(method), path
+    if annotation is str:
+        return sys.intern(text)
     return msgspec.convert(text, annotation, strict=False)
--- a/src/briardock/cli.py
+++ b/src/briardock/cli.py
@@ -21,9 +21,7 @@
     from briardock._publisher import LogView
 
 DEFAULT_LOG = "127.0.0.1:8410"
-TOKEN_VARIABLE = "BRIARDOCK_TOKEN"
 DEBUG_VARIABLE = "BRIARDOCK_DEBUG"
-REQUEST_TIMEOUT_S = 5.0
 POLL_PAUSE_S = 0.2
 EXIT_INTERNAL = 70
 EXIT_INTERRUPTED = 130
@@ -82,6 +80,7 @@
 
     async def run(view: "LogView") -> int:
         await view.read_to_end()
+        view.require_complete()
         return fetch_into(folder, view.state, overwrite)
 
     count, view = _with_log(log, timeout_s, run)
@@ -134,6 +133,24 @@
         print(f"version {result.version} is in force on {len(admin)} nodes")
 
 
+def restore(folder: Path, *, log: str = DEFAULT_LOG, timeout_s: float = 10.0) -> None:
+    """Start again from known files, after the log lost records for good.
+
+    It is refused while the log holds all records or a checkpoint.
+
+    :param folder: folder of INI files, the last ones known to be in force
+    :param log: HOST:PORT of the log service
+    :param timeout_s: longest time to read the log and to append
+    """
+    from briardock._publisher import restore_folder
+
+    async def run(view: "LogView") -> int:
+        return await restore_folder(folder, view)
+
+    version, _ = _with_log(log, timeout_s, run)
+    print(f"restored version {version}")
+
+
 def status(*nodes: str, token: str = "") -> None:
     """Print the status of nodes.
 
@@ -143,7 +160,7 @@
     if not nodes:
         raise BriardockError("no node given", "give HOST:PORT of admin endpoints")
     for node in nodes:
-        _print_json({node: _ask(node, "GET", "/status", token)})
+        _print_json({node: _ask_node(node, "GET", "/status", token)})
 
 
 def dump(node: str, *, token: str = "") -> None:
@@ -152,7 +169,7 @@
     :param node: HOST:PORT of its admin endpoint
     :param token: bearer token of the node; defaults to $BRIARDOCK_TOKEN
     """
-    _print_json(_ask(node, "GET", "/dump", token))
+    _print_json(_ask_node(node, "GET", "/dump", token))
 
 
 def drain(node: str, *, timeout_s: float = 60.0, token: str = "") -> None:
@@ -162,7 +179,7 @@
     :param timeout_s: longest time to wait for its answer
     :param token: bearer token of the node; defaults to $BRIARDOCK_TOKEN
     """
-    _print_json(_ask(node, "POST", "/drain", token, timeout_s=timeout_s))
+    _print_json(_ask_node(node, "POST", "/drain", token, timeout_s=timeout_s))
 
 
 def quarantine_list(node: str, *, token: str = "") -> None:
@@ -171,7 +188,7 @@
     :param node: HOST:PORT of the admin endpoint of any node
     :param token: bearer token of the node; defaults to $BRIARDOCK_TOKEN
     """
-    _print_json(_ask(node, "GET", "/quarantine", token))
+    _print_json(_ask_node(node, "GET", "/quarantine", token))
 
 
 def quarantine_lift(node: str, fingerprint: str, *, token: str = "") -> None:
@@ -182,7 +199,7 @@
     :param token: bearer token of the node; defaults to $BRIARDOCK_TOKEN
     """
     content = {"fingerprint": fingerprint}
-    _print_json(_ask(node, "POST", "/quarantine/lift", token, content))
+    _print_json(_ask_node(node, "POST", "/quarantine/lift", token, content))
 
 
 def settings() -> None:
@@ -196,6 +213,7 @@
     "check": check,
     "fetch": fetch,
     "publish": publish,
+    "restore": restore,
     "status": status,
     "dump": dump,
     "drain": drain,
@@ -261,10 +279,11 @@
     import anyio
     import logbook
 
+    from briardock._address import parse_address
     from briardock._publisher import LogView
     from briardock.platformlog import make_log_client
 
-    host, port = _parse_address(address)
+    host, port = parse_address(address)
 
     async def run() -> tuple[Any, LogView]:
         client = make_log_client(host, port, min(timeout_s, 2.0) * 1000)
@@ -289,7 +308,7 @@
     while True:
         for node in list(waiting):
             try:
-                answer = _ask(node, "GET", "/status", token)
+                answer = _ask_node(node, "GET", "/status", token)
             except NodeUnavailableError as error:
                 waiting[node] = error.message
                 continue
@@ -308,76 +327,11 @@
         time.sleep(POLL_PAUSE_S)
 
 
-def _ask(
-    node: str,
-    method: str,
-    path: str,
-    token: str,
-    content: object = None,
-    timeout_s: float = REQUEST_TIMEOUT_S,
-) -> Any:
-    """Return the JSON answer of an admin endpoint.
-
-    :raises NodeUnavailableError: if there is none
-    """
-    import httpx
+def _ask_node(*arguments: Any, **options: Any) -> Any:
+    """Return the JSON answer of an admin endpoint."""
+    from briardock._nodeclient import ask_node
 
-    host, port = _parse_address(node)
-    host = f"[{host}]" if ":" in host else host
-    token = token or os.environ.get(TOKEN_VARIABLE, "")
-    headers = {"Authorization": f"Bearer {token}"} if token else {}
-    try:
-        answer = httpx.request(
-            method,
-            f"http://{host}:{port}{path}",
-            headers=headers,
-            json=content,
-            timeout=timeout_s,
-            trust_env=False,
-        )
-    except (httpx.HTTPError, httpx.InvalidURL, UnicodeEncodeError) as error:
-        raise NodeUnavailableError(
-            f"node {node} cannot be asked: {error}",
-            "check the address of its admin endpoint and that it runs",
-        ) from error
-    return _answer_content(node, path, answer)
-
-
-def _answer_content(node: str, path: str, answer: Any) -> Any:
-    """Return the content of an answer.
-
-    :raises NodeUnavailableError: if it is an error or no JSON
-    """
-    if answer.status_code in (401, 403):
-        raise NodeUnavailableError(
-            f"node {node} refused the token", f"set {TOKEN_VARIABLE} or give --token"
-        )
-    try:
-        content = answer.json()
-    except ValueError:
-        content = None
-    if answer.is_success and content is not None:
-        return content
-    message, remedy = answer.text[:200], "check the address and the node's log"
-    if isinstance(content, dict):
-        message = content.get("error") or content.get("detail") or message
-        remedy = content.get("remedy") or remedy
-    raise NodeUnavailableError(
-        f"node {node} answered {answer.status_code} to {path}: {message}", remedy
-    )
-
-
-def _parse_address(text: str) -> tuple[str, int]:
-    """Return host and port of a ``host:port`` text.
-
-    :raises BriardockError: if it is none
-    """
-    host, _, port = text.rpartition(":")
-    if not host or not port.isascii() or not port.isdigit() or int(port) > 65535:
-        raise BriardockError(
-            f"'{text}' is not HOST:PORT", "write it like 127.0.0.1:8403"
-        )
-    return host.strip("[]"), int(port)
+    return ask_node(*arguments, **options)
 
 
 def _print_json(content: object) -> None:
--- a/src/briardock/configuration.py
+++ b/src/briardock/configuration.py
@@ -5,9 +5,10 @@
 """
 
 import re
+import sys
 from collections.abc import Iterable, Iterator, Mapping
 from pathlib import Path
-from typing import Any, NamedTuple
+from typing import Any
 
 from briardock._callgraph import check_calls, check_deadlines
 from briardock._catalog import (
@@ -49,15 +50,8 @@
 }
 
 
-class _Value(NamedTuple):
-    """Merged text of one key and where it came from."""
-
-    text: str
-    file: str
-    line: int
-
-
-_Merged = dict[str, dict[str, _Value]]
+# Typed values by section and key; the texts of all files would take more memory.
+_Merged = dict[str, dict[str, Any]]
 
 
 def load_folder(path: str | Path) -> dict[str, str]:
@@ -102,10 +96,10 @@
     merged = _merge(files, affected, faults)
     if previous is None or affected is None:
         empty = Catalog({}, {}, {}, {}, _make_policy({}))
-        catalog = _build(files, merged, faults, empty)
+        catalog = _build(files, merged, empty)
         calls_changed = True
     else:
-        catalog = _build(files, merged, faults, previous, affected)
+        catalog = _build(files, merged, previous, affected)
         calls_changed = _calls_changed(catalog, previous, affected)
     _check_whole(catalog, calls_changed, faults)
     return sorted(faults, key=_place_of) or catalog
@@ -205,6 +199,7 @@
         for section, content in parsed.items():
             if affected is None or section in affected:
                 _merge_section(merged, name, section, content, faults)
+    _require_keys(files, merged, faults)
     return merged
 
 
@@ -222,22 +217,38 @@
         if key not in KEYS[kind]:
             remedy = nearest(key, KEYS[kind])
             faults.append(Fault(file, value.line, section, key, "unknown key", remedy))
-        else:
-            target[key] = _Value(value.text, file, value.line)
+            continue
+        try:
+            converted = convert_value(key, value.text, KEYS[kind][key])
+        except ValueError as error:
+            message = str(error)[:1].lower() + str(error)[1:]
+            remedy = f"got '{value.text[:60]}'"
+            faults.append(Fault(file, value.line, section, key, message, remedy))
+            continue
+        if key != "description":
+            target[key] = converted
+
+
+def _require_keys(
+    files: Mapping[str, str], merged: _Merged, faults: list[Fault]
+) -> None:
+    """Report required keys that no file sets."""
+    for section, content in merged.items():
+        for key in REQUIRED.get(section.partition(" ")[0], ()):
+            # A key that is set but not in the content has a bad value.
+            if key in content or find_place(files, section, key)[0]:
+                continue
+            file, line = find_place(files, section, "")
+            faults.append(Fault(file, line, section, key, "missing", "add it"))
 
 
 def _build(
     files: Mapping[str, str],
     merged: _Merged,
-    faults: list[Fault],
     base: Catalog,
     affected: Iterable[str] = (),
 ) -> Catalog:
     """Return a catalog of the merged sections on top of those kept from a base."""
-    values = {
-        section: _convert_section(files, section, content, faults)
-        for section, content in merged.items()
-    }
     services = dict(base.services)
     operations = dict(base.operations)
     for section in affected:
@@ -248,11 +259,11 @@
             operations.pop(name, None)
     classes = dict(base.classes) or {
         section[6:]: OperationClass(section[6:], content.get("rank", 0))
-        for section, content in values.items()
+        for section, content in merged.items()
         if section.startswith("class ")
     }
-    policy = _make_policy(values["policy"]) if "policy" in values else base.policy
-    for section, content in values.items():
+    policy = _make_policy(merged["policy"]) if "policy" in merged else base.policy
+    for section, content in merged.items():
         kind, _, name = section.partition(" ")
         if kind == "service":
             services[name] = _make_service(name, content)
@@ -261,29 +272,6 @@
     return Catalog(files, services, classes, operations, policy)
 
 
-def _convert_section(
-    files: Mapping[str, str],
-    section: str,
-    content: dict[str, _Value],
-    faults: list[Fault],
-) -> dict[str, Any]:
-    """Return the values of a section in their types; report bad ones."""
-    kind = section.partition(" ")[0]
-    values: dict[str, Any] = {}
-    for key, value in content.items():
-        try:
-            values[key] = convert_value(key, value.text, KEYS[kind][key])
-        except ValueError as error:
-            message = str(error)[:1].lower() + str(error)[1:]
-            remedy = f"got '{value.text[:60]}'"
-            faults.append(Fault(value.file, value.line, section, key, message, remedy))
-    for key in REQUIRED.get(kind, ()):
-        if key not in content:
-            file, line = find_place(files, section, "")
-            faults.append(Fault(file, line, section, key, "missing", "add it"))
-    return values
-
-
 def _make_policy(values: dict[str, Any]) -> Policy:
     """Return the policy with the bounds that its weighing implies."""
     weigh = values.get("weigh", "goodput")
@@ -307,13 +295,14 @@
     classes: Mapping[str, OperationClass],
 ) -> Operation:
     """Return an operation; the caller checks its references."""
+    name = sys.intern(name)
     method, pattern = values.get("match", ("", ""))
     class_name = values.get("class", policy.default_class)
     rank = classes[class_name].rank if class_name in classes else 0
     max_body_kb = values.get("max_body_kb", policy.default_max_body_kb)
     return Operation(
         name=name,
-        service=name.partition(".")[0],
+        service=sys.intern(name.partition(".")[0]),
         method=method,
         pattern=pattern,
         class_name=class_name,
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -11,6 +11,7 @@
 
 from briardock import _publisher, cli
 from briardock._basefile import BASE_FILE
+from briardock._nodeclient import TOKEN_VARIABLE
 from briardock.platformlog import (
     FailureKind,
     LogClient,
@@ -228,6 +229,21 @@
     assert publish(service, other) == 0
 
 
+def test_lost_history_is_restored_from_known_files(
+    folder: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    # Guards against a log whose trimmed records stop every later publish.
+    with running_log(retention_records=2) as service:
+        for name in "abcd":
+            (folder / "10.ini").write_text(f"[service {name}]\n")
+            assert publish(service, folder) == (0 if name < "d" else 5)
+        assert "briardock restore" in error_line(capsys)
+        assert run("restore", folder, "--log", service.address) == 0
+        (folder / "10.ini").write_text("[service e]\n")
+        assert publish(service, folder) == 0
+        assert run("restore", folder, "--log", service.address) == 3
+
+
 @pytest.mark.parametrize("base", ["{", '{"files":{"a":1}}'])
 def test_damaged_base_is_a_clear_error(
     service: LogService, folder: Path, base: str, capsys: pytest.CaptureFixture[str]
@@ -328,7 +344,7 @@
 
 @pytest.fixture
 def node(monkeypatch: pytest.MonkeyPatch) -> Iterator[str]:
-    monkeypatch.setenv(cli.TOKEN_VARIABLE, "secret")
+    monkeypatch.setenv(TOKEN_VARIABLE, "secret")
     CannedNode.version, CannedNode.seen = 0, []
     server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), CannedNode)
     thread = threading.Thread(target=server.serve_forever)
@@ -374,7 +390,7 @@
     node: str, capsys: pytest.CaptureFixture[str]
 ) -> None:
     assert run("status", node, "--token", "wrong") == 6
-    assert cli.TOKEN_VARIABLE in error_line(capsys)
+    assert TOKEN_VARIABLE in error_line(capsys)
 
 
 @pytest.mark.parametrize("wait_s, exit_code", [(20, 0), (0.1, 6)])
--- a/tests/test_publishing.py
+++ b/tests/test_publishing.py
@@ -226,8 +226,12 @@
     newer, _ = published(4)
     older, _ = published(2)
     assert not newer.install_snapshot(older.snapshot())
+    newer.apply(4, body("late", {}, {NAMES[0]: ""}))
     assert older.install_snapshot(newer.snapshot())
     assert older.digest == newer.digest
+    # It holds what was known at its version, so that reading on is the same.
+    assert older.result_of("id3") == newer.result_of("id3")
+    assert older.result_of("late") is None
     assert not older.install_snapshot(newer.snapshot())
 
 
@@ -246,6 +250,7 @@
     follow(fresh, log)
     assert not fresh.is_incomplete
     assert (fresh.digest, fresh.last_offset) == (whole.digest, 6)
+    assert fresh.result_of("id1") == whole.result_of("id1")
 
 
 @pytest.mark.parametrize("trimmed, covered", [(2, True), (3, False), (4, False)])
