--- a/src/briardock/_catalog.py
+++ b/src/briardock/_catalog.py
@@ -149,6 +149,24 @@
                 return operation
         return None
 
+    @property
+    def warnings(self) -> list[Fault]:
+        """Problems that do not prevent publishing, found when asked for."""
+        # _callgraph works on the operations defined here.
+        from briardock._callgraph import check_deadlines
+
+        found = [
+            locate_fault(
+                self.files,
+                f"operation {problem.operation}",
+                problem.key,
+                problem.message,
+                problem.remedy,
+            )
+            for problem in check_deadlines(self.operations)
+        ]
+        return sorted(found, key=place_of)
+
     def operation(self, name: str) -> Operation | None:
         """Return an operation by its full name, ``service.name``."""
         return self.operations.get(name)
@@ -196,6 +214,21 @@
     return "", 0
 
 
+def locate_fault(
+    files: Mapping[str, str], section: str, key: str, message: str, remedy: str
+) -> Fault:
+    """Return a fault at the place of a key, or of its section without the key."""
+    file, line = find_place(files, section, key)
+    if not file:
+        file, line = find_place(files, section, "")
+    return Fault(file, line, section, key, message, remedy)
+
+
+def place_of(fault: Fault) -> tuple[str, int, str, str, str]:
+    """Return a sort key that does not depend on the order of the checks."""
+    return fault.file, fault.line, fault.section, fault.key, fault.message
+
+
 def _matches(pattern: str, path: str) -> bool:
     """Return whether a path of the same number of segments fits a pattern."""
     for wanted, given in zip(pattern.split("/"), path.split("/"), strict=True):
--- a/src/briardock/cli.py
+++ b/src/briardock/cli.py
@@ -44,7 +44,7 @@
 
     :param folder: folder of INI files
     """
-    from briardock.configuration import find_warnings, load_folder, merge_and_check
+    from briardock.configuration import load_folder, merge_and_check
 
     files = load_folder(folder)
     checked = merge_and_check(files)
@@ -52,7 +52,7 @@
         for fault in checked:
             print(f"{folder}/{fault}", file=sys.stderr)
         raise ConfigurationError(f"{folder}: {len(checked)} faults", "correct them")
-    warnings = find_warnings(checked)
+    warnings = checked.warnings
     for warning in warnings:
         print(f"warning: {folder}/{warning}", file=sys.stderr)
     print(
@@ -312,9 +312,9 @@
             except NodeUnavailableError as error:
                 waiting[node] = error.message
                 continue
-            found = answer.get("configuration_version", -1)
+            found = _version_in(answer)
             waiting[node] = f"{node} has version {found}"
-            if found >= version:
+            if found is not None and found >= version:
                 del waiting[node]
         if not waiting:
             return
@@ -327,6 +327,13 @@
         time.sleep(POLL_PAUSE_S)
 
 
+def _version_in(status: object) -> int | None:
+    """Return the configuration version of a node's status, or ``None``."""
+    configuration = status.get("configuration") if isinstance(status, dict) else None
+    version = configuration.get("version") if isinstance(configuration, dict) else None
+    return version if isinstance(version, int) else None
+
+
 def _ask_node(*arguments: Any, **options: Any) -> Any:
     """Return the JSON answer of an admin endpoint."""
     from briardock._nodeclient import ask_node
--- a/src/briardock/configuration.py
+++ b/src/briardock/configuration.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 from typing import Any
 
-from briardock._callgraph import check_calls, check_deadlines
+from briardock._callgraph import check_calls
 from briardock._catalog import (
     Catalog,
     Fault,
@@ -19,6 +19,8 @@
     Policy,
     Service,
     find_place,
+    locate_fault,
+    place_of,
 )
 from briardock._ini import IniError, IniSection, nearest, parse_ini
 from briardock._sections import KEYS, REQUIRED, check_section_name, convert_value
@@ -31,7 +33,6 @@
     "OperationClass",
     "Policy",
     "Service",
-    "find_warnings",
     "load_folder",
     "merge_and_check",
 ]
@@ -102,26 +103,7 @@
         catalog = _build(files, merged, previous, affected)
         calls_changed = _calls_changed(catalog, previous, affected)
     _check_whole(catalog, calls_changed, faults)
-    return sorted(faults, key=_place_of) or catalog
-
-
-def find_warnings(catalog: Catalog) -> list[Fault]:
-    """Return the problems of a catalog that do not prevent publishing.
-
-    :param catalog: from :func:`merge_and_check`
-    """
-    warnings: list[Fault] = []
-    for found in check_deadlines(catalog.operations):
-        section = f"operation {found.operation}"
-        warnings.append(
-            _locate(catalog, section, found.key, found.message, found.remedy)
-        )
-    return sorted(warnings, key=_place_of)
-
-
-def _place_of(fault: Fault) -> tuple[str, int, str, str, str]:
-    """Return a sort key that does not depend on the order of the checks."""
-    return fault.file, fault.line, fault.section, fault.key, fault.message
+    return sorted(faults, key=place_of) or catalog
 
 
 def _read_text(path: Path) -> str:
@@ -335,26 +317,22 @@
     if default_class and default_class not in catalog.classes:
         message = f"unknown class '{default_class}'"
         remedy = nearest(default_class, catalog.classes)
-        faults.append(_locate(catalog, "policy", "default_class", message, remedy))
+        faults.append(
+            locate_fault(catalog.files, "policy", "default_class", message, remedy)
+        )
     for operation in catalog.operations.values():
         for problem in _check_references(operation, catalog):
-            faults.append(_locate(catalog, f"operation {operation.name}", *problem))
+            faults.append(
+                locate_fault(catalog.files, f"operation {operation.name}", *problem)
+            )
     for name, message in _duplicates(catalog.operations.values()):
         section, remedy = f"operation {name}", "change one of them"
-        faults.append(_locate(catalog, section, "match", message, remedy))
+        faults.append(locate_fault(catalog.files, section, "match", message, remedy))
     for found in check_calls(catalog.operations) if calls_changed else ():
         section = f"operation {found.operation}"
-        faults.append(_locate(catalog, section, found.key, found.message, found.remedy))
-
-
-def _locate(
-    catalog: Catalog, section: str, key: str, message: str, remedy: str
-) -> Fault:
-    """Return a fault at the place of a key, or of its section without the key."""
-    file, line = find_place(catalog.files, section, key)
-    if not file:
-        file, line = find_place(catalog.files, section, "")
-    return Fault(file, line, section, key, message, remedy)
+        faults.append(
+            locate_fault(catalog.files, section, found.key, found.message, found.remedy)
+        )
 
 
 def _check_references(
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -327,11 +327,13 @@
         body = self.rfile.read(size).decode()
         CannedNode.seen.append((self.command, self.path, body))
         CannedNode.version += 1
-        status, content = 200, {"configuration_version": CannedNode.version}
+        status: int = 200
+        content: dict[str, object] = {"configuration": {"version": CannedNode.version}}
         if self.headers.get("Authorization") != "Bearer secret":
             status = 401
         elif self.path == "/quarantine/lift" and "known" not in body:
-            status, content = 404, {"error": "no such fingerprint", "remedy": "list"}
+            status = 404
+            content = {"error": "no such fingerprint", "remedy": "list"}
         data = json.dumps(content).encode()
         self.send_response(status)
         self.send_header("Content-Length", str(len(data)))
@@ -373,7 +375,7 @@
 ) -> None:
     assert run(*arguments, node) == 0
     assert [item[:2] for item in CannedNode.seen] == [(method, path)]
-    assert '"configuration_version": 1' in capsys.readouterr().out
+    assert '"version": 1' in capsys.readouterr().out
 
 
 def test_quarantine_lift_names_the_fingerprint(
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -9,7 +9,6 @@
 from briardock.configuration import (
     Catalog,
     Fault,
-    find_warnings,
     load_folder,
     merge_and_check,
 )
@@ -191,7 +190,7 @@
 def test_longer_deadline_of_a_callee_is_a_warning() -> None:
     text = operation("a", "deadline_ms = 50", "calls = s.b")
     catalog = build({"a.ini": HEAD + text + operation("b", "deadline_ms = 60")})
-    (warning,) = find_warnings(catalog)
+    (warning,) = catalog.warnings
     assert (warning.line, warning.key) == (8, "deadline_ms")
 
 
@@ -220,7 +219,7 @@
     files = load_folder(ROOT / "examples" / name)
     catalog = build(files)
     assert catalog.policy.weigh == weigh
-    assert len(files) >= 3 and not find_warnings(catalog)
+    assert len(files) >= 3 and not catalog.warnings
 
     def depth(operation_name: str) -> int:
         found = catalog.operations[operation_name]
