--- a/src/briardock/_ini.py
+++ b/src/briardock/_ini.py
@@ -82,7 +82,7 @@
     """Return the line of each section, with an empty key, and of each key."""
     lines: dict[tuple[str, str], int] = {}
     section = ""
-    for number, line in enumerate(text.splitlines(), 1):
+    for number, line in enumerate(text.split("\n"), 1):
         if header := _SECTION.match(line):
             section = header["name"]
             lines.setdefault((section, ""), number)
--- a/src/briardock/publishing.py
+++ b/src/briardock/publishing.py
@@ -20,7 +20,7 @@
 )
 from briardock.clock import Clock
 from briardock.events import Event, emit
-from briardock.platformlog import LogFailure, ReadResult
+from briardock.platformlog import FailureKind, LogFailure, ReadResult
 
 __all__ = [
     "ABSENT",
@@ -131,6 +131,7 @@
         self._checkpoint_seen_ms = clock.now_ms()
         self._checkpoint_at_ms: float | None = None
         self._may_skip = True
+        self._limit = READ_RECORDS
 
     async def run(self) -> None:
         """Follow the log until cancelled."""
@@ -145,13 +146,17 @@
         """Read once, append a checkpoint when due, and return the pause in ms."""
         started_ms = self._clock.now_ms()
         before = self._state.next_offset
-        result = await self._log.read(STREAM, before, READ_RECORDS, self._poll_ms)
+        result = await self._log.read(STREAM, before, self._limit, self._poll_ms)
         if isinstance(result, LogFailure):
+            if result.kind is FailureKind.BAD_ANSWER:
+                # The records may be too large together for one answer.
+                self._limit = max(1, self._limit // 4)
             return self._note_failure(result)
         self._note_success()
         await self._apply(result)
         if not self.caught_up:
             return 0.0 if result.records else self._poll_ms
+        self._limit = READ_RECORDS
         if self._state.is_incomplete:
             return self._poll_ms
         await self._append_checkpoint_if_due()
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -309,3 +309,12 @@
         assert view(checked) == view(merge_and_check(files))
         if isinstance(checked, Catalog):
             previous = checked
+
+
+@settings(max_examples=400, deadline=None)
+@given(text=st.text("[]=#; \t\n\r\x0c%ab.{}/\u2028\u00e9", max_size=60))
+def test_any_text_gives_a_catalog_or_faults(text: str) -> None:
+    # Guards against a published file that ends the process of every node.
+    for files in ({"a.ini": text}, {"a.ini": HEAD + "[operation s.a]\n" + text}):
+        checked = merge_and_check(files)
+        assert isinstance(checked, Catalog) or all(map(str, checked))
--- a/tests/test_publishing.py
+++ b/tests/test_publishing.py
@@ -1,7 +1,7 @@
 """Tests of the acceptance rule, checkpoints, gossip deltas and the reader."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import anyio
 import hypothesis.strategies as st
@@ -41,9 +41,9 @@
 def body(
     change_id: str,
     base: dict[str, int],
-    changes: dict[str, str | None],
+    changes: Mapping[str, str | None],
 ) -> bytes:
-    return encode_record(Publish(change_id, "ana", base, changes))
+    return encode_record(Publish(change_id, "ana", base, dict(changes)))
 
 
 class FakeLog:
@@ -53,6 +53,7 @@
         self.first = 0
         self.bodies: list[bytes] = []
         self.failure: LogFailure | None = None
+        self.max_records = 1000
 
     @property
     def next(self) -> int:
@@ -77,6 +78,8 @@
     async def read(
         self, stream: str, from_offset: int, limit: int, wait_ms: float = 0.0
     ) -> ReadResult | LogFailure:
+        if limit > self.max_records:
+            return LogFailure(FailureKind.BAD_ANSWER, "answer is too large")
         result = ReadResult(self.first, self.next, self.records(from_offset, limit))
         return self.failure or result
 
@@ -337,6 +340,22 @@
     anyio.run(run)
 
 
+def test_reader_asks_for_fewer_records_when_an_answer_is_too_large() -> None:
+    # Guards against a node that never gets past a few large records.
+    log, state = FakeLog(), make_config_state()
+    reader, _ = make_reader(log, state)
+    for offset in range(10):
+        log.add(body(f"{offset}", {NAMES[0]: offset - 1}, {NAMES[0]: BASE}))
+    log.max_records = 2
+
+    async def run() -> None:
+        for _ in range(60):
+            await reader.step()
+
+    anyio.run(run)
+    assert state.version == 9
+
+
 def test_readers_append_one_checkpoint_when_due() -> None:
     log = FakeLog()
     for offset in range(publishing.CHECKPOINT_RECORDS):
