--- a/src/briardock/configuration.py
+++ b/src/briardock/configuration.py
@@ -5,9 +5,10 @@
 """
 
 import re
+import sys
 from collections.abc import Iterable, Iterator, Mapping
 from pathlib import Path
-from typing import Any, NamedTuple
+from typing import Any
 
 from briardock._callgraph import check_calls
 from briardock._catalog import (
@@ -18,6 +19,8 @@
     Policy,
     Service,
     find_place,
+    locate_fault,
+    place_of,
 )
 from briardock._ini import IniError, IniSection, nearest, parse_ini
 from briardock._sections import KEYS, REQUIRED, check_section_name, convert_value
@@ -48,15 +51,8 @@
 }
 
 
-class _Value(NamedTuple):
-    """Merged text of one key and where it came from."""
-
-    text: str
-    file: str
-    line: int
-
-
-_Merged = dict[str, dict[str, _Value]]
+# Typed values by section and key; the texts of all files would take more memory.
+_Merged = dict[str, dict[str, Any]]
 
 
 def load_folder(path: str | Path) -> dict[str, str]:
@@ -100,19 +96,14 @@
     affected = _affected_sections(files, previous) if previous else None
     merged = _merge(files, affected, faults)
     if previous is None or affected is None:
-        catalog = _build(
-            files, merged, faults, Catalog({}, {}, {}, {}, _make_policy({}))
-        )
+        empty = Catalog({}, {}, {}, {}, _make_policy({}))
+        catalog = _build(files, merged, empty)
+        calls_changed = True
     else:
-        catalog = _build(files, merged, faults, previous, affected)
-    warnings = _check_whole(catalog, faults)
-    catalog.warnings = tuple(sorted(warnings, key=_place_of))
-    return sorted(faults, key=_place_of) or catalog
-
-
-def _place_of(fault: Fault) -> tuple[str, int, str, str, str]:
-    """Return a sort key that does not depend on the order of the checks."""
-    return fault.file, fault.line, fault.section, fault.key, fault.message
+        catalog = _build(files, merged, previous, affected)
+        calls_changed = _calls_changed(catalog, previous, affected)
+    _check_whole(catalog, calls_changed, faults)
+    return sorted(faults, key=place_of) or catalog
 
 
 def _read_text(path: Path) -> str:
@@ -163,8 +154,9 @@
             continue
         for text in (old, new):
             parsed = parse_ini(text or "")
-            if not isinstance(parsed, IniError):
-                affected.update(parsed)
+            if isinstance(parsed, IniError):
+                return None
+            affected.update(parsed)
     kinds = {section.partition(" ")[0] for section in affected}
     return None if kinds & {"policy", "class"} else affected
 
@@ -189,6 +181,7 @@
         for section, content in parsed.items():
             if affected is None or section in affected:
                 _merge_section(merged, name, section, content, faults)
+    _require_keys(files, merged, faults)
     return merged
 
 
@@ -206,22 +199,38 @@
         if key not in KEYS[kind]:
             remedy = nearest(key, KEYS[kind])
             faults.append(Fault(file, value.line, section, key, "unknown key", remedy))
-        else:
-            target[key] = _Value(value.text, file, value.line)
+            continue
+        try:
+            converted = convert_value(key, value.text, KEYS[kind][key])
+        except ValueError as error:
+            message = str(error)[:1].lower() + str(error)[1:]
+            remedy = f"got '{value.text[:60]}'"
+            faults.append(Fault(file, value.line, section, key, message, remedy))
+            continue
+        if key != "description":
+            target[key] = converted
+
+
+def _require_keys(
+    files: Mapping[str, str], merged: _Merged, faults: list[Fault]
+) -> None:
+    """Report required keys that no file sets."""
+    for section, content in merged.items():
+        for key in REQUIRED.get(section.partition(" ")[0], ()):
+            # A key that is set but not in the content has a bad value.
+            if key in content or find_place(files, section, key)[0]:
+                continue
+            file, line = find_place(files, section, "")
+            faults.append(Fault(file, line, section, key, "missing", "add it"))
 
 
 def _build(
     files: Mapping[str, str],
     merged: _Merged,
-    faults: list[Fault],
     base: Catalog,
     affected: Iterable[str] = (),
 ) -> Catalog:
     """Return a catalog of the merged sections on top of those kept from a base."""
-    values = {
-        section: _convert_section(files, section, content, faults)
-        for section, content in merged.items()
-    }
     services = dict(base.services)
     operations = dict(base.operations)
     for section in affected:
@@ -232,11 +241,11 @@
             operations.pop(name, None)
     classes = dict(base.classes) or {
         section[6:]: OperationClass(section[6:], content.get("rank", 0))
-        for section, content in values.items()
+        for section, content in merged.items()
         if section.startswith("class ")
     }
-    policy = _make_policy(values["policy"]) if "policy" in values else base.policy
-    for section, content in values.items():
+    policy = _make_policy(merged["policy"]) if "policy" in merged else base.policy
+    for section, content in merged.items():
         kind, _, name = section.partition(" ")
         if kind == "service":
             services[name] = _make_service(name, content)
@@ -245,29 +254,6 @@
     return Catalog(files, services, classes, operations, policy)
 
 
-def _convert_section(
-    files: Mapping[str, str],
-    section: str,
-    content: dict[str, _Value],
-    faults: list[Fault],
-) -> dict[str, Any]:
-    """Return the values of a section in their types; report bad ones."""
-    kind = section.partition(" ")[0]
-    values: dict[str, Any] = {}
-    for key, value in content.items():
-        try:
-            values[key] = convert_value(key, value.text, KEYS[kind][key])
-        except ValueError as error:
-            message = str(error)[:1].lower() + str(error)[1:]
-            remedy = f"got '{value.text[:60]}'"
-            faults.append(Fault(value.file, value.line, section, key, message, remedy))
-    for key in REQUIRED.get(kind, ()):
-        if key not in content:
-            file, line = find_place(files, section, "")
-            faults.append(Fault(file, line, section, key, "missing", "add it"))
-    return values
-
-
 def _make_policy(values: dict[str, Any]) -> Policy:
     """Return the policy with the bounds that its weighing implies."""
     weigh = values.get("weigh", "goodput")
@@ -291,13 +277,14 @@
     classes: Mapping[str, OperationClass],
 ) -> Operation:
     """Return an operation; the caller checks its references."""
+    name = sys.intern(name)
     method, pattern = values.get("match", ("", ""))
     class_name = values.get("class", policy.default_class)
     rank = classes[class_name].rank if class_name in classes else 0
     max_body_kb = values.get("max_body_kb", policy.default_max_body_kb)
     return Operation(
         name=name,
-        service=name.partition(".")[0],
+        service=sys.intern(name.partition(".")[0]),
         method=method,
         pattern=pattern,
         class_name=class_name,
@@ -310,30 +297,42 @@
     )
 
 
-def _check_whole(catalog: Catalog, faults: list[Fault]) -> list[Fault]:
-    """Report faults between sections and return the warnings."""
-    warnings: list[Fault] = []
+def _calls_changed(catalog: Catalog, previous: Catalog, affected: set[str]) -> bool:
+    """Return whether the call graph may differ from that of a checked catalog."""
+    for section in affected:
+        kind, _, name = section.partition(" ")
+        if kind != "operation":
+            continue
+        old, new = previous.operation(name), catalog.operation(name)
+        if old is None or new is None:
+            return True
+        if (old.calls, old.idempotent) != (new.calls, new.idempotent):
+            return True
+    return False
 
-    def report(section: str, key: str, message: str, remedy: str) -> None:
-        place = find_place(catalog.files, section, key)
-        if not place[0]:
-            place = find_place(catalog.files, section, "")
-        faults.append(Fault(*place, section, key, message, remedy))
 
+def _check_whole(catalog: Catalog, calls_changed: bool, faults: list[Fault]) -> None:
+    """Report faults between sections."""
     default_class = catalog.policy.default_class
     if default_class and default_class not in catalog.classes:
+        message = f"unknown class '{default_class}'"
         remedy = nearest(default_class, catalog.classes)
-        report("policy", "default_class", f"unknown class '{default_class}'", remedy)
+        faults.append(
+            locate_fault(catalog.files, "policy", "default_class", message, remedy)
+        )
     for operation in catalog.operations.values():
         for problem in _check_references(operation, catalog):
-            report(f"operation {operation.name}", *problem)
+            faults.append(
+                locate_fault(catalog.files, f"operation {operation.name}", *problem)
+            )
     for name, message in _duplicates(catalog.operations.values()):
-        report(f"operation {name}", "match", message, "change one of them")
-    for found in check_calls(catalog.operations):
-        report(f"operation {found.operation}", found.key, found.message, found.remedy)
-        if found.warning:
-            warnings.append(faults.pop())
-    return warnings
+        section, remedy = f"operation {name}", "change one of them"
+        faults.append(locate_fault(catalog.files, section, "match", message, remedy))
+    for found in check_calls(catalog.operations) if calls_changed else ():
+        section = f"operation {found.operation}"
+        faults.append(
+            locate_fault(catalog.files, section, found.key, found.message, found.remedy)
+        )
 
 
 def _check_references(
--- a/src/briardock/publishing.py
+++ b/src/briardock/publishing.py
@@ -15,11 +15,12 @@
     ChangeResult,
     Checkpoint,
     Publish,
+    decode_record,
     encode_record,
 )
 from briardock.clock import Clock
 from briardock.events import Event, emit
-from briardock.platformlog import LogFailure, ReadResult
+from briardock.platformlog import FailureKind, LogFailure, ReadResult
 
 __all__ = [
     "ABSENT",
@@ -39,6 +40,7 @@
     "encode_record",
     "make_config_reader",
     "make_config_state",
+    "skip_to_checkpoint",
 ]
 
 READ_RECORDS = 100
@@ -66,6 +68,31 @@
         ...
 
 
+async def skip_to_checkpoint(
+    log: LogStream, state: ConfigState, first: int, following: int
+) -> bool:
+    """Restore a fresh state from the latest checkpoint, to spare a long replay.
+
+    :param log: client of the log
+    :param state: state without any version
+    :param first: oldest offset that can be read
+    :param following: offset where to stop
+    :returns: whether a checkpoint was restored
+    """
+    latest: tuple[Checkpoint, int] | None = None
+    offset = first
+    while offset < following:
+        result = await log.read(STREAM, offset, READ_RECORDS)
+        if isinstance(result, LogFailure) or not result.records:
+            break
+        for item in result.records:
+            record = decode_record(item.body)
+            if isinstance(record, Checkpoint) and first - 1 <= record.as_of:
+                latest = (record, item.offset) if record.as_of < item.offset else latest
+        offset = result.records[-1].offset + 1
+    return latest is not None and state.restore(*latest)
+
+
 class ConfigReader:
     """Follows the log and applies its records to the state of this node.
 
@@ -103,6 +130,8 @@
         self._next = 0
         self._checkpoint_seen_ms = clock.now_ms()
         self._checkpoint_at_ms: float | None = None
+        self._may_skip = True
+        self._limit = READ_RECORDS
 
     async def run(self) -> None:
         """Follow the log until cancelled."""
@@ -117,13 +146,17 @@
         """Read once, append a checkpoint when due, and return the pause in ms."""
         started_ms = self._clock.now_ms()
         before = self._state.next_offset
-        result = await self._log.read(STREAM, before, READ_RECORDS, self._poll_ms)
+        result = await self._log.read(STREAM, before, self._limit, self._poll_ms)
         if isinstance(result, LogFailure):
+            if result.kind is FailureKind.BAD_ANSWER:
+                # The records may be too large together for one answer.
+                self._limit = max(1, self._limit // 4)
             return self._note_failure(result)
         self._note_success()
         await self._apply(result)
         if not self.caught_up:
             return 0.0 if result.records else self._poll_ms
+        self._limit = READ_RECORDS
         if self._state.is_incomplete:
             return self._poll_ms
         await self._append_checkpoint_if_due()
@@ -137,6 +170,8 @@
         state = self._state
         self._first, self._next = result.first, result.next
         state.observe_log(result.first, result.next)
+        if await self._skip(result):
+            return
         checkpoint_before = state.checkpoint_offset
         for record in result.records:
             was_incomplete = state.is_incomplete
@@ -149,9 +184,22 @@
             await anyio.sleep(0)
         if state.checkpoint_offset != checkpoint_before:
             self._checkpoint_seen_ms = self._clock.now_ms()
-            self._checkpoint_at_ms = None
         self.caught_up = state.next_offset >= result.next
 
+    async def _skip(self, result: ReadResult) -> bool:
+        """Replace a long replay by a checkpoint, once, and return whether done."""
+        state = self._state
+        backlog = result.next - state.next_offset
+        if not self._may_skip or state.version != NO_VERSION:
+            return False
+        self._may_skip = False
+        if backlog <= CHECKPOINT_RECORDS:
+            return False
+        if not await skip_to_checkpoint(self._log, state, result.first, result.next):
+            return False
+        self._on_accepted(state.snapshot())
+        return True
+
     def _note_success(self) -> None:
         """Record that the log answers."""
         if not self.reachable:
