--- /dev/null
+++ b/src/briardock_standins/catalogs.py
@@ -0,0 +1,93 @@
+"""Plans of target stand-ins that follow an operators' configuration."""
+
+import re
+from pathlib import Path
+
+import msgspec
+
+from briardock.configuration import Catalog, load_folder, merge_and_check
+from briardock.exceptions import ConfigurationError
+from briardock_standins.plans import ActionPlan, ChildCall, OperationPlan, TargetPlan
+
+_PARAMETER = re.compile(r"\{[^}]*\}")
+PARAMETER_VALUE = "7"
+
+
+def read_catalog(folder: Path) -> Catalog:
+    """Return the catalog of a configuration folder.
+
+    :param folder: operators' configuration
+    :raises ConfigurationError: if it does not pass its checks
+    """
+    catalog = merge_and_check(load_folder(folder))
+    if isinstance(catalog, Catalog):
+        return catalog
+    raise ConfigurationError("; ".join(str(fault) for fault in catalog))
+
+
+def target_plan(catalog: Catalog, template: TargetPlan, parallel: bool) -> TargetPlan:
+    """Return a plan whose operations and child calls follow the catalog.
+
+    :param catalog: configuration
+    :param template: names the service; own times are those of its first operation
+    :param parallel: whether operations make their child calls at the same time
+    """
+    timing = template.operations[0]
+    operations = tuple(
+        msgspec.structs.replace(
+            timing,
+            name=operation.name.partition(".")[2],
+            path=operation.pattern,
+            method=operation.method,
+            calls=tuple(_child_call(catalog, name) for name in operation.calls),
+            parallel=parallel,
+        )
+        for operation in catalog.operations.values()
+        if operation.service == template.service
+    )
+    return msgspec.structs.replace(template, operations=operations)
+
+
+def _child_call(catalog: Catalog, name: str) -> ChildCall:
+    operation = catalog.operations[name]
+    path = fill_pattern(operation.pattern)
+    return ChildCall(operation.service, path, operation.method)
+
+
+def fill_pattern(pattern: str) -> str:
+    """Return a path that matches a pattern."""
+    return _PARAMETER.sub(PARAMETER_VALUE, pattern)
+
+
+def entry_actions(catalog: Catalog) -> tuple[ActionPlan, ...]:
+    """Return one action for each operation that no other operation calls.
+
+    :param catalog: configuration
+    """
+    called = {name for one in catalog.operations.values() for name in one.calls}
+    return tuple(
+        ActionPlan(
+            operation=operation.name,
+            path=fill_pattern(operation.pattern),
+            class_name=operation.class_name,
+            method=operation.method,
+            keyed=not operation.idempotent,
+            deadline_ms=operation.deadline_ms,
+        )
+        for operation in catalog.operations.values()
+        if operation.name not in called
+    )
+
+
+def once_operations(catalog: Catalog) -> frozenset[str]:
+    """Return the full names of the non-idempotent operations."""
+    return frozenset(
+        name
+        for name, operation in catalog.operations.items()
+        if not operation.idempotent
+    )
+
+
+def single_operation(service_ms: float) -> tuple[OperationPlan, ...]:
+    """Return the operations of a template with a mean own time in ms."""
+    return (OperationPlan("any", service_ms=service_ms),)
