--- a/src/briardock_standins/_processes.py
+++ b/src/briardock_standins/_processes.py
@@ -54,6 +54,7 @@
 
     def __init__(self, name: str, command: list[str], folder: Path) -> None:
         self.name = name
+        self._cpu_s = 0.0
         self._output = folder / f"{name}.out"
         self._errors = folder / f"{name}.err"
         # The signal is tied to the thread that starts the process, so it is asked
@@ -90,16 +91,18 @@
         return self._errors.read_bytes()[-TAIL_BYTES:].decode(errors="replace")
 
     def cpu_s(self) -> float:
-        """Return the CPU time it has used, or 0.0 after its end."""
+        """Return the CPU time it has used; the last one known after its end."""
         try:
             fields = Path(f"/proc/{self.pid}/stat").read_text().rpartition(")")[2]
         except OSError:
-            return 0.0
+            return self._cpu_s
         user, system = fields.split()[11:13]
-        return (int(user) + int(system)) / os.sysconf("SC_CLK_TCK")
+        self._cpu_s = (int(user) + int(system)) / os.sysconf("SC_CLK_TCK")
+        return self._cpu_s
 
     def kill(self) -> None:
         """End it at once with SIGKILL and wait for its end."""
+        self.cpu_s()
         self._signal(signal.SIGKILL)
         self._popen.wait(KILL_BOUND_S)
 
