--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -10,7 +10,7 @@
 import statistics
 import sys
 import time
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -43,7 +43,8 @@
 UPPER_MS = 4.0
 CAPACITY_PER_S = INSTANCES * DEEP_SLOTS * 1_000.0 / DEEP_MS
 WEIGHTS = {"hazard": 0.1, "booking": 0.1, "browse": 0.4, "history": 0.4}
-CALLS_PER_ACTION = 5
+PROTECTED = ("hazard", "booking")
+SHOWN_FAILURES = 4
 
 # Without control a service queues what it cannot run, and each caller repeats a
 # call that failed or took too long.
@@ -120,6 +121,7 @@
     :param recovery_s: time from the end of the fault to 95% success, if any
     :param cpu_cores: CPU of all processes over elapsed time
     :param violations: broken rules
+    :param failures: most frequent reasons of failure in the protected classes
     """
 
     goodput_share: float
@@ -129,6 +131,7 @@
     recovery_s: float | None
     cpu_cores: float
     violations: int
+    failures: dict[str, int]
 
 
 def make_spec(direct: bool, seed: int) -> DeploymentSpec:
@@ -276,6 +279,7 @@
             recovery_s=recovery_s,
             cpu_cores=cpu_cores,
             violations=count_violations(ledgers, told, once),
+            failures=count_failures(final),
         )
 
 
@@ -318,6 +322,16 @@
     return {name: sum(found) / len(found) for name, found in by_class.items()}
 
 
+def count_failures(final: list[Told]) -> dict[str, int]:
+    """Return the most frequent reasons of failure in the protected classes."""
+    found = Counter(
+        f"{entry.outcome} {entry.reason}"
+        for entry in final
+        if entry.class_name in PROTECTED and not entry.succeeded
+    )
+    return dict(found.most_common(SHOWN_FAILURES))
+
+
 def measure_waste(runs: list[Run], final: list[Told]) -> float:
     """Return the share of own time that targets spent on actions that failed."""
     succeeded = {entry.action: entry.succeeded for entry in final}
@@ -368,7 +382,7 @@
             f"{variant:11} {scenario:6} goodput {result.goodput_share:.3f} "
             f"wasted {result.wasted_share:.3f} attempts {result.attempts:.2f} "
             f"recovery {recovery} cores {result.cpu_cores:.1f} "
-            f"violations {result.violations} {success}",
+            f"violations {result.violations} {success} {result.failures}",
             flush=True,
         )
 
--- a/src/briardock_standins/_children.py
+++ b/src/briardock_standins/_children.py
@@ -9,16 +9,17 @@
 from briardock_standins._client import HttpClient
 from briardock_standins._http import (
     Address,
+    Exchange,
     HttpRequest,
     HttpResponse,
     parse_address,
 )
 from briardock_standins._state import Status
-from briardock_standins.answers import is_own_answer
+from briardock_standins.answers import failure_detail, is_own_answer
 from briardock_standins.plans import ChildCall, OperationPlan, TargetPlan
 
 
-class ChildResult(enum.Enum):
+class ChildState(enum.Enum):
     """How a child call ended."""
 
     OK = "ok"
@@ -26,6 +27,18 @@
     FOREIGN = "foreign"
 
 
+@dataclass(frozen=True, slots=True)
+class ChildResult:
+    """How a child call ended, and why.
+
+    :param state: how it ended
+    :param detail: reason of the deepest failure
+    """
+
+    state: ChildState
+    detail: str = ""
+
+
 @dataclass(frozen=True, slots=True)
 class Parent:
     """The run that makes child calls.
@@ -71,14 +84,14 @@
         for position, call in enumerate(operation.calls):
             result = await self._call(call, parent, position)
             results.append(result)
-            if call.required and result is not ChildResult.OK:
+            if call.required and result.state is not ChildState.OK:
                 break
         return results
 
     async def _call_parallel(
         self, operation: OperationPlan, parent: Parent
     ) -> list[ChildResult]:
-        results = [ChildResult.FAILED] * len(operation.calls)
+        results = [ChildResult(ChildState.FAILED)] * len(operation.calls)
 
         async def run(position: int, call: ChildCall) -> None:
             results[position] = await self._call(call, parent, position)
@@ -103,7 +116,7 @@
         body = b"" if call.method == "GET" else nonce.encode()
         path = call.path if self._is_direct(call) else f"/{call.service}{call.path}"
         request = HttpRequest(call.method, path, tuple(headers), body)
-        result = ChildResult.FAILED
+        result = ChildResult(ChildState.FAILED)
         self.status.child_call_count += 1
         for _ in range(self.plan.attempts if self._is_direct(call) else 1):
             address = self._choose_address(call)
@@ -111,8 +124,8 @@
             answer = await self.client.request(
                 address, request, self.plan.call_timeout_ms
             )
-            result = _judge(answer, nonce, body)
-            if result is not ChildResult.FAILED:
+            result = _judge(answer, call.service, nonce, body)
+            if result.state is not ChildState.FAILED:
                 break
         return result
 
@@ -125,12 +138,16 @@
         return parse_address(self.plan.node)
 
 
-def _judge(answer: object, nonce: str, request_body: bytes) -> ChildResult:
+def _judge(
+    answer: Exchange, service: str, nonce: str, request_body: bytes
+) -> ChildResult:
     if not isinstance(answer, HttpResponse):
-        return ChildResult.FAILED
+        return ChildResult(ChildState.FAILED, f"{service}: {type(answer).__name__}")
     outcome = answer.header("briardock-outcome")
     if outcome not in ("", "completed") or answer.status != 200:
-        return ChildResult.FAILED
+        detail = failure_detail(answer.body) or str(answer.status)
+        where = "" if ": " in detail else f"{service}: "
+        return ChildResult(ChildState.FAILED, f"{where}{detail}")
     if is_own_answer(answer.body, nonce, request_body):
-        return ChildResult.OK
-    return ChildResult.FOREIGN
+        return ChildResult(ChildState.OK)
+    return ChildResult(ChildState.FOREIGN, f"{service}: foreign answer")
--- a/src/briardock_standins/answers.py
+++ b/src/briardock_standins/answers.py
@@ -43,3 +43,25 @@
     if answer.nonce != nonce or answer.request_digest != body_digest(request_body):
         return False
     return len(answer.pad) == answer.pad_bytes
+
+
+class _Failure(msgspec.Struct):
+    """Fields of a refusal or failed answer that say why."""
+
+    reason: str = ""
+    error: str = ""
+
+
+_failure_decoder = msgspec.json.Decoder(_Failure)
+
+
+def failure_detail(body: bytes) -> str:
+    """Return why a call failed, or an empty string if its body does not say so.
+
+    :param body: body of a refusal of a node or of an answer of a target
+    """
+    try:
+        failure = _failure_decoder.decode(body)
+    except msgspec.DecodeError:
+        return ""
+    return failure.reason or failure.error
--- a/src/briardock_standins/ledger.py
+++ b/src/briardock_standins/ledger.py
@@ -87,7 +87,7 @@
     :param operation: full name, ``service.name``
     :param class_name: class of the action
     :param outcome: ``completed``, ``not-run`` or ``unknown``
-    :param reason: reason where not completed
+    :param reason: reason of a refusal or failure
     :param status: HTTP status, 0 without an answer
     :param body_ok: whether the answer is whole and the caller's own
     :param start_ms: monotonic time of the send in ms
--- a/src/briardock_standins/load.py
+++ b/src/briardock_standins/load.py
@@ -27,7 +27,7 @@
     parse_address,
 )
 from briardock_standins._keystore import IssuedKey, KeyStore
-from briardock_standins.answers import is_own_answer
+from briardock_standins.answers import failure_detail, is_own_answer
 from briardock_standins.ledger import LedgerWriter, Told
 from briardock_standins.plans import ActionPlan, LoadPlan, Phase, read_plan
 
@@ -272,15 +272,10 @@
         outcome = "not-run" if shed else "completed"
     if outcome == "completed":
         body_ok = is_own_answer(answer.body, nonce, body)
-        return _Verdict(outcome, "", answer.status, body_ok)
-    return _Verdict(outcome, _read_reason(answer.body), answer.status)
-
-
-def _read_reason(body: bytes) -> str:
-    try:
-        return str(json.loads(body)["reason"])
-    except (ValueError, KeyError, TypeError):
-        return "unreadable-refusal"
+        reason = "" if answer.status == 200 else failure_detail(answer.body)
+        return _Verdict(outcome, reason, answer.status, body_ok)
+    reason = failure_detail(answer.body) or "unreadable-refusal"
+    return _Verdict(outcome, reason, answer.status)
 
 
 async def run_load(plan: LoadPlan) -> list[Told]:
--- a/src/briardock_standins/target.py
+++ b/src/briardock_standins/target.py
@@ -19,7 +19,7 @@
 
 from briardock.clock import SystemClock, make_random
 from briardock.exceptions import BriardockError
-from briardock_standins._children import ChildCaller, ChildResult, Parent
+from briardock_standins._children import ChildCaller, ChildState, Parent
 from briardock_standins._client import HttpClient
 from briardock_standins._http import (
     HttpRequest,
@@ -201,17 +201,15 @@
             work.own_ms = self._clock.now_ms() - started.at_ms
         parent = Parent(started.run, started.nonce, request.header("briardock-context"))
         results = await self._children.call_all(operation, parent)
-        work.foreign = ChildResult.FOREIGN in results
+        work.foreign = any(one.state is ChildState.FOREIGN for one in results)
         failed = [
-            call
+            result
             for call, result in zip(operation.calls, results, strict=False)
-            if call.required and result is not ChildResult.OK
+            if result.state is ChildState.FOREIGN
+            or (call.required and result.state is ChildState.FAILED)
         ]
-        if work.foreign or failed:
-            error = (
-                f"call to {failed[0].service} failed" if failed else "foreign answer"
-            )
-            return self._answer(operation, started, 502, error)
+        if failed:
+            return self._answer(operation, started, 502, failed[0].detail)
         work.ok = True
         return self._answer(operation, started, 200, "")
 
