Publish a copy of the configuration in the harness

The publish command keeps the published versions beside the files, so a folder that was published once was taken as up to date by an empty log.

--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -46,9 +46,9 @@
 PROTECTED = ("hazard", "booking")
 SHOWN_FAILURES = 4
 
-# Without control a service queues what it cannot run, and each caller repeats a
-# call that failed or took too long.
-DIRECT_QUEUE = 200
+# Targets of the two deployments take 7 to 10 connections per slot.
+QUEUE_PER_SLOT = 8
+# Without control each caller repeats a call that failed or took too long.
 DIRECT_ATTEMPTS = 3
 DIRECT_TIMEOUT_MS = 1_000.0
 
@@ -144,7 +144,7 @@
             name,
             single_operation(DEEP_MS if deep else UPPER_MS),
             slots=DEEP_SLOTS if deep else UPPER_SLOTS,
-            queue_length=DIRECT_QUEUE if direct else DEEP_SLOTS,
+            queue_length=QUEUE_PER_SLOT * DEEP_SLOTS,
             cancel_on_close=not direct,
             attempts=DIRECT_ATTEMPTS if direct else 1,
             call_timeout_ms=DIRECT_TIMEOUT_MS if direct else 30_000.0,
--- a/src/briardock_standins/harness.py
+++ b/src/briardock_standins/harness.py
@@ -280,9 +280,19 @@
         return result
 
     def try_publish(self, folder: Path) -> subprocess.CompletedProcess[str]:
-        """Run the operator command that publishes a folder and return its result."""
+        """Run the operator command that publishes a folder and return its result.
+
+        The command keeps the published versions in the folder, so it gets a copy
+        that belongs to this deployment.
+        """
+        copy = self.folder / "published" / folder.resolve().name
+        copy.mkdir(parents=True, exist_ok=True)
+        for file in copy.glob("*.ini"):
+            file.unlink()
+        for file in folder.glob("*.ini"):
+            shutil.copy(file, copy)
         log = f"127.0.0.1:{self.log_port}"
-        arguments = ["briardock.cli", "publish", str(folder), "--log", log]
+        arguments = ["briardock.cli", "publish", str(copy), "--log", log]
         command = [sys.executable, "-m", *arguments]
         return subprocess.run(
             command, capture_output=True, text=True, timeout=READY_BOUND_S, check=False
