Keep the relay alive when one of its connections breaks

Cause: an exception of one relayed connection ended the relay process, which the nodes saw as a cut of all failure domains (rows 'target frozen' and 'domains silent' of the matrix failed to recover). Ruled out: membership and routing, which recovered in a run where the relay stayed up.

--- a/src/briardock_standins/relay.py
+++ b/src/briardock_standins/relay.py
@@ -136,7 +136,12 @@
         """
 
         async def relay(near: SocketStream) -> None:
-            await self._relay(near, to, destination)
+            try:
+                await self._relay(near, to, destination)
+            except Exception as error:
+                # One connection that breaks in an unusual place must not end the
+                # relay, which would look like a cut of all failure domains.
+                print(f"connection failed: {error!r}", file=sys.stderr, flush=True)
 
         await listener.serve(relay)
 
