--- a/src/briardock/cli.py
+++ b/src/briardock/cli.py
@@ -159,8 +159,15 @@
     """
     if not nodes:
         raise BriardockError("no node given", "give HOST:PORT of admin endpoints")
+    failures: list[NodeUnavailableError] = []
     for node in nodes:
-        _print_json({node: _ask_node(node, "GET", "/status", token)})
+        try:
+            _print_json({node: _ask_node(node, "GET", "/status", token)})
+        except NodeUnavailableError as error:
+            failures.append(error)
+    if failures:
+        messages = ", ".join(error.message for error in failures)
+        raise NodeUnavailableError(messages, failures[0].remedy)
 
 
 def dump(node: str, *, token: str = "") -> None:
--- a/src/briardock/configuration.py
+++ b/src/briardock/configuration.py
@@ -40,6 +40,8 @@
 MAX_FILES = 2_000
 MAX_FILE_BYTES = 256 * 1024
 MAX_TOTAL_BYTES = 4 * 1024 * 1024
+# Beyond this a full build is not slower than parsing old and new texts.
+MAX_INCREMENTAL_FILES = 16
 FILE_SUFFIX = ".ini"
 _FILE_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,99}\.ini\Z")
 _PARAMETER = re.compile(r"\{[^}]*\}")
@@ -147,12 +149,16 @@
 
 def _affected_sections(files: Mapping[str, str], previous: Catalog) -> set[str] | None:
     """Return the sections that changed files hold, or ``None`` for a full build."""
+    changed = [
+        name
+        for name in files.keys() | previous.files.keys()
+        if files.get(name) != previous.files.get(name)
+    ]
+    if len(changed) > MAX_INCREMENTAL_FILES:
+        return None
     affected: set[str] = set()
-    for name in files.keys() | previous.files.keys():
-        old, new = previous.files.get(name), files.get(name)
-        if old == new:
-            continue
-        for text in (old, new):
+    for name in changed:
+        for text in (previous.files.get(name), files.get(name)):
             parsed = parse_ini(text or "")
             if isinstance(parsed, IniError):
                 return None
@@ -169,9 +175,10 @@
     :param affected: sections wanted, or ``None`` for all
     """
     merged: _Merged = {}
+    headers = None if affected is None else [f"[{item}]" for item in affected]
     for name in sorted(files):
         text = files[name]
-        if affected is not None and not any(f"[{item}]" in text for item in affected):
+        if headers is not None and not any(header in text for header in headers):
             continue
         parsed = parse_ini(text)
         if isinstance(parsed, IniError):
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -378,6 +378,14 @@
     assert '"version": 1' in capsys.readouterr().out
 
 
+def test_status_shows_the_nodes_that_answer(
+    node: str, capsys: pytest.CaptureFixture[str]
+) -> None:
+    assert run("status", "127.0.0.1:1", node) == 6
+    captured = capsys.readouterr()
+    assert node in captured.out and "127.0.0.1:1 cannot be asked" in captured.err
+
+
 def test_quarantine_lift_names_the_fingerprint(
     node: str, capsys: pytest.CaptureFixture[str]
 ) -> None:
