Measure the append rate of the log stand-in by an injected clock

The test of the limit passed only while 400 appends took less than 0.75 s, and failed on a busy machine. The new one checks the exact number of refusals.

--- a/src/briardock_standins/log.py
+++ b/src/briardock_standins/log.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-import time
 import urllib.parse
 from collections import deque
 from collections.abc import Awaitable, Callable, MutableMapping
@@ -11,6 +10,8 @@
 
 import msgspec
 
+from briardock.clock import Clock, SystemClock
+
 MAX_BODY_BYTES = 8 * 1024 * 1024
 MAX_WAIT_MS = 30_000
 MAX_READ_RECORDS = 1_000
@@ -108,18 +109,19 @@
 class RateLimit:
     """Token bucket over appends."""
 
-    def __init__(self, rate_per_s: float, burst: float) -> None:
+    def __init__(self, rate_per_s: float, burst: float, clock: Clock) -> None:
         self._rate_per_s = rate_per_s
         self._burst = burst
         self._tokens = burst
-        self._filled_s = time.monotonic()
+        self._clock = clock
+        self._filled_ms = clock.now_ms()
 
     def take(self) -> bool:
         """Return whether one more append is allowed now."""
-        now_s = time.monotonic()
-        gained = (now_s - self._filled_s) * self._rate_per_s
+        now_ms = self._clock.now_ms()
+        gained = (now_ms - self._filled_ms) / 1000 * self._rate_per_s
         self._tokens = min(self._burst, self._tokens + gained)
-        self._filled_s = now_s
+        self._filled_ms = now_ms
         if self._tokens < 1:
             return False
         self._tokens -= 1
@@ -131,15 +133,18 @@
 
     :param retention_records: records held per stream
     :param rng: random source of delays
+    :param clock: clock of the append rate
     """
 
-    def __init__(self, retention_records: int, rng: random.Random) -> None:
+    def __init__(
+        self, retention_records: int, rng: random.Random, clock: Clock
+    ) -> None:
         self._retention_records = retention_records
         self._rng = rng
         self._streams: dict[str, Stream] = {}
         self._fault = Fault("none")
         self._affected_count = 0
-        self._rate = RateLimit(APPENDS_PER_S, BURST_APPENDS)
+        self._rate = RateLimit(APPENDS_PER_S, BURST_APPENDS, clock)
 
     async def __call__(self, scope: Message, receive: Receive, send: Send) -> None:
         """Answer one request."""
@@ -316,7 +321,7 @@
     from hypercorn.asyncio import serve
 
     asyncio.get_running_loop().set_exception_handler(_report_unless_cancelled)
-    app = LogApp(retention_records, random.Random(seed))
+    app = LogApp(retention_records, random.Random(seed), SystemClock())
     await serve(app, make_config(f"{host}:{port}"))  # type: ignore[arg-type]
 
 
--- a/tests/log_service.py
+++ b/tests/log_service.py
@@ -10,6 +10,7 @@
 import httpx
 from hypercorn.asyncio import serve
 
+from briardock.clock import Clock, SystemClock
 from briardock_standins.log import LogApp, make_config
 
 
@@ -27,7 +28,9 @@
 
 
 @contextlib.contextmanager
-def running_log(retention_records: int = 1000) -> Iterator[LogService]:
+def running_log(
+    retention_records: int = 1000, clock: Clock | None = None
+) -> Iterator[LogService]:
     """Serve a log on a free port until the block ends."""
     listener = socket.create_server(("127.0.0.1", 0))
     port = listener.getsockname()[1]
@@ -42,7 +45,7 @@
         started.set()
         config = make_config(f"fd://{descriptor}")
         config.loglevel = "ERROR"
-        app = LogApp(retention_records, random.Random(1))
+        app = LogApp(retention_records, random.Random(1), clock or SystemClock())
         await serve(app, config, shutdown_trigger=stop.wait)  # type: ignore[arg-type]
 
     thread = threading.Thread(target=lambda: asyncio.run(run()))
--- a/tests/test_platformlog.py
+++ b/tests/test_platformlog.py
@@ -10,6 +10,7 @@
 import pytest
 
 from briardock import platformlog
+from briardock.clock import ManualClock
 from briardock.platformlog import (
     FailureKind,
     LogClient,
@@ -17,6 +18,7 @@
     ReadResult,
     make_log_client,
 )
+from briardock_standins.log import BURST_APPENDS
 from log_service import LogService, running_log
 
 BODY = b"\x00binary\xff"
@@ -122,14 +124,22 @@
     assert written is None or result.next == written
 
 
-def test_append_rate_is_limited(service: LogService) -> None:
-    async def action(client: LogClient) -> list[int | LogFailure]:
-        return [await client.append("rate", b"x") for _ in range(400)]
+def test_append_rate_is_limited_and_refusals_mean_not_written() -> None:
+    clock = ManualClock()
 
-    results = ask(service.port, action)
-    refused = [item for item in results if isinstance(item, LogFailure)]
-    assert refused and all("429" in item.detail for item in refused)
-    assert not any(item.outcome_unknown for item in refused)
+    async def action(client: LogClient) -> None:
+        for _ in range(2):
+            results = [await client.append("rate", b"x") for _ in range(120)]
+            refused = [item for item in results if isinstance(item, LogFailure)]
+            assert len(refused) == 120 - BURST_APPENDS
+            assert all("429" in item.detail for item in refused)
+            assert not any(item.outcome_unknown for item in refused)
+            clock.advance(1000.0)
+        result = await client.read("rate", 0, 1)
+        assert isinstance(result, ReadResult) and result.next == 2 * BURST_APPENDS
+
+    with running_log(clock=clock) as limited:
+        ask(limited.port, action)
 
 
 @pytest.mark.parametrize(
