--- /dev/null
+++ b/src/briardock/_node_settings.py
@@ -0,0 +1,65 @@
+"""Settings of the parts of a node, taken from the settings of the process."""
+
+from briardock.admission import AdmissionSettings
+from briardock.limiter import LimiterSettings
+from briardock.listener import HttpLimits
+from briardock.quarantine import QuarantineSettings
+from briardock.routing import RoutingSettings
+from briardock.settings import NodeSettings
+
+CALLER_IDLE_TIMEOUT_S = 75.0
+
+
+def http_limits(settings: NodeSettings) -> HttpLimits:
+    """Return the bounds of what callers may use.
+
+    :param settings: settings of the process
+    """
+    node = settings.node
+    return HttpLimits(
+        node.max_header_kb * 1024,
+        node.max_body_kb * 1024,
+        node.max_connections,
+        CALLER_IDLE_TIMEOUT_S,
+    )
+
+
+def admission_settings(settings: NodeSettings) -> AdmissionSettings:
+    """Return the settings of admission and its limiter.
+
+    :param settings: settings of the process
+    """
+    section = settings.admission
+    return AdmissionSettings(
+        queue_length=section.queue_length,
+        window_ms=float(section.window_ms),
+        overload_wait_ms=float(section.sojourn_ms),
+        limiter=LimiterSettings(
+            min_limit=section.min_limit,
+            max_limit=section.max_limit,
+            initial_limit=section.initial_limit,
+            cold_start_s=section.cold_start_s,
+        ),
+    )
+
+
+def routing_settings(settings: NodeSettings) -> RoutingSettings:
+    """Return the settings of the router.
+
+    :param settings: settings of the process
+    """
+    section = settings.routing
+    return RoutingSettings(
+        eject_base_ms=section.eject_s * 1_000.0, eject_max_share=section.eject_share
+    )
+
+
+def quarantine_settings(settings: NodeSettings) -> QuarantineSettings:
+    """Return the settings of the quarantine.
+
+    :param settings: settings of the process
+    """
+    section = settings.quarantine
+    return QuarantineSettings(
+        section.deaths, float(section.expiry_s), section.max_entries
+    )
--- a/src/briardock/events.py
+++ b/src/briardock/events.py
@@ -43,6 +43,16 @@
     INTERNAL_ERROR = EventInfo(504, "ERROR", "unexpected error in a handler")
     TASK_RESTARTED = EventInfo(505, "WARNING", "background task failed; restarting")
     PAUSE_DETECTED = EventInfo(506, "WARNING", "process was paused")
+    CONFIG_IN_FORCE = EventInfo(507, "INFO", "a newer configuration is in force")
+    TARGET_CHANGED = EventInfo(508, "INFO", "the target beside the node changed")
+    TARGET_DIED = EventInfo(509, "WARNING", "the target died with calls in flight")
+    HTTP_REQUEST_REFUSED = EventInfo(100, "WARNING", "listener refused a request")
+    HTTP_HANDLER_FAILED = EventInfo(101, "ERROR", "request handler failed")
+    ACCEPT_FAILED = EventInfo(102, "ERROR", "accepting a connection failed; retrying")
+    PEER_REJECTED = EventInfo(110, "WARNING", "peer connection broke the protocol")
+    PEER_LINK_FAILED = EventInfo(111, "WARNING", "link to a peer failed")
+    PEER_HANDLER_FAILED = EventInfo(112, "ERROR", "handler of a peer's call failed")
+    ANSWER_DROPPED = EventInfo(113, "WARNING", "answer of a peer dropped")
     CONFIG_ACCEPTED = EventInfo(400, "INFO", "configuration change accepted")
     CONFIG_REJECTED = EventInfo(401, "WARNING", "configuration change rejected")
     CONFIG_RECORD_IGNORED = EventInfo(402, "WARNING", "log record cannot be decoded")
@@ -73,6 +83,13 @@
     CONFIG_NOT_INSTALLED = EventInfo(
         413, "ERROR", "configuration of another node does not pass the checks here"
     )
+    MEMBERS_LEAVING = EventInfo(300, "INFO", "members are leaving")
+    MEMBERS_UNREACHABLE = EventInfo(301, "WARNING", "members became unreachable")
+    MEMBERS_LEFT = EventInfo(302, "INFO", "members left")
+    NODE_SUPERSEDED = EventInfo(
+        303, "ERROR", "a later process uses the id of this node; stop one of them"
+    )
+    GOSSIP_HANDLER_FAILED = EventInfo(304, "ERROR", "gossip message not handled")
 
 
 class _QueueHandler(logbook.Handler):
