--- a/src/briardock/admission.py
+++ b/src/briardock/admission.py
@@ -57,7 +57,7 @@
     :param sojourn_least_ms: longest wait of the least important class in ms
     :param sojourn_most_ms: longest wait of the most important class in ms
     :param window_ms: period of the threshold's moves in ms
-    :param overload_wait_ms: mean wait in a window that shows overload in ms
+    :param overload_wait_ms: mean wait that keeps the threshold from rising in ms
     :param limiter: settings of the concurrency limit
     """
 
@@ -95,7 +95,7 @@
     arrivals: dict[int, int] = field(default_factory=dict)
     started_count: int = 0
     wait_ms: float = 0.0
-    dropped_count: int = 0
+    lowest_dropped: int | None = None
     queue_emptied: bool = False
     busy_ms: float = 0.0
 
@@ -227,7 +227,7 @@
         if len(self._queue) >= self._settings.queue_length:
             displaced = self._queue.pop_less_important(level)
             if displaced is None:
-                self._window.dropped_count += 1
+                self._record_drop(level)
                 return self._refuse(Reason.OVERLOADED, "admission queue is full")
             self._drop(displaced, "displaced by a more important request")
         latest_ms = deadline_at_ms - self._holding.expected_ms(operation)
@@ -256,14 +256,19 @@
             self._change_in_flight(-1, now_ms)
             self._dispatch(now_ms)
 
+    def _record_drop(self, level: int) -> None:
+        lowest = self._window.lowest_dropped
+        if lowest is None or level < lowest:
+            self._window.lowest_dropped = level
+
     def _drop(
         self,
         waiter: Waiter[Ticket | NotRun],
         detail: str,
         reason: Reason = Reason.OVERLOADED,
     ) -> None:
-        self._window.dropped_count += 1
         if not waiter.future.done():
+            self._record_drop(waiter.level)
             waiter.future.set_result(self._refuse(reason, detail))
 
     def _expire(self, waiter: Waiter[Ticket | NotRun], now_ms: float) -> None:
@@ -311,21 +316,26 @@
         if elapsed_ms > IDLE_WINDOWS * self._settings.window_ms:
             # Nothing arrived for long, or the process was paused.
             self._threshold = MAX_LEVEL
-        elif self._overloaded(window):
-            self._lower()
-        elif self._threshold < MAX_LEVEL:
+        elif window.lowest_dropped is not None:
+            self._lower(window.lowest_dropped)
+        elif self._threshold < MAX_LEVEL and not self._has_standing_queue(window):
             self._raise(window.busy_ms / elapsed_ms / self._limiter.limit)
         self._window = _Window(now_ms, queue_emptied=not self._queue)
 
-    def _overloaded(self, window: _Window) -> bool:
-        if window.dropped_count:
-            return True
+    def _has_standing_queue(self, window: _Window) -> bool:
         if window.queue_emptied or not window.started_count:
             return False
         mean_wait_ms = window.wait_ms / window.started_count
         return mean_wait_ms > self._settings.overload_wait_ms
 
-    def _lower(self) -> None:
+    def _lower(self, lowest_dropped: int) -> None:
+        """Lower the threshold to what the target can start.
+
+        Levels below the lowest one that was dropped found a slot in time, so the
+        threshold stays above them even if the counts suggest otherwise.
+
+        :param lowest_dropped: most important level dropped in the window
+        """
         self._step = FIRST_STEP_LEVELS
         arrivals: dict[int, int] = {}
         capacity = 0.0
@@ -339,7 +349,8 @@
         for level in sorted(arrivals):
             total += arrivals[level]
             if total > capacity:
-                self._threshold = min(self._threshold, level)
+                wanted = max(level, lowest_dropped)
+                self._threshold = min(self._threshold, wanted)
                 return
 
     def _raise(self, used_share: float) -> None:
