--- a/src/briardock/limiter.py
+++ b/src/briardock/limiter.py
@@ -26,6 +26,8 @@
 NEAR_GROWTH = 1.05
 MIN_GAIN_SHARE = 0.3
 BINDING_SHARE = 0.8
+# Quantiles see a queue served in random order as a share of 0.4 to 0.7.
+SUSPECT_SHARE = 0.25
 HOLD_MS = 1_000.0
 # An older comparison would mistake a slowdown under light load for a queue.
 ANCHOR_LIFETIME_MS = 3_000.0
@@ -228,7 +230,7 @@
 
     def _decide(self, share: float) -> None:
         now_ms = self._clock.now_ms()
-        if self._growth_was_useless():
+        if self._growth_was_useless() and share > SUSPECT_SHARE:
             self._base = self._anchor.base
             self._hold_until_ms = now_ms + HOLD_MS
             self._starting = False
