--- a/src/briardock/limiter.py
+++ b/src/briardock/limiter.py
@@ -28,6 +28,7 @@
 BINDING_SHARE = 0.8
 # Quantiles see a queue served in random order as a share of 0.4 to 0.7.
 SUSPECT_SHARE = 0.25
+SHARE_WEIGHT = 0.3
 HOLD_MS = 1_000.0
 # An older comparison would mistake a slowdown under light load for a queue.
 ANCHOR_LIFETIME_MS = 3_000.0
@@ -110,6 +111,7 @@
         self._streak = 0
         self._anchor = _Anchor(-math.inf, self._base, 0.0, 0.0, 0.0)
         self._hold_until_ms = -math.inf
+        self._recent_share = 0.0
         self._low_phase = False
         self._phase_left = MIN_PHASE_REQUESTS
         self._reset_batch()
@@ -230,12 +232,15 @@
 
     def _decide(self, share: float) -> None:
         now_ms = self._clock.now_ms()
-        if self._growth_was_useless() and share > SUSPECT_SHARE:
-            self._base = self._anchor.base
-            self._hold_until_ms = now_ms + HOLD_MS
-            self._starting = False
-        if share < HELD_SHARE and now_ms < self._hold_until_ms:
-            return
+        useless = self._growth_was_useless()
+        self._recent_share += SHARE_WEIGHT * (share - self._recent_share)
+        if self._recent_share > SUSPECT_SHARE and share < HELD_SHARE:
+            if useless:
+                self._base = self._anchor.base
+                self._hold_until_ms = now_ms + HOLD_MS
+                self._starting = False
+            if now_ms < self._hold_until_ms:
+                return
         if self._starting:
             if share < START_SHARE:
                 self._move(START_GROWTH)
