--- a/src/briardock/gossip_config.py
+++ b/src/briardock/gossip_config.py
@@ -20,6 +20,9 @@
 
 # A pull without progress for this long is given up for one from another member.
 PULL_TIMEOUT_MS = 1_000.0
+# Wait after the node refused a pulled configuration, doubled each time.
+MIN_BACKOFF_MS = 2_000.0
+MAX_BACKOFF_MS = 60_000.0
 MAX_SNAPSHOT_BYTES = 8 * 1024 * 1024
 KEPT_DELTA_COUNT = 8
 KEPT_DELTA_BYTES = 64 * 1024
@@ -65,6 +68,8 @@
         self._reply = reply
         self._kept: list[ConfigDelta] = []
         self._pull: _Pull | None = None
+        self._pull_after_ms = float("-inf")
+        self._backoff_ms = 0.0
 
     def push(self, delta: ConfigDelta) -> None:
         """Send a delta that the node has just applied to a few members.
@@ -89,6 +94,8 @@
             return
         self._hooks.config_behind(version, node_id)
         now_ms = self._clock.now_ms()
+        if now_ms < self._pull_after_ms:
+            return
         pull = self._pull
         if pull is not None and now_ms - pull.progress_ms < PULL_TIMEOUT_MS:
             return
@@ -145,8 +152,18 @@
             self._metrics.count("gossip.bad_messages")
             return
         self._hooks.on_config_snapshot(chunk.version, data)
-        if self._hooks.config_version() >= chunk.version:
-            self._spread(ConfigNotice(self._hooks.config_version()))
+        if self._hooks.config_version() < chunk.version:
+            self._back_off()
+            return
+        self._backoff_ms = 0.0
+        self._spread(ConfigNotice(self._hooks.config_version()))
+
+    def _back_off(self) -> None:
+        """Wait before the next pull; each ping would start one otherwise."""
+        doubled_ms = max(MIN_BACKOFF_MS, 2 * self._backoff_ms)
+        self._backoff_ms = min(MAX_BACKOFF_MS, doubled_ms)
+        self._pull_after_ms = self._clock.now_ms() + self._backoff_ms
+        self._metrics.count("gossip.config_refused")
 
     def _send_chunk(self, version: int, offset: int, route: Route) -> None:
         data = self._hooks.config_snapshot()
--- a/src/briardock/gossip_links.py
+++ b/src/briardock/gossip_links.py
@@ -25,6 +25,8 @@
 # limit lies above ours, so that moderately oversized messages are counted.
 ZMQ_LIMIT_FACTOR = 4
 KEEPALIVE_IDLE_S = 60
+KEEPALIVE_INTERVAL_S = 15
+KEEPALIVE_COUNT = 4
 # A burst of pushes may open this many times the usual number of sockets.
 BURST_FACTOR = 4
 
@@ -123,6 +125,8 @@
         self._set_options(router)
         router.setsockopt(zmq.TCP_KEEPALIVE, 1)
         router.setsockopt(zmq.TCP_KEEPALIVE_IDLE, KEEPALIVE_IDLE_S)
+        router.setsockopt(zmq.TCP_KEEPALIVE_INTVL, KEEPALIVE_INTERVAL_S)
+        router.setsockopt(zmq.TCP_KEEPALIVE_CNT, KEEPALIVE_COUNT)
         try:
             router.bind(f"tcp://{self._settings.host}:{self._settings.port}")
         except zmq.ZMQError:
@@ -191,6 +195,7 @@
         except zmq.ZMQError:
             socket.close(0)
             return None
+        self._metrics.count("gossip.opened_sockets")
         peer = _Peer(socket, self._clock.now_ms())
         self._peers[address] = peer
         assert self._tasks is not None
--- a/src/briardock/gossip_push.py
+++ b/src/briardock/gossip_push.py
@@ -23,13 +23,16 @@
 # Verdicts are only spread while fresh; a partition leaves thousands of them, which
 # must not reach members that can still see each other.
 VERDICT_SPREAD_MS = 30_000.0
-URGENT_RATE_BYTES_PER_S = 6_000.0
+URGENT_RATE_BYTES_PER_S = 1_500.0
 URGENT_BURST_BYTES = 64 * 1024
 PUSH_BYTES = 16 * 1024
 MAX_QUEUED_ENTRIES = 1_000
 # Each node that learns an entry pushes it on, which reaches nearly all; the pings
 # and the digests only have to cover the rest.
 ENTRY_SENDS = 4
+# A death with many requests in flight makes as many suspects.
+ENTRY_RATE_BYTES_PER_S = 1_500.0
+ENTRY_BURST_BYTES = 128 * 1024
 ENTRIES_BYTES = 32 * 1024
 ENTRIES_INTERVAL_MS = 10_000.0
 ENTRY_OVERHEAD_BYTES = 14
@@ -161,16 +164,24 @@
         self._send_few = send_few
         self._reply = reply
         self._queue = DeltaQueue(clock, MAX_QUEUED_ENTRIES)
+        self._budget = ByteBudget(clock, ENTRY_RATE_BYTES_PER_S, ENTRY_BURST_BYTES)
         self._sent_ms = float("-inf")
 
     def __len__(self) -> int:
         return len(self._queue)
 
     def push(self, entries: list[QuarantineEntry]) -> None:
-        """Send changed entries to a few members and with the next pings."""
-        for chunk in entry_chunks(entries, PUSH_BYTES):
-            self._send_few(QuarantineNotice(chunk))
-        for entry in reversed(entries):
+        """Send changed entries to a few members and with the next pings.
+
+        Entries with several deaths come first; beyond the byte budget the others
+        only go with the pings.
+        """
+        ordered = sorted(entries, key=_uncleared_count, reverse=True)
+        for chunk in entry_chunks(ordered, PUSH_BYTES):
+            size_bytes = sum(map(entry_bytes, chunk)) * self._settings.fanout
+            if _uncleared_count(chunk[0]) > 1 or self._budget.spend(size_bytes):
+                self._send_few(QuarantineNotice(chunk))
+        for entry in reversed(ordered):
             self._queue.add(entry.fingerprint)
 
     def receive(self, entries: list[QuarantineEntry]) -> None:
@@ -207,6 +218,10 @@
         return entry_bytes(found[0]) if found else 0
 
 
+def _uncleared_count(entry: QuarantineEntry) -> int:
+    return sum(not death.cleared for death in entry.deaths)
+
+
 def entry_bytes(entry: QuarantineEntry) -> int:
     """Return about the encoded size of an entry in bytes."""
     deaths = sum(len(death.death_id) + DEATH_OVERHEAD_BYTES for death in entry.deaths)
--- a/src/briardock/gossip_settings.py
+++ b/src/briardock/gossip_settings.py
@@ -68,7 +68,7 @@
     indirect_timeout_ms: float = 500.0
     indirect_count: int = 3
     fanout: int = 4
-    piggyback_bytes: int = 2_000
+    piggyback_bytes: int = 1_500
     quarantine_bytes: int = 600
     sync_interval_ms: float = 5_000.0
     urgent_delay_ms: float = 20.0
--- a/src/briardock/gossip_sync.py
+++ b/src/briardock/gossip_sync.py
@@ -22,9 +22,14 @@
 )
 from briardock.membership import MemberTable
 
-BULK_RATE_BYTES_PER_S = 6_000.0
+# With the pings and urgent pushes at their bounds, control stays under 18 KB/s.
+BULK_RATE_BYTES_PER_S = 3_000.0
 BULK_BURST_BYTES = 512 * 1024
 REPLY_BYTES = 32 * 1024
+# When many nodes start together, first replies are incomplete; for this many
+# intervals a node asks more often.
+STARTING_INTERVALS = 6
+STARTING_SPEEDUP = 5
 
 
 class TableSync:
@@ -60,6 +65,7 @@
         self._joined = joined
         self._bulk = ByteBudget(clock, BULK_RATE_BYTES_PER_S, BULK_BURST_BYTES)
         self._asked_ms = float("-inf")
+        self._started_ms = clock.now_ms()
 
     def ask(self, route: Route) -> None:
         """Ask a member for the records of differing buckets."""
@@ -70,11 +76,17 @@
 
     def on_difference(self, route: Route) -> None:
         """Ask a member whose table differs, unless another was asked just now."""
-        if self._clock.now_ms() - self._asked_ms >= self._interval_ms:
+        now_ms = self._clock.now_ms()
+        interval_ms = self._interval_ms
+        if now_ms - self._started_ms < STARTING_INTERVALS * interval_ms:
+            interval_ms /= STARTING_SPEEDUP
+        if now_ms - self._asked_ms >= interval_ms:
             self.ask(route)
 
     def on_request(self, request: SyncRequest, route: Route) -> None:
         """Answer with as many differing buckets as the byte budget allows."""
+        if request.sender.node_id == self._table.own.node_id:
+            return  # First contacts may hold the own address in another form.
         self._note(self._table.merge([request.sender]))
         buckets = self._table.digest.differing(request.digests)
         found = self._by_bucket(buckets, request.joining)
--- a/src/briardock/quarantine.py
+++ b/src/briardock/quarantine.py
@@ -107,6 +107,7 @@
         self._expiry_ms = settings.expiry_s * 1_000.0
         self._entries: dict[str, _Entry] = {}
         self._successes: OrderedDict[str, float] = OrderedDict()
+        self._digest: int | None = None
 
     def record_death(
         self, fingerprints: Iterable[str], death_id: str
@@ -135,6 +136,7 @@
         entry = self._entries.get(fingerprint)
         if entry is None or not self._clear_before(entry, now_ms):
             return []
+        self._digest = None
         return [self._wire(fingerprint, entry)]
 
     def refuses(self, fingerprint: str) -> bool:
@@ -161,6 +163,7 @@
         for death_id, (at_ms, _) in entry.deaths.items():
             entry.deaths[death_id] = (at_ms, True)
         entry.lifted_ms = self._clock.now_ms()
+        self._digest = None
         return was_counted
 
     def entries(
@@ -187,18 +190,18 @@
         for received in entries:
             if self._merge_one(received):
                 changed.append(received.fingerprint)
-        self._evict()
+        if changed:
+            self._digest = None
+            self._evict()
         return self.entries(changed)
 
     def digest(self) -> int:
         """Return a digest of the entries without their times."""
-        value = 0
         for name, entry in list(self._entries.items()):
-            if self._drop_expired(name, entry):
-                continue
-            for death_id, (_, cleared) in entry.deaths.items():
-                value ^= crc32(f"{name}|{death_id}|{cleared}".encode())
-        return value
+            self._drop_expired(name, entry)
+        if self._digest is None:
+            self._digest = self._compute_digest()
+        return self._digest
 
     def state(self) -> dict[str, Any]:
         """Return the entries for a dump."""
@@ -213,6 +216,13 @@
         ]
         return {"entries": shown, "recent_successes": len(self._successes)}
 
+    def _compute_digest(self) -> int:
+        value = 0
+        for name, entry in self._entries.items():
+            for death_id, (_, cleared) in entry.deaths.items():
+                value ^= crc32(f"{name}|{death_id}|{cleared}".encode())
+        return value
+
     def _merge_one(self, received: QuarantineEntry) -> bool:
         now_ms = self._clock.now_ms()
         name = received.fingerprint
@@ -275,6 +285,7 @@
         for death_id, (at_ms, _) in list(entry.deaths.items()):
             if at_ms <= oldest_ms:
                 del entry.deaths[death_id]
+                self._digest = None
         if entry.lifted_ms is not None and entry.lifted_ms <= oldest_ms:
             entry.lifted_ms = None
         if entry.deaths or entry.lifted_ms is not None:
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 from functools import partial
 from typing import Any
+from zlib import crc32
 
 import anyio
 import anyio.abc
@@ -18,8 +19,9 @@
 from briardock import gossip_messages as wire
 from briardock.clock import ManualClock, SystemClock
 from briardock.gossip import Gossip, make_gossip
+from briardock.gossip_config import MIN_BACKOFF_MS, ConfigSpread
 from briardock.gossip_deltas import ByteBudget, DeltaQueue
-from briardock.gossip_links import Address, LinkSettings
+from briardock.gossip_links import Address, LinkSettings, Route
 from briardock.gossip_push import entry_chunks
 from briardock.gossip_settings import GossipHooks, GossipSettings
 from briardock.member_records import record_bytes, within
@@ -341,6 +343,26 @@
     run(check)
 
 
+def test_refused_snapshot_is_not_pulled_with_every_ping() -> None:
+    # Guards against a node that keeps transferring what it cannot apply.
+    clock, sent = ManualClock(), list[wire.GossipMessage]()
+
+    def reply(route: Route, message: wire.GossipMessage) -> bool:
+        sent.append(message)
+        return True
+
+    spread = ConfigSpread(clock, Metrics(), GossipHooks(), sent.append, reply)
+    for wait_ms in (0.0, MIN_BACKOFF_MS, 2 * MIN_BACKOFF_MS):
+        clock.advance(wait_ms)
+        spread.on_version(5, "peer", Route())
+        assert sent == [wire.ConfigPull(0, 0)]
+        sent.clear()
+        spread.on_snapshot(wire.ConfigSnapshot(5, 1, crc32(b"x"), 0, b"x"), Route())
+        clock.advance(wait_ms / 2)
+        spread.on_version(5, "peer", Route())
+        assert sent == []
+
+
 def test_quarantine_reaches_every_node_and_late_joiners() -> None:
     # Guards against a harmful request accepted at a node that was not told.
     async def check(cluster: Cluster) -> None:
