--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -117,7 +117,8 @@
     :param goodput_share: goodput as a share of capacity
     :param success: share of succeeded actions per class
     :param wasted_share: own time of targets spent on actions that failed
-    :param attempts: calls sent per call wanted
+    :param attempts: first attempts and retries of nodes or targets, per action
+    :param sends: sends by callers per action
     :param recovery_s: time from the end of the fault to 95% success, if any
     :param cpu_cores: CPU of all processes over elapsed time
     :param violations: broken rules
@@ -128,6 +129,7 @@
     success: dict[str, float]
     wasted_share: float
     attempts: float
+    sends: float
     recovery_s: float | None
     cpu_cores: float
     violations: int
@@ -265,7 +267,6 @@
         ledgers = self.deployment.target_ledgers()
         runs = collect_runs(entry for ledger in ledgers for entry in ledger)
         final = [entry for entry in told if entry.final]
-        sends = len(told) - len(final) + extra_sends
         once = once_operations(read_catalog(CONFIG))
         recovery_s = None
         if len(scenario.phases) > 2:
@@ -275,7 +276,8 @@
             goodput_share=measure_goodput(scenario, final, start_ms) / CAPACITY_PER_S,
             success=measure_success(final),
             wasted_share=measure_waste(runs, final),
-            attempts=1.0 + sends / len(final),
+            attempts=1.0 + extra_sends / len(final),
+            sends=len(told) / len(final),
             recovery_s=recovery_s,
             cpu_cores=cpu_cores,
             violations=count_violations(ledgers, told, once),
@@ -381,6 +383,7 @@
         print(
             f"{variant:11} {scenario:6} goodput {result.goodput_share:.3f} "
             f"wasted {result.wasted_share:.3f} attempts {result.attempts:.2f} "
+            f"sends {result.sends:.2f} "
             f"recovery {recovery} cores {result.cpu_cores:.1f} "
             f"violations {result.violations} {success} {result.failures}",
             flush=True,
@@ -406,6 +409,7 @@
         },
         "wasted_share": median(r.wasted_share for r in results),
         "attempts": median(r.attempts for r in results),
+        "sends": median(r.sends for r in results),
         "recovery_s": median(recoveries) if recoveries else None,
         "cpu_cores": median(r.cpu_cores for r in results),
         "violations": sum(r.violations for r in results),
--- a/src/briardock_standins/_children.py
+++ b/src/briardock_standins/_children.py
@@ -16,7 +16,7 @@
 )
 from briardock_standins._state import Status
 from briardock_standins.answers import failure_detail, is_own_answer
-from briardock_standins.plans import ChildCall, OperationPlan, TargetPlan
+from briardock_standins.plans import NUMBER, ChildCall, OperationPlan, TargetPlan
 
 
 class ChildState(enum.Enum):
@@ -46,11 +46,18 @@
     :param run: id of the run
     :param nonce: nonce of its call
     :param context: ``Briardock-Context`` it received
+    :param path: path of its request
     """
 
     run: str
     nonce: str
     context: str
+    path: str
+
+    @property
+    def number(self) -> str:
+        """Return the last segment of the path."""
+        return self.path.rpartition("/")[2]
 
 
 @dataclass(frozen=True, slots=True)
@@ -114,7 +121,9 @@
         if call.label:
             headers.append((b"idempotency-key", call.label.encode()))
         body = b"" if call.method == "GET" else nonce.encode()
-        path = call.path if self._is_direct(call) else f"/{call.service}{call.path}"
+        path = call.path.replace(NUMBER, parent.number)
+        if not self._is_direct(call):
+            path = f"/{call.service}{path}"
         request = HttpRequest(call.method, path, tuple(headers), body)
         result = ChildResult(ChildState.FAILED)
         self.status.child_call_count += 1
--- a/src/briardock_standins/catalogs.py
+++ b/src/briardock_standins/catalogs.py
@@ -7,10 +7,15 @@
 
 from briardock.configuration import Catalog, load_folder, merge_and_check
 from briardock.exceptions import ConfigurationError
-from briardock_standins.plans import ActionPlan, ChildCall, OperationPlan, TargetPlan
+from briardock_standins.plans import (
+    NUMBER,
+    ActionPlan,
+    ChildCall,
+    OperationPlan,
+    TargetPlan,
+)
 
 _PARAMETER = re.compile(r"\{[^}]*\}")
-PARAMETER_VALUE = "7"
 
 
 def read_catalog(folder: Path) -> Catalog:
@@ -55,8 +60,8 @@
 
 
 def fill_pattern(pattern: str) -> str:
-    """Return a path that matches a pattern."""
-    return _PARAMETER.sub(PARAMETER_VALUE, pattern)
+    """Return a path with the number of the action for each parameter."""
+    return _PARAMETER.sub(NUMBER, pattern)
 
 
 def entry_actions(catalog: Catalog) -> tuple[ActionPlan, ...]:
@@ -72,6 +77,7 @@
             class_name=operation.class_name,
             method=operation.method,
             keyed=not operation.idempotent,
+            body="" if operation.method == "GET" else f"action {NUMBER}",
             deadline_ms=operation.deadline_ms,
         )
         for operation in catalog.operations.values()
--- a/src/briardock_standins/harness.py
+++ b/src/briardock_standins/harness.py
@@ -268,24 +268,29 @@
 
     # Configuration
 
-    def publish(self, folder: Path) -> subprocess.CompletedProcess[str]:
+    def publish(
+        self, folder: Path, operator: str = "operator"
+    ) -> subprocess.CompletedProcess[str]:
         """Publish a configuration folder with the operator command.
 
         :param folder: operators' configuration
+        :param operator: whose copy of the published versions is used
         :raises HarnessError: if the command fails
         """
-        result = self.try_publish(folder)
+        result = self.try_publish(folder, operator)
         if result.returncode:
             raise HarnessError(f"publish failed: {result.stderr or result.stdout}")
         return result
 
-    def try_publish(self, folder: Path) -> subprocess.CompletedProcess[str]:
+    def try_publish(
+        self, folder: Path, operator: str = "operator"
+    ) -> subprocess.CompletedProcess[str]:
         """Run the operator command that publishes a folder and return its result.
 
         The command keeps the published versions in the folder, so it gets a copy
-        that belongs to this deployment.
+        that belongs to one operator of this deployment.
         """
-        copy = self.folder / "published" / folder.resolve().name
+        copy = self.folder / "operators" / operator
         copy.mkdir(parents=True, exist_ok=True)
         for file in copy.glob("*.ini"):
             file.unlink()
--- a/src/briardock_standins/load.py
+++ b/src/briardock_standins/load.py
@@ -160,6 +160,7 @@
         """
         self._sequence += 1
         name = f"a{self.plan.seed}-{self._sequence}"
+        action = action.numbered(self._sequence)
         key = await self._keys.take() if action.keyed else None
         if action.keyed and key is None:
             return self._record_unsent(name, action)
--- a/src/briardock_standins/plans.py
+++ b/src/briardock_standins/plans.py
@@ -8,6 +8,8 @@
 
 from briardock.exceptions import SettingsError
 
+NUMBER = "{n}"
+
 
 class Distribution(enum.StrEnum):
     """Distribution of service times."""
@@ -20,7 +22,8 @@
     """A call that an operation makes to another service.
 
     :param service: name of the called service
-    :param path: path below the service
+    :param path: path below the service; ``{n}`` stands for the last segment of the
+        calling request's path
     :param method: HTTP method
     :param label: ``Idempotency-Key`` of the child call, empty to send none
     :param required: whether the operation fails when the call does
@@ -119,13 +122,13 @@
     """One kind of user action that callers send.
 
     :param operation: full name, ``service.name``
-    :param path: path below the service
+    :param path: path below the service; ``{n}`` stands for the action's number
     :param class_name: class, for the report
     :param method: HTTP method
     :param weight: share of the sent actions, relative to the other weights
     :param keyed: whether it is sent with an issued ``Idempotency-Key``
     :param deadline_ms: time until the caller has no more use for the answer
-    :param body: request body
+    :param body: request body; ``{n}`` as in the path
     :param resends: resends with the same key until it succeeds
     :param resend_delay_ms: time before each resend
     """
@@ -141,6 +144,18 @@
     resends: int = 0
     resend_delay_ms: float = 0.0
 
+    def numbered(self, number: int) -> "ActionPlan":
+        """Return the action with its number in path and body.
+
+        Distinct requests matter to nodes, which quarantine a request by its content.
+        """
+        text = str(number)
+        return msgspec.structs.replace(
+            self,
+            path=self.path.replace(NUMBER, text),
+            body=self.body.replace(NUMBER, text),
+        )
+
     @property
     def service(self) -> str:
         """Return the name of the called service."""
--- a/src/briardock_standins/target.py
+++ b/src/briardock_standins/target.py
@@ -173,9 +173,7 @@
 
     def _die_if_told(self, request: HttpRequest) -> None:
         marker = self.plan.crash_marker.encode()
-        if marker and marker in request.body:
-            os._exit(CRASH_EXIT_CODE)
-        if self.faults.die_after == 0:
+        if (marker and marker in request.body) or self.faults.die_after == 0:
             os._exit(CRASH_EXIT_CODE)
         if self.faults.die_after > 0:
             self.faults = msgspec.structs.replace(
@@ -199,7 +197,12 @@
             await self._spend_own_time(operation)
         finally:
             work.own_ms = self._clock.now_ms() - started.at_ms
-        parent = Parent(started.run, started.nonce, request.header("briardock-context"))
+        parent = Parent(
+            started.run,
+            started.nonce,
+            request.header("briardock-context"),
+            request.path,
+        )
         results = await self._children.call_all(operation, parent)
         work.foreign = any(one.state is ChildState.FOREIGN for one in results)
         failed = [
