--- a/src/briardock/_settings_table.py
+++ b/src/briardock/_settings_table.py
@@ -9,6 +9,7 @@
 
 from msgspec import Meta
 
+MAX_SEEDS = 64
 NAME_PATTERN = r"^[A-Za-z0-9][A-Za-z0-9_-]{0,63}\Z"
 
 
@@ -57,17 +58,21 @@
         Meta(description="numeric IP address told to other nodes; empty means host"),
     ] = ""
     advertise_call_port: Annotated[
-        int | None,
+        int,
         Meta(
-            ge=1, le=65535, description="call port told to other nodes, if translated"
+            ge=0,
+            le=65535,
+            description="call port told to other nodes; 0 means call_port",
         ),
-    ] = None
+    ] = 0
     advertise_gossip_port: Annotated[
-        int | None,
+        int,
         Meta(
-            ge=1, le=65535, description="gossip port told to other nodes, if translated"
+            ge=0,
+            le=65535,
+            description="gossip port told to other nodes; 0 means gossip_port",
         ),
-    ] = None
+    ] = 0
     source_host: Annotated[
         str | None,
         Meta(description="numeric IP address that outgoing connections start from"),
@@ -75,7 +80,7 @@
     seeds: Annotated[
         tuple[Address, ...],
         Meta(
-            max_length=64,
+            max_length=MAX_SEEDS,
             description="gossip addresses of first contacts, list of host:port",
         ),
     ] = ()
