Keep the relay running when the end of data meets a reset connection

uvloop raises RuntimeError there; the error ended the relay and with it all links of a deployment. Propagation is measured through the relay with a delay.

--- a/benchmarks/propagation.py
+++ b/benchmarks/propagation.py
@@ -1,6 +1,6 @@
 """Time until a configuration is in force everywhere, and until work stops coming.
 
-Runs 12 nodes over three failure domains. Publishes a change several times and
+Runs 12 nodes over three failure domains that are 1.5 ms apart. Publishes a change several times and
 reads the version of every node; then lets a target leave under load and finds the
 last call that started on it after its notice. Run:
 ``python benchmarks/propagation.py``; the last line is JSON.
@@ -29,6 +29,7 @@
 CONFIG = Path(__file__).parent / "overload_config"
 CHANGED_FILE = "zz-change.ini"
 DOMAINS = {"a": "127.0.1.1", "b": "127.0.2.1", "c": "127.0.3.1"}
+DOMAIN_DELAY_MS = 1.5
 PER_DOMAIN = 4
 CALLED = "price"
 POLL_S = 0.005
@@ -43,7 +44,14 @@
     template = TargetPlan(CALLED, single_operation(10.0), slots=64)
     plan = target_plan(read_catalog(CONFIG), template, parallel=False)
     service = ServiceSpec(plan, tuple(DOMAINS) * PER_DOMAIN)
-    return DeploymentSpec((service,), CONFIG, domains=DOMAINS, seed=seed)
+    return DeploymentSpec(
+        (service,),
+        CONFIG,
+        domains=DOMAINS,
+        relay=True,
+        delay_ms=DOMAIN_DELAY_MS,
+        seed=seed,
+    )
 
 
 async def wait_for_version(client: HttpClient, admin: str, version: int) -> float:
--- a/src/briardock_standins/relay.py
+++ b/src/briardock_standins/relay.py
@@ -232,7 +232,8 @@
                     await sink.send(chunk.data)
             await _wait_while_held(path)
             await sink.send_eof()
-        except CLOSED:
+        except (*CLOSED, RuntimeError):
+            # uvloop raises RuntimeError for the end of data on a reset connection.
             scope.cancel()
 
     async def control(self, request: HttpRequest) -> HttpResponse:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -1,5 +1,6 @@
 """Tests of the relay between failure domains, on real sockets."""
 
+import socket
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
@@ -18,7 +19,7 @@
     serve_http,
 )
 from briardock_standins.plans import RelayPlan
-from briardock_standins.relay import Mode, PathChange, Relay
+from briardock_standins.relay import LINGER_RESET, Mode, PathChange, Relay
 
 LONG_MS = 20_000.0
 SHORT_MS = 100.0
@@ -96,3 +97,20 @@
             assert isinstance(results[0], HttpResponse)
 
     anyio.run(scenario)
+
+
+def test_reset_connection_does_not_end_the_relay() -> None:
+    # uvloop raises RuntimeError where asyncio raises nothing when the end of data
+    # is sent to a reset connection; that ended the relay.
+    async def scenario() -> None:
+        async with relayed() as (_, address):
+            for _ in range(20):
+                stream = await anyio.connect_tcp(address.host, address.port)
+                await stream.send(b"POST / HTTP/1.1\r\n")
+                raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+                raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+                await anyio.aclose_forcefully(stream)
+            answer = await HttpClient("127.0.1.1").request(address, REQUEST, LONG_MS)
+            assert isinstance(answer, HttpResponse)
+
+    anyio.run(scenario, backend_options={"use_uvloop": True})
