Wait longer for important classes and ignore drops above the threshold

Waiters left above a lowered threshold kept it from rising. The longest wait of the most important class is 300 ms and the queue holds 512, so that a burst of important calls passes.

--- a/src/briardock/admission.py
+++ b/src/briardock/admission.py
@@ -61,9 +61,9 @@
     :param limiter: settings of the concurrency limit
     """
 
-    queue_length: int = 256
+    queue_length: int = 512
     sojourn_least_ms: float = 50.0
-    sojourn_most_ms: float = 200.0
+    sojourn_most_ms: float = 300.0
     window_ms: float = 100.0
     overload_wait_ms: float = 5.0
     limiter: LimiterSettings = field(default_factory=LimiterSettings)
@@ -95,7 +95,7 @@
     arrivals: dict[int, int] = field(default_factory=dict)
     started_count: int = 0
     wait_ms: float = 0.0
-    lowest_dropped: int | None = None
+    lowest_dropped: int = MAX_LEVEL + 1
     queue_emptied: bool = False
     busy_ms: float = 0.0
 
@@ -257,8 +257,7 @@
             self._dispatch(now_ms)
 
     def _record_drop(self, level: int) -> None:
-        lowest = self._window.lowest_dropped
-        if lowest is None or level < lowest:
+        if level < self._window.lowest_dropped:
             self._window.lowest_dropped = level
 
     def _drop(
@@ -316,7 +315,7 @@
         if elapsed_ms > IDLE_WINDOWS * self._settings.window_ms:
             # Nothing arrived for long, or the process was paused.
             self._threshold = MAX_LEVEL
-        elif window.lowest_dropped is not None:
+        elif window.lowest_dropped <= self._threshold:
             self._lower(window.lowest_dropped)
         elif self._threshold < MAX_LEVEL and not self._has_standing_queue(window):
             self._raise(window.busy_ms / elapsed_ms / self._limiter.limit)
