--- a/src/briardock/limiter.py
+++ b/src/briardock/limiter.py
@@ -126,20 +126,19 @@
         self._batch_from_ms = self._clock.now_ms()
 
     @property
-    def base_limit(self) -> float:
-        """High value of the limit."""
+    def high_value(self) -> float:
+        """Limit of the high phases, bounded by the ramp."""
+        if self._ramping:
+            return min(self._base, self._ramp_ceiling())
         return self._base
 
     @property
     def limit(self) -> int:
         """Requests that may run in the target now."""
-        settings = self._settings
-        if self._ramping:
-            self._base = min(self._base, self._ramp_ceiling())
-        value = self._base
+        value = self.high_value
         if self._low_phase:
-            value *= 1.0 - settings.probe_share
-        return max(settings.min_limit, int(value))
+            value *= 1.0 - self._settings.probe_share
+        return max(self._settings.min_limit, int(value))
 
     def _ramp_ceiling(self) -> float:
         """Return a bound that grows by a constant factor per time.
@@ -172,7 +171,7 @@
             self._end_phase()
 
     def _group_by_concurrency(self, own_time_ms: float, in_flight: int) -> None:
-        share = in_flight / self._base
+        share = in_flight / self.high_value
         probe_share = self._settings.probe_share
         if share > 1.0 - 0.4 * probe_share:
             self._high.add(own_time_ms, in_flight)
@@ -185,7 +184,7 @@
             if self._pairs_count >= MIN_PAIRS:
                 self._end_pair()
         self._low_phase = not self._low_phase
-        self._phase_left = max(MIN_PHASE_REQUESTS, int(self._base))
+        self._phase_left = max(MIN_PHASE_REQUESTS, int(self.high_value))
 
     def _end_pair(self) -> None:
         smaller = min(len(self._high.times_ms), len(self._low.times_ms))
@@ -213,7 +212,7 @@
         """Compare throughput and own time with those before the limit grew."""
         now_ms = self._clock.now_ms()
         concurrency = self._concurrency_sum / self._finished_count
-        if concurrency < BINDING_SHARE * self._base:
+        if concurrency < BINDING_SHARE * self.high_value:
             return False
         rate = self._finished_count / (now_ms - self._batch_from_ms)
         own_time_ms = self._own_time_sum_ms / self._finished_count
@@ -227,7 +226,7 @@
             slower = own_time_ms > anchor.own_time_ms * needed
             if slower and rate < anchor.rate * needed:
                 return True
-        self._anchor = _Anchor(now_ms, self._base, concurrency, rate, own_time_ms)
+        self._anchor = _Anchor(now_ms, self.high_value, concurrency, rate, own_time_ms)
         return False
 
     def _decide(self, share: float) -> None:
@@ -255,7 +254,7 @@
 
     def _move(self, factor: float) -> None:
         settings = self._settings
-        wanted = self._base * factor
+        wanted = self.high_value * factor
         self._base = min(settings.max_limit, max(settings.min_limit, wanted))
 
 
