--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,371 @@
+"""Tests of admission: levels, queue order, refusals, threshold."""
+
+import asyncio
+import contextlib
+import random
+import zlib
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from briardock.admission import (
+    LEVELS_PER_CLASS,
+    MAX_LEVEL,
+    Admission,
+    AdmissionSettings,
+    Ticket,
+    admission_level,
+    make_admission,
+)
+from briardock.clock import ManualClock
+from briardock.limiter import LimiterSettings
+from briardock.metrics import Metrics
+from briardock.outcomes import NotRun, Reason
+
+FAR_MS = 1e9
+
+
+def make(
+    limit: int = 1, queue_length: int = 4, clock: ManualClock | None = None
+) -> tuple[Admission, ManualClock]:
+    """Return an admission whose concurrency limit is constant."""
+    clock = clock or ManualClock()
+    limiter = LimiterSettings(
+        min_limit=limit, max_limit=limit, initial_limit=limit, probe_share=0.0
+    )
+    settings = AdmissionSettings(queue_length=queue_length, limiter=limiter)
+    return make_admission(settings, clock, Metrics()), clock
+
+
+async def ticket(admission: Admission, level: int = 0) -> Ticket:
+    result = await admission.admit(level, FAR_MS)
+    assert isinstance(result, Ticket)
+    return result
+
+
+def start(
+    admission: Admission, level: int, deadline_at_ms: float = FAR_MS
+) -> "asyncio.Task[Ticket | NotRun]":
+    return asyncio.create_task(admission.admit(level, deadline_at_ms))
+
+
+async def settle() -> None:
+    for _ in range(5):
+        await asyncio.sleep(0)
+
+
+@contextlib.asynccontextmanager
+async def running(admission: Admission):  # type: ignore[no-untyped-def]
+    task = asyncio.create_task(admission.run())
+    try:
+        yield
+    finally:
+        task.cancel()
+
+
+@pytest.mark.parametrize(
+    "class_rank, key, level",
+    [
+        (0, "n1.5.100.1.mac", zlib.crc32(b"n1.5.100.1.mac") % 128),
+        (7, "n1.5.100.1.mac", 896 + zlib.crc32(b"n1.5.100.1.mac") % 128),
+        (9, "k", 896 + zlib.crc32(b"k") % 128),
+        (-1, "k", zlib.crc32(b"k") % 128),
+    ],
+)
+def test_level_of_class_and_key(class_rank: int, key: str, level: int) -> None:
+    assert admission_level(class_rank, key) == level
+
+
+@given(st.integers(0, 7), st.text(max_size=30), st.text(max_size=30))
+def test_all_calls_of_an_action_have_one_level(
+    class_rank: int, root: str, label: str
+) -> None:
+    # Guards against hops of one action that shed independently of each other.
+    root = root.replace("/", "")
+    level = admission_level(class_rank, f"{root}/{label}")
+    assert level == admission_level(class_rank, root)
+    assert level // LEVELS_PER_CLASS == class_rank
+
+
+@given(st.lists(st.integers(0, MAX_LEVEL), min_size=1, max_size=30))
+def test_waiters_start_in_order_of_level_then_arrival(levels: list[int]) -> None:
+    async def scenario() -> list[tuple[int, int]]:
+        admission, _ = make(queue_length=len(levels))
+        first = await ticket(admission)
+        started: list[tuple[int, int]] = []
+
+        async def call(order: int, level: int) -> None:
+            held = await ticket(admission, level)
+            started.append((level, order))
+            admission.release(held, 1.0, True)
+
+        calls = [asyncio.create_task(call(*item)) for item in enumerate(levels)]
+        await settle()
+        admission.release(first, 1.0, True)
+        await asyncio.gather(*calls)
+        assert admission.in_flight == admission.queued == 0
+        return started
+
+    started = asyncio.run(scenario())
+    assert started == sorted(started)
+
+
+@given(st.lists(st.integers(0, MAX_LEVEL), min_size=1, max_size=30), st.integers(1, 8))
+def test_full_queue_keeps_the_most_important(
+    levels: list[int], queue_length: int
+) -> None:
+    # Guards against important calls that are refused behind unimportant ones.
+    async def scenario() -> list[int]:
+        admission, _ = make(queue_length=queue_length)
+        await ticket(admission)
+        calls = [start(admission, level) for level in levels]
+        await settle()
+        assert admission.queued <= queue_length
+        waiting = [
+            level for level, call in zip(levels, calls, strict=True) if not call.done()
+        ]
+        for call in calls:
+            if call.done():
+                result = call.result()
+                assert isinstance(result, NotRun)
+                assert result.reason is Reason.OVERLOADED
+            call.cancel()
+        return waiting
+
+    waiting = asyncio.run(scenario())
+    assert sorted(waiting) == sorted(levels)[:queue_length]
+
+
+@given(st.integers(0, 2**32), st.integers(1, 4))
+def test_slots_are_conserved(seed: int, limit: int) -> None:
+    # Guards against slots that leak or double when tasks are cancelled at any
+    # point of their wait.
+    async def scenario() -> None:
+        rng = random.Random(seed)
+        admission, clock = make(limit, queue_length=5)
+        calls: list[asyncio.Task[Ticket | NotRun]] = []
+        for _ in range(60):
+            match rng.randrange(4):
+                case 0 | 1:
+                    calls.append(start(admission, rng.randrange(MAX_LEVEL)))
+                case 2 if calls:
+                    call = calls.pop(rng.randrange(len(calls)))
+                    release(admission, call)
+                    call.cancel()
+                case _:
+                    clock.advance(rng.random() * 60.0)
+            if rng.random() < 0.7:
+                await settle()
+                assert admission.in_flight <= limit
+        await settle()
+        while calls:
+            for call in list(calls):
+                if call.done():
+                    calls.remove(call)
+                    release(admission, call)
+            await settle()
+        assert admission.in_flight == admission.queued == 0
+
+    asyncio.run(scenario())
+
+
+def release(admission: Admission, call: "asyncio.Task[Ticket | NotRun]") -> None:
+    if call.done() and not call.cancelled():
+        result = call.result()
+        if isinstance(result, Ticket):
+            admission.release(result, 1.0, True)
+
+
+def test_second_release_has_no_effect() -> None:
+    async def scenario() -> None:
+        admission, _ = make(limit=2)
+        held = await ticket(admission)
+        await ticket(admission)
+        admission.release(held, 1.0, True)
+        admission.release(held, 1.0, True)
+        assert admission.in_flight == 1
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    "level, waited_ms, expired",
+    [(0, 250.0, False), (0, 310.0, True), (MAX_LEVEL, 40.0, False)]
+    + [(MAX_LEVEL, 60.0, True)],
+)
+def test_wait_is_bounded_by_level(level: int, waited_ms: float, expired: bool) -> None:
+    async def scenario() -> Ticket | NotRun:
+        admission, clock = make()
+        held = await ticket(admission)
+        call = start(admission, level)
+        await settle()
+        clock.advance(waited_ms)
+        admission.release(held, 1.0, True)
+        return await call
+
+    result = asyncio.run(scenario())
+    assert isinstance(result, NotRun) == expired
+
+
+def test_periodic_task_expires_waiters() -> None:
+    # Guards against waiters that hang while no request finishes.
+    async def scenario() -> None:
+        admission, clock = make()
+        await ticket(admission)
+        call = start(admission, MAX_LEVEL)
+        await settle()
+        clock.advance(60.0)
+        async with running(admission):
+            result = await call
+        assert result == NotRun(Reason.OVERLOADED, "waited too long for a slot")
+        assert admission.queued == 0
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    "remaining_ms, operation, refused",
+    [
+        (-1.0, "unknown", True),
+        (1.0, "unknown", False),
+        (50.0, "slow", True),
+        (200.0, "slow", False),
+    ],
+)
+def test_doomed_call_takes_no_slot(
+    remaining_ms: float, operation: str, refused: bool
+) -> None:
+    async def scenario() -> Ticket | NotRun:
+        admission, clock = make(limit=2)
+        for _ in range(2):
+            held = await admission.admit(0, FAR_MS, "slow")
+            assert isinstance(held, Ticket)
+            clock.advance(100.0)
+            admission.release(held, 100.0, True)
+            await admission.admit(0, clock.now_ms() + 1.0, "slow")
+        deadline_at_ms = clock.now_ms() + remaining_ms
+        return await admission.admit(0, deadline_at_ms, operation)
+
+    result = asyncio.run(scenario())
+    if refused:
+        assert isinstance(result, NotRun)
+        assert result.reason is Reason.DEADLINE_EXCEEDED
+    else:
+        assert isinstance(result, Ticket)
+
+
+def test_operation_that_became_fast_is_admitted_again() -> None:
+    # Guards against an expectation that refuses every call and so never changes.
+    async def scenario() -> int:
+        admission, clock = make(limit=10)
+        held = await admission.admit(0, FAR_MS, "op")
+        assert isinstance(held, Ticket)
+        clock.advance(5_000.0)
+        admission.release(held, 5_000.0, True)
+        admitted_count = 0
+        for _ in range(30):
+            result = await admission.admit(0, clock.now_ms() + 1_000.0, "op")
+            clock.advance(100.0)
+            if isinstance(result, Ticket):
+                admitted_count += 1
+                admission.release(result, 100.0, True)
+        return admitted_count
+
+    assert asyncio.run(scenario()) >= 10
+
+
+async def overload(
+    admission: Admission, clock: ManualClock, windows: int, levels: list[int]
+) -> None:
+    """Offer each level every 10 ms to a target that ends one call per 10 ms."""
+    held: list[asyncio.Task[Ticket | NotRun]] = []
+    for _ in range(windows * 10):
+        held += [start(admission, level) for level in levels]
+        await settle()
+        clock.advance(10.0)
+        for call in held:
+            if call.done():
+                held.remove(call)
+                release(admission, call)
+                break
+    for call in held:
+        release(admission, call)
+        call.cancel()
+    await settle()
+
+
+def test_threshold_falls_between_the_classes_and_recovers() -> None:
+    async def scenario() -> tuple[int, int, int]:
+        admission, clock = make(limit=1, queue_length=20)
+        await overload(admission, clock, 10, [5, 600, 700, 800])
+        during = admission.refusal_level()
+        refused = await admission.admit(800, FAR_MS)
+        assert isinstance(refused, NotRun)
+        for _ in range(20):
+            clock.advance(100.0)
+            admission.refusal_level()
+        return during, admission.refusal_level(), admission.queued
+
+    during, after, queued = asyncio.run(scenario())
+    assert 5 <= during < 800
+    assert after == MAX_LEVEL
+    assert queued == 0
+
+
+def test_target_at_capacity_is_not_shed() -> None:
+    # Guards against a threshold that falls although every call found a slot.
+    async def scenario() -> int:
+        admission, clock = make(limit=1, queue_length=20)
+        lowest = MAX_LEVEL
+        for _ in range(300):
+            held = await ticket(admission, 900)
+            clock.advance(10.0)
+            admission.release(held, 10.0, True)
+            lowest = min(lowest, admission.refusal_level())
+        return lowest
+
+    assert asyncio.run(scenario()) == MAX_LEVEL
+
+
+def test_idle_target_forgets_its_threshold() -> None:
+    # Guards against refusals after a pause, as no task has moved the windows.
+    async def scenario() -> Ticket | NotRun:
+        admission, clock = make(limit=1, queue_length=20)
+        await overload(admission, clock, 10, [5, 600, 700, 800])
+        clock.advance(10_000.0)
+        return await admission.admit(MAX_LEVEL, FAR_MS)
+
+    assert isinstance(asyncio.run(scenario()), Ticket)
+
+
+@pytest.mark.parametrize("level", [-5, MAX_LEVEL + 1, 10**9])
+def test_level_out_of_range_is_bounded(level: int) -> None:
+    async def scenario() -> None:
+        admission, _ = make()
+        await ticket(admission, level)
+
+    asyncio.run(scenario())
+
+
+def test_load_and_state() -> None:
+    async def scenario() -> None:
+        admission, _ = make(limit=2)
+        assert admission.load() == 0.0
+        await ticket(admission)
+        await ticket(admission)
+        call = start(admission, 3)
+        await settle()
+        assert admission.load() == 1.5
+        assert admission.state() == {
+            "in_flight": 2,
+            "queued": 1,
+            "limit": 2,
+            "refusal_level": MAX_LEVEL,
+            "load": 1.5,
+        }
+        call.cancel()
+        await settle()
+        assert admission.queued == 0
+
+    asyncio.run(scenario())
