--- a/src/briardock/routing.py
+++ b/src/briardock/routing.py
@@ -1,67 +1,39 @@
-"""Choice of an instance for a call, ejection, and remembered refusal levels."""
+"""Choice of an instance for a call, and remembered refusal levels."""
 
-import enum
 import random
 from collections.abc import Container, Iterable
-from dataclasses import dataclass, field
-from statistics import median
-
+from dataclasses import dataclass
+
+from briardock._ejection import Ejector
+from briardock._instances import (
+    Instance,
+    Observation,
+    ObservationKind,
+    RoutingSettings,
+    ServiceInstances,
+    Tracked,
+)
 from briardock.admission import MAX_LEVEL
 from briardock.clock import Clock
 from briardock.metrics import Metrics
 from briardock.outcomes import NotRun, Reason
 
-LATENCY_WEIGHT = 0.1
-FAILURE_WEIGHT = 0.15
+__all__ = [
+    "Choice",
+    "Instance",
+    "Observation",
+    "ObservationKind",
+    "Router",
+    "RoutingSettings",
+    "make_router",
+]
+
 DRAWS = 4
 FULL_LOAD = 1.0
 ROOM_LOAD = 0.9
-MAX_BACKOFF_EXPONENT = 10
-
-
-class ObservationKind(enum.Enum):
-    """What became of one dispatch."""
-
-    OK = "ok"
-    REFUSED = "refused"
-    FAILED = "failed"
-    LOST = "lost"
-
-
-@dataclass(frozen=True, slots=True)
-class Instance:
-    """One usable instance of a service.
-
-    :param node_id: id of its node
-    :param incarnation: process incarnation of its node
-    :param service: name of the service
-    :param failure_domain: where it runs
-    :param host: numeric address
-    :param port: TCP port for call links
-    """
-
-    node_id: str
-    incarnation: int
-    service: str
-    failure_domain: str
-    host: str
-    port: int
-
-
-@dataclass(frozen=True, slots=True)
-class Observation:
-    """End of one dispatch.
-
-    :param kind: what became of it
-    :param latency_ms: time from dispatch to answer in ms
-    :param load: load carried on the answer, ``None`` without an answer
-    :param refusal_level: threshold carried on the answer, ``None`` without one
-    """
-
-    kind: ObservationKind
-    latency_ms: float = 0.0
-    load: float | None = None
-    refusal_level: int | None = None
+MIN_LATENCY_MS = 0.1
+# Factor of the cost of an instance that refused a call a moment ago.
+FULL_COST = 4.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,67 +46,6 @@
     instance: Instance
 
 
-@dataclass(frozen=True, slots=True)
-class RoutingSettings:
-    """Settings of the router.
-
-    :param memory_ms: lifetime of a remembered load or refusal level in ms
-    :param probe_share: share of refused calls let through to refresh the memory
-    :param refused_pause_ms: time for which a refusal marks an instance as full
-    :param fresh_in_flight: calls a new instance gets before its first answer
-    :param eject_min_observations: observations before an ejection
-    :param eject_failure_share: failure share that ejects
-    :param eject_slow_factor: latency by the median of its peers that ejects
-    :param eject_slow_min_ms: latency below which no instance counts as slow
-    :param eject_base_ms: duration of the first ejection in ms
-    :param eject_max_ms: longest ejection in ms
-    :param eject_max_share: most instances of a service ejected at once
-    :param probe_successes: answers that end the probing after an ejection
-    """
-
-    memory_ms: float = 500.0
-    probe_share: float = 0.02
-    refused_pause_ms: float = 50.0
-    fresh_in_flight: int = 4
-    eject_min_observations: int = 10
-    eject_failure_share: float = 0.5
-    eject_slow_factor: float = 4.0
-    eject_slow_min_ms: float = 20.0
-    eject_base_ms: float = 1_000.0
-    eject_max_ms: float = 60_000.0
-    eject_max_share: float = 1 / 3
-    probe_successes: int = 3
-
-
-@dataclass(slots=True, eq=False)
-class _Tracked:
-    """An instance with what was observed of it."""
-
-    instance: Instance
-    in_flight: int = 0
-    observed_count: int = 0
-    latency_ms: float = 0.0
-    failure_share: float = 0.0
-    load: float = 0.0
-    refusal_level: int = MAX_LEVEL
-    answered_at_ms: float = -1e12
-    full_until_ms: float = -1e12
-    ejected_until_ms: float = -1e12
-    ejections_count: int = 0
-    probes_left: int = 0
-
-
-@dataclass(slots=True)
-class _Service:
-    """Instances of one service by nearness."""
-
-    own: list[_Tracked] = field(default_factory=list)
-    other: list[_Tracked] = field(default_factory=list)
-
-    def all(self) -> list[_Tracked]:
-        return self.own + self.other
-
-
 class Router:
     """Chooses instances from this node's own observations.
 
@@ -158,29 +69,33 @@
         self._clock = clock
         self._rng = rng
         self._metrics = metrics
-        self._tracked: dict[str, _Tracked] = {}
-        self._services: dict[str, _Service] = {}
+        self._ejector = Ejector(settings, rng, metrics)
+        self._tracked: dict[str, Tracked] = {}
+        self._services: dict[str, ServiceInstances] = {}
 
     def update(self, instances: Iterable[Instance]) -> None:
         """Replace the usable instances, keeping the observations of those known.
 
         :param instances: all usable instances of all services
         """
-        tracked: dict[str, _Tracked] = {}
-        services: dict[str, _Service] = {}
+        tracked: dict[str, Tracked] = {}
+        services: dict[str, ServiceInstances] = {}
         for instance in instances:
             entry = self._keep(instance)
             tracked[instance.node_id] = entry
-            service = services.setdefault(instance.service, _Service())
+            service = services.setdefault(instance.service, ServiceInstances())
             near = instance.failure_domain == self._own_domain
-            (service.own if near else service.other).append(entry)
+            service.add(entry, near)
+        for name, service in services.items():
+            if name in self._services:
+                service.probed_at_ms = self._services[name].probed_at_ms
         self._tracked = tracked
         self._services = services
 
-    def _keep(self, instance: Instance) -> _Tracked:
+    def _keep(self, instance: Instance) -> Tracked:
         known = self._tracked.get(instance.node_id)
         if known is None or known.instance.incarnation != instance.incarnation:
-            return _Tracked(instance)
+            return Tracked(instance)
         known.instance = instance
         return known
 
@@ -208,10 +123,10 @@
         return Choice(best.instance)
 
     def _draw(
-        self, entries: list[_Tracked], exclude: Container[str], now_ms: float
-    ) -> _Tracked | None:
+        self, entries: list[Tracked], exclude: Container[str], now_ms: float
+    ) -> Tracked | None:
         """Return the better of two random eligible entries."""
-        first: _Tracked | None = None
+        first: Tracked | None = None
         for _ in range(DRAWS if len(entries) > 1 else 1):
             if not entries:
                 return None
@@ -227,9 +142,7 @@
         rest = [entry for entry in entries if self._eligible(entry, exclude, now_ms)]
         return self._rng.choice(rest) if rest else None
 
-    def _eligible(
-        self, entry: _Tracked, exclude: Container[str], now_ms: float
-    ) -> bool:
+    def _eligible(self, entry: Tracked, exclude: Container[str], now_ms: float) -> bool:
         if entry.instance.node_id in exclude or entry.ejected_until_ms > now_ms:
             return False
         if entry.probes_left:
@@ -238,34 +151,42 @@
             return entry.in_flight < self._settings.fresh_in_flight
         return True
 
-    def _better(self, first: _Tracked, second: _Tracked, now_ms: float) -> _Tracked:
+    def _better(self, first: Tracked, second: Tracked, now_ms: float) -> Tracked:
         if not first.observed_count or not second.observed_count:
             return first if first.in_flight <= second.in_flight else second
         if self._cost(first, now_ms) <= self._cost(second, now_ms):
             return first
         return second
 
-    def _cost(self, entry: _Tracked, now_ms: float) -> float:
-        cost = (entry.in_flight + 1) * (entry.latency_ms + 0.1)
-        if now_ms - entry.answered_at_ms < self._settings.memory_ms:
+    def _cost(self, entry: Tracked, now_ms: float) -> float:
+        cost = (entry.in_flight + 1) * (entry.latency_ms + MIN_LATENCY_MS)
+        if self._is_recent(entry, now_ms):
             cost *= 0.5 + entry.load
         if entry.full_until_ms > now_ms:
-            cost *= 4.0
+            cost *= FULL_COST
         return cost
 
-    def _is_full(self, entry: _Tracked, now_ms: float) -> bool:
+    def _is_recent(self, entry: Tracked, now_ms: float) -> bool:
+        return now_ms - entry.answered_at_ms < self._settings.memory_ms
+
+    def _is_full(self, entry: Tracked, now_ms: float) -> bool:
+        """Return whether a call should rather go to another failure domain."""
         if entry.full_until_ms > now_ms:
             return True
-        recent = now_ms - entry.answered_at_ms < self._settings.memory_ms
-        return recent and entry.load >= FULL_LOAD
+        if not self._is_recent(entry, now_ms):
+            return False
+        return entry.load >= FULL_LOAD or entry.refusal_level < MAX_LEVEL
 
-    def _has_room(self, entry: _Tracked, now_ms: float) -> bool:
+    def _has_room(self, entry: Tracked, now_ms: float) -> bool:
         if entry.full_until_ms > now_ms:
             return False
-        recent = now_ms - entry.answered_at_ms < self._settings.memory_ms
-        return not recent or entry.load < ROOM_LOAD
+        if not self._is_recent(entry, now_ms):
+            return True
+        return entry.load < ROOM_LOAD and entry.refusal_level >= MAX_LEVEL
 
-    def _any(self, service: _Service, exclude: Container[str]) -> _Tracked | None:
+    def _any(
+        self, service: ServiceInstances, exclude: Container[str]
+    ) -> Tracked | None:
         """Return the least used instance when every one is ejected or probing."""
         for entries in (service.own, service.other):
             rest = [item for item in entries if item.instance.node_id not in exclude]
@@ -297,97 +218,61 @@
             entry.load = observation.load
             entry.answered_at_ms = now_ms
         if observation.refusal_level is not None:
-            entry.refusal_level = observation.refusal_level
+            entry.refusal_level = max(0, observation.refusal_level)
             entry.answered_at_ms = now_ms
+        service = self._services[entry.instance.service]
         match observation.kind:
             case ObservationKind.REFUSED:
                 entry.full_until_ms = now_ms + self._settings.refused_pause_ms
             case ObservationKind.OK:
-                self._record_ok(entry, observation.latency_ms, now_ms)
+                latency_ms = observation.latency_ms
+                self._ejector.record_ok(entry, service, latency_ms, now_ms)
             case ObservationKind.FAILED | ObservationKind.LOST:
-                self._record_failure(entry, now_ms)
-
-    def _record_ok(self, entry: _Tracked, latency_ms: float, now_ms: float) -> None:
-        entry.observed_count += 1
-        entry.failure_share *= 1.0 - FAILURE_WEIGHT
-        weight = max(LATENCY_WEIGHT, 1.0 / entry.observed_count)
-        entry.latency_ms += weight * (latency_ms - entry.latency_ms)
-        if entry.probes_left:
-            entry.probes_left -= 1
-        elif entry.observed_count > self._settings.eject_min_observations:
-            self._eject_if_slow(entry, now_ms)
-
-    def _record_failure(self, entry: _Tracked, now_ms: float) -> None:
-        entry.observed_count += 1
-        entry.failure_share += FAILURE_WEIGHT * (1.0 - entry.failure_share)
-        if entry.probes_left or self._fails(entry):
-            self._eject(entry, now_ms)
-
-    def _fails(self, entry: _Tracked) -> bool:
-        return entry.failure_share > self._settings.eject_failure_share
-
-    def _eject_if_slow(self, entry: _Tracked, now_ms: float) -> None:
-        settings = self._settings
-        if entry.latency_ms < settings.eject_slow_min_ms:
-            return
-        service = self._services[entry.instance.service]
-        peers = [
-            item.latency_ms
-            for item in service.all()
-            if item is not entry and item.observed_count
-        ]
-        if peers and entry.latency_ms > settings.eject_slow_factor * median(peers):
-            self._eject(entry, now_ms)
-
-    def _eject(self, entry: _Tracked, now_ms: float) -> None:
-        if entry.ejected_until_ms > now_ms:
-            return
-        members = self._services[entry.instance.service].all()
-        out_count = sum(item.ejected_until_ms > now_ms for item in members)
-        if out_count >= self._most_ejected(len(members)):
-            return
-        settings = self._settings
-        exponent = min(entry.ejections_count, MAX_BACKOFF_EXPONENT)
-        duration_ms = min(settings.eject_max_ms, settings.eject_base_ms * 2**exponent)
-        jitter = 0.9 + 0.2 * self._rng.random()
-        entry.ejected_until_ms = now_ms + duration_ms * jitter
-        entry.ejections_count += 1
-        entry.probes_left = settings.probe_successes
-        entry.failure_share = 0.0
-        entry.observed_count = 0
-        self._metrics.count("routing.ejected")
-
-    def _most_ejected(self, members_count: int) -> int:
-        if members_count < 2:
-            return 0
-        return max(1, int(members_count * self._settings.eject_max_share))
+                self._ejector.record_failure(entry, service, now_ms)
 
     def refusal_level(self, service: str) -> int:
         """Return the highest threshold among the usable instances of a service.
 
-        Instances without a recent answer count as admitting every level.
+        Instances without a recent answer count as admitting every level, ejected
+        ones do not count.
 
         :param service: name of the service
         """
         known = self._services.get(service)
         if known is None:
             return MAX_LEVEL
-        oldest_ms = self._clock.now_ms() - self._settings.memory_ms
+        now_ms = self._clock.now_ms()
         highest = -1
-        for entry in known.all():
-            if entry.answered_at_ms < oldest_ms:
+        for entry in known.members:
+            if entry.ejected_until_ms > now_ms:
+                continue
+            highest = max(highest, self._remembered_level(entry, now_ms))
+            if highest >= MAX_LEVEL:
                 return MAX_LEVEL
-            highest = max(highest, entry.refusal_level)
-        return highest
+        return highest if highest >= 0 else MAX_LEVEL
+
+    def _remembered_level(self, entry: Tracked, now_ms: float) -> int:
+        age_ms = now_ms - entry.answered_at_ms
+        if age_ms > self._settings.refusal_memory_ms:
+            return MAX_LEVEL
+        return entry.refusal_level
 
     def admits(self, service: str, level: int) -> bool:
-        """Return whether an instance is likely to admit a level.
+        """Return whether to send a call, or refuse it early.
+
+        A share of the calls that would be refused passes, and at least one per
+        period, so that the remembered levels stay fresh.
 
         :param service: name of the service
         :param level: admission level
         """
         if level <= self.refusal_level(service):
             return True
+        known = self._services[service]
+        now_ms = self._clock.now_ms()
+        if now_ms - known.probed_at_ms >= self._settings.probe_period_ms:
+            known.probed_at_ms = now_ms
+            return True
         return self._rng.random() < self._settings.probe_share
 
     def state(self) -> dict[str, object]:
