--- /dev/null
+++ b/benchmarks/retry_budget.py
@@ -0,0 +1,304 @@
+"""Compare retry limits over random call trees.
+
+Each action is a tree of calls up to 13 deep with 1 to 4 children per call. A
+failed call may be tried again by its caller. Kinds of failure: a lost answer, a
+dead deep service, and a burst of refusals. Attempts are counted per call that
+the action needs without failures.
+Usage: ``python benchmarks/retry_budget.py [actions] [seeds]``; the last line is
+JSON.
+"""
+
+import json
+import random
+import sys
+from dataclasses import dataclass, field
+from statistics import mean
+from typing import Protocol
+
+from briardock.budget import RetryBudget, RetryRatio, make_budget, make_retry_ratio
+
+TOKENS = 2
+RETRIES_PER_HOP = 2
+MAX_DEPTH = 13
+MAX_CALLS = 60
+MAX_ATTEMPTS = 5_000
+SERVICES = 40
+RETRY_RATIO = 0.05
+LOSS_SHARE = 0.01
+BURST_REFUSALS = 0.3
+BURST_PERIOD = 20
+
+
+@dataclass(slots=True)
+class Call:
+    """One call of an action.
+
+    :param service: index of the called service
+    :param depth: 0 for the entry call
+    :param children: calls that it makes, one after the other
+    """
+
+    service: int
+    depth: int
+    children: list["Call"] = field(default_factory=list)
+
+
+def make_tree(rng: random.Random) -> Call:
+    """Return a random tree with at least one long chain."""
+    root = Call(rng.randrange(SERVICES), 0)
+    open_calls = [root]
+    wanted_depth = rng.randint(2, MAX_DEPTH)
+    calls_count = 1
+    while open_calls:
+        parent = open_calls.pop(0)
+        if parent.depth >= wanted_depth:
+            continue
+        fan_out = rng.randint(1, 4) if parent.depth % 3 == 0 else 1
+        for index in range(fan_out):
+            if index and calls_count >= MAX_CALLS:
+                break
+            child = Call(rng.randrange(SERVICES), parent.depth + 1)
+            parent.children.append(child)
+            calls_count += 1
+            if index == 0 or rng.random() < 0.3:
+                open_calls.append(child)
+    return root
+
+
+def size(call: Call) -> int:
+    """Return the calls of a tree."""
+    return 1 + sum(size(child) for child in call.children)
+
+
+class Faults:
+    """Failures of attempts.
+
+    :param kind: ``loss``, ``dead`` or ``burst``
+    """
+
+    def __init__(self, kind: str, rng: random.Random) -> None:
+        self.kind = kind
+        self.rng = rng
+        self.burst_on = False
+
+    def refuses(self, call: Call) -> bool:
+        """Return whether the target refuses before it makes its own calls."""
+        if self.kind == "dead":
+            return call.service == 0 and call.depth >= 2
+        if self.kind == "burst" and self.burst_on:
+            return call.service < 5 and self.rng.random() < BURST_REFUSALS
+        return False
+
+    def loses(self) -> bool:
+        """Return whether the answer is lost."""
+        return self.kind == "loss" and self.rng.random() < LOSS_SHARE
+
+
+class Policy(Protocol):
+    """Rule that gives budgets to children and allows retries.
+
+    :ivar retries_failed: whether a child that answered with a failure of its own
+        calls is tried again, not only one that refused or whose answer was lost
+    """
+
+    retries_failed: bool
+
+    def share(self, budget: RetryBudget, call: Call, fan_out_left: int) -> int:
+        """Return the tokens delegated with a dispatch."""
+        ...
+
+    def returned(self, left: int) -> int:
+        """Return the tokens that come back with an answer."""
+        ...
+
+    def retries(self, budget: RetryBudget, retries_count: int) -> bool:
+        """Return whether the caller may retry, and take a token."""
+        ...
+
+
+class PerHop:
+    """Each caller retries a fixed number of times."""
+
+    retries_failed = True
+
+    def share(self, budget: RetryBudget, call: Call, fan_out_left: int) -> int:
+        """Delegate nothing, as hops know nothing of each other."""
+        return 0
+
+    def returned(self, left: int) -> int:
+        """Return nothing."""
+        return 0
+
+    def retries(self, budget: RetryBudget, retries_count: int) -> bool:
+        """Allow a fixed number."""
+        return retries_count < RETRIES_PER_HOP
+
+
+class StaticSplit:
+    """The budget is divided over the fan-out; unspent tokens do not come back."""
+
+    retries_failed = True
+
+    def share(self, budget: RetryBudget, call: Call, fan_out_left: int) -> int:
+        """Delegate an equal share."""
+        return budget.delegate(fan_out_left)
+
+    def returned(self, left: int) -> int:
+        """Return nothing."""
+        return 0
+
+    def retries(self, budget: RetryBudget, retries_count: int) -> bool:
+        """Take a token."""
+        return budget.spend()
+
+
+class SplitAndReturn(StaticSplit):
+    """The unspent part of a share comes back with the answer."""
+
+    def returned(self, left: int) -> int:
+        """Return what is left."""
+        return left
+
+
+class ReturnKeepOne(SplitAndReturn):
+    """Split and return, but each caller keeps one token for its own retry."""
+
+    def share(self, budget: RetryBudget, call: Call, fan_out_left: int) -> int:
+        """Delegate a share of all but one token."""
+        if not budget.spend():
+            return 0
+        share = budget.delegate(fan_out_left)
+        budget.give_back(1)
+        return share
+
+
+class ReturnNoneToLeaves(SplitAndReturn):
+    """Split and return, but calls without calls of their own get nothing."""
+
+    def share(self, budget: RetryBudget, call: Call, fan_out_left: int) -> int:
+        """Delegate a share to a call that makes calls."""
+        return budget.delegate(fan_out_left) if call.children else 0
+
+
+class ReturnKeepOneNoneToLeaves(ReturnKeepOne):
+    """Keep one token, and give none to calls without calls of their own."""
+
+    def share(self, budget: RetryBudget, call: Call, fan_out_left: int) -> int:
+        """Delegate a share of all but one token to a call that makes calls."""
+        if not call.children:
+            return 0
+        return super().share(budget, call, fan_out_left)
+
+
+class OwnHopKeepOne(ReturnKeepOneNoneToLeaves):
+    """Keep one token, and retry only what this hop saw refused or lost."""
+
+    retries_failed = False
+
+
+class OwnHopNoneToLeaves(ReturnNoneToLeaves):
+    """None to leaves, and retry only what this hop saw refused or lost."""
+
+    retries_failed = False
+
+
+class Run:
+    """Actions under one policy."""
+
+    def __init__(self, policy: Policy, faults: Faults, ratio: RetryRatio | None):
+        self.policy = policy
+        self.faults = faults
+        self.ratio = ratio
+        self.attempts_count = 0
+        self.spent_here = 0
+
+    def attempt(self, call: Call, budget: RetryBudget) -> str:
+        """Run one attempt with its children and return its outcome."""
+        self.attempts_count += 1
+        self.spent_here += 1
+        if self.spent_here > MAX_ATTEMPTS or self.faults.refuses(call):
+            return "refused"
+        for index, child in enumerate(call.children):
+            if not self.run(child, budget, len(call.children) - index):
+                return "failed"
+        return "lost" if self.faults.loses() else "ok"
+
+    def run(self, call: Call, budget: RetryBudget, fan_out_left: int) -> bool:
+        """Dispatch a call until it succeeds or no retry is allowed."""
+        retries_count = 0
+        if self.ratio:
+            self.ratio.record_first()
+        while True:
+            child = make_budget(self.policy.share(budget, call, fan_out_left))
+            outcome = self.attempt(call, child)
+            if outcome != "lost":
+                budget.give_back(self.policy.returned(child.left))
+            if outcome == "ok":
+                return True
+            if outcome == "failed" and not self.policy.retries_failed:
+                return False
+            if self.ratio and not self.ratio.allow_retry():
+                return False
+            if not self.policy.retries(budget, retries_count):
+                return False
+            retries_count += 1
+
+
+POLICIES: dict[str, type] = {
+    "per-hop": PerHop,
+    "static-split": StaticSplit,
+    "split-return": SplitAndReturn,
+    "keep-one": ReturnKeepOne,
+    "keep-one-no-leaf": ReturnKeepOneNoneToLeaves,
+    "no-leaf": ReturnNoneToLeaves,
+    "own-hop-keep-one": OwnHopKeepOne,
+    "own-hop-no-leaf": OwnHopNoneToLeaves,
+}
+RATIO_SUFFIX = "+ratio"
+
+
+def measure(name: str, kind: str, actions_count: int, seed: int) -> tuple[float, ...]:
+    """Return attempts per needed call, its maximum, and the completed share."""
+    trees = random.Random(seed)
+    faults = Faults(kind, random.Random(seed + 1_000))
+    policy = POLICIES[name.removesuffix(RATIO_SUFFIX)]()
+    with_ratio = name.endswith(RATIO_SUFFIX)
+    run = Run(policy, faults, make_retry_ratio(RETRY_RATIO) if with_ratio else None)
+    needed_count = 0
+    done_count = 0
+    most = 0.0
+    for index in range(actions_count):
+        tree = make_tree(trees)
+        faults.burst_on = index % BURST_PERIOD < BURST_PERIOD // 4
+        run.spent_here = 0
+        done_count += run.run(tree, make_budget(TOKENS), 1)
+        needed_count += size(tree)
+        most = max(most, run.spent_here / size(tree))
+    return run.attempts_count / needed_count, most, done_count / actions_count
+
+
+def main() -> None:
+    """Run all policies and print means over the seeds."""
+    actions_count = int(sys.argv[1]) if len(sys.argv) > 1 else 2_000
+    seeds = range(int(sys.argv[2]) if len(sys.argv) > 2 else 3)
+    summary: dict[str, dict[str, dict[str, float]]] = {}
+    names = [name + suffix for name in POLICIES for suffix in ("", RATIO_SUFFIX)]
+    for kind in ("loss", "dead", "burst"):
+        for name in names:
+            runs = [measure(name, kind, actions_count, seed) for seed in seeds]
+            attempts, most, done = (mean(column) for column in zip(*runs, strict=True))
+            print(
+                f"{kind:6} {name:22} attempts/call {attempts:7.3f}"
+                f" most {most:8.2f} completed {done:.4f}",
+                flush=True,
+            )
+            summary.setdefault(kind, {})[name] = {
+                "attempts_per_call": round(attempts, 4),
+                "most_per_action": round(most, 2),
+                "completed": round(done, 4),
+            }
+    print(json.dumps(summary))
+
+
+if __name__ == "__main__":
+    main()
