--- a/src/briardock/_holding.py
+++ b/src/briardock/_holding.py
@@ -6,7 +6,7 @@
 SAMPLE_WEIGHT = 0.05
 # After a pause a single sample counts much, so that the end of a slowdown shows
 # in a few probes.
-MEMORY_MS = 1_000.0
+MEMORY_MS = 300.0
 PROBE_PERIOD_MS = 500.0
 MAX_OPERATIONS = 4_096
 
