Test address reuse and pauses in probes

A node that takes over the address of a lost one must not answer for it, and a probe that spans a pause of the process must not start a suspicion.

--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -169,6 +169,16 @@
         return int(probe.getsockname()[1])
 
 
+def _is_free(address: Address) -> bool:
+    """Return whether a stopped node has released its port."""
+    with socket.socket() as probe:
+        try:
+            probe.bind((address.host, address.port))
+        except OSError:
+            return False
+    return True
+
+
 @asynccontextmanager
 async def running_cluster() -> AsyncIterator[Cluster]:
     context = zmq.asyncio.Context()
@@ -233,6 +243,7 @@
         await until(
             lambda: all(n.state_of(lost) is MemberState.UNREACHABLE for n in others)
         )
+        await until(lambda: _is_free(lost.address))
         again = await cluster.start("n3", [nodes[0].address], 2, lost.address)
         await until(lambda: all(n.state_of(again) is MemberState.ALIVE for n in others))
         await until(lambda: alive_count(again) == 4)
@@ -240,6 +251,55 @@
     run(check)
 
 
+def test_another_node_at_the_address_does_not_answer_for_a_lost_one() -> None:
+    # Guards against a dead member kept alive by the node that got its address.
+    async def check(cluster: Cluster) -> None:
+        nodes = await cluster.start_all(3)
+        lost = nodes[2]
+        lost.scope.cancel()
+        await until(lambda: _is_free(lost.address))
+        heir = await cluster.start("heir", [nodes[0].address], address=lost.address)
+        await until(
+            lambda: all(
+                node.state_of(lost) is MemberState.UNREACHABLE
+                and node.state_of(heir) is MemberState.ALIVE
+                for node in nodes[:2]
+            )
+        )
+
+    run(check)
+
+
+def test_probe_that_spans_a_pause_proves_nothing() -> None:
+    # Guards against a resumed process that suspects members it could not hear.
+    clock = ManualClock()
+    own = MemberRecord("own", 1, 1, "s", "d", "r", "127.0.1.1", 1, 2, "t")
+    other = msgspec.structs.replace(own, node_id="other")
+    table = make_member_table(own, clock, random.Random(1), MembershipSettings())
+    table.merge([other])
+    settings = GossipSettings(LinkSettings("127.0.1.1", 2))
+    gossip = make_gossip(
+        table, clock, random.Random(1), Metrics(), settings, GossipHooks()
+    )
+    prober: Any = gossip._prober
+
+    async def no_answer(target: MemberRecord, duration_ms: float) -> bool:
+        clock.advance(duration_ms)
+        return False
+
+    async def check() -> None:
+        prober.reach = partial(no_answer, duration_ms=60_000.0)
+        await gossip._probe(other)
+        assert table.get("other") == other
+        prober.reach = partial(no_answer, duration_ms=900.0)
+        await gossip._probe(other)
+        suspected = table.get("other")
+        assert suspected is not None
+        assert suspected.state is MemberState.SUSPECT
+
+    anyio.run(check)
+
+
 def test_both_sides_of_a_partition_rejoin() -> None:
     # Guards against sides that never hear of each other again.
     async def check(cluster: Cluster) -> None:
