--- a/src/briardock/limiter.py
+++ b/src/briardock/limiter.py
@@ -1,12 +1,45 @@
-"""Adaptive concurrency limit of one target with an unknown number of slots."""
+"""Adaptive concurrency limit of one target with an unknown number of slots.
 
+A target whose slots are all taken queues requests inside. By Little's law every
+request then waits (n - slots) / throughput, where n is the concurrency at its
+admission; with free slots own time does not depend on n, however slow the
+service is. The limit alternates between a high and a low value. Each decision
+compares the own times of requests admitted near the two values, as a share of
+the difference that queueing would cause.
+"""
+
+import math
 from dataclasses import dataclass
 
 from briardock.clock import Clock
 
-# Elasticity of own time by concurrency is 0 with free slots and 1 with a queue.
-QUEUEING_ELASTICITY = 0.5
-FREE_ELASTICITY = 0.3
+# Low quantiles move with the internal queue but hardly with rare long requests;
+# the median over several is robust against gaps between operations.
+QUANTILES = (0.1, 0.2, 0.3, 0.4, 0.5)
+# Queueing share that holds the limit. Below 1 the low value stays near the
+# number of slots, so that the low phases hardly leave slots idle.
+HELD_SHARE = 0.8
+SHARE_BOUNDS = (-1.0, 2.0)
+# A target that does not serve its queue in order hides the queue from the
+# quantiles. Growth by this factor must therefore bring throughput with it.
+CHECKED_GROWTH = 1.3
+NEAR_GROWTH = 1.05
+MIN_GAIN_SHARE = 0.3
+BINDING_SHARE = 0.8
+# Quantiles see a queue served in random order as a share of 0.4 to 0.7.
+SUSPECT_SHARE = 0.25
+SHARE_WEIGHT = 0.3
+HOLD_MS = 1_000.0
+# An older comparison would mistake a slowdown under light load for a queue.
+ANCHOR_LIFETIME_MS = 3_000.0
+START_SHARE = 0.4
+START_GROWTH = 1.5
+GAIN = 0.3
+MAX_STREAK = 4
+GROUP_SAMPLES = 64
+MIN_PHASE_REQUESTS = 32
+MIN_PAIRS = 2
+MAX_PAIRS = 8
 
 
 @dataclass(frozen=True, slots=True)
@@ -16,11 +49,9 @@
     :param min_limit: smallest limit
     :param max_limit: largest limit, at most the connections the target takes
     :param initial_limit: limit before anything was measured
-    :param cold_start_s: time of the ramp from the fraction to the full limit in s
-    :param cold_start_fraction: share of the limit at the start of the ramp
-    :param dither: relative amplitude of the changes that probe the target
-    :param phase_ms: duration of one high or low phase of the probing in ms
-    :param decision_samples: observations per decision
+    :param cold_start_s: time of the ramp to the largest limit in s
+    :param cold_start_fraction: share of the initial limit when the ramp starts
+    :param probe_share: relative difference of the high and the low value
     """
 
     min_limit: int = 8
@@ -28,19 +59,43 @@
     initial_limit: int = 32
     cold_start_s: float = 0.0
     cold_start_fraction: float = 0.2
-    dither: float = 0.15
-    phase_ms: float = 100.0
-    decision_samples: int = 200
+    probe_share: float = 0.25
 
 
-class Limiter:
-    """Concurrency limit moved by the slope of own time over concurrency.
+class _Group:
+    """Observations made near one of the two values."""
+
+    __slots__ = ("concurrency_sum", "times_ms")
+
+    def __init__(self) -> None:
+        self.times_ms: list[float] = []
+        self.concurrency_sum = 0
+
+    def add(self, own_time_ms: float, in_flight: int) -> None:
+        self.times_ms.append(own_time_ms)
+        self.concurrency_sum += in_flight
+
+    def mean_concurrency(self) -> float:
+        return self.concurrency_sum / len(self.times_ms)
+
+    def quantiles_ms(self) -> list[float]:
+        ordered = sorted(self.times_ms)
+        return [ordered[int(share * len(ordered))] for share in QUANTILES]
+
+
+@dataclass(frozen=True, slots=True)
+class _Anchor:
+    """Figures of a batch to which later growth is compared."""
+
+    at_ms: float
+    base: float
+    concurrency: float
+    rate: float
+    own_time_ms: float
+
 
-    A target with free slots has an own time that does not depend on the
-    concurrency, however slow its service is; a target whose slots are taken
-    queues inside, and own time grows in proportion to the concurrency. The limit
-    alternates between a high and a low phase so that the slope is measurable at
-    saturation, and the decision compares only observations made close in time.
+class Limiter:
+    """Concurrency limit held where the target starts to queue inside.
 
     :param settings: checked settings
     :param clock: time source
@@ -53,75 +108,150 @@
         self._base = float(settings.initial_limit)
         self._ramping = settings.cold_start_s > 0
         self._starting = True
-        self._reset_sums()
+        self._streak = 0
+        self._anchor = _Anchor(-math.inf, self._base, 0.0, 0.0, 0.0)
+        self._hold_until_ms = -math.inf
+        self._recent_share = 0.0
+        self._low_phase = False
+        self._phase_left = MIN_PHASE_REQUESTS
+        self._reset_batch()
 
-    def _reset_sums(self) -> None:
-        self._count = 0
-        self._sum_n = 0.0
-        self._sum_t = 0.0
-        self._sum_nn = 0.0
-        self._sum_nt = 0.0
+    def _reset_batch(self) -> None:
+        self._high = _Group()
+        self._low = _Group()
+        self._finished_count = 0
+        self._concurrency_sum = 0
+        self._own_time_sum_ms = 0.0
+        self._pairs_count = 0
+        self._batch_from_ms = self._clock.now_ms()
 
     @property
     def base_limit(self) -> float:
-        """Limit without ramp and probing phase."""
+        """High value of the limit."""
         return self._base
 
     @property
     def limit(self) -> int:
         """Requests that may run in the target now."""
         settings = self._settings
-        now_ms = self._clock.now_ms()
-        value = self._base * self._phase_factor(now_ms)
         if self._ramping:
-            value *= self._ramp_factor(now_ms)
-        bounded = min(float(settings.max_limit), max(float(settings.min_limit), value))
-        return int(bounded)
+            self._base = min(self._base, self._ramp_ceiling())
+        value = self._base
+        if self._low_phase:
+            value *= 1.0 - settings.probe_share
+        return max(settings.min_limit, int(value))
 
-    def _phase_factor(self, now_ms: float) -> float:
-        phase = int((now_ms - self._started_ms) / self._settings.phase_ms)
-        return 1.0 - self._settings.dither if phase % 2 else 1.0
+    def _ramp_ceiling(self) -> float:
+        """Return a bound that grows by a constant factor per time.
 
-    def _ramp_factor(self, now_ms: float) -> float:
+        The full limit is unknown, so the ramp ends at the largest one.
+        """
         settings = self._settings
-        done = (now_ms - self._started_ms) / (settings.cold_start_s * 1000.0)
+        elapsed_ms = self._clock.now_ms() - self._started_ms
+        done = elapsed_ms / (settings.cold_start_s * 1000.0)
         if done >= 1.0:
             self._ramping = False
-            return 1.0
-        fraction = settings.cold_start_fraction
-        return fraction + (1.0 - fraction) * done
+            return float(settings.max_limit)
+        first = max(1.0, settings.cold_start_fraction * settings.initial_limit)
+        return first * (settings.max_limit / first) ** done
 
     def observe(self, own_time_ms: float, in_flight: int, ok: bool) -> None:
         """Record one finished request.
 
         :param own_time_ms: time in the target without its child calls in ms
-        :param in_flight: requests in the target when this one was admitted
-        :param ok: whether the target answered; fast failures say nothing
+        :param in_flight: requests in the target at its admission, itself included
+        :param ok: whether the target answered; a failure's time is not its service
         """
-        if not ok and own_time_ms * self._count < self._sum_t:
-            return
-        self._count += 1
-        self._sum_n += in_flight
-        self._sum_t += own_time_ms
-        self._sum_nn += in_flight * in_flight
-        self._sum_nt += in_flight * own_time_ms
-        if self._count >= self._settings.decision_samples:
-            self._decide()
-
-    def _decide(self) -> None:
-        mean_n = self._sum_n / self._count
-        mean_t = self._sum_t / self._count
-        variance = self._sum_nn / self._count - mean_n * mean_n
-        covariance = self._sum_nt / self._count - mean_n * mean_t
-        self._reset_sums()
-        if variance <= 0.0 or mean_t <= 0.0:
+        self._finished_count += 1
+        self._concurrency_sum += in_flight
+        self._own_time_sum_ms += own_time_ms
+        if ok:
+            self._group_by_concurrency(own_time_ms, in_flight)
+        self._phase_left -= 1
+        if self._phase_left <= 0:
+            self._end_phase()
+
+    def _group_by_concurrency(self, own_time_ms: float, in_flight: int) -> None:
+        share = in_flight / self._base
+        probe_share = self._settings.probe_share
+        if share > 1.0 - 0.4 * probe_share:
+            self._high.add(own_time_ms, in_flight)
+        elif 1.0 - 1.4 * probe_share < share <= 1.0 - 0.6 * probe_share:
+            self._low.add(own_time_ms, in_flight)
+
+    def _end_phase(self) -> None:
+        if self._low_phase:
+            self._pairs_count += 1
+            if self._pairs_count >= MIN_PAIRS:
+                self._end_pair()
+        self._low_phase = not self._low_phase
+        self._phase_left = max(MIN_PHASE_REQUESTS, int(self._base))
+
+    def _end_pair(self) -> None:
+        smaller = min(len(self._high.times_ms), len(self._low.times_ms))
+        if smaller >= GROUP_SAMPLES:
+            share = self._queueing_share()
+            if share is not None:
+                self._decide(share)
+        elif self._pairs_count < MAX_PAIRS:
             return
-        elasticity = covariance / variance * mean_n / mean_t
-        if elasticity > QUEUEING_ELASTICITY:
+        self._reset_batch()
+
+    def _queueing_share(self) -> float | None:
+        """Return 0 for free slots up to 1 for a queue at both values."""
+        elapsed_ms = self._clock.now_ms() - self._batch_from_ms
+        step = self._high.mean_concurrency() - self._low.mean_concurrency()
+        if elapsed_ms <= 0.0 or step <= 0.0:
+            return None
+        expected_ms = step * elapsed_ms / self._finished_count
+        pairs = zip(self._high.quantiles_ms(), self._low.quantiles_ms(), strict=True)
+        shifts_ms = sorted(high - low for high, low in pairs)
+        share = shifts_ms[len(shifts_ms) // 2] / expected_ms
+        return min(SHARE_BOUNDS[1], max(SHARE_BOUNDS[0], share))
+
+    def _growth_was_useless(self) -> bool:
+        """Compare throughput and own time with those before the limit grew."""
+        now_ms = self._clock.now_ms()
+        concurrency = self._concurrency_sum / self._finished_count
+        if concurrency < BINDING_SHARE * self._base:
+            return False
+        rate = self._finished_count / (now_ms - self._batch_from_ms)
+        own_time_ms = self._own_time_sum_ms / self._finished_count
+        anchor = self._anchor
+        recent = now_ms - anchor.at_ms < ANCHOR_LIFETIME_MS
+        if recent and concurrency > anchor.concurrency * NEAR_GROWTH:
+            growth = concurrency / anchor.concurrency
+            if growth < CHECKED_GROWTH:
+                return False
+            needed = 1.0 + MIN_GAIN_SHARE * (growth - 1.0)
+            slower = own_time_ms > anchor.own_time_ms * needed
+            if slower and rate < anchor.rate * needed:
+                return True
+        self._anchor = _Anchor(now_ms, self._base, concurrency, rate, own_time_ms)
+        return False
+
+    def _decide(self, share: float) -> None:
+        now_ms = self._clock.now_ms()
+        useless = self._growth_was_useless()
+        self._recent_share += SHARE_WEIGHT * (share - self._recent_share)
+        if self._recent_share > SUSPECT_SHARE and share < HELD_SHARE:
+            if useless:
+                self._base = self._anchor.base
+                self._hold_until_ms = now_ms + HOLD_MS
+                self._starting = False
+            if now_ms < self._hold_until_ms:
+                return
+        if self._starting:
+            if share < START_SHARE:
+                self._move(START_GROWTH)
+                return
             self._starting = False
-            self._move(0.9)
-        elif elasticity < FREE_ELASTICITY and mean_n > 0.7 * self.limit:
-            self._move(1.5 if self._starting else 1.08)
+        excess = share - HELD_SHARE
+        same_direction = excess * self._streak > 0
+        self._streak = self._streak if same_direction else 0
+        self._streak += 1 if excess > 0 else -1
+        boost = min(MAX_STREAK, abs(self._streak))
+        self._move(math.exp(-GAIN * boost * excess / MAX_STREAK))
 
     def _move(self, factor: float) -> None:
         settings = self._settings
--- a/src/briardock/target.py
+++ b/src/briardock/target.py
@@ -8,7 +8,13 @@
 import anyio.abc
 import h11
 
-from briardock._http import MAX_HEADER_BYTES, RECEIVE_BYTES, IdleProbe, end_to_end
+from briardock._http import (
+    MAX_HEADER_BYTES,
+    RECEIVE_BYTES,
+    STREAM_ERRORS,
+    IdleProbe,
+    end_to_end,
+)
 from briardock.clock import Clock
 from briardock.messages import MAX_FRAME_BYTES
 from briardock.metrics import Metrics
@@ -17,12 +23,6 @@
 # An answer has to fit into one frame together with its headers.
 MAX_ANSWER_BYTES = MAX_FRAME_BYTES - 2 * MAX_HEADER_BYTES
 
-_STREAM_ERRORS = (
-    OSError,
-    anyio.BrokenResourceError,
-    anyio.ClosedResourceError,
-    anyio.EndOfStream,
-)
 _EOF = b""
 
 
@@ -62,9 +62,13 @@
 class _Connection:
     """One connection to the target, used by one request at a time."""
 
-    def __init__(self, stream: anyio.abc.SocketStream) -> None:
+    def __init__(
+        self, stream: anyio.abc.SocketStream, address: tuple[str, int]
+    ) -> None:
         self.stream = stream
+        self.address = address
         self.write_started = False
+        self._at_eof = False
         self._probe = IdleProbe(stream)
         self._http = h11.Connection(h11.CLIENT, MAX_HEADER_BYTES)
 
@@ -93,24 +97,26 @@
         http.send(h11.EndOfMessage())
         return head + body if body else head
 
-    async def exchange(self, data: bytes) -> Completed:
+    async def exchange(self, data: bytes, has_body: bool) -> Completed:
         """Write a request and read its whole answer.
 
+        :param data: bytes of the request
+        :param has_body: whether the answer to its method may have a body; if
+            not, its ``Content-Length`` is kept as a header
         :raises _AnswerError: if no whole answer came
         """
         self.write_started = True
         try:
             await self.stream.send(data)
-            return await self._read_answer()
-        except _STREAM_ERRORS as error:
+            return await self._read_answer(has_body)
+        except STREAM_ERRORS as error:
             raise _AnswerError(f"connection lost: {error!r}", True) from error
         except h11.RemoteProtocolError as error:
-            cut = self._http.their_state is h11.ERROR and self._at_eof
-            raise _AnswerError(f"bad answer: {error}", cut) from error
+            kind = "answer cut" if self._at_eof else "bad answer"
+            raise _AnswerError(f"{kind}: {error}", self._at_eof) from error
 
-    async def _read_answer(self) -> Completed:
+    async def _read_answer(self, has_body: bool) -> Completed:
         http = self._http
-        self._at_eof = False
         status = 0
         headers: Headers = ()
         parts: list[bytes] = []
@@ -123,10 +129,15 @@
                 parts.append(bytes(event.data))
                 size_bytes += len(event.data)
                 if size_bytes > MAX_ANSWER_BYTES:
-                    raise _AnswerError("answer exceeds the frame limit", False)
+                    raise _too_large()
             elif type(event) is h11.Response:
                 status = event.status_code
-                headers = tuple(end_to_end(event.headers, request=False))
+                fields = event.headers.raw_items()
+                headers = tuple(end_to_end(fields, request=False))
+                if has_body:
+                    _check_length(fields)
+                else:
+                    headers += _content_length(fields)
             elif type(event) is h11.EndOfMessage:
                 return Completed(status, headers, b"".join(parts))
             elif type(event) is not h11.InformationalResponse:
@@ -163,20 +174,18 @@
         self._connect_timeout_s = connect_timeout_ms / 1000.0
         self._max_idle = max_idle
         self._idle: deque[_Connection] = deque()
-        self._host = ""
-        self._port = 0
+        self._address = ("", 0)
         self._host_header = b""
 
     def set_address(self, host: str, port: int) -> None:
-        """Set where the target listens; connections to another address end.
+        """Set where the target listens.
+
+        Connections to another address are not used again.
 
         :param host: numeric IP address
         :param port: TCP port
         """
-        if (host, port) == (self._host, self._port):
-            return
-        self._host = host
-        self._port = port
+        self._address = (host, port)
         shown = f"[{host}]" if ":" in host else host
         self._host_header = f"{shown}:{port}".encode()
 
@@ -212,8 +221,8 @@
         if scope.cancelled_caught and connection and connection.write_started:
             self._metrics.count("target.timeouts")
             return Lost("deadline", died=False)
-        if isinstance(result, Lost) and result.died:
-            return Lost(result.detail, await self._is_refused())
+        if connection and isinstance(result, Lost) and result.died:
+            return Lost(result.detail, await self._is_refused(connection.address))
         return result
 
     async def _run_on(
@@ -227,15 +236,16 @@
         keep = False
         try:
             data = connection.encode(self._request(method, path, headers, body), body)
-            completed = await connection.exchange(data)
+            completed = await connection.exchange(data, method != "HEAD")
             keep = connection.is_reusable()
             return completed
-        except h11.LocalProtocolError as error:
+        except (h11.LocalProtocolError, UnicodeError) as error:
             return NotSent(f"request is not valid HTTP: {error}")
         except _AnswerError as error:
             self._metrics.count("target.lost")
             return Lost(str(error), died=error.connection_lost)
         finally:
+            keep = keep and connection.address == self._address
             if keep and len(self._idle) < self._max_idle:
                 connection.write_started = False
                 self._idle.append(connection)
@@ -254,27 +264,36 @@
     async def _connection(self) -> _Connection | NotSent:
         while self._idle:
             connection = self._idle.pop()
-            if connection.is_quiet():
+            if connection.address == self._address and connection.is_quiet():
                 return connection
             self._metrics.count("target.stale_connections")
             await connection.close()
-        if not self._port:
+        address = self._address
+        if not address[1]:
             return NotSent("no target address is known")
         try:
-            return _Connection(await self._connect())
+            return await self._open(address)
         except TimeoutError:
             return NotSent("connection attempt timed out")
         except OSError as error:
             return NotSent(f"connection failed: {error}")
 
-    async def _connect(self) -> anyio.abc.SocketStream:
+    async def _open(self, address: tuple[str, int]) -> _Connection:
+        stream = await self._connect(address)
+        try:
+            return _Connection(stream, address)
+        except OSError:
+            await stream.aclose()
+            raise
+
+    async def _connect(self, address: tuple[str, int]) -> anyio.abc.SocketStream:
         self._metrics.count("target.connects")
         with anyio.fail_after(self._connect_timeout_s):
-            return await anyio.connect_tcp(self._host, self._port)
+            return await anyio.connect_tcp(*address)
 
-    async def _is_refused(self) -> bool:
+    async def _is_refused(self, address: tuple[str, int]) -> bool:
         try:
-            stream = await self._connect()
+            stream = await self._connect(address)
         except OSError as error:
             return _is_refusal(error)
         await stream.aclose()
@@ -286,6 +305,23 @@
             await self._idle.pop().close()
 
 
+def _content_length(fields: list[tuple[bytes, bytes]]) -> Headers:
+    for name, value in fields:
+        if len(name) == 14 and name.lower() == b"content-length":
+            return ((b"content-length", value),)
+    return ()
+
+
+def _check_length(fields: list[tuple[bytes, bytes]]) -> None:
+    for _name, value in _content_length(fields):
+        if int(value) > MAX_ANSWER_BYTES:
+            raise _too_large()
+
+
+def _too_large() -> _AnswerError:
+    return _AnswerError(f"answer exceeds {MAX_ANSWER_BYTES} bytes", False)
+
+
 def _is_refusal(error: BaseException | None) -> bool:
     while error is not None:
         if isinstance(error, OSError) and error.errno == errno.ECONNREFUSED:
--- a/src/briardock_standins/relay.py
+++ b/src/briardock_standins/relay.py
@@ -136,7 +136,12 @@
         """
 
         async def relay(near: SocketStream) -> None:
-            await self._relay(near, to, destination)
+            try:
+                await self._relay(near, to, destination)
+            except Exception as error:
+                # One connection that breaks in an unusual place must not end the
+                # relay, which would look like a cut of all failure domains.
+                print(f"connection failed: {error!r}", file=sys.stderr, flush=True)
 
         await listener.serve(relay)
 
@@ -232,7 +237,8 @@
                     await sink.send(chunk.data)
             await _wait_while_held(path)
             await sink.send_eof()
-        except CLOSED:
+        except (*CLOSED, RuntimeError):
+            # uvloop raises RuntimeError for the end of data on a reset connection.
             scope.cancel()
 
     async def control(self, request: HttpRequest) -> HttpResponse:
