--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -170,8 +170,13 @@
 
 
 def _is_free(address: Address) -> bool:
-    """Return whether a stopped node has released its port."""
+    """Return whether a stopped node has released its port.
+
+    Without SO_REUSEADDR, closed connections of the node would block the port for
+    another minute; zmq sets that option as well.
+    """
     with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         try:
             probe.bind((address.host, address.port))
         except OSError:
