--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -1,7 +1,7 @@
 """Tests of counting, clearing, lifting and merging of quarantine entries."""
 
 import pytest
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from briardock.clock import ManualClock
@@ -192,6 +192,7 @@
 )
 
 
+@settings(deadline=None)
 @given(steps=steps, data=st.data())
 def test_merge_is_free_of_order_and_repetition(
     steps: list[tuple[str, int, str, str]], data: st.DataObject
