Log ejections and overload, and start the limiter baselines fairly

The baseline algorithms of benchmarks/limiter_policy.py averaged from zero, which made them collapse at the start. Events 200 to 202 report ejections and the begin and end of an overload.

--- a/benchmarks/limiter_policy.py
+++ b/benchmarks/limiter_policy.py
@@ -23,6 +23,7 @@
 GAPPED_OPERATIONS = ((0.45, 1.0), (0.1, 30.0), (0.45, 300.0))
 QUEUE_LENGTH = 200
 SIGMA = 0.5
+WARM_UP_REQUESTS = 100
 
 
 class LimitPolicy(Protocol):
@@ -55,6 +56,7 @@
         self._value = 32.0
         self._smallest_ms = 1e9
         self._recent_ms = 0.0
+        self._count = 0
 
     @property
     def limit(self) -> int:
@@ -63,7 +65,11 @@
 
     def observe(self, own_time_ms: float, in_flight: int, ok: bool) -> None:
         """Move the limit after each request."""
-        self._recent_ms += 0.02 * (own_time_ms - self._recent_ms)
+        self._count += 1
+        weight = max(0.02, 1.0 / self._count)
+        self._recent_ms += weight * (own_time_ms - self._recent_ms)
+        if self._count < WARM_UP_REQUESTS:
+            return
         self._smallest_ms = min(self._smallest_ms * 1.00001, max(self._recent_ms, 0.1))
         if self._recent_ms > 2.0 * self._smallest_ms:
             self._value = max(8.0, self._value * 0.995)
@@ -78,6 +84,7 @@
         self._value = 32.0
         self._short_ms = 0.0
         self._long_ms = 0.0
+        self._count = 0
 
     @property
     def limit(self) -> int:
@@ -86,8 +93,11 @@
 
     def observe(self, own_time_ms: float, in_flight: int, ok: bool) -> None:
         """Move the limit after each request."""
-        self._short_ms += 0.02 * (own_time_ms - self._short_ms)
-        self._long_ms += 0.0005 * (own_time_ms - self._long_ms)
+        self._count += 1
+        short_weight = max(0.02, 1.0 / self._count)
+        long_weight = max(0.0005, 1.0 / self._count)
+        self._short_ms += short_weight * (own_time_ms - self._short_ms)
+        self._long_ms += long_weight * (own_time_ms - self._long_ms)
         if self._long_ms > 2.0 * self._short_ms:
             self._long_ms *= 0.95
         if in_flight < 0.5 * self._value or self._short_ms <= 0.0:
--- a/src/briardock/_ejection.py
+++ b/src/briardock/_ejection.py
@@ -4,6 +4,7 @@
 from statistics import median
 
 from briardock._instances import RoutingSettings, ServiceInstances, Tracked
+from briardock.events import Event, emit
 from briardock.metrics import Metrics
 
 LATENCY_WEIGHT = 0.1
@@ -93,6 +94,12 @@
         entry.failure_share = 0.0
         entry.observed_count = 0
         self._metrics.count("routing.ejected")
+        emit(
+            Event.INSTANCE_EJECTED,
+            node_id=entry.instance.node_id,
+            service=entry.instance.service,
+            duration_ms=round(duration_ms),
+        )
 
     def _duration_ms(self, ejections_count: int) -> float:
         exponent = min(ejections_count, MAX_BACKOFF_EXPONENT)
--- a/src/briardock/admission.py
+++ b/src/briardock/admission.py
@@ -10,6 +10,7 @@
 from briardock._holding import HoldingTimes
 from briardock._waiting import Waiter, WaitingQueue
 from briardock.clock import Clock
+from briardock.events import Event, emit
 from briardock.limiter import LimiterSettings, make_limiter
 from briardock.metrics import Metrics
 from briardock.outcomes import NotRun, Reason
@@ -33,6 +34,8 @@
 BUSY_SHARE = 0.85
 CAPACITY_MARGIN = 1.03
 IDLE_WINDOWS = 20
+# The threshold moves often at capacity; only a calm period ends an overload.
+CALM_WINDOWS = 20
 
 
 def admission_level(class_rank: int, key: str) -> int:
@@ -123,6 +126,7 @@
         self._busy_at_ms = clock.now_ms()
         self._seen: dict[int, int] = {}
         self._windows_count = 0
+        self._overloaded_at_window: int | None = None
         self._window = _Window(clock.now_ms(), queue_emptied=True)
         self._history: deque[_Window] = deque(maxlen=MAX_HISTORY_WINDOWS)
 
@@ -319,8 +323,19 @@
             self._lower(window.lowest_dropped)
         elif self._threshold < MAX_LEVEL and not self._has_standing_queue(window):
             self._raise(window.busy_ms / elapsed_ms / self._limiter.limit)
+        self._log_overload()
         self._window = _Window(now_ms, queue_emptied=not self._queue)
 
+    def _log_overload(self) -> None:
+        last = self._overloaded_at_window
+        if self._threshold < MAX_LEVEL:
+            if last is None:
+                emit(Event.OVERLOAD_BEGAN, refusal_level=self._threshold)
+            self._overloaded_at_window = self._windows_count
+        elif last is not None and self._windows_count - last >= CALM_WINDOWS:
+            emit(Event.OVERLOAD_ENDED)
+            self._overloaded_at_window = None
+
     def _has_standing_queue(self, window: _Window) -> bool:
         if window.queue_emptied or not window.started_count:
             return False
--- a/src/briardock/events.py
+++ b/src/briardock/events.py
@@ -43,6 +43,9 @@
     INTERNAL_ERROR = EventInfo(504, "ERROR", "unexpected error in a handler")
     TASK_RESTARTED = EventInfo(505, "WARNING", "background task failed; restarting")
     PAUSE_DETECTED = EventInfo(506, "WARNING", "process was paused")
+    INSTANCE_EJECTED = EventInfo(200, "WARNING", "instance ejected from routing")
+    OVERLOAD_BEGAN = EventInfo(201, "WARNING", "target overloaded; refusing by level")
+    OVERLOAD_ENDED = EventInfo(202, "INFO", "target admits all levels again")
 
 
 class _QueueHandler(logbook.Handler):
--- a/src/briardock/limiter.py
+++ b/src/briardock/limiter.py
@@ -6,6 +6,13 @@
 service is. The limit alternates between a high and a low value. Each decision
 compares the own times of requests admitted near the two values, as a share of
 the difference that queueing would cause.
+
+Alternatives weighed with benchmarks/limiter_policy.py: additive increase with
+decrease when own time exceeds twice its minimum takes slow service for queueing
+and falls to the smallest limit; own time over its long-term mean grows to the
+largest limit under lasting overload, as the mean follows the queue. A regression
+of own time over concurrency was dominated by rare long requests. The shape of
+own times alone, not measured, cannot tell a queue from a constant added delay.
 """
 
 import math
