Prove decisions through running processes

Found on the way: the log client did not connect from source_host, so a multi-homed node ignored a cut of its own address from the platform and the 'platform cut' rows cut nothing; it does now, and the rows pass with the cut in force.

--- a/features/bench.py
+++ b/features/bench.py
@@ -133,7 +133,7 @@
         self.config = self.deployment.folder / "config"
         self._client = httpx.Client(timeout=10.0, trust_env=False)
         self._threads: list[threading.Thread] = []
-        self._load_told: list[Told] = []
+        self.load_told: list[Told] = []
         self._sent_count = 0
         self._recovery: list[Probe] = []
         self._heal: list[Callable[[], None]] = []
@@ -227,7 +227,7 @@
         )
 
         async def run() -> None:
-            self._load_told += await LoadGenerator(plan, SystemClock()).run()
+            self.load_told += await LoadGenerator(plan, SystemClock()).run()
 
         self.in_background(lambda: anyio.run(run))
 
@@ -289,7 +289,7 @@
     def violations(self, probe: Probe | None) -> list[Violation]:
         """Return the broken rules over all ledgers so far."""
         probes = [*self._recovery, *([probe] if probe else [])]
-        told = [*self._load_told, *(one for each in probes for one in each.told)]
+        told = [*self.load_told, *(one for each in probes for one in each.told)]
         return check(self.deployment.target_ledgers(), [told], ONCE, RETRIES)
 
     # Faults
@@ -317,6 +317,37 @@
             if not self.deployment.processes[target_name(name)].is_running():
                 self.restart_target(name)
 
+    def ended_targets(self) -> list[str]:
+        """Return the nodes whose target has ended."""
+        return [
+            name
+            for name in self.deployment.instances
+            if not self.deployment.processes[target_name(name)].is_running()
+        ]
+
+    def cut(self, source: str, destination: str) -> None:
+        """Refuse connections between two domains until healed."""
+        self.deployment.set_path(source, destination, "refuse")
+        self.heal_later(lambda: self.deployment.set_path(source, destination, "open"))
+
+    def versions(self) -> dict[str, int]:
+        """Return the configuration version of each running node."""
+        found = {}
+        for name in self.deployment.instances:
+            if self.deployment.processes[name].is_running():
+                status = self.deployment.status(name)
+                version = status["configuration"]["version"]
+                found[name] = -1 if version is None else int(version)
+        return found
+
+    def wait_for_one_version(self) -> None:
+        """Wait until every node has the newest version that any node has."""
+        newest = max(self.versions().values())
+        self.deployment.wait_until(
+            f"every node to have configuration {newest}",
+            lambda: set(self.versions().values()) == {newest},
+        )
+
     def changed_config(self) -> Path:
         """Return a folder with one changed file, made from what is published."""
         folder = self.config.with_name("config-changed")
--- a/features/steps/matrix.py
+++ b/features/steps/matrix.py
@@ -7,6 +7,7 @@
 from behave.runner import Context
 
 from bench import BOOKING, DEADLINE_MS, PAYMENT, RECOVERY_BOUND_S, Bench, Probe
+from briardock.clock import make_random
 from faults import FAULTS
 
 LOAD_S = 3.0
@@ -23,17 +24,7 @@
     names = list(context.bench.deployment.instances)
     context.issuer = names[seed % len(names)]
     context.probe = context.bench.make_probe(context.issuer)
-    context.versions = versions_of(context.bench)
-
-
-def versions_of(bench: Bench) -> dict[str, int]:
-    """Return the configuration version of each node that answers."""
-    found = {}
-    for name in bench.deployment.instances:
-        if bench.deployment.processes[name].is_running():
-            version = bench.deployment.status(name)["configuration"]["version"]
-            found[name] = -1 if version is None else int(version)
-    return found
+    context.versions = context.bench.versions()
 
 
 def strike(context: Context, fault: str, runner: str) -> None:
@@ -157,9 +148,24 @@
 @then("the configuration has not gone back anywhere")
 def check_versions(context: Context) -> None:
     bench: Bench = context.bench
-    newest = max(versions_of(bench).values())
+    newest = max(bench.versions().values())
     assert newest >= max(context.versions.values())
-    bench.deployment.wait_until(
-        f"every node to have configuration {newest}",
-        lambda: set(versions_of(bench).values()) == {newest},
-    )
+    bench.wait_for_one_version()
+
+
+@when("two faults drawn by seed {seed:d} strike")
+def strike_pair(context: Context, seed: int) -> None:
+    bench, probe = context.bench, context.probe
+    rng = make_random(seed)
+    first, second = rng.sample([name for name in FAULTS if name != "none"], 2)
+    early = rng.random() < 0.5
+    print(f"seed {seed}: {first} {'before' if early else 'during'}, then {second}")
+    if early:
+        FAULTS[first](bench, probe, other_node(context))
+        send_probe(context)
+    else:
+        send_probe(context)
+        runner = bench.wait_for_start(probe, BOOKING)
+        FAULTS[first](bench, probe, runner)
+    time.sleep(rng.uniform(0.0, FAULT_S))
+    strike(context, second, rng.choice(list(bench.deployment.instances)))
--- a/src/briardock/cluster.py
+++ b/src/briardock/cluster.py
@@ -218,7 +218,10 @@
         ),
     )
     log = make_log_client(
-        settings.log.host, settings.log.port, float(settings.log.timeout_ms)
+        settings.log.host,
+        settings.log.port,
+        float(settings.log.timeout_ms),
+        settings.node.source_host,
     )
 
     def accepted(payload: bytes) -> None:
--- a/src/briardock/platformlog.py
+++ b/src/briardock/platformlog.py
@@ -166,11 +166,19 @@
     :param host: numeric IP address of the service
     :param port: port of the service
     :param timeout_ms: longest wait for one answer
+    :param source_host: local address to connect from, or ``None`` for any
     """
 
-    def __init__(self, host: str, port: int, timeout_ms: float = 2_000.0) -> None:
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        timeout_ms: float = 2_000.0,
+        source_host: str | None = None,
+    ) -> None:
         self.host = host
         self.port = port
+        self._source_host = source_host
         self._timeout_s = timeout_ms / 1000.0
         self._idle: list[_Connection] = []
 
@@ -278,7 +286,11 @@
         if self._idle and not fresh:
             return self._idle.pop()
         try:
-            return _Connection(await anyio.connect_tcp(self.host, self.port))
+            return _Connection(
+                await anyio.connect_tcp(
+                    self.host, self.port, local_host=self._source_host
+                )
+            )
         except OSError as error:
             raise _RefusedError(str(error)) from error
 
@@ -293,14 +305,20 @@
         return f"log service {self.host}:{self.port}"
 
 
-def make_log_client(host: str, port: int, timeout_ms: float = 2_000.0) -> LogClient:
+def make_log_client(
+    host: str,
+    port: int,
+    timeout_ms: float = 2_000.0,
+    source_host: str | None = None,
+) -> LogClient:
     """Return a client of the log service.
 
     :param host: numeric IP address of the service
     :param port: port of the service
     :param timeout_ms: longest wait for one answer
+    :param source_host: local address to connect from, or ``None`` for any
     """
-    return LogClient(host, port, timeout_ms)
+    return LogClient(host, port, timeout_ms, source_host)
 
 
 def _status_failure(answer: _Answer) -> LogFailure:
