--- a/tests/callpath_fakes.py
+++ b/tests/callpath_fakes.py
@@ -48,6 +48,8 @@
 default_max_body_kb = 1
 [class payments]
 rank = 0
+[class notes]
+rank = 3
 [service wallet]
 domains = a
 [operation wallet.pay]
@@ -55,6 +57,7 @@
 calls = wallet.note
 [operation wallet.note]
 match = POST /notes
+class = notes
 [operation wallet.show]
 match = GET /wallets/{id}
 idempotent = yes
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -18,6 +18,10 @@
 DIED = Unknown(Reason.TARGET_DIED)
 
 
+def unknown(reason: Reason) -> Answer:
+    return Answer(0, "unknown", reason=reason.value, retries_left=2)
+
+
 def refusal(reason: Reason) -> Answer:
     return Answer(0, "not-run", reason=reason.value, retries_left=2)
 
@@ -41,8 +45,8 @@
         LOST,
         NEVER_SENT,
         Answer(0, "completed", 200),
-        answer_of(Unknown(Reason.TARGET_DIED)),
-        answer_of(Unknown(Reason.DEADLINE_EXCEEDED)),
+        unknown(Reason.TARGET_DIED),
+        unknown(Reason.DEADLINE_EXCEEDED),
         Answer(0, "not-run", reason="no-such-reason"),
         *[refusal(r) for r in sorted(RETRY_REASONS)],
         refusal(Reason.QUARANTINED),
@@ -80,19 +84,14 @@
     "first, once, attempts, expected",
     [
         (LOST, True, 1, Unknown(Reason.ANSWER_LOST, "lost")),
-        (Answer(0, "unknown", reason="target-died"), True, 1, DIED),
-        (
-            Answer(0, "unknown", reason="target-died", retries_left=2),
-            False,
-            2,
-            Completed(200),
-        ),
+        (unknown(Reason.TARGET_DIED), True, 1, DIED),
+        (unknown(Reason.TARGET_DIED), False, 2, Completed(200)),
         (NEVER_SENT, True, 2, Completed(200)),
         (refusal(Reason.OVERLOADED), True, 2, Completed(200)),
         (refusal(Reason.TARGET_REFUSED), True, 2, Completed(200)),
         (refusal(Reason.QUARANTINED), True, 1, NotRun(Reason.QUARANTINED)),
         (
-            answer_of(Unknown(Reason.DEADLINE_EXCEEDED)),
+            unknown(Reason.DEADLINE_EXCEEDED),
             False,
             1,
             Unknown(Reason.DEADLINE_EXCEEDED),
@@ -109,8 +108,7 @@
 
 
 def test_refusal_after_a_lost_attempt_stays_unknown() -> None:
-    died = Answer(0, "unknown", reason="target-died", retries_left=2)
-    path = make(died, *[refusal(Reason.OVERLOADED)] * 9)
+    path = make(unknown(Reason.TARGET_DIED), *[refusal(Reason.OVERLOADED)] * 9)
     assert run(path, once=False) == DIED
     assert len(path.links.sent) == 3
 
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -16,6 +16,7 @@
     LIFETIME_MS,
     CallPath,
     context_of,
+    make_call,
     make_record,
     told,
 )
@@ -108,19 +109,22 @@
 
 def test_resend_waits_for_the_run_and_outlives_the_first_caller() -> None:
     # Guards against an action whose outcome is lost when its caller hangs up.
-    path = make()
+    # The instance is remote: its node would finish the call, but the answer
+    # would reach nobody.
+    path = CallPath()
+    path.add_members("m1")
     go = anyio.Event()
     answers: list[str] = []
 
-    async def work(_path: str, _headers: Headers) -> Completed:
+    async def work(message: Call | Forward) -> Answer:
         await go.wait()
-        return Completed(200)
+        return Answer(0, "completed", 200)
 
     async def resend(key: str) -> None:
         answers.append(told(await path.request(key=key)))
 
     async def main() -> None:
-        path.target.action = work
+        path.links.script = [work]
         key = str(path.issuer.issue())
         first = anyio.CancelScope()
 
@@ -139,7 +143,7 @@
 
     anyio.run(main)
     assert answers == ["completed"]
-    assert len(path.target.runs) == 1
+    assert len(path.links.sent) == 1
 
 
 def test_waiting_resend_ends_at_its_own_deadline() -> None:
@@ -313,7 +317,9 @@
 
     async def child(context: str) -> HttpResponse:
         path.clock.advance(400.0)
-        return await note(path, context)
+        answer = await note(path, context)
+        path.clock.advance(100.0)
+        return answer
 
     assert run_parent(path, child) == "completed"
     parent, inner = seen
@@ -321,7 +327,25 @@
     assert inner.key.startswith(f"{parent.key}/wallet.note~")
     assert (inner.remaining_ms, inner.once) == (600.0, True)
     assert (parent.retries, inner.retries) == (2, 2)
-    assert path.admission.released[-1] == (400.0, True)
+    assert path.admission.released[-1] == (500.0, True)
+
+
+def test_retries_of_children_are_taken_from_the_share_of_the_parent() -> None:
+    # Guards against retries that multiply from hop to hop.
+    path = CallPath()
+    path.add_members("m1", "m2")
+    path.links.script = [
+        Answer(0, "not-run", reason="overloaded", retries_left=9),
+        Answer(0, "completed", 200, retries_left=9),
+    ]
+
+    async def action(called: str, headers: Headers) -> Completed:
+        assert told(await note(path, context_of(headers))) == "completed"
+        return Completed(200)
+
+    path.target.action = action
+    answer = anyio.run(path.inbound.handle, make_call())
+    assert (answer.outcome, answer.retries_left) == ("completed", 1)
 
 
 @pytest.mark.parametrize(
