--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -47,6 +47,12 @@
     return re.split(rf"^{level} ", part, flags=re.MULTILINE)[0]
 
 
+def anchors(text: str) -> set[str]:
+    """Return the anchors that a page has by its headings."""
+    titles = re.findall(r"^#+ (.+)$", text, re.MULTILINE)
+    return {re.sub(r"[^\w -]", "", t).lower().replace(" ", "-") for t in titles}
+
+
 def rows(text: str) -> list[list[str]]:
     """Return the cells of table rows whose first cell is code or a number."""
     found = re.findall(r"^\| (`[^|]+`|\d{3}) \|(.*)\|$", text, re.MULTILINE)
@@ -215,7 +221,9 @@
 @pytest.mark.parametrize("name", OWN_PAGES)
 def test_links_and_commands_of_a_page_exist(name: str) -> None:
     text = page(name)
-    for link in re.findall(r"\]\(([^)#:]+)(?:#[^)]*)?\)", text):
-        assert (ROOT / name).parent.joinpath(link).exists(), link
+    for link, anchor in re.findall(r"\]\(([^)#:]*)(?:#([^)]*))?\)", text):
+        target = (ROOT / name).parent / link if link else ROOT / name
+        assert target.exists(), link
+        assert not anchor or anchor in anchors(target.read_text()), anchor
     for command in re.findall(r"(?:`|^ {4})briardock ([a-z]+)", text, re.MULTILINE):
         assert command in COMMANDS, command
