--- a/src/briardock_standins/ledger.py
+++ b/src/briardock_standins/ledger.py
@@ -142,14 +142,17 @@
             self._file = None
 
 
-def read_ledger(path: Path) -> list[Entry]:
+def read_ledger(path: Path, first_byte: int = 0) -> list[Entry]:
     """Return the entries of a file; a torn last line of a killed process is left out.
 
     :param path: file written by :class:`LedgerWriter`
+    :param first_byte: start of the first line to read
     :raises msgspec.DecodeError: if another line is malformed
     """
     entries: list[Entry] = []
-    lines = path.read_bytes().split(b"\n")
+    with path.open("rb") as file:
+        file.seek(first_byte)
+        lines = file.read().split(b"\n")
     for position, line in enumerate(lines):
         if not line:
             continue
