--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -15,6 +15,7 @@
 import shutil
 import socket
 import statistics
+import subprocess
 import sys
 import tempfile
 import time
@@ -46,6 +47,7 @@
 from briardock.member_records import MemberRecord
 from briardock.messages import Message, encode
 from briardock.platformlog import LogClient, LogFailure
+from briardock.publishing import Accepted, make_config_state
 from briardock_standins._client import HttpClient
 from briardock_standins._http import HttpRequest, HttpResponse, parse_address
 from briardock_standins._processes import ManagedProcess, PortPool
@@ -487,6 +489,7 @@
     row: dict[str, Any] = {"services": count}
     sizes = [len(service_text(i, 1_000)) for i in range(count)]
     row["file_bytes"] = sum(sizes)
+    row.update(encoded_bytes(count))
     for role, wanted in (("reader", True), ("other", False)):
         chosen = [i for i in range(len(nodes)) if is_reader[i] is wanted]
         row[f"rss_kb_{role}"] = [quiet[i].rss_kb - empty[i].rss_kb for i in chosen]
@@ -499,6 +502,27 @@
     return row
 
 
+def encoded_bytes(count: int) -> dict[str, int]:
+    """Return the sizes of a configuration as the log and gossip carry it."""
+    state = make_config_state()
+    changes: dict[str, str | None] = {"00-classes.ini": "[class reads]\nrank = 3\n"}
+    changes.update((f"10-{i}.ini", service_text(i, 1_000)) for i in range(count))
+    base = dict.fromkeys(changes, ABSENT)
+    state.apply(0, encode_record(Publish("first", "capacity", base, changes)))
+    record = encode_record(
+        Publish("next", "capacity", {"10-1.ini": 0}, {"10-1.ini": service_text(1, 9)})
+    )
+    step = state.apply(1, record)
+    if not isinstance(step, Accepted):
+        raise RuntimeError(f"{step}")
+    return {
+        "checkpoint_bytes": len(encode_record(state.checkpoint())),
+        "snapshot_bytes": len(state.snapshot()),
+        "change_record_bytes": len(record),
+        "change_delta_bytes": len(step.delta),
+    }
+
+
 def change_ms(quiet: Usage, before: Usage, after: Usage) -> float:
     """Return the CPU time of one change in ms, without that of an idle node."""
     idle = (before.cpu_s - quiet.cpu_s) / (before.at_s - quiet.at_s)
@@ -643,8 +667,8 @@
         found = []
         for i in range(REPETITIONS):
             sizes: list[float] = [row["calls_per_s"][i] for row in rows]
-            used = [10.0 * row[f"cpu_percent_{side}"][i] for row in rows]
-            found.append(statistics.linear_regression(sizes, used).slope)
+            shares = [10.0 * row[f"cpu_percent_{side}"][i] for row in rows]
+            found.append(statistics.linear_regression(sizes, shares).slope)
         name = f"cpu_ms_per_call_{side}"
         result[name] = [round(value, 3) for value in found]
         print(f"slope {name}: {result[name]}", flush=True)
@@ -740,12 +764,33 @@
         run_async(fill_records, *options.fill)
         return
     figures: dict[str, Any] = {}
-    for name in options.parts:
+    with tempfile.TemporaryDirectory(prefix="briardock-pyc-") as cache:
+        cache_bytecode(cache)
+        run_parts(options.parts, figures)
+    figures["load_average"] = os.getloadavg()
+    print(json.dumps(figures))
+
+
+def cache_bytecode(folder: str) -> None:
+    """Let all processes load compiled modules, as installed ones do.
+
+    Compiling at the start leaves a few MB in the heap of a process.
+
+    :param folder: where the compiled modules go
+    """
+    os.environ["PYTHONPYCACHEPREFIX"] = folder
+    os.environ["PYTHONDONTWRITEBYTECODE"] = ""
+    run = "anyio.run(anyio.sleep, 0, backend_options={'use_uvloop': True})"
+    code = f"import argparse, anyio, briardock.node, runpy; {run}"
+    subprocess.run([sys.executable, "-c", code], check=True)
+
+
+def run_parts(names: list[str], figures: dict[str, Any]) -> None:
+    """Run parts and add their figures."""
+    for name in names:
         started_s = time.monotonic()
         figures[name] = PARTS[name]()
         print(f"part {name} took {time.monotonic() - started_s:.0f} s", flush=True)
-    figures["load_average"] = os.getloadavg()
-    print(json.dumps(figures))
 
 
 if __name__ == "__main__":
