--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -73,6 +73,9 @@
 BOUND_S = 60.0
 CONFIG_CHANGES = 12
 CONFIG_PAUSE_S = 0.3
+# Up to a day's changes, with a checkpoint each 15 minutes.
+BACKLOGS = (300, 1_200, 4_200)
+CHANGES_PER_CHECKPOINT = 44
 FILL_WORKERS = 8
 KEYS_PER_REQUEST = 1_000
 TIMEOUT_MS = 10_000.0
@@ -120,6 +123,13 @@
     return int(values["rchar"]) + int(values["wchar"])
 
 
+def read_peak_kb(pid: int) -> int:
+    """Return the highest resident memory of a process so far."""
+    text = Path(f"/proc/{pid}/status").read_text()
+    lines = dict(line.split(":", 1) for line in text.splitlines())
+    return int(lines["VmHWM"].split()[0])
+
+
 def cpu_percent(before: Usage, after: Usage) -> float:
     """Return the share of one core used between two readings, in percent."""
     return 100.0 * (after.cpu_s - before.cpu_s) / (after.at_s - before.at_s)
@@ -441,8 +451,8 @@
 def has_version(nodes: list[BenchNode], version: int) -> bool:
     """Return whether all nodes have a version in force."""
     return all(
-        (one.get("/status")["configuration"]["version"] or 0) >= version
-        for one in nodes
+        found is not None and int(found) >= version
+        for found in (one.get("/status")["configuration"]["version"] for one in nodes)
     )
 
 
@@ -502,6 +512,64 @@
     return row
 
 
+async def append_backlog(port: int, count: int) -> None:
+    """Fill a log with a day's mix of changes and checkpoints at the full size.
+
+    The changes conflict, since only their number and size matter to a fresh node.
+    """
+    log = LogClient("127.0.0.1", port)
+    state = make_config_state()
+    services = max(SERVICE_COUNTS)
+    changes: dict[str, str | None] = {"00-classes.ini": "[class reads]\nrank = 3\n"}
+    changes.update((f"10-{i}.ini", service_text(i, 1_000)) for i in range(services))
+    publish = Publish("first", "capacity", dict.fromkeys(changes, ABSENT), changes)
+    body = encode_record(publish)
+    for number in range(count):
+        offset = await log.append(STREAM, body)
+        while isinstance(offset, LogFailure):
+            await anyio.sleep(0.1)  # The log bounds its rate of appends.
+            offset = await log.append(STREAM, body)
+        state.apply(offset, body)
+        if number % CHANGES_PER_CHECKPOINT == 0:
+            body = encode_record(state.checkpoint())
+        else:
+            late: dict[str, str | None] = {"10-1.ini": service_text(1, number)}
+            base = dict.fromkeys(late, ABSENT)
+            body = encode_record(Publish(f"late-{number}", "capacity", base, late))
+    await log.close()
+
+
+def measure_start() -> dict[str, Any]:
+    """Return what a fresh node without peers reads and uses until it is ready."""
+    rows = []
+    for count in BACKLOGS:
+        with Bench() as bench:
+            log, port = bench.spawn_log()
+            run_async(append_backlog, port, count)
+            row: dict[str, Any] = {"backlog": count}
+            for i in range(REPETITIONS):
+                log_bytes = read_transferred(log.pid)
+                started_s = time.monotonic()
+                node = bench.spawn_node(f"fresh-{i}", port)
+                node.wait_ready()
+                wait_until(partial(has_version, [node], 0), "the configuration")
+                spent_s = time.monotonic() - started_s
+                time.sleep(1.0)
+                log_bytes = read_transferred(log.pid) - log_bytes
+                figures = {
+                    "ready_s": round(spent_s, 2),
+                    "log_mb": round(log_bytes / 1e6, 3),
+                    "cpu_s": node.usage().cpu_s,
+                    "peak_rss_mb": round(read_peak_kb(node.process.pid) / 1024, 1),
+                }
+                for name, value in figures.items():
+                    row.setdefault(name, []).append(value)
+                node.process.kill()
+            rows.append(row)
+            print(f"start {row}", flush=True)
+    return {"rows": rows, **slopes("backlog", rows, "log_mb", "cpu_s")}
+
+
 def encoded_bytes(count: int) -> dict[str, int]:
     """Return the sizes of a configuration as the log and gossip carry it."""
     state = make_config_state()
@@ -744,6 +812,7 @@
     "baseline": measure_baseline,
     "members": measure_members,
     "configuration": measure_configuration,
+    "start": measure_start,
     "records": measure_records,
     "calls": measure_calls,
     "idle": lambda: [measure_idle(size) for size in DEPLOYMENT_SIZES],
