--- a/benchmarks/mutations.py
+++ b/benchmarks/mutations.py
@@ -28,6 +28,7 @@
 # A broken rule may let a test wait for ever; the slowest file takes about 10 s.
 TIMEOUT_S = 60.0
 PYTEST_FAILED_TESTS = 1
+SHOWN_CHARS = 100
 # Fixed, so that random tests decide the same way in each run.
 SEED = 1
 
@@ -154,14 +155,22 @@
     return code == 0
 
 
+def shorten(text: str) -> str:
+    """Return the first line of a text as a Markdown code span."""
+    line = text.strip().partition("\n")[0]
+    if len(line) > SHOWN_CHARS:
+        line = line[: SHOWN_CHARS - 3] + "..."
+    return f"`{line}`".replace("|", "\\|") if line else "nothing"
+
+
 def print_result(result: Result, as_markdown: bool) -> None:
     """Print one line."""
     mutation = result.mutation
     if as_markdown:
-        test = result.test.replace("|", "\\|")
-        print(
-            f"| {mutation.rule} | `{mutation.module}` | `{test}` | {result.verdict} |"
-        )
+        change = f"{shorten(mutation.old)} becomes {shorten(mutation.new)}"
+        test = shorten(result.test)
+        rule = f"`{mutation.module}`: {mutation.rule}"
+        print(f"| {rule} | {change} | {test} | {result.verdict} |", flush=True)
     else:
         shown = f"{mutation.module}: {mutation.rule}"
         print(f"{result.verdict:14} {shown:80} {result.test}", flush=True)
--- a/tests/test_rules_io.py
+++ b/tests/test_rules_io.py
@@ -4,6 +4,7 @@
 
 from briardock.messages import Answer
 from briardock.outcomes import Completed
+from briardock.peers import LinkFailure
 from briardock.target import NotSent
 from peer_fakes import client_of, echo
 from target_fakes import OK, bench, replies
@@ -15,7 +16,7 @@
         async with client_of(echo) as it:
             assert isinstance(await it.call(), Answer)
             failure = await it.call(remaining_ms=-1.0)
-            assert (failure.sent, failure.detail) == (False, "deadline")
+            assert failure == LinkFailure(False, "deadline")
             assert "peers.deadlines" not in it.metrics.counters
 
     anyio.run(main)
