Answer unknown for a keyed request that can no longer be read

Cause: the entry validated a request before it looked at the record of its key, so a resend after its operation was removed by a publish was told 'not run' of an action that had run; the same held for forwards and for child calls. Also: a draining node now answers every request that callers sent it before it ends and waits only for its own target, reports a timed-out drain as E510, withdraws a target whose port refuses, logs a superseded node id, accepts announcements from its own address, and shows log_reachable only where it is known.

--- a/src/briardock/actions.py
+++ b/src/briardock/actions.py
@@ -79,6 +79,14 @@
     def __len__(self) -> int:
         return len(self._records)
 
+    def may_have_run(self, key: str) -> bool:
+        """Return whether a key has a record that does not say "not run".
+
+        :param key: key in text form
+        """
+        action = self._records.get(key)
+        return action is not None and not isinstance(action.outcome, NotRun)
+
     def begin(
         self, key: str, digest: str, budget: RetryBudget, expires_at_ms: float
     ) -> Beginning:
--- a/src/briardock/announcements.py
+++ b/src/briardock/announcements.py
@@ -12,7 +12,7 @@
 from briardock.target import TargetClient
 
 ANNOUNCEMENT_EXPIRY_MS = 10_000.0
-LOOPBACK_PREFIX = "127."
+LOOPBACK_PREFIXES = ("127.", "[::1]", "::1")
 
 
 class Announcement(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -54,6 +54,7 @@
     :param in_flight: returns the number of admitted and queued calls
     :param on_change: told when service, instance or state changed
     :param on_start: told when another target process was announced
+    :param own_hosts: addresses of this instance, besides loopback
     """
 
     def __init__(
@@ -64,6 +65,7 @@
         in_flight: Callable[[], int],
         on_change: Callable[[], None],
         on_start: Callable[[], None],
+        own_hosts: tuple[str, ...],
     ) -> None:
         self._clock = clock
         self._inbound = inbound
@@ -71,13 +73,14 @@
         self._in_flight = in_flight
         self._on_change = on_change
         self._on_start = on_start
+        self._own_hosts = own_hosts
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Accept one announcement; only processes on this instance may send it.
 
         :param request: whole HTTP request
         """
-        if not request.peer.startswith(LOOPBACK_PREFIX):
+        if not self._is_local(request.peer):
             detail = "announcements are accepted from this instance only"
             return outcome_response(NotRun(Reason.BAD_REQUEST, detail))
         try:
@@ -91,6 +94,11 @@
         reply = AnnouncementReply(self._in_flight())
         return json_response(200, msgspec.json.encode(reply))
 
+    def _is_local(self, peer: str) -> bool:
+        # A node bound to one address is reached from that address.
+        own = tuple(f"{host}:" for host in self._own_hosts)
+        return peer.startswith((*LOOPBACK_PREFIXES, *own))
+
     def withdraw_expired(self) -> None:
         """Withdraw the target if its announcements have stopped."""
         state = self._inbound.target_state
@@ -135,6 +143,7 @@
     in_flight: Callable[[], int],
     on_change: Callable[[], None],
     on_start: Callable[[], None] = lambda: None,
+    own_hosts: tuple[str, ...] = (),
 ) -> Announcements:
     """Return the handler of announcements.
 
@@ -144,5 +153,8 @@
     :param in_flight: returns the number of admitted and queued calls
     :param on_change: told when service, instance or state changed
     :param on_start: told when another target process was announced
+    :param own_hosts: addresses of this instance, besides loopback
     """
-    return Announcements(clock, inbound, target, in_flight, on_change, on_start)
+    return Announcements(
+        clock, inbound, target, in_flight, on_change, on_start, own_hosts
+    )
--- a/src/briardock/drain.py
+++ b/src/briardock/drain.py
@@ -61,7 +61,10 @@
             await anyio.sleep(POLL_S)
         if self.state is DrainState.LEAVING:
             self.state = DrainState.LEFT
-            emit(Event.DRAIN_FINISHED, in_flight=self._in_flight())
+            if self._in_flight():
+                emit(Event.DRAIN_TIMED_OUT, in_flight=self._in_flight())
+            else:
+                emit(Event.DRAIN_FINISHED, in_flight=0)
         return self._in_flight() == 0
 
 
--- a/src/briardock/entry.py
+++ b/src/briardock/entry.py
@@ -116,7 +116,8 @@
         finally:
             self.in_flight -= 1
         self._count(outcome)
-        return outcome_response(outcome, ((ACTION_HEADER, key.encode()),))
+        marked = ((ACTION_HEADER, key.encode()),) if key else ()
+        return outcome_response(outcome, marked)
 
     async def handle_forward(self, forward: Forward) -> Answer:
         """Answer a request whose key was issued by this node.
@@ -128,7 +129,7 @@
             return answer_of(key, forward.call_id)
         found = self._find(forward.service, forward.method, forward.path)
         if isinstance(found, NotRun):
-            return answer_of(found, forward.call_id)
+            return answer_of(self._refuse_keyed(found, key), forward.call_id)
         request = _Request(
             found,
             forward.method,
@@ -212,11 +213,11 @@
     ) -> tuple[Outcome, str]:
         key_text = headers.get(KEY_HEADER)
         read = self._read(request, headers, math.inf)
-        if isinstance(read, NotRun):
-            return read, (key_text or b"").decode("latin-1")
         if key_text is not None:
             shown = key_text.decode("latin-1")
             return await self._handle_keyed(read, shown), shown
+        if isinstance(read, NotRun):
+            return read, ""
         key = str(self._issuer.issue())
         if not read.operation.idempotent:
             return NotRun(Reason.KEY_REQUIRED, read.operation.name), ""
@@ -224,14 +225,31 @@
         budget = make_budget(read.operation.retries)
         return await self._dispatch(read, key, level, budget), key
 
-    async def _handle_keyed(self, request: _Request, key_text: str) -> Outcome:
+    async def _handle_keyed(self, request: _Request | NotRun, key_text: str) -> Outcome:
         key = parse_key(key_text)
         if isinstance(key, NotRun):
             return key
+        if isinstance(request, NotRun):
+            return self._refuse_keyed(request, key)
         if key.node_id == self._issuer.node_id:
             return await self._run_own(request, key)
         return await self._forward(request, key)
 
+    def _refuse_keyed(self, refusal: NotRun, key: ActionKey) -> Outcome:
+        """Refuse a request that cannot be read, for instance after a publish.
+
+        An earlier request with the key may have run, and of a foreign key only its
+        issuer knows.
+        """
+        if not self._issuer.is_own(key):
+            return Unknown(refusal.reason, refusal.detail)
+        verified = self._issuer.verify(key)
+        if not isinstance(verified, ActionKey):
+            return verified
+        if self._actions.may_have_run(str(key)):
+            return Unknown(refusal.reason, refusal.detail)
+        return refusal
+
     async def _run_own(self, request: _Request, key: ActionKey) -> Outcome:
         verified = self._issuer.verify(key)
         if not isinstance(verified, ActionKey):
@@ -314,6 +332,9 @@
         limit_at_ms = math.inf if running is None else running.deadline_at_ms
         read = self._read(request, headers, limit_at_ms)
         if isinstance(read, NotRun):
+            if running is not None and running.child_keys:
+                # An equal child call may have run before a publish.
+                return Unknown(read.reason, read.detail), ""
             return read, ""
         if running is None:
             return _unknown_context(read.operation), ""
--- a/src/briardock/events.py
+++ b/src/briardock/events.py
@@ -87,12 +87,12 @@
     NODE_STOPPED = EventInfo(501, "INFO", "node stopped")
     DRAIN_STARTED = EventInfo(502, "INFO", "drain started; no new work is accepted")
     DRAIN_FINISHED = EventInfo(503, "INFO", "drain finished; nothing is in flight")
-    INTERNAL_ERROR = EventInfo(504, "ERROR", "unexpected error in a handler")
     TASK_RESTARTED = EventInfo(505, "WARNING", "background task failed; restarting")
     PAUSE_DETECTED = EventInfo(506, "WARNING", "process was paused")
     CONFIG_IN_FORCE = EventInfo(507, "INFO", "a newer configuration is in force")
     TARGET_CHANGED = EventInfo(508, "INFO", "the target beside the node changed")
     TARGET_DIED = EventInfo(509, "WARNING", "the target died with calls in flight")
+    DRAIN_TIMED_OUT = EventInfo(510, "WARNING", "drain ended with calls in flight")
 
 
 class _QueueHandler(logbook.Handler):
--- a/src/briardock/inbound.py
+++ b/src/briardock/inbound.py
@@ -233,7 +233,9 @@
             running.deadline_at_ms,
         )
         match result:
-            case NotSent(detail=detail):
+            case NotSent(detail=detail, refused=refused):
+                if refused:
+                    self._withdraw(instance)
                 return NotRun(Reason.TARGET_ABSENT, detail)
             case Lost(detail=detail, died=True):
                 self.target_died(instance)
@@ -268,6 +270,12 @@
         )
         return (*running.call.headers, *own)
 
+    def _withdraw(self, instance: str) -> None:
+        """Take a target out of service until it announces itself again."""
+        if instance and instance == self.target_state.instance:
+            self.target_state.instance = ""
+            self._on_death()
+
     def target_died(self, instance: str) -> None:
         """Record the death of a target process, once.
 
--- a/src/briardock/node.py
+++ b/src/briardock/node.py
@@ -84,6 +84,8 @@
         self._rng = rng
         self._stop = anyio.Event()
         self._control = HttpControl()
+        self._callers_served = anyio.Event()
+        self._superseded = False
 
     async def run(self) -> None:
         """Serve until drained or told to stop.
@@ -113,17 +115,7 @@
         )
         async with anyio.create_task_group() as tasks:
             self._start_background(tasks)
-            tasks.start_soon(
-                partial(
-                    serve_http,
-                    http,
-                    self._handle_http,
-                    http_limits(self.settings),
-                    self.metrics,
-                    self._control,
-                    self.clock,
-                )
-            )
+            tasks.start_soon(self._serve_callers, http)
             tasks.start_soon(self._serve_calls, calls)
             tasks.start_soon(self._serve_admin, admin)
             await self._stop.wait()
@@ -174,7 +166,7 @@
         )
         self.drain = make_drain(
             clock,
-            self._in_flight,
+            self._target_load,
             partial(self._announce, MemberState.LEAVING),
             settings.drain.timeout_s * 1_000.0,
         )
@@ -237,6 +229,7 @@
             self._target_load,
             self._target_changed,
             self._target_started,
+            (self.settings.node.host,),
         )
 
     def _start_background(self, tasks: anyio.abc.TaskGroup) -> None:
@@ -249,7 +242,11 @@
             "watch": partial(
                 watch,
                 self.clock,
-                [self.announcements.withdraw_expired, self.actions.expire],
+                [
+                    self.announcements.withdraw_expired,
+                    self.actions.expire,
+                    self._check_superseded,
+                ],
             ),
             "metrics": partial(
                 send_metrics, self.settings.statsd, self.metrics, self._set_gauges
@@ -264,9 +261,24 @@
             async for _ in signals:
                 await self.stop()
 
+    async def _serve_callers(self, listener: AnyListener) -> None:
+        await serve_http(
+            listener,
+            self._handle_http,
+            http_limits(self.settings),
+            self.metrics,
+            self._control,
+            self.clock,
+        )
+        self._callers_served.set()
+
     async def _finish(self) -> None:
-        self._announce(MemberState.LEFT)
+        # Requests that callers sent here are answered before the process ends,
+        # whichever instance runs them.
         self._control.stop_accepting()
+        with anyio.move_on_after(self.settings.drain.timeout_s):
+            await self._callers_served.wait()
+        self._announce(MemberState.LEFT)
         # The last notice and the last answers need a moment to be sent.
         await anyio.sleep(LEFT_NOTICE_S)
         await self.cluster.log.close()
@@ -321,6 +333,12 @@
         admin = make_admin(sources, self.settings.admin.token)
         await serve_http(listener, admin.handle, limits, self.metrics)
 
+    def _check_superseded(self) -> None:
+        later = self.cluster.table.superseded_by
+        if later is not None and not self._superseded:
+            self._superseded = True
+            emit(Event.NODE_SUPERSEDED, incarnation=later)
+
     def _set_gauges(self) -> None:
         self.metrics.gauge("admission.load", self.admission.load())
         self.metrics.gauge("admission.in_flight", self.admission.in_flight)
@@ -337,9 +355,6 @@
             return MAX_LEVEL
         return min(self.levels.level(name) for name in found.calls)
 
-    def _in_flight(self) -> int:
-        return self._target_load() + self.entry.in_flight
-
     def _target_load(self) -> int:
         return len(self.inbound.running) + self.admission.queued
 
--- a/src/briardock/report.py
+++ b/src/briardock/report.py
@@ -33,7 +33,7 @@
             "digest": "" if config.version == NO_VERSION else config.digest,
             "state": _source_of(node),
         },
-        "log_reachable": node.cluster.reader.reachable,
+        "log_reachable": _log_state(node),
         "log_reader": node.directory.is_log_reader(),
         "members": [_member(node, one) for one in node.cluster.table.records()],
         "in_flight": len(node.inbound.running),
@@ -54,7 +54,8 @@
         "settings": _settings(node),
         "configuration": _configuration(node),
         "members": [
-            msgspec.structs.asdict(one) for one in node.cluster.table.records()
+            {**msgspec.structs.asdict(one), "state": one.state.name.lower()}
+            for one in node.cluster.table.records()
         ],
         "gossip": node.cluster.gossip.state(),
         "admission": node.admission.state(),
@@ -84,6 +85,13 @@
     return "none: nothing has been published"
 
 
+def _log_state(node: "Node") -> bool | None:
+    """Return whether the log answers; a node that seldom reads it cannot tell."""
+    if not node.directory.is_log_reader():
+        return None
+    return node.cluster.reader.reachable
+
+
 def _member(node: "Node", record: MemberRecord) -> dict[str, object]:
     return {
         "node_id": record.node_id,
--- a/src/briardock/target.py
+++ b/src/briardock/target.py
@@ -31,9 +31,11 @@
     """No byte of the request was written.
 
     :param detail: what was found
+    :param refused: whether the target's address refused the connection
     """
 
     detail: str
+    refused: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -276,7 +278,7 @@
         except TimeoutError:
             return NotSent("connection attempt timed out")
         except OSError as error:
-            return NotSent(f"connection failed: {error}")
+            return NotSent(f"connection failed: {error}", refused=_is_refusal(error))
 
     async def _open(self, address: tuple[str, int]) -> _Connection:
         stream = await self._connect(address)
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -12,11 +12,13 @@
 from briardock.outcomes import Completed, Headers
 from briardock.peers import LinkFailure
 from callpath_fakes import (
+    CONFIG,
     INCARNATION,
     LIFETIME_MS,
     CallPath,
     context_of,
     make_call,
+    make_catalog,
     make_record,
     told,
 )
@@ -372,3 +374,24 @@
     path.table.merge([make_record("n2", "history")])
     assert ask(path, **SHOW) == "completed"
     assert not path.links.sent
+
+
+@pytest.mark.parametrize(
+    "first, expected",
+    [(True, "unknown unknown-operation"), (False, "not-run unknown-operation")],
+)
+def test_resend_after_its_operation_was_removed(first: bool, expected: str) -> None:
+    # Guards against "not run" for an action that ran under an earlier configuration.
+    path = make()
+    key = str(path.issuer.issue())
+    if first:
+        assert ask(path, key=key) == "completed"
+    path.catalog = make_catalog(CONFIG.replace("POST /payments", "POST /bills"))
+    assert ask(path, key=key) == expected
+
+
+def test_foreign_key_of_an_unknown_operation_is_unknown() -> None:
+    # Only the issuer knows whether an earlier request with the key ran.
+    path = make()
+    asked = ask(path, key=f"n2.{INCARNATION}.1.1.000000000000", path="/wallet/no")
+    assert asked == "unknown unknown-operation"
