Refuse early what fails for lack of a deeper instance

An answer of 5xx whose child call found no instance now carries a threshold below every level, so the entry refuses such actions, but for probes, for as long as the answers confirm it.

--- a/src/briardock/entry.py
+++ b/src/briardock/entry.py
@@ -346,6 +346,8 @@
             outcome = await self._run_child(running, read, key)
         finally:
             running.child_finished(self._clock.now_ms())
+        if isinstance(outcome, NotRun):
+            running.child_refused(outcome)
         return outcome, key
 
     def _child_key(
--- a/src/briardock/inbound.py
+++ b/src/briardock/inbound.py
@@ -35,6 +35,10 @@
 
 STATUS_TOO_MANY_REQUESTS = 429
 STATUS_UNAVAILABLE = 503
+STATUS_SERVER_ERROR = 500
+
+# Lower than every level: the call cannot succeed whatever its class.
+NOTHING_ADMITTED = -1
 
 
 @dataclass(slots=True)
@@ -47,6 +51,7 @@
     :param budget: retries delegated to this call
     :param started_ms: start of the run
     :param child_keys: keys recorded for its children, dropped when it ends
+    :param chain_level: lowest threshold met by a refused child call
     """
 
     context: str
@@ -55,6 +60,7 @@
     budget: RetryBudget
     started_ms: float
     child_keys: set[str] = field(default_factory=set)
+    chain_level: int = MAX_LEVEL
     _children_running: int = 0
     _children_since_ms: float = 0.0
     _children_ms: float = 0.0
@@ -77,6 +83,14 @@
         if self._children_running == 0:
             self._children_ms += now_ms - self._children_since_ms
 
+    def child_refused(self, refusal: NotRun) -> None:
+        """Note a refusal of a child call, which may fail this call.
+
+        :param refusal: outcome of the child call
+        """
+        if refusal.reason is Reason.NO_INSTANCE:
+            self.chain_level = NOTHING_ADMITTED
+
     def own_time_ms(self, now_ms: float) -> float:
         """Return the time in the target while no child call was outstanding.
 
@@ -220,7 +234,9 @@
                 self._on_end(running)
             own_time_ms = running.own_time_ms(self._clock.now_ms())
             self._admission.release(ticket, own_time_ms, isinstance(outcome, Completed))
-        return self._answer(call, outcome, running.budget.left, own_time_ms)
+        return self._answer(
+            call, outcome, running.budget.left, own_time_ms, _evidence(running, outcome)
+        )
 
     async def _run_on_target(self, running: RunningCall) -> Outcome:
         call = running.call
@@ -294,7 +310,12 @@
         self._on_death()
 
     def _answer(
-        self, call: Call, outcome: Outcome, retries_left: int, own_time_ms: float
+        self,
+        call: Call,
+        outcome: Outcome,
+        retries_left: int,
+        own_time_ms: float,
+        evidence_level: int = MAX_LEVEL,
     ) -> Answer:
         self._metrics.count(f"inbound.{_name_of(outcome)}")
         level = self._admission.refusal_level()
@@ -314,10 +335,22 @@
             level,
             self._admission.load(),
             own_time_ms,
-            min(level, self._chain_level(call.operation)),
+            min(level, evidence_level, self._chain_level(call.operation)),
         )
 
 
+def _evidence(running: RunningCall, outcome: Outcome) -> int:
+    """Return the threshold that failed a call, if a refused child call failed it.
+
+    A target that answers well without the child call proves nothing.
+    """
+    match outcome:
+        case Completed(status=status) if status >= STATUS_SERVER_ERROR:
+            return running.chain_level
+        case _:
+            return MAX_LEVEL
+
+
 def _name_of(outcome: Outcome) -> str:
     match outcome:
         case Completed():
