Keep one retry beside a repeatable call and never refuse a forward as not run

Cause 1: delegate() handed out every token, and a lost answer kept them, so a repeatable call whose node died was never retried elsewhere. Cause 2: a link with too many calls refused a forward as 'not run', although an earlier request with its key may have run.

--- a/src/briardock/_peerserver.py
+++ b/src/briardock/_peerserver.py
@@ -182,8 +182,10 @@
     def _refuse(self, message: Call | Forward) -> None:
         self._server.metrics.count("peers.calls_refused")
         detail = f"more than {MAX_CALLS_PER_CONNECTION} calls on one link"
+        # An earlier request with the key of a forward may have run.
+        outcome = "not-run" if isinstance(message, Call) else "unknown"
         answer = Answer(
-            message.call_id, "not-run", reason=Reason.OVERLOADED, detail=detail
+            message.call_id, outcome, reason=Reason.OVERLOADED, detail=detail
         )
         self._writer.queue(encode_frame(answer), message.call_id)
 
--- a/src/briardock/dispatch.py
+++ b/src/briardock/dispatch.py
@@ -177,7 +177,7 @@
         started_ms = self._clock.now_ms()
         if started_ms >= call.deadline_at_ms:
             return NotRun(Reason.DEADLINE_EXCEEDED, "the deadline passed first")
-        share = call.budget.delegate() if call.has_calls else 0
+        share = self._delegate(call)
         message = self._message(call, instance, share, started_ms)
         self._metrics.count("dispatch.attempts")
         self._router.started(instance.node_id)
@@ -200,6 +200,20 @@
                 call.budget.give_back(share)
         return outcome
 
+    def _delegate(self, call: Dispatch) -> int:
+        """Return the retries that go with a call.
+
+        A lost answer takes them along. A repeatable call keeps one here, so that it
+        can still be retried elsewhere; a call without children needs none.
+        """
+        if not call.has_calls:
+            return 0
+        share = call.budget.delegate()
+        if share and not call.once:
+            call.budget.give_back(1)
+            share -= 1
+        return share
+
     def _message(
         self,
         call: Dispatch,
