--- a/src/briardock/admission.py
+++ b/src/briardock/admission.py
@@ -119,6 +119,7 @@
         self._metrics = metrics
         self._limiter = make_limiter(settings.limiter, clock)
         self._queue: WaitingQueue[Ticket | NotRun] = WaitingQueue()
+        self._queued_event = anyio.Event()
         self._holding = HoldingTimes()
         self._in_flight = 0
         self._threshold = MAX_LEVEL
@@ -219,12 +220,16 @@
     async def run(self) -> None:
         """Move windows and expire waiters until cancelled."""
         while True:
+            # Windows also move on demand, so an empty queue needs no ticks.
+            await self._queued_event.wait()
             await anyio.sleep(TICK_MS / 1000.0)
             now_ms = self._clock.now_ms()
             self._roll_window(now_ms)
             for waiter in self._queue.pop_expired(now_ms):
                 self._expire(waiter, now_ms)
             self._dispatch(now_ms)
+            if not self._queue:
+                self._queued_event = anyio.Event()
 
     def _refuse(self, reason: Reason, detail: str) -> NotRun:
         self._metrics.count(f"admission.refused.{reason}")
@@ -256,6 +261,7 @@
         future = asyncio.get_running_loop().create_future()
         waiter = Waiter(level, operation, now_ms, expires_ms, deadline_at_ms, future)
         key = self._queue.push(waiter)
+        self._queued_event.set()
         self._dispatch(now_ms)
         try:
             return await future
--- a/src/briardock/entry.py
+++ b/src/briardock/entry.py
@@ -3,11 +3,11 @@
 import itertools
 import math
 from collections.abc import Callable
-from dataclasses import dataclass
 
 import anyio
 import msgspec
 
+from briardock._reading import CallRequest, make_request_reader
 from briardock.actions import Action, ActionTable, Begun, Finished, InProgress
 from briardock.admission import admission_level
 from briardock.budget import RetryBudget, make_budget
@@ -17,8 +17,6 @@
 from briardock.drain import Drain
 from briardock.inbound import (
     CONTEXT_HEADER,
-    DEADLINE_HEADER,
-    RESERVED_HEADERS,
     Inbound,
     RunningCall,
 )
@@ -32,7 +30,7 @@
 from briardock.listener import HttpRequest, HttpResponse
 from briardock.messages import Answer, Forward
 from briardock.metrics import Metrics
-from briardock.outcomes import Completed, Headers, NotRun, Outcome, Reason, Unknown
+from briardock.outcomes import Completed, NotRun, Outcome, Reason, Unknown
 from briardock.peers import LinkFailure, PeerAddress, PeerLinks
 from briardock.quarantine import fingerprint
 from briardock.refusals import ChainLevels
@@ -44,18 +42,6 @@
 FindIssuer = Callable[[str, int], PeerAddress | None]
 
 
-@dataclass(frozen=True, slots=True)
-class _Request:
-    """One request after its operation was found."""
-
-    operation: Operation
-    method: str
-    path: str
-    headers: Headers
-    body: bytes
-    deadline_at_ms: float
-
-
 class Entry:
     """Turns requests into calls with a key, a level, a deadline and a budget.
 
@@ -89,7 +75,7 @@
         self.in_flight = 0
         self.forwarded_at_ms = float("-inf")
         self._clock = clock
-        self._catalog = catalog
+        self._reader = make_request_reader(clock, catalog)
         self._issuer = issuer
         self._actions = actions
         self._dispatcher = dispatcher
@@ -128,10 +114,10 @@
         key = parse_key(forward.key)
         if isinstance(key, NotRun):
             return answer_of(key, forward.call_id)
-        found = self._find(forward.service, forward.method, forward.path)
+        found = self._reader.find(forward.service, forward.method, forward.path)
         if isinstance(found, NotRun):
             return answer_of(self._refuse_keyed(found, key), forward.call_id)
-        request = _Request(
+        request = CallRequest(
             found,
             forward.method,
             forward.path,
@@ -172,49 +158,11 @@
         for key in running.child_keys:
             self._actions.discard(key)
 
-    def _find(self, service: str, method: str, path: str) -> Operation | NotRun:
-        catalog = self._catalog()
-        if catalog is None:
-            return NotRun(Reason.NO_CONFIGURATION, "no configuration received yet")
-        operation = catalog.find(service, method, path)
-        if operation is None:
-            return NotRun(Reason.UNKNOWN_OPERATION, f"{method} {service}{path}")
-        return operation
-
-    def _read(
-        self, request: HttpRequest, headers: dict[bytes, bytes], limit_at_ms: float
-    ) -> _Request | NotRun:
-        service, _, rest = request.path.lstrip("/").partition("/")
-        path = f"/{rest}"
-        operation = self._find(service, request.method, path)
-        if isinstance(operation, NotRun):
-            return operation
-        if len(request.body) > operation.max_body_bytes:
-            detail = f"{operation.name} takes {operation.max_body_bytes} bytes"
-            return NotRun(Reason.BODY_TOO_LARGE, detail)
-        remaining_ms = _parse_ms(headers.get(DEADLINE_HEADER.lower()))
-        if remaining_ms is None:
-            return NotRun(Reason.BAD_REQUEST, "Briardock-Deadline-Ms is no number")
-        deadline_at_ms = self._clock.now_ms() + min(remaining_ms, operation.deadline_ms)
-        kept = tuple(
-            (name, value)
-            for name, value in request.headers
-            if name.lower() not in RESERVED_HEADERS
-        )
-        return _Request(
-            operation,
-            request.method,
-            path,
-            kept,
-            request.body,
-            min(deadline_at_ms, limit_at_ms),
-        )
-
     async def _handle_entry(
         self, request: HttpRequest, headers: dict[bytes, bytes]
     ) -> tuple[Outcome, str]:
         key_text = headers.get(KEY_HEADER)
-        read = self._read(request, headers, math.inf)
+        read = self._reader.read(request, headers, math.inf)
         if key_text is not None:
             shown = key_text.decode("latin-1")
             return await self._handle_keyed(read, shown), shown
@@ -227,7 +175,9 @@
         budget = make_budget(read.operation.retries)
         return await self._dispatch(read, key, level, budget), key
 
-    async def _handle_keyed(self, request: _Request | NotRun, key_text: str) -> Outcome:
+    async def _handle_keyed(
+        self, request: CallRequest | NotRun, key_text: str
+    ) -> Outcome:
         key = parse_key(key_text)
         if isinstance(key, NotRun):
             return key
@@ -252,7 +202,7 @@
             return Unknown(refusal.reason, refusal.detail)
         return refusal
 
-    async def _run_own(self, request: _Request, key: ActionKey) -> Outcome:
+    async def _run_own(self, request: CallRequest, key: ActionKey) -> Outcome:
         verified = self._issuer.verify(key)
         if not isinstance(verified, ActionKey):
             return verified
@@ -263,7 +213,7 @@
 
     async def _run_once(
         self,
-        request: _Request,
+        request: CallRequest,
         key: str,
         level: int,
         budget: RetryBudget,
@@ -282,7 +232,7 @@
                 return await self._run_begun(request, action, level)
 
     async def _run_begun(
-        self, request: _Request, action: Action, level: int
+        self, request: CallRequest, action: Action, level: int
     ) -> Outcome:
         outcome: Outcome = Unknown(Reason.INTERNAL, "the dispatch failed")
         try:
@@ -304,7 +254,7 @@
                 return Unknown(Reason.DEADLINE_EXCEEDED, "the action still runs")
         return action.outcome
 
-    async def _forward(self, request: _Request, key: ActionKey) -> Outcome:
+    async def _forward(self, request: CallRequest, key: ActionKey) -> Outcome:
         # Whatever goes wrong here, an earlier request with this key may have run.
         issuer = self._find_issuer(key.node_id, key.incarnation)
         if issuer is None:
@@ -332,7 +282,7 @@
     ) -> tuple[Outcome, str]:
         running = self._inbound.running.get(context.decode("latin-1"))
         limit_at_ms = math.inf if running is None else running.deadline_at_ms
-        read = self._read(request, headers, limit_at_ms)
+        read = self._reader.read(request, headers, limit_at_ms)
         if isinstance(read, NotRun):
             if running is not None and running.child_keys:
                 # An equal child call may have run before a publish.
@@ -353,7 +303,7 @@
         return outcome, key
 
     def _child_key(
-        self, running: RunningCall, request: _Request, headers: dict[bytes, bytes]
+        self, running: RunningCall, request: CallRequest, headers: dict[bytes, bytes]
     ) -> str | NotRun:
         operation = request.operation
         if operation.idempotent:
@@ -368,7 +318,7 @@
         return child_key(running.call.key, operation.name, label)
 
     async def _run_child(
-        self, running: RunningCall, request: _Request, key: str
+        self, running: RunningCall, request: CallRequest, key: str
     ) -> Outcome:
         level = running.call.level
         if request.operation.idempotent:
@@ -377,7 +327,7 @@
         return await self._run_once(request, key, level, running.budget, math.inf)
 
     async def _dispatch(
-        self, request: _Request, key: str, level: int, budget: RetryBudget
+        self, request: CallRequest, key: str, level: int, budget: RetryBudget
     ) -> Outcome:
         operation = request.operation
         if not self._levels.admits(operation.name, level):
@@ -417,13 +367,3 @@
         return NotRun(Reason.UNKNOWN_CONTEXT, detail)
     # An equal child call may have run before its parent ended.
     return Unknown(Reason.UNKNOWN_CONTEXT, detail)
-
-
-def _parse_ms(value: bytes | None) -> float | None:
-    if value is None:
-        return math.inf
-    try:
-        parsed = float(value)
-    except ValueError:
-        return None
-    return parsed if parsed >= 0 and not math.isnan(parsed) else None
--- a/src/briardock/node.py
+++ b/src/briardock/node.py
@@ -15,6 +15,7 @@
     http_limits,
     quarantine_settings,
     routing_settings,
+    target_cold_start_s,
     with_policy,
 )
 from briardock._peerserver import PeerInfo, serve_peers
@@ -25,6 +26,7 @@
 from briardock.announcements import make_announcements
 from briardock.background import Task, send_metrics, supervise, watch
 from briardock.budget import make_retry_ratio
+from briardock.callers import handle_caller
 from briardock.clock import Clock, SystemClock, make_random
 from briardock.cluster import make_cluster, make_own_record
 from briardock.configuration import Catalog
@@ -40,19 +42,15 @@
     AnyListener,
     HttpControl,
     HttpLimits,
-    HttpRequest,
-    HttpResponse,
     serve_http,
 )
 from briardock.membership import MemberState
 from briardock.messages import MAX_LEVEL, Answer, Call, Forward
 from briardock.metrics import Metrics
-from briardock.outcomes import NotRun, Reason
 from briardock.peers import make_peer_links
 from briardock.publishing import NO_VERSION
 from briardock.quarantine import QuarantineEntry, make_quarantine
 from briardock.refusals import make_chain_levels
-from briardock.replies import outcome_response
 from briardock.report import dump_node, node_status
 from briardock.routing import make_router
 from briardock.settings import NodeSettings, load_settings
@@ -266,7 +264,7 @@
     async def _serve_callers(self, listener: AnyListener) -> None:
         await serve_http(
             listener,
-            self._handle_http,
+            partial(handle_caller, self.entry, self.announcements),
             http_limits(self.settings),
             self.metrics,
             self._control,
@@ -296,19 +294,6 @@
         idle_ms = self.clock.now_ms() - self.entry.forwarded_at_ms
         return self.entry.in_flight > 0 or idle_ms < ISSUER_IDLE_MS
 
-    async def _handle_http(self, request: HttpRequest) -> HttpResponse:
-        path, _, query = request.path.partition("?")
-        match request.method, path:
-            case "POST", "/_briardock/keys":
-                return self.entry.issue_keys(_count_of(query))
-            case "POST", "/_briardock/target":
-                return await self.announcements.handle(request)
-            case _, path if path.startswith("/_briardock/"):
-                detail = f"{request.method} {path}"
-                return outcome_response(NotRun(Reason.UNKNOWN_OPERATION, detail))
-            case _:
-                return await self.entry.handle(request)
-
     async def _handle_peer(self, message: Call | Forward, peer: PeerInfo) -> Answer:
         match message:
             case Call():
@@ -393,11 +378,8 @@
         self.admission.configure(with_policy(own, policy))
 
     def _target_started(self) -> None:
-        cold_start_s = self.settings.admission.cold_start_s
-        catalog = self._catalog()
-        service = catalog and catalog.services.get(self.inbound.target_state.service)
-        if service and service.cold_start_s is not None:
-            cold_start_s = service.cold_start_s
+        service = self.inbound.target_state.service
+        cold_start_s = target_cold_start_s(self.settings, self._catalog(), service)
         self.admission.target_started(cold_start_s)
 
     def _spread_quarantine(self, entries: list[QuarantineEntry]) -> None:
@@ -411,15 +393,6 @@
         self.entry.drop_children(running)
 
 
-def _count_of(query: str) -> int:
-    """Return the ``count`` of a query, 1 if absent and 0 if it is no number."""
-    for part in query.split("&"):
-        name, _, value = part.partition("=")
-        if name == "count":
-            return int(value) if value.isascii() and value.isdigit() else 0
-    return 1
-
-
 def make_node(settings: NodeSettings) -> Node:
     """Return a node with the system's clock.
 
