--- a/src/briardock/_node_settings.py
+++ b/src/briardock/_node_settings.py
@@ -2,7 +2,7 @@
 
 from dataclasses import replace
 
-from briardock._catalog import Catalog, Policy
+from briardock._catalog import Policy, Service
 from briardock.admission import AdmissionSettings
 from briardock.limiter import LimiterSettings
 from briardock.listener import HttpLimits
@@ -59,19 +59,15 @@
     )
 
 
-def target_cold_start_s(
-    settings: NodeSettings, catalog: Catalog | None, service: str
-) -> float:
+def target_cold_start_s(settings: NodeSettings, service: Service | None) -> float:
     """Return the cold start of a target: that of its service, else of the process.
 
     :param settings: settings of the process
-    :param catalog: configuration in force
-    :param service: service of the target
+    :param service: published service of the target
     """
-    found = catalog.services.get(service) if catalog is not None else None
-    if found is None or found.cold_start_s is None:
+    if service is None or service.cold_start_s is None:
         return settings.admission.cold_start_s
-    return found.cold_start_s
+    return service.cold_start_s
 
 
 def routing_settings(settings: NodeSettings) -> RoutingSettings:
--- a/src/briardock/admission.py
+++ b/src/briardock/admission.py
@@ -167,12 +167,18 @@
         """
         self._settings = settings
 
-    def target_started(self, cold_start_s: float) -> None:
+    def target_started(
+        self, cold_start_s: float, slots_hint: int | None = None
+    ) -> None:
         """Start again with a cold limit, since another target process took over.
 
         :param cold_start_s: time until the limit may be used in full
+        :param slots_hint: limit to start from, ``None`` for that of the settings
         """
         limiter = replace(self._settings.limiter, cold_start_s=cold_start_s)
+        if slots_hint is not None:
+            start = max(limiter.min_limit, min(slots_hint, limiter.max_limit))
+            limiter = replace(limiter, initial_limit=start)
         self._limiter = make_limiter(limiter, self._clock)
 
     async def admit(
--- a/src/briardock/directory.py
+++ b/src/briardock/directory.py
@@ -1,6 +1,7 @@
 """Which members are used as instances, and which nodes read the log."""
 
 import zlib
+from collections.abc import Callable
 
 from briardock.clock import Clock
 from briardock.membership import MemberRecord, MemberState, MemberTable
@@ -22,9 +23,18 @@
     :param table: member table
     :param router: chooses instances
     :param clock: monotonic clock
+    :param domains_of: failure domains that may hold instances of a service, empty
+        for any
     """
 
-    def __init__(self, table: MemberTable, router: Router, clock: Clock) -> None:
+    def __init__(
+        self,
+        table: MemberTable,
+        router: Router,
+        clock: Clock,
+        domains_of: Callable[[str], tuple[str, ...]],
+    ) -> None:
+        self._domains_of = domains_of
         self._table = table
         self._router = router
         self._clock = clock
@@ -47,9 +57,14 @@
             _instance_of(record)
             for service in self._services
             for record in self._table.usable(service)
+            if self._is_allowed(record)
         ]
         self._router.update(instances)
 
+    def _is_allowed(self, record: MemberRecord) -> bool:
+        domains = self._domains_of(record.service)
+        return not domains or record.failure_domain in domains
+
     def members_changed(self, records: list[MemberRecord]) -> None:
         """React to changed member records.
 
@@ -113,11 +128,18 @@
     return zlib.crc32(node_id.encode()), node_id
 
 
-def make_directory(table: MemberTable, router: Router, clock: Clock) -> Directory:
+def make_directory(
+    table: MemberTable,
+    router: Router,
+    clock: Clock,
+    domains_of: Callable[[str], tuple[str, ...]] = lambda service: (),
+) -> Directory:
     """Return a directory that tracks no service yet.
 
     :param table: member table
     :param router: chooses instances
     :param clock: monotonic clock
+    :param domains_of: failure domains that may hold instances of a service, empty
+        for any
     """
-    return Directory(table, router, clock)
+    return Directory(table, router, clock, domains_of)
--- a/src/briardock/node.py
+++ b/src/briardock/node.py
@@ -11,33 +11,16 @@
 import zmq
 
 from briardock._node_settings import (
-    admission_settings,
     http_limits,
-    quarantine_settings,
-    routing_settings,
-    target_cold_start_s,
-    with_policy,
 )
 from briardock._peerserver import PeerInfo, serve_peers
 from briardock._sockets import listen, port_of
-from briardock.actions import make_action_table
 from briardock.admin import AdminSources, make_admin
-from briardock.admission import make_admission
-from briardock.announcements import make_announcements
 from briardock.background import Task, send_metrics, supervise, watch
-from briardock.budget import make_retry_ratio
 from briardock.callers import handle_caller
 from briardock.clock import Clock, SystemClock, make_random
-from briardock.cluster import make_cluster, make_own_record
-from briardock.configuration import Catalog
-from briardock.directory import make_directory
-from briardock.dispatch import Dispatcher
-from briardock.drain import make_drain
-from briardock.entry import Entry
 from briardock.events import Event, emit, start_logging
 from briardock.exceptions import BriardockError, SettingsError
-from briardock.inbound import Inbound, RunningCall
-from briardock.keys import make_incarnation, make_key_issuer
 from briardock.listener import (
     AnyListener,
     HttpControl,
@@ -45,19 +28,11 @@
     serve_http,
 )
 from briardock.membership import MemberState
-from briardock.messages import MAX_LEVEL, Answer, Call, Forward
-from briardock.metrics import Metrics
-from briardock.peers import make_peer_links
-from briardock.publishing import NO_VERSION
-from briardock.quarantine import QuarantineEntry, make_quarantine
-from briardock.refusals import make_chain_levels
+from briardock.messages import Answer, Call, Forward
+from briardock.parts import Parts
 from briardock.report import dump_node, node_status
-from briardock.routing import make_router
 from briardock.settings import NodeSettings, load_settings
-from briardock.target import make_target_client
 
-CONNECT_TIMEOUT_MS = 1_000.0
-MAX_LINKS = 512
 MAX_ADMIN_CONNECTIONS = 16
 MAX_ADMIN_BODY_BYTES = 64 * 1024
 ADMIN_IDLE_TIMEOUT_S = 30.0
@@ -66,8 +41,8 @@
 ISSUER_POLL_S = 0.05
 
 
-class Node:
-    """All parts of one node process.
+class Node(Parts):
+    """One node process: its listeners, background tasks and end.
 
     :param settings: checked settings
     :param clock: monotonic clock
@@ -77,11 +52,7 @@
     def __init__(
         self, settings: NodeSettings, clock: Clock, rng: random.Random
     ) -> None:
-        self.settings = settings
-        self.clock = clock
-        self.metrics = Metrics()
-        self.incarnation = make_incarnation(rng)
-        self._rng = rng
+        super().__init__(settings, clock, rng)
         self._stop = anyio.Event()
         self._control = HttpControl()
         self._callers_served = anyio.Event()
@@ -98,7 +69,7 @@
         admin = await listen(
             self.settings.admin.host, self.settings.admin.port, "[admin] port"
         )
-        self._assemble(port_of(calls))
+        self.assemble(port_of(calls))
         try:
             self.cluster.gossip.bind()
         except zmq.ZMQError as error:
@@ -128,110 +99,6 @@
         await self.drain.run()
         self._stop.set()
 
-    def _assemble(self, call_port: int) -> None:
-        settings, clock, rng, metrics = (
-            self.settings,
-            self.clock,
-            self._rng,
-            self.metrics,
-        )
-        node = settings.node
-        own = make_own_record(settings, self.incarnation, call_port, node.gossip_port)
-        self.quarantine = make_quarantine(quarantine_settings(settings), clock)
-        self.router = make_router(
-            routing_settings(settings), node.failure_domain, clock, rng, metrics
-        )
-        self.cluster, self.directory = make_cluster(
-            settings,
-            own,
-            node.gossip_port,
-            lambda table: make_directory(table, self.router, clock),
-            self.quarantine,
-            self._configuration_changed,
-            clock,
-            rng,
-            metrics,
-        )
-        self.links = make_peer_links(
-            node.node_id,
-            self.incarnation,
-            clock,
-            metrics,
-            node.source_host,
-            MAX_LINKS,
-        )
-        self.admission = make_admission(admission_settings(settings), clock, metrics)
-        self.target = make_target_client(
-            clock, metrics, CONNECT_TIMEOUT_MS, settings.admission.max_limit
-        )
-        self.drain = make_drain(
-            clock,
-            self._target_load,
-            partial(self._announce, MemberState.LEAVING),
-            settings.drain.timeout_s * 1_000.0,
-        )
-        self.levels = make_chain_levels(clock, rng)
-        self._assemble_call_path()
-
-    def _assemble_call_path(self) -> None:
-        node, clock, metrics = self.settings.node, self.clock, self.metrics
-        self.inbound = Inbound(
-            node.node_id,
-            self.incarnation,
-            clock,
-            self.admission,
-            self.target,
-            self.drain,
-            self.quarantine,
-            self._chain_level,
-            self._spread_quarantine,
-            self._call_ended,
-            self._target_changed,
-            metrics,
-        )
-        self.dispatcher = Dispatcher(
-            node.node_id,
-            self.incarnation,
-            clock,
-            self.router,
-            self.directory,
-            self.links,
-            self.inbound.handle,
-            make_retry_ratio(self.settings.routing.retry_ratio),
-            self.levels,
-            self.quarantine,
-            metrics,
-        )
-        self.issuer = make_key_issuer(
-            node.node_id,
-            self.incarnation,
-            clock,
-            node.key_lifetime_s * 1_000.0,
-        )
-        self.actions = make_action_table(clock)
-        self.entry = Entry(
-            clock,
-            self._catalog,
-            self.issuer,
-            self.actions,
-            self.dispatcher,
-            self.inbound,
-            self.links,
-            self.directory.find_issuer,
-            self.levels,
-            self.drain,
-            metrics,
-        )
-        self.announcements = make_announcements(
-            clock,
-            self.inbound,
-            self.target,
-            self._target_load,
-            self._target_changed,
-            self._target_started,
-            (self.settings.node.host,),
-        )
-
     def _start_background(self, tasks: anyio.abc.TaskGroup) -> None:
         background: dict[str, Task] = {
             "gossip": self.cluster.gossip.run,
@@ -280,7 +147,7 @@
             await self._callers_served.wait()
             while self._is_issuer_in_use():
                 await anyio.sleep(ISSUER_POLL_S)
-        self._announce(MemberState.LEFT)
+        self.announce(MemberState.LEFT)
         # The last notice and the last answers need a moment to be sent.
         await anyio.sleep(LEFT_NOTICE_S)
         await self.cluster.log.close()
@@ -319,7 +186,7 @@
             self.drain,
             self._stop.set,
             self.quarantine,
-            self._spread_lift,
+            self.spread_lift,
         )
         limits = HttpLimits(
             self.settings.node.max_header_kb * 1024,
@@ -341,57 +208,6 @@
         self.metrics.gauge("admission.in_flight", self.admission.in_flight)
         self.metrics.gauge("actions.records", len(self.actions))
 
-    def _catalog(self) -> Catalog | None:
-        state = self.cluster.config
-        return state.catalog if state.version != NO_VERSION else None
-
-    def _chain_level(self, operation: str) -> int:
-        catalog = self._catalog()
-        found = catalog.operation(operation) if catalog is not None else None
-        if found is None or not found.calls:
-            return MAX_LEVEL
-        return min(self.levels.level(name) for name in found.calls)
-
-    def _target_load(self) -> int:
-        return len(self.inbound.running) + self.admission.queued
-
-    def _announce(self, state: MemberState) -> None:
-        target = self.inbound.target_state
-        self.cluster.set_target(target.service, target.instance, state)
-
-    def _target_changed(self) -> None:
-        target = self.inbound.target_state
-        emit(
-            Event.TARGET_CHANGED,
-            service=target.service,
-            instance=target.instance,
-            leaving=target.leaving,
-        )
-        leaving = target.leaving or self.drain.refuses_new
-        self._announce(MemberState.LEAVING if leaving else MemberState.ALIVE)
-        self.directory.refresh()
-
-    def _configuration_changed(self) -> None:
-        self.metrics.count("configuration.changes")
-        policy = self.cluster.config.catalog.policy
-        own = admission_settings(self.settings)
-        self.admission.configure(with_policy(own, policy))
-
-    def _target_started(self) -> None:
-        service = self.inbound.target_state.service
-        cold_start_s = target_cold_start_s(self.settings, self._catalog(), service)
-        self.admission.target_started(cold_start_s)
-
-    def _spread_quarantine(self, entries: list[QuarantineEntry]) -> None:
-        if entries:
-            self.cluster.gossip.push_quarantine(entries)
-
-    def _spread_lift(self, fingerprint: str) -> None:
-        self._spread_quarantine(self.quarantine.entries([fingerprint]))
-
-    def _call_ended(self, running: RunningCall) -> None:
-        self.entry.drop_children(running)
-
 
 def make_node(settings: NodeSettings) -> Node:
     """Return a node with the system's clock.
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -369,3 +369,18 @@
         assert admission.queued == 0
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    "hint, expected", [(None, 32), (90, 90), (1, 8), (10_000, 400)]
+)
+def test_limit_of_a_new_target_starts_from_its_hint(
+    hint: int | None, expected: int
+) -> None:
+    # Guards against a published hint without effect or beyond the limits.
+    admission = make_admission(AdmissionSettings(), ManualClock(), Metrics())
+    admission.target_started(0.0, hint)
+    limit = admission.state()["limit"]
+    assert isinstance(limit, int)
+    # The limiter varies its limit by 15% to learn from the difference.
+    assert abs(limit - expected) <= 0.15 * expected + 1
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -113,3 +113,20 @@
     assert path.router.state() == {}
     path.directory.use("wallet")
     assert list(path.router.state()) == ["m1"]
+
+
+@pytest.mark.parametrize(
+    "domains, chosen", [((), True), (("a",), True), (("b",), False)]
+)
+def test_service_is_called_in_its_failure_domains_only(
+    domains: tuple[str, ...], chosen: bool
+) -> None:
+    # Guards against calls of an instance that was started in a wrong domain.
+    clock = ManualClock()
+    table = make_table(clock, make_record("n1", domain="a"))
+    table.merge([make_record("n2", domain="a")])
+    router = make_router(RoutingSettings(), "a", clock, make_random(1), Metrics())
+    directory = make_directory(table, router, clock, lambda service: domains)
+    directory.use("wallet")
+    found = router.choose("wallet", {"n1"})
+    assert isinstance(found, Choice) is chosen
