--- a/src/briardock/dispatch.py
+++ b/src/briardock/dispatch.py
@@ -119,13 +119,19 @@
         tried: set[str] = set()
         reroutes = 0
         lost: Unknown | None = None
+        refused: NotRun | None = None
         while True:
             outcome = await self._attempt(call, tried)
+            if refused is not None and _has_no_instance(outcome):
+                # Every instance was tried, so the last refusal is the reason.
+                return self._report(refused, lost)
             match outcome:
                 case Completed():
                     return outcome
                 case Unknown():
                     lost = outcome
+                case NotRun():
+                    refused = outcome
             if not self._may_repeat(call, outcome):
                 return self._report(outcome, lost)
             if isinstance(outcome, NotRun) and outcome.reason in REROUTE_REASONS:
@@ -264,6 +270,10 @@
         )
 
 
+def _has_no_instance(outcome: Outcome) -> bool:
+    return isinstance(outcome, NotRun) and outcome.reason is Reason.NO_INSTANCE
+
+
 def outcome_of(answer: Answer) -> Outcome:
     """Return the outcome that an answer carries.
 
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -245,3 +245,13 @@
 )
 def test_outcome_survives_its_answer(outcome: Outcome) -> None:
     assert outcome_of(answer_of(outcome)) == outcome
+
+
+def test_refusal_of_every_instance_is_reported_as_refusal() -> None:
+    # Guards against "no instance" for a service whose instances all shed the call.
+    path = CallPath()
+    path.add_members("n2")
+    path.links.script = [refusal(Reason.OVERLOADED)]
+    outcome = run(path)
+    assert isinstance(outcome, NotRun)
+    assert outcome.reason is Reason.OVERLOADED
