Log a superseded node in one place

Gossip and the node each kept a flag and logged E303. Gossip's copy ran only with a change of another member, which was why the event could be late; the node's periodic check sees it at once, so gossip's copy goes.

--- a/src/briardock/gossip.py
+++ b/src/briardock/gossip.py
@@ -108,7 +108,6 @@
         )
         self._contacts: deque[Address] = deque(maxlen=MAX_CONTACTS)
         self._round = 0
-        self._superseded_logged = False
         self._tasks: anyio.abc.TaskGroup | None = None
 
     def bind(self) -> None:
@@ -299,10 +298,6 @@
             names = [r.node_id for r in changed if r.state is state]
             if names:
                 emit(event, count=len(names), first=names[0])
-        later = self._table.superseded_by
-        if later is not None and not self._superseded_logged:
-            self._superseded_logged = True
-            emit(Event.NODE_SUPERSEDED, incarnation=later)
 
     def _contact_others(self) -> None:
         """Ask first contacts that are not known as reachable members."""
--- a/src/briardock/node.py
+++ b/src/briardock/node.py
@@ -10,9 +10,7 @@
 import anyio.abc
 import zmq
 
-from briardock._node_settings import (
-    http_limits,
-)
+from briardock._node_settings import http_limits
 from briardock._peerserver import PeerInfo, serve_peers
 from briardock._sockets import listen, port_of
 from briardock.admin import AdminSources, make_admin
