--- a/benchmarks/gossip_cost.py
+++ b/benchmarks/gossip_cost.py
@@ -372,7 +372,7 @@
         for i, at_s in enumerate(self.plan.leaves_s):
             if self.plan.leaver(i) == self.index:
                 await self.sleep_until(at_s)
-                self.table.update_own(state=MemberState.LEAVING)
+                self.table.update_local(state=MemberState.LEAVING)
                 self.gossip.push_now()
 
     async def sleep_until(self, at_s: float) -> None:
--- a/src/briardock/cluster.py
+++ b/src/briardock/cluster.py
@@ -115,7 +115,7 @@
         :param instance: id of the target process, empty for none
         :param state: state of this member
         """
-        self.table.update_own(service=service, target_instance=instance, state=state)
+        self.table.update_local(service=service, target_instance=instance, state=state)
         self.gossip.push_now()
 
 
--- a/src/briardock/directory.py
+++ b/src/briardock/directory.py
@@ -101,7 +101,7 @@
         return self._reader
 
     def _compute_reader(self) -> bool:
-        own = self._table.own
+        own = self._table.local_record
         own_rank = _reader_rank(own.node_id)
         ahead = sum(
             1
--- a/src/briardock/gossip.py
+++ b/src/briardock/gossip.py
@@ -140,7 +140,7 @@
 
     def push_now(self) -> None:
         """Send the own record to a few random members at once."""
-        own = self._table.own
+        own = self._table.local_record
         self._spread.add(own.node_id)
         self._send_few(Push([own]))
 
@@ -193,7 +193,7 @@
     def _tick(self) -> None:
         self._round += 1
         self._note(self._table.expire())
-        ended = self._table.end_grace()
+        ended = self._table.expire_grace()
         if ended:
             self._hooks.on_members(ended)
         alone = self._table.is_alone()
@@ -207,7 +207,7 @@
         settings = self._settings
         started_ms = self._clock.now_ms()
         if await self._prober.reach(target):
-            self._table.heard_from(target.node_id)
+            self._table.on_response(target.node_id)
             return
         self._links.close(address_of(target))
         spent_ms = self._clock.now_ms() - started_ms
@@ -271,7 +271,7 @@
         summary = message.summary
         sender = summary.sender
         self._note(self._table.merge([sender, *message.members]))
-        self._table.heard_from(sender.node_id)
+        self._table.on_response(sender.node_id)
         self._entries.receive(message.quarantine)
         self._config.on_version(summary.config_version, sender.node_id, route)
         if summary.table_digest != self._table.digest.total:
@@ -285,7 +285,7 @@
         if len(changed) <= MAX_RESPREAD:
             for record in changed:
                 self._spread.add(record.node_id)
-        own = self._table.own
+        own = self._table.local_record
         for record in changed:
             if record.state is MemberState.LEAVING or record is own:
                 self._urgent.add(record.node_id)
@@ -301,7 +301,7 @@
 
     def _contact_others(self) -> None:
         """Ask first contacts that are not known as reachable members."""
-        own = address_of(self._table.own)
+        own = address_of(self._table.local_record)
         known = {
             address_of(record)
             for record in self._table.records()
@@ -329,7 +329,7 @@
 
     def _summary(self) -> Summary:
         return Summary(
-            self._table.own,
+            self._table.local_record,
             self._table.digest.total,
             self._hooks.quarantine_digest(),
             self._hooks.config_version(),
--- a/src/briardock/gossip_probe.py
+++ b/src/briardock/gossip_probe.py
@@ -91,7 +91,7 @@
         if not others:
             return False
         sequence = self._expect(target.node_id)
-        request = PingRequest(sequence, self._table.own, target)
+        request = PingRequest(sequence, self._table.local_record, target)
         for other in others:
             self._send(address_of(other), request)
         return await self._wait(sequence, self._settings.indirect_timeout_ms)
--- a/src/briardock/gossip_push.py
+++ b/src/briardock/gossip_push.py
@@ -15,7 +15,12 @@
     QuarantineNotice,
 )
 from briardock.gossip_settings import GossipHooks, GossipSettings
-from briardock.member_records import VERDICTS, MemberRecord, record_bytes, within
+from briardock.member_records import (
+    DETECTED_STATES,
+    MemberRecord,
+    fitting_records,
+    record_bytes,
+)
 from briardock.membership import MemberTable
 from briardock.quarantine import QuarantineEntry
 
@@ -87,7 +92,7 @@
         record = self._table.get(node_id)
         if record is None:
             return 0
-        if record.state in VERDICTS and age_ms > VERDICT_SPREAD_MS:
+        if record.state in DETECTED_STATES and age_ms > VERDICT_SPREAD_MS:
             return 0
         return record_bytes(record)
 
@@ -131,7 +136,7 @@
     def _flush(self) -> None:
         found = [self._table.get(node_id) for node_id in self._names]
         self._names.clear()
-        records = within([r for r in found if r is not None], PUSH_BYTES)
+        records = fitting_records([r for r in found if r is not None], PUSH_BYTES)
         size_bytes = sum(map(record_bytes, records)) * self._settings.fanout
         if records and self._budget.spend(size_bytes):
             self._send_few(Push(records))
--- a/src/briardock/gossip_sync.py
+++ b/src/briardock/gossip_sync.py
@@ -15,10 +15,10 @@
 from briardock.member_records import (
     MemberRecord,
     bucket_of,
-    declared,
+    fitting_records,
     is_newer,
     record_bytes,
-    within,
+    self_reported,
 )
 from briardock.membership import MemberTable
 
@@ -70,7 +70,7 @@
     def ask(self, route: Route) -> None:
         """Ask a member for the records of differing buckets."""
         self._asked_ms = self._clock.now_ms()
-        own = self._table.own
+        own = self._table.local_record
         digests = self._table.digest.buckets()
         self._reply(route, SyncRequest(own, digests, self.joining))
 
@@ -85,7 +85,7 @@
 
     def on_request(self, request: SyncRequest, route: Route) -> None:
         """Answer with as many differing buckets as the byte budget allows."""
-        if request.sender.node_id == self._table.own.node_id:
+        if request.sender.node_id == self._table.local_record.node_id:
             return  # First contacts may hold the own address in another form.
         self._note(self._table.merge([request.sender]))
         buckets = self._table.digest.differing(request.digests)
@@ -102,7 +102,7 @@
             members += records
         self._bulk.spend(sum(map(record_bytes, members)))
         left_count = len(buckets) - len(sent)
-        reply = SyncReply(self._table.own, sent, left_count, members)
+        reply = SyncReply(self._table.local_record, sent, left_count, members)
         self._reply(route, reply)
 
     def on_reply(self, reply: SyncReply, route: Route) -> None:
@@ -123,7 +123,7 @@
         """Return the records of buckets, empty buckets included."""
         found: dict[int, list[MemberRecord]] = {bucket: [] for bucket in buckets}
         for record in self._table.records_in(set(buckets)):
-            shown = record if joining else declared(record)
+            shown = record if joining else self_reported(record)
             found[bucket_of(record.node_id)].append(shown)
         return found
 
@@ -131,11 +131,11 @@
         theirs = {record.node_id: record for record in reply.members}
         newer = []
         for record in self._table.records_in(set(reply.buckets)):
-            shown = declared(record)
+            shown = self_reported(record)
             known = theirs.get(record.node_id)
             if known is None or is_newer(shown, known):
                 newer.append(shown)
-        newer = within(newer, min(REPLY_BYTES, self._bulk.left()))
+        newer = fitting_records(newer, min(REPLY_BYTES, self._bulk.left()))
         if newer:
             self._bulk.spend(sum(map(record_bytes, newer)))
             self._reply(route, Push(newer))
--- a/src/briardock/member_records.py
+++ b/src/briardock/member_records.py
@@ -1,8 +1,9 @@
-"""Member records and their order.
+"""Member records and their merge order.
 
-Records of one node are ordered by (incarnation, version, state rank). Only the
-node itself raises its version; others may only raise the state rank of a known
-version. Keeping the greatest record makes tables converge in any order.
+Records of one node are ordered by (incarnation, version, state). Only the node
+itself raises its version; other nodes may only raise the state of a version they
+know. Each table keeps the greatest record, so tables converge whatever the order in
+which records arrive.
 """
 
 import enum
@@ -22,7 +23,7 @@
 
 
 class MemberState(enum.IntEnum):
-    """State of a member; the value is its rank between equal versions."""
+    """State of a member; of records with equal versions the greater state wins."""
 
     ALIVE = 0
     SUSPECT = 1
@@ -31,15 +32,16 @@
     LEFT = 4
 
 
-VERDICTS = (MemberState.SUSPECT, MemberState.UNREACHABLE)
+# States assigned by the failure detection of other nodes.
+DETECTED_STATES = (MemberState.SUSPECT, MemberState.UNREACHABLE)
 
 
 class MemberRecord(msgspec.Struct, frozen=True, array_like=True, gc=False):
-    """What is known of one node.
+    """Membership information about one node.
 
     :param node_id: name of the node
-    :param incarnation: process incarnation; a later start has a higher one
-    :param version: raised by the node itself with each change
+    :param incarnation: incarnation of the process; higher after each restart
+    :param version: incremented by the node itself with each change
     :param service: service of its target, empty for none
     :param failure_domain: failure domain of the node
     :param region: region of the node
@@ -64,10 +66,10 @@
 
 
 def order_key(record: MemberRecord) -> tuple[Any, ...]:
-    """Return the total order of records of one node.
+    """Return the sort key that totally orders the records of one node.
 
-    The remaining fields only break ties between records that no correct node
-    issues, so that merging stays independent of order even then.
+    The remaining fields break ties between conflicting records, which no correct
+    node issues, so that merging stays independent of order even then.
     """
     return (
         record.incarnation,
@@ -78,7 +80,7 @@
 
 
 def is_newer(record: MemberRecord, known: MemberRecord) -> bool:
-    """Return whether a record replaces a known one of the same node."""
+    """Return whether a record supersedes a known one of the same node."""
     if record.incarnation != known.incarnation:
         return record.incarnation > known.incarnation
     if record.version != known.version:
@@ -86,20 +88,20 @@
     return record != known and order_key(record) > order_key(known)
 
 
-def declared(record: MemberRecord) -> MemberRecord:
-    """Return a record as its node declares it, without verdicts of others."""
-    if record.state in VERDICTS:
+def self_reported(record: MemberRecord) -> MemberRecord:
+    """Return a record as its node reports it, without the states others detected."""
+    if record.state in DETECTED_STATES:
         return with_state(record, MemberState.ALIVE)
     return record
 
 
 def bucket_of(node_id: str) -> int:
-    """Return the bucket of a node for comparing tables."""
+    """Return the bucket of a node for anti-entropy sync."""
     return crc32(node_id.encode()) % BUCKET_COUNT
 
 
 def record_digest(record: MemberRecord) -> int:
-    """Return the digest of what the node says of itself; verdicts are left out."""
+    """Return the digest of the self-reported state; detected states are left out."""
     if record.state is MemberState.LEFT:
         return 0
     leaving = record.state is MemberState.LEAVING
@@ -112,8 +114,10 @@
     return msgspec.structs.replace(record, state=state)
 
 
-def interned(record: MemberRecord, known: MemberRecord | None) -> MemberRecord:
-    """Return the record with its repeated strings shared between records."""
+def with_interned_strings(
+    record: MemberRecord, known: MemberRecord | None
+) -> MemberRecord:
+    """Return the record with its strings interned, to share them between records."""
     return msgspec.structs.replace(
         record,
         node_id=known.node_id if known else record.node_id,
@@ -125,7 +129,7 @@
 
 
 def record_bytes(record: MemberRecord) -> int:
-    """Return about the encoded size of a record in bytes."""
+    """Return the approximate encoded size of a record in bytes."""
     return (
         len(record.node_id)
         + len(record.service)
@@ -137,8 +141,8 @@
     )
 
 
-def within(records: list[MemberRecord], max_bytes: int) -> list[MemberRecord]:
-    """Return the first records that fit into a number of bytes."""
+def fitting_records(records: list[MemberRecord], max_bytes: int) -> list[MemberRecord]:
+    """Return the longest prefix of the records that fits into a byte limit."""
     taken = []
     for record in records:
         max_bytes -= record_bytes(record)
--- a/src/briardock/membership_digest.py
+++ b/src/briardock/membership_digest.py
@@ -1,4 +1,4 @@
-"""Digests of a member table, to find out cheaply where two tables differ."""
+"""Bucket digests of a member table, to find cheaply where two tables differ."""
 
 import sys
 from array import array
@@ -14,7 +14,7 @@
 class TableDigest:
     """XOR of the record digests, in total and by bucket.
 
-    Records that are no longer shared with others are left out of it.
+    Records that are no longer sent to other nodes are left out.
     """
 
     def __init__(self) -> None:
@@ -23,10 +23,10 @@
         self._buckets = array("I", [0] * BUCKET_COUNT)
 
     def replace(self, record: MemberRecord | None, known: MemberRecord | None) -> None:
-        """Count a new record instead of a known one of the same node.
+        """Replace a known record of a node by a new one.
 
-        :param record: new record, or ``None`` if it is dropped
-        :param known: record counted so far, or ``None``
+        :param record: new record, or ``None`` if the known one is removed
+        :param known: record included so far, or ``None``
         """
         if known is not None and known.node_id in self.unshared:
             self.unshared.remove(known.node_id)
@@ -36,7 +36,7 @@
             self._flip(record)
 
     def stop_sharing(self, record: MemberRecord) -> None:
-        """Leave a counted record out until it is replaced."""
+        """Exclude an included record until it is replaced."""
         self._flip(record)
         self.unshared.add(record.node_id)
 
@@ -53,9 +53,9 @@
 
         :param digests: bucket digests of the other table
         """
-        own = self.buckets()
+        local = self.buckets()
         starts = range(0, BUCKET_COUNT * 4, 4)
-        return [i // 4 for i in starts if own[i : i + 4] != digests[i : i + 4]]
+        return [i // 4 for i in starts if local[i : i + 4] != digests[i : i + 4]]
 
     def _flip(self, record: MemberRecord) -> None:
         digest = record_digest(record)
--- a/src/briardock/membership_ring.py
+++ b/src/briardock/membership_ring.py
@@ -1,13 +1,13 @@
-"""Order of probes and random choice among members."""
+"""Probe order and random sampling of members."""
 
 import random
 from collections.abc import Callable, Collection, Iterable
 
-SAMPLE_TRIES = 8
+SAMPLE_TRIES_PER_ID = 8
 
 
 class ProbeRing:
-    """Node ids in shuffled rounds.
+    """Node ids in rounds, each in a new random order.
 
     :param rng: random source
     :param is_reachable: tells which ids may be chosen
@@ -20,15 +20,15 @@
         self._index = 0
 
     def add(self, node_id: str) -> None:
-        """Insert at a random place so that probe order stays unpredictable."""
-        place = self._rng.randrange(len(self._ids) + 1)
+        """Insert an id at a random position to keep the probe order unpredictable."""
+        position = self._rng.randrange(len(self._ids) + 1)
         self._ids.append(node_id)
-        self._ids[place], self._ids[-1] = self._ids[-1], self._ids[place]
+        self._ids[position], self._ids[-1] = self._ids[-1], self._ids[position]
 
     def next_id(self, known_ids: Callable[[], Iterable[str]]) -> str | None:
         """Return the next reachable id, or ``None``.
 
-        :param known_ids: gives the ids of a new round
+        :param known_ids: returns the ids of a new round
         """
         for _ in range(len(self._ids) + 1):
             if self._index >= len(self._ids):
@@ -44,17 +44,17 @@
         return None
 
     def sample(self, count: int, exclude: Collection[str]) -> list[str]:
-        """Return up to a number of distinct random reachable ids.
+        """Return distinct random reachable ids.
 
         A few random tries suffice unless most members are unreachable; only then
-        are all ids looked at.
+        are all ids examined.
 
-        :param count: how many
+        :param count: largest number of ids
         :param exclude: ids to leave out
         """
         found: dict[str, None] = {}
-        if len(self._ids) > count * SAMPLE_TRIES:
-            for _ in range(count * SAMPLE_TRIES):
+        if len(self._ids) > count * SAMPLE_TRIES_PER_ID:
+            for _ in range(count * SAMPLE_TRIES_PER_ID):
                 node_id = self._ids[self._rng.randrange(len(self._ids))]
                 if node_id not in exclude and self._is_reachable(node_id):
                     found[node_id] = None
--- a/src/briardock/membership_usable.py
+++ b/src/briardock/membership_usable.py
@@ -1,4 +1,4 @@
-"""Members that may get new calls, by service."""
+"""Index of the members that may receive new calls, by service."""
 
 from collections.abc import Mapping
 
@@ -6,47 +6,47 @@
 
 
 class UsableIndex:
-    """Lists of usable members, made on demand and kept until they change.
+    """Lists of usable members, built on demand and cached until they change.
 
-    An unreachable member stays usable during its grace time, so that outdated
-    verdicts arriving after a partition cannot empty a list.
+    An unreachable member stays usable during its grace period, so that outdated
+    records that arrive after a partition cannot empty a list.
 
     :param records: all records by node id
     """
 
     def __init__(self, records: Mapping[str, MemberRecord]) -> None:
         self._records = records
-        self._lists: dict[str, list[MemberRecord]] = {}
+        self._lists_by_service: dict[str, list[MemberRecord]] = {}
         self._grace_until_ms: dict[str, float] = {}
 
     def get(self, service: str) -> list[MemberRecord]:
         """Return the usable members of a service; the list is shared."""
-        found = self._lists.get(service)
+        found = self._lists_by_service.get(service)
         if found is None:
             found = [r for r in self._records.values() if self._is_usable(r, service)]
-            self._lists[service] = found
+            self._lists_by_service[service] = found
         return found
 
-    def changed(self, record: MemberRecord, known: MemberRecord | None) -> None:
-        """Note a new or dropped record; it has no grace time."""
+    def on_change(self, record: MemberRecord, known: MemberRecord | None) -> None:
+        """Invalidate the lists after a record was stored or removed; end its grace."""
         self._grace_until_ms.pop(record.node_id, None)
-        self._lists.pop(record.service, None)
+        self._lists_by_service.pop(record.service, None)
         if known is not None:
-            self._lists.pop(known.service, None)
+            self._lists_by_service.pop(known.service, None)
 
-    def give_grace(self, record: MemberRecord, until_ms: float) -> None:
-        """Keep an unreachable member usable until a time."""
+    def start_grace(self, record: MemberRecord, until_ms: float) -> None:
+        """Keep an unreachable member usable until a given time."""
         self._grace_until_ms[record.node_id] = until_ms
-        self._lists.pop(record.service, None)
+        self._lists_by_service.pop(record.service, None)
 
-    def end_grace(self, now_ms: float) -> list[MemberRecord]:
-        """Return the members whose grace time is over."""
+    def expire_grace(self, now_ms: float) -> list[MemberRecord]:
+        """End elapsed grace periods and return their members."""
         ended = [i for i, until in self._grace_until_ms.items() if until <= now_ms]
-        return [self._end_one(node_id) for node_id in ended]
+        return [self._end_grace(node_id) for node_id in ended]
 
-    def _end_one(self, node_id: str) -> MemberRecord:
+    def _end_grace(self, node_id: str) -> MemberRecord:
         record = self._records[node_id]
-        self.changed(record, None)
+        self.on_change(record, None)
         return record
 
     def _is_usable(self, record: MemberRecord, service: str) -> bool:
--- a/tests/callpath_fakes.py
+++ b/tests/callpath_fakes.py
@@ -248,7 +248,7 @@
 
     def use_own_target(self) -> None:
         """Make the own target an instance for calls of this node."""
-        self.table.update_own(service="wallet", target_instance="t1")
+        self.table.update_local(service="wallet", target_instance="t1")
 
     async def request(
         self,
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -103,7 +103,7 @@
     assert isinstance(path.router.choose("wallet"), Choice)
     changed = path.table.merge([with_state(record, state)])
     path.clock.advance(600_000.0)
-    path.directory.members_changed(changed + path.table.end_grace())
+    path.directory.members_changed(changed + path.table.expire_grace())
     assert not isinstance(path.router.choose("wallet"), Choice)
 
 
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -24,7 +24,7 @@
 from briardock.gossip_links import Address, LinkSettings, Route
 from briardock.gossip_push import entry_chunks
 from briardock.gossip_settings import GossipHooks, GossipSettings
-from briardock.member_records import record_bytes, within
+from briardock.member_records import fitting_records, record_bytes
 from briardock.membership import (
     MemberRecord,
     MembershipSettings,
@@ -61,7 +61,7 @@
     scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
 
     def state_of(self, other: "Node") -> MemberState | None:
-        record = self.table.get(other.table.own.node_id)
+        record = self.table.get(other.table.local_record.node_id)
         return None if record is None else record.state
 
 
@@ -347,10 +347,10 @@
     async def check(cluster: Cluster) -> None:
         nodes = await cluster.start_all(6)
         leaving = nodes[2]
-        leaving.table.update_own(state=MemberState.LEAVING)
+        leaving.table.update_local(state=MemberState.LEAVING)
         leaving.gossip.push_now()
         await until(lambda: all(len(n.table.usable("svc")) == 5 for n in nodes))
-        leaving.table.update_own(state=MemberState.LEFT)
+        leaving.table.update_local(state=MemberState.LEFT)
         leaving.gossip.push_now()
         await until(lambda: all(n.state_of(leaving) is MemberState.LEFT for n in nodes))
 
@@ -361,10 +361,10 @@
     # Guards against a live member that stays suspect or unreachable.
     async def check(cluster: Cluster) -> None:
         nodes = await cluster.start_all(3)
-        victim = nodes[1].table.own
+        victim = nodes[1].table.local_record
         verdict = msgspec.structs.replace(victim, state=MemberState.UNREACHABLE)
         nodes[0].table.merge([verdict])
-        await until(lambda: nodes[1].table.own.version > victim.version)
+        await until(lambda: nodes[1].table.local_record.version > victim.version)
         await until(lambda: all(alive_count(node) == 3 for node in nodes))
 
     run(check)
@@ -541,7 +541,7 @@
         "n" * 40, 2**50, 900, "s", "d", "r", "127.0.0.1", 65535, 65535, "t" * 40
     )
     assert len(msgspec.msgpack.encode(record)) <= record_bytes(record)
-    assert len(within([record] * 50, 10 * record_bytes(record))) == 10
+    assert len(fitting_records([record] * 50, 10 * record_bytes(record))) == 10
     quarantine = make_quarantine(QuarantineSettings(), ManualClock(5.5))
     entries: list[QuarantineEntry] = []
     for i in range(50):
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 
 from briardock.clock import ManualClock
-from briardock.member_records import declared, is_newer
+from briardock.member_records import is_newer, self_reported
 from briardock.membership import (
     MemberRecord,
     MembershipSettings,
@@ -38,8 +38,8 @@
     node_id: str = "own", *others: MemberRecord
 ) -> tuple[MemberTable, ManualClock]:
     clock = ManualClock()
-    own = make_record(node_id)
-    table = make_member_table(own, clock, random.Random(1), SETTINGS)
+    local_record = make_record(node_id)
+    table = make_member_table(local_record, clock, random.Random(1), SETTINGS)
     table.merge(others)
     return table, clock
 
@@ -48,8 +48,8 @@
     return {record.node_id: record.state for record in table.records()}
 
 
-def pass_time(table: MemberTable, clock: ManualClock, total_ms: float) -> None:
-    """Advance in steps short enough not to look like a pause."""
+def advance_in_periods(table: MemberTable, clock: ManualClock, total_ms: float) -> None:
+    """Advance the clock one probe period at a time, so that no pause is detected."""
     step_ms = SETTINGS.period_ms
     for _ in range(round(total_ms / step_ms)):
         clock.advance(step_ms)
@@ -67,14 +67,14 @@
     )
 
 
-# A node chooses its own version when it refutes, so its own record is no merge of
-# the received ones; the two tests after this one cover it.
+# A node that refutes a suspicion picks a new version, so its local record is not a
+# merge of the received ones; the two tests after this one cover it.
 @settings(deadline=None)
 @given(received=st.lists(records_of("a", "b", "c"), max_size=20), data=st.data())
-def test_merge_is_free_of_order_grouping_and_repetition(
+def test_merge_is_commutative_associative_and_idempotent(
     received: list[MemberRecord], data: st.DataObject
 ) -> None:
-    # Guards against tables that end up different after the same records.
+    # Guards against tables that differ although they received the same records.
     first, _ = make_table()
     first.merge(received)
     second, _ = make_table()
@@ -90,21 +90,25 @@
 
 @settings(deadline=None)
 @given(received=st.lists(records_of("own", "a"), max_size=20))
-def test_own_record_is_never_suspected_for_good(received: list[MemberRecord]) -> None:
-    # Guards against a node that takes over what others say of it, or whose own
-    # record loses against that at other nodes.
+def test_local_record_refutes_every_suspicion(received: list[MemberRecord]) -> None:
+    # Guards against a node that adopts a state others report of it, or whose refutation
+    # is not newer than that report at other nodes.
     table, _ = make_table()
     table.merge(received)
-    own = table.own
+    local_record = table.local_record
     other, _ = make_table("other")
-    other.merge([r for r in received if r.incarnation == own.incarnation])
-    other.merge([own])
-    assert other.get("own") == own
-    about_own = [r for r in received if r.node_id == "own"]
-    same = [r for r in about_own if r.incarnation == own.incarnation]
-    assert own.state is MemberState.ALIVE
-    assert all(record == own or is_newer(own, record) for record in same)
-    later = [r.incarnation for r in about_own if r.incarnation > own.incarnation]
+    other.merge([r for r in received if r.incarnation == local_record.incarnation])
+    other.merge([local_record])
+    assert other.get("own") == local_record
+    about_local = [r for r in received if r.node_id == "own"]
+    same = [r for r in about_local if r.incarnation == local_record.incarnation]
+    assert local_record.state is MemberState.ALIVE
+    assert all(
+        record == local_record or is_newer(local_record, record) for record in same
+    )
+    later = [
+        r.incarnation for r in about_local if r.incarnation > local_record.incarnation
+    ]
     assert table.superseded_by == max(later, default=None)
 
 
@@ -123,19 +127,19 @@
 def test_tables_agree_after_any_partition(
     steps: list[tuple[str, int, int]], side: set[int]
 ) -> None:
-    # Guards against verdicts of a partition that outlive it.
-    made = [make_table(f"n{i}") for i in range(4)]
-    tables = [table for table, _ in made]
+    # Guards against states detected during a partition that remain after it.
+    tables_and_clocks = [make_table(f"n{i}") for i in range(4)]
+    tables = [table for table, _ in tables_and_clocks]
     for table in tables:
-        table.merge([other.own for other in tables])
+        table.merge([other.local_record for other in tables])
     for action, i, j in steps:
         match action:
             case "update":
-                tables[i].update_own(target_instance=f"t{j}")
+                tables[i].update_local(target_instance=f"t{j}")
             case "suspect":
                 tables[i].suspect(f"n{j}")
             case "pass":
-                pass_time(*made[i], SETTINGS.period_ms * 4)
+                advance_in_periods(*tables_and_clocks[i], SETTINGS.period_ms * 4)
             case _ if (i in side) == (j in side):
                 tables[i].merge(tables[j].records())
     for _ in range(3):
@@ -156,35 +160,35 @@
         ((1, 1, MemberState.SUSPECT), (1, 1, MemberState.UNREACHABLE), True),
     ],
 )
-def test_order_of_records(
+def test_record_merge_order(
     old: tuple[int, int, MemberState],
     new: tuple[int, int, MemberState],
     replaced: bool,
 ) -> None:
-    # Guards against a restarted node hidden by the record of its last process.
+    # Guards against a restarted node hidden by the record of its previous process.
     table, _ = make_table("own", make_record("a", *old))
     assert bool(table.merge([make_record("a", *new)])) is replaced
     known = table.get("a")
     assert known is not None
-    kept = new if replaced else old
-    assert (known.incarnation, known.version, known.state) == kept
+    expected_order = new if replaced else old
+    assert (known.incarnation, known.version, known.state) == expected_order
 
 
-def test_suspicion_runs_out_unless_refuted() -> None:
-    # Guards against suspects that stay suspects, and against lost refutations.
+def test_suspicion_times_out_unless_refuted() -> None:
+    # Guards against members that stay suspect, and against ignored refutations.
     table, clock = make_table("own", make_record("a"), make_record("b"))
     table.suspect("a")
     table.suspect("b")
     assert len(table.usable("svc")) == 3
     table.merge([make_record("b", version=2)])
-    pass_time(table, clock, table.suspicion_ms() + SETTINGS.period_ms)
+    advance_in_periods(table, clock, table.suspicion_ms() + SETTINGS.period_ms)
     assert states(table)["a"] is MemberState.UNREACHABLE
     assert states(table)["b"] is MemberState.ALIVE
     assert {r.node_id for r in table.usable("svc")} == {"own", "b"}
 
 
-def test_paused_process_does_not_judge_others() -> None:
-    # Guards against a resumed node that declares everyone it suspected lost.
+def test_pause_of_the_process_extends_suspicions() -> None:
+    # Guards against a resumed node that marks every suspect member unreachable.
     table, clock = make_table("own", make_record("a"))
     table.suspect("a")
     table.expire()
@@ -193,16 +197,16 @@
     assert states(table)["a"] is MemberState.SUSPECT
 
 
-def test_outdated_verdicts_leave_members_usable_for_the_suspicion_time() -> None:
+def test_outdated_record_leaves_member_usable_for_the_suspicion_timeout() -> None:
     # Guards against a healed partition that empties the list of instances.
     table, clock = make_table("own", make_record("a"))
     table.merge([make_record("a", state=MemberState.UNREACHABLE)])
     assert len(table.usable("svc")) == 2
-    assert table.end_grace() == []
-    pass_time(table, clock, table.suspicion_ms() + SETTINGS.period_ms)
-    assert [r.node_id for r in table.end_grace()] == ["a"]
+    assert table.expire_grace() == []
+    advance_in_periods(table, clock, table.suspicion_ms() + SETTINGS.period_ms)
+    assert [r.node_id for r in table.expire_grace()] == ["a"]
     assert [r.node_id for r in table.usable("svc")] == ["own"]
-    assert table.end_grace() == []
+    assert table.expire_grace() == []
 
 
 @pytest.mark.parametrize(
@@ -214,7 +218,7 @@
     ],
 )
 def test_members_without_a_running_target_are_not_usable(record: MemberRecord) -> None:
-    # Guards against new work for a leaving target.
+    # Guards against new calls to a leaving target.
     table, _ = make_table("own", make_record("a"))
     assert len(table.usable("svc")) == 2
     table.merge([record])
@@ -223,47 +227,47 @@
 
 
 def test_silent_leaving_member_becomes_left() -> None:
-    # Guards against leaving members that stay in the table after their end.
+    # Guards against leaving members that stay in the table after their process ended.
     leaving = make_record("a", state=MemberState.LEAVING)
     table, clock = make_table("own", leaving)
     table.suspect("a")
-    table.heard_from("a")
-    pass_time(table, clock, table.suspicion_ms() + SETTINGS.period_ms)
+    table.on_response("a")
+    advance_in_periods(table, clock, table.suspicion_ms() + SETTINGS.period_ms)
     assert states(table)["a"] is MemberState.LEAVING
     table.suspect("a")
-    pass_time(table, clock, table.suspicion_ms() + SETTINGS.period_ms)
+    advance_in_periods(table, clock, table.suspicion_ms() + SETTINGS.period_ms)
     assert states(table)["a"] is MemberState.LEFT
 
 
 def test_unreachable_member_is_probed_for_two_hours_and_returns() -> None:
-    # Guards against members given up during an hour's partition.
+    # Guards against members removed during a partition of an hour.
     table, clock = make_table("own", make_record("a"), make_record("b"))
     table.suspect("a")
-    pass_time(table, clock, 2 * HOUR_MS)
+    advance_in_periods(table, clock, 2 * HOUR_MS)
     probes = [table.next_probe_target() for _ in range(20)]
-    shares = [p.node_id for p in probes if p is not None].count("a")
-    assert 0 < shares <= len(probes) / SETTINGS.unreachable_every
+    probe_count = [p.node_id for p in probes if p is not None].count("a")
+    assert 0 < probe_count <= len(probes) / SETTINGS.unreachable_every
     table.merge([make_record("a", version=2)])
     assert states(table)["a"] is MemberState.ALIVE
 
 
-def test_isolated_node_goes_on_probing_lost_members() -> None:
-    # Guards against an isolated node that stops looking for the others.
+def test_isolated_node_keeps_probing_unreachable_members() -> None:
+    # Guards against an isolated node that never rejoins because it stopped probing.
     table, clock = make_table("own", make_record("a"))
     table.suspect("a")
-    pass_time(table, clock, table.suspicion_ms() + SETTINGS.period_ms)
+    advance_in_periods(table, clock, table.suspicion_ms() + SETTINGS.period_ms)
     assert table.is_alone()
     assert all(table.next_probe_target() is not None for _ in range(10))
 
 
-def test_lost_members_are_dropped_and_not_brought_back_by_others() -> None:
-    # Guards against records that nodes hand each other for ever.
+def test_unreachable_members_are_removed_and_not_restored_by_others() -> None:
+    # Guards against records that nodes keep restoring in each other forever.
     table, clock = make_table("own", make_record("a"))
     before = table.digest.total
     table.suspect("a")
-    pass_time(table, clock, SETTINGS.share_ms + 60_000)
+    advance_in_periods(table, clock, SETTINGS.share_ms + 60_000)
     assert {r.node_id for r in table.records_in(set(range(256)))} == {"own"}
-    pass_time(table, clock, SETTINGS.unreachable_keep_ms)
+    advance_in_periods(table, clock, SETTINGS.unreachable_keep_ms)
     assert table.get("a") is None
     assert table.merge([make_record("a")]) == []
     assert table.digest.total != before
@@ -271,11 +275,11 @@
     assert states(table)["a"] is MemberState.ALIVE
 
 
-def test_tombstones_outlast_stale_records_and_then_go() -> None:
-    # Guards against a left node that comes back through a slow member.
+def test_stale_records_are_refused_before_and_after_the_tombstone_expires() -> None:
+    # Guards against a left node restored by a member with an outdated record.
     table, clock = make_table("own", make_record("a", state=MemberState.LEFT))
     assert table.merge([make_record("a")]) == []
-    pass_time(table, clock, SETTINGS.tombstone_ms + SETTINGS.period_ms)
+    advance_in_periods(table, clock, SETTINGS.tombstone_ms + SETTINGS.period_ms)
     assert table.get("a") is None
     assert table.merge([make_record("a")]) == []
 
@@ -290,13 +294,13 @@
 
 
 def test_sample_is_distinct_and_reachable() -> None:
-    # Guards against pushes to lost members or to the node itself.
+    # Guards against pushes to unreachable members or to the node itself.
     members = [make_record(f"m{i}") for i in range(100)]
-    lost = [
+    unreachable = [
         msgspec.structs.replace(record, state=MemberState.UNREACHABLE)
         for record in members[:97]
     ]
-    table, _ = make_table("own", *members, *lost)
+    table, _ = make_table("own", *members, *unreachable)
     for count, expected in [(2, 2), (3, 3), (9, 3)]:
         found = table.sample(count)
         assert len(found) == len({r.node_id for r in found}) == expected
@@ -304,7 +308,7 @@
 
 
 def test_table_is_bounded() -> None:
-    # Guards against unbounded memory for made-up members.
+    # Guards against unbounded memory use when a faulty peer invents members.
     settings = MembershipSettings(max_members=10)
     table = make_member_table(
         make_record("own"), ManualClock(), random.Random(1), settings
@@ -313,14 +317,14 @@
     assert len(table) == 10
 
 
-def test_digest_leaves_verdicts_out() -> None:
-    # Guards against table comparisons that carry verdicts across a past partition.
+def test_digest_excludes_detected_states() -> None:
+    # Guards against anti-entropy syncs that carry detected states out of a partition.
     first, _ = make_table("own", make_record("a"))
     second, _ = make_table("own", make_record("a"))
     second.suspect("a")
     assert first.digest.total == second.digest.total
     suspected = second.get("a")
     assert suspected is not None
-    assert declared(suspected) == make_record("a")
+    assert self_reported(suspected) == make_record("a")
     second.merge([make_record("a", version=2)])
     assert len(first.digest.differing(second.digest.buckets())) == 1
