Use gossip protocol terms in the gossip modules

Reword comments, doc comments and the notes on the tests. Messages on the wire, metrics and behaviour are unchanged.

--- a/src/briardock/gossip_config.py
+++ b/src/briardock/gossip_config.py
@@ -1,4 +1,4 @@
-"""Spread of configuration versions: push of deltas, pull when behind."""
+"""Dissemination of configuration versions: deltas are pushed, missed ones pulled."""
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -18,39 +18,39 @@
 from briardock.gossip_settings import GossipHooks
 from briardock.metrics import Metrics
 
-# A pull without progress for this long is given up for one from another member.
+# A pull without progress for this long may be replaced by one from another member.
 PULL_TIMEOUT_MS = 1_000.0
-# Wait after the node refused a pulled configuration, doubled each time.
+# Delay of the next pull after the node refused a configuration, doubled each time.
 MIN_BACKOFF_MS = 2_000.0
 MAX_BACKOFF_MS = 60_000.0
 MAX_SNAPSHOT_BYTES = 8 * 1024 * 1024
-KEPT_DELTA_COUNT = 8
-KEPT_DELTA_BYTES = 64 * 1024
+RECENT_DELTA_COUNT = 8
+RECENT_DELTA_BYTES = 64 * 1024
 
 
 @dataclass(slots=True)
 class _Pull:
-    """Snapshot being received.
+    """State of a pull: the snapshot received so far.
 
-    :param wanted: version seen at the peer
-    :param progress_ms: time of the last sign of progress
+    :param wanted_version: version of the peer
+    :param progress_ms: time of the last progress
     """
 
-    wanted: int
+    wanted_version: int
     progress_ms: float
     version: int = 0
     checksum: int = 0
     data: bytearray = field(default_factory=bytearray)
 
 
-class ConfigSpread:
+class ConfigDissemination:
     """Pushes new versions to random members and pulls missed ones.
 
     :param clock: time source
     :param metrics: counters
-    :param hooks: access to the node's configuration
-    :param spread: sends a message to a few random members
-    :param reply: sends a message back on a route
+    :param hooks: access to the configuration of the node
+    :param send_to_random: sends a message to a few random members
+    :param send_on_route: sends a message back on a route
     """
 
     def __init__(
@@ -58,55 +58,55 @@
         clock: Clock,
         metrics: Metrics,
         hooks: GossipHooks,
-        spread: Callable[[GossipMessage], None],
-        reply: Callable[[Route, GossipMessage], bool],
+        send_to_random: Callable[[GossipMessage], None],
+        send_on_route: Callable[[Route, GossipMessage], bool],
     ) -> None:
         self._clock = clock
         self._metrics = metrics
         self._hooks = hooks
-        self._spread = spread
-        self._reply = reply
-        self._kept: list[ConfigDelta] = []
+        self._send_to_random = send_to_random
+        self._send_on_route = send_on_route
+        self._recent_deltas: list[ConfigDelta] = []
         self._pull: _Pull | None = None
-        self._pull_after_ms = float("-inf")
+        self._next_pull_ms = float("-inf")
         self._backoff_ms = 0.0
 
     def push(self, delta: ConfigDelta) -> None:
-        """Send a delta that the node has just applied to a few members.
+        """Push a delta that the node has just applied to a few members.
 
-        A delta above the size bound is announced instead, and pulled.
+        Of a delta above the size bound only the version is sent; the receivers pull it.
         """
         if len(delta.payload) > MAX_DELTA_BYTES:
-            self._spread(ConfigNotice(delta.version))
+            self._send_to_random(ConfigNotice(delta.version))
             return
-        self._keep(delta)
-        self._spread(delta)
+        self._store_delta(delta)
+        self._send_to_random(delta)
 
     def on_version(self, version: int, node_id: str, route: Route) -> None:
         """Pull from a peer that has a later version.
 
         :param version: version of the peer
-        :param node_id: peer, or empty where the message does not name it
-        :param route: way back to the peer
+        :param node_id: id of the peer, empty if the message does not contain it
+        :param route: connection to the peer
         """
-        own = self._hooks.config_version()
-        if version <= own:
+        local_version = self._hooks.config_version()
+        if version <= local_version:
             return
-        self._hooks.config_behind(version, node_id)
+        self._hooks.on_newer_config(version, node_id)
         now_ms = self._clock.now_ms()
-        if now_ms < self._pull_after_ms:
+        if now_ms < self._next_pull_ms:
             return
         pull = self._pull
         if pull is not None and now_ms - pull.progress_ms < PULL_TIMEOUT_MS:
             return
         self._pull = _Pull(version, now_ms)
         self._metrics.count("gossip.config_pulls")
-        self._reply(route, ConfigPull(own, 0))
+        self._send_on_route(route, ConfigPull(local_version, 0))
 
     def on_delta(self, delta: ConfigDelta, route: Route) -> None:
-        """Apply a delta, and forward it when it was new."""
-        own = self._hooks.config_version()
-        if delta.version <= own:
+        """Apply a delta, and forward it if it was new."""
+        local_version = self._hooks.config_version()
+        if delta.version <= local_version:
             return
         if self._hooks.on_config_delta(delta.payload, delta.previous, delta.version):
             self._finish_pull()
@@ -115,33 +115,33 @@
             self.on_version(delta.version, "", route)
 
     def on_pull(self, pull: ConfigPull, route: Route) -> None:
-        """Answer with the deltas since a version, or with a snapshot chunk."""
+        """Respond with the deltas since a version, or with a snapshot chunk."""
         version = self._hooks.config_version()
         if version <= pull.have:
             return
-        chain = self._chain(pull.have, version) if pull.offset == 0 else []
-        for delta in chain:
-            self._reply(route, delta)
-        if not chain:
+        deltas = self._deltas_since(pull.have, version) if pull.offset == 0 else []
+        for delta in deltas:
+            self._send_on_route(route, delta)
+        if not deltas:
             self._send_chunk(version, pull.offset, route)
 
     def on_snapshot(self, chunk: ConfigSnapshot, route: Route) -> None:
-        """Add a chunk; ask for the next one or apply the whole."""
+        """Append a chunk; request the next one or apply the complete snapshot."""
         pull = self._pull
-        own = self._hooks.config_version()
-        if pull is None or chunk.version <= own:
+        local_version = self._hooks.config_version()
+        if pull is None or chunk.version <= local_version:
             return
         if chunk.total_bytes > MAX_SNAPSHOT_BYTES or not chunk.chunk:
             self._metrics.count("gossip.bad_messages")
             return
-        if not _fits(pull, chunk):
+        if not _continues_pull(pull, chunk):
             return
         pull.version = chunk.version
         pull.checksum = chunk.checksum
         pull.progress_ms = self._clock.now_ms()
         pull.data += chunk.chunk
         if len(pull.data) < chunk.total_bytes:
-            self._reply(route, ConfigPull(own, len(pull.data)))
+            self._send_on_route(route, ConfigPull(local_version, len(pull.data)))
         else:
             self._apply(pull, chunk)
 
@@ -156,13 +156,13 @@
             self._back_off()
             return
         self._backoff_ms = 0.0
-        self._spread(ConfigNotice(self._hooks.config_version()))
+        self._send_to_random(ConfigNotice(self._hooks.config_version()))
 
     def _back_off(self) -> None:
-        """Wait before the next pull; each ping would start one otherwise."""
+        """Delay the next pull, which the next ping would start otherwise."""
         doubled_ms = max(MIN_BACKOFF_MS, 2 * self._backoff_ms)
         self._backoff_ms = min(MAX_BACKOFF_MS, doubled_ms)
-        self._pull_after_ms = self._clock.now_ms() + self._backoff_ms
+        self._next_pull_ms = self._clock.now_ms() + self._backoff_ms
         self._metrics.count("gossip.config_refused")
 
     def _send_chunk(self, version: int, offset: int, route: Route) -> None:
@@ -171,34 +171,37 @@
             return
         chunk = data[offset : offset + CHUNK_BYTES]
         message = ConfigSnapshot(version, len(data), crc32(data), offset, chunk)
-        self._reply(route, message)
+        self._send_on_route(route, message)
 
     def _finish_pull(self) -> None:
         pull = self._pull
-        if pull is not None and self._hooks.config_version() >= pull.wanted:
+        if pull is not None and self._hooks.config_version() >= pull.wanted_version:
             self._pull = None
 
-    def _keep(self, delta: ConfigDelta) -> None:
-        """Keep recent deltas, so that a member slightly behind gets only those."""
-        if self._kept and self._kept[-1].version != delta.previous:
-            self._kept.clear()
-        self._kept.append(delta)
-        while self._kept and (
-            len(self._kept) > KEPT_DELTA_COUNT
-            or sum(len(kept.payload) for kept in self._kept) > KEPT_DELTA_BYTES
+    def _store_delta(self, delta: ConfigDelta) -> None:
+        """Store a recent delta, so that a member slightly behind needs no snapshot."""
+        if self._recent_deltas and self._recent_deltas[-1].version != delta.previous:
+            self._recent_deltas.clear()
+        self._recent_deltas.append(delta)
+        while self._recent_deltas and (
+            len(self._recent_deltas) > RECENT_DELTA_COUNT
+            or sum(len(recent.payload) for recent in self._recent_deltas)
+            > RECENT_DELTA_BYTES
         ):
-            self._kept.pop(0)
-
-    def _chain(self, have: int, version: int) -> list[ConfigDelta]:
-        """Return the kept deltas from one version to another, if all are there."""
-        starts = [i for i, kept in enumerate(self._kept) if kept.previous == have]
-        if not starts or self._kept[-1].version != version:
+            self._recent_deltas.pop(0)
+
+    def _deltas_since(self, have: int, version: int) -> list[ConfigDelta]:
+        """Return the stored deltas from one version to another, if none is missing."""
+        start_indexes = [
+            i for i, recent in enumerate(self._recent_deltas) if recent.previous == have
+        ]
+        if not start_indexes or self._recent_deltas[-1].version != version:
             return []
-        return self._kept[starts[0] :]
+        return self._recent_deltas[start_indexes[0] :]
 
 
-def _fits(pull: _Pull, chunk: ConfigSnapshot) -> bool:
-    """Return whether a chunk continues the pull; a newer version restarts it."""
+def _continues_pull(pull: _Pull, chunk: ConfigSnapshot) -> bool:
+    """Return whether a chunk continues the pull; another version restarts it."""
     if chunk.offset == 0 and chunk.version != pull.version:
         pull.data.clear()
         return True
--- a/src/briardock/gossip_deltas.py
+++ b/src/briardock/gossip_deltas.py
@@ -1,4 +1,4 @@
-"""Bounded queue of names whose state is piggybacked on pings and acks."""
+"""Bounded queue of keys whose state is piggybacked, and a byte rate limit."""
 
 import math
 from collections import OrderedDict
@@ -10,28 +10,28 @@
 
 
 class DeltaQueue:
-    """Names to send a bounded number of times, the newest first.
+    """Keys to send a bounded number of times, the newest first.
 
-    Only names are held; the caller renders the current state when sending.
+    Only keys are stored; the caller looks up the current state when sending.
 
     :param clock: time source
-    :param max_names: bound; the ones sent most often are dropped
+    :param max_keys: bound on the queue; the keys sent most often are dropped
     """
 
-    def __init__(self, clock: Clock, max_names: int) -> None:
+    def __init__(self, clock: Clock, max_keys: int) -> None:
         self._clock = clock
-        self._max_names = max_names
-        self._names: OrderedDict[str, tuple[int, float]] = OrderedDict()
+        self._max_keys = max_keys
+        self._keys: OrderedDict[str, tuple[int, float]] = OrderedDict()
 
     def __len__(self) -> int:
-        return len(self._names)
+        return len(self._keys)
 
-    def add(self, name: str) -> None:
-        """Put a name first, to be sent anew."""
-        self._names[name] = (0, self._clock.now_ms())
-        self._names.move_to_end(name, last=False)
-        if len(self._names) > self._max_names:
-            self._names.popitem()
+    def add(self, key: str) -> None:
+        """Put a key first and reset its number of sends."""
+        self._keys[key] = (0, self._clock.now_ms())
+        self._keys.move_to_end(key, last=False)
+        if len(self._keys) > self._max_keys:
+            self._keys.popitem()
 
     def take(
         self,
@@ -39,72 +39,76 @@
         max_bytes: int,
         size_of: Callable[[str, float], int],
     ) -> list[str]:
-        """Return the names to send in one message.
+        """Return the keys to send in one message.
 
-        :param max_sends: a name is dropped after this many sends
+        :param max_sends: a key is dropped after this many sends
         :param max_bytes: bound on the sum of sizes
-        :param size_of: size in bytes of a name's state, given also its age in
-            the queue in ms; 0 drops the name
+        :param size_of: returns the size in bytes of the state of a key, given the key
+            and its age in the queue in ms; 0 drops the key
         """
         now_ms = self._clock.now_ms()
         taken: list[str] = []
         left_bytes = max_bytes
-        for name, (sends, added_ms) in list(self._names.items()):
-            size_bytes = size_of(name, now_ms - added_ms)
+        for key, (send_count, added_ms) in list(self._keys.items()):
+            size_bytes = size_of(key, now_ms - added_ms)
             if size_bytes == 0:
-                del self._names[name]
+                del self._keys[key]
                 continue
             if size_bytes > left_bytes:
                 break
             left_bytes -= size_bytes
-            taken.append(name)
-            self._note_sent(name, sends + 1, added_ms, max_sends)
+            taken.append(key)
+            self._record_send(key, send_count + 1, added_ms, max_sends)
         return taken
 
-    def _note_sent(
-        self, name: str, sends: int, added_ms: float, max_sends: int
+    def _record_send(
+        self, key: str, send_count: int, added_ms: float, max_sends: int
     ) -> None:
-        if sends >= max_sends:
-            del self._names[name]
+        if send_count >= max_sends:
+            del self._keys[key]
             return
-        self._names[name] = (sends, added_ms)
-        self._names.move_to_end(name)
+        self._keys[key] = (send_count, added_ms)
+        self._keys.move_to_end(key)
 
 
 def send_limit(member_count: int) -> int:
-    """Return how often a delta is sent among a number of members."""
+    """Return how often a node sends each change in a cluster of a given size."""
     return SENDS_PER_DOUBLING * math.ceil(math.log2(member_count + 1))
 
 
 class ByteBudget:
-    """Token bucket in bytes for traffic beyond the constant pings.
+    """Token bucket, in bytes, for traffic other than pings and acks.
 
     :param clock: time source
     :param rate_bytes_per_s: refill rate
-    :param burst_bytes: most that can be spent at once
+    :param burst_bytes: capacity of the bucket
     """
 
     def __init__(self, clock: Clock, rate_bytes_per_s: float, burst_bytes: int) -> None:
         self._clock = clock
-        self._rate = rate_bytes_per_s
-        self._burst = float(burst_bytes)
-        self._left = self._burst
-        self._filled_ms = clock.now_ms()
+        self._rate_bytes_per_s = rate_bytes_per_s
+        self._burst_bytes = float(burst_bytes)
+        self._available_bytes = self._burst_bytes
+        self._last_refill_ms = clock.now_ms()
 
-    def left(self) -> int:
+    def available_bytes(self) -> int:
         """Return the bytes that may be sent now."""
         now_ms = self._clock.now_ms()
-        gained = (now_ms - self._filled_ms) * self._rate / 1_000.0
-        self._left = min(self._burst, self._left + gained)
-        self._filled_ms = now_ms
-        return int(self._left)
+        refill_bytes = (
+            (now_ms - self._last_refill_ms) * self._rate_bytes_per_s / 1_000.0
+        )
+        self._available_bytes = min(
+            self._burst_bytes, self._available_bytes + refill_bytes
+        )
+        self._last_refill_ms = now_ms
+        return int(self._available_bytes)
 
     def spend(self, size_bytes: int) -> bool:
-        """Take bytes out if there are enough.
+        """Take bytes from the bucket if it holds enough.
 
-        :returns: whether they were there
+        :returns: whether the bytes were taken
         """
-        if size_bytes > self.left():
+        if size_bytes > self.available_bytes():
             return False
-        self._left -= size_bytes
+        self._available_bytes -= size_bytes
         return True
--- a/src/briardock/gossip_links.py
+++ b/src/briardock/gossip_links.py
@@ -1,7 +1,7 @@
-"""Sockets of gossip: one ROUTER that receives, DEALERs that send.
+"""ZeroMQ sockets of gossip: one ROUTER for incoming, DEALERs for outgoing connections.
 
-The number of open DEALER sockets is bounded; the least recently used one is
-closed. Sends never wait: a message for a full or closed socket is dropped.
+The number of open DEALER sockets is bounded; beyond it, the least recently used ones
+are closed. Sends never wait: a message for a full or closed socket is dropped.
 """
 
 import asyncio
@@ -19,17 +19,17 @@
 from briardock.metrics import Metrics
 
 CONNECT_TIMEOUT_MS = 3_000
-RECONNECT_MS = 500
-MAX_RECONNECT_MS = 4_000
-# zmq closes the connection on a message above its own limit without telling; the
-# limit lies above ours, so that moderately oversized messages are counted.
+RECONNECT_DELAY_MS = 500
+MAX_RECONNECT_DELAY_MS = 4_000
+# zmq silently closes the connection on a message above its own limit. That limit is
+# this many times ours, so that moderately oversized messages are counted.
 ZMQ_LIMIT_FACTOR = 4
-# A stranger that never completes the zmq handshake is closed after this.
-HANDSHAKE_MS = 2_000
+# A connection that has not completed the zmq handshake by then is closed.
+HANDSHAKE_TIMEOUT_MS = 2_000
 KEEPALIVE_IDLE_S = 60
 KEEPALIVE_INTERVAL_S = 15
 KEEPALIVE_COUNT = 4
-# A burst of pushes may open this many times the usual number of sockets.
+# A burst of pushes may open this many times the usual maximum of sockets.
 BURST_FACTOR = 4
 
 
@@ -49,8 +49,8 @@
     :param port: TCP port to bind to
     :param source_host: local address of outgoing connections, empty for any
     :param max_open_sockets: bound on the DEALER sockets kept open
-    :param min_open_ms: a socket this young is not closed for another, since its
-        message may still wait for the connection
+    :param min_open_ms: a socket open for a shorter time is not closed to open another,
+        since its message may still wait for the connection
     :param max_message_bytes: larger received messages are dropped
     :param queue_messages: high-water mark of each socket
     """
@@ -73,7 +73,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Route:
-    """Where a message came from, to answer on the same connection.
+    """Connection that a message came from, to respond on it.
 
     :param identity: routing id on the ROUTER, or ``None``
     :param address: address of the DEALER, or ``None``
@@ -121,11 +121,11 @@
     def bind(self) -> None:
         """Bind the ROUTER.
 
-        :raises zmq.ZMQError: if the address is taken or not local
+        :raises zmq.ZMQError: if the address is in use or not local
         """
         router = self._context.socket(zmq.ROUTER)
         self._set_options(router)
-        router.setsockopt(zmq.HANDSHAKE_IVL, HANDSHAKE_MS)
+        router.setsockopt(zmq.HANDSHAKE_IVL, HANDSHAKE_TIMEOUT_MS)
         router.setsockopt(zmq.TCP_KEEPALIVE, 1)
         router.setsockopt(zmq.TCP_KEEPALIVE_IDLE, KEEPALIVE_IDLE_S)
         router.setsockopt(zmq.TCP_KEEPALIVE_INTVL, KEEPALIVE_INTERVAL_S)
@@ -161,20 +161,20 @@
         :returns: whether the message was queued
         """
         if self._tasks is None:
-            return self._dropped()
+            return self._count_drop()
         peer = self._peers.get(address) or self._open(address)
         if peer is None:
-            return self._dropped()
+            return self._count_drop()
         self._peers.move_to_end(address)
         return self._submit(peer.socket, [data])
 
-    def reply(self, route: Route, data: bytes) -> bool:
+    def send_on_route(self, route: Route, data: bytes) -> bool:
         """Send on the connection a message came from, without waiting."""
         if route.identity is not None and self._router is not None:
             return self._submit(self._router, [route.identity, data])
         if route.address is not None:
             return self.send(route.address, data)
-        return self._dropped()
+        return self._count_drop()
 
     def close(self, address: Address) -> None:
         """Close the socket to an address, if it is open."""
@@ -189,8 +189,8 @@
         socket = self._context.socket(zmq.DEALER)
         self._set_options(socket)
         socket.setsockopt(zmq.CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS)
-        socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
-        socket.setsockopt(zmq.RECONNECT_IVL_MAX, MAX_RECONNECT_MS)
+        socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_DELAY_MS)
+        socket.setsockopt(zmq.RECONNECT_IVL_MAX, MAX_RECONNECT_DELAY_MS)
         source = self._settings.source_host
         prefix = f"{source}:0;" if source else ""
         try:
@@ -206,15 +206,17 @@
         return peer
 
     def _evict(self) -> None:
-        """Close the least recently used sockets, young ones only in a burst."""
-        surplus = len(self._peers) + 1 - self._settings.max_open_sockets
-        if surplus <= 0:
+        """Close the least recently used sockets, recent ones only in a burst."""
+        excess_count = len(self._peers) + 1 - self._settings.max_open_sockets
+        if excess_count <= 0:
             return
-        youngest_ms = self._clock.now_ms() - self._settings.min_open_ms
-        closable = [a for a, p in self._peers.items() if p.opened_ms <= youngest_ms]
+        opened_before_ms = self._clock.now_ms() - self._settings.min_open_ms
+        closable = [
+            a for a, p in self._peers.items() if p.opened_ms <= opened_before_ms
+        ]
         if len(self._peers) >= BURST_FACTOR * self._settings.max_open_sockets:
             closable = list(self._peers)
-        for address in closable[:surplus]:
+        for address in closable[:excess_count]:
             self.close(address)
 
     def _set_options(self, socket: zmq.asyncio.Socket) -> None:
@@ -228,12 +230,12 @@
         sent: Any = socket.send_multipart(frames, flags=zmq.NOBLOCK)
         future: asyncio.Future[None] = sent
         if not future.done() or future.exception() is not None:
-            return self._dropped()
+            return self._count_drop()
         self._metrics.count("gossip.sent_messages")
         self._metrics.count("gossip.sent_bytes", len(frames[-1]))
         return True
 
-    def _dropped(self) -> bool:
+    def _count_drop(self) -> bool:
         self._metrics.count("gossip.dropped_sends")
         return False
 
@@ -243,7 +245,7 @@
             if len(frames) != 2:
                 self._metrics.count("gossip.bad_messages")
                 continue
-            self._accept(frames[1], Route(identity=frames[0]))
+            self._on_message(frames[1], Route(identity=frames[0]))
 
     async def _receive_dealer(self, peer: _Peer, route: Route) -> None:
         with peer.scope:
@@ -252,9 +254,9 @@
                 if len(frames) != 1:
                     self._metrics.count("gossip.bad_messages")
                     continue
-                self._accept(frames[0], route)
+                self._on_message(frames[0], route)
 
-    def _accept(self, data: bytes, route: Route) -> None:
+    def _on_message(self, data: bytes, route: Route) -> None:
         self._metrics.count("gossip.received_messages")
         self._metrics.count("gossip.received_bytes", len(data))
         if len(data) > self._settings.max_message_bytes:
--- a/src/briardock/gossip_messages.py
+++ b/src/briardock/gossip_messages.py
@@ -1,7 +1,7 @@
 """Gossip messages, validated when they are decoded.
 
 Each message is one MessagePack array in one zmq frame. Lists and byte strings
-carry bounds so that a faulty peer cannot make a node hold much memory.
+are bounded so that a faulty peer cannot make a node use much memory.
 """
 
 from typing import Annotated
@@ -29,7 +29,7 @@
 
 
 class Summary(msgspec.Struct, frozen=True, array_like=True):
-    """What each ping and ack tells of its sender.
+    """State of the sender in each ping and ack.
 
     :param sender: record of the sender
     :param table_digest: digest of its member table
@@ -46,7 +46,7 @@
 class Ping(Message, frozen=True):
     """Probe of a member.
 
-    :param sequence: repeated in the ack
+    :param sequence: sequence number, echoed in the ack
     :param summary: state of the sender
     :param members: piggybacked member records
     :param quarantine: piggybacked quarantine entries
@@ -59,7 +59,7 @@
 
 
 class Ack(Message, frozen=True):
-    """Answer to a ping; the fields are those of the ping."""
+    """Response to a ping, with the same fields."""
 
     sequence: Counter
     summary: Summary
@@ -70,7 +70,7 @@
 class PingRequest(Message, frozen=True):
     """Request to probe a member on behalf of the sender.
 
-    :param sequence: repeated in the indirect ack
+    :param sequence: sequence number, echoed in the indirect ack
     :param sender: record of the sender
     :param target: record of the member as the sender knows it
     """
@@ -81,10 +81,10 @@
 
 
 class IndirectAck(Message, frozen=True):
-    """The member of a ping request answered.
+    """Report that the member of a ping request responded.
 
-    :param sequence: that of the request
-    :param target: record of the member as it described itself
+    :param sequence: sequence number of the request
+    :param target: record of the member, as last received from it
     """
 
     sequence: Counter
@@ -92,9 +92,9 @@
 
 
 class Push(Message, frozen=True):
-    """Member records that should not wait for the next ping.
+    """Member records sent without waiting for the next ping.
 
-    :param members: new records
+    :param members: changed records
     """
 
     members: Records
@@ -104,8 +104,8 @@
     """Request for the records of buckets that differ.
 
     :param sender: record of the sender
-    :param digests: its bucket digests
-    :param joining: whether it wants verdicts of others as well
+    :param digests: bucket digests of the sender
+    :param joining: whether to include states that others detected
     """
 
     sender: MemberRecord
@@ -117,8 +117,8 @@
     """Records of some differing buckets.
 
     :param sender: record of the sender
-    :param buckets: buckets that are complete in this reply
-    :param left_count: differing buckets that found no room
+    :param buckets: buckets whose records are complete in this message
+    :param left_count: number of differing buckets omitted for lack of space
     :param members: records of the buckets
     """
 
@@ -131,8 +131,8 @@
 class ConfigDelta(Message, frozen=True):
     """A configuration change.
 
-    :param previous: version it builds on
-    :param version: version it leads to
+    :param previous: version to which the change applies
+    :param version: version after the change
     :param payload: opaque change
     """
 
@@ -142,7 +142,7 @@
 
 
 class ConfigNotice(Message, frozen=True):
-    """The sender has taken over a version by snapshot.
+    """Notice that the sender has a version that it does not push as a delta.
 
     :param version: version of its configuration
     """
@@ -151,7 +151,7 @@
 
 
 class ConfigPull(Message, frozen=True):
-    """Request for what follows a version.
+    """Request for the changes since a version, or for a snapshot.
 
     :param have: version of the sender
     :param offset: position in the snapshot, 0 for the start
@@ -162,13 +162,13 @@
 
 
 class ConfigSnapshot(Message, frozen=True):
-    """One chunk of a whole configuration.
+    """One chunk of a configuration snapshot.
 
     :param version: version of the configuration
-    :param total_bytes: size of the whole
-    :param checksum: CRC-32 of the whole
-    :param offset: position of the chunk
-    :param chunk: bytes from there on
+    :param total_bytes: size of the snapshot
+    :param checksum: CRC-32 of the snapshot
+    :param offset: position of the chunk in the snapshot
+    :param chunk: bytes of the snapshot from that position on
     """
 
     version: Counter
@@ -179,7 +179,7 @@
 
 
 class QuarantineNotice(Message, frozen=True):
-    """Quarantine entries that should not wait for the next ping.
+    """Quarantine entries sent without waiting for the next ping.
 
     :param entries: changed entries
     """
@@ -208,6 +208,6 @@
 def decode_gossip(data: bytes) -> GossipMessage:
     """Return the message of one zmq frame.
 
-    :raises msgspec.DecodeError: if the data is no valid message
+    :raises msgspec.DecodeError: if the data is not a valid message
     """
     return _decoder.decode(data)
--- a/src/briardock/gossip_probe.py
+++ b/src/briardock/gossip_probe.py
@@ -11,29 +11,29 @@
 from briardock.member_records import MemberRecord
 from briardock.membership import MemberTable
 
-# Bounds the pings made for others at once.
-MAX_WAITING = 256
+# Above this number of pending pings, requests to ping for other nodes are dropped.
+MAX_PENDING_PINGS = 256
 
 
 @dataclass(slots=True)
-class _Waiting:
-    """A ping whose ack is awaited, for ourselves or for another node.
+class _PendingPing:
+    """A ping of this node, or on behalf of another one, that waits for its ack.
 
-    :param node_id: member that has to answer; its address may be another's now
+    :param node_id: member whose ack counts; another node may now use its address
     """
 
     node_id: str
-    heard: anyio.Event = field(default_factory=anyio.Event)
+    acked: anyio.Event = field(default_factory=anyio.Event)
 
 
 class Prober:
-    """Finds out whether a member answers.
+    """Checks with direct and indirect pings whether a member responds.
 
     :param table: member table
     :param settings: timeouts
     :param send: sends a message to an address
-    :param reply: sends a message on a route
-    :param make_ping: makes a ping from its sequence number and receiver
+    :param send_on_route: sends a message back on a route
+    :param make_ping: returns the ping for a sequence number and a receiver
     """
 
     def __init__(
@@ -41,74 +41,74 @@
         table: MemberTable,
         settings: GossipSettings,
         send: Callable[[Address, GossipMessage], bool],
-        reply: Callable[[Route, GossipMessage], bool],
+        send_on_route: Callable[[Route, GossipMessage], bool],
         make_ping: Callable[[int, MemberRecord], Ping],
     ) -> None:
         self._table = table
         self._settings = settings
         self._send = send
-        self._reply = reply
+        self._send_on_route = send_on_route
         self._make_ping = make_ping
-        self._waiting: dict[int, _Waiting] = {}
+        self._pending: dict[int, _PendingPing] = {}
         self._sequence = 0
 
-    async def reach(self, target: MemberRecord) -> bool:
-        """Return whether a member answers a ping, through others if need be.
+    async def check_reachable(self, target: MemberRecord) -> bool:
+        """Return whether a member acknowledges a direct or else an indirect ping.
 
-        Others are not asked about a member already held for unreachable.
+        A member already marked unreachable is only pinged directly.
         """
         reachable = self._table.is_reachable(target.node_id)
         if await self._ping(target):
             return True
-        return reachable and await self._ping_through_others(target)
+        return reachable and await self._ping_indirectly(target)
 
-    async def ping_for(self, request: PingRequest, route: Route) -> None:
-        """Ping a member for another node and tell that node of an answer."""
-        if len(self._waiting) >= MAX_WAITING:
+    async def ping_on_behalf(self, request: PingRequest, route: Route) -> None:
+        """Ping a member on behalf of another node and report an ack to that node."""
+        if len(self._pending) >= MAX_PENDING_PINGS:
             return
         target = self._table.get(request.target.node_id) or request.target
         if await self._ping(target):
             found = self._table.get(target.node_id) or target
-            self._reply(route, IndirectAck(request.sequence, found))
+            self._send_on_route(route, IndirectAck(request.sequence, found))
 
-    def on_heard(self, sequence: int, sender: MemberRecord) -> None:
-        """Note an ack.
+    def on_ack(self, sequence: int, sender: MemberRecord) -> None:
+        """Complete the ping that an ack belongs to.
 
-        :param sequence: that of the ping
-        :param sender: member that answered
+        :param sequence: sequence number of the ping
+        :param sender: member that responded
         """
-        waiting = self._waiting.get(sequence)
-        if waiting is not None and waiting.node_id == sender.node_id:
-            waiting.heard.set()
+        pending = self._pending.get(sequence)
+        if pending is not None and pending.node_id == sender.node_id:
+            pending.acked.set()
 
     async def _ping(self, target: MemberRecord) -> bool:
-        sequence = self._expect(target.node_id)
+        sequence = self._register_ping(target.node_id)
         self._send(address_of(target), self._make_ping(sequence, target))
-        return await self._wait(sequence, self._settings.ack_timeout_ms)
+        return await self._wait_for_ack(sequence, self._settings.ack_timeout_ms)
 
-    async def _ping_through_others(self, target: MemberRecord) -> bool:
-        others = self._table.sample(self._settings.indirect_count, [target.node_id])
-        if not others:
+    async def _ping_indirectly(self, target: MemberRecord) -> bool:
+        helpers = self._table.sample(self._settings.indirect_count, [target.node_id])
+        if not helpers:
             return False
-        sequence = self._expect(target.node_id)
+        sequence = self._register_ping(target.node_id)
         request = PingRequest(sequence, self._table.local_record, target)
-        for other in others:
-            self._send(address_of(other), request)
-        return await self._wait(sequence, self._settings.indirect_timeout_ms)
+        for helper in helpers:
+            self._send(address_of(helper), request)
+        return await self._wait_for_ack(sequence, self._settings.indirect_timeout_ms)
 
-    def _expect(self, node_id: str) -> int:
+    def _register_ping(self, node_id: str) -> int:
         self._sequence += 1
-        self._waiting[self._sequence] = _Waiting(node_id)
+        self._pending[self._sequence] = _PendingPing(node_id)
         return self._sequence
 
-    async def _wait(self, sequence: int, timeout_ms: float) -> bool:
-        waiting = self._waiting[sequence]
+    async def _wait_for_ack(self, sequence: int, timeout_ms: float) -> bool:
+        pending = self._pending[sequence]
         try:
             with anyio.move_on_after(timeout_ms / 1_000.0):
-                await waiting.heard.wait()
-            return waiting.heard.is_set()
+                await pending.acked.wait()
+            return pending.acked.is_set()
         finally:
-            del self._waiting[sequence]
+            del self._pending[sequence]
 
 
 def address_of(record: MemberRecord) -> Address:
--- a/src/briardock/gossip_settings.py
+++ b/src/briardock/gossip_settings.py
@@ -1,4 +1,4 @@
-"""Settings of gossip and its hooks into the node."""
+"""Settings of gossip, and the hooks through which it uses the node."""
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
@@ -14,23 +14,23 @@
 
 @dataclass(slots=True)
 class GossipHooks:
-    """What gossip needs of the node; each default does nothing.
+    """Callbacks of gossip into the node; each default does nothing.
 
     :param config_version: version of the configuration, 0 for none
-    :param config_behind: told of a later version and the peer that has it, whose
-        id is empty where unknown; gossip itself pulls it
+    :param on_newer_config: called with a newer version and the id of the peer that has
+        it, empty if unknown; gossip pulls the configuration itself
     :param on_config_delta: applies (payload, previous, version); returns whether
         it was new and applied
-    :param config_snapshot: whole configuration of ``config_version``, or ``None``
+    :param config_snapshot: snapshot of version ``config_version``, or ``None``
     :param on_config_snapshot: applies (version, data)
     :param on_quarantine: merges entries and returns the changed ones
-    :param quarantine_entries: current entries of some fingerprints, or of all
+    :param quarantine_entries: current entries of some fingerprints, of all for ``None``
     :param quarantine_digest: digest of the quarantine
-    :param on_members: told of changed member records
+    :param on_members: called with changed member records
     """
 
     config_version: Callable[[], int] = lambda: 0
-    config_behind: Callable[[int, str], None] = lambda version, node_id: None
+    on_newer_config: Callable[[int, str], None] = lambda version, node_id: None
     on_config_delta: Callable[[bytes, int, int], bool] = lambda data, old, new: False
     config_snapshot: Callable[[], bytes | None] = lambda: None
     on_config_snapshot: Callable[[int, bytes], None] = lambda version, data: None
@@ -49,16 +49,16 @@
     """Addresses, periods and bounds of gossip.
 
     :param link: addresses and limits of the sockets
-    :param seeds: first contacts
+    :param seeds: addresses to contact first
     :param period_ms: one ping is sent per period
-    :param ack_timeout_ms: wait for a direct ack
-    :param indirect_timeout_ms: further wait for an ack through others
-    :param indirect_count: members asked to ping on our behalf
-    :param fanout: members that get a push at once
+    :param ack_timeout_ms: timeout of a direct ping
+    :param indirect_timeout_ms: timeout of the indirect pings that follow it
+    :param indirect_count: number of members that are asked for an indirect ping
+    :param fanout: number of members that receive a push
     :param piggyback_bytes: bound on member records in one ping or ack
     :param quarantine_bytes: bound on quarantine entries in one ping or ack
-    :param sync_interval_ms: shortest time between table comparisons
-    :param urgent_delay_ms: wait that collects urgent records in one push
+    :param sync_interval_ms: shortest time between anti-entropy syncs
+    :param urgent_delay_ms: delay in which urgent records are batched into one push
     """
 
     link: LinkSettings
--- a/src/briardock/member_records.py
+++ b/src/briardock/member_records.py
@@ -32,7 +32,7 @@
     LEFT = 4
 
 
-# States assigned by the failure detection of other nodes.
+# States assigned to a node by the failure detection of others.
 DETECTED_STATES = (MemberState.SUSPECT, MemberState.UNREACHABLE)
 
 
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -19,7 +19,7 @@
 from briardock import gossip_messages as wire
 from briardock.clock import ManualClock, SystemClock
 from briardock.gossip import Gossip, make_gossip
-from briardock.gossip_config import MIN_BACKOFF_MS, ConfigSpread
+from briardock.gossip_config import MIN_BACKOFF_MS, ConfigDissemination
 from briardock.gossip_deltas import ByteBudget, DeltaQueue
 from briardock.gossip_links import Address, LinkSettings, Route
 from briardock.gossip_push import entry_chunks
@@ -48,7 +48,7 @@
 
 @dataclass
 class Node:
-    """One gossiping node with a configuration that is only a version."""
+    """One node with gossip and a configuration of opaque bytes."""
 
     table: MemberTable
     gossip: Gossip
@@ -66,11 +66,11 @@
 
 
 class Cluster:
-    """Nodes started in one task group, with links that can be cut."""
+    """Nodes started in one task group, with links that can be blocked."""
 
     def __init__(self, tasks: anyio.abc.TaskGroup, context: zmq.asyncio.Context):
         self.nodes: list[Node] = []
-        self.cut: set[frozenset[Address]] = set()
+        self.blocked: set[frozenset[Address]] = set()
         self._tasks = tasks
         self._context = context
 
@@ -98,7 +98,7 @@
 
     def partition(self, one: list[Node], other: list[Node]) -> None:
         pairs = [frozenset((a.address, b.address)) for a in one for b in other]
-        self.cut.update(pairs)
+        self.blocked.update(pairs)
 
     async def _run(self, node: Node) -> None:
         with node.scope:
@@ -107,12 +107,12 @@
     def _make(
         self, name: str, seeds: tuple[Address, ...], incarnation: int, address: Address
     ) -> Node:
-        own = MemberRecord(
+        local_record = MemberRecord(
             name, incarnation, 1, "svc", "d", "r", address.host, 1, address.port, "t"
         )
         clock, rng, metrics = SystemClock(), random.Random(name), Metrics()
         table = make_member_table(
-            own, clock, rng, MembershipSettings(period_ms=PERIOD_MS)
+            local_record, clock, rng, MembershipSettings(period_ms=PERIOD_MS)
         )
         quarantine = make_quarantine(QuarantineSettings(), clock)
         settings = GossipSettings(
@@ -158,7 +158,7 @@
         address: Address,
         data: bytes,
     ) -> bool:
-        if frozenset((source, address)) in self.cut:
+        if frozenset((source, address)) in self.blocked:
             return False
         return send(address, data)
 
@@ -172,8 +172,8 @@
 def _is_free(address: Address) -> bool:
     """Return whether a stopped node has released its port.
 
-    Without SO_REUSEADDR, closed connections of the node would block the port for
-    another minute; zmq sets that option as well.
+    Without SO_REUSEADDR, which zmq sets as well, closed connections of the node would
+    block the port for another minute.
     """
     with socket.socket() as probe:
         probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -196,7 +196,7 @@
 
 
 async def until(check: Callable[[], bool]) -> None:
-    """Wait for a condition; the bound only ends a hanging test."""
+    """Wait for a condition; the timeout only ends a hanging test."""
     with anyio.fail_after(WAIT_S):
         while not check():
             await anyio.sleep(0.01)
@@ -215,7 +215,7 @@
 
 
 def test_nodes_find_each_other_and_their_tables_agree() -> None:
-    # Guards against joiners that learn only a part of the table.
+    # Guards against joining nodes that receive only a part of the table.
     async def check(cluster: Cluster) -> None:
         nodes = await cluster.start_all(6)
         digests = {node.table.digest.total for node in nodes}
@@ -226,8 +226,8 @@
     run(check)
 
 
-def test_contacts_added_later_join_two_lone_nodes() -> None:
-    # Guards against a node that gives up when its first contacts are missing.
+def test_contacts_added_later_join_two_isolated_nodes() -> None:
+    # Guards against a node that stops joining when its seeds are unreachable.
     async def check(cluster: Cluster) -> None:
         first = await cluster.start("a", [Address("127.0.1.250", 1)])
         second = await cluster.start("b")
@@ -238,36 +238,40 @@
 
 
 def test_stopped_member_becomes_unreachable_and_returns_with_a_new_process() -> None:
-    # Guards against dead members that stay in use, and against a restarted node
-    # hidden by the record of its last process.
+    # Guards against stopped members that remain usable, and against a restarted node
+    # hidden by the record of its previous process.
     async def check(cluster: Cluster) -> None:
         nodes = await cluster.start_all(4)
-        lost = nodes[3]
-        lost.scope.cancel()
+        stopped = nodes[3]
+        stopped.scope.cancel()
         others = nodes[:3]
         await until(
-            lambda: all(n.state_of(lost) is MemberState.UNREACHABLE for n in others)
+            lambda: all(n.state_of(stopped) is MemberState.UNREACHABLE for n in others)
         )
-        await until(lambda: _is_free(lost.address))
-        again = await cluster.start("n3", [nodes[0].address], 2, lost.address)
-        await until(lambda: all(n.state_of(again) is MemberState.ALIVE for n in others))
-        await until(lambda: alive_count(again) == 4)
+        await until(lambda: _is_free(stopped.address))
+        restarted = await cluster.start("n3", [nodes[0].address], 2, stopped.address)
+        await until(
+            lambda: all(n.state_of(restarted) is MemberState.ALIVE for n in others)
+        )
+        await until(lambda: alive_count(restarted) == 4)
 
     run(check)
 
 
-def test_another_node_at_the_address_does_not_answer_for_a_lost_one() -> None:
-    # Guards against a dead member kept alive by the node that got its address.
+def test_another_node_at_the_address_does_not_keep_a_stopped_member_alive() -> None:
+    # Guards against acks of a node that now uses the address of a stopped member.
     async def check(cluster: Cluster) -> None:
         nodes = await cluster.start_all(3)
-        lost = nodes[2]
-        lost.scope.cancel()
-        await until(lambda: _is_free(lost.address))
-        heir = await cluster.start("heir", [nodes[0].address], address=lost.address)
+        stopped = nodes[2]
+        stopped.scope.cancel()
+        await until(lambda: _is_free(stopped.address))
+        successor = await cluster.start(
+            "heir", [nodes[0].address], address=stopped.address
+        )
         await until(
             lambda: all(
-                node.state_of(lost) is MemberState.UNREACHABLE
-                and node.state_of(heir) is MemberState.ALIVE
+                node.state_of(stopped) is MemberState.UNREACHABLE
+                and node.state_of(successor) is MemberState.ALIVE
                 for node in nodes[:2]
             )
         )
@@ -275,12 +279,14 @@
     run(check)
 
 
-def test_probe_that_spans_a_pause_proves_nothing() -> None:
-    # Guards against a resumed process that suspects members it could not hear.
+def test_probe_failure_during_a_pause_is_ignored() -> None:
+    # Guards against a resumed process that suspects members whose acks it missed.
     clock = ManualClock()
-    own = MemberRecord("own", 1, 1, "s", "d", "r", "127.0.1.1", 1, 2, "t")
-    other = msgspec.structs.replace(own, node_id="other")
-    table = make_member_table(own, clock, random.Random(1), MembershipSettings())
+    local_record = MemberRecord("own", 1, 1, "s", "d", "r", "127.0.1.1", 1, 2, "t")
+    other = msgspec.structs.replace(local_record, node_id="other")
+    table = make_member_table(
+        local_record, clock, random.Random(1), MembershipSettings()
+    )
     table.merge([other])
     settings = GossipSettings(LinkSettings("127.0.1.1", 2))
     gossip = make_gossip(
@@ -288,15 +294,15 @@
     )
     prober: Any = gossip._prober
 
-    async def no_answer(target: MemberRecord, duration_ms: float) -> bool:
+    async def no_response(target: MemberRecord, duration_ms: float) -> bool:
         clock.advance(duration_ms)
         return False
 
     async def check() -> None:
-        prober.reach = partial(no_answer, duration_ms=60_000.0)
+        prober.check_reachable = partial(no_response, duration_ms=60_000.0)
         await gossip._probe(other)
         assert table.get("other") == other
-        prober.reach = partial(no_answer, duration_ms=900.0)
+        prober.check_reachable = partial(no_response, duration_ms=900.0)
         await gossip._probe(other)
         suspected = table.get("other")
         assert suspected is not None
@@ -306,7 +312,7 @@
 
 
 def test_both_sides_of_a_partition_rejoin() -> None:
-    # Guards against sides that never hear of each other again.
+    # Guards against sides that stay separate after the partition has healed.
     async def check(cluster: Cluster) -> None:
         nodes = await cluster.start_all(5)
         one, other = nodes[:2], nodes[2:]
@@ -316,15 +322,15 @@
         other[0].version, other[0].snapshot = 7, SNAPSHOT
         await until(lambda: all(node.version == 7 for node in other))
         assert all(node.version == 0 for node in one)
-        cluster.cut.clear()
+        cluster.blocked.clear()
         await until(lambda: all(alive_count(node) == 5 for node in nodes))
         await until(lambda: all(node.version == 7 for node in nodes))
 
     run(check)
 
 
-def test_one_way_loss_between_two_members_marks_nobody() -> None:
-    # Guards against a single bad link that takes a member out (indirect pings).
+def test_failed_link_between_two_members_makes_neither_unreachable() -> None:
+    # Guards against one bad link that makes a member unreachable (indirect pings).
     async def check(cluster: Cluster) -> None:
         nodes = await cluster.start_all(4)
         cluster.partition(nodes[:1], nodes[1:2])
@@ -343,7 +349,7 @@
 
 
 def test_leaving_target_is_known_everywhere() -> None:
-    # Guards against new work for a leaving target.
+    # Guards against new calls to a leaving target.
     async def check(cluster: Cluster) -> None:
         nodes = await cluster.start_all(6)
         leaving = nodes[2]
@@ -357,32 +363,36 @@
     run(check)
 
 
-def test_member_held_for_lost_refutes_it() -> None:
-    # Guards against a live member that stays suspect or unreachable.
+def test_reachable_member_refutes_an_unreachable_state() -> None:
+    # Guards against a running member that stays suspect or unreachable.
     async def check(cluster: Cluster) -> None:
         nodes = await cluster.start_all(3)
-        victim = nodes[1].table.local_record
-        verdict = msgspec.structs.replace(victim, state=MemberState.UNREACHABLE)
-        nodes[0].table.merge([verdict])
-        await until(lambda: nodes[1].table.local_record.version > victim.version)
+        falsely_suspected = nodes[1].table.local_record
+        false_record = msgspec.structs.replace(
+            falsely_suspected, state=MemberState.UNREACHABLE
+        )
+        nodes[0].table.merge([false_record])
+        await until(
+            lambda: nodes[1].table.local_record.version > falsely_suspected.version
+        )
         await until(lambda: all(alive_count(node) == 3 for node in nodes))
 
     run(check)
 
 
-def test_later_process_with_the_same_id_is_noticed() -> None:
-    # Guards against two processes that fight over one node id unnoticed.
+def test_later_process_with_the_same_id_is_detected() -> None:
+    # Guards against two processes with the same node id that nobody reports.
     async def check(cluster: Cluster) -> None:
         nodes = await cluster.start_all(2)
-        twin = await cluster.start("n1", [nodes[0].address], incarnation=9)
+        duplicate = await cluster.start("n1", [nodes[0].address], incarnation=9)
         await until(lambda: nodes[1].table.superseded_by == 9)
-        assert twin.table.superseded_by is None
+        assert duplicate.table.superseded_by is None
 
     run(check)
 
 
 def test_configuration_delta_is_applied_once_everywhere() -> None:
-    # Guards against members missed by the push.
+    # Guards against members that the push does not reach.
     async def check(cluster: Cluster) -> None:
         nodes = await cluster.start_all(6)
         nodes[0].version, nodes[0].snapshot = 1, b"one"
@@ -395,7 +405,7 @@
 
 
 def test_member_that_missed_versions_pulls_the_snapshot_in_chunks() -> None:
-    # Guards against a node left behind, and against chunks put together wrongly.
+    # Guards against a node that keeps an old version, and against misordered chunks.
     async def check(cluster: Cluster) -> None:
         nodes = await cluster.start_all(3)
         nodes[0].version, nodes[0].snapshot = 4, b"four"
@@ -409,27 +419,31 @@
 
 
 def test_refused_snapshot_is_not_pulled_with_every_ping() -> None:
-    # Guards against a node that keeps transferring what it cannot apply.
+    # Guards against repeated transfers of a configuration that a node cannot apply.
     clock, sent = ManualClock(), list[wire.GossipMessage]()
 
-    def reply(route: Route, message: wire.GossipMessage) -> bool:
+    def send_on_route(route: Route, message: wire.GossipMessage) -> bool:
         sent.append(message)
         return True
 
-    spread = ConfigSpread(clock, Metrics(), GossipHooks(), sent.append, reply)
+    dissemination = ConfigDissemination(
+        clock, Metrics(), GossipHooks(), sent.append, send_on_route
+    )
     for wait_ms in (0.0, MIN_BACKOFF_MS, 2 * MIN_BACKOFF_MS):
         clock.advance(wait_ms)
-        spread.on_version(5, "peer", Route())
+        dissemination.on_version(5, "peer", Route())
         assert sent == [wire.ConfigPull(0, 0)]
         sent.clear()
-        spread.on_snapshot(wire.ConfigSnapshot(5, 1, crc32(b"x"), 0, b"x"), Route())
+        dissemination.on_snapshot(
+            wire.ConfigSnapshot(5, 1, crc32(b"x"), 0, b"x"), Route()
+        )
         clock.advance(wait_ms / 2)
-        spread.on_version(5, "peer", Route())
+        dissemination.on_version(5, "peer", Route())
         assert sent == []
 
 
 def test_quarantine_reaches_every_node_and_late_joiners() -> None:
-    # Guards against a harmful request accepted at a node that was not told.
+    # Guards against a harmful request accepted by a node that lacks the entry.
     async def check(cluster: Cluster) -> None:
         nodes = await cluster.start_all(5)
         for death_id in ("d1", "d2"):
@@ -456,7 +470,7 @@
     ],
 )
 def test_bad_messages_are_counted_and_dropped(data: bytes, counter: str) -> None:
-    # Guards against a faulty peer that ends gossip.
+    # Guards against gossip that ends on invalid data of a faulty peer.
     async def check(cluster: Cluster) -> None:
         nodes = await cluster.start_all(2)
         nodes[0].gossip._links.send(nodes[1].address, data)
@@ -468,7 +482,7 @@
 
 
 def test_failing_hook_does_not_end_gossip() -> None:
-    # Guards against a fault of the node that silences its gossip.
+    # Guards against gossip that ends on an error of a hook.
     async def check(cluster: Cluster) -> None:
         nodes = await cluster.start_all(2)
 
@@ -485,8 +499,8 @@
     run(check)
 
 
-def test_taken_address_is_reported() -> None:
-    # Guards against a node that runs without being reachable.
+def test_address_in_use_is_reported() -> None:
+    # Guards against a node that runs although no other node can reach it.
     async def check(cluster: Cluster) -> None:
         nodes = await cluster.start_all(1)
         with pytest.raises(zmq.ZMQError):
@@ -496,7 +510,7 @@
 
 
 def test_number_of_open_sockets_is_bounded() -> None:
-    # Guards against one socket kept per member.
+    # Guards against one open socket per member.
     async def check(cluster: Cluster) -> None:
         nodes = await cluster.start_all(1)
         for port in range(1, 100):
@@ -524,19 +538,19 @@
 
 
 def test_byte_budget_refills_to_its_burst() -> None:
-    # Guards against bulk transfers that exceed the share of control traffic.
+    # Guards against syncs and pushes that exceed the byte rate of control traffic.
     clock = ManualClock()
     budget = ByteBudget(clock, 100.0, 50)
     assert budget.spend(50)
     assert not budget.spend(1)
     clock.advance(100)
-    assert budget.left() == 10
+    assert budget.available_bytes() == 10
     clock.advance(10_000)
-    assert budget.left() == 50
+    assert budget.available_bytes() == 50
 
 
 def test_size_estimates_do_not_understate() -> None:
-    # Guards against messages above their bound.
+    # Guards against messages above their size limit.
     record = MemberRecord(
         "n" * 40, 2**50, 900, "s", "d", "r", "127.0.0.1", 65535, 65535, "t" * 40
     )
