Reword the wiring of membership, gossip and the log client

Rename make_own_record to make_local_record and the functions that decide when to read the log and that report a configuration change. Behaviour is unchanged.

--- a/src/briardock/cluster.py
+++ b/src/briardock/cluster.py
@@ -1,4 +1,4 @@
-"""Configuration and membership of one node, carried by gossip and the log."""
+"""Wiring of membership, configuration, gossip and the log client of one node."""
 
 import random
 from collections.abc import Callable
@@ -31,20 +31,20 @@
 from briardock.quarantine import Quarantine
 from briardock.settings import NodeSettings
 
-# A node that is no reader still looks at the log now and then, so that a failed
-# reader or gossip cannot leave it with an old configuration for good.
-FALLBACK_READ_MS = 90_000.0
+# A node that is not a log reader still reads the log after at most this interval, so
+# that it does not keep an old configuration if the readers or gossip fail.
+FALLBACK_READ_INTERVAL_MS = 90_000.0
 SUSPICION_PERIODS_FACTOR = 1.2
 
 
 class ConfigHooks:
     """Connects the configuration state to gossip.
 
-    Gossip counts versions from 1, where 0 means none; the state counts log
-    offsets from 0.
+    Versions in gossip start at 1, and 0 means none; the state uses log offsets, which
+    start at 0.
 
     :param state: configuration of this node
-    :param on_change: told when another configuration is in force
+    :param on_change: called when another configuration is in force
     """
 
     def __init__(self, state: ConfigState, on_change: Callable[[], None]) -> None:
@@ -52,52 +52,52 @@
         self._on_change = on_change
 
     def version(self) -> int:
-        """Return the version as gossip counts it."""
+        """Return the version as used in gossip."""
         return self._state.version + 1
 
     def on_delta(self, payload: bytes, previous: int, version: int) -> bool:
         """Apply a delta and return whether it was new.
 
         :param payload: encoded delta
-        :param previous: version it builds on
-        :param version: version it leads to
+        :param previous: version to which the delta applies
+        :param version: version after the delta
         """
         applied = isinstance(self._state.apply_delta(payload), Applied)
         if applied:
-            self._in_force("gossip")
+            self._notify_change("gossip")
         return applied
 
     def snapshot(self) -> bytes | None:
-        """Return the whole configuration, ``None`` before the first."""
+        """Return a configuration snapshot, ``None`` before the first version."""
         return self._state.snapshot() if self.version() else None
 
     def on_snapshot(self, version: int, data: bytes) -> None:
-        """Install a whole configuration if it is newer.
+        """Install a configuration snapshot if it is newer.
 
         :param version: version of the snapshot
         :param data: encoded snapshot
         """
         if self._state.install_snapshot(data):
-            self._in_force("snapshot")
+            self._notify_change("snapshot")
 
-    def accepted(self) -> None:
-        """Note a configuration accepted from the log."""
-        self._in_force("log")
+    def on_accepted(self) -> None:
+        """Handle a configuration accepted from the log."""
+        self._notify_change("log")
 
-    def _in_force(self, source: str) -> None:
+    def _notify_change(self, source: str) -> None:
         emit(Event.CONFIG_IN_FORCE, version=self._state.version, source=source)
         self._on_change()
 
 
 @dataclass(slots=True)
 class Cluster:
-    """Parts of a node that know about other nodes and the platform.
+    """Components of a node that communicate with other nodes and the platform.
 
     :param table: member table
-    :param gossip: transport of membership, configuration and quarantine
+    :param gossip: gossip of membership, configuration and quarantine
     :param config: configuration of this node
     :param reader: reader of the log
-    :param contacts: source of first contacts
+    :param contacts: source of addresses to contact first
     :param log: client of the platform log
     """
 
@@ -109,7 +109,7 @@
     log: LogClient
 
     def set_target(self, service: str, instance: str, state: MemberState) -> None:
-        """Tell other nodes about the target beside this node.
+        """Update the target in the local record and push it to other nodes.
 
         :param service: service of the target, empty for none
         :param instance: id of the target process, empty for none
@@ -119,7 +119,7 @@
         self.gossip.push_now()
 
 
-def make_own_record(
+def make_local_record(
     settings: NodeSettings, incarnation: int, call_port: int, gossip_port: int
 ) -> MemberRecord:
     """Return the record of this node before its target has announced itself.
@@ -145,7 +145,7 @@
 
 
 def make_member_settings(settings: NodeSettings) -> MembershipSettings:
-    """Return the limits of the member table.
+    """Return the settings of the member table.
 
     :param settings: settings of the process
     """
@@ -175,29 +175,29 @@
 
 def make_cluster(
     settings: NodeSettings,
-    own: MemberRecord,
+    local_record: MemberRecord,
     gossip_port: int,
-    directory_of: Callable[[MemberTable], Directory],
+    make_directory: Callable[[MemberTable], Directory],
     quarantine: Quarantine,
     on_config: Callable[[], None],
     clock: Clock,
     rng: random.Random,
     metrics: Metrics,
 ) -> tuple[Cluster, Directory]:
-    """Return the parts that know about other nodes, and the directory.
+    """Return the components for other nodes and the platform, and the directory.
 
     :param settings: settings of the process
-    :param own: record of this node
+    :param local_record: record of this node
     :param gossip_port: port to bind
-    :param directory_of: makes the directory of a member table
-    :param quarantine: requests that kill their targets
-    :param on_config: told when another configuration is in force
+    :param make_directory: creates the directory of a member table
+    :param quarantine: quarantine of requests that crash their targets
+    :param on_config: called when another configuration is in force
     :param clock: monotonic clock
     :param rng: random source
     :param metrics: counters
     """
-    table = make_member_table(own, clock, rng, make_member_settings(settings))
-    directory = directory_of(table)
+    table = make_member_table(local_record, clock, rng, make_member_settings(settings))
+    directory = make_directory(table)
     state = make_config_state()
     hooks = ConfigHooks(state, on_config)
     gossip = make_gossip(
@@ -224,22 +224,22 @@
         settings.node.source_host,
     )
 
-    def accepted(payload: bytes) -> None:
-        hooks.accepted()
-        step = decode_delta(payload)
-        if step is not None:
-            gossip.push_config(step.previous + 1, step.version + 1, payload)
+    def on_accepted(payload: bytes) -> None:
+        hooks.on_accepted()
+        delta = decode_delta(payload)
+        if delta is not None:
+            gossip.push_config(delta.previous + 1, delta.version + 1, payload)
 
     reader = make_config_reader(
         log,
         state,
-        accepted,
+        on_accepted,
         clock,
         rng,
         float(settings.log.poll_ms),
-        _reader_choice(directory, clock, rng),
+        _make_read_check(directory, clock, rng),
     )
-    contact = Contact(own.node_id, own.host, own.gossip_port)
+    contact = Contact(local_record.node_id, local_record.host, local_record.gossip_port)
     contacts = make_contacts(
         log,
         contact,
@@ -251,19 +251,24 @@
     return Cluster(table, gossip, state, reader, contacts, log), directory
 
 
-def _reader_choice(
+def _make_read_check(
     directory: Directory, clock: Clock, rng: random.Random
 ) -> Callable[[], bool]:
-    """Return whether to read now: always for a reader, rarely for others."""
-    next_read_ms = clock.now_ms() + FALLBACK_READ_MS * rng.uniform(0.5, 1.0)
+    """Return a function that decides whether to read the log now.
 
-    def is_chosen() -> bool:
+    A log reader always reads, another node only at the fallback interval.
+    """
+    next_read_ms = clock.now_ms() + FALLBACK_READ_INTERVAL_MS * rng.uniform(0.5, 1.0)
+
+    def should_read() -> bool:
         nonlocal next_read_ms
         if directory.is_log_reader():
             return True
         if clock.now_ms() < next_read_ms:
             return False
-        next_read_ms = clock.now_ms() + FALLBACK_READ_MS * rng.uniform(0.5, 1.0)
+        next_read_ms = clock.now_ms() + FALLBACK_READ_INTERVAL_MS * rng.uniform(
+            0.5, 1.0
+        )
         return True
 
-    return is_chosen
+    return should_read
--- a/src/briardock/parts.py
+++ b/src/briardock/parts.py
@@ -16,7 +16,7 @@
 from briardock.announcements import make_announcements
 from briardock.budget import make_retry_ratio
 from briardock.clock import Clock
-from briardock.cluster import make_cluster, make_own_record
+from briardock.cluster import make_cluster, make_local_record
 from briardock.configuration import Catalog
 from briardock.directory import make_directory
 from briardock.dispatch import Dispatcher
@@ -69,7 +69,7 @@
             self.metrics,
         )
         node = settings.node
-        own = make_own_record(settings, self.incarnation, call_port, node.gossip_port)
+        own = make_local_record(settings, self.incarnation, call_port, node.gossip_port)
         self.quarantine = make_quarantine(quarantine_settings(settings), clock)
         self.router = make_router(
             routing_settings(settings), node.failure_domain, clock, rng, metrics
