Name the replication of records in the terms of the field

Rename mesh/spread.py to mesh/replication.py (Spread to Replicator), the own record of MemberTable to local_record, and private names of these modules and of node.py. Behaviour is unchanged.

--- a/src/briardock/mesh/balancer.py
+++ b/src/briardock/mesh/balancer.py
@@ -165,7 +165,7 @@
         found = self._domains.get(service)
         if found is None:
             found = ([], [])
-            own_id = self._members.own.node_id
+            own_id = self._members.local_record.node_id
             for record in self._members.candidates(service):
                 # This node's own callers may use its target until it ends.
                 if not record.leaving or record.node_id == own_id:
@@ -191,7 +191,7 @@
             stats = self.stats(record.node_id)
             if record.node_id in excluded or stats.ejected_until_s > now:
                 continue
-            if record.leaving and record.node_id != self._members.own.node_id:
+            if record.leaving and record.node_id != self._members.local_record.node_id:
                 # A node that is ending still finishes what it takes.
                 rank = 2
             elif stats.suspect(now):
--- a/src/briardock/mesh/dialect.py
+++ b/src/briardock/mesh/dialect.py
@@ -109,7 +109,7 @@
         """Return the newest record of each key."""
         ...
 
-    async def read_on(
+    async def read_from(
         self, stream: str, offset: int, wait_s: float
     ) -> Records | Trimmed | StoreFailure:
         """Return the records from an offset on, waiting for the first one."""
--- a/src/briardock/mesh/members.py
+++ b/src/briardock/mesh/members.py
@@ -1,7 +1,7 @@
-"""Records of the nodes and their targets, and the rules by which they merge.
+"""Membership table: a record per node and its target, and their merge rules.
 
-Each node writes only its own record. A record of a later incarnation, or a later
-version of the same one, replaces what is known, in whichever order they arrive.
+Each node writes only its own record. A record with a later incarnation, or a later
+version of the same incarnation, replaces an older one regardless of arrival order.
 """
 
 import hashlib
@@ -13,20 +13,20 @@
 
 
 class NodeRecord(msgspec.Struct, frozen=True, array_like=True):
-    """What one node says of itself and of the target beside it.
+    """State of one node and its target, as published by the node.
 
     :param node_id: name of the machine
     :param incarnation_ms: start of the node, Unix time in ms
-    :param version: grows with each change in one incarnation
+    :param version: increases with each change within one incarnation
     :param domain: failure domain
     :param address: host and port for requests of other nodes
     :param service: service of the target
-    :param target_id: id of the target, or empty
+    :param target_id: id of the target, empty without one
     :param target_born_ms: start of the target, Unix time in ms
-    :param state: whether the target takes new requests
-    :param slots: requests that the target runs at once
-    :param leaving: whether the node itself is ending
-    :param entry_routes: routes that this node found callers to use
+    :param state: whether the target accepts new requests
+    :param slots: requests that the target runs concurrently
+    :param leaving: whether the node itself is shutting down
+    :param entry_routes: routes on which this node observed requests of callers
     """
 
     node_id: str
@@ -44,26 +44,26 @@
 
     @property
     def order(self) -> tuple[int, int]:
-        """Rank among the records of one node."""
+        """Sort key among the records of one node; the highest is the newest."""
         return (self.incarnation_ms, self.version)
 
     @property
     def target_ready(self) -> bool:
-        """Whether its target takes new requests."""
+        """Whether its target accepts new requests."""
         return self.state is TargetState.READY
 
 
 class MemberTable:
     """Newest record of each node.
 
-    ``generation`` grows with each change.
+    ``generation`` increases with each change.
 
-    :param own: record of this node
+    :param local_record: record of this node
     """
 
-    def __init__(self, own: NodeRecord) -> None:
-        self.own = own
-        self._records: dict[str, NodeRecord] = {own.node_id: own}
+    def __init__(self, local_record: NodeRecord) -> None:
+        self.local_record = local_record
+        self._records: dict[str, NodeRecord] = {local_record.node_id: local_record}
         self._by_service: dict[str, list[NodeRecord]] | None = None
         self.generation = 0
         self._digest: str | None = None
@@ -76,7 +76,7 @@
 
     @property
     def count(self) -> int:
-        """Number of nodes known."""
+        """Number of known nodes."""
         return len(self._records)
 
     def get(self, node_id: str) -> NodeRecord | None:
@@ -88,12 +88,14 @@
 
     def peers(self) -> list[NodeRecord]:
         """Return the records of the other nodes."""
-        return [r for r in self._records.values() if r.node_id != self.own.node_id]
+        return [
+            r for r in self._records.values() if r.node_id != self.local_record.node_id
+        ]
 
     def candidates(self, service: str) -> list[NodeRecord]:
-        """Return the nodes whose targets take requests of a service.
+        """Return the nodes whose targets accept requests of a service.
 
-        Those that are ending themselves are among them.
+        Includes nodes that are shutting down themselves.
 
         :param service: name of the service
         """
@@ -112,52 +114,55 @@
             self._digest = hashlib.blake2b(text, digest_size=8).hexdigest()
         return self._digest
 
-    def update_own(self, **changes: object) -> NodeRecord:
+    def update_local(self, **changes: object) -> NodeRecord:
         """Replace the record of this node by its next version.
 
-        :param changes: fields that change
+        :param changes: new values by field
         """
-        version = self.own.version + 1
-        self.own = msgspec.structs.replace(self.own, version=version, **changes)
-        self._store(self.own)
-        return self.own
+        version = self.local_record.version + 1
+        self.local_record = msgspec.structs.replace(
+            self.local_record, version=version, **changes
+        )
+        self._store(self.local_record)
+        return self.local_record
 
     def add_entry_routes(self, names: Iterable[str], limit: int) -> bool:
         """Add routes to the record of this node; return whether it changed.
 
         :param names: names of routes that callers use
-        :param limit: most routes in the record
+        :param limit: maximum number of routes in the record
         """
-        merged = list(dict.fromkeys([*self.own.entry_routes, *names]))[:limit]
-        if merged == self.own.entry_routes:
+        merged = list(dict.fromkeys([*self.local_record.entry_routes, *names]))[:limit]
+        if merged == self.local_record.entry_routes:
             return False
-        self.update_own(entry_routes=merged)
+        self.update_local(entry_routes=merged)
         return True
 
     def retain_entry_routes(self, names: set[str]) -> bool:
-        """Forget routes that are no longer configured.
+        """Remove routes that are no longer configured.
 
         :param names: names of the configured routes
         :return: whether the record of this node changed
         """
         self.entry_routes &= names
-        kept = [name for name in self.own.entry_routes if name in names]
-        if kept == self.own.entry_routes:
+        kept = [name for name in self.local_record.entry_routes if name in names]
+        if kept == self.local_record.entry_routes:
             return False
-        self.update_own(entry_routes=kept)
+        self.update_local(entry_routes=kept)
         return True
 
     def merge(self, record: NodeRecord) -> bool:
-        """Take a record if it is newer than what is known; return whether it was.
+        """Store a record if it is newer than the known one; return whether it was.
 
-        A record of this node that another process wrote raises the incarnation,
-        so that this process keeps the last word after a clock that went back.
+        A newer record of this node, written by an earlier process, raises the
+        incarnation of this process above it. Otherwise peers would ignore this
+        process after its clock was set back.
 
         :param record: record from the store or a peer
         """
-        if record.node_id == self.own.node_id:
-            if record.order > self.own.order:
-                self.update_own(incarnation_ms=record.incarnation_ms + 1)
+        if record.node_id == self.local_record.node_id:
+            if record.order > self.local_record.order:
+                self.update_local(incarnation_ms=record.incarnation_ms + 1)
             return False
         known = self._records.get(record.node_id)
         if known is not None and record.order <= known.order:
@@ -174,7 +179,7 @@
         self._drop_previous_holders(record)
 
     def _drop_previous_holders(self, record: NodeRecord) -> None:
-        """Remove older nodes whose address the node of a record now has."""
+        """Remove older nodes whose address is now used by the node of a record."""
         for other in list(self._records.values()):
             same = other.address == record.address and other.node_id != record.node_id
             if same and other.incarnation_ms < record.incarnation_ms:
--- a/src/briardock/mesh/node.py
+++ b/src/briardock/mesh/node.py
@@ -1,4 +1,4 @@
-"""One node of the mesh: its parts, listeners, background tasks and end."""
+"""One node of the mesh: components, listeners, background tasks and shutdown."""
 
 import asyncio
 import random
@@ -29,8 +29,8 @@
     split_address,
 )
 from briardock.mesh.pool import ConnectionPool, PoolSettings
+from briardock.mesh.replication import SYNC_PATH, Replicator
 from briardock.mesh.routes import RouteTable
-from briardock.mesh.spread import SYNC_PATH, Spread
 from briardock.mesh.target import Target
 from briardock.mesh.telemetry import Telemetry
 
@@ -40,19 +40,19 @@
 TARGET_POOL = PoolSettings(
     connect_timeout_s=0.5, idle_timeout_s=8.0, unacknowledged_timeout_s=1.0
 )
-# Peers are trusted, and keep connections longer than callers.
+# Limits for peers, which are trusted; their connections may stay idle longer.
 PEER_LIMITS = CallerLimits(header_bytes=64 * 1024, idle_timeout_s=30.0)
-# Part of the memory limit that bodies of callers may take; a body exists up to
-# three times while it is forwarded.
+# Share of the memory limit for request bodies of callers. A body is held in up to three
+# copies while it is forwarded.
 BODY_MEMORY_SHARE = 0.15
-# Time after a request to stop during which callers still find the node, s. They
-# are told to leave after two missed readiness checks, one second apart.
-LINGER_S = 2.8
-# Time before the kill at which the node ends, s.
-END_MARGIN_S = 0.2
+# Time after a stop signal during which the node still accepts requests, s. Callers are
+# directed elsewhere after two failed readiness checks, one second apart.
+SHUTDOWN_DELAY_S = 2.8
+# Time before the end of the grace period at which the node exits, s.
+SHUTDOWN_MARGIN_S = 0.2
 POOL_SWEEP_PERIOD_S = 2.0
-# Longest time for which the acknowledgement of a departure waits for the store, s.
-# A target takes an acknowledgement that arrives after 1 s as none.
+# Longest time for which the acknowledgement of a departure waits for the store, s. A
+# target treats an acknowledgement that takes more than 1 s as missing.
 DEPARTURE_WAIT_S = 0.6
 SETTINGS_CHECK_PERIOD_S = 3.0
 # Settings that take effect without a restart.
@@ -79,13 +79,13 @@
 
 
 class Node:
-    """Process beside one target.
+    """Sidecar process of one target.
 
     :param settings: decoded settings
     :param dialect: headers and documents of the platform
-    :param store: streams of the platform
-    :param log: decisions
-    :param load_settings: reads the settings again
+    :param store: keyed streams of the platform
+    :param log: decision log
+    :param load_settings: reads the settings file again
     """
 
     def __init__(
@@ -98,12 +98,12 @@
     ) -> None:
         self.settings = settings
         self._load_settings = load_settings
-        self._loaded = settings
+        self._last_loaded = settings
         self.log = log
         self.telemetry = Telemetry()
         self._dialect = dialect
         self._rng = random.Random()
-        own = NodeRecord(
+        local_record = NodeRecord(
             node_id=settings.node_id,
             incarnation_ms=int(time.time() * 1000),
             version=0,
@@ -116,11 +116,11 @@
             slots=1,
             leaving=False,
         )
-        self.members = MemberTable(own)
+        self.members = MemberTable(local_record)
         self.balancer = Balancer(self.members, settings.domain, self._rng)
         self._peer_pool = ConnectionPool(PEER_POOL)
         self._target_pool = ConnectionPool(TARGET_POOL)
-        self.spread = Spread(
+        self.replicator = Replicator(
             self.members,
             store,
             dialect,
@@ -129,7 +129,7 @@
             self._rng,
             self._install,
             self.balancer.reinstate,
-            self._take_former_record,
+            self._restore_previous_record,
         )
         self.target = Target(
             settings.target_address,
@@ -137,10 +137,12 @@
             self._target_pool,
             dialect,
             log,
-            self.spread.crashes,
+            self.replicator.crashes,
             self._target_changed,
         )
-        self._entries = EntryRoutes(self.members, self.target, self._own_record_changed)
+        self._entries = EntryRoutes(
+            self.members, self.target, self._local_record_changed
+        )
         self.forwarder = Forwarder(
             settings,
             dialect,
@@ -154,39 +156,41 @@
             self.telemetry,
             self._rng,
         )
-        self._callers = HttpServer(
+        self._caller_server = HttpServer(
             self.forwarder.handle,
             CallerLimits(),
             log,
             int(settings.memory_bytes * BODY_MEMORY_SHARE),
         )
-        self._peers = HttpServer(self._handle_peer, PEER_LIMITS, log)
-        self._ready = HttpServer(self._handle_ready, CallerLimits(), log)
-        self._announcements = HttpServer(self._handle_announcement, CallerLimits(), log)
-        self._metrics = HttpServer(self._handle_metrics, CallerLimits(), log)
+        self._peer_server = HttpServer(self._handle_peer, PEER_LIMITS, log)
+        self._ready_server = HttpServer(self._handle_ready, CallerLimits(), log)
+        self._announcement_server = HttpServer(
+            self._handle_announcement, CallerLimits(), log
+        )
+        self._metrics_server = HttpServer(self._handle_metrics, CallerLimits(), log)
         self._stopping = asyncio.Event()
-        self._calls = 0
+        self._peer_calls_in_flight = 0
 
     def _install(self, config: RoutingConfig) -> None:
         self.forwarder.routes = RouteTable(config)
-        self._callers.limits = config.limits
+        self._caller_server.limits = config.limits
         self._entries.retain({route.name for route in config.routes})
         self.telemetry.config_version.set(config.version)
 
     def _target_changed(self) -> None:
         target = self.target
-        self.members.update_own(
+        self.members.update_local(
             target_id=target.target_id,
             target_born_ms=target.born_ms,
             state=target.state,
             slots=target.slots,
         )
-        self.spread.own_changed()
+        self.replicator.local_record_changed()
 
-    def _take_former_record(self, record: NodeRecord) -> None:
-        """Take what an earlier process of this node had published.
+    def _restore_previous_record(self, record: NodeRecord) -> None:
+        """Restore the state that an earlier process of this node published.
 
-        :param record: the newest record of an earlier process
+        :param record: newest record of an earlier process
         """
         self._entries.resume(record.entry_routes)
         if record.service != self.settings.service:
@@ -196,23 +200,23 @@
         elif record.state is TargetState.LEAVING:
             self.target.leave(record.target_id, record.target_born_ms)
 
-    def _own_record_changed(self) -> None:
-        self.spread.own_changed()
+    def _local_record_changed(self) -> None:
+        self.replicator.local_record_changed()
 
     # Requests
 
     async def _handle_peer(self, request: Request) -> Response:
         if request.target == SYNC_PATH:
-            return await self.spread.handle(request)
+            return await self.replicator.handle(request)
         call = decode_call(request)
         if call is None:
             return Response(400)
         started_s = now_s()
-        self._calls += 1
+        self._peer_calls_in_flight += 1
         try:
             result: Result = await self.target.run(call)
         finally:
-            self._calls -= 1
+            self._peer_calls_in_flight -= 1
         self.telemetry.target_latency.observe(now_s() - started_s)
         levels = self.forwarder.levels(call.from_caller)
         return encode_result(result, LoadReport(self.target.inflight, levels))
@@ -222,34 +226,35 @@
         return Response(200 if ready else 503)
 
     async def _handle_announcement(self, request: Request) -> Response:
-        news = self._dialect.decode_announcement(request)
-        match news:
+        announcement = self._dialect.decode_announcement(request)
+        match announcement:
             case Undecodable(reason):
                 self.log.event("announcement-refused", reason=reason)
                 return Response(400)
             case Departure():
-                self.target.leave(news.target_id, news.born_ms)
-                await self._store_departure(news.target_id)
+                self.target.leave(announcement.target_id, announcement.born_ms)
+                await self._store_departure(announcement.target_id)
             case Announcement():
-                if not self.target.concerns(news):
+                if not self.target.concerns(announcement):
                     self.log.event(
                         "announcement-refused",
                         reason="another service or address",
-                        target=news.target_id,
+                        target=announcement.target_id,
                     )
                     return Response(400)
-                self.target.announce(news)
+                self.target.announce(announcement)
                 if self.target.state is TargetState.LEAVING:
-                    await self._store_departure(news.target_id)
+                    await self._store_departure(announcement.target_id)
         return Response(200, [(b"content-type", b"application/json")], b"{}")
 
     async def _store_departure(self, target_id: str) -> None:
-        """Have a departure stored before it is acknowledged.
+        """Wait until the store has a departure, before it is acknowledged.
 
-        If this process ends at once, the next one must not adopt the target as
-        ready. While the store is away the next announcement tells it instead.
+        If this process exits right after the acknowledgement, its successor must not
+        adopt the target as ready. While the store is unreachable, the successor learns
+        the state from the next announcement instead.
         """
-        if not await self.spread.wait_until_stored(DEPARTURE_WAIT_S):
+        if not await self.replicator.wait_until_stored(DEPARTURE_WAIT_S):
             self.log.event("departure-not-stored", target=target_id)
 
     async def _handle_metrics(self, request: Request) -> Response:
@@ -259,9 +264,9 @@
             200, [(b"content-type", b"text/plain")], self.telemetry.render()
         )
 
-    # Background
+    # Background tasks
 
-    async def _control_level(self) -> None:
+    async def _update_thresholds(self) -> None:
         while True:
             await asyncio.sleep(CONTROL_PERIOD_S)
             if self.forwarder.routes is None:
@@ -291,32 +296,32 @@
             self.log.flush()
 
     async def run(self) -> None:
-        """Serve until a signal to stop, then finish what runs.
+        """Serve until a stop signal, then finish the requests in flight.
 
-        :raises SettingsError: if an address cannot be listened on
+        :raises SettingsError: if an address cannot be bound
         """
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
         loop.add_signal_handler(signal.SIGINT, self._stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
         settings = self.settings
-        await _listen(self._peers, settings.peer_address)
-        await _listen(self._announcements, settings.announce_address)
-        await _listen(self._callers, settings.caller_address)
-        await _listen(self._ready, settings.ready_address)
+        await _listen(self._peer_server, settings.peer_address)
+        await _listen(self._announcement_server, settings.announce_address)
+        await _listen(self._caller_server, settings.caller_address)
+        await _listen(self._ready_server, settings.ready_address)
         host = split_address(settings.peer_address)[0]
         if settings.metrics_port:
-            await _listen(self._metrics, f"{host}:{settings.metrics_port}")
+            await _listen(self._metrics_server, f"{host}:{settings.metrics_port}")
         self.log.event("started", service=settings.service, domain=settings.domain)
-        self.spread.own_changed()
+        self.replicator.local_record_changed()
         background = [
             loop.create_task(work)
             for work in (
-                self.spread.watch_config(),
-                self.spread.watch_nodes(),
-                self.spread.publish(),
-                self.spread.sync_periodically(),
-                self._control_level(),
+                self.replicator.watch_config(),
+                self.replicator.watch_nodes(),
+                self.replicator.publish(),
+                self.replicator.sync_periodically(),
+                self._update_thresholds(),
                 self._sweep_pools(),
                 self._flush_log(),
                 self._watch_settings(),
@@ -331,44 +336,44 @@
     @property
     def _servers(self) -> list[HttpServer]:
         return [
-            self._callers,
-            self._peers,
-            self._ready,
-            self._announcements,
-            self._metrics,
+            self._caller_server,
+            self._peer_server,
+            self._ready_server,
+            self._announcement_server,
+            self._metrics_server,
         ]
 
     def reload(self) -> None:
-        """Take settings that may change in a running process; log the others."""
+        """Apply changed settings that need no restart; log the others."""
         try:
-            found = self._load_settings()
+            loaded = self._load_settings()
         except SettingsError as error:
             self.log.event("reload-refused", reason=str(error))
             return
-        self._loaded = found
+        self._last_loaded = loaded
         changed = [
             item.name
             for item in fields(MeshSettings)
-            if getattr(found, item.name) != getattr(self.settings, item.name)
+            if getattr(loaded, item.name) != getattr(self.settings, item.name)
         ]
         applied = [name for name in changed if name in RELOADABLE]
         self.settings = replace(
-            self.settings, **{name: getattr(found, name) for name in applied}
+            self.settings, **{name: getattr(loaded, name) for name in applied}
         )
         self.forwarder.settings = self.settings
         needs_restart = sorted(set(changed) - set(applied))
         self.log.event("reloaded", applied=applied, needs_restart=needs_restart)
         if "service" in applied or "target_address" in applied:
             self.target.move(self.settings.target_address, self.settings.service)
-            self.members.update_own(service=self.settings.service)
-            self.spread.own_changed()
+            self.members.update_local(service=self.settings.service)
+            self.replicator.local_record_changed()
 
     async def _watch_settings(self) -> None:
-        """Reload settings that change without a signal."""
+        """Reload settings when the file changes without a signal."""
         while True:
             await asyncio.sleep(SETTINGS_CHECK_PERIOD_S)
             try:
-                unchanged = self._load_settings() == self._loaded
+                unchanged = self._load_settings() == self._last_loaded
             except SettingsError as error:
                 self.log.event("reload-refused", reason=str(error))
                 continue
@@ -378,16 +383,16 @@
     async def _stop(self) -> None:
         started_s = now_s()
         self.log.event("stopping", running=self.target.running)
-        self._callers.closing = True
-        self.members.update_own(leaving=True)
-        self.spread.own_changed()
-        end_s = started_s + self.settings.grace_s - END_MARGIN_S
+        self._caller_server.closing = True
+        self.members.update_local(leaving=True)
+        self.replicator.local_record_changed()
+        end_s = started_s + self.settings.grace_s - SHUTDOWN_MARGIN_S
         while now_s() < end_s:
             await asyncio.sleep(0.05)
-            if now_s() - started_s < LINGER_S:
+            if now_s() - started_s < SHUTDOWN_DELAY_S:
                 continue
-            self._callers.close_idle()
-            if not self._callers.connections and not self._calls:
+            self._caller_server.close_idle()
+            if not self._caller_server.connections and not self._peer_calls_in_flight:
                 break
-        self.log.event("stopped", connections=len(self._callers.connections))
+        self.log.event("stopped", connections=len(self._caller_server.connections))
         self.log.flush()
--- a/src/briardock/platform/_store.py
+++ b/src/briardock/platform/_store.py
@@ -69,7 +69,7 @@
                 return Records(items, first_end)
             after = f"&after={rows[-1][0]}"
 
-    async def read_on(
+    async def read_from(
         self, stream: str, offset: int, wait_s: float
     ) -> Records | Trimmed | StoreFailure:
         """Return the records from an offset on, waiting for the first one."""
--- a/tests/mesh_fakes.py
+++ b/tests/mesh_fakes.py
@@ -298,7 +298,7 @@
             nodes = [m.node for m in self.machines.values()]
             digests = {n.members.digest() for n in nodes}
             counts = {n.members.count for n in nodes}
-            versions = {n.spread.config_version for n in nodes}
+            versions = {n.replicator.config_version for n in nodes}
             return (
                 len(digests) == 1
                 and counts == {len(nodes)}
--- a/tests/test_mesh_balancer.py
+++ b/tests/test_mesh_balancer.py
@@ -85,7 +85,7 @@
 
 def test_leaving_node_serves_its_own_callers(clock: Time) -> None:
     members = MemberTable(record("own"))
-    members.update_own(leaving=True)
+    members.update_local(leaving=True)
     members.merge(record("other", domain="d2"))
     assert choose(Balancer(members, "d1", random.Random(1))) == "own"
 
--- a/tests/test_mesh_departure.py
+++ b/tests/test_mesh_departure.py
@@ -101,7 +101,7 @@
         first = [await system.add(name, "jobs") for name in names][0]
         await system.settle()
         first.node._entries._learn("r")
-        assert await first.node.spread.wait_until_stored(2.0)
+        assert await first.node.replicator.wait_until_stored(2.0)
         system.store.down = True
         for name in names:
             await system.restart(name)
--- a/tests/test_mesh_path.py
+++ b/tests/test_mesh_path.py
@@ -244,11 +244,11 @@
         one = await system.add("n1", "jobs")
         two = await system.add("n2", "jobs")
         await system.settle()
-        two.node.spread._store._address = free_address()  # type: ignore[attr-defined]
+        two.node.replicator._store._address = free_address()  # type: ignore[attr-defined]
         system.store.put("keyed.op", "config", config(9, route("r", "/new/")))
 
         async def installed() -> bool:
-            versions = {m.node.spread.config_version for m in (one, two)}
+            versions = {m.node.replicator.config_version for m in (one, two)}
             return versions == {9}
 
         await eventually(installed, timeout_s=4.0)
@@ -285,12 +285,12 @@
     async with fleet() as system:
         machine = await system.add("n1", "jobs")
         await system.settle()
-        machine.node._callers.max_buffered_bytes = 100_000
+        machine.node._caller_server.max_buffered_bytes = 100_000
         response = await machine.call("/jobs/7", body=b"x" * 400_000)
         assert response.status in (0, 503)
         assert not machine.target.requests
         assert (await machine.call("/jobs/7", body=b"x" * 50_000)).status == 200
-        assert machine.node._callers.buffered_bytes == 0
+        assert machine.node._caller_server.buffered_bytes == 0
 
 
 async def test_changed_settings_take_effect_and_bad_ones_do_not() -> None:
@@ -327,7 +327,7 @@
         async def broken(request: Request) -> Response:
             raise KeyError("defect")
 
-        machine.node._callers._handler = broken
+        machine.node._caller_server._handler = broken
         assert (await machine.call("/jobs/7")).status == 500
 
 
