Name the HTTP server, client and pool code in usual terms

Comments and private names say pending, buffered, pipelined and reduced idle time; metric attributes match the terms retry and admission threshold (the metric names and help texts stay). Behaviour is unchanged.

--- a/src/briardock/mesh/forwarder.py
+++ b/src/briardock/mesh/forwarder.py
@@ -326,7 +326,7 @@
             arrivals=attempt.arrivals,
         )
         if allowed:
-            self._telemetry.repeats.labels(reason.partition(":")[0]).inc()
+            self._telemetry.retries.labels(reason.partition(":")[0]).inc()
 
     def _budget(self, service: str) -> RetryBudget:
         budget = self._budgets.get(service)
--- a/src/briardock/mesh/http1.py
+++ b/src/briardock/mesh/http1.py
@@ -1,7 +1,7 @@
-"""Messages of HTTP/1.1 and their encoding; ``http_server`` and ``http_client`` parse.
+"""HTTP/1.1 messages and their encoding; ``http_server`` and ``http_client`` parse.
 
-httptools parses on asyncio protocols. anyio streams are not used on the call path
-because each read through them costs more processor time than the whole exchange.
+They parse with httptools on asyncio protocols. anyio streams are not used on the call
+path because each read through them costs more CPU time than the whole exchange.
 """
 
 from dataclasses import dataclass, field
@@ -9,7 +9,7 @@
 
 from briardock.mesh.model import Headers
 
-# Headers that concern one connection (RFC 9110, 7.6.1), and those written anew.
+# Hop-by-hop headers (RFC 9110, 7.6.1) and those that each hop writes itself.
 HOP_BY_HOP = frozenset(
     {
         b"connection",
@@ -28,14 +28,14 @@
 
 @dataclass(slots=True)
 class Request:
-    """A request that has been read completely.
+    """A completely read request.
 
     :param method: method
     :param target: path and query as sent
     :param headers: headers as sent, names in lower case
     :param body: whole body
     :param received_s: time at which its first byte was read
-    :param ends_connection: whether the sender ends the connection after it
+    :param ends_connection: whether the sender asked to close the connection after it
     """
 
     method: bytes
@@ -48,12 +48,12 @@
 
 @dataclass(slots=True)
 class Response:
-    """A response that has been read, or is to be written, completely.
+    """A completely read response, or one to be written.
 
     :param status: status code
     :param headers: end-to-end headers
     :param body: whole body
-    :param close: whether the connection ends after it
+    :param close: whether the connection is closed after it
     """
 
     status: int
@@ -64,9 +64,9 @@
 
 @dataclass(frozen=True, slots=True)
 class ExchangeFailure:
-    """No complete response was read.
+    """An exchange without a complete response.
 
-    :param reason: what happened
+    :param reason: why it failed
     :param sent: whether the peer may have read the request
     """
 
@@ -75,25 +75,31 @@
 
 
 def end_to_end(headers: Headers) -> Headers:
-    """Return the headers that are passed on.
+    """Return the end-to-end headers, which are forwarded.
 
     :param headers: headers with names in lower case
     """
     kept = []
-    named: set[bytes] = set()
+    connection_headers: set[bytes] = set()
     for header in headers:
         name = header[0]
         if name not in HOP_BY_HOP:
             kept.append(header)
         elif name == b"connection":
-            named.update(part.strip().lower() for part in header[1].split(b","))
-    return [h for h in kept if h[0] not in named] if named else kept
+            connection_headers.update(
+                part.strip().lower() for part in header[1].split(b",")
+            )
+    return (
+        [h for h in kept if h[0] not in connection_headers]
+        if connection_headers
+        else kept
+    )
 
 
 def encode_request(
     method: bytes, target: bytes, headers: Headers, body: bytes
 ) -> bytes:
-    """Return the bytes of a request with a length.
+    """Return a request encoded with a content length.
 
     :param method: method
     :param target: path and query
@@ -110,10 +116,10 @@
 
 
 def encode_response(response: Response, head_only: bool = False) -> bytes:
-    """Return the bytes of a response with a length.
+    """Return a response encoded with a content length.
 
     :param response: response to write
-    :param head_only: leaves out the body, for HEAD
+    :param head_only: omits the body, for a response to HEAD
     """
     status = response.status
     parts = [b"HTTP/1.1 %d %s\r\n" % (status, REASONS.get(status, b"Unknown"))]
--- a/src/briardock/mesh/http_client.py
+++ b/src/briardock/mesh/http_client.py
@@ -1,4 +1,4 @@
-"""Connection to a target, a node or the store; one exchange at a time."""
+"""HTTP/1.1 client connection to a target, a node or the store."""
 
 import asyncio
 from collections.abc import Callable
@@ -9,12 +9,12 @@
 from briardock.mesh.http1 import ExchangeFailure, Response
 from briardock.mesh.model import Headers
 
-# Headers that tell where a body ends; without one it ends with the connection.
+# Headers that delimit the body; without one the body ends with the connection.
 LENGTH_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
 
 
 class ClientConnection(asyncio.Protocol):
-    """One connection to a target, a node or the store; one exchange at a time."""
+    """One client connection, without pipelining: one exchange at a time."""
 
     def __init__(self) -> None:
         self._parser = httptools.HttpResponseParser(self)
@@ -25,8 +25,8 @@
         self._loop: asyncio.AbstractEventLoop | None = None
         self.idle_timeout_s: float | None = None
         self.idle_since_s = 0.0
-        # Idle time before the exchange, 0 for the first one.
-        self.idled_s = 0.0
+        # Idle time before the current exchange, 0 for the first one.
+        self.idle_duration_s = 0.0
         self.requests_sent = 0
         self._reset_message()
 
@@ -45,13 +45,13 @@
         return self._reusable and transport is not None and not transport.is_closing()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Keep the transport and the loop; finding the loop costs a system call."""
+        """Store the transport and the loop, whose lookup costs a system call."""
         self._loop = asyncio.get_running_loop()
         # uvloop's transports do not derive from those of asyncio.
         self._transport = cast(asyncio.Transport, transport)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """End the exchange; a response without a length ends with a clean close."""
+        """End the exchange; a clean close completes a response without a length."""
         self._reusable = False
         if self._until_eof and self._in_body and exc is None:
             self._finish()
@@ -59,7 +59,7 @@
             self._fail("connection lost" if exc is None else f"{type(exc).__name__}")
 
     def data_received(self, data: bytes) -> None:
-        """Parse a response; data outside an exchange belongs to no request."""
+        """Parse a response; close the connection on data outside an exchange."""
         if self._waiter is None or self._waiter.done():
             self.close()
             return
@@ -71,7 +71,7 @@
             self.close()
 
     def on_message_begin(self) -> None:
-        """Start a response; one after the complete response is not reused."""
+        """Start a response; an unexpected one makes the connection unusable."""
         if self._waiter is None or self._waiter.done():
             self._reusable = False
         self._reset_message()
@@ -84,17 +84,17 @@
             self._has_length = True
 
     def on_headers_complete(self) -> None:
-        """Find out how the body ends."""
+        """Determine how the body is delimited."""
         self._status = self._parser.get_status_code()
         self._in_body = True
         self._until_eof = not self._has_length and self._status not in (204, 304)
 
     def on_body(self, body: bytes) -> None:
-        """Add a piece of the body."""
+        """Add a part of the body."""
         self._body.append(body)
 
     def on_message_complete(self) -> None:
-        """Take a complete response."""
+        """Complete the exchange, unless the response is informational (1xx)."""
         if self._status < 200:
             return
         if not self._parser.should_keep_alive():
@@ -107,7 +107,8 @@
             return
         response = Response(self._status, self._headers, b"".join(self._body))
         if self._accept is not None and not self._accept(response):
-            # A response to an earlier request; the connection is not reused.
+            # A response to an earlier request. Waits for the next one, but does not
+            # reuse the connection.
             self._reusable = False
             if self._transport is None or self._transport.is_closing():
                 self._fail("connection lost")
@@ -124,7 +125,7 @@
         """Send a request and return its response.
 
         :param data: the encoded request
-        :param accept: tells whether a response belongs to the request
+        :param accept: returns whether a response belongs to the request
         """
         if not self.usable:
             return ExchangeFailure("connection closed", sent=False)
@@ -141,8 +142,8 @@
             raise
         finally:
             if not self._transport.is_closing():
-                # An early response leaves the rest of the request unsent; reusing
-                # the connection would put the next request in its place.
+                # After an early response, part of the request may be unsent. The next
+                # request on this connection would be read as its remainder.
                 if self._transport.get_write_buffer_size():
                     self._reusable = False
                 if not self._reusable:
--- a/src/briardock/mesh/http_server.py
+++ b/src/briardock/mesh/http_server.py
@@ -1,4 +1,4 @@
-"""Listener that serves each connection of a caller by one task."""
+"""HTTP/1.1 server that runs one task per connection."""
 
 import asyncio
 from collections import deque
@@ -11,23 +11,23 @@
 from briardock.mesh.http1 import Request, Response, encode_response
 from briardock.mesh.model import CallerLimits, Headers, now_s
 
-# Requests that a caller may send ahead on one connection before reads pause.
+# Pipelined requests on one connection at which reading is paused.
 MAX_PIPELINED_REQUESTS = 4
-# Bodies that a listener holds at once unless it is told otherwise.
+# Default limit on the request bodies buffered by one server, bytes.
 DEFAULT_BUFFERED_BYTES = 64 * 1024 * 1024
-# Period at which idle and slow connections are looked for, s.
+# Period of the check for idle and slow connections, s.
 SWEEP_PERIOD_S = 1.0
 
 Handler = Callable[[Request], Awaitable[Response]]
 
 
 class HttpServer:
-    """Listener whose connections are each served by one task.
+    """HTTP/1.1 server that runs one task per connection.
 
-    :param handler: answers a request
-    :param limits: limits on callers in force
-    :param log: decisions
-    :param max_buffered_bytes: bodies held at once, on all connections
+    :param handler: returns the response to a request
+    :param limits: limits on callers; may be replaced while the server runs
+    :param log: decision log
+    :param max_buffered_bytes: limit on the bodies buffered on all connections
     """
 
     def __init__(
@@ -47,8 +47,8 @@
         self._server: asyncio.Server | None = None
 
     @property
-    def is_full(self) -> bool:
-        """Whether the bodies held exceed their bound."""
+    def exceeds_buffer_limit(self) -> bool:
+        """Whether the buffered bodies exceed their limit."""
         return self.buffered_bytes > self.max_buffered_bytes
 
     async def start(self, host: str, port: int) -> None:
@@ -62,8 +62,8 @@
             lambda: ServerConnection(self), host, port, backlog=1024
         )
 
-    async def answer(self, request: Request) -> Response:
-        """Return the handler's response, or 500 after a defect in it.
+    async def respond(self, request: Request) -> Response:
+        """Return the handler's response, or 500 if it raises an exception.
 
         :param request: complete request
         """
@@ -78,7 +78,7 @@
             return Response(500, close=True)
 
     async def sweep(self) -> None:
-        """Close idle connections and those whose request does not arrive."""
+        """Close connections that are idle or whose request head is late."""
         while True:
             await asyncio.sleep(SWEEP_PERIOD_S)
             now = now_s()
@@ -86,10 +86,10 @@
                 connection.enforce_timeouts(now)
 
     def close_idle(self) -> None:
-        """Close the connections on which no request is being read or answered."""
+        """Close the connections without a request being read, pending or in flight."""
         for connection in list(self.connections):
             if connection.idle:
-                connection.abort_quietly()
+                connection.close_gracefully()
 
     def stop_listening(self) -> None:
         """Refuse new connections."""
@@ -98,19 +98,19 @@
 
 
 class ServerConnection(asyncio.Protocol):
-    """One connection of a caller."""
+    """One connection to the server."""
 
     def __init__(self, server: HttpServer) -> None:
         self._server = server
         self._parser = httptools.HttpRequestParser(self)
         self._transport: asyncio.Transport | None = None
         self._task: asyncio.Task[None] | None = None
-        self._ready: deque[Request] = deque()
+        self._pending_requests: deque[Request] = deque()
         self._waiter: asyncio.Future[None] | None = None
-        self._answering = False
+        self._responding = False
         self._reading = False
         self._refused = False
-        self._held_bytes = 0
+        self._buffered_bytes = 0
         self._last_active_s = now_s()
         self._reset_message()
 
@@ -121,34 +121,34 @@
         self._head_bytes = 0
         self._body_bytes = 0
         self._in_head = True
-        self._awaits_invitation = False
+        self._expects_continue = False
         self._ends_connection = False
 
     @property
     def idle(self) -> bool:
-        """Whether no request is being read, waits or is being answered."""
-        return not (self._answering or self._reading or self._ready)
+        """Whether no request is being read, pending or in flight."""
+        return not (self._responding or self._reading or self._pending_requests)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Start the task that answers the requests of this connection."""
+        """Start the task that serves this connection."""
         # uvloop's transports do not derive from those of asyncio.
         self._transport = cast(asyncio.Transport, transport)
         self._server.connections.add(self)
         self._task = asyncio.get_running_loop().create_task(self._serve())
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Cancel the work for a caller that has gone."""
+        """Cancel the requests of a caller that has disconnected."""
         self._server.connections.discard(self)
-        self._release_held()
+        self._release_buffered()
         if self._task is not None:
             self._task.cancel()
 
-    def _release_held(self) -> None:
-        self._server.buffered_bytes -= self._held_bytes
-        self._held_bytes = 0
+    def _release_buffered(self) -> None:
+        self._server.buffered_bytes -= self._buffered_bytes
+        self._buffered_bytes = 0
 
     def eof_received(self) -> bool:
-        """Treat the end of a caller's stream as its leaving."""
+        """Treat a half-close by the caller as a disconnect."""
         return False
 
     def data_received(self, data: bytes) -> None:
@@ -168,8 +168,8 @@
             self._refuse(431)
         elif self._body_bytes > limits.body_bytes:
             self._refuse(413)
-        elif self._body_bytes and self._server.is_full:
-            # Only connections that are sending a body are refused.
+        elif self._body_bytes and self._server.exceeds_buffer_limit:
+            # Refuses only connections that are sending a body.
             self._refuse(503)
 
     def on_message_begin(self) -> None:
@@ -179,7 +179,7 @@
         self._received_s = now_s()
 
     def on_url(self, url: bytes) -> None:
-        """Add a piece of the target; one may arrive in several pieces."""
+        """Add a part of the request target, which may arrive in several parts."""
         self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -187,26 +187,26 @@
         name = name.lower()
         self._headers.append((name, value))
         if name == b"expect":
-            self._awaits_invitation = True
+            self._expects_continue = True
         elif name == b"connection" and b"close" in value.lower():
             self._ends_connection = True
 
     def on_headers_complete(self) -> None:
-        """Invite the body of a caller that waits for it."""
+        """Send 100 Continue to a caller that expects it."""
         self._in_head = False
         self._head_bytes = 0
-        if self._awaits_invitation and self._transport:
+        if self._expects_continue and self._transport:
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
-        """Add a piece of the body."""
+        """Add a part of the body."""
         self._body.append(body)
         self._body_bytes += len(body)
-        self._held_bytes += len(body)
+        self._buffered_bytes += len(body)
         self._server.buffered_bytes += len(body)
 
     def on_message_complete(self) -> None:
-        """Hand a complete request to the task of the connection."""
+        """Queue a complete request for the task of the connection."""
         if self._body_bytes > self._server.limits.body_bytes:
             return
         request = Request(
@@ -217,12 +217,12 @@
             self._received_s,
             self._ends_connection,
         )
-        self._ready.append(request)
+        self._pending_requests.append(request)
         self._reading = False
-        # The bytes of the next head count before its message begins.
+        # Bytes of the next head are counted before on_message_begin is called.
         self._in_head = True
         self._body_bytes = 0
-        if len(self._ready) >= MAX_PIPELINED_REQUESTS and self._transport:
+        if len(self._pending_requests) >= MAX_PIPELINED_REQUESTS and self._transport:
             self._transport.pause_reading()
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
@@ -231,24 +231,24 @@
         assert self._transport is not None
         loop = asyncio.get_running_loop()
         while not self._transport.is_closing():
-            if not self._ready:
+            if not self._pending_requests:
                 self._waiter = loop.create_future()
                 await self._waiter
-            request = self._ready.popleft()
-            if len(self._ready) == MAX_PIPELINED_REQUESTS - 1:
+            request = self._pending_requests.popleft()
+            if len(self._pending_requests) == MAX_PIPELINED_REQUESTS - 1:
                 self._transport.resume_reading()
-            self._answering = True
-            response = await self._server.answer(request)
+            self._responding = True
+            response = await self._server.respond(request)
             if self._server.closing or request.ends_connection:
                 response.close = True
             if self._transport.is_closing():
                 return
             self._transport.write(encode_response(response, request.method == b"HEAD"))
-            self._answering = False
-            if not self._reading and not self._ready:
-                self._release_held()
+            self._responding = False
+            if not self._reading and not self._pending_requests:
+                self._release_buffered()
             self._last_active_s = now_s()
-            if response.close and not self._ready:
+            if response.close and not self._pending_requests:
                 self._transport.close()
                 return
 
@@ -256,25 +256,25 @@
         if self._refused or self._transport is None:
             return
         self._refused = True
-        if not self._answering and not self._ready:
+        if not self._responding and not self._pending_requests:
             self._transport.write(encode_response(Response(status, close=True)))
         self._transport.close()
 
     def enforce_timeouts(self, now: float) -> None:
-        """Close the connection if it is idle or its request too slow.
+        """Close the connection if it is idle or its request head is late.
 
         :param now: current time in s since boot
         """
         limits = self._server.limits
-        if self._answering or self._ready:
+        if self._responding or self._pending_requests:
             return
         if self._reading:
             if self._in_head and now - self._received_s > limits.header_timeout_s:
                 self._refuse(408)
         elif now - self._last_active_s > limits.idle_timeout_s:
-            self.abort_quietly()
+            self.close_gracefully()
 
-    def abort_quietly(self) -> None:
-        """Close the connection after what has been written."""
+    def close_gracefully(self) -> None:
+        """Close the connection after sending buffered data."""
         if self._transport is not None:
             self._transport.close()
--- a/src/briardock/mesh/node.py
+++ b/src/briardock/mesh/node.py
@@ -259,7 +259,7 @@
 
     async def _handle_metrics(self, request: Request) -> Response:
         self.telemetry.queued.set(self.target.queued)
-        self.telemetry.level.set(self.target.level(False))
+        self.telemetry.admission_threshold.set(self.target.level(False))
         return Response(
             200, [(b"content-type", b"text/plain")], self.telemetry.render()
         )
--- a/src/briardock/mesh/pool.py
+++ b/src/briardock/mesh/pool.py
@@ -1,4 +1,4 @@
-"""Reuse of client connections by address."""
+"""Pool of idle client connections by address."""
 
 import asyncio
 import socket
@@ -9,15 +9,15 @@
 from briardock.mesh.http_client import ClientConnection
 from briardock.mesh.model import now_s, split_address
 
-# Margin before the peer's idle timeout at which a connection is not reused, s.
+# Margin before the peer's idle timeout within which a connection is not reused, s.
 IDLE_MARGIN_S = 1.0
-# Longest idle time of connections to an address that dropped an idle one without
-# notice, s, the least idle time that counts as the cause, and the time for which it
-# is remembered.
-SHORT_IDLE_TIME_S = 0.2
-LEAST_STALE_S = 0.05
-SHORT_IDLE_LIFETIME_S = 10.0
-# Keep-alive probes find connections that went silent without a reset.
+# An address that silently dropped an idle connection gets a reduced limit on the idle
+# time, s. It applies if the connection had been idle for at least the second time, s,
+# and expires after the third, s.
+REDUCED_IDLE_TIME_S = 0.2
+MIN_STALE_IDLE_S = 0.05
+REDUCED_IDLE_LIFETIME_S = 10.0
+# TCP keepalive probes detect connections whose peer vanished without a reset.
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_PERIOD_S = 1
 KEEPALIVE_PROBES = 2
@@ -29,8 +29,8 @@
 
     :param connect_timeout_s: longest time to establish a connection
     :param idle_timeout_s: time after which an idle connection is closed
-    :param unacknowledged_timeout_s: longest time without an acknowledgement of
-        sent bytes, after which the kernel gives the connection up
+    :param unacknowledged_timeout_s: time for which sent bytes may stay unacknowledged
+        before the kernel closes the connection (TCP_USER_TIMEOUT)
     """
 
     connect_timeout_s: float
@@ -39,7 +39,7 @@
 
 
 class ConnectionPool:
-    """Idle connections to any number of addresses.
+    """Pool of idle connections to any number of addresses.
 
     :param settings: timeouts
     """
@@ -47,8 +47,9 @@
     def __init__(self, settings: PoolSettings) -> None:
         self._settings = settings
         self._idle: dict[str, list[ClientConnection]] = defaultdict(list)
-        # Longest idle time and end of its use, by address that drops idle connections.
-        self._short_idle: dict[str, tuple[float, float]] = {}
+        # Limit on the idle time and when it expires, by address that dropped an idle
+        # connection.
+        self._reduced_idle_limits: dict[str, tuple[float, float]] = {}
         self.connections_opened = 0
 
     async def acquire(
@@ -57,49 +58,54 @@
         """Return an idle connection, or a new one.
 
         :param address: ``host:port``
-        :param max_idle_s: shorter limit on the idle time of a reused connection
+        :param max_idle_s: additional limit on the idle time of a reused connection
         """
         idle = self._idle[address]
         now = now_s()
         while idle:
             connection = idle[-1]
-            idled_s = now - connection.idle_since_s
-            fresh = self._is_fresh(address, connection, now)
-            if fresh and max_idle_s is not None and idled_s > max_idle_s:
-                # It still serves requests without such a limit.
+            idle_duration_s = now - connection.idle_since_s
+            reusable = self._is_reusable(address, connection, now)
+            if reusable and max_idle_s is not None and idle_duration_s > max_idle_s:
+                # Keeps it in the pool for requests without such a limit.
                 break
             idle.pop()
-            if fresh:
-                connection.idled_s = idled_s
+            if reusable:
+                connection.idle_duration_s = idle_duration_s
                 return connection
             connection.close()
         return await self._connect(address)
 
-    def shorten_idle_time(self, address: str, connection: ClientConnection) -> None:
-        """Reuse connections to an address for a shorter time, for a while.
+    def reduce_idle_time(self, address: str, connection: ClientConnection) -> None:
+        """Reduce the limit on the idle time of an address for a while.
 
         :param address: ``host:port``
-        :param connection: connection that was lost as soon as it was reused
+        :param connection: connection that was lost when it was reused
         """
-        if connection.idled_s > LEAST_STALE_S:
-            idle_s = min(SHORT_IDLE_TIME_S, connection.idled_s / 2)
-            self._short_idle[address] = (idle_s, now_s() + SHORT_IDLE_LIFETIME_S)
+        if connection.idle_duration_s > MIN_STALE_IDLE_S:
+            idle_s = min(REDUCED_IDLE_TIME_S, connection.idle_duration_s / 2)
+            self._reduced_idle_limits[address] = (
+                idle_s,
+                now_s() + REDUCED_IDLE_LIFETIME_S,
+            )
 
     def release(self, address: str, connection: ClientConnection) -> None:
-        """Take a connection back after an exchange.
+        """Return a connection to the pool after an exchange.
 
         :param address: ``host:port``
-        :param connection: connection without an exchange
+        :param connection: connection without an exchange in progress
         """
         if connection.usable:
             connection.idle_since_s = now_s()
             self._idle[address].append(connection)
 
-    def _is_fresh(self, address: str, connection: ClientConnection, now: float) -> bool:
+    def _is_reusable(
+        self, address: str, connection: ClientConnection, now: float
+    ) -> bool:
         limit_s = self._settings.idle_timeout_s
-        short_s, until_s = self._short_idle.get(address, (limit_s, 0.0))
+        reduced_s, until_s = self._reduced_idle_limits.get(address, (limit_s, 0.0))
         if now < until_s:
-            limit_s = min(limit_s, short_s)
+            limit_s = min(limit_s, reduced_s)
         if connection.idle_timeout_s is not None:
             limit_s = min(limit_s, connection.idle_timeout_s - IDLE_MARGIN_S)
         return connection.usable and now - connection.idle_since_s < limit_s
@@ -129,12 +135,12 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
 
     def sweep(self) -> None:
-        """Close connections that have been idle too long."""
+        """Close connections whose idle time exceeds its limit."""
         now = now_s()
         for address in list(self._idle):
             kept = []
             for connection in self._idle[address]:
-                if self._is_fresh(address, connection, now):
+                if self._is_reusable(address, connection, now):
                     kept.append(connection)
                 else:
                     connection.close()
--- a/src/briardock/mesh/target.py
+++ b/src/briardock/mesh/target.py
@@ -343,7 +343,7 @@
             if not response.sent:
                 return NotRun(response.reason)
             if now_s() - started_s < STALE_RESET_S:
-                self._pool.shorten_idle_time(self.address, connection)
+                self._pool.reduce_idle_time(self.address, connection)
             self._crashes.record_loss(call)
             return Unknown(f"target: {response.reason}")
         reply = self._dialect.decode_reply(response)
--- a/src/briardock/mesh/telemetry.py
+++ b/src/briardock/mesh/telemetry.py
@@ -1,4 +1,4 @@
-"""Counters and histograms of a node in the Prometheus text format."""
+"""Metrics of a node in the Prometheus text format."""
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 from prometheus_client import generate_latest as render
@@ -17,13 +17,13 @@
             ["outcome"],
             registry=self.registry,
         )
-        self.repeats = Counter(
+        self.retries = Counter(
             "briardock_repeats",
             "Requests sent to a further instance by reason",
             ["reason"],
             registry=self.registry,
         )
-        # Looked up once: it costs more than to count.
+        # Stored because the label lookup costs more than the increment.
         self.completed = self.requests.labels("completed")
         self.latency = Histogram(
             "briardock_request_seconds",
@@ -42,7 +42,7 @@
             "Requests that wait for a slot of the target",
             registry=self.registry,
         )
-        self.level = Gauge(
+        self.admission_threshold = Gauge(
             "briardock_admission_level",
             "Level above which entries refuse requests for the target",
             registry=self.registry,
--- a/tests/test_mesh_http_server.py
+++ b/tests/test_mesh_http_server.py
@@ -1,4 +1,4 @@
-"""Listener of the mesh: what it reads from one connection and when it closes it."""
+"""HTTP server of the mesh: requests read from a connection, and its closing."""
 
 import asyncio
 
@@ -21,21 +21,21 @@
     return "asyncio", {"use_uvloop": True}
 
 
-async def exchange(*pieces: bytes) -> tuple[list[bytes], bytes]:
-    """Send pieces of a stream one after the other; return the targets that were read
-    and what was answered until the listener closed or fell silent.
+async def send_pieces(*pieces: bytes) -> tuple[list[bytes], bytes]:
+    """Send parts of a stream one after the other; return the request targets that the
+    server read and the bytes received until it closed the connection or sent no more.
     """
-    seen: list[bytes] = []
+    targets: list[bytes] = []
 
     async def handle(request: Request) -> Response:
-        seen.append(request.target)
+        targets.append(request.target)
         return Response(200, body=request.body)
 
     server = HttpServer(handle, LIMITS, quiet_log())
     address = free_address()
     await server.start(*split_address(address))
     reader, writer = await asyncio.open_connection(*split_address(address))
-    answered = b""
+    received = b""
     for piece in pieces:
         writer.write(piece)
         await writer.drain()
@@ -43,13 +43,13 @@
     try:
         async with asyncio.timeout(0.2):
             while data := await reader.read(4_096):
-                answered += data
-            answered += b"<closed>"
+                received += data
+            received += b"<closed>"
     except TimeoutError:
         pass
     writer.close()
     server.stop_listening()
-    return seen, answered
+    return targets, received
 
 
 @pytest.mark.parametrize(
@@ -61,38 +61,40 @@
         (b"Connection: Keep-Alive, Close\r\n", True),
     ],
 )
-async def test_connection_ends_if_the_caller_says_so(
+async def test_connection_is_closed_if_the_caller_asks_for_it(
     headers: bytes, closed: bool
 ) -> None:
-    """A caller that ends its connection waits for the end of the stream."""
-    seen, answered = await exchange(GET % (1, headers))
-    assert seen == [b"/1"]
-    assert answered.endswith(b"<closed>") is closed
-    assert (b"connection: close" in answered) is closed
+    """A caller that sent ``connection: close`` reads until the end of the stream."""
+    targets, received = await send_pieces(GET % (1, headers))
+    assert targets == [b"/1"]
+    assert received.endswith(b"<closed>") is closed
+    assert (b"connection: close" in received) is closed
 
 
 async def test_connection_stays_open_for_several_requests() -> None:
-    """Requests in one piece are answered in turn on the same connection."""
-    seen, answered = await exchange(GET % (1, b""), GET % (2, b"") + GET % (3, b""))
-    assert seen == [b"/1", b"/2", b"/3"]
-    assert answered.count(b"200 OK") == 3
-    assert b"connection: close" not in answered
+    """Pipelined requests are served in order on the same connection."""
+    targets, received = await send_pieces(
+        GET % (1, b""), GET % (2, b"") + GET % (3, b"")
+    )
+    assert targets == [b"/1", b"/2", b"/3"]
+    assert received.count(b"200 OK") == 3
+    assert b"connection: close" not in received
 
 
 @pytest.mark.parametrize(
-    ("pieces", "seen", "status"),
+    ("pieces", "targets", "status"),
     [
         ([POST % (1, 8, b"a" * 8), POST % (2, 8, b"b" * 8)], [b"/1", b"/2"], b"200"),
         ([POST % (1, 8, b"a" * 8) + POST % (2, 4, b"bbbb")], [b"/1", b"/2"], b"200"),
         ([POST % (1, 8, b"a" * 4), b"a" * 4, GET % (2, b"")], [b"/1", b"/2"], b"200"),
         ([POST % (1, 8, b"a" * 8), POST % (2, 9, b"b" * 9)], [b"/1"], b"413"),
     ],
-    ids=["each in bounds", "in one piece", "body in pieces", "second too large"],
+    ids=["within limit", "pipelined", "body in parts", "second too large"],
 )
-async def test_bound_on_bodies_counts_each_request_alone(
-    pieces: list[bytes], seen: list[bytes], status: bytes
+async def test_body_limit_applies_to_each_request_separately(
+    pieces: list[bytes], targets: list[bytes], status: bytes
 ) -> None:
-    """The bytes of one body must not count for the next request."""
-    found, answered = await exchange(*pieces)
-    assert found == seen
-    assert answered.split(b"HTTP/1.1 ")[-1].startswith(status)
+    """The bytes of one body must not count towards the next request."""
+    read_targets, received = await send_pieces(*pieces)
+    assert read_targets == targets
+    assert received.split(b"HTTP/1.1 ")[-1].startswith(status)
--- a/tests/test_mesh_path.py
+++ b/tests/test_mesh_path.py
@@ -122,7 +122,7 @@
                 lost = True
                 for owner in owners:
                     for connection in list(owner.target.server.connections):
-                        connection.abort_quietly()
+                        connection.close_gracefully()
             return await run_normally(request)
 
         for owner in owners:
--- a/tests/test_mesh_pool.py
+++ b/tests/test_mesh_pool.py
@@ -1,4 +1,4 @@
-"""Reuse of connections to targets that drop idle ones without notice."""
+"""Reuse of connections to targets that silently drop idle ones."""
 
 import asyncio
 from collections.abc import AsyncIterator
@@ -12,8 +12,8 @@
 from mesh_builders import make_call, make_target
 from mesh_fakes import announcement, free_address
 
-# Idle time after which the fake target no longer knows a connection, s.
-FORGETS_S = 0.1
+# Idle time after which the fake target resets a connection on its next request, s.
+SERVER_IDLE_TIMEOUT_S = 0.1
 
 pytestmark = pytest.mark.anyio
 
@@ -23,14 +23,14 @@
     return "asyncio", {"use_uvloop": True}
 
 
-async def _forget_when_idle(
+async def _reset_when_idle(
     reader: asyncio.StreamReader, writer: asyncio.StreamWriter
 ) -> None:
-    """Answer requests; reset the connection at the first one after an idle time."""
+    """Respond to requests; reset the connection on the first one after an idle time."""
     loop = asyncio.get_running_loop()
     used_s = loop.time()
     while data := await reader.read(4096):
-        if loop.time() - used_s > FORGETS_S:
+        if loop.time() - used_s > SERVER_IDLE_TIMEOUT_S:
             writer.transport.abort()
             return
         assert data.startswith(b"GET")
@@ -41,34 +41,34 @@
 
 
 @asynccontextmanager
-async def forgetful_target() -> AsyncIterator[Target]:
+async def target_with_idle_resets() -> AsyncIterator[Target]:
     address = free_address()
-    server = await asyncio.start_server(_forget_when_idle, *split_address(address))
-    beside = make_target(address)
-    beside.announce(announcement(address=address))
+    server = await asyncio.start_server(_reset_when_idle, *split_address(address))
+    target = make_target(address)
+    target.announce(announcement(address=address))
     async with server:
-        yield beside
+        yield target
 
 
-async def run_after(beside: Target, pause_s: float, idempotent: bool = True) -> Result:
+async def run_after(target: Target, pause_s: float, idempotent: bool = True) -> Result:
     await asyncio.sleep(pause_s)
-    return await beside.run(make_call(idempotent=idempotent))
+    return await target.run(make_call(idempotent=idempotent))
 
 
-async def test_idle_connections_are_not_reused_where_one_was_dropped() -> None:
-    """Each request on a dropped connection is lost and spends a repeat."""
-    async with forgetful_target() as beside:
-        assert isinstance(await run_after(beside, 0.0), Completed)
-        assert isinstance(await run_after(beside, 0.15), Unknown)
+async def test_idle_connections_are_not_reused_after_one_was_dropped() -> None:
+    """Each request on a dropped connection is lost and uses up a retry."""
+    async with target_with_idle_resets() as target:
+        assert isinstance(await run_after(target, 0.0), Completed)
+        assert isinstance(await run_after(target, 0.15), Unknown)
         for _ in range(3):
-            assert isinstance(await run_after(beside, 0.0), Completed)
-            assert isinstance(await run_after(beside, 0.15), Completed)
+            assert isinstance(await run_after(target, 0.0), Completed)
+            assert isinstance(await run_after(target, 0.15), Completed)
 
 
-async def test_request_that_must_not_repeat_takes_no_idle_connection() -> None:
-    """Its outcome would be unknown, although the target never saw it."""
-    async with forgetful_target() as beside:
+async def test_non_idempotent_request_does_not_reuse_an_idle_connection() -> None:
+    """Its outcome would be unknown, although the target never read it."""
+    async with target_with_idle_resets() as target:
         pause_s = MAX_IDLE_ONCE_S + 0.05
-        assert isinstance(await run_after(beside, 0.0), Completed)
-        assert isinstance(await run_after(beside, pause_s, False), Completed)
-        assert len(beside._pool._idle[beside.address]) == 2
+        assert isinstance(await run_after(target, 0.0), Completed)
+        assert isinstance(await run_after(target, pause_s, False), Completed)
+        assert len(target._pool._idle[target.address]) == 2
