Reword the platform adapter and the request trace

Dialect.belongs is is_response_to and decode_reply is decode_target_response. Comments and doc comments say decode, trace, resource and outbound proxy. Behaviour is unchanged.

--- a/deploy/run_node.py
+++ b/deploy/run_node.py
@@ -1,4 +1,4 @@
-"""Start a node from the checkout; the build installs only its dependencies."""
+"""Run a node from the source tree; the build installs only its dependencies."""
 
 import sys
 from pathlib import Path
--- a/src/briardock/mesh/dialect.py
+++ b/src/briardock/mesh/dialect.py
@@ -1,4 +1,4 @@
-"""What the mesh needs a platform adapter to translate."""
+"""Interfaces that a platform adapter implements for the mesh."""
 
 from dataclasses import dataclass
 from typing import Protocol
@@ -15,10 +15,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Departure:
-    """A target says that it is gone or about to go.
+    """Announcement of a target that it has stopped or is about to stop.
 
     :param target_id: id of the target
-    :param born_ms: start of the target, Unix time in ms, 0 if it was not told
+    :param born_ms: start of the target, Unix time in ms, 0 if it was not given
     """
 
     target_id: str
@@ -27,9 +27,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Undecodable:
-    """Something that the adapter cannot read.
+    """Input that the adapter cannot decode.
 
-    :param reason: what is wrong
+    :param reason: why decoding failed
     """
 
     reason: str
@@ -39,7 +39,7 @@
     """Headers and documents of one platform."""
 
     def decode_request(self, request: Request) -> RequestHead:
-        """Return what the headers of a caller's request say."""
+        """Decode the headers of a caller's request."""
         ...
 
     def target_headers(
@@ -52,34 +52,34 @@
         """Return the headers of a request to a target."""
         ...
 
-    def belongs(self, response: Response, request_id: bytes) -> bool:
-        """Return whether a response belongs to the request with an id."""
+    def is_response_to(self, response: Response, request_id: bytes) -> bool:
+        """Return whether a response belongs to the request with the given id."""
         ...
 
-    def decode_reply(self, response: Response) -> TargetReply:
-        """Return what the headers of a target's response say."""
+    def decode_target_response(self, response: Response) -> TargetReply:
+        """Decode the headers of a target's response."""
         ...
 
     def refusal_headers(self, retry_after_s: float) -> Headers:
-        """Return the headers that tell a caller when to come back."""
+        """Return the headers that tell a caller when to retry."""
         ...
 
     def decode_announcement(
         self, request: Request
     ) -> Announcement | Departure | Undecodable:
-        """Return what a target says of itself."""
+        """Decode an announcement of a target."""
         ...
 
     def decode_config(self, document: bytes) -> RoutingConfig | Undecodable:
-        """Return the configuration in a document of the operator."""
+        """Decode a configuration document of the operator."""
         ...
 
 
 @dataclass(frozen=True, slots=True)
 class StoreFailure:
-    """A call to the store had no usable answer.
+    """A call to the store failed or had no usable response.
 
-    :param reason: what happened
+    :param reason: why it failed
     """
 
     reason: str
@@ -87,15 +87,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Trimmed:
-    """The records after an offset are no longer kept."""
+    """The store no longer keeps the records from the requested offset on."""
 
 
 @dataclass(frozen=True, slots=True)
 class Records:
     """Keyed records of a stream.
 
-    :param items: rows of key and value, oldest first
-    :param next_offset: offset to read on from
+    :param items: pairs of key and value, oldest first
+    :param next_offset: offset at which to continue reading
     """
 
     items: list[tuple[str, bytes]]
@@ -103,7 +103,7 @@
 
 
 class Store(Protocol):
-    """Streams of keyed records that outlive the nodes."""
+    """Durable streams of keyed records."""
 
     async def read_newest(self, stream: str) -> Records | StoreFailure:
         """Return the newest record of each key."""
@@ -112,14 +112,14 @@
     async def read_from(
         self, stream: str, offset: int, wait_s: float
     ) -> Records | Trimmed | StoreFailure:
-        """Return the records from an offset on, waiting for the first one."""
+        """Return the records from an offset on, waiting for the first up to a time."""
         ...
 
     async def append(self, stream: str, key: str, value: bytes) -> None | StoreFailure:
-        """Add a record."""
+        """Append a record."""
         ...
 
 
-# Streams of the store, by the names of this project.
+# Names of the streams; the adapter maps them to names of the platform.
 CONFIG_STREAM = "config"
 NODES_STREAM = "nodes"
--- a/src/briardock/mesh/explain.py
+++ b/src/briardock/mesh/explain.py
@@ -1,4 +1,4 @@
-"""Way of one request through the logs of many nodes."""
+"""Trace of one request through the logs of many nodes."""
 
 import sys
 from collections.abc import Iterable
@@ -7,7 +7,7 @@
 
 import msgspec
 
-# Events that concern no single request but may explain what happened to one.
+# Events that are not tied to one request but may explain its outcome.
 CONTEXT_EVENTS = frozenset(
     {
         "config-installed",
@@ -20,14 +20,15 @@
         "target-lost",
     }
 )
-# Time before the first and after the last line of the request that is shown, s.
+# Time before the first and after the last event of the request for which context events
+# are shown, s.
 CONTEXT_S = 1.0
 
 
 def read_events(lines: Iterable[str]) -> list[dict[str, Any]]:
     """Return the events in log lines, in order of time.
 
-    Text before the first brace, such as the prefix of a log collector, is skipped.
+    Skips text before the first brace, such as the prefix of a log collector.
 
     :param lines: lines of any number of nodes
     """
@@ -44,36 +45,38 @@
 
 
 def explain(request_id: str, lines: Iterable[str]) -> list[str]:
-    """Return the lines that explain a request, in order of time.
+    """Return the trace of a request, one line per event, in order of time.
 
     :param request_id: id of the request
     :param lines: log lines of any number of nodes
     """
     events = read_events(lines)
-    own = [event for event in events if event.get("id") == request_id]
-    if not own:
+    request_events = [event for event in events if event.get("id") == request_id]
+    if not request_events:
         nodes = sorted({str(event.get("node")) for event in events})
         return [
             f"no line of request {request_id} in the logs of {len(nodes)} nodes; "
             "it completed, its line was omitted, or its node's log is missing"
         ]
-    first, last = float(own[0]["at"]), float(own[-1]["at"])
-    names = {str(event.get("node")) for event in own}
-    names |= {str(event["instance"]) for event in own if "instance" in event}
+    first, last = float(request_events[0]["at"]), float(request_events[-1]["at"])
+    node_names = {str(event.get("node")) for event in request_events}
+    node_names |= {
+        str(event["instance"]) for event in request_events if "instance" in event
+    }
     shown = [
         event
         for event in events
         if event.get("id") == request_id
         or (
             event["event"] in CONTEXT_EVENTS
-            and event.get("node") in names
+            and event.get("node") in node_names
             and first - CONTEXT_S <= float(event["at"]) <= last + CONTEXT_S
         )
     ]
-    missing = names - {str(event.get("node")) for event in events}
-    found = [_format(event, first, request_id) for event in shown]
-    found += [f"the log of {name} is missing" for name in sorted(missing)]
-    return found
+    missing = node_names - {str(event.get("node")) for event in events}
+    output = [_format(event, first, request_id) for event in shown]
+    output += [f"the log of {name} is missing" for name in sorted(missing)]
+    return output
 
 
 def _format(event: dict[str, Any], first: float, request_id: str) -> str:
@@ -85,10 +88,10 @@
 
 
 def explain_files(request_id: str, files: list[str]) -> list[str]:
-    """Return the lines that explain a request from log files.
+    """Return the trace of a request from log files.
 
     :param request_id: id of the request
-    :param files: log files, none for standard input
+    :param files: log files; standard input is read if empty
     :raises OSError: if a file cannot be read
     """
     if not files:
--- a/src/briardock/mesh/target.py
+++ b/src/briardock/mesh/target.py
@@ -337,7 +337,7 @@
         data = encode_request(call.method, call.target, headers, call.body)
         started_s = now_s()
         response = await connection.exchange(
-            data, lambda found: self._dialect.belongs(found, call.request_id)
+            data, lambda found: self._dialect.is_response_to(found, call.request_id)
         )
         if isinstance(response, ExchangeFailure):
             if not response.sent:
@@ -346,7 +346,7 @@
                 self._pool.reduce_idle_time(self.address, connection)
             self._crashes.record_loss(call)
             return Unknown(f"target: {response.reason}")
-        reply = self._dialect.decode_reply(response)
+        reply = self._dialect.decode_target_response(response)
         if not reply.not_run:
             # A rejection takes next to no time. Counted as a run, it would make the
             # capacity of a target that rejects much look larger than it is.
--- a/src/briardock/platform/_dialect.py
+++ b/src/briardock/platform/_dialect.py
@@ -1,4 +1,4 @@
-"""Headers, announcements and configuration as the platform writes them."""
+"""Decoding and encoding of the platform's headers, announcements and configuration."""
 
 import re
 from typing import Any
@@ -34,22 +34,22 @@
 
 
 def parse_duration_s(text: str) -> float:
-    """Return a duration such as ``1500ms`` or ``2.5s`` in s.
+    """Parse a duration such as ``1500ms`` or ``2.5s``; return it in s.
 
     :param text: number and unit
     :raises ValueError: if it is not a duration
     """
-    found = _DURATION.match(text)
-    if found is None:
+    matched = _DURATION.match(text)
+    if matched is None:
         raise ValueError(f"{text!r} is not a duration such as 1500ms or 2.5s")
-    value = float(found[1])
-    return value / 1000 if found[2] == "ms" else value
+    value = float(matched[1])
+    return value / 1000 if matched[2] == "ms" else value
 
 
 class _Heartbeat(msgspec.Struct):
-    """Body of a target's heartbeat; ``sequence`` counts within one ``born``.
+    """Body of a target's heartbeat; ``sequence`` restarts with each ``born``.
 
-    Fields that are not used are listed so that a body without them is refused.
+    Unused fields are declared so that a body without them fails to decode.
     """
 
     service: str
@@ -60,12 +60,12 @@
     state: str
     sequence: int
     cold_remaining: str = msgspec.field(name="cold-remaining")
-    # Start of the server, Unix time in ms.
+    # Start of the target process, Unix time in ms.
     born: int = 0
 
 
 class _Deregistration(msgspec.Struct):
-    """Body of a target's departure; ``born`` as in the heartbeat."""
+    """Body of a target's deregistration; ``born`` as in the heartbeat."""
 
     born: int = 0
 
@@ -95,7 +95,7 @@
 
 
 class _Resource(msgspec.Struct, rename="kebab"):
-    # The kind of entry, although the name suggests a URL.
+    # Kind of the resource; despite its name, not a URL.
     type_url: str
     metadata: dict[str, Any]
     spec: msgspec.Raw
@@ -110,7 +110,7 @@
     """Implements ``briardock.mesh.dialect.Dialect``."""
 
     def decode_request(self, request: Request) -> RequestHead:
-        """Return what the headers of a caller's request say."""
+        """Decode the headers of a caller's request."""
         request_id = host = b""
         deadline_s = None
         forwarded: Headers = []
@@ -143,13 +143,13 @@
             (CALLER, caller_service.encode()),
         ]
 
-    def belongs(self, response: Response, request_id: bytes) -> bool:
-        """Return whether a response belongs to the request with an id."""
-        ident = _find(response.headers, REQUEST_ID)
-        return ident is None or ident == request_id
+    def is_response_to(self, response: Response, request_id: bytes) -> bool:
+        """Return whether a response belongs to the request with the given id."""
+        response_id = _find_header(response.headers, REQUEST_ID)
+        return response_id is None or response_id == request_id
 
-    def decode_reply(self, response: Response) -> TargetReply:
-        """Return what the headers of a target's response say."""
+    def decode_target_response(self, response: Response) -> TargetReply:
+        """Decode the headers of a target's response."""
         headers = dict(response.headers)
         keep_alive = _KEEP_ALIVE.search(headers.get(b"keep-alive", b""))
         wrong_target = response.status == 421
@@ -162,39 +162,39 @@
         )
 
     def refusal_headers(self, retry_after_s: float) -> Headers:
-        """Return the headers that tell a caller when to come back."""
+        """Return the headers that tell a caller when to retry."""
         return [(RETRY_AFTER, b"%.3f" % retry_after_s)]
 
     def decode_announcement(
         self, request: Request
     ) -> Announcement | Departure | Undecodable:
-        """Return what a target says of itself."""
-        found = _ANNOUNCEMENT.match(request.target)
-        if found is None:
+        """Decode an announcement of a target."""
+        matched = _ANNOUNCEMENT.match(request.target)
+        if matched is None:
             return Undecodable("unknown path")
-        target_id = found[1].decode("latin-1")
+        target_id = matched[1].decode("latin-1")
         try:
-            if found[2] == b"deregister":
+            if matched[2] == b"deregister":
                 body = request.body or b"{}"
                 departure = msgspec.json.decode(body, type=_Deregistration)
                 return Departure(target_id, departure.born)
-            beat = msgspec.json.decode(request.body, type=_Heartbeat)
-            parse_duration_s(beat.cold_remaining)
+            heartbeat = msgspec.json.decode(request.body, type=_Heartbeat)
+            parse_duration_s(heartbeat.cold_remaining)
             states = {"ready": TargetState.READY, "draining": TargetState.LEAVING}
             return Announcement(
                 target_id,
-                beat.service,
-                beat.address,
-                beat.slots,
-                states[beat.state],
-                beat.sequence,
-                beat.born,
+                heartbeat.service,
+                heartbeat.address,
+                heartbeat.slots,
+                states[heartbeat.state],
+                heartbeat.sequence,
+                heartbeat.born,
             )
         except (msgspec.DecodeError, ValueError, KeyError) as error:
             return Undecodable(f"announcement: {error}")
 
     def decode_config(self, document: bytes) -> RoutingConfig | Undecodable:
-        """Return the configuration in a document of the operator."""
+        """Decode a configuration document of the operator."""
         try:
             decoded = msgspec.json.decode(document, type=_Document)
             routes = []
@@ -235,8 +235,8 @@
     )
 
 
-def _find(headers: Headers, name: bytes) -> bytes | None:
-    for found, value in headers:
-        if found == name:
+def _find_header(headers: Headers, name: bytes) -> bytes | None:
+    for key, value in headers:
+        if key == name:
             return value
     return None
--- a/src/briardock/platform/_settings.py
+++ b/src/briardock/platform/_settings.py
@@ -1,4 +1,4 @@
-"""The platform's settings file as settings of the mesh."""
+"""Decoding of the platform's settings file."""
 
 import tomllib
 from pathlib import Path
@@ -9,15 +9,15 @@
 from briardock.platform._dialect import parse_duration_s
 
 SETTINGS_VARIABLE = "BRIARDOCK_NODE_FILE"
-# Port of the metrics page; deploy/system.toml names it to the platform.
+# Port of the metrics endpoint, declared to the platform in deploy/system.toml.
 METRICS_PORT = 9464
 
 
 def load_settings(path: Path) -> MeshSettings:
-    """Return the checked settings of a file.
+    """Load and validate a settings file.
 
     :param path: file that the platform wrote
-    :raises SettingsError: if it cannot be read or a value is missing or bad
+    :raises SettingsError: if it cannot be read, or a value is missing or invalid
     """
     try:
         return _decode(tomllib.loads(path.read_text()))
@@ -28,30 +28,32 @@
         ) from error
     except KeyError as error:
         raise SettingsError(
-            f"{path}: {error} is missing", "add it as the platform's page shows"
+            f"{path}: {error} is missing",
+            "add it; the platform's documentation describes the file",
         ) from error
     except (ValueError, TypeError) as error:
         raise SettingsError(f"{path}: {error}", "correct the value") from error
 
 
 def _decode(tables: dict[str, Any]) -> MeshSettings:
-    own = tables["self"]
+    self_table = tables["self"]
     listen = tables["network"]["listen-addresses"]
     bounds = tables["terms"]["bounds"]
     return MeshSettings(
-        node_id=own["node"],
-        domain=own["zone"],
-        service=own["service"],
-        target_address=own["app-address"],
-        # Requests of callers and of the own target leave the machine through it.
+        node_id=self_table["node"],
+        domain=self_table["zone"],
+        service=self_table["service"],
+        target_address=self_table["app-address"],
+        # Outbound proxy for requests of callers and of the target beside the node.
         caller_address=listen["outbound"],
         peer_address=listen["inbound"],
         ready_address=listen["ready"],
-        # The target beside the node announces itself here; it controls nothing.
+        # Receives the announcements of the target beside the node. Despite the name of
+        # the key, it is not a control plane.
         announce_address=listen["control-plane"],
         metrics_port=METRICS_PORT,
         store_address=tables["platform"]["platform"]["address"],
-        memory_bytes=int(own["limits"]["memory-mb"]) * 1024 * 1024,
+        memory_bytes=int(self_table["limits"]["memory-mb"]) * 1024 * 1024,
         grace_s=parse_duration_s(bounds["grace"]),
         retry_ratio=float(bounds["budget-ratio"]),
         retry_slack=float(bounds["budget-slack"]),
--- a/src/briardock/platform/_store.py
+++ b/src/briardock/platform/_store.py
@@ -1,4 +1,4 @@
-"""Calls to the platform's log, as the streams of the mesh."""
+"""Streams of the mesh, stored in topics of the platform's log."""
 
 import asyncio
 import base64
@@ -20,8 +20,8 @@
 POOL = PoolSettings(
     connect_timeout_s=1.0, idle_timeout_s=15.0, unacknowledged_timeout_s=2.0
 )
-# Time for an answer beyond the time that a read waits for a record, s.
-ANSWER_TIMEOUT_S = 1.5
+# Timeout of a call, in addition to the time that a read waits for a record, s.
+RESPONSE_TIMEOUT_S = 1.5
 
 
 class _NewestItem(msgspec.Struct):
@@ -63,7 +63,8 @@
             except (msgspec.DecodeError, ValueError) as error:
                 return StoreFailure(f"undecodable: {error}")
             items += rows
-            # Pages are no snapshot; reading on starts at the end of the first.
+            # The pages together are no snapshot, so later reads start at the end offset
+            # of the first page.
             first_end = page.end if first_end is None else first_end
             if not page.has_more or not rows:
                 return Records(items, first_end)
@@ -72,7 +73,7 @@
     async def read_from(
         self, stream: str, offset: int, wait_s: float
     ) -> Records | Trimmed | StoreFailure:
-        """Return the records from an offset on, waiting for the first one."""
+        """Return the records from an offset on, waiting for the first up to a time."""
         path = f"/log-read?topic={TOPICS[stream]}&part=0&from={offset}"
         if wait_s > 0:
             path += f"&wait-ms={int(wait_s * 1000)}"
@@ -86,7 +87,7 @@
         return _decode_records(response.body, offset)
 
     async def append(self, stream: str, key: str, value: bytes) -> None | StoreFailure:
-        """Add a record."""
+        """Append a record."""
         record = bytes([len(key)]) + key.encode() + value
         body = struct.pack(">I", len(record)) + record
         path = f"/log-append?topic={TOPICS[stream]}&part=0"
@@ -103,7 +104,7 @@
         headers = [(b"host", self._address.encode())]
         data = encode_request(method.encode(), path.encode(), headers, body)
         try:
-            async with asyncio.timeout(wait_s + ANSWER_TIMEOUT_S):
+            async with asyncio.timeout(wait_s + RESPONSE_TIMEOUT_S):
                 connection = await self._pool.acquire(self._address)
                 if isinstance(connection, ExchangeFailure):
                     return StoreFailure(connection.reason)
@@ -117,7 +118,7 @@
 
 
 def _decode_records(body: bytes, offset: int) -> Records | StoreFailure:
-    """Return the keyed records of a read: end, first offset, then the records."""
+    """Decode the body of a read: end and first offset, 8 bytes each, then records."""
     items = []
     position = 16
     while position + 4 <= len(body):
--- a/tests/test_mesh_platform.py
+++ b/tests/test_mesh_platform.py
@@ -1,4 +1,4 @@
-"""Adapter to the platform: headers, announcements, configuration, settings."""
+"""Platform adapter: headers, announcements, configuration and settings."""
 
 import json
 import tomllib
@@ -54,13 +54,13 @@
 
 
 @pytest.mark.parametrize("text", ["", "5", "5m", "-1s", "1 s", "s"])
-def test_bad_durations_are_refused(text: str) -> None:
+def test_invalid_durations_are_rejected(text: str) -> None:
     with pytest.raises(ValueError, match="is not a duration"):
         parse_duration_s(text)
 
 
 def test_request_head() -> None:
-    head = DIALECT.decode_request(
+    request_head = DIALECT.decode_request(
         request(
             "/a/",
             b"",
@@ -73,11 +73,15 @@
             (b"x-end", b"2"),
         )
     )
-    assert (head.request_id, head.host, head.deadline_s) == (b"r1", "a.example", 1.5)
-    assert [n for n, _ in head.forwarded] == [b"host", b"request-id", b"x-end"]
+    assert (request_head.request_id, request_head.host, request_head.deadline_s) == (
+        b"r1",
+        "a.example",
+        1.5,
+    )
+    assert [n for n, _ in request_head.forwarded] == [b"host", b"request-id", b"x-end"]
 
 
-def beat(**changes: object) -> bytes:
+def heartbeat_body(**changes: object) -> bytes:
     body: dict[str, object] = {
         "service": "jobs",
         "address": "10.1.0.8:8301",
@@ -94,8 +98,10 @@
 
 
 def test_heartbeat() -> None:
-    found = DIALECT.decode_announcement(request("/instances/i-1/heartbeat", beat()))
-    assert found == Announcement(
+    decoded = DIALECT.decode_announcement(
+        request("/instances/i-1/heartbeat", heartbeat_body())
+    )
+    assert decoded == Announcement(
         "i-1", "jobs", "10.1.0.8:8301", 8, TargetState.READY, 4, 99
     )
 
@@ -105,23 +111,23 @@
     [
         ("/instances/i-1/heartbeat", b"\xff\x00"),
         ("/instances/i-1/heartbeat", b"[]"),
-        ("/instances/i-1/heartbeat", beat(state="sleeping")),
-        ("/instances/i-1/heartbeat", beat(slots="8")),
-        ("/instances/i-1/heartbeat", beat(service=None)),
-        ("/instances/i-1/heartbeat", beat(sequence=None)),
-        ("/instances/i-1/heartbeat", beat(**{"cold-remaining": "soon"})),
+        ("/instances/i-1/heartbeat", heartbeat_body(state="sleeping")),
+        ("/instances/i-1/heartbeat", heartbeat_body(slots="8")),
+        ("/instances/i-1/heartbeat", heartbeat_body(service=None)),
+        ("/instances/i-1/heartbeat", heartbeat_body(sequence=None)),
+        ("/instances/i-1/heartbeat", heartbeat_body(**{"cold-remaining": "soon"})),
         ("/instances/i-1/deregister", b"{"),
-        ("/instances/i-1/other", beat()),
+        ("/instances/i-1/other", heartbeat_body()),
     ],
 )
-def test_announcements_of_other_writers_are_refused(path: str, body: bytes) -> None:
+def test_invalid_announcements_are_rejected(path: str, body: bytes) -> None:
     assert isinstance(DIALECT.decode_announcement(request(path, body)), Undecodable)
 
 
 @pytest.mark.parametrize(("body", "born_ms"), [(b"", 0), (b'{"born":7}', 7)])
 def test_departure(body: bytes, born_ms: int) -> None:
-    found = DIALECT.decode_announcement(request("/instances/i-1/deregister", body))
-    assert found == Departure("i-1", born_ms)
+    decoded = DIALECT.decode_announcement(request("/instances/i-1/deregister", body))
+    assert decoded == Departure("i-1", born_ms)
 
 
 def test_configuration() -> None:
@@ -129,10 +135,10 @@
     upload = route(
         "b", "/b/", kind="upload", service="", **{"weighted-services": parts}
     )
-    found = DIALECT.decode_config(config(7, route("a", "/a/"), upload))
-    assert isinstance(found, RoutingConfig)
-    first, second = found.routes
-    assert (found.version, first.idempotent, second.idempotent) == (7, True, False)
+    decoded = DIALECT.decode_config(config(7, route("a", "/a/"), upload))
+    assert isinstance(decoded, RoutingConfig)
+    first, second = decoded.routes
+    assert (decoded.version, first.idempotent, second.idempotent) == (7, True, False)
     assert (first.timeout_s, first.objective_s) == (2.0, 0.2)
     assert [(p.service, p.weight) for p in second.services] == [("x", 9), ("y", 1)]
 
@@ -141,7 +147,7 @@
     "document",
     [b"", b"{}", b'{"version":"x"}', config(1, route("a", "/a/", timeout="soon"))],
 )
-def test_configuration_that_cannot_be_read(document: bytes) -> None:
+def test_invalid_configuration_is_rejected(document: bytes) -> None:
     assert isinstance(DIALECT.decode_config(document), Undecodable)
 
 
@@ -162,15 +168,19 @@
         (421, [], False, True, True),
     ],
 )
-def test_target_reply(
+def test_target_response(
     status: int,
     headers: list[tuple[bytes, bytes]],
     success: bool,
     not_run: bool,
     wrong: bool,
 ) -> None:
-    reply = DIALECT.decode_reply(Response(status, headers))
-    assert (reply.complete_success, reply.not_run, reply.wrong_target) == (
+    target_response = DIALECT.decode_target_response(Response(status, headers))
+    assert (
+        target_response.complete_success,
+        target_response.not_run,
+        target_response.wrong_target,
+    ) == (
         success,
         not_run,
         wrong,
@@ -180,9 +190,9 @@
 def test_settings(tmp_path: Path) -> None:
     path = tmp_path / "node.toml"
     path.write_text(SETTINGS)
-    found = load_settings(path)
-    assert found.caller_address == "10.1.0.8:8304"
-    assert (found.grace_s, found.retry_slack) == (6.0, 49.0)
+    decoded = load_settings(path)
+    assert decoded.caller_address == "10.1.0.8:8304"
+    assert (decoded.grace_s, decoded.retry_slack) == (6.0, 49.0)
 
 
 @pytest.mark.parametrize(
@@ -193,7 +203,7 @@
         ("[self]", "[self", "node.toml"),
     ],
 )
-def test_bad_settings_name_the_fault(
+def test_error_for_invalid_settings_states_the_cause(
     tmp_path: Path, old: str, new: str, message: str
 ) -> None:
     path = tmp_path / "node.toml"
@@ -202,12 +212,12 @@
         load_settings(path)
 
 
-def test_missing_settings_name_the_remedy(tmp_path: Path) -> None:
+def test_error_for_missing_settings_states_the_remedy(tmp_path: Path) -> None:
     with pytest.raises(SettingsError, match="BRIARDOCK_NODE_FILE"):
         load_settings(tmp_path / "none.toml")
 
 
-def test_deploy_file_names_the_metrics_port_and_pinned_libraries() -> None:
+def test_deploy_files_match_the_metrics_port_and_the_pinned_libraries() -> None:
     deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
     assert deploy["roles"]["node"]["metrics"] == f"{METRICS_PORT}/metrics"
     lock = (ROOT / "requirements.lock").read_text()
@@ -215,7 +225,7 @@
         assert f"{line} " in lock, line
 
 
-def test_names_of_the_platform_stay_in_its_folder() -> None:
+def test_platform_names_do_not_occur_in_the_mesh_package() -> None:
     names = ("deadline-ms", "not-executed", "caller-service", "log-append", "keyed.op")
     for path in (ROOT / "src/briardock/mesh").rglob("*.py"):
         text = path.read_text().lower()
