--- a/tests/mesh_soak.py
+++ b/tests/mesh_soak.py
@@ -1,10 +1,11 @@
-"""Fault soak of the mesh: real processes, faults from outside, checks from outside.
+"""Soak test of the mesh under faults, with real processes and black-box checks.
 
     python tests/mesh_soak.py --seeds 1 50
 
-Each seed plays some seconds of traffic against six nodes and their targets while
-processes are stopped, frozen, killed and restarted and links are delayed, reset,
-silenced or cut one way, in series that overlap. Violations are printed with the seed.
+Each seed runs some seconds of traffic against six nodes and their targets under
+overlapping faults: processes are stopped, frozen, killed and restarted, and links are
+delayed, refused or silently dropped, in one or both directions. Violations are printed
+with the seed.
 """
 
 import argparse
@@ -23,100 +24,107 @@
 from briardock.mesh.http_client import ClientConnection
 from briardock.mesh.model import split_address
 from mesh_fakes import send
-from soak_checks import ONCE_BODY, Record, Told
+from soak_checks import ONCE_BODY, RequestOutcome, SoakResults
 from soak_faults import Faults
 from soak_machines import Machine, SoakFleet
 from soak_programs import CHAIN_PATH
 
-# Longest time until all processes have started, also on a busy machine, s.
-START_S = 60.0
-# Time after the last fault in which every node has to serve every route, s.
-RECOVERY_S = 15.0
+# Limit on the start of all processes, sufficient on a busy machine, s.
+START_TIMEOUT_S = 60.0
+# Time after the last fault within which every node must serve every route, s.
+RECOVERY_TIMEOUT_S = 15.0
 CLIENTS_PER_NODE = 4
 CLIENT_PERIOD_S = 0.03
 DEADLINE_MS = 1_500
-# Time after which an ended process is started again, s.
+# Period at which exited processes are restarted, s.
 RESTART_PERIOD_S = 0.5
-# Period at which stalls of the soak itself are measured, s. On a machine with more to
-# run than cores all processes stand still at times; bounds do not count that time.
+# Period at which stalls of the soak itself are measured, s. On an overcommitted machine
+# all processes stall at times; the limits exclude the time of these stalls.
 STALL_PERIOD_S = 0.1
-# Longest time until an answer or a close by a node that runs, s.
-ANSWER_BOUND_S = 3.0
+# Time within which a running node must respond or close the connection, s.
+RESPONSE_TIMEOUT_S = 3.0
 
 
 class Soak:
-    """One run with one seed."""
+    """Soak run with one seed."""
 
     def __init__(self, seed: int, folder: Path) -> None:
         self.seed = seed
         self.fleet = SoakFleet(folder)
         self.faults = Faults(self.fleet, random.Random(seed))
-        self.record = Record()
-        self._count = 0
-        # Time for which this process itself stood still, s.
+        self.results = SoakResults()
+        self._request_count = 0
+        # Time for which this process itself was stalled, s.
         self._stalled_s = 0.0
-        self._ending = False
+        self._stopping = False
 
-    # Callers
+    # Clients
 
     async def _client(self, machine: Machine, number: int) -> None:
-        """Send requests on one connection for as long as it stays open."""
+        """Send requests until the run ends, reusing a connection while it is open."""
         connection: ClientConnection | None = None
         rng = random.Random(f"{self.seed} {machine.name} {number}")
-        while not self._ending:
+        while not self._stopping:
             await asyncio.sleep(CLIENT_PERIOD_S * rng.uniform(0.5, 1.5))
             if connection is None or not connection.usable:
                 connection = await _connect(machine.caller_address)
                 if connection is None:
                     continue
             prefix = rng.choice(["/jobs/read/", "/once/", "/maps/read/", CHAIN_PATH])
-            await self._ask(machine, connection, prefix)
+            await self._send_request(machine, connection, prefix)
 
-    async def _ask(
+    async def _send_request(
         self, machine: Machine, connection: ClientConnection, prefix: str
     ) -> None:
-        self._count += 1
-        ident = f"s{self.seed}-{self._count}"
+        self._request_count += 1
+        request_id = f"s{self.seed}-{self._request_count}"
         once = prefix == "/once/"
         headers = [
             (b"host", b"a.example"),
-            (b"request-id", ident.encode()),
+            (b"request-id", request_id.encode()),
             (b"deadline-ms", b"%d" % DEADLINE_MS),
         ]
         method, body = (b"POST", ONCE_BODY) if once else (b"GET", b"")
-        data = encode_request(method, f"{prefix}{ident}".encode(), headers, body)
-        started, stalled_s = time.time(), self._stalled_s
-        answer: Response | ExchangeFailure = ExchangeFailure("no answer", sent=True)
+        data = encode_request(method, f"{prefix}{request_id}".encode(), headers, body)
+        started, stalled_before_s = time.time(), self._stalled_s
+        response: Response | ExchangeFailure = ExchangeFailure("no response", sent=True)
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(ANSWER_BOUND_S):
-                answer = await connection.exchange(data)
-        took_s = time.time() - started - (self._stalled_s - stalled_s)
-        match answer:
+            async with asyncio.timeout(RESPONSE_TIMEOUT_S):
+                response = await connection.exchange(data)
+        elapsed_s = time.time() - started - (self._stalled_s - stalled_before_s)
+        match response:
             case Response(status, _, content):
-                told = Told(ident, once, machine.name, status, content, took_s)
+                request_outcome = RequestOutcome(
+                    request_id, once, machine.name, status, content, elapsed_s
+                )
             case ExchangeFailure():
-                told = Told(ident, once, machine.name, 0, b"", took_s)
-                if took_s >= ANSWER_BOUND_S and not machine.was_disturbed(started):
-                    self.record.violations.append(
-                        f"{ident}: no answer from {machine.name} in {took_s:.1f} s"
+                request_outcome = RequestOutcome(
+                    request_id, once, machine.name, 0, b"", elapsed_s
+                )
+                if elapsed_s >= RESPONSE_TIMEOUT_S and not machine.may_be_affected_at(
+                    started
+                ):
+                    self.results.violations.append(
+                        f"{request_id}: no response from {machine.name} "
+                        f"in {elapsed_s:.1f} s"
                     )
-        self.record.told.append(told)
+        self.results.outcomes.append(request_outcome)
 
     async def _watch_versions(self, machine: Machine) -> None:
-        """Check that a node's configuration never goes back in one process."""
+        """Check that the configuration version of a node process never decreases."""
         highest = (0, 0)
-        while not self._ending:
+        while not self._stopping:
             await asyncio.sleep(0.2)
             for version in range(
                 max(1, self.fleet.version - 2), self.fleet.version + 1
             ):
-                start = machine.starts
+                start = machine.start_count
                 found = await _status(machine.caller_address, f"/v{version}/x")
                 if found in (0, 404, 503):
                     continue
-                if start == machine.starts == highest[0] and version < highest[1]:
-                    self.record.violations.append(
-                        f"{machine.name}: version {version} after {highest[1]}"
+                if start == machine.start_count == highest[0] and version < highest[1]:
+                    self.results.violations.append(
+                        f"{machine.name}: version {version} served after {highest[1]}"
                     )
                 highest = (
                     start,
@@ -124,61 +132,63 @@
                 )
 
     async def _measure_stalls(self) -> None:
-        while not self._ending:
+        while not self._stopping:
             started = time.monotonic()
             await asyncio.sleep(STALL_PERIOD_S)
             excess_s = time.monotonic() - started - STALL_PERIOD_S
             if excess_s > STALL_PERIOD_S:
                 self._stalled_s += excess_s
 
-    async def _keep_running(self) -> None:
-        while not self._ending:
+    async def _restart_ended(self) -> None:
+        while not self._stopping:
             await asyncio.sleep(RESTART_PERIOD_S)
-            self.record.violations += self.fleet.restart_ended()
+            self.results.violations += self.fleet.restart_ended()
 
-    # Course of a run
+    # Sequence of a run
 
-    async def play(self) -> None:
-        """Play one seed and collect the violations."""
+    async def run(self) -> None:
+        """Run the traffic and the faults, and collect violations."""
         self.fleet.start()
         try:
             for address in (self.fleet.store_address, self.fleet.relay_control):
-                await self._until(self._answers_at(address), START_S, "a start")
+                await self._until(
+                    self._responds_at(address), START_TIMEOUT_S, "a start"
+                )
             await self.fleet.publish()
-            await self._until(self._serves_all, START_S, "the start")
-            clients = [
+            await self._until(self._serves_all, START_TIMEOUT_S, "the start")
+            tasks = [
                 asyncio.create_task(self._client(machine, number))
                 for machine in self.fleet.machines
                 for number in range(CLIENTS_PER_NODE)
             ]
-            clients += [
+            tasks += [
                 asyncio.create_task(self._watch_versions(m))
                 for m in self.fleet.machines
             ]
-            clients.append(asyncio.create_task(self._measure_stalls()))
-            keeper = asyncio.create_task(self._keep_running())
-            await self.faults.play()
+            tasks.append(asyncio.create_task(self._measure_stalls()))
+            restart_task = asyncio.create_task(self._restart_ended())
+            await self.faults.inject()
             await self.fleet.publish()
-            await self._until(self._serves_all, RECOVERY_S, "recovery")
-            self._ending = True
-            await asyncio.gather(*clients, keeper)
-            self.record.check_ledgers(self.fleet.folder, self.fleet.machines)
+            await self._until(self._serves_all, RECOVERY_TIMEOUT_S, "recovery")
+            self._stopping = True
+            await asyncio.gather(*tasks, restart_task)
+            self.results.check_ledgers(self.fleet.folder, self.fleet.machines)
         finally:
             self.fleet.stop()
 
-    def _answers_at(self, address: str) -> Callable[[], Awaitable[bool]]:
-        async def answers() -> bool:
+    def _responds_at(self, address: str) -> Callable[[], Awaitable[bool]]:
+        async def responds() -> bool:
             return await _status(address, "/log-newest?topic=keyed.op&part=0") > 0
 
-        return answers
+        return responds
 
     async def _until(
-        self, check: Callable[[], Awaitable[bool]], bound_s: float, what: str
+        self, check: Callable[[], Awaitable[bool]], timeout_s: float, what: str
     ) -> None:
-        give_up = time.monotonic() + bound_s - self._stalled_s
+        deadline = time.monotonic() + timeout_s - self._stalled_s
         while not await check():
-            if time.monotonic() > give_up + self._stalled_s:
-                self.record.violations.append(f"{what} took more than {bound_s} s")
+            if time.monotonic() > deadline + self._stalled_s:
+                self.results.violations.append(f"{what} took more than {timeout_s} s")
                 return
             await asyncio.sleep(0.1)
 
@@ -206,7 +216,7 @@
 
 
 async def _status(address: str, path: str) -> int:
-    """Return the status of a request on a connection of its own, 0 for no answer."""
+    """Return the status of a request on a new connection, 0 without a response."""
     headers = [(b"host", b"a.example"), (b"request-id", b"probe")]
     try:
         async with asyncio.timeout(2.0):
@@ -215,38 +225,42 @@
         return 0
 
 
-def play(seed: int, keep: Path | None = None) -> list[str]:
-    """Play one seed; return its violations.
+def run_seed(seed: int, keep_folder: Path | None = None) -> list[str]:
+    """Run the soak with one seed; return its violations.
 
-    :param seed: decides on faults and requests
-    :param keep: folder in which logs and ledgers stay
+    :param seed: seed of faults and requests
+    :param keep_folder: folder in which logs and ledgers are kept
     """
     with tempfile.TemporaryDirectory(prefix="briardock-soak-") as temporary:
-        folder = keep or Path(temporary)
-        # Ledgers are appended to, and the ids of a seed are always the same.
+        folder = keep_folder or Path(temporary)
+        # Removes old ledgers: new lines would be appended, and a seed repeats its ids.
         for path in folder.glob("*.ledger"):
             path.unlink()
         soak = Soak(seed, folder)
-        uvloop.run(soak.play())
-        if soak.record.violations:
-            soak.record.violations += soak.faults.journal
-        answered = sum(1 for one in soak.record.told if one.status == 200)
-        print(f"seed {seed}: {answered} of {len(soak.record.told)} requests served")
-        return soak.record.violations
+        uvloop.run(soak.run())
+        if soak.results.violations:
+            soak.results.violations += soak.faults.fault_log
+        served = sum(1 for outcome in soak.results.outcomes if outcome.status == 200)
+        print(f"seed {seed}: {served} of {len(soak.results.outcomes)} requests served")
+        return soak.results.violations
 
 
 def main() -> int:
-    """Play seeds from the command line; return 1 after a violation."""
-    parser = argparse.ArgumentParser(description="Fault soak of the mesh.")
-    parser.add_argument("--seeds", nargs=2, type=int, default=[1, 3], help="from, to")
-    parser.add_argument("--keep", type=Path, help="folder for logs of failed seeds")
+    """Run seeds given on the command line; return 1 if any has a violation."""
+    parser = argparse.ArgumentParser(description="Soak test of the mesh under faults.")
+    parser.add_argument(
+        "--seeds", nargs=2, type=int, default=[1, 3], help="first and last seed"
+    )
+    parser.add_argument(
+        "--keep", type=Path, help="folder in which logs and ledgers are kept"
+    )
     options = parser.parse_args()
     failed = 0
     for seed in range(options.seeds[0], options.seeds[1] + 1):
         folder = options.keep / str(seed) if options.keep else None
         if folder is not None:
             folder.mkdir(parents=True, exist_ok=True)
-        violations = play(seed, folder)
+        violations = run_seed(seed, folder)
         failed += bool(violations)
         for text in violations:
             print(f"  {text}")
--- a/tests/soak_faults.py
+++ b/tests/soak_faults.py
@@ -1,4 +1,4 @@
-"""Faults of a soak, from outside of the processes."""
+"""Fault injection for the soak, from outside the processes."""
 
 import asyncio
 import json
@@ -12,7 +12,7 @@
 from mesh_fakes import send
 from soak_machines import Machine, SoakFleet
 
-FAULTS_S = 8.0
+FAULT_PHASE_S = 8.0
 FAULT_COUNT = 8
 KINDS = (
     "node killed",
@@ -27,37 +27,39 @@
     "store frozen",
     "publish",
 )
-# Kinds after which requests of a machine are not held back.
-UNDISTURBING = ("store link", "store frozen", "publish", "target drained")
-# Settings of a link: mode of the relay and delay, ms.
+# Kinds that do not delay requests to a machine beyond the limits.
+KINDS_WITHOUT_DELAYS = ("store link", "store frozen", "publish", "target drained")
+# Faults of a link: relay mode and delay, ms.
 LINK_FAULTS = (("open", 300), ("refuse", 0), ("black-hole", 0))
 
 
 class Faults:
-    """Strikes a fleet in series that overlap.
+    """Injects overlapping faults into a fleet.
 
     :param fleet: processes
-    :param rng: decides on kinds, times and places
+    :param rng: random source of kinds, times and machines
     """
 
     def __init__(self, fleet: SoakFleet, rng: random.Random) -> None:
         self._fleet = fleet
         self._rng = rng
-        self._heal: list[Callable[[], Awaitable[None]]] = []
+        self._restore_actions: list[Callable[[], Awaitable[None]]] = []
         self._tasks: list[asyncio.Task[None]] = []
-        self.journal: list[str] = []
+        self.fault_log: list[str] = []
 
-    async def _set_path(self, source: str, to: str, mode: str, delay_ms: int) -> None:
+    async def _set_path(
+        self, source: str, destination: str, mode: str, delay_ms: int
+    ) -> None:
         body = {
             "source": source,
-            "destination": to,
+            "destination": destination,
             "mode": mode,
             "delay_ms": delay_ms,
             "both_ways": False,
         }
         await send(self._fleet.relay_control, "/paths", json.dumps(body).encode())
 
-    async def _disturb_link(self, name: str) -> None:
+    async def _inject_link_fault(self, name: str) -> None:
         mode, delay_ms = self._rng.choice(LINK_FAULTS)
         pairs = self._rng.choice(
             [[("nodes", name)], [(name, "nodes")], [("nodes", name), (name, "nodes")]]
@@ -65,18 +67,18 @@
         for source, destination in pairs:
             await self._set_path(source, destination, mode, delay_ms)
 
-        async def heal() -> None:
+        async def restore() -> None:
             for source, destination in pairs:
                 await self._set_path(source, destination, "open", 0)
 
-        self._heal.append(heal)
+        self._restore_actions.append(restore)
 
-    async def _strike(self, kind: str, machine: Machine) -> None:
-        """Apply one fault; what does not end by itself is healed at the end."""
+    async def _inject_fault(self, kind: str, machine: Machine) -> None:
+        """Inject one fault; those that last are undone at the end of the run."""
         node, target = machine.processes["node"], machine.processes["target"]
-        self.journal.append(f"{time.time():.2f} {kind} {machine.name}")
-        if kind not in UNDISTURBING:
-            machine.disturbed.append(time.time())
+        self.fault_log.append(f"{time.time():.2f} {kind} {machine.name}")
+        if kind not in KINDS_WITHOUT_DELAYS:
+            machine.fault_times.append(time.time())
         match kind:
             case "node killed":
                 node.kill()
@@ -97,9 +99,9 @@
                 if node.is_running():
                     os.kill(node.pid, signal.SIGHUP)
             case "target link":
-                await self._disturb_link(machine.name)
+                await self._inject_link_fault(machine.name)
             case "store link":
-                await self._disturb_link("store")
+                await self._inject_link_fault("store")
             case "store frozen":
                 await self._freeze(self._fleet.programs["store"])
             case "publish":
@@ -111,25 +113,29 @@
         async def resume() -> None:
             process.resume()
 
-        await self._later(self._rng.uniform(0.5, 3.0), resume)
+        await self._schedule(self._rng.uniform(0.5, 3.0), resume)
 
-    async def _later(self, delay_s: float, work: Callable[[], Awaitable[None]]) -> None:
+    async def _schedule(
+        self, delay_s: float, work: Callable[[], Awaitable[None]]
+    ) -> None:
         async def run() -> None:
             await asyncio.sleep(delay_s)
             await work()
 
         self._tasks.append(asyncio.get_running_loop().create_task(run()))
 
-    async def play(self) -> None:
-        """Play all faults and heal what does not end by itself."""
-        times = sorted(self._rng.uniform(0.0, FAULTS_S) for _ in range(FAULT_COUNT))
+    async def inject(self) -> None:
+        """Inject all faults, then undo those that do not end by themselves."""
+        times = sorted(
+            self._rng.uniform(0.0, FAULT_PHASE_S) for _ in range(FAULT_COUNT)
+        )
         started = time.monotonic()
         for at_s in times:
             await asyncio.sleep(max(0.0, started + at_s - time.monotonic()))
-            await self._strike(
+            await self._inject_fault(
                 self._rng.choice(KINDS), self._rng.choice(self._fleet.machines)
             )
         await asyncio.gather(*self._tasks)
-        for heal in self._heal:
-            await heal()
-        self.journal.append(f"{time.time():.2f} healed")
+        for restore in self._restore_actions:
+            await restore()
+        self.fault_log.append(f"{time.time():.2f} faults undone")
--- a/tests/soak_machines.py
+++ b/tests/soak_machines.py
@@ -1,4 +1,4 @@
-"""Machines of a fault soak: addresses, settings files and processes."""
+"""Machines of the soak: addresses, settings files and processes."""
 
 import json
 import os
@@ -30,9 +30,9 @@
     link_address: str
     grace_s: float = 6.0
     processes: dict[str, ManagedProcess] = field(default_factory=dict)
-    starts: int = 0
-    # Times at which its node or its link to the target was disturbed.
-    disturbed: list[float] = field(default_factory=list)
+    start_count: int = 0
+    # Times of faults that may delay its requests.
+    fault_times: list[float] = field(default_factory=list)
 
     @property
     def caller_address(self) -> str:
@@ -68,9 +68,9 @@
 budget-slack = 49
 """
 
-    def was_disturbed(self, at: float) -> bool:
-        """Return whether a disturbance may reach a moment."""
-        return any(-1.0 < at - when < 8.0 for when in self.disturbed)
+    def may_be_affected_at(self, at: float) -> bool:
+        """Return whether a fault may delay a request at a time."""
+        return any(-1.0 < at - when < 8.0 for when in self.fault_times)
 
 
 class SoakFleet:
@@ -111,9 +111,9 @@
         """Start the node of a machine."""
         path = self.folder / f"{machine.name}.toml"
         path.write_text(machine.settings(self.store_link))
-        machine.starts += 1
+        machine.start_count += 1
         machine.processes["node"] = self._start(
-            f"{machine.name}-node{machine.starts}",
+            f"{machine.name}-node{machine.start_count}",
             str(ROOT / "deploy/run_node.py"),
             f"--settings={path}",
         )
@@ -164,7 +164,7 @@
             self.start_node(machine)
 
     def stop(self) -> None:
-        """End all processes that this soak started."""
+        """Kill all processes that this soak started."""
         for process in self._all_processes():
             process.kill()
         self._ports.release()
@@ -174,7 +174,7 @@
         return [*found, *self.programs.values()]
 
     def restart_ended(self) -> list[str]:
-        """Start what has ended, as the platform does; return what ended by itself."""
+        """Restart exited processes, as the platform does; return node failures."""
         found = []
         for machine in self.machines:
             for kind, process in list(machine.processes.items()):
@@ -185,13 +185,13 @@
                     self.start_target(machine)
                     continue
                 if code not in (0, -signal.SIGKILL):
-                    text = f"{machine.name}: node ended with {code}"
+                    text = f"{machine.name}: node exited with code {code}"
                     found.append(f"{text}: {process.tail()[-300:]}")
                 self.start_node(machine)
         return found
 
     async def publish(self) -> None:
-        """Publish a configuration with one route of its own version."""
+        """Publish a configuration with a route that only this version has."""
         self.version += 1
         routes = [
             route("jobs", "/jobs/", timeout="1200ms"),
--- a/tests/soak_programs.py
+++ b/tests/soak_programs.py
@@ -1,10 +1,10 @@
-"""Store and target that a fault soak runs as processes of their own.
+"""Store and target programs of the soak, each run as a separate process.
 
     soak_programs.py store HOST:PORT
     soak_programs.py target PLAN.json
 
-A target appends one JSON line to its ledger for each run that begins or ends and
-for the acknowledgement of its departure.
+A target appends a JSON line to its ledger when a run starts or ends, and when its
+departure is acknowledged.
 """
 
 import asyncio
@@ -25,10 +25,10 @@
 from mesh_fakes import FakeStore, quiet_log, send
 
 HEARTBEAT_PERIOD_S = 0.5
-# Time for which a leaving target serves on after the acknowledgement, s.
+# Time for which a leaving target keeps serving after the acknowledgement, s.
 DRAIN_S = 2.0
-# Time after which a target ends though nobody acknowledged its departure, s.
-UNACKNOWLEDGED_END_S = 4.0
+# Time after which a target exits without an acknowledgement of its departure, s.
+UNACKNOWLEDGED_EXIT_S = 4.0
 RUN_RANGE_S = (0.05, 0.25)
 SLOTS = 16
 CHAIN_PATH = "/jobs/chain/"
@@ -36,23 +36,23 @@
 
 
 class TargetPlan(msgspec.Struct):
-    """What one target needs to know.
+    """Parameters of one target process.
 
     :param name: name of its machine
     :param service: its service
-    :param listens_on: own address
-    :param announced: address that the node is told, a link of the relay
-    :param announce_to: address of the node for announcements
-    :param calls_through: address of the node for calls
+    :param listen_address: address on which it listens
+    :param advertised_address: address that it announces, a link of the relay
+    :param announce_address: announcement address of its node
+    :param call_address: caller address of its node
     :param ledger: path of its ledger
     """
 
     name: str
     service: str
-    listens_on: str
-    announced: str
-    announce_to: str
-    calls_through: str
+    listen_address: str
+    advertised_address: str
+    announce_address: str
+    call_address: str
     ledger: str
 
 
@@ -68,46 +68,50 @@
         self._sequence = 0
         self._leaving = asyncio.Event()
 
-    def _record(self, event: str, **fields: object) -> None:
+    def _append_to_ledger(self, event: str, **fields: object) -> None:
         line = {"at": time.time(), "event": event, "target": self._target_id, **fields}
         os.write(self._ledger, json.dumps(line).encode() + b"\n")
 
     async def handle(self, request: Request) -> Response:
         headers = dict(request.headers)
-        ident = headers.get(b"request-id", b"").decode()
-        own = [(b"request-id", ident.encode())]
+        request_id = headers.get(b"request-id", b"").decode()
+        response_headers = [(b"request-id", request_id.encode())]
         if headers.get(b"expected-instance", b"").decode() != self._target_id:
-            return Response(421, [*own, (b"not-executed", b"1")])
+            return Response(421, [*response_headers, (b"not-executed", b"1")])
         if self._running >= SLOTS:
-            return Response(503, [*own, (b"not-executed", b"1")])
+            return Response(503, [*response_headers, (b"not-executed", b"1")])
         caller = headers.get(b"caller-service", b"").decode()
         path = request.target.decode()
-        self._record("run", id=ident, path=path, caller=caller)
+        self._append_to_ledger("run", id=request_id, path=path, caller=caller)
         self._running += 1
         try:
             await asyncio.sleep(random.uniform(*RUN_RANGE_S))
-            status = await self._call(ident) if path.startswith(CHAIN_PATH) else 200
+            status = (
+                await self._call(request_id) if path.startswith(CHAIN_PATH) else 200
+            )
         finally:
             self._running -= 1
-        self._record("end", id=ident)
-        signed = [*own, (b"response-signature", b"s")]
-        return Response(status, signed, f"ran {ident} {len(request.body)}".encode())
+        self._append_to_ledger("end", id=request_id)
+        signed_headers = [*response_headers, (b"response-signature", b"s")]
+        return Response(
+            status, signed_headers, f"ran {request_id} {len(request.body)}".encode()
+        )
 
     async def _call(self, parent: str) -> int:
         headers = [(b"host", b"a.example"), (b"deadline-ms", b"1000")]
         headers.append((b"request-id", f"{parent}.call".encode()))
         try:
-            found = await send(self._plan.calls_through, CALLED_PATH, b"", headers)
+            response = await send(self._plan.call_address, CALLED_PATH, b"", headers)
         except OSError:
             return 500
-        return 200 if found.status == 200 else 500
+        return 200 if response.status == 200 else 500
 
     async def _announce(self, call: str) -> bool:
         state = "draining" if self._leaving.is_set() else "ready"
         self._sequence += 1
         body = {
             "service": self._plan.service,
-            "address": self._plan.announced,
+            "address": self._plan.advertised_address,
             "zone": "z",
             "version": "v1",
             "slots": SLOTS,
@@ -119,18 +123,18 @@
         path = f"/instances/{self._target_id}/{call}"
         try:
             async with asyncio.timeout(1.0):
-                found = await send(
-                    self._plan.announce_to, path, json.dumps(body).encode()
+                response = await send(
+                    self._plan.announce_address, path, json.dumps(body).encode()
                 )
         except (OSError, TimeoutError):
             return False
-        return found.status == 200
+        return response.status == 200
 
     async def run(self) -> None:
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self._leaving.set)
         server = HttpServer(self.handle, CallerLimits(), quiet_log())
-        await server.start(*split_address(self._plan.listens_on))
+        await server.start(*split_address(self._plan.listen_address))
         while not self._leaving.is_set():
             await self._announce("heartbeat")
             try:
@@ -138,25 +142,25 @@
                     await self._leaving.wait()
             except TimeoutError:
                 continue
-        give_up_s = time.monotonic() + UNACKNOWLEDGED_END_S
+        deadline_s = time.monotonic() + UNACKNOWLEDGED_EXIT_S
         while not await self._announce("heartbeat"):
-            if time.monotonic() > give_up_s:
+            if time.monotonic() > deadline_s:
                 return
             await asyncio.sleep(0.1)
-        self._record("left")
+        self._append_to_ledger("left")
         await asyncio.sleep(DRAIN_S)
         await self._announce("deregister")
 
 
 async def serve_store(address: str) -> None:
-    """Serve an empty store for ever."""
+    """Serve an initially empty store until killed."""
     store = FakeStore(address)
     await store.server.start(*split_address(address))
     await asyncio.Event().wait()
 
 
 def main() -> None:
-    """Run the program that the arguments name."""
+    """Run the program selected on the command line."""
     kind, argument = sys.argv[1:3]
     if kind == "store":
         uvloop.run(serve_store(argument))
