--- a/tests/soak_faults.py
+++ b/tests/soak_faults.py
@@ -47,12 +47,10 @@
         self._tasks: list[asyncio.Task[None]] = []
         self.fault_log: list[str] = []
 
-    async def _set_path(
-        self, source: str, destination: str, mode: str, delay_ms: int
-    ) -> None:
+    async def _set_path(self, source: str, to: str, mode: str, delay_ms: int) -> None:
         body = {
             "source": source,
-            "destination": destination,
+            "destination": to,
             "mode": mode,
             "delay_ms": delay_ms,
             "both_ways": False,
