--- a/src/briardock/actions.py
+++ b/src/briardock/actions.py
@@ -33,7 +33,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Begun:
+class Started:
     """The caller of ``begin`` runs the action and must call ``finish``."""
 
     action: Action
@@ -53,7 +53,7 @@
     outcome: Outcome
 
 
-Beginning = Begun | InProgress | Finished
+BeginResult = Started | InProgress | Finished
 
 
 class ActionTable:
@@ -89,7 +89,7 @@
 
     def begin(
         self, key: str, digest: str, budget: RetryBudget, expires_at_ms: float
-    ) -> Beginning:
+    ) -> BeginResult:
         """Register a request and say whether to run, to wait or to answer at once.
 
         A resend after ``NotRun`` runs again if the action's budget allows it.
@@ -157,23 +157,23 @@
 
     def _add(
         self, key: str, digest: str, budget: RetryBudget, expires_at_ms: float
-    ) -> Beginning:
+    ) -> BeginResult:
         if len(self._records) >= self._max_records:
             self.expire()
         if len(self._records) >= self._max_records:
             return Finished(NotRun(Reason.OVERLOADED, "the action table is full"))
         action = Action(key, digest, budget, expires_at_ms)
         self._records[key] = action
-        return Begun(action)
+        return Started(action)
 
-    def _restart(self, action: Action) -> Beginning:
+    def _restart(self, action: Action) -> BeginResult:
         if not action.budget.spend():
             return Finished(
                 NotRun(Reason.BUDGET_SPENT, "the retries of the action are used up")
             )
         action.outcome = None
         action.finished = anyio.Event()
-        return Begun(action)
+        return Started(action)
 
     def _hold(self, key: str, size_bytes: int) -> None:
         self._bodies[key] = size_bytes
--- a/src/briardock/dispatch.py
+++ b/src/briardock/dispatch.py
@@ -1,4 +1,4 @@
-"""Issuer side of a call: choose an instance, send, then retry or report."""
+"""Outbound side of a call: choose an instance, send, then retry or return."""
 
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
@@ -14,8 +14,8 @@
 from briardock.refusals import ChainLevels
 from briardock.routing import Instance, Observation, ObservationKind, Router
 
-# Refusals that say nothing about load: the instance was the wrong place to ask.
-# They reach no target, so they are bounded per call and not charged as retries.
+# Refusals that are unrelated to load: the instance cannot serve the call at all.
+# They add no load to a target, so they are limited per call and use no retries.
 REROUTE_REASONS = frozenset(
     {
         Reason.LEAVING,
@@ -26,14 +26,14 @@
 )
 MAX_REROUTES = 3
 
-RETRY_REASONS = REROUTE_REASONS | {Reason.OVERLOADED, Reason.TARGET_REFUSED}
+RETRYABLE_REASONS = REROUTE_REASONS | {Reason.OVERLOADED, Reason.TARGET_REFUSED}
 
 LocalHandler = Callable[[Call], Awaitable[Answer]]
 
 
 @dataclass(slots=True)
 class Dispatch:
-    """One call as its issuer sees it.
+    """One call as seen by the node that sends it.
 
     :param key: key in text form
     :param operation: full name of the operation
@@ -42,12 +42,12 @@
     :param path: path with query below the service
     :param headers: end-to-end headers
     :param body: request body
-    :param level: admission level
-    :param once: whether this call and all its ancestors run at most once
-    :param deadline_at_ms: deadline on the issuer's clock
+    :param priority: priority for admission; lower is more important
+    :param at_most_once: whether this call and all its ancestors run at most once
+    :param deadline_at_ms: deadline on this node's clock
     :param budget: retries left for this call and its children
     :param fingerprint: digest of operation, path and body
-    :param has_calls: whether the operation calls others and can use retries
+    :param has_calls: whether the operation makes child calls, which can use retries
     """
 
     key: str
@@ -57,8 +57,8 @@
     path: str
     headers: Headers
     body: bytes
-    level: int
-    once: bool
+    priority: int
+    at_most_once: bool
     deadline_at_ms: float
     budget: RetryBudget
     fingerprint: str
@@ -66,18 +66,18 @@
 
 
 class Dispatcher:
-    """Runs calls on instances and decides about retries.
+    """Sends calls to instances and decides on retries.
 
-    :param node_id: id of this node; its own target is called without a link
+    :param node_id: id of this node; the local target is called without a link
     :param incarnation: incarnation of this process
     :param clock: monotonic clock
     :param router: chooses instances
     :param directory: tracks the services that are called
     :param links: links to other nodes
-    :param local: inbound side of this node
-    :param ratio: bound on the retries of this node
-    :param levels: thresholds learned from answers
-    :param quarantine: requests that kill their targets
+    :param local_handler: handles calls to the local target
+    :param retry_ratio: limit on the retries of this node
+    :param chain_thresholds: admission thresholds learned from responses
+    :param quarantine: requests that crash their targets
     :param metrics: counters
     """
 
@@ -89,9 +89,9 @@
         router: Router,
         directory: Directory,
         links: PeerLinks,
-        local: LocalHandler,
-        ratio: RetryRatio,
-        levels: ChainLevels,
+        local_handler: LocalHandler,
+        retry_ratio: RetryRatio,
+        chain_thresholds: ChainLevels,
         quarantine: Quarantine,
         metrics: Metrics,
     ) -> None:
@@ -101,21 +101,21 @@
         self._router = router
         self._directory = directory
         self._links = links
-        self._local = local
-        self._ratio = ratio
-        self._levels = levels
+        self._local_handler = local_handler
+        self._retry_ratio = retry_ratio
+        self._chain_thresholds = chain_thresholds
         self._quarantine = quarantine
         self._metrics = metrics
 
     async def run(self, call: Dispatch) -> Outcome:
         """Run a call to its outcome.
 
-        ``NotRun`` is returned only if every attempt ended in a refusal before its
-        target or was never sent.
+        ``NotRun`` is returned only if every attempt was refused before it reached
+        a target or was never sent.
 
-        :param call: the call; its budget is drawn from
+        :param call: the call; retries are taken from its budget
         """
-        self._ratio.record_first()
+        self._retry_ratio.record_first()
         tried: set[str] = set()
         reroutes = 0
         lost: Unknown | None = None
@@ -123,8 +123,8 @@
         while True:
             outcome = await self._attempt(call, tried)
             if refused is not None and _has_no_instance(outcome):
-                # Every instance was tried, so the last refusal is the reason.
-                return self._report(refused, lost)
+                # Every instance was tried; return the last refusal.
+                return self._final_outcome(refused, lost)
             match outcome:
                 case Completed():
                     return outcome
@@ -132,33 +132,33 @@
                     lost = outcome
                 case NotRun():
                     refused = outcome
-            if not self._may_repeat(call, outcome):
-                return self._report(outcome, lost)
+            if not self._may_retry(call, outcome):
+                return self._final_outcome(outcome, lost)
             if isinstance(outcome, NotRun) and outcome.reason in REROUTE_REASONS:
                 reroutes += 1
                 if reroutes > MAX_REROUTES:
-                    return self._report(outcome, lost)
+                    return self._final_outcome(outcome, lost)
                 self._metrics.count("dispatch.reroutes")
-            elif not self._take_retry(call):
-                return self._report(outcome, lost)
+            elif not self._acquire_retry(call):
+                return self._final_outcome(outcome, lost)
 
-    def _report(self, outcome: Outcome, lost: Unknown | None) -> Outcome:
-        # An earlier attempt may have run, so a later refusal is no "not run".
+    def _final_outcome(self, outcome: Outcome, lost: Unknown | None) -> Outcome:
+        # An earlier attempt may have run, so a later refusal must not return NotRun.
         return lost if lost is not None else outcome
 
-    def _may_repeat(self, call: Dispatch, outcome: Outcome) -> bool:
+    def _may_retry(self, call: Dispatch, outcome: Outcome) -> bool:
         if self._clock.now_ms() >= call.deadline_at_ms:
             return False
         match outcome:
             case NotRun(reason=reason):
-                return reason in RETRY_REASONS
+                return reason in RETRYABLE_REASONS
             case Unknown(reason=reason):
-                return not call.once and reason is not Reason.DEADLINE_EXCEEDED
+                return not call.at_most_once and reason is not Reason.DEADLINE_EXCEEDED
             case _:
                 return False
 
-    def _take_retry(self, call: Dispatch) -> bool:
-        if call.budget.left == 0 or not self._ratio.allow_retry():
+    def _acquire_retry(self, call: Dispatch) -> bool:
+        if call.budget.left == 0 or not self._retry_ratio.allow_retry():
             return False
         if not call.budget.spend():
             return False
@@ -169,8 +169,10 @@
         if self._quarantine.refuses(call.fingerprint):
             return NotRun(Reason.QUARANTINED, f"fingerprint {call.fingerprint}")
         self._directory.use(call.service)
-        if not self._router.admits(call.service, call.level):
-            return NotRun(Reason.OVERLOADED, f"{call.service} sheds this level")
+        if not self._router.admits(call.service, call.priority):
+            return NotRun(
+                Reason.OVERLOADED, f"{call.service} refuses calls of this priority"
+            )
         choice = self._router.choose(call.service, tried)
         if isinstance(choice, NotRun):
             return choice
@@ -179,52 +181,55 @@
         return await self._send(call, instance)
 
     async def _send(self, call: Dispatch, instance: Instance) -> Outcome:
-        # A paused process may resume here long after it was given the call.
+        # The process may have been paused after it received the call.
         started_ms = self._clock.now_ms()
         if started_ms >= call.deadline_at_ms:
-            return NotRun(Reason.DEADLINE_EXCEEDED, "the deadline passed first")
-        share = self._delegate(call)
-        message = self._message(call, instance, share, started_ms)
+            return NotRun(
+                Reason.DEADLINE_EXCEEDED, "the deadline passed before the call was sent"
+            )
+        delegated = self._delegate_retries(call)
+        message = self._make_message(call, instance, delegated, started_ms)
         self._metrics.count("dispatch.attempts")
         self._router.started(instance.node_id)
-        answer: Answer | LinkFailure = LinkFailure(True, "cancelled")
+        response: Answer | LinkFailure = LinkFailure(True, "cancelled")
         try:
             if instance.node_id == self._node_id:
-                answer = await self._local(message)
+                response = await self._local_handler(message)
             else:
-                answer = await self._links.call(
-                    _address_of(instance), message, call.deadline_at_ms
+                response = await self._links.call(
+                    _peer_address(instance), message, call.deadline_at_ms
                 )
         finally:
-            outcome = self._outcome_of(answer)
-            self._observe(instance, answer, outcome, started_ms)
-        match answer:
+            outcome = self._outcome_from(response)
+            self._observe(instance, response, outcome, started_ms)
+        match response:
             case Answer(retries_left=left):
-                call.budget.give_back(min(left, share))
-                self._levels.learn(call.operation, answer.chain_level)
+                call.budget.give_back(min(left, delegated))
+                self._chain_thresholds.learn(call.operation, response.chain_level)
             case LinkFailure(sent=False):
-                call.budget.give_back(share)
+                call.budget.give_back(delegated)
         return outcome
 
-    def _delegate(self, call: Dispatch) -> int:
-        """Return the retries that go with a call.
+    def _delegate_retries(self, call: Dispatch) -> int:
+        """Return the number of retries to delegate with a call.
 
-        A lost answer takes them along. A repeatable call keeps one here, so that it
-        can still be retried elsewhere; a call without children needs none.
+        They are lost with a lost response. An idempotent call keeps one here, so
+        that it can still be retried on another instance. A call without child
+        calls needs none.
         """
         if not call.has_calls:
             return 0
-        share = call.budget.delegate()
-        if share and not call.once:
+        delegated = call.budget.delegate()
+        if delegated and not call.at_most_once:
             call.budget.give_back(1)
-            share -= 1
-        return share
+            delegated -= 1
+        return delegated
 
-    def _message(
+    def _make_message(
         self,
         call: Dispatch,
         instance: Instance,
-        share: int,
+        delegated: int,
         started_ms: float,
     ) -> Call:
         return Call(
@@ -236,37 +241,37 @@
             call.path,
             list(call.headers),
             call.body,
-            call.level,
-            call.once,
+            call.priority,
+            call.at_most_once,
             call.deadline_at_ms - started_ms,
             started_ms,
-            share,
+            delegated,
             call.fingerprint,
         )
 
-    def _outcome_of(self, answer: Answer | LinkFailure) -> Outcome:
-        match answer:
+    def _outcome_from(self, response: Answer | LinkFailure) -> Outcome:
+        match response:
             case LinkFailure(sent=False, detail=detail):
                 return NotRun(Reason.PEER_UNREACHABLE, detail)
             case LinkFailure(detail=detail):
                 return Unknown(Reason.ANSWER_LOST, detail)
             case _:
-                return outcome_of(answer)
+                return outcome_from_answer(response)
 
     def _observe(
         self,
         instance: Instance,
-        answer: Answer | LinkFailure,
+        response: Answer | LinkFailure,
         outcome: Outcome,
         started_ms: float,
     ) -> None:
         latency_ms = self._clock.now_ms() - started_ms
-        load, level = 0.0, None
-        if isinstance(answer, Answer):
-            load, level = answer.load, answer.refusal_level
+        load, threshold = 0.0, None
+        if isinstance(response, Answer):
+            load, threshold = response.load, response.refusal_level
         self._router.observe(
             instance.node_id,
-            Observation(_kind_of(outcome), latency_ms, load, level),
+            Observation(_observation_kind(outcome), latency_ms, load, threshold),
         )
 
 
@@ -274,23 +279,23 @@
     return isinstance(outcome, NotRun) and outcome.reason is Reason.NO_INSTANCE
 
 
-def outcome_of(answer: Answer) -> Outcome:
-    """Return the outcome that an answer carries.
+def outcome_from_answer(response: Answer) -> Outcome:
+    """Return the outcome that a response message carries.
 
-    :param answer: answer of an inbound node or an issuer
+    :param response: response of an inbound node or an issuer
     """
-    match answer.outcome:
+    match response.outcome:
         case "completed":
-            headers = tuple((name, value) for name, value in answer.headers)
-            return Completed(answer.status, headers, answer.body)
+            headers = tuple((name, value) for name, value in response.headers)
+            return Completed(response.status, headers, response.body)
         case "not-run":
-            return NotRun(_reason_of(answer.reason), answer.detail)
+            return NotRun(_parse_reason(response.reason), response.detail)
         case _:
-            return Unknown(_reason_of(answer.reason), answer.detail)
+            return Unknown(_parse_reason(response.reason), response.detail)
 
 
-def answer_of(outcome: Outcome, call_id: int = 0) -> Answer:
-    """Return an answer that carries an outcome.
+def answer_from_outcome(outcome: Outcome, call_id: int = 0) -> Answer:
+    """Return a response message that carries an outcome.
 
     :param outcome: outcome to send
     :param call_id: id of the call on its link
@@ -304,14 +309,14 @@
             return Answer(call_id, "unknown", reason=reason.value, detail=detail)
 
 
-def _reason_of(text: str) -> Reason:
+def _parse_reason(text: str) -> Reason:
     try:
         return Reason(text)
     except ValueError:
         return Reason.INTERNAL
 
 
-def _kind_of(outcome: Outcome) -> ObservationKind:
+def _observation_kind(outcome: Outcome) -> ObservationKind:
     match outcome:
         case Completed():
             return ObservationKind.OK
@@ -323,7 +328,7 @@
             return ObservationKind.LOST
 
 
-def _address_of(instance: Instance) -> PeerAddress:
+def _peer_address(instance: Instance) -> PeerAddress:
     return PeerAddress(
         instance.node_id, instance.incarnation, instance.host, instance.port
     )
--- a/src/briardock/entry.py
+++ b/src/briardock/entry.py
@@ -1,4 +1,4 @@
-"""Entry of calls: requests of callers, of the target beside this node, forwards."""
+"""Entry point for requests from callers, the local target and other nodes."""
 
 import itertools
 import math
@@ -8,12 +8,17 @@
 import msgspec
 
 from briardock._reading import CallRequest, make_request_reader
-from briardock.actions import Action, ActionTable, Begun, Finished, InProgress
+from briardock.actions import Action, ActionTable, Finished, InProgress, Started
 from briardock.admission import admission_level
 from briardock.budget import RetryBudget, make_budget
 from briardock.clock import Clock
 from briardock.configuration import Catalog, Operation
-from briardock.dispatch import Dispatch, Dispatcher, answer_of, outcome_of
+from briardock.dispatch import (
+    Dispatch,
+    Dispatcher,
+    answer_from_outcome,
+    outcome_from_answer,
+)
 from briardock.drain import Drain
 from briardock.inbound import (
     CONTEXT_HEADER,
@@ -43,17 +48,17 @@
 
 
 class Entry:
-    """Turns requests into calls with a key, a level, a deadline and a budget.
+    """Turns requests into calls with a key, priority, deadline and retry budget.
 
     :param clock: monotonic clock
     :param catalog: returns the configuration in force, ``None`` before the first
     :param issuer: issues and verifies keys
-    :param actions: records of actions of this issuer
+    :param actions: action records of this issuer
     :param dispatcher: runs calls
     :param inbound: inbound side of this node, for child calls
     :param links: links to other nodes, for forwards
     :param find_issuer: returns the address of an issuer by id and incarnation
-    :param levels: thresholds learned from answers
+    :param chain_thresholds: admission thresholds learned from responses
     :param drain: drain state of this node
     :param metrics: counters
     """
@@ -68,12 +73,12 @@
         inbound: Inbound,
         links: PeerLinks,
         find_issuer: FindIssuer,
-        levels: ChainLevels,
+        chain_thresholds: ChainLevels,
         drain: Drain,
         metrics: Metrics,
     ) -> None:
         self.in_flight = 0
-        self.forwarded_at_ms = float("-inf")
+        self.last_forward_at_ms = float("-inf")
         self._clock = clock
         self._reader = make_request_reader(clock, catalog)
         self._issuer = issuer
@@ -82,13 +87,13 @@
         self._inbound = inbound
         self._links = links
         self._find_issuer = find_issuer
-        self._levels = levels
+        self._chain_thresholds = chain_thresholds
         self._drain = drain
         self._metrics = metrics
         self._child_numbers = itertools.count(1)
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
-        """Answer one request of a caller or of the target beside this node.
+        """Handle one request from a caller or from the local target.
 
         :param request: whole HTTP request
         """
@@ -102,21 +107,21 @@
                 outcome, key = await self._handle_child(request, headers, context)
         finally:
             self.in_flight -= 1
-        self._count(outcome)
-        marked = ((ACTION_HEADER, key.encode()),) if key else ()
-        return outcome_response(outcome, marked)
+        self._count_outcome(outcome)
+        action_headers = ((ACTION_HEADER, key.encode()),) if key else ()
+        return outcome_response(outcome, action_headers)
 
     async def handle_forward(self, forward: Forward) -> Answer:
-        """Answer a request whose key was issued by this node.
+        """Handle a forwarded request whose key was issued by this node.
 
         :param forward: request received by another node
         """
         key = parse_key(forward.key)
         if isinstance(key, NotRun):
-            return answer_of(key, forward.call_id)
+            return answer_from_outcome(key, forward.call_id)
         found = self._reader.find(forward.service, forward.method, forward.path)
         if isinstance(found, NotRun):
-            return answer_of(self._refuse_keyed(found, key), forward.call_id)
+            return answer_from_outcome(self._refuse_keyed(found, key), forward.call_id)
         request = CallRequest(
             found,
             forward.method,
@@ -126,20 +131,20 @@
             self._clock.now_ms() + forward.remaining_ms,
         )
         self.in_flight += 1
-        self.forwarded_at_ms = self._clock.now_ms()
+        self.last_forward_at_ms = self._clock.now_ms()
         try:
-            outcome = await self._run_own(request, key)
+            outcome = await self._run_local(request, key)
         finally:
             self.in_flight -= 1
-        return answer_of(outcome, forward.call_id)
+        return answer_from_outcome(outcome, forward.call_id)
 
     def issue_keys(self, count: int) -> HttpResponse:
-        """Return new keys for callers.
+        """Issue new keys for callers.
 
-        :param count: how many, up to 1,000
+        :param count: number of keys, up to 1,000
         """
         if self._drain.refuses_new:
-            # The records of a leaving issuer end with its process.
+            # The action records of this issuer are lost when its process ends.
             return outcome_response(NotRun(Reason.LEAVING, "this node is leaving"))
         if not 1 <= count <= MAX_KEYS_PER_REQUEST:
             detail = f"count must be between 1 and {MAX_KEYS_PER_REQUEST}"
@@ -148,10 +153,10 @@
         body = {"keys": keys, "lifetime_s": self._issuer.lifetime_ms / 1000.0}
         return json_response(200, msgspec.json.encode(body))
 
-    def drop_children(self, running: RunningCall) -> None:
-        """Forget the child calls of a call that has ended.
+    def discard_child_actions(self, running: RunningCall) -> None:
+        """Discard the action records of the child calls of a call that has ended.
 
-        Their context is unknown from now on, so none can be sent again.
+        Its context is no longer accepted, so these child calls cannot be resent.
 
         :param running: the ended call
         """
@@ -161,19 +166,19 @@
     async def _handle_entry(
         self, request: HttpRequest, headers: dict[bytes, bytes]
     ) -> tuple[Outcome, str]:
-        key_text = headers.get(KEY_HEADER)
-        read = self._reader.read(request, headers, math.inf)
-        if key_text is not None:
-            shown = key_text.decode("latin-1")
-            return await self._handle_keyed(read, shown), shown
-        if isinstance(read, NotRun):
-            return read, ""
+        key_header = headers.get(KEY_HEADER)
+        parsed = self._reader.read(request, headers, math.inf)
+        if key_header is not None:
+            key_text = key_header.decode("latin-1")
+            return await self._handle_keyed(parsed, key_text), key_text
+        if isinstance(parsed, NotRun):
+            return parsed, ""
         key = str(self._issuer.issue())
-        if not read.operation.idempotent:
-            return NotRun(Reason.KEY_REQUIRED, read.operation.name), ""
-        level = admission_level(read.operation.class_rank, key)
-        budget = make_budget(read.operation.retries)
-        return await self._dispatch(read, key, level, budget), key
+        if not parsed.operation.idempotent:
+            return NotRun(Reason.KEY_REQUIRED, parsed.operation.name), ""
+        priority = admission_level(parsed.operation.class_rank, key)
+        budget = make_budget(parsed.operation.retries)
+        return await self._dispatch(parsed, key, priority, budget), key
 
     async def _handle_keyed(
         self, request: CallRequest | NotRun, key_text: str
@@ -184,14 +189,14 @@
         if isinstance(request, NotRun):
             return self._refuse_keyed(request, key)
         if key.node_id == self._issuer.node_id:
-            return await self._run_own(request, key)
+            return await self._run_local(request, key)
         return await self._forward(request, key)
 
     def _refuse_keyed(self, refusal: NotRun, key: ActionKey) -> Outcome:
-        """Refuse a request that cannot be read, for instance after a publish.
+        """Refuse a keyed request that is invalid, for instance after a publish.
 
-        An earlier request with the key may have run, and of a foreign key only its
-        issuer knows.
+        An earlier request with the key may have run. For a key issued elsewhere,
+        only its issuer knows.
         """
         if not self._issuer.is_own(key):
             return Unknown(refusal.reason, refusal.detail)
@@ -202,44 +207,44 @@
             return Unknown(refusal.reason, refusal.detail)
         return refusal
 
-    async def _run_own(self, request: CallRequest, key: ActionKey) -> Outcome:
+    async def _run_local(self, request: CallRequest, key: ActionKey) -> Outcome:
         verified = self._issuer.verify(key)
         if not isinstance(verified, ActionKey):
             return verified
-        level = admission_level(request.operation.class_rank, str(key))
+        priority = admission_level(request.operation.class_rank, str(key))
         budget = make_budget(request.operation.retries)
         expires_at_ms = self._issuer.expires_at_ms(key)
-        return await self._run_once(request, str(key), level, budget, expires_at_ms)
+        return await self._run_once(request, str(key), priority, budget, expires_at_ms)
 
     async def _run_once(
         self,
         request: CallRequest,
         key: str,
-        level: int,
+        priority: int,
         budget: RetryBudget,
         expires_at_ms: float,
     ) -> Outcome:
         digest = request_digest(request.operation.name, request.path, request.body)
-        beginning = self._actions.begin(key, digest, budget, expires_at_ms)
-        match beginning:
+        result = self._actions.begin(key, digest, budget, expires_at_ms)
+        match result:
             case Finished(outcome):
                 self._metrics.count("actions.resends_answered")
                 return outcome
             case InProgress(action):
                 self._metrics.count("actions.resends_waiting")
                 return await self._wait(action, request.deadline_at_ms)
-            case Begun(action):
-                return await self._run_begun(request, action, level)
+            case Started(action):
+                return await self._run_started(request, action, priority)
 
-    async def _run_begun(
-        self, request: CallRequest, action: Action, level: int
+    async def _run_started(
+        self, request: CallRequest, action: Action, priority: int
     ) -> Outcome:
-        outcome: Outcome = Unknown(Reason.INTERNAL, "the dispatch failed")
+        outcome: Outcome = Unknown(Reason.INTERNAL, "dispatch failed")
         try:
-            # The outcome must be recorded even if this caller has gone.
+            # The outcome must be recorded even if this caller disconnects.
             with anyio.CancelScope(shield=True):
                 outcome = await self._dispatch(
-                    request, action.key, level, action.budget
+                    request, action.key, priority, action.budget
                 )
         finally:
             self._actions.finish(action, outcome)
@@ -251,11 +256,11 @@
             with anyio.move_on_after(max(0.0, remaining_s)) as scope:
                 await action.finished.wait()
             if scope.cancelled_caught:
-                return Unknown(Reason.DEADLINE_EXCEEDED, "the action still runs")
+                return Unknown(Reason.DEADLINE_EXCEEDED, "the action is still running")
         return action.outcome
 
     async def _forward(self, request: CallRequest, key: ActionKey) -> Outcome:
-        # Whatever goes wrong here, an earlier request with this key may have run.
+        # Failures give Unknown: an earlier request with this key may have run.
         issuer = self._find_issuer(key.node_id, key.incarnation)
         if issuer is None:
             return Unknown(Reason.ISSUER_GONE, f"{key.node_id} is not a member")
@@ -270,32 +275,32 @@
             request.body,
             0.0,
         )
-        answer = await self._links.call(issuer, message, request.deadline_at_ms)
-        match answer:
+        response = await self._links.call(issuer, message, request.deadline_at_ms)
+        match response:
             case LinkFailure(detail=detail):
                 return Unknown(Reason.ISSUER_GONE, detail)
             case _:
-                return outcome_of(answer)
+                return outcome_from_answer(response)
 
     async def _handle_child(
         self, request: HttpRequest, headers: dict[bytes, bytes], context: bytes
     ) -> tuple[Outcome, str]:
         running = self._inbound.running.get(context.decode("latin-1"))
         limit_at_ms = math.inf if running is None else running.deadline_at_ms
-        read = self._reader.read(request, headers, limit_at_ms)
-        if isinstance(read, NotRun):
+        parsed = self._reader.read(request, headers, limit_at_ms)
+        if isinstance(parsed, NotRun):
             if running is not None and running.child_keys:
-                # An equal child call may have run before a publish.
-                return Unknown(read.reason, read.detail), ""
-            return read, ""
+                # An identical child call may have run before a publish.
+                return Unknown(parsed.reason, parsed.detail), ""
+            return parsed, ""
         if running is None:
-            return _unknown_context(read.operation), ""
-        key = self._child_key(running, read, headers)
+            return _unknown_context(parsed.operation), ""
+        key = self._child_key(running, parsed, headers)
         if isinstance(key, NotRun):
             return key, ""
         running.child_started(self._clock.now_ms())
         try:
-            outcome = await self._run_child(running, read, key)
+            outcome = await self._run_child(running, parsed, key)
         finally:
             running.child_finished(self._clock.now_ms())
         if isinstance(outcome, NotRun):
@@ -309,10 +314,13 @@
         if operation.idempotent:
             label = f"n{next(self._child_numbers)}"
         elif not running.call.once:
-            detail = f"{running.call.operation} calls {operation.name}"
+            detail = (
+                f"idempotent operation {running.call.operation} calls"
+                f" non-idempotent operation {operation.name}"
+            )
             return NotRun(Reason.REPEATABLE_PARENT, detail)
-        elif (own := headers.get(KEY_HEADER)) is not None:
-            label = own.decode("latin-1")
+        elif (key_header := headers.get(KEY_HEADER)) is not None:
+            label = key_header.decode("latin-1")
         else:
             label = request_digest(operation.name, request.path, request.body)
         return child_key(running.call.key, operation.name, label)
@@ -320,19 +328,21 @@
     async def _run_child(
         self, running: RunningCall, request: CallRequest, key: str
     ) -> Outcome:
-        level = running.call.level
+        priority = running.call.level
         if request.operation.idempotent:
-            return await self._dispatch(request, key, level, running.budget)
+            return await self._dispatch(request, key, priority, running.budget)
         running.child_keys.add(key)
-        return await self._run_once(request, key, level, running.budget, math.inf)
+        return await self._run_once(request, key, priority, running.budget, math.inf)
 
     async def _dispatch(
-        self, request: CallRequest, key: str, level: int, budget: RetryBudget
+        self, request: CallRequest, key: str, priority: int, budget: RetryBudget
     ) -> Outcome:
         operation = request.operation
-        if not self._levels.admits(operation.name, level):
+        if not self._chain_thresholds.admits(operation.name, priority):
             self._metrics.count("entry.refused_early")
-            return NotRun(Reason.OVERLOADED, f"{operation.name} sheds this level")
+            return NotRun(
+                Reason.OVERLOADED, f"{operation.name} refuses calls of this priority"
+            )
         return await self._dispatcher.run(
             Dispatch(
                 key,
@@ -342,7 +352,7 @@
                 request.path,
                 request.headers,
                 request.body,
-                level,
+                priority,
                 not operation.idempotent,
                 request.deadline_at_ms,
                 budget,
@@ -351,7 +361,7 @@
             )
         )
 
-    def _count(self, outcome: Outcome) -> None:
+    def _count_outcome(self, outcome: Outcome) -> None:
         match outcome:
             case Completed():
                 self._metrics.count("entry.completed")
@@ -365,5 +375,5 @@
     detail = "no request with this context is running"
     if operation.idempotent:
         return NotRun(Reason.UNKNOWN_CONTEXT, detail)
-    # An equal child call may have run before its parent ended.
+    # An identical child call may have run before its parent ended.
     return Unknown(Reason.UNKNOWN_CONTEXT, detail)
--- a/src/briardock/inbound.py
+++ b/src/briardock/inbound.py
@@ -10,7 +10,7 @@
 from briardock.admission import Admission, Ticket
 from briardock.budget import RetryBudget, make_budget
 from briardock.clock import Clock
-from briardock.dispatch import answer_of
+from briardock.dispatch import answer_from_outcome
 from briardock.drain import Drain
 from briardock.events import Event, emit
 from briardock.messages import MAX_LEVEL, Answer, Call
@@ -321,7 +321,7 @@
         level = self._admission.refusal_level()
         if self._drain.refuses_new:
             level = MAX_LEVEL
-        plain = answer_of(outcome, call.call_id)
+        plain = answer_from_outcome(outcome, call.call_id)
         return Answer(
             plain.call_id,
             plain.outcome,
--- a/src/briardock/node.py
+++ b/src/briardock/node.py
@@ -160,7 +160,7 @@
 
         Its records end with the process, so it stays for them until it is idle.
         """
-        idle_ms = self.clock.now_ms() - self.entry.forwarded_at_ms
+        idle_ms = self.clock.now_ms() - self.entry.last_forward_at_ms
         return self.entry.in_flight > 0 or idle_ms < ISSUER_IDLE_MS
 
     async def _handle_peer(self, message: Call | Forward, peer: PeerInfo) -> Answer:
--- a/src/briardock/parts.py
+++ b/src/briardock/parts.py
@@ -103,7 +103,7 @@
             partial(self.announce, MemberState.LEAVING),
             settings.drain.timeout_s * 1_000.0,
         )
-        self.levels = make_chain_levels(clock, rng)
+        self.chain_thresholds = make_chain_levels(clock, rng)
         self._assemble_call_path()
 
     def _assemble_call_path(self) -> None:
@@ -131,7 +131,7 @@
             self.links,
             self.inbound.handle,
             make_retry_ratio(self.settings.routing.retry_ratio),
-            self.levels,
+            self.chain_thresholds,
             self.quarantine,
             metrics,
         )
@@ -151,7 +151,7 @@
             self.inbound,
             self.links,
             self.directory.find_issuer,
-            self.levels,
+            self.chain_thresholds,
             self.drain,
             metrics,
         )
@@ -182,7 +182,7 @@
         found = catalog.operation(operation) if catalog is not None else None
         if found is None or not found.calls:
             return MAX_LEVEL
-        return min(self.levels.level(name) for name in found.calls)
+        return min(self.chain_thresholds.level(name) for name in found.calls)
 
     def target_load(self) -> int:
         """Return the number of admitted and queued calls of the own target."""
@@ -234,4 +234,4 @@
         self._spread_quarantine(self.quarantine.entries([fingerprint]))
 
     def _call_ended(self, running: RunningCall) -> None:
-        self.entry.drop_children(running)
+        self.entry.discard_child_actions(running)
--- a/src/briardock/report.py
+++ b/src/briardock/report.py
@@ -60,7 +60,7 @@
         "gossip": node.cluster.gossip.state(),
         "admission": node.admission.state(),
         "routing": node.router.state(),
-        "chain_levels": node.levels.state(),
+        "chain_levels": node.chain_thresholds.state(),
         "actions": node.actions.state(),
         "running": _running(node),
         "target": asdict(node.inbound.target_state),
--- a/tests/callpath_fakes.py
+++ b/tests/callpath_fakes.py
@@ -35,7 +35,7 @@
 from briardock.routing import Router, RoutingSettings, make_router
 from briardock.target import Lost, NotSent, TargetClient
 
-OWN = "n1"
+LOCAL_ID = "n1"
 INCARNATION = 7
 LIFETIME_MS = 60_000.0
 DEADLINE_MS = 1_000.0
@@ -175,7 +175,7 @@
     quarantine: Quarantine = field(init=False)
     admission: HookedAdmission = field(init=False)
     drain: Drain = field(init=False)
-    levels: ChainLevels = field(init=False)
+    chain_thresholds: ChainLevels = field(init=False)
     inbound: Inbound = field(init=False)
     dispatcher: Dispatcher = field(init=False)
     issuer: KeyIssuer = field(init=False)
@@ -184,7 +184,9 @@
 
     def __post_init__(self) -> None:
         clock, metrics = self.clock, self.metrics
-        self.table = make_table(clock, make_record(OWN, "", incarnation=INCARNATION))
+        self.table = make_table(
+            clock, make_record(LOCAL_ID, "", incarnation=INCARNATION)
+        )
         self.router = make_router(
             RoutingSettings(), "a", clock, make_random(3), metrics
         )
@@ -193,25 +195,25 @@
         self.admission = HookedAdmission(AdmissionSettings(), clock, metrics)
         self.admission.released = []
         self.drain = make_drain(clock, lambda: self.in_flight, lambda: None, 100.0)
-        self.levels = make_chain_levels(clock, make_random(2))
+        self.chain_thresholds = make_chain_levels(clock, make_random(2))
         self.inbound = Inbound(
-            OWN,
+            LOCAL_ID,
             INCARNATION,
             clock,
             self.admission,
             self.target,
             self.drain,
             self.quarantine,
-            self.levels.level,
+            self.chain_thresholds.level,
             self.spread.extend,
-            lambda running: self.entry.drop_children(running),
+            lambda running: self.entry.discard_child_actions(running),
             self._count_death,
             metrics,
         )
         self.inbound.target_state.service = "wallet"
         self.inbound.target_state.instance = "t1"
         self.dispatcher = Dispatcher(
-            OWN,
+            LOCAL_ID,
             INCARNATION,
             clock,
             self.router,
@@ -219,11 +221,11 @@
             self.links,
             self.inbound.handle,
             self.ratio,
-            self.levels,
+            self.chain_thresholds,
             self.quarantine,
             metrics,
         )
-        self.issuer = make_key_issuer(OWN, INCARNATION, clock, LIFETIME_MS)
+        self.issuer = make_key_issuer(LOCAL_ID, INCARNATION, clock, LIFETIME_MS)
         self.actions = make_action_table(clock)
         self.entry = Entry(
             clock,
@@ -234,7 +236,7 @@
             self.inbound,
             self.links,
             self.directory.find_issuer,
-            self.levels,
+            self.chain_thresholds,
             self.drain,
             metrics,
         )
@@ -246,7 +248,7 @@
         self.table.merge([make_record(node_id) for node_id in node_ids])
         self.directory.refresh()
 
-    def use_own_target(self) -> None:
+    def use_local_target(self) -> None:
         """Make the own target an instance for calls of this node."""
         self.table.update_own(service="wallet", target_instance="t1")
 
@@ -316,7 +318,7 @@
     return dict(headers)[CONTEXT_HEADER].decode()
 
 
-def told(response: HttpResponse) -> str:
+def outcome_text(response: HttpResponse) -> str:
     """Return outcome and reason as the caller sees them."""
     outcome = dict(response.headers)[b"Briardock-Outcome"].decode()
     if outcome == "completed":
--- a/tests/test_actions.py
+++ b/tests/test_actions.py
@@ -3,7 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from briardock.actions import Begun, Finished, InProgress, make_action_table
+from briardock.actions import Finished, InProgress, Started, make_action_table
 from briardock.budget import make_budget
 from briardock.clock import ManualClock
 from briardock.outcomes import Completed, NotRun, Outcome, Reason, Unknown
@@ -33,7 +33,7 @@
     pending = iter(outcomes)
     for _ in range(resends + 1):
         beginning = table.begin("k", "digest", make_budget(tokens), EXPIRES_AT_MS)
-        if not isinstance(beginning, Begun):
+        if not isinstance(beginning, Started):
             continue
         outcome = next(pending, Completed(200))
         table.finish(beginning.action, outcome)
@@ -46,7 +46,7 @@
     table = make_action_table(ManualClock())
     first = table.begin("k", "d", make_budget(2), EXPIRES_AT_MS)
     second = table.begin("k", "d", make_budget(2), EXPIRES_AT_MS)
-    assert isinstance(first, Begun)
+    assert isinstance(first, Started)
     assert isinstance(second, InProgress)
     assert second.action is first.action
 
@@ -65,7 +65,7 @@
     table = make_action_table(ManualClock(), max_records=2)
     for key in ("a", "b"):
         begun = table.begin(key, "d", make_budget(0), EXPIRES_AT_MS)
-        assert isinstance(begun, Begun)
+        assert isinstance(begun, Started)
         table.finish(begun.action, Completed(200))
     refused = table.begin("c", "d", make_budget(0), EXPIRES_AT_MS)
     assert isinstance(refused, Finished)
@@ -79,7 +79,7 @@
     table = make_action_table(ManualClock(), max_held_bytes=10)
     for key in ("a", "b"):
         begun = table.begin(key, "d", make_budget(2), EXPIRES_AT_MS)
-        assert isinstance(begun, Begun)
+        assert isinstance(begun, Started)
         table.finish(begun.action, Completed(200, (), b"12345678"))
     answer = table.begin("a", "d", make_budget(2), EXPIRES_AT_MS)
     assert isinstance(answer, Finished)
@@ -92,7 +92,7 @@
     table = make_action_table(clock)
     table.begin("running", "d", make_budget(0), EXPIRES_AT_MS)
     done = table.begin("done", "d", make_budget(0), EXPIRES_AT_MS)
-    assert isinstance(done, Begun)
+    assert isinstance(done, Started)
     table.finish(done.action, Completed(200))
     clock.advance(EXPIRES_AT_MS)
     table.expire()
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -1,4 +1,4 @@
-"""Tests of the entry: keys, resends, forwards and child calls."""
+"""Tests of request handling: keys, resends, forwards and child calls."""
 
 from collections.abc import Awaitable, Callable
 
@@ -20,15 +20,15 @@
     make_call,
     make_catalog,
     make_record,
-    told,
+    outcome_text,
 )
 
 Child = Callable[[str], Awaitable[HttpResponse]]
 
 
-def make() -> CallPath:
+def make_call_path() -> CallPath:
     path = CallPath()
-    path.use_own_target()
+    path.use_local_target()
     return path
 
 
@@ -37,10 +37,10 @@
     return str(issuer.issue())
 
 
-def ask(path: CallPath, /, **changes: str) -> str:
+def send_request(path: CallPath, /, **changes: str) -> str:
     async def main() -> str:
         body = changes.pop("body", "1").encode()
-        return told(await path.request(body=body, **changes))
+        return outcome_text(await path.request(body=body, **changes))
 
     return anyio.run(main)
 
@@ -67,63 +67,63 @@
         ({**SHOW, "context": "none"}, "not-run unknown-context"),
     ],
 )
-def test_first_sight(changes: dict[str, str], expected: str) -> None:
-    path = make()
-    assert ask(path, **changes) == expected
+def test_outcome_of_the_first_request(changes: dict[str, str], expected: str) -> None:
+    path = make_call_path()
+    assert send_request(path, **changes) == expected
     assert len(path.target.runs) == (expected == "completed")
     assert path.entry.in_flight == 0
 
 
 def test_request_before_the_first_configuration() -> None:
-    path = make()
+    path = make_call_path()
     path.catalog = None
-    assert ask(path, **SHOW) == "not-run no-configuration"
+    assert send_request(path, **SHOW) == "not-run no-configuration"
 
 
-def test_resends_run_once_and_get_the_same_answer() -> None:
-    path = make()
+def test_resends_run_once_and_get_the_same_response() -> None:
+    path = make_call_path()
     key = str(path.issuer.issue())
-    answers = [ask(path, key=key) for _ in range(3)]
-    assert answers == ["completed"] * 3
-    assert ask(path, key=key, body="2") == "not-run key-reused"
+    outcomes = [send_request(path, key=key) for _ in range(3)]
+    assert outcomes == ["completed"] * 3
+    assert send_request(path, key=key, body="2") == "not-run key-reused"
     assert len(path.target.runs) == 1
 
 
 def test_expired_key_is_unknown() -> None:
-    path = make()
+    path = make_call_path()
     key = str(path.issuer.issue())
-    assert ask(path, key=key) == "completed"
+    assert send_request(path, key=key) == "completed"
     path.clock.advance(LIFETIME_MS)
-    assert ask(path, key=key) == "unknown key-expired"
+    assert send_request(path, key=key) == "unknown key-expired"
     assert len(path.target.runs) == 1
 
 
 @pytest.mark.parametrize("text", ["{}", "0{}", "+{}"])
 def test_other_spelling_of_a_key_names_the_same_action(text: str) -> None:
     # Guards against a second run under the same key with a leading zero.
-    path = make()
+    path = make_call_path()
     node_id, incarnation, issued, sequence, mac = str(path.issuer.issue()).split(".")
     spelled = ".".join([node_id, incarnation, issued, text.format(sequence), mac])
-    ask(path, key=".".join([node_id, incarnation, issued, sequence, mac]))
-    assert ask(path, key=spelled) == "completed"
+    send_request(path, key=".".join([node_id, incarnation, issued, sequence, mac]))
+    assert send_request(path, key=spelled) == "completed"
     assert len(path.target.runs) == 1
 
 
-def test_resend_waits_for_the_run_and_outlives_the_first_caller() -> None:
-    # Guards against an action whose outcome is lost when its caller hangs up.
-    # The instance is remote: its node would finish the call, but the answer
-    # would reach nobody.
+def test_resend_gets_the_outcome_after_the_first_caller_disconnects() -> None:
+    # Guards against an action whose outcome is lost when its caller disconnects.
+    # The instance is remote: its node would finish the call, but nothing would
+    # receive the response.
     path = CallPath()
     path.add_members("m1")
     go = anyio.Event()
-    answers: list[str] = []
+    outcomes: list[str] = []
 
     async def work(message: Call | Forward) -> Answer:
         await go.wait()
         return Answer(0, "completed", 200)
 
     async def resend(key: str) -> None:
-        answers.append(told(await path.request(key=key)))
+        outcomes.append(outcome_text(await path.request(key=key)))
 
     async def main() -> None:
         path.links.script = [work]
@@ -144,30 +144,30 @@
             go.set()
 
     anyio.run(main)
-    assert answers == ["completed"]
+    assert outcomes == ["completed"]
     assert len(path.links.sent) == 1
 
 
 def test_waiting_resend_ends_at_its_own_deadline() -> None:
-    path = make()
+    path = make_call_path()
     key = str(path.issuer.issue())
-    answers: list[str] = []
+    outcomes: list[str] = []
 
     async def work(_path: str, _headers: Headers) -> Completed:
-        answers.append(told(await path.request(key=key, deadline="1")))
+        outcomes.append(outcome_text(await path.request(key=key, deadline="1")))
         return Completed(200)
 
     path.target.action = work
-    assert ask(path, key=key) == "completed"
-    assert answers == ["unknown deadline-exceeded"]
+    assert send_request(path, key=key) == "completed"
+    assert outcomes == ["unknown deadline-exceeded"]
 
 
 def test_downstream_threshold_refuses_at_entry() -> None:
-    path = make()
-    path.levels.learn("wallet.show", -1)
-    answers = [ask(path, **SHOW) for _ in range(20)]
-    assert answers.count("not-run overloaded") >= 15
-    assert len(path.target.runs) == answers.count("completed")
+    path = make_call_path()
+    path.chain_thresholds.learn("wallet.show", -1)
+    outcomes = [send_request(path, **SHOW) for _ in range(20)]
+    assert outcomes.count("not-run overloaded") >= 15
+    assert len(path.target.runs) == outcomes.count("completed")
 
 
 @pytest.mark.parametrize(
@@ -185,11 +185,11 @@
 ) -> None:
     # Guards against "not run" for a forward that failed: an earlier request with
     # the key may have run at the issuer.
-    path = make()
+    path = make_call_path()
     path.add_members("n2")
     path.links.script = [step]
     key = foreign_key()
-    assert ask(path, key=key) == expected
+    assert send_request(path, key=key) == expected
     ((peer, message),) = path.links.sent
     assert (peer.node_id, message.key) == ("n2", key)
     assert isinstance(message, Forward)
@@ -198,9 +198,9 @@
 
 @pytest.mark.parametrize("key", [foreign_key("n9"), foreign_key("n2", 2)])
 def test_key_of_an_unknown_issuer_is_unknown(key: str) -> None:
-    path = make()
+    path = make_call_path()
     path.add_members("n2")
-    assert ask(path, key=key) == "unknown issuer-gone"
+    assert send_request(path, key=key) == "unknown issuer-gone"
     assert not path.links.sent
 
 
@@ -214,18 +214,18 @@
     ],
 )
 def test_received_forward(key: str, outcome: str, reason: str) -> None:
-    path = make()
+    path = make_call_path()
     text = key or str(path.issuer.issue())
     forward = Forward(5, text, "wallet", "POST", "/payments", [], b"1", 900.0)
-    answers = [anyio.run(path.entry.handle_forward, forward) for _ in range(2)]
-    assert [(a.call_id, a.outcome, a.reason) for a in answers] == [
+    outcomes = [anyio.run(path.entry.handle_forward, forward) for _ in range(2)]
+    assert [(a.call_id, a.outcome, a.reason) for a in outcomes] == [
         (5, outcome, reason)
     ] * 2
     assert len(path.target.runs) == (outcome == "completed")
 
 
 def run_parent(path: CallPath, child: Child, /, **parent: str) -> str:
-    """Run a parent whose target makes child calls with the given function."""
+    """Run a parent call whose target makes child calls with the given function."""
 
     async def action(called: str, headers: Headers) -> Completed:
         if called != "/notes":
@@ -233,81 +233,83 @@
         return Completed(200, (), called.encode())
 
     path.target.action = action
-    return ask(path, **(parent or {"key": str(path.issuer.issue())}))
+    return send_request(path, **(parent or {"key": str(path.issuer.issue())}))
 
 
-def note(path: CallPath, context: str, key: str = "") -> Awaitable[HttpResponse]:
+def call_note(path: CallPath, context: str, key: str = "") -> Awaitable[HttpResponse]:
     return path.request("/wallet/notes", key, context=context, deadline="900")
 
 
-def test_equal_children_run_once_per_parent() -> None:
-    # Guards against a target that resends its own child call, and against a
-    # second parent that gets the answer of the first one's child.
-    path = make()
-    answers: list[str] = []
+def test_identical_child_calls_run_once_per_parent() -> None:
+    # Guards against a second run when a target resends a child call, and against
+    # a parent that gets the response to the child call of another parent.
+    path = make_call_path()
+    outcomes: list[str] = []
 
     async def twice(context: str) -> HttpResponse:
-        answers.append(told(await note(path, context)))
-        answers.append(told(await note(path, context)))
-        return await note(path, context)
+        outcomes.append(outcome_text(await call_note(path, context)))
+        outcomes.append(outcome_text(await call_note(path, context)))
+        return await call_note(path, context)
 
     for runs in (1, 2):
         assert run_parent(path, twice) == "completed"
         assert path.target.runs.count("/notes") == runs
-    assert answers == ["completed"] * 4
+    assert outcomes == ["completed"] * 4
 
 
 @pytest.mark.parametrize(
     "keys, runs", [(("a", "a"), 1), (("a", "b"), 2), (("", "a"), 2)]
 )
-def test_label_of_a_child_tells_calls_apart(keys: tuple[str, str], runs: int) -> None:
-    path = make()
+def test_child_calls_with_different_labels_run_separately(
+    keys: tuple[str, str], runs: int
+) -> None:
+    path = make_call_path()
 
     async def labelled(context: str) -> HttpResponse:
         for key in keys:
-            assert told(await note(path, context, key=key)) == "completed"
-        return await note(path, context, key="a/b")
+            assert outcome_text(await call_note(path, context, key=key)) == "completed"
+        return await call_note(path, context, key="a/b")
 
     assert run_parent(path, labelled) == "completed"
     assert path.target.runs.count("/notes") == runs
 
 
-def test_non_idempotent_child_of_a_repeatable_parent_is_refused() -> None:
+def test_non_idempotent_child_of_an_idempotent_parent_is_refused() -> None:
     # Guards against two payments when the idempotent parent runs twice.
-    path = make()
-    answers: list[str] = []
+    path = make_call_path()
+    outcomes: list[str] = []
 
     async def child(context: str) -> HttpResponse:
-        answer = await note(path, context)
-        answers.append(told(answer))
-        return answer
+        response = await call_note(path, context)
+        outcomes.append(outcome_text(response))
+        return response
 
     assert run_parent(path, child, **SHOW) == "completed"
-    assert answers == ["not-run repeatable-parent"]
+    assert outcomes == ["not-run repeatable-parent"]
     assert path.target.runs == ["/wallets/1"]
 
 
-def test_child_keys_and_context_end_with_the_parent() -> None:
-    path = make()
+def test_child_keys_and_context_are_discarded_with_the_parent() -> None:
+    path = make_call_path()
     contexts: list[str] = []
 
     async def child(context: str) -> HttpResponse:
         contexts.append(context)
         assert len(path.actions) == 1
-        answer = await note(path, context)
+        response = await call_note(path, context)
         assert len(path.actions) == 2
-        return answer
+        return response
 
     assert run_parent(path, child) == "completed"
     assert len(path.actions) == 1
-    assert ask(path, path="/wallet/notes", context=contexts[0]) == (
+    assert send_request(path, path="/wallet/notes", context=contexts[0]) == (
         "unknown unknown-context"
     )
     assert path.target.runs.count("/notes") == 1
 
 
-def test_child_inherits_level_deadline_key_and_budget() -> None:
-    path = make()
+def test_child_inherits_priority_deadline_key_and_budget() -> None:
+    path = make_call_path()
     seen: list[Call] = []
     handle = path.inbound.handle
 
@@ -315,13 +317,13 @@
         seen.append(call)
         return await handle(call)
 
-    path.dispatcher._local = spy
+    path.dispatcher._local_handler = spy
 
     async def child(context: str) -> HttpResponse:
         path.clock.advance(400.0)
-        answer = await note(path, context)
+        response = await call_note(path, context)
         path.clock.advance(100.0)
-        return answer
+        return response
 
     assert run_parent(path, child) == "completed"
     parent, inner = seen
@@ -332,8 +334,8 @@
     assert path.admission.released[-1] == (500.0, True)
 
 
-def test_retries_of_children_are_taken_from_the_share_of_the_parent() -> None:
-    # Guards against retries that multiply from hop to hop.
+def test_retries_of_child_calls_use_the_delegated_retries_of_the_parent() -> None:
+    # Guards against retry amplification along the call chain.
     path = CallPath()
     path.add_members("m1", "m2")
     path.links.script = [
@@ -342,12 +344,12 @@
     ]
 
     async def action(called: str, headers: Headers) -> Completed:
-        assert told(await note(path, context_of(headers))) == "completed"
+        assert outcome_text(await call_note(path, context_of(headers))) == "completed"
         return Completed(200)
 
     path.target.action = action
-    answer = anyio.run(path.inbound.handle, make_call())
-    assert (answer.outcome, answer.retries_left) == ("completed", 1)
+    response = anyio.run(path.inbound.handle, make_call())
+    assert (response.outcome, response.retries_left) == ("completed", 1)
 
 
 @pytest.mark.parametrize(
@@ -361,18 +363,18 @@
     ],
 )
 def test_issued_keys(count: int, state: DrainState, status: int) -> None:
-    # Guards against keys of a process whose records are about to end.
-    path = make()
+    # Guards against keys issued by a process that is about to lose its records.
+    path = make_call_path()
     path.drain.state = state
     response = path.entry.issue_keys(count)
     assert response.status == status
     assert response.body.count(b"n1.") == (count if status == 200 else 0)
 
 
-def test_own_instance_is_called_without_a_link() -> None:
-    path = make()
+def test_local_instance_is_called_without_a_link() -> None:
+    path = make_call_path()
     path.table.merge([make_record("n2", "history")])
-    assert ask(path, **SHOW) == "completed"
+    assert send_request(path, **SHOW) == "completed"
     assert not path.links.sent
 
 
@@ -382,16 +384,18 @@
 )
 def test_resend_after_its_operation_was_removed(first: bool, expected: str) -> None:
     # Guards against "not run" for an action that ran under an earlier configuration.
-    path = make()
+    path = make_call_path()
     key = str(path.issuer.issue())
     if first:
-        assert ask(path, key=key) == "completed"
+        assert send_request(path, key=key) == "completed"
     path.catalog = make_catalog(CONFIG.replace("POST /payments", "POST /bills"))
-    assert ask(path, key=key) == expected
+    assert send_request(path, key=key) == expected
 
 
 def test_foreign_key_of_an_unknown_operation_is_unknown() -> None:
     # Only the issuer knows whether an earlier request with the key ran.
-    path = make()
-    asked = ask(path, key=f"n2.{INCARNATION}.1.1.000000000000", path="/wallet/no")
-    assert asked == "unknown unknown-operation"
+    path = make_call_path()
+    outcome = send_request(
+        path, key=f"n2.{INCARNATION}.1.1.000000000000", path="/wallet/no"
+    )
+    assert outcome == "unknown unknown-operation"
--- a/tests/test_inbound.py
+++ b/tests/test_inbound.py
@@ -229,7 +229,7 @@
 
 def test_answer_carries_the_lowest_threshold_of_the_chain() -> None:
     path = CallPath()
-    path.levels.learn("wallet.pay", 20)
+    path.chain_thresholds.learn("wallet.pay", 20)
     answer = handle(path)
     assert (answer.refusal_level, answer.chain_level) == (MAX_LEVEL, 20)
 
--- a/tests/test_rules_keys.py
+++ b/tests/test_rules_keys.py
@@ -5,7 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from briardock.actions import Begun, Finished, make_action_table
+from briardock.actions import Finished, Started, make_action_table
 from briardock.budget import make_budget, make_retry_ratio
 from briardock.clock import ManualClock
 from briardock.keys import make_key_issuer
@@ -33,7 +33,7 @@
     clock = ManualClock()
     table = make_action_table(clock, max_records=1)
     begun = table.begin("k", "d", make_budget(0), 1_000.0)
-    assert isinstance(begun, Begun)
+    assert isinstance(begun, Started)
     table.finish(begun.action, Completed(200))
     clock.advance(age_ms)
     table.expire()
--- a/tests/test_rules_outcomes.py
+++ b/tests/test_rules_outcomes.py
@@ -14,7 +14,7 @@
     make_call,
     make_catalog,
     make_dispatch,
-    told,
+    outcome_text,
 )
 from peer_fakes import call_with, connect, serving
 
@@ -36,14 +36,14 @@
     # Guards against "not run" for a payment that ran, when the resend itself
     # cannot be read any more.
     path = CallPath(catalog=make_catalog(before))
-    path.use_own_target()
+    path.use_local_target()
     key, body = str(path.issuer.issue()), b"x" * (1_500 if before is SMALLER else 1)
 
     async def main() -> list[str]:
         first = await path.request(key=key, body=body)
         path.catalog = make_catalog(after)
         resend = await path.request(key=key, body=body, deadline=deadline)
-        return [told(first), told(resend)]
+        return [outcome_text(first), outcome_text(resend)]
 
     first, resend = anyio.run(main)
     assert first == "completed"
@@ -54,7 +54,7 @@
 def test_resent_child_is_never_told_not_run_after_the_run() -> None:
     # Guards against a target that books again since "not run" was answered.
     path = CallPath()
-    path.use_own_target()
+    path.use_local_target()
     answers: list[str] = []
 
     async def action(called: str, headers: Headers) -> Completed:
@@ -63,7 +63,7 @@
             child = await path.request(
                 "/wallet/notes", context=context, deadline=deadline
             )
-            answers.append(told(child))
+            answers.append(outcome_text(child))
         return Completed(200)
 
     path.target.action = action
@@ -75,7 +75,7 @@
 def test_forward_after_a_change_is_never_told_not_run_after_the_run() -> None:
     # Guards against the same fault for a resend that reaches another node.
     path = CallPath()
-    path.use_own_target()
+    path.use_local_target()
     key = str(path.issuer.issue())
     forward = Forward(5, key, "wallet", "POST", "/payments", [], b"1", 900.0)
     assert anyio.run(path.entry.handle_forward, forward).outcome == "completed"
