Reword the inbound side of a node

Rename private names and callbacks (responses, child and chain thresholds) and reword comments, docstrings and refusal details. Behaviour is unchanged.

--- a/src/briardock/entry.py
+++ b/src/briardock/entry.py
@@ -314,10 +314,7 @@
         if operation.idempotent:
             label = f"n{next(self._child_numbers)}"
         elif not running.call.once:
-            detail = (
-                f"idempotent operation {running.call.operation} calls"
-                f" non-idempotent operation {operation.name}"
-            )
+            detail = f"{running.call.operation} calls non-idempotent {operation.name}"
             return NotRun(Reason.REPEATABLE_PARENT, detail)
         elif (key_header := headers.get(KEY_HEADER)) is not None:
             label = key_header.decode("latin-1")
--- a/src/briardock/inbound.py
+++ b/src/briardock/inbound.py
@@ -1,4 +1,4 @@
-"""Inbound side of a node: admits calls and runs them on its target."""
+"""Inbound side of a node: admits calls and runs them on the local target."""
 
 import itertools
 import secrets
@@ -37,21 +37,21 @@
 STATUS_UNAVAILABLE = 503
 STATUS_SERVER_ERROR = 500
 
-# Lower than every level: the call cannot succeed whatever its class.
-NOTHING_ADMITTED = -1
+# Refuses calls of every priority; used when a called service has no instance.
+REFUSE_ALL_THRESHOLD = -1
 
 
 @dataclass(slots=True)
 class RunningCall:
     """A call that the target is working on.
 
-    :param context: token that the target returns on its own calls
+    :param context: token that the target sends with its child calls
     :param call: the call
     :param deadline_at_ms: deadline on this node's clock
     :param budget: retries delegated to this call
-    :param started_ms: start of the run
-    :param child_keys: keys recorded for its children, dropped when it ends
-    :param chain_level: lowest threshold met by a refused child call
+    :param started_ms: time at which the run started
+    :param child_keys: action keys of its child calls, discarded when it ends
+    :param chain_threshold: lowest admission threshold that refused a child call
     """
 
     context: str
@@ -60,13 +60,13 @@
     budget: RetryBudget
     started_ms: float
     child_keys: set[str] = field(default_factory=set)
-    chain_level: int = MAX_LEVEL
+    chain_threshold: int = MAX_LEVEL
     _children_running: int = 0
     _children_since_ms: float = 0.0
     _children_ms: float = 0.0
 
     def child_started(self, now_ms: float) -> None:
-        """Note that a child call is outstanding.
+        """Record the start of a child call.
 
         :param now_ms: current time
         """
@@ -75,7 +75,7 @@
         self._children_running += 1
 
     def child_finished(self, now_ms: float) -> None:
-        """Note the end of a child call.
+        """Record the end of a child call.
 
         :param now_ms: current time
         """
@@ -84,15 +84,15 @@
             self._children_ms += now_ms - self._children_since_ms
 
     def child_refused(self, refusal: NotRun) -> None:
-        """Note a refusal of a child call, which may fail this call.
+        """Record a refusal of a child call, which may make this call fail.
 
         :param refusal: outcome of the child call
         """
         if refusal.reason is Reason.NO_INSTANCE:
-            self.chain_level = NOTHING_ADMITTED
+            self.chain_threshold = REFUSE_ALL_THRESHOLD
 
     def own_time_ms(self, now_ms: float) -> float:
-        """Return the time in the target while no child call was outstanding.
+        """Return the time in the target while no child call was in flight.
 
         :param now_ms: current time
         """
@@ -104,14 +104,15 @@
 
 @dataclass(slots=True)
 class TargetState:
-    """What the target beside this node has announced.
+    """State of the local target as announced.
 
-    :param service: service it offers
+    :param service: service that the target provides
     :param instance: random id of the target process
     :param announced_ms: time of the last announcement
-    :param leaving: whether it is shutting down
-    :param reported_load: load it reports; shown in dumps, never trusted alone
-    :param deaths: deaths seen by this node
+    :param leaving: whether the target is shutting down
+    :param reported_load: load reported by the target; shown in dumps, but not relied
+        on, since a target may report it wrongly
+    :param deaths: number of target processes that died while announced
     """
 
     service: str = ""
@@ -123,25 +124,25 @@
 
     @property
     def present(self) -> bool:
-        """Whether a target is announced and has not died since."""
+        """Whether a target is announced and in service."""
         return bool(self.instance)
 
 
 class Inbound:
-    """Admits calls for the target beside this node and runs them.
+    """Admits calls for the local target and runs them.
 
     :param node_id: id of this node
     :param incarnation: incarnation of this process
     :param clock: monotonic clock
-    :param admission: admission to the target
-    :param target: HTTP leg to the target
+    :param admission: admission control of the target
+    :param target: HTTP client of the target
     :param drain: drain state of this node
-    :param quarantine: requests that kill their targets
-    :param chain_level: returns the lowest threshold of the services that an
-        operation calls
-    :param on_quarantine: spreads changed quarantine entries
-    :param on_end: told when a call has left the target
-    :param on_death: told when the target died
+    :param quarantine: requests that crash their targets
+    :param chain_threshold: returns the lowest admission threshold of the services
+        that an operation calls
+    :param on_quarantine_change: called with changed quarantine entries
+    :param on_call_end: called when a call has ended on the target
+    :param on_target_lost: called when the target died or was withdrawn
     :param metrics: counters
     """
 
@@ -154,10 +155,10 @@
         target: TargetClient,
         drain: Drain,
         quarantine: Quarantine,
-        chain_level: Callable[[str], int],
-        on_quarantine: Callable[[list[QuarantineEntry]], None],
-        on_end: Callable[[RunningCall], None],
-        on_death: Callable[[], None],
+        chain_threshold: Callable[[str], int],
+        on_quarantine_change: Callable[[list[QuarantineEntry]], None],
+        on_call_end: Callable[[RunningCall], None],
+        on_target_lost: Callable[[], None],
         metrics: Metrics,
     ) -> None:
         self.running: dict[str, RunningCall] = {}
@@ -169,73 +170,81 @@
         self._target = target
         self._drain = drain
         self._quarantine = quarantine
-        self._chain_level = chain_level
-        self._on_quarantine = on_quarantine
-        self._on_end = on_end
-        self._on_death = on_death
+        self._chain_threshold = chain_threshold
+        self._on_quarantine_change = on_quarantine_change
+        self._on_call_end = on_call_end
+        self._on_target_lost = on_target_lost
         self._metrics = metrics
-        self._prefix = secrets.token_hex(6)
-        self._numbers = itertools.count(1)
+        self._context_prefix = secrets.token_hex(6)
+        self._context_numbers = itertools.count(1)
 
     async def handle(self, call: Call, transit_ms: float = 0.0) -> Answer:
-        """Run one call and return its answer; never raises for a bad call.
+        """Run one call and return the response; an invalid call does not raise.
 
-        :param call: the call as received
-        :param transit_ms: delay of the frame beyond the link's usual one
+        :param call: received call
+        :param transit_ms: transit delay of the frame beyond the usual delay of the link
         """
         deadline_at_ms = self._clock.now_ms() + call.remaining_ms - transit_ms
-        refusal = self._refusal(call, deadline_at_ms)
+        refusal = self._find_refusal(call, deadline_at_ms)
         if refusal is not None:
-            return self._answer(call, refusal, call.retries, 0.0)
+            return self._make_answer(call, refusal, call.retries, 0.0)
         ticket = await self._admission.admit(call.level, deadline_at_ms, call.operation)
         if isinstance(ticket, NotRun):
-            return self._answer(call, ticket, call.retries, 0.0)
+            return self._make_answer(call, ticket, call.retries, 0.0)
         return await self._run_admitted(call, deadline_at_ms, ticket)
 
-    def _refusal(self, call: Call, deadline_at_ms: float) -> NotRun | None:
+    def _find_refusal(self, call: Call, deadline_at_ms: float) -> NotRun | None:
         if call.target_incarnation != self._incarnation:
             return NotRun(Reason.STALE_INCARNATION, f"{self._node_id} was replaced")
         if self._drain.refuses_new or self.target_state.leaving:
             return NotRun(Reason.LEAVING, f"{self._node_id} is leaving")
         service = call.operation.partition(".")[0]
         if not self.target_state.present or self.target_state.service != service:
-            return NotRun(Reason.TARGET_ABSENT, f"{self._node_id} has no {service}")
+            return NotRun(
+                Reason.TARGET_ABSENT, f"{self._node_id} has no target for {service}"
+            )
         if self._quarantine.refuses(call.fingerprint):
             return NotRun(Reason.QUARANTINED, f"fingerprint {call.fingerprint}")
         if self._clock.now_ms() >= deadline_at_ms:
-            return NotRun(Reason.DEADLINE_EXCEEDED, "the call arrived too late")
+            return NotRun(
+                Reason.DEADLINE_EXCEEDED, "the deadline of the call has passed"
+            )
         return None
 
     async def _run_admitted(
         self, call: Call, deadline_at_ms: float, ticket: Ticket
     ) -> Answer:
         running = RunningCall(
-            f"{self._prefix}-{next(self._numbers)}",
+            f"{self._context_prefix}-{next(self._context_numbers)}",
             call,
             deadline_at_ms,
             make_budget(call.retries),
             self._clock.now_ms(),
         )
-        outcome: Outcome = Unknown(Reason.CANCELLED, "cancelled while it ran")
+        outcome: Outcome = Unknown(Reason.CANCELLED, "cancelled while running")
         try:
-            # The wait for admission, or a pause of the process, may have used up
-            # the time, and the target may have left or died meanwhile.
-            refusal = self._refusal(call, deadline_at_ms)
+            # The deadline may have passed, and the target may have left or died,
+            # during the wait for admission or a pause of the process.
+            refusal = self._find_refusal(call, deadline_at_ms)
             if refusal is not None:
                 outcome = refusal
             else:
                 self.running[running.context] = running
-                # A call that runs at most once is not cut short: its outcome is
-                # recorded for a resend.
+                # An at-most-once call is not cancelled: its outcome is recorded for
+                # resends.
                 with anyio.CancelScope(shield=call.once):
                     outcome = await self._run_on_target(running)
         finally:
             if self.running.pop(running.context, None) is not None:
-                self._on_end(running)
+                self._on_call_end(running)
             own_time_ms = running.own_time_ms(self._clock.now_ms())
             self._admission.release(ticket, own_time_ms, isinstance(outcome, Completed))
-        return self._answer(
-            call, outcome, running.budget.left, own_time_ms, _evidence(running, outcome)
+        return self._make_answer(
+            call,
+            outcome,
+            running.budget.left,
+            own_time_ms,
+            _child_threshold(running, outcome),
         )
 
     async def _run_on_target(self, running: RunningCall) -> Outcome:
@@ -251,49 +260,49 @@
         match result:
             case NotSent(detail=detail, refused=refused):
                 if refused:
-                    self._withdraw(instance)
+                    self._withdraw_target(instance)
                 return NotRun(Reason.TARGET_ABSENT, detail)
             case Lost(detail=detail, died=True):
                 self.target_died(instance)
                 return Unknown(Reason.TARGET_DIED, detail)
             case Lost(detail=detail):
-                return self._lost(running, detail)
+                return self._lost_outcome(running, detail)
             case Completed():
-                return self._completed(running, result)
+                return self._completed_outcome(running, result)
 
-    def _lost(self, running: RunningCall, detail: str) -> Unknown:
+    def _lost_outcome(self, running: RunningCall, detail: str) -> Unknown:
         if self._clock.now_ms() >= running.deadline_at_ms:
             return Unknown(Reason.DEADLINE_EXCEEDED, detail)
         return Unknown(Reason.ANSWER_LOST, detail)
 
-    def _completed(self, running: RunningCall, answer: Completed) -> Outcome:
-        if answer.status in (STATUS_UNAVAILABLE, STATUS_TOO_MANY_REQUESTS):
-            names = {name.lower() for name, _ in answer.headers}
+    def _completed_outcome(self, running: RunningCall, response: Completed) -> Outcome:
+        if response.status in (STATUS_UNAVAILABLE, STATUS_TOO_MANY_REQUESTS):
+            names = {name.lower() for name, _ in response.headers}
             if NOT_RUN_HEADER in names:
-                return NotRun(Reason.TARGET_REFUSED, "the target shed the request")
+                return NotRun(Reason.TARGET_REFUSED, "the target refused the request")
         else:
             changed = self._quarantine.record_success(running.call.fingerprint)
             if changed:
-                self._on_quarantine(changed)
-        return answer
+                self._on_quarantine_change(changed)
+        return response
 
     def _target_headers(self, running: RunningCall) -> Headers:
         remaining_ms = running.deadline_at_ms - self._clock.now_ms()
-        own = (
+        node_headers = (
             (CONTEXT_HEADER, running.context.encode()),
             (DEADLINE_HEADER, str(max(0, int(remaining_ms))).encode()),
             (KEY_HEADER, running.call.key.encode()),
         )
-        return (*running.call.headers, *own)
+        return (*running.call.headers, *node_headers)
 
-    def _withdraw(self, instance: str) -> None:
-        """Take a target out of service until it announces itself again."""
+    def _withdraw_target(self, instance: str) -> None:
+        """Mark a target absent until its next announcement."""
         if instance and instance == self.target_state.instance:
             self.target_state.instance = ""
-            self._on_death()
+            self._on_target_lost()
 
     def target_died(self, instance: str) -> None:
-        """Record the death of a target process, once.
+        """Record that a target process died; later calls for it have no effect.
 
         :param instance: id of the target process that died
         """
@@ -302,56 +311,56 @@
         self.target_state.instance = ""
         self.target_state.deaths += 1
         self._metrics.count("inbound.target_deaths")
-        fingerprints = {one.call.fingerprint for one in self.running.values()}
+        fingerprints = {running.call.fingerprint for running in self.running.values()}
         death_id = f"{self._node_id}:{instance}"
         changed = self._quarantine.record_death(sorted(fingerprints), death_id)
         emit(Event.TARGET_DIED, instance=instance, in_flight=len(fingerprints))
-        self._on_quarantine(changed)
-        self._on_death()
+        self._on_quarantine_change(changed)
+        self._on_target_lost()
 
-    def _answer(
+    def _make_answer(
         self,
         call: Call,
         outcome: Outcome,
         retries_left: int,
         own_time_ms: float,
-        evidence_level: int = MAX_LEVEL,
+        child_threshold: int = MAX_LEVEL,
     ) -> Answer:
-        self._metrics.count(f"inbound.{_name_of(outcome)}")
-        level = self._admission.refusal_level()
+        self._metrics.count(f"inbound.{_outcome_name(outcome)}")
+        threshold = self._admission.refusal_level()
         if self._drain.refuses_new:
-            level = MAX_LEVEL
-        plain = answer_from_outcome(outcome, call.call_id)
+            threshold = MAX_LEVEL
+        base = answer_from_outcome(outcome, call.call_id)
         return Answer(
-            plain.call_id,
-            plain.outcome,
-            plain.status,
-            plain.headers,
-            plain.body,
-            plain.body_bytes,
-            plain.reason,
-            plain.detail,
+            base.call_id,
+            base.outcome,
+            base.status,
+            base.headers,
+            base.body,
+            base.body_bytes,
+            base.reason,
+            base.detail,
             retries_left,
-            level,
+            threshold,
             self._admission.load(),
             own_time_ms,
-            min(level, evidence_level, self._chain_level(call.operation)),
+            min(threshold, child_threshold, self._chain_threshold(call.operation)),
         )
 
 
-def _evidence(running: RunningCall, outcome: Outcome) -> int:
-    """Return the threshold that failed a call, if a refused child call failed it.
+def _child_threshold(running: RunningCall, outcome: Outcome) -> int:
+    """Return the threshold of a refused child call if it made the call fail.
 
-    A target that answers well without the child call proves nothing.
+    If the target succeeds without the child call, the refusal is ignored.
     """
     match outcome:
         case Completed(status=status) if status >= STATUS_SERVER_ERROR:
-            return running.chain_level
+            return running.chain_threshold
         case _:
             return MAX_LEVEL
 
 
-def _name_of(outcome: Outcome) -> str:
+def _outcome_name(outcome: Outcome) -> str:
     match outcome:
         case Completed():
             return "completed"
--- a/src/briardock/parts.py
+++ b/src/briardock/parts.py
@@ -116,7 +116,7 @@
             self.target,
             self.drain,
             self.quarantine,
-            self._chain_level,
+            self._chain_threshold,
             self._spread_quarantine,
             self._call_ended,
             self._target_changed,
@@ -177,7 +177,7 @@
         service = self._service(name)
         return service.domains if service is not None else ()
 
-    def _chain_level(self, operation: str) -> int:
+    def _chain_threshold(self, operation: str) -> int:
         catalog = self._catalog()
         found = catalog.operation(operation) if catalog is not None else None
         if found is None or not found.calls:
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -217,8 +217,8 @@
     path = make_call_path()
     text = key or str(path.issuer.issue())
     forward = Forward(5, text, "wallet", "POST", "/payments", [], b"1", 900.0)
-    outcomes = [anyio.run(path.entry.handle_forward, forward) for _ in range(2)]
-    assert [(a.call_id, a.outcome, a.reason) for a in outcomes] == [
+    responses = [anyio.run(path.entry.handle_forward, forward) for _ in range(2)]
+    assert [(r.call_id, r.outcome, r.reason) for r in responses] == [
         (5, outcome, reason)
     ] * 2
     assert len(path.target.runs) == (outcome == "completed")
--- a/tests/test_inbound.py
+++ b/tests/test_inbound.py
@@ -1,4 +1,4 @@
-"""Tests of the inbound side: refusals before the target, own time, deaths."""
+"""Tests of inbound calls: refusals, time without child calls, target deaths."""
 
 from collections.abc import Callable
 
@@ -23,7 +23,7 @@
     return anyio.run(main)
 
 
-def leave(path: CallPath) -> None:
+def start_drain(path: CallPath) -> None:
     path.drain.state = DrainState.LEAVING
 
 
@@ -31,46 +31,46 @@
     path.inbound.target_state.leaving = True
 
 
-def withdraw(path: CallPath) -> None:
+def withdraw_target(path: CallPath) -> None:
     path.inbound.target_state.instance = ""
 
 
-def quarantine(path: CallPath) -> None:
+def quarantine_request(path: CallPath) -> None:
     path.quarantine.record_death(["f1"], "d1")
     path.quarantine.record_death(["f1"], "d2")
 
 
-def pause(path: CallPath) -> None:
+def pass_deadline(path: CallPath) -> None:
     path.clock.advance(1_000.0)
 
 
 STATES = [
-    (leave, "leaving"),
+    (start_drain, "leaving"),
     (announce_leaving, "leaving"),
-    (withdraw, "target-absent"),
-    (quarantine, "quarantined"),
+    (withdraw_target, "target-absent"),
+    (quarantine_request, "quarantined"),
 ]
 
 
 @pytest.mark.parametrize(
     "change, reason",
-    [*STATES, (pause, "deadline-exceeded")],
+    [*STATES, (pass_deadline, "deadline-exceeded")],
 )
 @pytest.mark.parametrize("while_queued", [False, True])
-def test_refusal_comes_before_the_target(
+def test_refused_call_does_not_reach_the_target(
     change: Callable[[CallPath], None], reason: str, while_queued: bool
 ) -> None:
-    # Guards against a call that runs although its state changed in the queue.
+    # Guards against a call that runs although it became invalid in the queue.
     path = CallPath()
     call = make_call()
     if while_queued:
         path.admission.hook = lambda: change(path)
-    elif change is pause:
+    elif change is pass_deadline:
         call = make_call(remaining_ms=0.0)
     else:
         change(path)
-    answer = handle(path, call)
-    assert (answer.outcome, answer.reason, answer.retries_left) == (
+    response = handle(path, call)
+    assert (response.outcome, response.reason, response.retries_left) == (
         "not-run",
         reason,
         2,
@@ -89,12 +89,12 @@
         (make_call(remaining_ms=50.0), 50.0, "deadline-exceeded"),
     ],
 )
-def test_call_for_another_process_or_time_is_refused(
+def test_stale_or_expired_call_is_refused(
     call: Call, transit_ms: float, reason: str
 ) -> None:
     path = CallPath()
-    answer = handle(path, call, transit_ms)
-    assert (answer.outcome, answer.reason) == ("not-run", reason)
+    response = handle(path, call, transit_ms)
+    assert (response.outcome, response.reason) == ("not-run", reason)
     assert not path.target.runs
 
 
@@ -137,20 +137,21 @@
         return result
 
     path.target.action = action
-    answer = handle(path)
-    assert (answer.outcome, answer.reason) == (outcome, reason)
+    response = handle(path)
+    assert (response.outcome, response.reason) == (outcome, reason)
     assert path.admission.released == [(pause_ms, ok)]
 
 
 def test_death_records_all_fingerprints_in_flight_once() -> None:
-    # Guards against a crashing request that hides behind the one that saw it.
+    # Guards against blaming only the request that saw the lost connection: any
+    # request in flight may have crashed the target.
     path = CallPath()
-    together = anyio.Event()
+    both_running = anyio.Event()
 
     async def die(_path: str, _headers: Headers) -> Lost:
         if len(path.target.runs) == 2:
-            together.set()
-        await together.wait()
+            both_running.set()
+        await both_running.wait()
         return Lost("cut", died=True)
 
     async def main() -> None:
@@ -181,22 +182,22 @@
 
 
 @pytest.mark.parametrize("status, cleared", [(200, True), (503, False)])
-def test_success_clears_a_suspicion(status: int, cleared: bool) -> None:
+def test_success_clears_a_recorded_death(status: int, cleared: bool) -> None:
     path = CallPath()
     path.quarantine.record_death(["f1"], "d1")
 
-    async def answer(_path: str, _headers: Headers) -> Completed:
+    async def respond(_path: str, _headers: Headers) -> Completed:
         return Completed(status)
 
-    path.target.action = answer
+    path.target.action = respond
     handle(path)
     path.quarantine.record_death(["f1"], "d2")
     assert path.quarantine.refuses("f1") is not cleared
 
 
 @pytest.mark.parametrize("once, finished", [(True, 1), (False, 0)])
-def test_cancellation_cuts_only_repeatable_calls(once: bool, finished: int) -> None:
-    # Guards against a payment whose outcome is lost since its caller went away.
+def test_only_idempotent_calls_are_cancelled(once: bool, finished: int) -> None:
+    # Guards against losing the outcome of a payment whose caller disconnects.
     path = CallPath()
     ended: list[int] = []
 
@@ -219,19 +220,19 @@
 
 
 def test_draining_instance_does_not_report_its_threshold() -> None:
-    # Guards against a leaving instance that makes callers shed load.
+    # Guards against callers that shed load because of a leaving instance.
     path = CallPath()
     path.admission._threshold = 10
     assert handle(path).refusal_level == 10
-    leave(path)
+    start_drain(path)
     assert handle(path).refusal_level == MAX_LEVEL
 
 
-def test_answer_carries_the_lowest_threshold_of_the_chain() -> None:
+def test_response_carries_the_lowest_threshold_of_the_chain() -> None:
     path = CallPath()
     path.chain_thresholds.learn("wallet.pay", 20)
-    answer = handle(path)
-    assert (answer.refusal_level, answer.chain_level) == (MAX_LEVEL, 20)
+    response = handle(path)
+    assert (response.refusal_level, response.chain_level) == (MAX_LEVEL, 20)
 
 
 @given(
@@ -241,8 +242,8 @@
 def test_own_time_excludes_the_union_of_child_calls(
     children: list[tuple[int, int]], end_ms: int
 ) -> None:
-    # Guards against overlapping children that are subtracted twice, which would
-    # make a slow target look fast.
+    # Guards against subtracting overlapping child calls twice, which would make
+    # a slow target look fast.
     running = RunningCall("c", make_call(), 1e9, make_budget(0), 0.0)
     edges = sorted(
         [(start, 1) for start, _ in children]
