Reword the target client and the action records

Rename private names (responses, connection reuse) and reword comments, docstrings, error details and test texts. Behaviour is unchanged.

--- a/src/briardock/actions.py
+++ b/src/briardock/actions.py
@@ -1,4 +1,4 @@
-"""Actions known to their issuer: first sight, resends, outcomes, expiry."""
+"""Action records of an issuer, which deduplicate requests by key."""
 
 from collections import OrderedDict
 from dataclasses import dataclass, field
@@ -19,7 +19,7 @@
 
     :param key: key in text form
     :param digest: digest of the request first seen with the key
-    :param budget: retries left for the whole chain, resends included
+    :param budget: retries left for the call chain, including resends
     :param expires_at_ms: time at which the record may be dropped
     :param outcome: ``None`` while it runs
     """
@@ -34,21 +34,21 @@
 
 @dataclass(frozen=True, slots=True)
 class Started:
-    """The caller of ``begin`` runs the action and must call ``finish``."""
+    """The caller of ``begin`` must run the action and call ``finish``."""
 
     action: Action
 
 
 @dataclass(frozen=True, slots=True)
 class InProgress:
-    """An earlier request with the key still runs; wait for its outcome."""
+    """An earlier request with the key is still running; wait for its outcome."""
 
     action: Action
 
 
 @dataclass(frozen=True, slots=True)
 class Finished:
-    """The action has an outcome that answers the resend."""
+    """The action has ended; its outcome is the response to the resend."""
 
     outcome: Outcome
 
@@ -61,11 +61,11 @@
 
     A record is kept until its key expires, since dropping it earlier would let a
     resend run a second time. When the table is full, new actions are refused.
-    Only the bodies of answers are dropped to save memory.
+    Only response bodies are dropped to save memory.
 
     :param clock: monotonic clock
-    :param max_records: bound on the number of records
-    :param max_held_bytes: bound on the sum of held answer bodies
+    :param max_records: limit on the number of records
+    :param max_held_bytes: limit on the total size of stored response bodies
     """
 
     def __init__(self, clock: Clock, max_records: int, max_held_bytes: int) -> None:
@@ -80,7 +80,7 @@
         return len(self._records)
 
     def may_have_run(self, key: str) -> bool:
-        """Return whether a key has a record that does not say "not run".
+        """Return whether a key has a record and its outcome is not ``NotRun``.
 
         :param key: key in text form
         """
@@ -90,13 +90,13 @@
     def begin(
         self, key: str, digest: str, budget: RetryBudget, expires_at_ms: float
     ) -> BeginResult:
-        """Register a request and say whether to run, to wait or to answer at once.
+        """Register a request and decide whether to run it, wait or respond at once.
 
-        A resend after ``NotRun`` runs again if the action's budget allows it.
+        A resend after ``NotRun`` runs again if the retry budget of the action allows.
 
         :param key: key in text form
         :param digest: digest of the request
-        :param budget: budget of a new action; a known one keeps its own
+        :param budget: retry budget of a new action; a known action keeps its budget
         :param expires_at_ms: expiry of the key on this node's clock
         """
         action = self._records.get(key)
@@ -115,7 +115,7 @@
                 return Finished(outcome)
 
     def finish(self, action: Action, outcome: Outcome) -> None:
-        """Store the outcome and wake the resends that wait for it.
+        """Store the outcome and wake waiting resends.
 
         :param action: record returned by ``begin``
         :param outcome: final outcome
@@ -124,7 +124,7 @@
         action.finished.set()
         match outcome:
             case Completed(body=body) if body:
-                self._hold(action.key, len(body))
+                self._track_body(action.key, len(body))
 
     def discard(self, key: str) -> None:
         """Drop the record of a child call whose parent has ended.
@@ -137,13 +137,13 @@
     def expire(self) -> None:
         """Drop the records whose keys have expired."""
         now_ms = self._clock.now_ms()
-        # A record that still runs stays, so that its outcome has a place.
-        gone = [
+        # Running actions are kept, so that their outcome can be recorded.
+        expired = [
             key
             for key, action in self._records.items()
             if action.expires_at_ms <= now_ms and action.outcome is not None
         ]
-        for key in gone:
+        for key in expired:
             self.discard(key)
 
     def state(self) -> dict[str, int]:
@@ -169,13 +169,13 @@
     def _restart(self, action: Action) -> BeginResult:
         if not action.budget.spend():
             return Finished(
-                NotRun(Reason.BUDGET_SPENT, "the retries of the action are used up")
+                NotRun(Reason.BUDGET_SPENT, "the retry budget of the action is used up")
             )
         action.outcome = None
         action.finished = anyio.Event()
         return Started(action)
 
-    def _hold(self, key: str, size_bytes: int) -> None:
+    def _track_body(self, key: str, size_bytes: int) -> None:
         self._bodies[key] = size_bytes
         self.held_bytes += size_bytes
         while self.held_bytes > self._max_held_bytes:
@@ -183,7 +183,8 @@
             self._release_body(oldest)
             if (action := self._records.get(oldest)) is not None:
                 action.outcome = Unknown(
-                    Reason.ANSWER_DROPPED, "it completed; the answer was dropped"
+                    Reason.ANSWER_DROPPED,
+                    "the action completed; its response was dropped",
                 )
 
     def _release_body(self, key: str) -> None:
@@ -198,7 +199,7 @@
     """Return an empty table.
 
     :param clock: monotonic clock
-    :param max_records: bound on the number of records
-    :param max_held_bytes: bound on the sum of held answer bodies
+    :param max_records: limit on the number of records
+    :param max_held_bytes: limit on the total size of stored response bodies
     """
     return ActionTable(clock, max_records, max_held_bytes)
--- a/src/briardock/target.py
+++ b/src/briardock/target.py
@@ -1,4 +1,4 @@
-"""HTTP leg to the target: one request at a time on each kept connection."""
+"""HTTP client for the local target: one request at a time on each connection."""
 
 import errno
 from collections import deque
@@ -20,18 +20,18 @@
 from briardock.metrics import Metrics
 from briardock.outcomes import Completed, Headers
 
-# An answer has to fit into one frame together with its headers.
-MAX_ANSWER_BYTES = MAX_FRAME_BYTES - 2 * MAX_HEADER_BYTES
+# A response and its headers must fit into one frame.
+MAX_RESPONSE_BYTES = MAX_FRAME_BYTES - 2 * MAX_HEADER_BYTES
 
 _EOF = b""
-DEATH_CHECK_PAUSES_S = (0.0, 0.02, 0.1)
+DEATH_CHECK_DELAYS_S = (0.0, 0.02, 0.1)
 
 
 @dataclass(frozen=True, slots=True)
 class NotSent:
     """No byte of the request was written.
 
-    :param detail: what was found
+    :param detail: cause
     :param refused: whether the target's address refused the connection
     """
 
@@ -41,20 +41,20 @@
 
 @dataclass(frozen=True, slots=True)
 class Lost:
-    """The request was written, at least in part, and no whole answer came.
+    """The request was at least partly written, but no complete response came.
 
-    :param detail: what was found
-    :param died: connection lost, and a new one is refused
+    :param detail: cause
+    :param died: whether the connection was lost and a new one is refused
     """
 
     detail: str
     died: bool
 
 
-class _AnswerError(Exception):
-    """The target's answer was cut, malformed or too large.
+class _ResponseError(Exception):
+    """The response of the target was incomplete, malformed or too large.
 
-    :param connection_lost: whether the connection ended before the answer
+    :param connection_lost: whether the connection ended before the response
     """
 
     def __init__(self, detail: str, connection_lost: bool) -> None:
@@ -76,14 +76,14 @@
         self._http = h11.Connection(h11.CLIENT, MAX_HEADER_BYTES)
 
     def is_reusable(self) -> bool:
-        """Return whether the last answer was read whole and nothing followed it."""
+        """Return whether the last response was read completely and nothing followed."""
         http = self._http
         if http.our_state is not h11.DONE or http.their_state is not h11.DONE:
             return False
         return not http.trailing_data[0]
 
     def is_quiet(self) -> bool:
-        """Return whether the target has neither closed nor sent since."""
+        """Return whether the idle connection is still open and has no unread data."""
         return self._probe.is_quiet()
 
     def encode(self, request: h11.Request, body: bytes) -> bytes:
@@ -101,24 +101,24 @@
         return head + body if body else head
 
     async def exchange(self, data: bytes, has_body: bool) -> Completed:
-        """Write a request and read its whole answer.
+        """Write a request and read the complete response.
 
         :param data: bytes of the request
-        :param has_body: whether the answer to its method may have a body; if
+        :param has_body: whether the response to its method may have a body; if
             not, its ``Content-Length`` is kept as a header
-        :raises _AnswerError: if no whole answer came
+        :raises _ResponseError: if no complete response came
         """
         self.write_started = True
         try:
             await self.stream.send(data)
-            return await self._read_answer(has_body)
+            return await self._read_response(has_body)
         except STREAM_ERRORS as error:
-            raise _AnswerError(f"connection lost: {error!r}", True) from error
+            raise _ResponseError(f"connection lost: {error!r}", True) from error
         except h11.RemoteProtocolError as error:
-            kind = "answer cut" if self._at_eof else "bad answer"
-            raise _AnswerError(f"{kind}: {error}", self._at_eof) from error
+            kind = "incomplete response" if self._at_eof else "malformed response"
+            raise _ResponseError(f"{kind}: {error}", self._at_eof) from error
 
-    async def _read_answer(self, has_body: bool) -> Completed:
+    async def _read_response(self, has_body: bool) -> Completed:
         http = self._http
         status = 0
         headers: Headers = ()
@@ -131,20 +131,20 @@
             elif type(event) is h11.Data:
                 parts.append(bytes(event.data))
                 size_bytes += len(event.data)
-                if size_bytes > MAX_ANSWER_BYTES:
+                if size_bytes > MAX_RESPONSE_BYTES:
                     raise _too_large()
             elif type(event) is h11.Response:
                 status = event.status_code
                 fields = event.headers.raw_items()
                 headers = tuple(end_to_end(fields, request=False))
                 if has_body:
-                    _check_length(fields)
+                    _check_content_length(fields)
                 else:
                     headers += _content_length(fields)
             elif type(event) is h11.EndOfMessage:
                 return Completed(status, headers, b"".join(parts))
             elif type(event) is not h11.InformationalResponse:
-                raise _AnswerError("connection lost: closed by the target", True)
+                raise _ResponseError("connection lost: closed by the target", True)
 
     async def _receive(self) -> bytes:
         try:
@@ -154,19 +154,19 @@
             return _EOF
 
     async def close(self) -> None:
-        """Close at once; this is the cancellation signal to the target."""
+        """Close immediately, which signals cancellation to the target."""
         self._probe.close()
         with anyio.CancelScope(shield=True):
             await self.stream.aclose()
 
 
 class TargetClient:
-    """HTTP client of the one target beside this node.
+    """HTTP client of the local target.
 
     :param clock: time source
     :param metrics: counters
     :param connect_timeout_ms: limit of one connection attempt
-    :param max_idle: kept connections that are not in use
+    :param max_idle: maximum number of idle connections
     """
 
     def __init__(
@@ -181,16 +181,16 @@
         self._host_header = b""
 
     def set_address(self, host: str, port: int) -> None:
-        """Set where the target listens.
+        """Set the address of the target.
 
-        Connections to another address are not used again.
+        Connections to another address are not reused.
 
         :param host: numeric IP address
         :param port: TCP port
         """
         self._address = (host, port)
-        shown = f"[{host}]" if ":" in host else host
-        self._host_header = f"{shown}:{port}".encode()
+        host_text = f"[{host}]" if ":" in host else host
+        self._host_header = f"{host_text}:{port}".encode()
 
     async def run(
         self,
@@ -202,13 +202,13 @@
     ) -> Completed | NotSent | Lost:
         """Run one request on the target.
 
-        Cancelling the task closes the connection, which tells the target.
+        Cancelling the task closes the connection, which signals the target.
 
         :param method: HTTP method
         :param path: path with query
         :param headers: end-to-end headers; hop-by-hop fields are dropped
         :param body: whole request body
-        :param deadline_at_ms: clock reading in ms at which the request is lost
+        :param deadline_at_ms: clock reading in ms at which the request times out
         """
         remaining_ms = deadline_at_ms - self._clock.now_ms()
         if remaining_ms <= 0:
@@ -216,11 +216,11 @@
         connection: _Connection | None = None
         result: Completed | NotSent | Lost = NotSent("deadline")
         with anyio.move_on_after(remaining_ms / 1000.0) as scope:
-            found = await self._connection()
-            if isinstance(found, NotSent):
-                return found
-            connection = found
-            result = await self._run_on(connection, method, path, headers, body)
+            acquired = await self._acquire_connection()
+            if isinstance(acquired, NotSent):
+                return acquired
+            connection = acquired
+            result = await self._exchange_on(connection, method, path, headers, body)
         if scope.cancelled_caught and connection and connection.write_started:
             self._metrics.count("target.timeouts")
             return Lost("deadline", died=False)
@@ -228,7 +228,7 @@
             return Lost(result.detail, await self._has_died(connection.address))
         return result
 
-    async def _run_on(
+    async def _exchange_on(
         self,
         connection: _Connection,
         method: str,
@@ -236,20 +236,20 @@
         headers: Headers,
         body: bytes,
     ) -> Completed | NotSent | Lost:
-        keep = False
+        reusable = False
         try:
             data = connection.encode(self._request(method, path, headers, body), body)
             completed = await connection.exchange(data, method != "HEAD")
-            keep = connection.is_reusable()
+            reusable = connection.is_reusable()
             return completed
         except (h11.LocalProtocolError, UnicodeError) as error:
             return NotSent(f"request is not valid HTTP: {error}")
-        except _AnswerError as error:
+        except _ResponseError as error:
             self._metrics.count("target.lost")
             return Lost(str(error), died=error.connection_lost)
         finally:
-            keep = keep and connection.address == self._address
-            if keep and len(self._idle) < self._max_idle:
+            reusable = reusable and connection.address == self._address
+            if reusable and len(self._idle) < self._max_idle:
                 connection.write_started = False
                 self._idle.append(connection)
             else:
@@ -264,7 +264,7 @@
             fields.append((b"content-length", b"%d" % len(body)))
         return h11.Request(method=method, target=path, headers=fields)
 
-    async def _connection(self) -> _Connection | NotSent:
+    async def _acquire_connection(self) -> _Connection | NotSent:
         while self._idle:
             connection = self._idle.pop()
             if connection.address == self._address and connection.is_quiet():
@@ -279,7 +279,9 @@
         except TimeoutError:
             return NotSent("connection attempt timed out")
         except OSError as error:
-            return NotSent(f"connection failed: {error}", refused=_is_refusal(error))
+            return NotSent(
+                f"connection failed: {error}", refused=_is_connection_refused(error)
+            )
 
     async def _open(self, address: tuple[str, int]) -> _Connection:
         stream = await self._connect(address)
@@ -295,13 +297,13 @@
             return await anyio.connect_tcp(*address)
 
     async def _has_died(self, address: tuple[str, int]) -> bool:
-        """Return whether the target's address refuses connections by now.
+        """Return whether the address of the target refuses connections.
 
-        A process that ends closes its connections and its listener one after the
-        other, so a connection may still be accepted right after the loss.
+        An ending process does not close its connections and its listener at the same
+        moment, so connections may still be accepted right after one is lost.
         """
-        for pause_s in DEATH_CHECK_PAUSES_S:
-            await anyio.sleep(pause_s)
+        for delay_s in DEATH_CHECK_DELAYS_S:
+            await anyio.sleep(delay_s)
             if await self._is_refused(address):
                 return True
         return False
@@ -310,7 +312,7 @@
         try:
             stream = await self._connect(address)
         except OSError as error:
-            return _is_refusal(error)
+            return _is_connection_refused(error)
         await stream.aclose()
         return False
 
@@ -327,17 +329,17 @@
     return ()
 
 
-def _check_length(fields: list[tuple[bytes, bytes]]) -> None:
+def _check_content_length(fields: list[tuple[bytes, bytes]]) -> None:
     for _name, value in _content_length(fields):
-        if int(value) > MAX_ANSWER_BYTES:
+        if int(value) > MAX_RESPONSE_BYTES:
             raise _too_large()
 
 
-def _too_large() -> _AnswerError:
-    return _AnswerError(f"answer exceeds {MAX_ANSWER_BYTES} bytes", False)
+def _too_large() -> _ResponseError:
+    return _ResponseError(f"response exceeds {MAX_RESPONSE_BYTES} bytes", False)
 
 
-def _is_refusal(error: BaseException | None) -> bool:
+def _is_connection_refused(error: BaseException | None) -> bool:
     while error is not None:
         if isinstance(error, OSError) and error.errno == errno.ECONNREFUSED:
             return True
@@ -348,11 +350,11 @@
 def make_target_client(
     clock: Clock, metrics: Metrics, connect_timeout_ms: float, max_idle: int
 ) -> TargetClient:
-    """Return a client without an address; ``set_address`` gives it one.
+    """Return a client without an address; call ``set_address`` to set it.
 
     :param clock: time source
     :param metrics: counters
     :param connect_timeout_ms: limit of one connection attempt
-    :param max_idle: kept connections that are not in use
+    :param max_idle: maximum number of idle connections
     """
     return TargetClient(clock, metrics, connect_timeout_ms, max_idle)
--- a/tests/target_fakes.py
+++ b/tests/target_fakes.py
@@ -107,7 +107,7 @@
             tasks.cancel_scope.cancel()
 
 
-def replies(*chunks: bytes, then_close: bool = False) -> Script:
+def respond_with(*chunks: bytes, then_close: bool = False) -> Script:
     """Return a script that sends the chunks one by one."""
 
     async def script(
@@ -122,5 +122,7 @@
     return script
 
 
-async def never(target: Target, stream: anyio.abc.SocketStream, data: bytes) -> None:
-    """Leave each request without an answer."""
+async def never_respond(
+    target: Target, stream: anyio.abc.SocketStream, data: bytes
+) -> None:
+    """Leave each request without a response."""
--- a/tests/test_rules_io.py
+++ b/tests/test_rules_io.py
@@ -7,7 +7,7 @@
 from briardock.peers import LinkFailure
 from briardock.target import NotSent
 from peer_fakes import client_of, echo
-from target_fakes import OK, bench, replies
+from target_fakes import OK, bench, respond_with
 
 
 def test_expired_call_is_not_written_on_an_open_link() -> None:
@@ -22,10 +22,10 @@
     anyio.run(main)
 
 
-def test_expired_request_is_not_written_on_a_kept_connection() -> None:
-    # Guards against work for a caller that has given up.
+def test_expired_request_is_not_written_on_an_idle_connection() -> None:
+    # Guards against work for a caller that has timed out.
     async def main() -> None:
-        async with bench(replies(OK)) as it:
+        async with bench(respond_with(OK)) as it:
             assert isinstance(await it.run(), Completed)
             assert isinstance(await it.run(remaining_ms=-1.0), NotSent)
             assert len(it.target.requests) == 1
--- a/tests/test_target.py
+++ b/tests/test_target.py
@@ -1,4 +1,4 @@
-"""Target client: outcomes, reuse of connections and cancellation."""
+"""Tests of the target client: outcomes, connection reuse and cancellation."""
 
 import socket
 
@@ -10,7 +10,16 @@
 from briardock.metrics import Metrics
 from briardock.outcomes import Completed, Headers
 from briardock.target import Lost, NotSent, make_target_client
-from target_fakes import DEADLINE_MS, HOST, OK, Script, Target, bench, never, replies
+from target_fakes import (
+    DEADLINE_MS,
+    HOST,
+    OK,
+    Script,
+    Target,
+    bench,
+    never_respond,
+    respond_with,
+)
 
 pytestmark = pytest.mark.anyio
 
@@ -24,13 +33,15 @@
     ("script", "expected", "connection_count"),
     [
         pytest.param(
-            replies(b"HTTP/1.1 200 OK\r\nX-A: 1\r\nContent-Length: 2\r\n\r\no", b"k"),
+            respond_with(
+                b"HTTP/1.1 200 OK\r\nX-A: 1\r\nContent-Length: 2\r\n\r\no", b"k"
+            ),
             Completed(200, ((b"x-a", b"1"),), b"ok"),
             1,
             id="content-length-in-parts",
         ),
         pytest.param(
-            replies(
+            respond_with(
                 b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\no\r\n",
                 b"1\r\nk\r\n0\r\n\r\n",
             ),
@@ -39,13 +50,13 @@
             id="chunked",
         ),
         pytest.param(
-            replies(b"HTTP/1.1 200 OK\r\n\r\no", b"k", then_close=True),
+            respond_with(b"HTTP/1.1 200 OK\r\n\r\no", b"k", then_close=True),
             Completed(200, (), b"ok"),
             2,
             id="until-close",
         ),
         pytest.param(
-            replies(
+            respond_with(
                 b"HTTP/1.1 200 OK\r\nConnection: close, x-h\r\nX-H: 1\r\n"
                 b"Content-Length: 2\r\n\r\nok"
             ),
@@ -54,16 +65,19 @@
             id="connection-close",
         ),
         pytest.param(
-            replies(b"HTTP/1.1 204 No Content\r\n\r\n"), Completed(204), 1, id="empty"
+            respond_with(b"HTTP/1.1 204 No Content\r\n\r\n"),
+            Completed(204),
+            1,
+            id="empty",
         ),
         pytest.param(
-            replies(b"HTTP/1.1 100 Continue\r\n\r\n" + OK),
+            respond_with(b"HTTP/1.1 100 Continue\r\n\r\n" + OK),
             Completed(200, (), b"ok"),
             1,
-            id="interim-answer",
+            id="interim-response",
         ),
         pytest.param(
-            replies(
+            respond_with(
                 b"HTTP/1.1 503 Busy\r\nBriardock-Not-Run: 1\r\n"
                 b"Content-Length: 0\r\n\r\n"
             ),
@@ -72,17 +86,23 @@
             id="refusal-of-the-target",
         ),
         pytest.param(
-            replies(OK + OK), Completed(200, (), b"ok"), 2, id="duplicate-in-one-read"
+            respond_with(OK + OK),
+            Completed(200, (), b"ok"),
+            2,
+            id="duplicate-in-one-read",
         ),
         pytest.param(
-            replies(OK, OK), Completed(200, (), b"ok"), 2, id="duplicate-while-idle"
+            respond_with(OK, OK),
+            Completed(200, (), b"ok"),
+            2,
+            id="duplicate-while-idle",
         ),
     ],
 )
-async def test_whole_answers(
+async def test_complete_responses(
     script: Script, expected: Completed, connection_count: int
 ):
-    """Guards against misread framing and against reuse after stray input."""
+    """Guards against framing errors and against reuse after unexpected data."""
     async with bench(script) as it:
         assert await it.run() == expected
         await it.target.wait_finished(1)
@@ -94,36 +114,48 @@
     ("script", "detail"),
     [
         pytest.param(
-            replies(then_close=True), "answer cut", id="closed-without-answer"
+            respond_with(then_close=True),
+            "incomplete response",
+            id="closed-without-response",
         ),
-        pytest.param(replies(OK[:-1], then_close=True), "answer cut", id="cut-body"),
-        pytest.param(replies(OK[:20], then_close=True), "answer cut", id="cut-head"),
         pytest.param(
-            replies(
+            respond_with(OK[:-1], then_close=True), "incomplete response", id="cut-body"
+        ),
+        pytest.param(
+            respond_with(OK[:20], then_close=True), "incomplete response", id="cut-head"
+        ),
+        pytest.param(
+            respond_with(
                 b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab",
                 then_close=True,
             ),
-            "answer cut",
+            "incomplete response",
             id="cut-chunk",
         ),
-        pytest.param(replies(b"garbage\r\n\r\n"), "bad answer", id="not-http"),
         pytest.param(
-            replies(b"HTTP/1.1 101 Switching\r\nUpgrade: x\r\n\r\n"), "", id="upgrade"
+            respond_with(b"garbage\r\n\r\n"), "malformed response", id="not-http"
         ),
         pytest.param(
-            replies(b"HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n" + b"a" * 9),
-            "answer exceeds",
+            respond_with(b"HTTP/1.1 101 Switching\r\nUpgrade: x\r\n\r\n"),
+            "",
+            id="upgrade",
+        ),
+        pytest.param(
+            respond_with(
+                b"HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n" + b"a" * 9
+            ),
+            "response exceeds",
             id="too-large",
         ),
         pytest.param(
-            replies(b"HTTP/1.1 200 OK\r\nA: " + b"a" * 200_000),
-            "bad answer",
+            respond_with(b"HTTP/1.1 200 OK\r\nA: " + b"a" * 200_000),
+            "malformed response",
             id="header-too-large",
         ),
     ],
 )
-async def test_no_whole_answer_is_lost(script: Script, detail: str):
-    """Guards against a cut answer passed on as a whole one."""
+async def test_request_without_a_complete_response_is_lost(script: Script, detail: str):
+    """Guards against returning an incomplete response as a complete one."""
     async with bench(script) as it:
         lost = await it.run()
         assert isinstance(lost, Lost), lost
@@ -137,7 +169,7 @@
 
 @pytest.mark.parametrize("listens", [True, False])
 async def test_death_of_the_target(listens: bool):
-    """Guards against a lost connection of a living target taken for its death."""
+    """Guards against counting a lost connection of a running target as its death."""
 
     async def die(target: Target, stream: anyio.abc.SocketStream, data: bytes) -> None:
         if not listens:
@@ -152,7 +184,7 @@
 
 async def test_refused_connection_is_not_sent():
     """Guards against an unknown outcome for a request that was never written."""
-    async with bench(never) as it:
+    async with bench(never_respond) as it:
         with socket.socket() as unused:
             unused.bind((HOST, 0))
             it.client.set_address(HOST, unused.getsockname()[1])
@@ -174,7 +206,7 @@
     path: str, headers: Headers, remaining_ms: float
 ):
     """Guards against invalid requests that reach the target or raise."""
-    async with bench(replies(OK)) as it:
+    async with bench(respond_with(OK)) as it:
         result = await it.run(path=path, headers=headers, remaining_ms=remaining_ms)
         assert isinstance(result, NotSent)
         assert it.target.requests == []
@@ -197,7 +229,7 @@
     ],
 )
 async def test_request_on_the_wire(method: str, body: bytes, framing: bytes):
-    """Guards against hop-by-hop fields and foreign framing at the target."""
+    """Guards against forwarding hop-by-hop fields and framing of the caller."""
     headers = (
         (b"Host", b"caller"),
         (b"Content-Length", b"77"),
@@ -207,7 +239,7 @@
         (b"Expect", b"100-continue"),
         (b"Accept", b"*/*"),
     )
-    async with bench(replies(OK)) as it:
+    async with bench(respond_with(OK)) as it:
         await it.run(method, "/p?q=1", headers, body)
         sent = it.target.requests[0]
         host = f"host: {HOST}:{it.target.port}\r\n".encode()
@@ -216,8 +248,10 @@
 
 
 async def test_head_has_no_body():
-    """Guards against waiting for a body of HEAD and against its lost length."""
-    async with bench(replies(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n")) as it:
+    """Guards against waiting for a HEAD body and dropping its Content-Length."""
+    async with bench(
+        respond_with(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n")
+    ) as it:
         result = await it.run("HEAD")
         assert isinstance(result, Completed)
         assert result.body == b""
@@ -225,8 +259,8 @@
         assert await it.run("HEAD") == result
 
 
-async def test_late_answer_reaches_no_other_request():
-    """Guards against the answer of a timed-out request given to the next one."""
+async def test_late_response_reaches_no_other_request():
+    """Guards against returning a late response to the next request."""
 
     async def script(
         target: Target, stream: anyio.abc.SocketStream, data: bytes
@@ -250,7 +284,7 @@
 
 
 async def test_concurrent_requests_share_no_connection():
-    """Guards against answers swapped between requests in flight."""
+    """Guards against responses swapped between requests in flight."""
 
     async def script(
         target: Target, stream: anyio.abc.SocketStream, data: bytes
@@ -278,8 +312,8 @@
 
 
 async def test_cancelling_closes_the_connection():
-    """Guards against a target that works on for a caller that is gone."""
-    async with bench(never) as it:
+    """Guards against a target that keeps working for a disconnected caller."""
+    async with bench(never_respond) as it:
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(it.run)
             await it.target.received.wait()
@@ -289,7 +323,7 @@
 
 async def test_stale_connection_is_not_reused():
     """Guards against an unknown outcome after the target closed while idle."""
-    async with bench(replies(OK, then_close=True)) as it:
+    async with bench(respond_with(OK, then_close=True)) as it:
         for number in range(1, 6):
             assert (await it.run("POST", body=b"x")).body == b"ok"
             await it.target.wait_finished(number)
@@ -297,8 +331,8 @@
 
 
 async def test_new_address_is_used_at_once():
-    """Guards against requests sent to a target that was replaced."""
-    async with bench(replies(OK)) as old, bench(replies(OK)) as new:
+    """Guards against requests sent to the previous target process."""
+    async with bench(respond_with(OK)) as old, bench(respond_with(OK)) as new:
         await old.run()
         old.client.set_address(HOST, new.target.port)
         await old.run()
@@ -307,13 +341,13 @@
 
 
 async def test_target_that_does_not_read():
-    """Guards against a request stuck in writing beyond its deadline."""
+    """Guards against a blocked write that outlasts the deadline."""
 
     async def serve(stream: anyio.abc.SocketStream) -> None:
         async with stream:
             await anyio.sleep_forever()
 
-    async with bench(never) as it:
+    async with bench(never_respond) as it:
         listener = await anyio.create_tcp_listener(local_host=HOST)
         it.tasks.start_soon(listener.serve, serve)
         it.client.set_address(
@@ -324,16 +358,14 @@
 
 
 @pytest.mark.parametrize("accepted, died", [(0, True), (2, True), (3, False)])
-def test_listener_that_outlives_its_connections_for_a_moment(
-    accepted: int, died: bool
-) -> None:
-    # Guards against a death that is not counted because the listener of the dying
-    # process still accepted the first check.
+def test_listener_that_closes_after_its_connections(accepted: int, died: bool) -> None:
+    # Guards against missing a death because the listener of the ending process
+    # still accepted the first check.
     client = make_target_client(ManualClock(), Metrics(), 100.0, 1)
-    answers = iter([False] * accepted + [True] * 3)
+    results = iter([False] * accepted + [True] * 3)
 
     async def is_refused(address: tuple[str, int]) -> bool:
-        return next(answers)
+        return next(results)
 
     client._is_refused = is_refused  # type: ignore[method-assign]
     assert anyio.run(client._has_died, ("127.0.0.1", 1)) is died
