Reword keys, outcomes, announcements, drain and wiring

Rename private names and parameters to terms of the field (local, response, poll interval, timeout) and reword comments, docstrings, messages and test texts.

--- a/src/briardock/announcements.py
+++ b/src/briardock/announcements.py
@@ -1,4 +1,4 @@
-"""Announcements of the target beside a node, and their expiry."""
+"""Announcements of the local target and their expiry."""
 
 from collections.abc import Callable
 
@@ -16,14 +16,14 @@
 
 
 class Announcement(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Body of ``POST /_briardock/target``, repeated about every second.
+    """Body of ``POST /_briardock/target``, sent about once per second.
 
-    :param service: service the target offers
+    :param service: service that the target provides
     :param host: numeric address of the target
     :param port: TCP port of the target
     :param instance: random id of the target process
     :param state: ``ready`` or ``leaving``
-    :param load: load it reports, 1.0 is full
+    :param load: load reported by the target; 1.0 is full
     """
 
     service: str
@@ -35,9 +35,9 @@
 
 
 class AnnouncementReply(msgspec.Struct, frozen=True):
-    """Answer to an announcement.
+    """Response to an announcement.
 
-    A leaving target stays up until nothing is in flight.
+    A leaving target keeps running until nothing is in flight.
 
     :param in_flight: calls of this target that the node has admitted
     """
@@ -46,15 +46,15 @@
 
 
 class Announcements:
-    """Accepts announcements and withdraws a target that stopped sending them.
+    """Accepts announcements and withdraws a target that stops sending them.
 
     :param clock: monotonic clock
     :param inbound: inbound side of the node
-    :param target: HTTP leg to the target
+    :param target: HTTP client of the target
     :param in_flight: returns the number of admitted and queued calls
-    :param on_change: told when service, instance or state changed
-    :param on_start: told when another target process was announced
-    :param own_hosts: addresses of this instance, besides loopback
+    :param on_change: called when service, instance or state changes
+    :param on_start: called when a new target process is announced
+    :param local_hosts: addresses of this instance, besides loopback
     """
 
     def __init__(
@@ -65,7 +65,7 @@
         in_flight: Callable[[], int],
         on_change: Callable[[], None],
         on_start: Callable[[], None],
-        own_hosts: tuple[str, ...],
+        local_hosts: tuple[str, ...],
     ) -> None:
         self._clock = clock
         self._inbound = inbound
@@ -73,7 +73,7 @@
         self._in_flight = in_flight
         self._on_change = on_change
         self._on_start = on_start
-        self._own_hosts = own_hosts
+        self._local_hosts = local_hosts
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Accept one announcement; only processes on this instance may send it.
@@ -87,20 +87,20 @@
             announcement = msgspec.json.decode(request.body, type=Announcement)
         except msgspec.DecodeError as error:
             return outcome_response(NotRun(Reason.BAD_REQUEST, str(error)))
-        detail = _fault_of(announcement)
+        detail = _find_error(announcement)
         if detail:
             return outcome_response(NotRun(Reason.BAD_REQUEST, detail))
         self._apply(announcement)
-        reply = AnnouncementReply(self._in_flight())
-        return json_response(200, msgspec.json.encode(reply))
+        response = AnnouncementReply(self._in_flight())
+        return json_response(200, msgspec.json.encode(response))
 
     def _is_local(self, peer: str) -> bool:
-        # A node bound to one address is reached from that address.
-        own = tuple(f"{host}:" for host in self._own_hosts)
-        return peer.startswith((*LOOPBACK_PREFIXES, *own))
+        # Local processes connect from this address if the node is bound to it.
+        local_prefixes = tuple(f"{host}:" for host in self._local_hosts)
+        return peer.startswith((*LOOPBACK_PREFIXES, *local_prefixes))
 
     def withdraw_expired(self) -> None:
-        """Withdraw the target if its announcements have stopped."""
+        """Withdraw the target if its last announcement has expired."""
         state = self._inbound.target_state
         age_ms = self._clock.now_ms() - state.announced_ms
         if state.present and age_ms > ANNOUNCEMENT_EXPIRY_MS:
@@ -110,9 +110,9 @@
     def _apply(self, announcement: Announcement) -> None:
         state = self._inbound.target_state
         leaving = announcement.state == "leaving"
-        before = (state.instance, state.service, state.leaving)
+        previous = (state.instance, state.service, state.leaving)
         if state.present and state.instance != announcement.instance:
-            # Another process took over the address, so the known one has ended.
+            # Another target process was announced, so the earlier one has ended.
             self._inbound.target_died(state.instance)
         self._target.set_address(announcement.host, announcement.port)
         state.service = announcement.service
@@ -120,13 +120,13 @@
         state.leaving = leaving
         state.reported_load = announcement.load
         state.announced_ms = self._clock.now_ms()
-        if before[0] != state.instance:
+        if previous[0] != state.instance:
             self._on_start()
-        if before != (state.instance, state.service, state.leaving):
+        if previous != (state.instance, state.service, state.leaving):
             self._on_change()
 
 
-def _fault_of(announcement: Announcement) -> str:
+def _find_error(announcement: Announcement) -> str:
     if not announcement.service or not announcement.instance:
         return "service and instance must not be empty"
     if not 0 < announcement.port < 65_536:
@@ -143,18 +143,18 @@
     in_flight: Callable[[], int],
     on_change: Callable[[], None],
     on_start: Callable[[], None] = lambda: None,
-    own_hosts: tuple[str, ...] = (),
+    local_hosts: tuple[str, ...] = (),
 ) -> Announcements:
     """Return the handler of announcements.
 
     :param clock: monotonic clock
     :param inbound: inbound side of the node
-    :param target: HTTP leg to the target
+    :param target: HTTP client of the target
     :param in_flight: returns the number of admitted and queued calls
-    :param on_change: told when service, instance or state changed
-    :param on_start: told when another target process was announced
-    :param own_hosts: addresses of this instance, besides loopback
+    :param on_change: called when service, instance or state changes
+    :param on_start: called when a new target process is announced
+    :param local_hosts: addresses of this instance, besides loopback
     """
     return Announcements(
-        clock, inbound, target, in_flight, on_change, on_start, own_hosts
+        clock, inbound, target, in_flight, on_change, on_start, local_hosts
     )
--- a/src/briardock/callers.py
+++ b/src/briardock/callers.py
@@ -12,16 +12,16 @@
 async def handle_caller(
     entry: Entry, announcements: Announcements, request: HttpRequest
 ) -> HttpResponse:
-    """Answer one request of a caller or of the target beside this node.
+    """Handle one request from a caller or from the local target.
 
-    :param entry: entry of calls
-    :param announcements: announcements of the target
+    :param entry: handler of calls
+    :param announcements: handler of target announcements
     :param request: whole HTTP request
     """
     path, _, query = request.path.partition("?")
     match request.method, path:
         case "POST", "/_briardock/keys":
-            return entry.issue_keys(_count_of(query))
+            return entry.issue_keys(_parse_count(query))
         case "POST", "/_briardock/target":
             return await announcements.handle(request)
         case _, path if path.startswith(INTERNAL_PREFIX):
@@ -31,8 +31,8 @@
             return await entry.handle(request)
 
 
-def _count_of(query: str) -> int:
-    """Return the ``count`` of a query, 1 if absent and 0 if it is no number."""
+def _parse_count(query: str) -> int:
+    """Return ``count`` from a query, 1 if it is absent and 0 if it is invalid."""
     for part in query.split("&"):
         name, _, value = part.partition("=")
         if name == "count":
--- a/src/briardock/drain.py
+++ b/src/briardock/drain.py
@@ -1,4 +1,4 @@
-"""Leaving without cutting requests in flight."""
+"""Graceful shutdown that lets requests in flight finish."""
 
 import enum
 from collections.abc import Callable
@@ -8,11 +8,11 @@
 from briardock.clock import Clock
 from briardock.events import Event, emit
 
-POLL_S = 0.02
+POLL_INTERVAL_S = 0.02
 
 
 class DrainState(enum.StrEnum):
-    """Phases of leaving."""
+    """Phases of a drain."""
 
     SERVING = "serving"
     LEAVING = "leaving"
@@ -24,9 +24,9 @@
 
     :param clock: monotonic clock
     :param in_flight: returns the number of requests in flight
-    :param announce: tells other nodes that this one is leaving
-    :param timeout_ms: longest wait in ms; work still in flight is left running
-        until the process ends
+    :param announce: tells other nodes that this node is leaving
+    :param timeout_ms: longest wait in ms; work still in flight continues until
+        the process ends
     """
 
     def __init__(
@@ -48,17 +48,17 @@
         return self.state is not DrainState.SERVING
 
     async def run(self) -> bool:
-        """Leave; return whether nothing was in flight at the end.
+        """Drain; return whether nothing was in flight at the end.
 
-        A second call joins the first and waits for the same end.
+        A second call does not restart the drain; it waits as well.
         """
         if self.state is DrainState.SERVING:
             self.state = DrainState.LEAVING
             emit(Event.DRAIN_STARTED, in_flight=self._in_flight())
             self._announce()
-        give_up_ms = self._clock.now_ms() + self._timeout_ms
-        while self._in_flight() and self._clock.now_ms() < give_up_ms:
-            await anyio.sleep(POLL_S)
+        timeout_at_ms = self._clock.now_ms() + self._timeout_ms
+        while self._in_flight() and self._clock.now_ms() < timeout_at_ms:
+            await anyio.sleep(POLL_INTERVAL_S)
         if self.state is DrainState.LEAVING:
             self.state = DrainState.LEFT
             if self._in_flight():
@@ -78,7 +78,7 @@
 
     :param clock: monotonic clock
     :param in_flight: returns the number of requests in flight
-    :param announce: tells other nodes that this one is leaving
+    :param announce: tells other nodes that this node is leaving
     :param timeout_ms: longest wait in ms
     """
     return Drain(clock, in_flight, announce, timeout_ms)
--- a/src/briardock/entry.py
+++ b/src/briardock/entry.py
@@ -198,7 +198,7 @@
         An earlier request with the key may have run. For a key issued elsewhere,
         only its issuer knows.
         """
-        if not self._issuer.is_own(key):
+        if not self._issuer.is_local(key):
             return Unknown(refusal.reason, refusal.detail)
         verified = self._issuer.verify(key)
         if not isinstance(verified, ActionKey):
--- a/src/briardock/keys.py
+++ b/src/briardock/keys.py
@@ -1,4 +1,4 @@
-"""Keys of actions: issued by one process incarnation, derived along the chain."""
+"""Action keys: issued by one process incarnation, derived for child calls."""
 
 import hashlib
 import random
@@ -22,11 +22,11 @@
 class ActionKey:
     """Parsed root key of an action.
 
-    :param node_id: issuer
+    :param node_id: id of the issuer
     :param incarnation: process incarnation of the issuer
     :param issued_ms: issue time on the issuer's monotonic clock
     :param sequence: number within the incarnation
-    :param mac: code that only this incarnation of the issuer can make
+    :param mac: message authentication code by this incarnation of the issuer
     """
 
     node_id: str
@@ -43,9 +43,9 @@
 
 
 def make_incarnation(rng: random.Random) -> int:
-    """Return an incarnation that grows with each start of a process.
+    """Return an incarnation that increases with each start of a process.
 
-    The random bits keep two processes apart that start in the same millisecond.
+    The random bits distinguish processes that start in the same millisecond.
 
     :param rng: random source
     """
@@ -56,7 +56,7 @@
 
 
 def parse_key(text: str) -> ActionKey | NotRun:
-    """Parse a root key without checking who issued it.
+    """Parse a root key without verifying it.
 
     :param text: value of an ``Idempotency-Key`` header
     """
@@ -75,7 +75,7 @@
 
     :param node_id: id of this node
     :param incarnation: incarnation of this process
-    :param clock: monotonic clock; only it decides when a key expires
+    :param clock: monotonic clock; key expiry depends on no other clock
     :param lifetime_ms: time from issue to expiry in ms
     :param secret: key of the MAC
     """
@@ -102,19 +102,19 @@
         mac = self._mac(issued_ms, self._sequence)
         return ActionKey(self.node_id, self.incarnation, issued_ms, self._sequence, mac)
 
-    def is_own(self, key: ActionKey) -> bool:
-        """Return whether this incarnation is the issuer named by a key."""
+    def is_local(self, key: ActionKey) -> bool:
+        """Return whether a key names this incarnation as its issuer."""
         return key.node_id == self.node_id and key.incarnation == self.incarnation
 
     def verify(self, key: ActionKey) -> ActionKey | NotRun | Unknown:
         """Check a key that names this node.
 
-        A key of an earlier incarnation and an expired key give ``Unknown``:
-        their record is gone, so the action may have run.
+        A key of an earlier incarnation and an expired key give ``Unknown``: their
+        action record no longer exists, so the action may have run.
 
         :param key: parsed key
         """
-        if not self.is_own(key):
+        if not self.is_local(key):
             return Unknown(Reason.ISSUER_GONE, "the issuing process was replaced")
         expected = self._mac(key.issued_ms, key.sequence)
         if not secrets.compare_digest(expected.encode(), key.mac.encode()):
@@ -137,7 +137,7 @@
 def make_key_issuer(
     node_id: str, incarnation: int, clock: Clock, lifetime_ms: float
 ) -> KeyIssuer:
-    """Return an issuer with a fresh secret.
+    """Return an issuer with a new random secret.
 
     :param node_id: id of this node
     :param incarnation: incarnation of this process
@@ -148,7 +148,7 @@
 
 
 def request_digest(operation: str, path: str, body: bytes) -> str:
-    """Return the digest that tells a resend from another request.
+    """Return the digest that distinguishes a resend from another request.
 
     :param operation: full name of the operation
     :param path: path with query below the service
@@ -164,14 +164,16 @@
     """Derive the key of a child call from its parent's key.
 
     The operation is part of the key, so that one label used for two operations
-    names two calls.
+    identifies two calls.
 
     :param parent: key of the calling call in text form
     :param operation: full name of the called operation
-    :param label: the child's own ``Idempotency-Key`` or its request digest
+    :param label: ``Idempotency-Key`` of the child call or its request digest
     """
     if not _LABEL.fullmatch(label):
-        return NotRun(Reason.BAD_KEY, "a child key has letters, digits and _.:+=-")
+        return NotRun(
+            Reason.BAD_KEY, "a child key may contain only letters, digits and _.:+=-"
+        )
     return f"{parent}/{operation}~{label}"
 
 
--- a/src/briardock/node.py
+++ b/src/briardock/node.py
@@ -188,7 +188,7 @@
             self.drain,
             self._stop.set,
             self.quarantine,
-            self.spread_lift,
+            self.send_quarantine_lift,
         )
         limits = HttpLimits(
             self.settings.node.max_header_kb * 1024,
--- a/src/briardock/outcomes.py
+++ b/src/briardock/outcomes.py
@@ -1,4 +1,4 @@
-"""Outcomes of a call: a whole answer, or a sentinel value with a reason."""
+"""Outcomes of a call: a complete response, or a refusal or loss with a reason."""
 
 import enum
 from dataclasses import dataclass
@@ -8,7 +8,7 @@
 
 
 class Reason(enum.StrEnum):
-    """Typed kinds of refusals and losses."""
+    """Reasons of refusals and of unknown outcomes."""
 
     BAD_REQUEST = "bad-request"
     BODY_TOO_LARGE = "body-too-large"
@@ -109,11 +109,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Completed:
-    """The whole answer of a target.
+    """The complete response of a target.
 
     :param status: HTTP status code of the target
-    :param headers: answer headers
-    :param body: answer body
+    :param headers: response headers
+    :param body: response body
     """
 
     status: int
@@ -123,10 +123,10 @@
 
 @dataclass(frozen=True, slots=True)
 class NotRun:
-    """Refusal given before any target saw the request.
+    """The request was refused before it reached a target.
 
-    :param reason: typed kind
-    :param detail: what was found
+    :param reason: reason code
+    :param detail: cause
     """
 
     reason: Reason
@@ -135,10 +135,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Unknown:
-    """The request may have run; it is never repeated.
+    """The request may have run; an at-most-once request is not retried.
 
-    :param reason: typed kind
-    :param detail: what was found
+    :param reason: reason code
+    :param detail: cause
     """
 
     reason: Reason
--- a/src/briardock/parts.py
+++ b/src/briardock/parts.py
@@ -1,4 +1,4 @@
-"""Parts of one node and how they are connected."""
+"""Components of one node and their wiring."""
 
 import random
 from functools import partial
@@ -41,7 +41,7 @@
 
 
 class Parts:
-    """All parts of one node; ``assemble`` connects them.
+    """Components of one node; ``assemble`` creates and connects them.
 
     :param settings: checked settings
     :param clock: monotonic clock
@@ -58,7 +58,7 @@
         self._rng = rng
 
     def assemble(self, call_port: int) -> None:
-        """Make all parts.
+        """Create all components.
 
         :param call_port: bound port for calls
         """
@@ -69,14 +69,16 @@
             self.metrics,
         )
         node = settings.node
-        own = make_own_record(settings, self.incarnation, call_port, node.gossip_port)
+        local_record = make_own_record(
+            settings, self.incarnation, call_port, node.gossip_port
+        )
         self.quarantine = make_quarantine(quarantine_settings(settings), clock)
         self.router = make_router(
             routing_settings(settings), node.failure_domain, clock, rng, metrics
         )
         self.cluster, self.directory = make_cluster(
             settings,
-            own,
+            local_record,
             node.gossip_port,
             lambda table: make_directory(table, self.router, clock, self._domains_of),
             self.quarantine,
@@ -99,7 +101,7 @@
         )
         self.drain = make_drain(
             clock,
-            self.target_load,
+            self.target_call_count,
             partial(self.announce, MemberState.LEAVING),
             settings.drain.timeout_s * 1_000.0,
         )
@@ -117,7 +119,7 @@
             self.drain,
             self.quarantine,
             self._chain_threshold,
-            self._spread_quarantine,
+            self._send_quarantine,
             self._call_ended,
             self._target_changed,
             metrics,
@@ -159,7 +161,7 @@
             clock,
             self.inbound,
             self.target,
-            self.target_load,
+            self.target_call_count,
             self._target_changed,
             self._target_started,
             (self.settings.node.host,),
@@ -184,12 +186,12 @@
             return MAX_LEVEL
         return min(self.chain_thresholds.level(name) for name in found.calls)
 
-    def target_load(self) -> int:
-        """Return the number of admitted and queued calls of the own target."""
+    def target_call_count(self) -> int:
+        """Return the number of admitted and queued calls of the local target."""
         return len(self.inbound.running) + self.admission.queued
 
     def announce(self, state: MemberState) -> None:
-        """Tell other nodes the state of this one.
+        """Tell other nodes the state of this node.
 
         :param state: state of this member
         """
@@ -211,8 +213,8 @@
     def _configuration_changed(self) -> None:
         self.metrics.count("configuration.changes")
         policy = self.cluster.config.catalog.policy
-        own = admission_settings(self.settings)
-        self.admission.configure(with_policy(own, policy))
+        local_settings = admission_settings(self.settings)
+        self.admission.configure(with_policy(local_settings, policy))
         self.directory.refresh()
 
     def _target_started(self) -> None:
@@ -222,16 +224,16 @@
             service.slots_hint if service else None,
         )
 
-    def _spread_quarantine(self, entries: list[QuarantineEntry]) -> None:
+    def _send_quarantine(self, entries: list[QuarantineEntry]) -> None:
         if entries:
             self.cluster.gossip.push_quarantine(entries)
 
-    def spread_lift(self, fingerprint: str) -> None:
+    def send_quarantine_lift(self, fingerprint: str) -> None:
         """Tell other nodes that an operator lifted a quarantine.
 
-        :param fingerprint: lifted entry
+        :param fingerprint: fingerprint of the lifted entry
         """
-        self._spread_quarantine(self.quarantine.entries([fingerprint]))
+        self._send_quarantine(self.quarantine.entries([fingerprint]))
 
     def _call_ended(self, running: RunningCall) -> None:
         self.entry.discard_child_actions(running)
--- a/src/briardock/replies.py
+++ b/src/briardock/replies.py
@@ -1,4 +1,4 @@
-"""HTTP forms of outcomes."""
+"""HTTP responses for outcomes."""
 
 import msgspec
 
@@ -11,11 +11,11 @@
 
 
 class Refusal(msgspec.Struct, frozen=True):
-    """Body of an answer that carries no target's answer.
+    """Response body for an outcome without a response of the target.
 
     :param outcome: ``not-run`` or ``unknown``
-    :param reason: typed kind
-    :param detail: what was found
+    :param reason: reason code
+    :param detail: cause
     :param remedy: what the caller or operator can do
     """
 
@@ -30,21 +30,25 @@
 
     :param status: HTTP status code
     :param body: encoded JSON
-    :param headers: further headers
+    :param headers: additional headers
     """
     return HttpResponse(status, (*JSON_HEADERS, *headers), body)
 
 
 def outcome_response(outcome: Outcome, headers: Headers = ()) -> HttpResponse:
-    """Return the response that tells a caller an outcome.
+    """Return the response that reports an outcome to a caller.
 
     :param outcome: final outcome of the request
-    :param headers: further headers
+    :param headers: additional headers
     """
     match outcome:
-        case Completed(status, own_headers, body):
-            marked = (*own_headers, (OUTCOME_HEADER, b"completed"), *headers)
-            return HttpResponse(status, marked, body)
+        case Completed(status, target_headers, body):
+            response_headers = (
+                *target_headers,
+                (OUTCOME_HEADER, b"completed"),
+                *headers,
+            )
+            return HttpResponse(status, response_headers, body)
         case NotRun():
             return _refusal_response("not-run", outcome, headers)
         case Unknown():
@@ -56,5 +60,5 @@
 ) -> HttpResponse:
     info = REASONS[outcome.reason]
     refusal = Refusal(name, outcome.reason.value, outcome.detail, info.remedy)
-    marked = ((OUTCOME_HEADER, name.encode()), *headers)
-    return json_response(info.status, msgspec.json.encode(refusal), marked)
+    response_headers = ((OUTCOME_HEADER, name.encode()), *headers)
+    return json_response(info.status, msgspec.json.encode(refusal), response_headers)
--- a/tests/callpath_fakes.py
+++ b/tests/callpath_fakes.py
@@ -1,4 +1,4 @@
-"""A call path of one node with scripted links and a scripted target."""
+"""Call path of one node with scripted links and a scripted target."""
 
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
@@ -76,7 +76,7 @@
 
 
 class FakeLinks(PeerLinks):
-    """Links that answer from a script, then with 200."""
+    """Links that respond from a script, then with status 200."""
 
     def __init__(self) -> None:
         self.script: list[Step] = []
@@ -91,7 +91,7 @@
 
 
 class FakeTarget(TargetClient):
-    """Target that runs a function; it counts the runs by path."""
+    """Target that runs a function and records the requested paths."""
 
     def __init__(self) -> None:
         self.runs: list[str] = []
@@ -118,7 +118,7 @@
 
 
 class HookedAdmission(Admission):
-    """Admission that runs a hook at the end of each wait and keeps releases."""
+    """Admission that runs a hook after each admission and records releases."""
 
     hook: Callable[[], None] = staticmethod(lambda: None)
     released: list[tuple[float, bool]]
@@ -158,14 +158,14 @@
 
 @dataclass
 class CallPath:
-    """Parts of one node, with the real decisions and fake input and output."""
+    """Components of one node with real logic and fake input and output."""
 
     clock: ManualClock = field(default_factory=lambda: ManualClock(1_000.0))
     metrics: Metrics = field(default_factory=Metrics)
     links: FakeLinks = field(default_factory=FakeLinks)
     target: FakeTarget = field(default_factory=FakeTarget)
     catalog: Catalog | None = field(default_factory=make_catalog)
-    spread: list[QuarantineEntry] = field(default_factory=list)
+    sent_quarantine: list[QuarantineEntry] = field(default_factory=list)
     in_flight: int = 0
     deaths: int = 0
     ratio: RetryRatio = field(default_factory=lambda: make_retry_ratio(1.0))
@@ -205,7 +205,7 @@
             self.drain,
             self.quarantine,
             self.chain_thresholds.level,
-            self.spread.extend,
+            self.sent_quarantine.extend,
             lambda running: self.entry.discard_child_actions(running),
             self._count_death,
             metrics,
@@ -249,7 +249,7 @@
         self.directory.refresh()
 
     def use_local_target(self) -> None:
-        """Make the own target an instance for calls of this node."""
+        """Make the local target an instance for calls of this node."""
         self.table.update_own(service="wallet", target_instance="t1")
 
     async def request(
@@ -319,7 +319,7 @@
 
 
 def outcome_text(response: HttpResponse) -> str:
-    """Return outcome and reason as the caller sees them."""
+    """Return the outcome and reason of a response."""
     outcome = dict(response.headers)[b"Briardock-Outcome"].decode()
     if outcome == "completed":
         return outcome
--- a/tests/test_announcements.py
+++ b/tests/test_announcements.py
@@ -1,4 +1,4 @@
-"""Tests of announcements of the target: who may send them and what they change."""
+"""Tests of target announcements: allowed senders, validation and expiry."""
 
 import anyio
 import pytest
@@ -18,7 +18,7 @@
 BODY = b'{"service":"wallet","host":"127.0.0.1","port":80,"instance":"%s"%s}'
 
 
-def make() -> tuple[Announcements, CallPath, list[int]]:
+def make_handler() -> tuple[Announcements, CallPath, list[int]]:
     path = CallPath()
     path.inbound.target_state.instance = ""
     path.inbound.target_state.service = ""
@@ -37,8 +37,8 @@
     )
 
 
-def test_heartbeats_report_one_change() -> None:
-    handler, path, changes = make()
+def test_repeated_announcements_report_one_change() -> None:
+    handler, path, changes = make_handler()
     for load in (b"0.5", b"0.9"):
         response = announce(handler, BODY % (b"t1", b',"load":' + load))
         assert (response.status, response.body) == (200, b'{"in_flight":3}')
@@ -54,8 +54,8 @@
 @pytest.mark.parametrize(
     "peer", ["10.0.0.1:9", "128.0.0.1:9", "[::ffff:10.0.0.1]:9", "", "12.7.0.1:1"]
 )
-def test_announcement_of_another_machine_is_refused(peer: str) -> None:
-    handler, path, changes = make()
+def test_announcement_from_another_machine_is_refused(peer: str) -> None:
+    handler, path, changes = make_handler()
     assert announce(handler, BODY % (b"t1", b""), peer).status == 400
     assert not path.inbound.target_state.present
     assert not changes
@@ -78,8 +78,8 @@
         b"\xff",
     ],
 )
-def test_bad_body_is_refused_and_changes_nothing(body: bytes) -> None:
-    handler, path, changes = make()
+def test_invalid_body_is_refused_and_changes_nothing(body: bytes) -> None:
+    handler, path, changes = make_handler()
     announce(handler, BODY % (b"t0", b""))
     assert announce(handler, body).status == 400
     assert path.inbound.target_state.instance == "t0"
@@ -87,14 +87,14 @@
 
 
 @given(st.binary(max_size=40))
-def test_any_body_gets_an_answer(body: bytes) -> None:
-    handler, _, _ = make()
+def test_any_body_gets_a_response(body: bytes) -> None:
+    handler, _, _ = make_handler()
     assert announce(handler, body).status in (200, 400)
 
 
 def test_new_instance_id_means_that_the_old_process_died() -> None:
-    # Guards against a crash that is missed since the target restarted quickly.
-    handler, path, _ = make()
+    # Guards against missing a crash when the target restarts quickly.
+    handler, path, _ = make_handler()
     announce(handler, BODY % (b"t1", b""))
     path.inbound.running["c"] = RunningCall("c", make_call(), 1e9, make_budget(0), 0.0)
     announce(handler, BODY % (b"t2", b""))
@@ -105,15 +105,15 @@
 
 
 @pytest.mark.parametrize(
-    "silence_ms, present",
+    "age_ms, present",
     [(ANNOUNCEMENT_EXPIRY_MS, True), (ANNOUNCEMENT_EXPIRY_MS + 1, False)],
 )
-def test_silent_target_is_withdrawn_without_a_death(
-    silence_ms: float, present: bool
+def test_target_without_announcements_is_withdrawn_without_a_death(
+    age_ms: float, present: bool
 ) -> None:
-    handler, path, changes = make()
+    handler, path, changes = make_handler()
     announce(handler, BODY % (b"t1", b""))
-    path.clock.advance(silence_ms)
+    path.clock.advance(age_ms)
     handler.withdraw_expired()
     handler.withdraw_expired()
     assert path.inbound.target_state.present is present
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -1,14 +1,14 @@
-"""Tests of leaving: refuse at once, wait for what runs, give up in time."""
+"""Tests of draining: refuse new work, wait for work in flight, time out."""
 
 import anyio
 import pytest
 
 from briardock.clock import ManualClock
-from briardock.drain import POLL_S, DrainState, make_drain
+from briardock.drain import POLL_INTERVAL_S, DrainState, make_drain
 
 
 class CountedWork:
-    """Work in flight that ends as the clock is read."""
+    """Work in flight that ends after a number of polls."""
 
     def __init__(self, polls: int) -> None:
         self.polls_left = polls
@@ -16,14 +16,12 @@
 
     def in_flight(self) -> int:
         self.polls_left -= 1
-        self.clock.advance(POLL_S * 1000.0)
+        self.clock.advance(POLL_INTERVAL_S * 1000.0)
         return int(self.polls_left > 0)
 
 
 @pytest.mark.parametrize("polls, empty", [(0, True), (5, True), (10_000, False)])
-def test_drain_waits_for_work_and_gives_up_at_its_timeout(
-    polls: int, empty: bool
-) -> None:
+def test_drain_waits_for_work_until_its_timeout(polls: int, empty: bool) -> None:
     work = CountedWork(polls)
     announced: list[bool] = []
     drain = make_drain(
@@ -37,8 +35,8 @@
     assert empty or work.clock.now_ms() < 1_000.0
 
 
-def test_second_drain_joins_the_first() -> None:
-    # Guards against a second announcement, and an early end of the process.
+def test_second_drain_waits_with_the_first() -> None:
+    # Guards against a second announcement and an early process exit.
     count = 1
     announced: list[int] = []
     ended: list[bool] = []
@@ -54,7 +52,7 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(run)
             tasks.start_soon(run)
-            await anyio.sleep(2 * POLL_S)
+            await anyio.sleep(2 * POLL_INTERVAL_S)
             assert not ended
             assert drain.state is DrainState.LEAVING
             count = 0
--- a/tests/test_inbound.py
+++ b/tests/test_inbound.py
@@ -164,7 +164,7 @@
     entries = {e.fingerprint: e for e in path.quarantine.entries()}
     assert sorted(entries) == ["f1", "f2"]
     assert [len(e.deaths) for e in entries.values()] == [1, 1]
-    assert sorted(e.fingerprint for e in path.spread) == ["f1", "f2"]
+    assert sorted(e.fingerprint for e in path.sent_quarantine) == ["f1", "f2"]
     assert (path.deaths, path.inbound.target_state.present) == (1, False)
 
 
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -1,4 +1,4 @@
-"""Tests of key issue, verification and derivation."""
+"""Tests of issuing, verifying and deriving keys."""
 
 import pytest
 from hypothesis import given
@@ -15,7 +15,9 @@
     node_id=st.from_regex(r"[a-z0-9-]{1,12}(\.[a-z0-9-]{1,8})?", fullmatch=True),
     incarnation=st.integers(0, 2**60),
 )
-def test_issued_key_survives_its_text_form(node_id: str, incarnation: int) -> None:
+def test_issued_key_round_trips_through_its_text_form(
+    node_id: str, incarnation: int
+) -> None:
     issuer = make_key_issuer(node_id, incarnation, ManualClock(5.0), LIFETIME_MS)
     key = issuer.issue()
     assert parse_key(str(key)) == key
@@ -26,14 +28,14 @@
     "text",
     ["", "x", "a.b.c.d.e", "n.1.2.3", "n.1.2.3.mac/child", "n.1.2.3." + "m" * 600],
 )
-def test_text_that_is_no_issued_key_is_refused(text: str) -> None:
+def test_invalid_key_text_is_refused(text: str) -> None:
     parsed = parse_key(text)
     assert isinstance(parsed, NotRun)
     assert parsed.reason is Reason.BAD_KEY
 
 
 def test_key_of_an_earlier_incarnation_is_unknown_not_refused() -> None:
-    # Guards against "not run" for an action that the earlier process ran.
+    # Guards against "not run" for an action that the earlier process may have run.
     clock = ManualClock()
     old = make_key_issuer("n1", 1, clock, LIFETIME_MS)
     new = make_key_issuer("n1", 2, clock, LIFETIME_MS)
@@ -70,5 +72,5 @@
     assert isinstance(child_key("root", "s.op", label), NotRun)
 
 
-def test_same_label_of_two_operations_names_two_calls() -> None:
+def test_same_label_of_two_operations_identifies_two_calls() -> None:
     assert child_key("root", "s.a", "k1") != child_key("root", "s.b", "k1")
--- a/tests/test_rules_outcomes.py
+++ b/tests/test_rules_outcomes.py
@@ -1,4 +1,4 @@
-"""Tests of what callers are told where several modules decide together."""
+"""Tests of outcomes returned to callers that depend on several modules."""
 
 import anyio
 import pytest
@@ -30,11 +30,11 @@
         pytest.param(CONFIG, CONFIG, "soon", id="bad-deadline"),
     ],
 )
-def test_resend_is_never_told_not_run_after_the_run(
+def test_resend_never_gets_not_run_after_the_run(
     before: str, after: str, deadline: str
 ) -> None:
-    # Guards against "not run" for a payment that ran, when the resend itself
-    # cannot be read any more.
+    # Guards against "not run" for a payment that ran, when the resend is no
+    # longer valid.
     path = CallPath(catalog=make_catalog(before))
     path.use_local_target()
     key, body = str(path.issuer.issue()), b"x" * (1_500 if before is SMALLER else 1)
@@ -51,11 +51,11 @@
     assert len(path.target.runs) == 1
 
 
-def test_resent_child_is_never_told_not_run_after_the_run() -> None:
-    # Guards against a target that books again since "not run" was answered.
+def test_resent_child_call_never_gets_not_run_after_the_run() -> None:
+    # Guards against a target that books again because the response was "not run".
     path = CallPath()
     path.use_local_target()
-    answers: list[str] = []
+    outcomes: list[str] = []
 
     async def action(called: str, headers: Headers) -> Completed:
         for deadline in ("", "soon") if called == "/payments" else ():
@@ -63,17 +63,17 @@
             child = await path.request(
                 "/wallet/notes", context=context, deadline=deadline
             )
-            answers.append(outcome_text(child))
+            outcomes.append(outcome_text(child))
         return Completed(200)
 
     path.target.action = action
     anyio.run(path.inbound.handle, make_call())
-    assert answers[0] == "completed"
-    assert not answers[1].startswith("not-run")
+    assert outcomes[0] == "completed"
+    assert not outcomes[1].startswith("not-run")
 
 
-def test_forward_after_a_change_is_never_told_not_run_after_the_run() -> None:
-    # Guards against the same fault for a resend that reaches another node.
+def test_forward_after_a_change_never_gets_not_run_after_the_run() -> None:
+    # Guards against the same fault for a resend that another node forwards.
     path = CallPath()
     path.use_local_target()
     key = str(path.issuer.issue())
@@ -87,7 +87,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     # Guards against "not run" for a resend whose first request may have run at
-    # the issuer; the server refuses before the issuer looks at the key.
+    # the issuer; the server refuses it before the issuer checks the key.
     monkeypatch.setattr(_peerserver, "MAX_CALLS_PER_CONNECTION", 1)
 
     async def main() -> list[str]:
@@ -96,15 +96,15 @@
             await peer.send(call_with(1, path="/wait"))
             forward = Forward(2, "k", "s", "POST", "/p", [], b"", 900.0)
             await peer.send(forward, call_with(3))
-            answers = [await peer.receive() for _ in range(2)]
+            responses = [await peer.receive() for _ in range(2)]
             await peer.stream.aclose()
-            return [a.outcome for a in answers if isinstance(a, Answer)]
+            return [r.outcome for r in responses if isinstance(r, Answer)]
 
     assert anyio.run(main) == ["unknown", "not-run"]
 
 
-def test_lost_answer_of_a_repeatable_call_is_retried_elsewhere() -> None:
-    # Guards against a lookup that fails with the one node that ran it.
+def test_idempotent_call_is_retried_elsewhere_after_a_lost_response() -> None:
+    # Guards against a lookup that fails because one node failed.
     path = CallPath()
     path.add_members("m1", "m2")
     path.links.script = [LinkFailure(True, "connection lost")]
