Name the modules of HTTP responses and caller routes

Rename replies to responses and callers to caller_routes, and the target harness of the tests. Reword remaining docstrings. Behaviour is unchanged.

--- a/src/briardock/admin.py
+++ b/src/briardock/admin.py
@@ -11,7 +11,7 @@
 from briardock.listener import HttpRequest, HttpResponse
 from briardock.outcomes import NotRun, Reason
 from briardock.quarantine import Quarantine
-from briardock.replies import json_response, outcome_response
+from briardock.responses import json_response, outcome_response
 
 STATUS_OK = 200
 STATUS_UNAUTHORIZED = 401
--- a/src/briardock/announcements.py
+++ b/src/briardock/announcements.py
@@ -8,7 +8,7 @@
 from briardock.inbound import Inbound
 from briardock.listener import HttpRequest, HttpResponse
 from briardock.outcomes import NotRun, Reason
-from briardock.replies import json_response, outcome_response
+from briardock.responses import json_response, outcome_response
 from briardock.target import TargetClient
 
 ANNOUNCEMENT_EXPIRY_MS = 10_000.0
@@ -78,7 +78,7 @@
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Accept one announcement; only processes on this instance may send it.
 
-        :param request: whole HTTP request
+        :param request: complete HTTP request
         """
         if not self._is_local(request.peer):
             detail = "announcements are accepted from this instance only"
--- a/src/briardock/callers.py
+++ b/src/briardock/caller_routes.py
@@ -4,7 +4,7 @@
 from briardock.entry import Entry
 from briardock.listener import HttpRequest, HttpResponse
 from briardock.outcomes import NotRun, Reason
-from briardock.replies import outcome_response
+from briardock.responses import outcome_response
 
 INTERNAL_PREFIX = "/_briardock/"
 
@@ -16,7 +16,7 @@
 
     :param entry: handler of calls
     :param announcements: handler of target announcements
-    :param request: whole HTTP request
+    :param request: complete HTTP request
     """
     path, _, query = request.path.partition("?")
     match request.method, path:
--- a/src/briardock/dispatch.py
+++ b/src/briardock/dispatch.py
@@ -110,8 +110,8 @@
     async def run(self, call: Dispatch) -> Outcome:
         """Run a call to its outcome.
 
-        ``NotRun`` is returned only if every attempt was refused before it reached
-        a target or was never sent.
+        ``NotRun`` is returned only if every attempt was refused without a run or was
+        never sent.
 
         :param call: the call; retries are taken from its budget
         """
--- a/src/briardock/entry.py
+++ b/src/briardock/entry.py
@@ -39,7 +39,7 @@
 from briardock.peers import LinkFailure, PeerAddress, PeerLinks
 from briardock.quarantine import fingerprint
 from briardock.refusals import ChainLevels
-from briardock.replies import ACTION_HEADER, json_response, outcome_response
+from briardock.responses import ACTION_HEADER, json_response, outcome_response
 
 KEY_HEADER = b"idempotency-key"
 MAX_KEYS_PER_REQUEST = 1_000
@@ -95,7 +95,7 @@
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Handle one request from a caller or from the local target.
 
-        :param request: whole HTTP request
+        :param request: complete HTTP request
         """
         self.in_flight += 1
         try:
--- a/src/briardock/inbound.py
+++ b/src/briardock/inbound.py
@@ -43,7 +43,7 @@
 
 @dataclass(slots=True)
 class RunningCall:
-    """A call that the target is working on.
+    """A call that is running on the target.
 
     :param context: token that the target sends with its child calls
     :param call: the call
--- a/src/briardock/node.py
+++ b/src/briardock/node.py
@@ -15,7 +15,7 @@
 from briardock._sockets import listen, port_of
 from briardock.admin import AdminSources, make_admin
 from briardock.background import Task, send_metrics, supervise, watch
-from briardock.callers import handle_caller
+from briardock.caller_routes import handle_caller
 from briardock.clock import Clock, SystemClock, make_random
 from briardock.events import Event, emit, start_logging
 from briardock.exceptions import BriardockError, SettingsError
--- a/src/briardock/outcomes.py
+++ b/src/briardock/outcomes.py
@@ -123,7 +123,7 @@
 
 @dataclass(frozen=True, slots=True)
 class NotRun:
-    """The request was refused before it reached a target.
+    """The request was refused; no target ran it.
 
     :param reason: reason code
     :param detail: cause
--- a/src/briardock/target.py
+++ b/src/briardock/target.py
@@ -207,7 +207,7 @@
         :param method: HTTP method
         :param path: path with query
         :param headers: end-to-end headers; hop-by-hop fields are dropped
-        :param body: whole request body
+        :param body: complete request body
         :param deadline_at_ms: clock reading in ms at which the request times out
         """
         remaining_ms = deadline_at_ms - self._clock.now_ms()
--- a/tests/callpath_fakes.py
+++ b/tests/callpath_fakes.py
@@ -152,8 +152,8 @@
     )
 
 
-def make_table(clock: ManualClock, own: MemberRecord) -> MemberTable:
-    return make_member_table(own, clock, make_random(1), MembershipSettings())
+def make_table(clock: ManualClock, local_record: MemberRecord) -> MemberTable:
+    return make_member_table(local_record, clock, make_random(1), MembershipSettings())
 
 
 @dataclass
--- a/tests/target_fakes.py
+++ b/tests/target_fakes.py
@@ -59,8 +59,8 @@
 
 
 @dataclass
-class Bench:
-    """A target, a client and the clock between them."""
+class TargetHarness:
+    """Fake target, the client under test and its clock."""
 
     target: Target
     client: TargetClient
@@ -90,7 +90,7 @@
 
 
 @asynccontextmanager
-async def bench(script: Script) -> AsyncIterator[Bench]:
+async def target_harness(script: Script) -> AsyncIterator[TargetHarness]:
     target = Target(script)
     listener = await anyio.create_tcp_listener(local_host=HOST)
     target.listener = listener
@@ -102,7 +102,7 @@
     with anyio.fail_after(10):
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(serve_until_closed, listener, target, tasks)
-            yield Bench(target, client, clock, metrics, tasks)
+            yield TargetHarness(target, client, clock, metrics, tasks)
             await client.aclose()
             tasks.cancel_scope.cancel()
 
--- a/tests/test_rules_io.py
+++ b/tests/test_rules_io.py
@@ -7,17 +7,17 @@
 from briardock.peers import LinkFailure
 from briardock.target import NotSent
 from peer_fakes import client_of, echo
-from target_fakes import OK, bench, respond_with
+from target_fakes import OK, respond_with, target_harness
 
 
 def test_expired_call_is_not_written_on_an_open_link() -> None:
     # Guards against an unknown outcome after a pause of the process.
     async def main() -> None:
-        async with client_of(echo) as it:
-            assert isinstance(await it.call(), Answer)
-            failure = await it.call(remaining_ms=-1.0)
+        async with client_of(echo) as harness:
+            assert isinstance(await harness.call(), Answer)
+            failure = await harness.call(remaining_ms=-1.0)
             assert failure == LinkFailure(False, "deadline")
-            assert "peers.deadlines" not in it.metrics.counters
+            assert "peers.deadlines" not in harness.metrics.counters
 
     anyio.run(main)
 
@@ -25,9 +25,9 @@
 def test_expired_request_is_not_written_on_an_idle_connection() -> None:
     # Guards against work for a caller that has timed out.
     async def main() -> None:
-        async with bench(respond_with(OK)) as it:
-            assert isinstance(await it.run(), Completed)
-            assert isinstance(await it.run(remaining_ms=-1.0), NotSent)
-            assert len(it.target.requests) == 1
+        async with target_harness(respond_with(OK)) as harness:
+            assert isinstance(await harness.run(), Completed)
+            assert isinstance(await harness.run(remaining_ms=-1.0), NotSent)
+            assert len(harness.target.requests) == 1
 
     anyio.run(main)
--- a/tests/test_target.py
+++ b/tests/test_target.py
@@ -16,9 +16,9 @@
     OK,
     Script,
     Target,
-    bench,
     never_respond,
     respond_with,
+    target_harness,
 )
 
 pytestmark = pytest.mark.anyio
@@ -103,11 +103,11 @@
     script: Script, expected: Completed, connection_count: int
 ):
     """Guards against framing errors and against reuse after unexpected data."""
-    async with bench(script) as it:
-        assert await it.run() == expected
-        await it.target.wait_finished(1)
-        assert await it.run() == expected
-        assert it.target.connection_count == connection_count
+    async with target_harness(script) as harness:
+        assert await harness.run() == expected
+        await harness.target.wait_finished(1)
+        assert await harness.run() == expected
+        assert harness.target.connection_count == connection_count
 
 
 @pytest.mark.parametrize(
@@ -156,14 +156,14 @@
 )
 async def test_request_without_a_complete_response_is_lost(script: Script, detail: str):
     """Guards against returning an incomplete response as a complete one."""
-    async with bench(script) as it:
-        lost = await it.run()
+    async with target_harness(script) as harness:
+        lost = await harness.run()
         assert isinstance(lost, Lost), lost
         assert detail in lost.detail
         assert lost.died is False
-        assert it.metrics.counters["target.lost"] == 1
-        assert isinstance(await it.run(), Lost)
-        first, second = it.target.request_connections
+        assert harness.metrics.counters["target.lost"] == 1
+        assert isinstance(await harness.run(), Lost)
+        first, second = harness.target.request_connections
         assert first != second
 
 
@@ -176,19 +176,19 @@
             await target.listener.aclose()
         await stream.aclose()
 
-    async with bench(die) as it:
-        lost = await it.run("POST", body=b"x")
+    async with target_harness(die) as harness:
+        lost = await harness.run("POST", body=b"x")
         assert isinstance(lost, Lost)
         assert lost.died is not listens
 
 
 async def test_refused_connection_is_not_sent():
     """Guards against an unknown outcome for a request that was never written."""
-    async with bench(never_respond) as it:
+    async with target_harness(never_respond) as harness:
         with socket.socket() as unused:
             unused.bind((HOST, 0))
-            it.client.set_address(HOST, unused.getsockname()[1])
-            result = await it.run()
+            harness.client.set_address(HOST, unused.getsockname()[1])
+            result = await harness.run()
         assert isinstance(result, NotSent)
         assert "connection failed" in result.detail
 
@@ -206,11 +206,13 @@
     path: str, headers: Headers, remaining_ms: float
 ):
     """Guards against invalid requests that reach the target or raise."""
-    async with bench(respond_with(OK)) as it:
-        result = await it.run(path=path, headers=headers, remaining_ms=remaining_ms)
+    async with target_harness(respond_with(OK)) as harness:
+        result = await harness.run(
+            path=path, headers=headers, remaining_ms=remaining_ms
+        )
         assert isinstance(result, NotSent)
-        assert it.target.requests == []
-        assert isinstance(await it.run(), Completed)
+        assert harness.target.requests == []
+        assert isinstance(await harness.run(), Completed)
 
 
 async def test_no_address_is_not_sent():
@@ -239,24 +241,24 @@
         (b"Expect", b"100-continue"),
         (b"Accept", b"*/*"),
     )
-    async with bench(respond_with(OK)) as it:
-        await it.run(method, "/p?q=1", headers, body)
-        sent = it.target.requests[0]
-        host = f"host: {HOST}:{it.target.port}\r\n".encode()
+    async with target_harness(respond_with(OK)) as harness:
+        await harness.run(method, "/p?q=1", headers, body)
+        sent = harness.target.requests[0]
+        host = f"host: {HOST}:{harness.target.port}\r\n".encode()
         start = f"{method} /p?q=1 HTTP/1.1\r\n".encode()
         assert sent == start + host + b"accept: */*\r\n" + framing
 
 
 async def test_head_has_no_body():
     """Guards against waiting for a HEAD body and dropping its Content-Length."""
-    async with bench(
+    async with target_harness(
         respond_with(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n")
-    ) as it:
-        result = await it.run("HEAD")
+    ) as harness:
+        result = await harness.run("HEAD")
         assert isinstance(result, Completed)
         assert result.body == b""
         assert result.headers == ((b"content-length", b"9"),)
-        assert await it.run("HEAD") == result
+        assert await harness.run("HEAD") == result
 
 
 async def test_late_response_reaches_no_other_request():
@@ -271,16 +273,16 @@
         head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(path)
         await stream.send(head + path)
 
-    async with bench(script) as it:
-        assert (await it.run(path="/warm")).body == b"/warm"
-        late = await it.run(path="/slow", remaining_ms=10.0)
+    async with target_harness(script) as harness:
+        assert (await harness.run(path="/warm")).body == b"/warm"
+        late = await harness.run(path="/slow", remaining_ms=10.0)
         assert late == Lost("deadline", died=False)
         for number in range(20):
             path = f"/{number}"
-            result = await it.run(path=path)
+            result = await harness.run(path=path)
             assert result.body == path.encode()
             await anyio.sleep(0.005)
-        assert it.target.connection_count == 2
+        assert harness.target.connection_count == 2
 
 
 async def test_concurrent_requests_share_no_connection():
@@ -295,44 +297,47 @@
         await stream.send(head + path)
 
     results: dict[int, Completed | NotSent | Lost] = {}
-    async with bench(script) as it:
+    async with target_harness(script) as harness:
 
         async def run(number: int) -> None:
-            results[number] = await it.run(path=f"/{number}")
+            results[number] = await harness.run(path=f"/{number}")
 
         async with anyio.create_task_group() as tasks:
             for number in range(10):
                 tasks.start_soon(run, number)
         for number in range(10):
             assert results[number].body == f"/{number}".encode()
-        assert it.target.connection_count == 10
+        assert harness.target.connection_count == 10
         # Only max_idle connections are kept.
-        await it.run(path="/x")
-        assert it.target.connection_count == 10
+        await harness.run(path="/x")
+        assert harness.target.connection_count == 10
 
 
 async def test_cancelling_closes_the_connection():
     """Guards against a target that keeps working for a disconnected caller."""
-    async with bench(never_respond) as it:
+    async with target_harness(never_respond) as harness:
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(it.run)
-            await it.target.received.wait()
+            tasks.start_soon(harness.run)
+            await harness.target.received.wait()
             tasks.cancel_scope.cancel()
-        await it.target.closed.wait()
+        await harness.target.closed.wait()
 
 
 async def test_stale_connection_is_not_reused():
     """Guards against an unknown outcome after the target closed while idle."""
-    async with bench(respond_with(OK, then_close=True)) as it:
+    async with target_harness(respond_with(OK, then_close=True)) as harness:
         for number in range(1, 6):
-            assert (await it.run("POST", body=b"x")).body == b"ok"
-            await it.target.wait_finished(number)
-        assert it.metrics.counters["target.stale_connections"] == 4
+            assert (await harness.run("POST", body=b"x")).body == b"ok"
+            await harness.target.wait_finished(number)
+        assert harness.metrics.counters["target.stale_connections"] == 4
 
 
 async def test_new_address_is_used_at_once():
     """Guards against requests sent to the previous target process."""
-    async with bench(respond_with(OK)) as old, bench(respond_with(OK)) as new:
+    async with (
+        target_harness(respond_with(OK)) as old,
+        target_harness(respond_with(OK)) as new,
+    ):
         await old.run()
         old.client.set_address(HOST, new.target.port)
         await old.run()
@@ -347,13 +352,13 @@
         async with stream:
             await anyio.sleep_forever()
 
-    async with bench(never_respond) as it:
+    async with target_harness(never_respond) as harness:
         listener = await anyio.create_tcp_listener(local_host=HOST)
-        it.tasks.start_soon(listener.serve, serve)
-        it.client.set_address(
+        harness.tasks.start_soon(listener.serve, serve)
+        harness.client.set_address(
             HOST, listener.extra(anyio.abc.SocketAttribute.local_port)
         )
-        result = await it.run("POST", body=b"x" * 12_000_000, remaining_ms=300.0)
+        result = await harness.run("POST", body=b"x" * 12_000_000, remaining_ms=300.0)
         assert result == Lost("deadline", died=False)
 
 
