--- a/src/briardock/node.py
+++ b/src/briardock/node.py
@@ -15,7 +15,7 @@
 from briardock._sockets import listen, port_of
 from briardock.admin import AdminSources, make_admin
 from briardock.background import Task, send_metrics, supervise, watch
-from briardock.callers import handle_caller
+from briardock.caller_routes import handle_caller
 from briardock.clock import Clock, SystemClock, make_random
 from briardock.events import Event, emit, start_logging
 from briardock.exceptions import BriardockError, SettingsError
@@ -160,7 +160,7 @@
 
         Its records end with the process, so it stays for them until it is idle.
         """
-        idle_ms = self.clock.now_ms() - self.entry.forwarded_at_ms
+        idle_ms = self.clock.now_ms() - self.entry.last_forward_at_ms
         return self.entry.in_flight > 0 or idle_ms < ISSUER_IDLE_MS
 
     async def _handle_peer(self, message: Call | Forward, peer: PeerInfo) -> Answer:
@@ -188,7 +188,7 @@
             self.drain,
             self._stop.set,
             self.quarantine,
-            self.spread_lift,
+            self.send_quarantine_lift,
         )
         limits = HttpLimits(
             self.settings.node.max_header_kb * 1024,
--- a/tests/callpath_fakes.py
+++ b/tests/callpath_fakes.py
@@ -1,4 +1,4 @@
-"""A call path of one node with scripted links and a scripted target."""
+"""Call path of one node with scripted links and a scripted target."""
 
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
@@ -35,7 +35,7 @@
 from briardock.routing import Router, RoutingSettings, make_router
 from briardock.target import Lost, NotSent, TargetClient
 
-OWN = "n1"
+LOCAL_ID = "n1"
 INCARNATION = 7
 LIFETIME_MS = 60_000.0
 DEADLINE_MS = 1_000.0
@@ -76,7 +76,7 @@
 
 
 class FakeLinks(PeerLinks):
-    """Links that answer from a script, then with 200."""
+    """Links that respond from a script, then with status 200."""
 
     def __init__(self) -> None:
         self.script: list[Step] = []
@@ -91,7 +91,7 @@
 
 
 class FakeTarget(TargetClient):
-    """Target that runs a function; it counts the runs by path."""
+    """Target that runs a function and records the requested paths."""
 
     def __init__(self) -> None:
         self.runs: list[str] = []
@@ -118,7 +118,7 @@
 
 
 class HookedAdmission(Admission):
-    """Admission that runs a hook at the end of each wait and keeps releases."""
+    """Admission that runs a hook after each admission and records releases."""
 
     hook: Callable[[], None] = staticmethod(lambda: None)
     released: list[tuple[float, bool]]
@@ -152,20 +152,20 @@
     )
 
 
-def make_table(clock: ManualClock, own: MemberRecord) -> MemberTable:
-    return make_member_table(own, clock, make_random(1), MembershipSettings())
+def make_table(clock: ManualClock, local_record: MemberRecord) -> MemberTable:
+    return make_member_table(local_record, clock, make_random(1), MembershipSettings())
 
 
 @dataclass
 class CallPath:
-    """Parts of one node, with the real decisions and fake input and output."""
+    """Components of one node with real logic and fake input and output."""
 
     clock: ManualClock = field(default_factory=lambda: ManualClock(1_000.0))
     metrics: Metrics = field(default_factory=Metrics)
     links: FakeLinks = field(default_factory=FakeLinks)
     target: FakeTarget = field(default_factory=FakeTarget)
     catalog: Catalog | None = field(default_factory=make_catalog)
-    spread: list[QuarantineEntry] = field(default_factory=list)
+    sent_quarantine: list[QuarantineEntry] = field(default_factory=list)
     in_flight: int = 0
     deaths: int = 0
     ratio: RetryRatio = field(default_factory=lambda: make_retry_ratio(1.0))
@@ -175,7 +175,7 @@
     quarantine: Quarantine = field(init=False)
     admission: HookedAdmission = field(init=False)
     drain: Drain = field(init=False)
-    levels: ChainLevels = field(init=False)
+    chain_thresholds: ChainLevels = field(init=False)
     inbound: Inbound = field(init=False)
     dispatcher: Dispatcher = field(init=False)
     issuer: KeyIssuer = field(init=False)
@@ -184,7 +184,9 @@
 
     def __post_init__(self) -> None:
         clock, metrics = self.clock, self.metrics
-        self.table = make_table(clock, make_record(OWN, "", incarnation=INCARNATION))
+        self.table = make_table(
+            clock, make_record(LOCAL_ID, "", incarnation=INCARNATION)
+        )
         self.router = make_router(
             RoutingSettings(), "a", clock, make_random(3), metrics
         )
@@ -193,25 +195,25 @@
         self.admission = HookedAdmission(AdmissionSettings(), clock, metrics)
         self.admission.released = []
         self.drain = make_drain(clock, lambda: self.in_flight, lambda: None, 100.0)
-        self.levels = make_chain_levels(clock, make_random(2))
+        self.chain_thresholds = make_chain_levels(clock, make_random(2))
         self.inbound = Inbound(
-            OWN,
+            LOCAL_ID,
             INCARNATION,
             clock,
             self.admission,
             self.target,
             self.drain,
             self.quarantine,
-            self.levels.level,
-            self.spread.extend,
-            lambda running: self.entry.drop_children(running),
+            self.chain_thresholds.level,
+            self.sent_quarantine.extend,
+            lambda running: self.entry.discard_child_actions(running),
             self._count_death,
             metrics,
         )
         self.inbound.target_state.service = "wallet"
         self.inbound.target_state.instance = "t1"
         self.dispatcher = Dispatcher(
-            OWN,
+            LOCAL_ID,
             INCARNATION,
             clock,
             self.router,
@@ -219,11 +221,11 @@
             self.links,
             self.inbound.handle,
             self.ratio,
-            self.levels,
+            self.chain_thresholds,
             self.quarantine,
             metrics,
         )
-        self.issuer = make_key_issuer(OWN, INCARNATION, clock, LIFETIME_MS)
+        self.issuer = make_key_issuer(LOCAL_ID, INCARNATION, clock, LIFETIME_MS)
         self.actions = make_action_table(clock)
         self.entry = Entry(
             clock,
@@ -234,7 +236,7 @@
             self.inbound,
             self.links,
             self.directory.find_issuer,
-            self.levels,
+            self.chain_thresholds,
             self.drain,
             metrics,
         )
@@ -246,8 +248,8 @@
         self.table.merge([make_record(node_id) for node_id in node_ids])
         self.directory.refresh()
 
-    def use_own_target(self) -> None:
-        """Make the own target an instance for calls of this node."""
+    def use_local_target(self) -> None:
+        """Make the local target an instance for calls of this node."""
         self.table.update_local(service="wallet", target_instance="t1")
 
     async def request(
@@ -316,8 +318,8 @@
     return dict(headers)[CONTEXT_HEADER].decode()
 
 
-def told(response: HttpResponse) -> str:
-    """Return outcome and reason as the caller sees them."""
+def outcome_text(response: HttpResponse) -> str:
+    """Return the outcome and reason of a response."""
     outcome = dict(response.headers)[b"Briardock-Outcome"].decode()
     if outcome == "completed":
         return outcome
