Name admission terms by priority and admission threshold

Rename admission levels to priorities, refusal levels to the admission threshold, holding times to service times and the waiting queue to a priority queue, and reword comments. Behaviour is unchanged.

--- a/benchmarks/admission_policy.py
+++ b/benchmarks/admission_policy.py
@@ -18,11 +18,11 @@
 from statistics import mean
 
 from briardock.admission import (
-    MAX_LEVEL,
+    LOWEST_PRIORITY,
     AdmissionSettings,
     Ticket,
-    admission_level,
     make_admission,
+    request_priority,
 )
 from briardock.limiter import LimiterSettings
 from briardock.metrics import Metrics
@@ -156,7 +156,7 @@
         self.admission = make_admission(settings, self.clock, Metrics())
         self.target = Target(scenario.slots)
         self.tally = Tally()
-        self.known_level = MAX_LEVEL
+        self.known_level = LOWEST_PRIORITY
         self.known_at_ms = -1e9
         self.sequence = 0
 
@@ -175,7 +175,7 @@
             task = asyncio.create_task(self.call(demand))
             calls.add(task)
             task.add_done_callback(calls.discard)
-            self.tally.thresholds.append(self.admission.refusal_level())
+            self.tally.thresholds.append(self.admission.admission_threshold())
         run_task.cancel()
         for task in calls:
             task.cancel()
@@ -193,7 +193,7 @@
         if counted:
             self.tally.offered[rank] = self.tally.offered.get(rank, 0) + 1
         self.sequence += 1
-        level = admission_level(rank, f"n.{self.sequence}")
+        level = request_priority(rank, f"n.{self.sequence}")
         deadline_ms = started_ms + DEADLINE_MS
         mean_ms = self.rng.choices(OPERATIONS_MS, OPERATION_WEIGHTS)[0]
         done = await self.attempt(level, deadline_ms, mean_ms)
@@ -219,7 +219,7 @@
         completed = False
         if isinstance(result, Ticket):
             completed = await self.serve(result, deadline_ms, mean_ms)
-        answered_level = self.admission.refusal_level()
+        answered_level = self.admission.admission_threshold()
         await asyncio.sleep(HOP_MS / 1000.0)
         self.known_level = answered_level
         self.known_at_ms = self.clock.now_ms()
--- a/src/briardock/_instances.py
+++ b/src/briardock/_instances.py
@@ -3,7 +3,7 @@
 import enum
 from dataclasses import dataclass, field
 
-from briardock.admission import MAX_LEVEL
+from briardock.admission import LOWEST_PRIORITY
 
 NEVER_MS = -1e12
 
@@ -113,7 +113,7 @@
     latency_ms: float = 0.0
     failure_share: float = 0.0
     load: float = 0.0
-    refusal_level: int = MAX_LEVEL
+    refusal_level: int = LOWEST_PRIORITY
     answered_at_ms: float = NEVER_MS
     full_until_ms: float = NEVER_MS
     ejected_until_ms: float = NEVER_MS
--- a/src/briardock/_node_settings.py
+++ b/src/briardock/_node_settings.py
@@ -54,8 +54,8 @@
     return replace(
         settings,
         queue_length=policy.queue_length,
-        sojourn_least_ms=float(policy.sojourn_ms),
-        sojourn_most_ms=float(policy.critical_sojourn_ms),
+        max_wait_least_critical_ms=float(policy.sojourn_ms),
+        max_wait_most_critical_ms=float(policy.critical_sojourn_ms),
     )
 
 
--- a/src/briardock/_waiting.py
+++ b/src/briardock/_priority_queue.py
@@ -1,4 +1,4 @@
-"""Bounded queue of requests that wait for a slot, the most important first."""
+"""Priority queue of the requests that wait for a slot."""
 
 import asyncio
 from bisect import bisect_left, insort
@@ -10,9 +10,9 @@
 
 @dataclass(slots=True, eq=False)
 class Waiter(Generic[Result]):
-    """One request that waits.
+    """One queued request.
 
-    :param level: admission level
+    :param priority: priority of the request; a lower value is more important
     :param operation: full name of the operation
     :param arrived_ms: time of arrival in ms
     :param expires_ms: end of the wait in ms
@@ -20,7 +20,7 @@
     :param future: resolved with the decision
     """
 
-    level: int
+    priority: int
     operation: str
     arrived_ms: float
     expires_ms: float
@@ -28,8 +28,8 @@
     future: "asyncio.Future[Result]"
 
 
-class WaitingQueue(Generic[Result]):
-    """Waiters ordered by level, in order of arrival within a level."""
+class PriorityQueue(Generic[Result]):
+    """Waiters ordered by priority, and by arrival within a priority."""
 
     def __init__(self) -> None:
         self._entries: list[tuple[int, int, Waiter[Result]]] = []
@@ -41,24 +41,24 @@
     def push(self, waiter: Waiter[Result]) -> tuple[int, int]:
         """Add a waiter and return its position key."""
         self._sequence += 1
-        insort(self._entries, (waiter.level, self._sequence, waiter))
-        return waiter.level, self._sequence
+        insort(self._entries, (waiter.priority, self._sequence, waiter))
+        return waiter.priority, self._sequence
 
     def pop_first(self) -> Waiter[Result]:
         """Remove and return the most important waiter."""
         return self._entries.pop(0)[2]
 
-    def pop_less_important(self, level: int) -> Waiter[Result] | None:
-        """Remove and return the last waiter if a level is more important.
+    def pop_less_important(self, priority: int) -> Waiter[Result] | None:
+        """Remove and return the last waiter if it is less important than an arrival.
 
-        :param level: level of the arrival that needs the place
+        :param priority: priority of the arrival that needs the slot in the queue
         """
-        if not self._entries or self._entries[-1][0] <= level:
+        if not self._entries or self._entries[-1][0] <= priority:
             return None
         return self._entries.pop()[2]
 
     def remove(self, key: tuple[int, int]) -> None:
-        """Remove a waiter if it still waits.
+        """Remove a waiter if it is still queued.
 
         :param key: position key returned by ``push``
         """
@@ -67,7 +67,7 @@
             del self._entries[index]
 
     def pop_expired(self, now_ms: float) -> list[Waiter[Result]]:
-        """Remove and return the waiters whose wait has ended.
+        """Remove and return the waiters whose time in the queue has expired.
 
         :param now_ms: current time in ms
         """
--- a/src/briardock/entry.py
+++ b/src/briardock/entry.py
@@ -9,7 +9,7 @@
 
 from briardock._reading import CallRequest, make_request_reader
 from briardock.actions import Action, ActionTable, Begun, Finished, InProgress
-from briardock.admission import admission_level
+from briardock.admission import request_priority
 from briardock.budget import RetryBudget, make_budget
 from briardock.clock import Clock
 from briardock.configuration import Catalog, Operation
@@ -171,7 +171,7 @@
         key = str(self._issuer.issue())
         if not read.operation.idempotent:
             return NotRun(Reason.KEY_REQUIRED, read.operation.name), ""
-        level = admission_level(read.operation.class_rank, key)
+        level = request_priority(read.operation.class_rank, key)
         budget = make_budget(read.operation.retries)
         return await self._dispatch(read, key, level, budget), key
 
@@ -206,7 +206,7 @@
         verified = self._issuer.verify(key)
         if not isinstance(verified, ActionKey):
             return verified
-        level = admission_level(request.operation.class_rank, str(key))
+        level = request_priority(request.operation.class_rank, str(key))
         budget = make_budget(request.operation.retries)
         expires_at_ms = self._issuer.expires_at_ms(key)
         return await self._run_once(request, str(key), level, budget, expires_at_ms)
--- a/src/briardock/inbound.py
+++ b/src/briardock/inbound.py
@@ -318,7 +318,7 @@
         evidence_level: int = MAX_LEVEL,
     ) -> Answer:
         self._metrics.count(f"inbound.{_name_of(outcome)}")
-        level = self._admission.refusal_level()
+        level = self._admission.admission_threshold()
         if self._drain.refuses_new:
             level = MAX_LEVEL
         plain = answer_of(outcome, call.call_id)
--- a/src/briardock/report.py
+++ b/src/briardock/report.py
@@ -39,7 +39,7 @@
         "in_flight": len(node.inbound.running),
         "queued": node.admission.queued,
         "load": node.admission.load(),
-        "refusal_level": node.admission.refusal_level(),
+        "refusal_level": node.admission.admission_threshold(),
     }
 
 
--- a/src/briardock/routing.py
+++ b/src/briardock/routing.py
@@ -13,7 +13,7 @@
     ServiceInstances,
     Tracked,
 )
-from briardock.admission import MAX_LEVEL
+from briardock.admission import LOWEST_PRIORITY
 from briardock.clock import Clock
 from briardock.metrics import Metrics
 from briardock.outcomes import NotRun, Reason
@@ -175,14 +175,14 @@
             return True
         if not self._is_recent(entry, now_ms):
             return False
-        return entry.load >= FULL_LOAD or entry.refusal_level < MAX_LEVEL
+        return entry.load >= FULL_LOAD or entry.refusal_level < LOWEST_PRIORITY
 
     def _has_room(self, entry: Tracked, now_ms: float) -> bool:
         if entry.full_until_ms > now_ms:
             return False
         if not self._is_recent(entry, now_ms):
             return True
-        return entry.load < ROOM_LOAD and entry.refusal_level >= MAX_LEVEL
+        return entry.load < ROOM_LOAD and entry.refusal_level >= LOWEST_PRIORITY
 
     def _any(
         self, service: ServiceInstances, exclude: Container[str]
@@ -240,21 +240,21 @@
         """
         known = self._services.get(service)
         if known is None:
-            return MAX_LEVEL
+            return LOWEST_PRIORITY
         now_ms = self._clock.now_ms()
         highest = -1
         for entry in known.members:
             if entry.ejected_until_ms > now_ms:
                 continue
             highest = max(highest, self._remembered_level(entry, now_ms))
-            if highest >= MAX_LEVEL:
-                return MAX_LEVEL
-        return highest if highest >= 0 else MAX_LEVEL
+            if highest >= LOWEST_PRIORITY:
+                return LOWEST_PRIORITY
+        return highest if highest >= 0 else LOWEST_PRIORITY
 
     def _remembered_level(self, entry: Tracked, now_ms: float) -> int:
         age_ms = now_ms - entry.answered_at_ms
         if age_ms > self._settings.refusal_memory_ms:
-            return MAX_LEVEL
+            return LOWEST_PRIORITY
         return entry.refusal_level
 
     def admits(self, service: str, level: int) -> bool:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -1,4 +1,4 @@
-"""Tests of admission: levels, queue order, refusals, threshold."""
+"""Tests of admission control: priorities, queue order, refusals and threshold."""
 
 import asyncio
 import contextlib
@@ -10,13 +10,13 @@
 from hypothesis import strategies as st
 
 from briardock.admission import (
-    LEVELS_PER_CLASS,
-    MAX_LEVEL,
+    LOWEST_PRIORITY,
+    PRIORITIES_PER_CLASS,
     Admission,
     AdmissionSettings,
     Ticket,
-    admission_level,
     make_admission,
+    request_priority,
 )
 from briardock.clock import ManualClock
 from briardock.limiter import LimiterSettings
@@ -29,7 +29,7 @@
 def make(
     limit: int = 1, queue_length: int = 4, clock: ManualClock | None = None
 ) -> tuple[Admission, ManualClock]:
-    """Return an admission whose concurrency limit is constant."""
+    """Return an admission control with a constant concurrency limit."""
     clock = clock or ManualClock()
     limiter = LimiterSettings(
         min_limit=limit, max_limit=limit, initial_limit=limit, probe_share=0.0
@@ -38,25 +38,25 @@
     return make_admission(settings, clock, Metrics()), clock
 
 
-async def ticket(admission: Admission, level: int = 0) -> Ticket:
-    result = await admission.admit(level, FAR_MS)
+async def admit_now(admission: Admission, priority: int = 0) -> Ticket:
+    result = await admission.admit(priority, FAR_MS)
     assert isinstance(result, Ticket)
     return result
 
 
 def start(
-    admission: Admission, level: int, deadline_at_ms: float = FAR_MS
+    admission: Admission, priority: int, deadline_at_ms: float = FAR_MS
 ) -> "asyncio.Task[Ticket | NotRun]":
-    return asyncio.create_task(admission.admit(level, deadline_at_ms))
+    return asyncio.create_task(admission.admit(priority, deadline_at_ms))
 
 
-async def settle() -> None:
+async def run_ready_tasks() -> None:
     for _ in range(5):
         await asyncio.sleep(0)
 
 
 @contextlib.asynccontextmanager
-async def running(admission: Admission):  # type: ignore[no-untyped-def]
+async def running_expiry(admission: Admission):  # type: ignore[no-untyped-def]
     task = asyncio.create_task(admission.run())
     try:
         yield
@@ -65,7 +65,7 @@
 
 
 @pytest.mark.parametrize(
-    "class_rank, key, level",
+    "class_rank, key, priority",
     [
         (0, "n1.5.100.1.mac", zlib.crc32(b"n1.5.100.1.mac") % 128),
         (7, "n1.5.100.1.mac", 896 + zlib.crc32(b"n1.5.100.1.mac") % 128),
@@ -73,35 +73,35 @@
         (-1, "k", zlib.crc32(b"k") % 128),
     ],
 )
-def test_level_of_class_and_key(class_rank: int, key: str, level: int) -> None:
-    assert admission_level(class_rank, key) == level
+def test_priority_of_class_and_key(class_rank: int, key: str, priority: int) -> None:
+    assert request_priority(class_rank, key) == priority
 
 
 @given(st.integers(0, 7), st.text(max_size=30), st.text(max_size=30))
-def test_all_calls_of_an_action_have_one_level(
+def test_all_calls_of_an_action_have_one_priority(
     class_rank: int, root: str, label: str
 ) -> None:
-    # Guards against hops of one action that shed independently of each other.
+    # Guards against nodes that shed calls of one action independently.
     root = root.replace("/", "")
-    level = admission_level(class_rank, f"{root}/{label}")
-    assert level == admission_level(class_rank, root)
-    assert level // LEVELS_PER_CLASS == class_rank
+    priority = request_priority(class_rank, f"{root}/{label}")
+    assert priority == request_priority(class_rank, root)
+    assert priority // PRIORITIES_PER_CLASS == class_rank
 
 
-@given(st.lists(st.integers(0, MAX_LEVEL), min_size=1, max_size=30))
-def test_waiters_start_in_order_of_level_then_arrival(levels: list[int]) -> None:
+@given(st.lists(st.integers(0, LOWEST_PRIORITY), min_size=1, max_size=30))
+def test_waiters_start_in_order_of_priority_then_arrival(priorities: list[int]) -> None:
     async def scenario() -> list[tuple[int, int]]:
-        admission, _ = make(queue_length=len(levels))
-        first = await ticket(admission)
+        admission, _ = make(queue_length=len(priorities))
+        first = await admit_now(admission)
         started: list[tuple[int, int]] = []
 
-        async def call(order: int, level: int) -> None:
-            held = await ticket(admission, level)
-            started.append((level, order))
-            admission.release(held, 1.0, True)
+        async def call(order: int, priority: int) -> None:
+            ticket = await admit_now(admission, priority)
+            started.append((priority, order))
+            admission.release(ticket, 1.0, True)
 
-        calls = [asyncio.create_task(call(*item)) for item in enumerate(levels)]
-        await settle()
+        calls = [asyncio.create_task(call(*item)) for item in enumerate(priorities)]
+        await run_ready_tasks()
         admission.release(first, 1.0, True)
         await asyncio.gather(*calls)
         assert admission.in_flight == admission.queued == 0
@@ -111,19 +111,24 @@
     assert started == sorted(started)
 
 
-@given(st.lists(st.integers(0, MAX_LEVEL), min_size=1, max_size=30), st.integers(1, 8))
+@given(
+    st.lists(st.integers(0, LOWEST_PRIORITY), min_size=1, max_size=30),
+    st.integers(1, 8),
+)
 def test_full_queue_keeps_the_most_important(
-    levels: list[int], queue_length: int
+    priorities: list[int], queue_length: int
 ) -> None:
-    # Guards against important calls that are refused behind unimportant ones.
+    # Guards against important calls refused while less important ones are queued.
     async def scenario() -> list[int]:
         admission, _ = make(queue_length=queue_length)
-        await ticket(admission)
-        calls = [start(admission, level) for level in levels]
-        await settle()
+        await admit_now(admission)
+        calls = [start(admission, priority) for priority in priorities]
+        await run_ready_tasks()
         assert admission.queued <= queue_length
         waiting = [
-            level for level, call in zip(levels, calls, strict=True) if not call.done()
+            priority
+            for priority, call in zip(priorities, calls, strict=True)
+            if not call.done()
         ]
         for call in calls:
             if call.done():
@@ -134,13 +139,13 @@
         return waiting
 
     waiting = asyncio.run(scenario())
-    assert sorted(waiting) == sorted(levels)[:queue_length]
+    assert sorted(waiting) == sorted(priorities)[:queue_length]
 
 
 @given(st.integers(0, 2**32), st.integers(1, 4))
 def test_slots_are_conserved(seed: int, limit: int) -> None:
-    # Guards against slots that leak or double when tasks are cancelled at any
-    # point of their wait.
+    # Guards against slots leaked or released twice when a task is cancelled at any
+    # point of its wait.
     async def scenario() -> None:
         rng = random.Random(seed)
         admission, clock = make(limit, queue_length=5)
@@ -148,7 +153,7 @@
         for _ in range(60):
             match rng.randrange(4):
                 case 0 | 1:
-                    calls.append(start(admission, rng.randrange(MAX_LEVEL)))
+                    calls.append(start(admission, rng.randrange(LOWEST_PRIORITY)))
                 case 2 if calls:
                     call = calls.pop(rng.randrange(len(calls)))
                     release(admission, call)
@@ -156,15 +161,15 @@
                 case _:
                     clock.advance(rng.random() * 60.0)
             if rng.random() < 0.7:
-                await settle()
+                await run_ready_tasks()
                 assert admission.in_flight <= limit
-        await settle()
+        await run_ready_tasks()
         while calls:
             for call in list(calls):
                 if call.done():
                     calls.remove(call)
                     release(admission, call)
-            await settle()
+            await run_ready_tasks()
         assert admission.in_flight == admission.queued == 0
 
     asyncio.run(scenario())
@@ -180,28 +185,30 @@
 def test_second_release_has_no_effect() -> None:
     async def scenario() -> None:
         admission, _ = make(limit=2)
-        held = await ticket(admission)
-        await ticket(admission)
-        admission.release(held, 1.0, True)
-        admission.release(held, 1.0, True)
+        ticket = await admit_now(admission)
+        await admit_now(admission)
+        admission.release(ticket, 1.0, True)
+        admission.release(ticket, 1.0, True)
         assert admission.in_flight == 1
 
     asyncio.run(scenario())
 
 
 @pytest.mark.parametrize(
-    "level, waited_ms, expired",
-    [(0, 250.0, False), (0, 310.0, True), (MAX_LEVEL, 40.0, False)]
-    + [(MAX_LEVEL, 60.0, True)],
+    "priority, waited_ms, expired",
+    [(0, 250.0, False), (0, 310.0, True), (LOWEST_PRIORITY, 40.0, False)]
+    + [(LOWEST_PRIORITY, 60.0, True)],
 )
-def test_wait_is_bounded_by_level(level: int, waited_ms: float, expired: bool) -> None:
+def test_wait_is_bounded_by_priority(
+    priority: int, waited_ms: float, expired: bool
+) -> None:
     async def scenario() -> Ticket | NotRun:
         admission, clock = make()
-        held = await ticket(admission)
-        call = start(admission, level)
-        await settle()
+        ticket = await admit_now(admission)
+        call = start(admission, priority)
+        await run_ready_tasks()
         clock.advance(waited_ms)
-        admission.release(held, 1.0, True)
+        admission.release(ticket, 1.0, True)
         return await call
 
     result = asyncio.run(scenario())
@@ -209,14 +216,14 @@
 
 
 def test_periodic_task_expires_waiters() -> None:
-    # Guards against waiters that hang while no request finishes.
+    # Guards against queued requests that hang while no request finishes.
     async def scenario() -> None:
         admission, clock = make()
-        await ticket(admission)
-        call = start(admission, MAX_LEVEL)
-        await settle()
+        await admit_now(admission)
+        call = start(admission, LOWEST_PRIORITY)
+        await run_ready_tasks()
         clock.advance(60.0)
-        async with running(admission):
+        async with running_expiry(admission):
             result = await call
         assert result == NotRun(Reason.OVERLOADED, "waited too long for a slot")
         assert admission.queued == 0
@@ -233,16 +240,16 @@
         (200.0, "slow", False),
     ],
 )
-def test_doomed_call_takes_no_slot(
+def test_call_that_would_miss_its_deadline_takes_no_slot(
     remaining_ms: float, operation: str, refused: bool
 ) -> None:
     async def scenario() -> Ticket | NotRun:
         admission, clock = make(limit=2)
         for _ in range(2):
-            held = await admission.admit(0, FAR_MS, "slow")
-            assert isinstance(held, Ticket)
+            ticket = await admission.admit(0, FAR_MS, "slow")
+            assert isinstance(ticket, Ticket)
             clock.advance(100.0)
-            admission.release(held, 100.0, True)
+            admission.release(ticket, 100.0, True)
             await admission.admit(0, clock.now_ms() + 1.0, "slow")
         deadline_at_ms = clock.now_ms() + remaining_ms
         return await admission.admit(0, deadline_at_ms, operation)
@@ -256,13 +263,13 @@
 
 
 def test_operation_that_became_fast_is_admitted_again() -> None:
-    # Guards against an expectation that refuses every call and so never changes.
+    # Guards against an estimate that refuses every call and so is never updated.
     async def scenario() -> int:
         admission, clock = make(limit=10)
-        held = await admission.admit(0, FAR_MS, "op")
-        assert isinstance(held, Ticket)
+        ticket = await admission.admit(0, FAR_MS, "op")
+        assert isinstance(ticket, Ticket)
         clock.advance(5_000.0)
-        admission.release(held, 5_000.0, True)
+        admission.release(ticket, 5_000.0, True)
         admitted_count = 0
         for _ in range(30):
             result = await admission.admit(0, clock.now_ms() + 1_000.0, "op")
@@ -276,74 +283,74 @@
 
 
 async def overload(
-    admission: Admission, clock: ManualClock, windows: int, levels: list[int]
+    admission: Admission, clock: ManualClock, windows: int, priorities: list[int]
 ) -> None:
-    """Offer each level every 10 ms to a target that ends one call per 10 ms."""
-    held: list[asyncio.Task[Ticket | NotRun]] = []
+    """Send each priority every 10 ms to a target that finishes one call per 10 ms."""
+    pending: list[asyncio.Task[Ticket | NotRun]] = []
     for _ in range(windows * 10):
-        held += [start(admission, level) for level in levels]
-        await settle()
+        pending += [start(admission, priority) for priority in priorities]
+        await run_ready_tasks()
         clock.advance(10.0)
-        for call in held:
+        for call in pending:
             if call.done():
-                held.remove(call)
+                pending.remove(call)
                 release(admission, call)
                 break
-    for call in held:
+    for call in pending:
         release(admission, call)
         call.cancel()
-    await settle()
+    await run_ready_tasks()
 
 
 def test_threshold_falls_between_the_classes_and_recovers() -> None:
     async def scenario() -> tuple[int, int, int]:
         admission, clock = make(limit=1, queue_length=20)
         await overload(admission, clock, 10, [5, 600, 700, 800])
-        during = admission.refusal_level()
+        during = admission.admission_threshold()
         refused = await admission.admit(800, FAR_MS)
         assert isinstance(refused, NotRun)
         for _ in range(20):
             clock.advance(100.0)
-            admission.refusal_level()
-        return during, admission.refusal_level(), admission.queued
+            admission.admission_threshold()
+        return during, admission.admission_threshold(), admission.queued
 
     during, after, queued = asyncio.run(scenario())
     assert 5 <= during < 800
-    assert after == MAX_LEVEL
+    assert after == LOWEST_PRIORITY
     assert queued == 0
 
 
 def test_target_at_capacity_is_not_shed() -> None:
-    # Guards against a threshold that falls although every call found a slot.
+    # Guards against a threshold that falls although every call got a slot.
     async def scenario() -> int:
         admission, clock = make(limit=1, queue_length=20)
-        lowest = MAX_LEVEL
+        lowest = LOWEST_PRIORITY
         for _ in range(300):
-            held = await ticket(admission, 900)
+            ticket = await admit_now(admission, 900)
             clock.advance(10.0)
-            admission.release(held, 10.0, True)
-            lowest = min(lowest, admission.refusal_level())
+            admission.release(ticket, 10.0, True)
+            lowest = min(lowest, admission.admission_threshold())
         return lowest
 
-    assert asyncio.run(scenario()) == MAX_LEVEL
+    assert asyncio.run(scenario()) == LOWEST_PRIORITY
 
 
-def test_idle_target_forgets_its_threshold() -> None:
-    # Guards against refusals after a pause, as no task has moved the windows.
+def test_idle_target_resets_its_threshold() -> None:
+    # Guards against refusals after a pause in which no task rolled the windows.
     async def scenario() -> Ticket | NotRun:
         admission, clock = make(limit=1, queue_length=20)
         await overload(admission, clock, 10, [5, 600, 700, 800])
         clock.advance(10_000.0)
-        return await admission.admit(MAX_LEVEL, FAR_MS)
+        return await admission.admit(LOWEST_PRIORITY, FAR_MS)
 
     assert isinstance(asyncio.run(scenario()), Ticket)
 
 
-@pytest.mark.parametrize("level", [-5, MAX_LEVEL + 1, 10**9])
-def test_level_out_of_range_is_bounded(level: int) -> None:
+@pytest.mark.parametrize("priority", [-5, LOWEST_PRIORITY + 1, 10**9])
+def test_priority_out_of_range_is_bounded(priority: int) -> None:
     async def scenario() -> None:
         admission, _ = make()
-        await ticket(admission, level)
+        await admit_now(admission, priority)
 
     asyncio.run(scenario())
 
@@ -352,20 +359,20 @@
     async def scenario() -> None:
         admission, _ = make(limit=2)
         assert admission.load() == 0.0
-        await ticket(admission)
-        await ticket(admission)
+        await admit_now(admission)
+        await admit_now(admission)
         call = start(admission, 3)
-        await settle()
+        await run_ready_tasks()
         assert admission.load() == 1.5
         assert admission.state() == {
             "in_flight": 2,
             "queued": 1,
             "limit": 2,
-            "refusal_level": MAX_LEVEL,
+            "refusal_level": LOWEST_PRIORITY,
             "load": 1.5,
         }
         call.cancel()
-        await settle()
+        await run_ready_tasks()
         assert admission.queued == 0
 
     asyncio.run(scenario())
@@ -382,5 +389,5 @@
     admission.target_started(0.0, hint)
     limit = admission.state()["limit"]
     assert isinstance(limit, int)
-    # The limiter varies its limit by 15% to learn from the difference.
+    # The limiter varies its limit by 15% to measure queueing.
     assert abs(limit - expected) <= 0.15 * expected + 1
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -6,7 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from briardock.admission import MAX_LEVEL
+from briardock.admission import LOWEST_PRIORITY
 from briardock.clock import ManualClock, make_random
 from briardock.metrics import Metrics
 from briardock.outcomes import NotRun, Reason
@@ -48,7 +48,7 @@
     node_id: str,
     latency_ms: float = 5.0,
     load: float = 0.2,
-    level: int = MAX_LEVEL,
+    level: int = LOWEST_PRIORITY,
     kind: ObservationKind = OK,
 ) -> None:
     router.started(node_id)
@@ -92,12 +92,12 @@
 @pytest.mark.parametrize(
     "load, level, kind, other_load, other_level, chosen",
     [
-        (0.5, MAX_LEVEL, OK, 0.1, MAX_LEVEL, "own"),
-        (1.2, MAX_LEVEL, OK, 0.1, MAX_LEVEL, "other"),
-        (0.8, 300, OK, 0.1, MAX_LEVEL, "other"),
-        (0.8, MAX_LEVEL, REFUSED, 0.1, MAX_LEVEL, "other"),
-        (1.2, MAX_LEVEL, OK, 0.95, MAX_LEVEL, "own"),
-        (1.2, MAX_LEVEL, OK, 0.1, 300, "own"),
+        (0.5, LOWEST_PRIORITY, OK, 0.1, LOWEST_PRIORITY, "own"),
+        (1.2, LOWEST_PRIORITY, OK, 0.1, LOWEST_PRIORITY, "other"),
+        (0.8, 300, OK, 0.1, LOWEST_PRIORITY, "other"),
+        (0.8, LOWEST_PRIORITY, REFUSED, 0.1, LOWEST_PRIORITY, "other"),
+        (1.2, LOWEST_PRIORITY, OK, 0.95, LOWEST_PRIORITY, "own"),
+        (1.2, LOWEST_PRIORITY, OK, 0.1, 300, "own"),
     ],
 )
 def test_spill_only_to_room(
@@ -215,7 +215,7 @@
         node_id = f"n{index % count}"
         router.started(node_id)
         kind = LOST if lost else OK
-        router.observe(node_id, Observation(kind, 5.0, 0.1, MAX_LEVEL))
+        router.observe(node_id, Observation(kind, 5.0, 0.1, LOWEST_PRIORITY))
         clock.advance(10.0)
         out = [
             item
@@ -259,7 +259,12 @@
 
 @pytest.mark.parametrize(
     "levels, expected",
-    [([300, 200], 300), ([300, None], MAX_LEVEL), ([0, 0], 0), ([], MAX_LEVEL)],
+    [
+        ([300, 200], 300),
+        ([300, None], LOWEST_PRIORITY),
+        ([0, 0], 0),
+        ([], LOWEST_PRIORITY),
+    ],
 )
 def test_refusal_level_is_the_highest_remembered(
     levels: list[int | None], expected: int
@@ -277,7 +282,7 @@
     answer(router, "n1", level=100)
     assert router.refusal_level("map") == 100
     clock.advance(1_100.0)
-    assert router.refusal_level("map") == MAX_LEVEL
+    assert router.refusal_level("map") == LOWEST_PRIORITY
 
 
 def test_early_refusal_lets_probes_pass() -> None:
@@ -294,4 +299,4 @@
 def test_service_without_instances_admits() -> None:
     # The refusal is then given by choose, with its own reason.
     router, _ = make()
-    assert router.admits("map", MAX_LEVEL)
+    assert router.admits("map", LOWEST_PRIORITY)
