--- a/tests/test_rules_policy.py
+++ b/tests/test_rules_policy.py
@@ -17,8 +17,8 @@
 )
 
 
-def test_limit_of_a_target_that_never_queues_stays_below_its_bound() -> None:
-    # Guards against a limit that grows without end and then falls too slowly.
+def test_limit_of_a_target_that_never_queues_stays_within_its_bound() -> None:
+    # Guards against a limit that grows without bound and then falls too slowly.
     clock = ManualClock()
     limiter = make_limiter(LimiterSettings(max_limit=100), clock)
     rng = make_random(1)
@@ -30,23 +30,25 @@
     assert max(limits) == 100
 
 
-@pytest.mark.parametrize("members, most_out", [(1, 0), (2, 1), (3, 1), (9, 3)])
-def test_ejections_leave_instances_when_all_fail(members: int, most_out: int) -> None:
+@pytest.mark.parametrize("members, max_ejected", [(1, 0), (2, 1), (3, 1), (9, 3)])
+def test_ejections_leave_instances_when_all_fail(
+    members: int, max_ejected: int
+) -> None:
     # Guards against a caller that ejects every instance when its network fails.
     clock = ManualClock()
     router = make_router(RoutingSettings(), "a", clock, make_random(1), Metrics())
-    names = [f"n{i}" for i in range(members)]
-    router.update([Instance(n, 1, "s", "a", "127.0.0.1", 1) for n in names])
+    node_ids = [f"n{i}" for i in range(members)]
+    router.update([Instance(n, 1, "s", "a", "127.0.0.1", 1) for n in node_ids])
     for _ in range(50):
-        for name in names:
+        for name in node_ids:
             router.started(name)
             router.observe(name, Observation(ObservationKind.LOST))
     states = [s for s in router.state().values() if isinstance(s, dict)]
-    assert sum(s["ejected_for_ms"] > 0 for s in states) == most_out
+    assert sum(s["ejected_for_ms"] > 0 for s in states) == max_ejected
 
 
-def test_success_that_clears_a_death_is_spread() -> None:
-    # Guards against nodes that go on to suspect what completed elsewhere.
+def test_success_that_clears_a_death_is_gossiped() -> None:
+    # Guards against nodes that still suspect a request that completed elsewhere.
     quarantine = make_quarantine(QuarantineSettings(), ManualClock())
     quarantine.record_death(["f"], "d1")
     (entry,) = quarantine.record_success("f")
@@ -56,7 +58,7 @@
 
 @pytest.mark.parametrize("as_of, restored", [(5, True), (6, True), (4, False)])
 def test_checkpoint_covers_its_own_version(as_of: int, restored: bool) -> None:
-    # Guards against a checkpoint that makes records be applied a second time.
+    # Guards against a checkpoint after which records are applied a second time.
     state = make_config_state()
     checkpoint = Checkpoint(as_of, 5, {}, [], digest_of(5, {}))
     assert state.restore(checkpoint, 7) is restored
