--- a/src/briardock/dispatch.py
+++ b/src/briardock/dispatch.py
@@ -11,7 +11,7 @@
 from briardock.outcomes import Completed, Headers, NotRun, Outcome, Reason, Unknown
 from briardock.peers import LinkFailure, PeerAddress, PeerLinks
 from briardock.quarantine import Quarantine
-from briardock.refusals import ChainLevels
+from briardock.refusals import DownstreamThresholds
 from briardock.routing import Instance, Observation, ObservationKind, Router
 
 # Refusals that say nothing about load: the instance was the wrong place to ask.
@@ -91,7 +91,7 @@
         links: PeerLinks,
         local: LocalHandler,
         ratio: RetryRatio,
-        levels: ChainLevels,
+        levels: DownstreamThresholds,
         quarantine: Quarantine,
         metrics: Metrics,
     ) -> None:
--- a/src/briardock/entry.py
+++ b/src/briardock/entry.py
@@ -33,7 +33,7 @@
 from briardock.outcomes import Completed, NotRun, Outcome, Reason, Unknown
 from briardock.peers import LinkFailure, PeerAddress, PeerLinks
 from briardock.quarantine import fingerprint
-from briardock.refusals import ChainLevels
+from briardock.refusals import DownstreamThresholds
 from briardock.replies import ACTION_HEADER, json_response, outcome_response
 
 KEY_HEADER = b"idempotency-key"
@@ -68,7 +68,7 @@
         inbound: Inbound,
         links: PeerLinks,
         find_issuer: FindIssuer,
-        levels: ChainLevels,
+        levels: DownstreamThresholds,
         drain: Drain,
         metrics: Metrics,
     ) -> None:
--- a/src/briardock/parts.py
+++ b/src/briardock/parts.py
@@ -31,7 +31,7 @@
 from briardock.peers import make_peer_links
 from briardock.publishing import NO_VERSION
 from briardock.quarantine import QuarantineEntry, make_quarantine
-from briardock.refusals import make_chain_levels
+from briardock.refusals import make_downstream_thresholds
 from briardock.routing import make_router
 from briardock.settings import NodeSettings
 from briardock.target import make_target_client
@@ -103,7 +103,7 @@
             partial(self.announce, MemberState.LEAVING),
             settings.drain.timeout_s * 1_000.0,
         )
-        self.levels = make_chain_levels(clock, rng)
+        self.levels = make_downstream_thresholds(clock, rng)
         self._assemble_call_path()
 
     def _assemble_call_path(self) -> None:
@@ -182,7 +182,7 @@
         found = catalog.operation(operation) if catalog is not None else None
         if found is None or not found.calls:
             return MAX_LEVEL
-        return min(self.levels.level(name) for name in found.calls)
+        return min(self.levels.threshold(name) for name in found.calls)
 
     def target_load(self) -> int:
         """Return the number of admitted and queued calls of the own target."""
--- a/src/briardock/refusals.py
+++ b/src/briardock/refusals.py
@@ -1,4 +1,4 @@
-"""Memory of which operations refuse which levels deeper in the call graph."""
+"""Admission thresholds of operations, including the services that they call."""
 
 import random
 from dataclasses import dataclass
@@ -6,68 +6,70 @@
 from briardock.clock import Clock
 from briardock.messages import MAX_LEVEL
 
-LEVEL_EXPIRY_MS = 1_000.0
+THRESHOLD_EXPIRY_MS = 1_000.0
 PROBE_SHARE = 0.02
 
 
 @dataclass(slots=True)
-class _Remembered:
-    level: int
+class _LearnedThreshold:
+    threshold: int
     expires_at_ms: float
 
 
-class ChainLevels:
-    """Thresholds per operation, learned from the answers of its calls.
+class DownstreamThresholds:
+    """Thresholds per operation, learned from the responses to its calls.
 
-    An answer carries the lowest threshold of its instance and of the services
-    that the operation calls, so the entry learns of overload at any depth.
+    A response carries the lowest threshold of its instance and of the services
+    that the operation calls, so the entry node learns of overload at any depth.
 
     :param clock: monotonic clock
-    :param rng: chooses the calls that pass in spite of a threshold, so that the
-        memory is refreshed
+    :param rng: selects the calls that pass as probes in spite of a threshold, which
+        keeps the thresholds up to date
     """
 
     def __init__(self, clock: Clock, rng: random.Random) -> None:
         self._clock = clock
         self._rng = rng
-        self._levels: dict[str, _Remembered] = {}
+        self._thresholds: dict[str, _LearnedThreshold] = {}
 
-    def learn(self, operation: str, level: int) -> None:
-        """Remember the threshold that came with an answer.
+    def learn(self, operation: str, threshold: int) -> None:
+        """Store the threshold carried by a response.
 
         :param operation: full name of the operation
-        :param level: highest level that is still admitted
+        :param threshold: greatest priority value that is still admitted
         """
-        expires_at_ms = self._clock.now_ms() + LEVEL_EXPIRY_MS
-        self._levels[operation] = _Remembered(level, expires_at_ms)
+        expires_at_ms = self._clock.now_ms() + THRESHOLD_EXPIRY_MS
+        self._thresholds[operation] = _LearnedThreshold(threshold, expires_at_ms)
 
-    def level(self, operation: str) -> int:
-        """Return the highest level that an operation still admits.
+    def threshold(self, operation: str) -> int:
+        """Return the greatest priority value that an operation still admits.
 
         :param operation: full name of the operation
         """
-        known = self._levels.get(operation)
+        known = self._thresholds.get(operation)
         if known is None or known.expires_at_ms <= self._clock.now_ms():
             return MAX_LEVEL
-        return known.level
+        return known.threshold
 
-    def admits(self, operation: str, level: int) -> bool:
-        """Return whether a call would pass, letting a few through as probes.
+    def admits(self, operation: str, priority: int) -> bool:
+        """Return whether to send a call; a few refused ones pass as probes.
 
         :param operation: full name of the operation
-        :param level: admission level of the call
+        :param priority: priority of the call
         """
-        return level <= self.level(operation) or self._rng.random() < PROBE_SHARE
+        return priority <= self.threshold(operation) or self._rng.random() < PROBE_SHARE
 
     def state(self) -> dict[str, int]:
-        """Return the thresholds in force for a state dump."""
-        return {name: self.level(name) for name in self._levels}
+        """Return the thresholds in effect for a diagnostic dump."""
+        return {name: self.threshold(name) for name in self._thresholds}
 
 
-def make_chain_levels(clock: Clock, rng: random.Random) -> ChainLevels:
-    """Return an empty memory.
+def make_downstream_thresholds(
+    clock: Clock, rng: random.Random
+) -> DownstreamThresholds:
+    """Return an object without thresholds.
 
     :param clock: monotonic clock
     :param rng: random source
     """
-    return ChainLevels(clock, rng)
+    return DownstreamThresholds(clock, rng)
--- a/tests/callpath_fakes.py
+++ b/tests/callpath_fakes.py
@@ -31,7 +31,7 @@
     QuarantineSettings,
     make_quarantine,
 )
-from briardock.refusals import ChainLevels, make_chain_levels
+from briardock.refusals import DownstreamThresholds, make_downstream_thresholds
 from briardock.routing import Router, RoutingSettings, make_router
 from briardock.target import Lost, NotSent, TargetClient
 
@@ -175,7 +175,7 @@
     quarantine: Quarantine = field(init=False)
     admission: HookedAdmission = field(init=False)
     drain: Drain = field(init=False)
-    levels: ChainLevels = field(init=False)
+    levels: DownstreamThresholds = field(init=False)
     inbound: Inbound = field(init=False)
     dispatcher: Dispatcher = field(init=False)
     issuer: KeyIssuer = field(init=False)
@@ -193,7 +193,7 @@
         self.admission = HookedAdmission(AdmissionSettings(), clock, metrics)
         self.admission.released = []
         self.drain = make_drain(clock, lambda: self.in_flight, lambda: None, 100.0)
-        self.levels = make_chain_levels(clock, make_random(2))
+        self.levels = make_downstream_thresholds(clock, make_random(2))
         self.inbound = Inbound(
             OWN,
             INCARNATION,
@@ -202,7 +202,7 @@
             self.target,
             self.drain,
             self.quarantine,
-            self.levels.level,
+            self.levels.threshold,
             self.spread.extend,
             lambda running: self.entry.drop_children(running),
             self._count_death,
