Reword routing and outlier ejection

Rename own and other instances to local and remote, answers to responses, levels to priorities and thresholds, and settings after what they bound. Behaviour is unchanged.

--- a/src/briardock/_ejection.py
+++ b/src/briardock/_ejection.py
@@ -1,23 +1,24 @@
-"""Ejection of failing or slow instances from routing."""
+"""Outlier ejection: failing or slow instances get no calls for a while."""
 
 import random
 from statistics import median
 
-from briardock._instances import RoutingSettings, ServiceInstances, Tracked
+from briardock._instances import RoutingSettings, ServiceInstances, TrackedInstance
 from briardock.events import Event, emit
 from briardock.metrics import Metrics
 
 LATENCY_WEIGHT = 0.1
 FAILURE_WEIGHT = 0.15
 MAX_BACKOFF_EXPONENT = 10
-# Comparing with all peers is too costly for every answer.
-SLOW_CHECK_ANSWERS = 10
-# Health for this many times the last ejection's duration forgets one ejection.
-FORGIVE_DURATIONS = 2.0
+# Comparing an instance with all its peers is too costly for every response.
+SLOW_CHECK_RESPONSES = 10
+# An instance that stays healthy for this many times the duration of its last
+# ejection has its ejection count reduced by one.
+BACKOFF_DECAY_DURATIONS = 2.0
 
 
 class Ejector:
-    """Takes instances out of use for a growing time.
+    """Ejects outliers, each time for longer up to a maximum.
 
     :param settings: checked settings
     :param rng: random source
@@ -31,14 +32,14 @@
         self._rng = rng
         self._metrics = metrics
 
-    def record_ok(
+    def record_success(
         self,
-        entry: Tracked,
+        entry: TrackedInstance,
         service: ServiceInstances,
         latency_ms: float,
         now_ms: float,
     ) -> None:
-        """Record an answer and eject its instance if it is slow."""
+        """Record a response and eject its instance if it is slow."""
         entry.observed_count += 1
         entry.failure_share *= 1.0 - FAILURE_WEIGHT
         weight = max(LATENCY_WEIGHT, 1.0 / entry.observed_count)
@@ -46,22 +47,22 @@
         if entry.probes_left:
             entry.probes_left -= 1
             return
-        if entry.observed_count % SLOW_CHECK_ANSWERS == 0:
-            self._forgive(entry, now_ms)
+        if entry.observed_count % SLOW_CHECK_RESPONSES == 0:
+            self._decay_backoff(entry, now_ms)
             if self._is_slow(entry, service):
                 self._eject(entry, service, now_ms)
 
     def record_failure(
-        self, entry: Tracked, service: ServiceInstances, now_ms: float
+        self, entry: TrackedInstance, service: ServiceInstances, now_ms: float
     ) -> None:
-        """Record a failure and eject its instance if it fails often."""
+        """Record a failure and eject its instance if its failure share is too high."""
         entry.observed_count += 1
         entry.failure_share += FAILURE_WEIGHT * (1.0 - entry.failure_share)
         fails = entry.failure_share > self._settings.eject_failure_share
         if entry.probes_left or fails:
             self._eject(entry, service, now_ms)
 
-    def _is_slow(self, entry: Tracked, service: ServiceInstances) -> bool:
+    def _is_slow(self, entry: TrackedInstance, service: ServiceInstances) -> bool:
         settings = self._settings
         if entry.observed_count < settings.eject_min_observations:
             return False
@@ -76,16 +77,18 @@
             return False
         return entry.latency_ms > settings.eject_slow_factor * median(peers)
 
-    def _eject(self, entry: Tracked, service: ServiceInstances, now_ms: float) -> None:
+    def _eject(
+        self, entry: TrackedInstance, service: ServiceInstances, now_ms: float
+    ) -> None:
         if entry.ejected_until_ms > now_ms:
             return
         members = service.members
-        out_count = sum(
+        ejected_count = sum(
             item.ejected_until_ms > now_ms or item.probes_left > 0
             for item in members
             if item is not entry
         )
-        if out_count >= self._most_out(len(members)):
+        if ejected_count >= self._max_ejected(len(members)):
             return
         duration_ms = self._duration_ms(entry.ejections_count)
         entry.ejected_until_ms = now_ms + duration_ms * (0.9 + 0.2 * self._rng.random())
@@ -106,15 +109,15 @@
         settings = self._settings
         return min(settings.eject_max_ms, settings.eject_base_ms * 2**exponent)
 
-    def _forgive(self, entry: Tracked, now_ms: float) -> None:
+    def _decay_backoff(self, entry: TrackedInstance, now_ms: float) -> None:
         if not entry.ejections_count:
             return
         duration_ms = self._duration_ms(entry.ejections_count - 1)
-        if now_ms - entry.ejected_until_ms > FORGIVE_DURATIONS * duration_ms:
+        if now_ms - entry.ejected_until_ms > BACKOFF_DECAY_DURATIONS * duration_ms:
             entry.ejections_count -= 1
             entry.ejected_until_ms = now_ms
 
-    def _most_out(self, members_count: int) -> int:
-        if members_count < 2:
+    def _max_ejected(self, instances_count: int) -> int:
+        if instances_count < 2:
             return 0
-        return max(1, int(members_count * self._settings.eject_max_share))
+        return max(1, int(instances_count * self._settings.eject_max_share))
--- a/src/briardock/_instances.py
+++ b/src/briardock/_instances.py
@@ -1,4 +1,4 @@
-"""Instances known to the router, with what was observed of them."""
+"""Instances known to the router, and the observations of them."""
 
 import enum
 from dataclasses import dataclass, field
@@ -9,7 +9,7 @@
 
 
 class ObservationKind(enum.Enum):
-    """What became of one dispatch."""
+    """Result of one dispatched call."""
 
     OK = "ok"
     REFUSED = "refused"
@@ -21,10 +21,10 @@
 class Instance:
     """One usable instance of a service.
 
-    :param node_id: id of its node
-    :param incarnation: process incarnation of its node
+    :param node_id: id of the node beside it
+    :param incarnation: process incarnation of that node
     :param service: name of the service
-    :param failure_domain: where it runs
+    :param failure_domain: failure domain that it runs in
     :param host: numeric address
     :param port: TCP port for call links
     """
@@ -39,46 +39,48 @@
 
 @dataclass(frozen=True, slots=True)
 class Observation:
-    """End of one dispatch.
+    """Observation of one dispatched call.
 
-    :param kind: what became of it
-    :param latency_ms: time from dispatch to answer in ms
-    :param load: load carried on the answer, ``None`` without an answer
-    :param refusal_level: threshold carried on the answer, ``None`` without one
+    :param kind: result of the call
+    :param latency_ms: time from dispatch to response in ms
+    :param load: load carried by the response, ``None`` without a response
+    :param admission_threshold: threshold carried by the response, ``None`` without one
     """
 
     kind: ObservationKind
     latency_ms: float = 0.0
     load: float | None = None
-    refusal_level: int | None = None
+    admission_threshold: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class RoutingSettings:
     """Settings of the router.
 
-    :param memory_ms: lifetime of a remembered load in ms
-    :param refusal_memory_ms: lifetime of a remembered refusal level in ms
-    :param probe_share: share of refused calls let through to refresh the memory
-    :param probe_period_ms: period in which one refused call passes in any case
-    :param refused_pause_ms: time for which a refusal marks an instance as full
-    :param fresh_in_flight: calls a new instance gets before its first answer
-    :param eject_min_observations: answers before an instance can count as slow
-    :param eject_failure_share: failure share that ejects
-    :param eject_slow_factor: latency by the median of its peers that ejects
-    :param eject_slow_min_ms: latency below which no instance counts as slow
+    :param load_lifetime_ms: time for which a reported load is used in ms
+    :param threshold_lifetime_ms: time for which a reported threshold is used in ms
+    :param probe_share: share of refused calls that pass to refresh the threshold
+    :param probe_interval_ms: interval in which at least one refused call passes in ms
+    :param refusal_pause_ms: time for which a refusal marks an instance as full in ms
+    :param new_instance_max_in_flight: maximum in flight to an instance with fewer
+        observations than this
+    :param eject_min_observations: observations before an instance can count as slow
+    :param eject_failure_share: failure share above which an instance is ejected
+    :param eject_slow_factor: ratio of the latency to the median latency of the peers
+        above which an instance is ejected
+    :param eject_slow_min_ms: latency below which no instance counts as slow in ms
     :param eject_base_ms: duration of the first ejection in ms
-    :param eject_max_ms: longest ejection in ms
-    :param eject_max_share: most instances of a service ejected at once
-    :param probe_successes: answers that end the probing after an ejection
+    :param eject_max_ms: maximum duration of an ejection in ms
+    :param eject_max_share: maximum share of a service's instances ejected at once
+    :param probe_successes: successful probes after an ejection before full use
     """
 
-    memory_ms: float = 500.0
-    refusal_memory_ms: float = 1_000.0
+    load_lifetime_ms: float = 500.0
+    threshold_lifetime_ms: float = 1_000.0
     probe_share: float = 0.02
-    probe_period_ms: float = 100.0
-    refused_pause_ms: float = 50.0
-    fresh_in_flight: int = 4
+    probe_interval_ms: float = 100.0
+    refusal_pause_ms: float = 50.0
+    new_instance_max_in_flight: int = 4
     eject_min_observations: int = 10
     eject_failure_share: float = 0.5
     eject_slow_factor: float = 4.0
@@ -90,21 +92,21 @@
 
 
 @dataclass(slots=True, eq=False)
-class Tracked:
-    """An instance with what was observed of it.
+class TrackedInstance:
+    """An instance and its observations.
 
-    :param instance: where it is
-    :param in_flight: dispatches without an end
-    :param observed_count: answers and failures since it is in use
+    :param instance: identity and address
+    :param in_flight: calls in flight to it
+    :param observed_count: successes and failures since it was added or last ejected
     :param latency_ms: weighted mean latency in ms
     :param failure_share: weighted share of failures
-    :param load: last load carried on an answer
-    :param refusal_level: last threshold carried on an answer
-    :param answered_at_ms: time of the last answer in ms
+    :param load: last load carried by a response
+    :param admission_threshold: last threshold carried by a response
+    :param responded_at_ms: time of the last response in ms
     :param full_until_ms: end of the pause after a refusal in ms
     :param ejected_until_ms: end of the ejection in ms
-    :param ejections_count: ejections since it was last healthy for long
-    :param probes_left: answers needed until it is in full use again
+    :param ejections_count: exponent of the ejection time, reduced while it is healthy
+    :param probes_left: successful probes needed before it gets concurrent calls again
     """
 
     instance: Instance
@@ -113,8 +115,8 @@
     latency_ms: float = 0.0
     failure_share: float = 0.0
     load: float = 0.0
-    refusal_level: int = LOWEST_PRIORITY
-    answered_at_ms: float = NEVER_MS
+    admission_threshold: int = LOWEST_PRIORITY
+    responded_at_ms: float = NEVER_MS
     full_until_ms: float = NEVER_MS
     ejected_until_ms: float = NEVER_MS
     ejections_count: int = 0
@@ -125,22 +127,22 @@
 class ServiceInstances:
     """Instances of one service.
 
-    :param own: instances in the failure domain of this node
-    :param other: instances in other failure domains
-    :param members: instances of all failure domains
-    :param probed_at_ms: time at which a refused call last passed in ms
+    :param local: instances in the failure domain of the local node
+    :param remote: instances in other failure domains
+    :param members: instances in all failure domains
+    :param probed_at_ms: time at which a refused call last passed as a probe in ms
     """
 
-    own: list[Tracked] = field(default_factory=list)
-    other: list[Tracked] = field(default_factory=list)
-    members: list[Tracked] = field(default_factory=list)
+    local: list[TrackedInstance] = field(default_factory=list)
+    remote: list[TrackedInstance] = field(default_factory=list)
+    members: list[TrackedInstance] = field(default_factory=list)
     probed_at_ms: float = NEVER_MS
 
-    def add(self, entry: Tracked, near: bool) -> None:
+    def add(self, entry: TrackedInstance, is_local: bool) -> None:
         """Add an instance.
 
         :param entry: the instance
-        :param near: whether it is in the failure domain of this node
+        :param is_local: whether it is in the failure domain of the local node
         """
-        (self.own if near else self.other).append(entry)
+        (self.local if is_local else self.remote).append(entry)
         self.members.append(entry)
--- a/src/briardock/dispatch.py
+++ b/src/briardock/dispatch.py
@@ -186,7 +186,7 @@
         share = self._delegate(call)
         message = self._message(call, instance, share, started_ms)
         self._metrics.count("dispatch.attempts")
-        self._router.started(instance.node_id)
+        self._router.record_dispatch(instance.node_id)
         answer: Answer | LinkFailure = LinkFailure(True, "cancelled")
         try:
             if instance.node_id == self._node_id:
--- a/src/briardock/routing.py
+++ b/src/briardock/routing.py
@@ -1,4 +1,4 @@
-"""Choice of an instance for a call, and remembered refusal levels."""
+"""Load balancing over the instances of a service, and their admission thresholds."""
 
 import random
 from collections.abc import Container, Iterable
@@ -11,7 +11,7 @@
     ObservationKind,
     RoutingSettings,
     ServiceInstances,
-    Tracked,
+    TrackedInstance,
 )
 from briardock.admission import LOWEST_PRIORITY
 from briardock.clock import Clock
@@ -28,29 +28,29 @@
     "make_router",
 ]
 
-DRAWS = 4
+MAX_DRAWS = 4
 FULL_LOAD = 1.0
-ROOM_LOAD = 0.9
+MAX_SPILL_LOAD = 0.9
 MIN_LATENCY_MS = 0.1
-# Factor of the cost of an instance that refused a call a moment ago.
-FULL_COST = 4.0
+# Applies to the cost of an instance during the pause after it refused a call.
+FULL_COST_FACTOR = 4.0
 
 
 @dataclass(frozen=True, slots=True)
 class Choice:
     """The chosen instance.
 
-    :param instance: where to dispatch
+    :param instance: instance to dispatch the call to
     """
 
     instance: Instance
 
 
 class Router:
-    """Chooses instances from this node's own observations.
+    """Chooses instances by the observations of the local node.
 
     :param settings: checked settings
-    :param own_failure_domain: failure domain of this node
+    :param local_failure_domain: failure domain of the local node
     :param clock: time source
     :param rng: random source
     :param metrics: counters of the process
@@ -59,43 +59,43 @@
     def __init__(
         self,
         settings: RoutingSettings,
-        own_failure_domain: str,
+        local_failure_domain: str,
         clock: Clock,
         rng: random.Random,
         metrics: Metrics,
     ) -> None:
         self._settings = settings
-        self._own_domain = own_failure_domain
+        self._local_domain = local_failure_domain
         self._clock = clock
         self._rng = rng
         self._metrics = metrics
         self._ejector = Ejector(settings, rng, metrics)
-        self._tracked: dict[str, Tracked] = {}
+        self._tracked: dict[str, TrackedInstance] = {}
         self._services: dict[str, ServiceInstances] = {}
 
     def update(self, instances: Iterable[Instance]) -> None:
-        """Replace the usable instances, keeping the observations of those known.
+        """Replace the usable instances; known ones keep their observations.
 
         :param instances: all usable instances of all services
         """
-        tracked: dict[str, Tracked] = {}
+        tracked: dict[str, TrackedInstance] = {}
         services: dict[str, ServiceInstances] = {}
         for instance in instances:
-            entry = self._keep(instance)
+            entry = self._track(instance)
             tracked[instance.node_id] = entry
             service = services.setdefault(instance.service, ServiceInstances())
-            near = instance.failure_domain == self._own_domain
-            service.add(entry, near)
+            is_local = instance.failure_domain == self._local_domain
+            service.add(entry, is_local)
         for name, service in services.items():
             if name in self._services:
                 service.probed_at_ms = self._services[name].probed_at_ms
         self._tracked = tracked
         self._services = services
 
-    def _keep(self, instance: Instance) -> Tracked:
+    def _track(self, instance: Instance) -> TrackedInstance:
         known = self._tracked.get(instance.node_id)
         if known is None or known.instance.incarnation != instance.incarnation:
-            return Tracked(instance)
+            return TrackedInstance(instance)
         known.instance = instance
         return known
 
@@ -103,31 +103,33 @@
         """Choose an instance for one dispatch.
 
         :param service: name of the service
-        :param exclude: node ids already tried
+        :param exclude: ids of the nodes already tried
         """
         known = self._services.get(service)
         if known is None:
             return NotRun(Reason.NO_INSTANCE, f"no instance of {service} is usable")
         now_ms = self._clock.now_ms()
-        best = self._draw(known.own, exclude, now_ms)
+        best = self._choose_of_two(known.local, exclude, now_ms)
         if best is None or self._is_full(best, now_ms):
-            remote = self._draw(known.other, exclude, now_ms)
-            if remote is not None and (best is None or self._has_room(remote, now_ms)):
-                best = remote
+            spill = self._choose_of_two(known.remote, exclude, now_ms)
+            if spill is not None and (
+                best is None or self._has_headroom(spill, now_ms)
+            ):
+                best = spill
         if best is None:
-            best = self._any(known, exclude)
+            best = self._choose_least_used(known, exclude)
         if best is None:
             return NotRun(
                 Reason.NO_INSTANCE, f"every usable instance of {service} was tried"
             )
         return Choice(best.instance)
 
-    def _draw(
-        self, entries: list[Tracked], exclude: Container[str], now_ms: float
-    ) -> Tracked | None:
-        """Return the better of two random eligible entries."""
-        first: Tracked | None = None
-        for _ in range(DRAWS if len(entries) > 1 else 1):
+    def _choose_of_two(
+        self, entries: list[TrackedInstance], exclude: Container[str], now_ms: float
+    ) -> TrackedInstance | None:
+        """Return the less costly of two random eligible instances."""
+        first: TrackedInstance | None = None
+        for _ in range(MAX_DRAWS if len(entries) > 1 else 1):
             if not entries:
                 return None
             entry = entries[int(self._rng.random() * len(entries))]
@@ -136,78 +138,88 @@
             if first is None:
                 first = entry
             else:
-                return self._better(first, entry, now_ms)
+                return self._less_costly(first, entry, now_ms)
         if first is not None:
             return first
-        rest = [entry for entry in entries if self._eligible(entry, exclude, now_ms)]
-        return self._rng.choice(rest) if rest else None
-
-    def _eligible(self, entry: Tracked, exclude: Container[str], now_ms: float) -> bool:
+        candidates = [
+            entry for entry in entries if self._eligible(entry, exclude, now_ms)
+        ]
+        return self._rng.choice(candidates) if candidates else None
+
+    def _eligible(
+        self, entry: TrackedInstance, exclude: Container[str], now_ms: float
+    ) -> bool:
         if entry.instance.node_id in exclude or entry.ejected_until_ms > now_ms:
             return False
         if entry.probes_left:
             return entry.in_flight == 0
-        if entry.observed_count < self._settings.fresh_in_flight:
-            return entry.in_flight < self._settings.fresh_in_flight
+        if entry.observed_count < self._settings.new_instance_max_in_flight:
+            return entry.in_flight < self._settings.new_instance_max_in_flight
         return True
 
-    def _better(self, first: Tracked, second: Tracked, now_ms: float) -> Tracked:
+    def _less_costly(
+        self, first: TrackedInstance, second: TrackedInstance, now_ms: float
+    ) -> TrackedInstance:
         if not first.observed_count or not second.observed_count:
             return first if first.in_flight <= second.in_flight else second
         if self._cost(first, now_ms) <= self._cost(second, now_ms):
             return first
         return second
 
-    def _cost(self, entry: Tracked, now_ms: float) -> float:
+    def _cost(self, entry: TrackedInstance, now_ms: float) -> float:
         cost = (entry.in_flight + 1) * (entry.latency_ms + MIN_LATENCY_MS)
         if self._is_recent(entry, now_ms):
             cost *= 0.5 + entry.load
         if entry.full_until_ms > now_ms:
-            cost *= FULL_COST
+            cost *= FULL_COST_FACTOR
         return cost
 
-    def _is_recent(self, entry: Tracked, now_ms: float) -> bool:
-        return now_ms - entry.answered_at_ms < self._settings.memory_ms
+    def _is_recent(self, entry: TrackedInstance, now_ms: float) -> bool:
+        return now_ms - entry.responded_at_ms < self._settings.load_lifetime_ms
 
-    def _is_full(self, entry: Tracked, now_ms: float) -> bool:
-        """Return whether a call should rather go to another failure domain."""
+    def _is_full(self, entry: TrackedInstance, now_ms: float) -> bool:
+        """Return whether calls should prefer another failure domain."""
         if entry.full_until_ms > now_ms:
             return True
         if not self._is_recent(entry, now_ms):
             return False
-        return entry.load >= FULL_LOAD or entry.refusal_level < LOWEST_PRIORITY
+        return entry.load >= FULL_LOAD or entry.admission_threshold < LOWEST_PRIORITY
 
-    def _has_room(self, entry: Tracked, now_ms: float) -> bool:
+    def _has_headroom(self, entry: TrackedInstance, now_ms: float) -> bool:
         if entry.full_until_ms > now_ms:
             return False
         if not self._is_recent(entry, now_ms):
             return True
-        return entry.load < ROOM_LOAD and entry.refusal_level >= LOWEST_PRIORITY
+        return (
+            entry.load < MAX_SPILL_LOAD and entry.admission_threshold >= LOWEST_PRIORITY
+        )
 
-    def _any(
+    def _choose_least_used(
         self, service: ServiceInstances, exclude: Container[str]
-    ) -> Tracked | None:
-        """Return the least used instance when every one is ejected or probing."""
-        for entries in (service.own, service.other):
-            rest = [item for item in entries if item.instance.node_id not in exclude]
-            if rest:
-                return min(rest, key=lambda item: item.in_flight)
+    ) -> TrackedInstance | None:
+        """Return the least used instance, even if it is ejected or being probed."""
+        for entries in (service.local, service.remote):
+            candidates = [
+                item for item in entries if item.instance.node_id not in exclude
+            ]
+            if candidates:
+                return min(candidates, key=lambda item: item.in_flight)
         return None
 
-    def started(self, node_id: str) -> None:
-        """Count a dispatch to an instance.
+    def record_dispatch(self, node_id: str) -> None:
+        """Count a call dispatched to an instance.
 
-        :param node_id: id of its node
+        :param node_id: id of the instance's node
         """
         entry = self._tracked.get(node_id)
         if entry is not None:
             entry.in_flight += 1
 
     def observe(self, node_id: str, observation: Observation) -> None:
-        """Record the end of a dispatch.
+        """Record the result of a dispatched call.
 
         :param node_id: id of the instance's node
-        :param observation: what was seen
+        :param observation: result of the call
         """
         entry = self._tracked.get(node_id)
         if entry is None:
@@ -216,25 +228,25 @@
         entry.in_flight = max(0, entry.in_flight - 1)
         if observation.load is not None:
             entry.load = observation.load
-            entry.answered_at_ms = now_ms
-        if observation.refusal_level is not None:
-            entry.refusal_level = max(0, observation.refusal_level)
-            entry.answered_at_ms = now_ms
+            entry.responded_at_ms = now_ms
+        if observation.admission_threshold is not None:
+            entry.admission_threshold = max(0, observation.admission_threshold)
+            entry.responded_at_ms = now_ms
         service = self._services[entry.instance.service]
         match observation.kind:
             case ObservationKind.REFUSED:
-                entry.full_until_ms = now_ms + self._settings.refused_pause_ms
+                entry.full_until_ms = now_ms + self._settings.refusal_pause_ms
             case ObservationKind.OK:
                 latency_ms = observation.latency_ms
-                self._ejector.record_ok(entry, service, latency_ms, now_ms)
+                self._ejector.record_success(entry, service, latency_ms, now_ms)
             case ObservationKind.FAILED | ObservationKind.LOST:
                 self._ejector.record_failure(entry, service, now_ms)
 
-    def refusal_level(self, service: str) -> int:
+    def admission_threshold(self, service: str) -> int:
         """Return the highest threshold among the usable instances of a service.
 
-        Instances without a recent answer count as admitting every level, ejected
-        ones do not count.
+        Instances without a recent response count as admitting every priority;
+        ejected ones do not count.
 
         :param service: name of the service
         """
@@ -246,37 +258,37 @@
         for entry in known.members:
             if entry.ejected_until_ms > now_ms:
                 continue
-            highest = max(highest, self._remembered_level(entry, now_ms))
+            highest = max(highest, self._current_threshold(entry, now_ms))
             if highest >= LOWEST_PRIORITY:
                 return LOWEST_PRIORITY
         return highest if highest >= 0 else LOWEST_PRIORITY
 
-    def _remembered_level(self, entry: Tracked, now_ms: float) -> int:
-        age_ms = now_ms - entry.answered_at_ms
-        if age_ms > self._settings.refusal_memory_ms:
+    def _current_threshold(self, entry: TrackedInstance, now_ms: float) -> int:
+        age_ms = now_ms - entry.responded_at_ms
+        if age_ms > self._settings.threshold_lifetime_ms:
             return LOWEST_PRIORITY
-        return entry.refusal_level
+        return entry.admission_threshold
 
-    def admits(self, service: str, level: int) -> bool:
-        """Return whether to send a call, or refuse it early.
+    def admits(self, service: str, priority: int) -> bool:
+        """Return whether to send a call instead of refusing it early.
 
         A share of the calls that would be refused passes, and at least one per
-        period, so that the remembered levels stay fresh.
+        interval, so that the known thresholds stay up to date.
 
         :param service: name of the service
-        :param level: admission level
+        :param priority: priority of the call
         """
-        if level <= self.refusal_level(service):
+        if priority <= self.admission_threshold(service):
             return True
         known = self._services[service]
         now_ms = self._clock.now_ms()
-        if now_ms - known.probed_at_ms >= self._settings.probe_period_ms:
+        if now_ms - known.probed_at_ms >= self._settings.probe_interval_ms:
             known.probed_at_ms = now_ms
             return True
         return self._rng.random() < self._settings.probe_share
 
     def state(self) -> dict[str, object]:
-        """Return the state for a dump."""
+        """Return the state for a diagnostic dump."""
         now_ms = self._clock.now_ms()
         return {
             node_id: {
@@ -285,7 +297,7 @@
                 "in_flight": entry.in_flight,
                 "latency_ms": round(entry.latency_ms, 3),
                 "load": round(entry.load, 3),
-                "refusal_level": entry.refusal_level,
+                "refusal_level": entry.admission_threshold,
                 "failure_share": round(entry.failure_share, 3),
                 "ejected_for_ms": round(max(0.0, entry.ejected_until_ms - now_ms), 1),
                 "probes_left": entry.probes_left,
@@ -296,7 +308,7 @@
 
 def make_router(
     settings: RoutingSettings,
-    own_failure_domain: str,
+    local_failure_domain: str,
     clock: Clock,
     rng: random.Random,
     metrics: Metrics,
@@ -304,9 +316,9 @@
     """Return the router of one node.
 
     :param settings: checked settings
-    :param own_failure_domain: failure domain of this node
+    :param local_failure_domain: failure domain of the local node
     :param clock: time source
     :param rng: random source
     :param metrics: counters of the process
     """
-    return Router(settings, own_failure_domain, clock, rng, metrics)
+    return Router(settings, local_failure_domain, clock, rng, metrics)
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -1,4 +1,4 @@
-"""Tests of instance choice, ejection and remembered refusal levels."""
+"""Tests of instance choice, ejection and the thresholds of instances."""
 
 from collections import Counter
 
@@ -43,31 +43,31 @@
     return choice.instance.node_id
 
 
-def answer(
+def respond(
     router: Router,
     node_id: str,
     latency_ms: float = 5.0,
     load: float = 0.2,
-    level: int = LOWEST_PRIORITY,
+    threshold: int = LOWEST_PRIORITY,
     kind: ObservationKind = OK,
 ) -> None:
-    router.started(node_id)
-    router.observe(node_id, Observation(kind, latency_ms, load, level))
+    router.record_dispatch(node_id)
+    router.observe(node_id, Observation(kind, latency_ms, load, threshold))
 
 
-def answers(router: Router, count: int, *node_ids: str) -> None:
+def respond_each(router: Router, count: int, *node_ids: str) -> None:
     for _ in range(count):
         for node_id in node_ids:
-            answer(router, node_id)
+            respond(router, node_id)
 
 
 def fail(router: Router, node_id: str, count: int = 10) -> None:
     for _ in range(count):
-        router.started(node_id)
+        router.record_dispatch(node_id)
         router.observe(node_id, Observation(LOST))
 
 
-def shares(router: Router, count: int = 1_000) -> Counter[str]:
+def count_choices(router: Router, count: int = 1_000) -> Counter[str]:
     return Counter(choose(router) for _ in range(count))
 
 
@@ -79,76 +79,76 @@
     assert result.reason is Reason.NO_INSTANCE
 
 
-def test_own_failure_domain_is_preferred() -> None:
+def test_local_failure_domain_is_preferred() -> None:
     router, _ = make(instance("n1"), instance("n2"), instance("n3", "b"))
-    assert set(shares(router)) == {"n1", "n2"}
+    assert set(count_choices(router)) == {"n1", "n2"}
 
 
-def test_other_failure_domain_serves_when_the_own_has_none() -> None:
+def test_remote_failure_domain_serves_when_the_local_has_none() -> None:
     router, _ = make(instance("n3", "b"))
     assert choose(router) == "n3"
 
 
 @pytest.mark.parametrize(
-    "load, level, kind, other_load, other_level, chosen",
+    "load, threshold, kind, remote_load, remote_threshold, chosen",
     [
-        (0.5, LOWEST_PRIORITY, OK, 0.1, LOWEST_PRIORITY, "own"),
-        (1.2, LOWEST_PRIORITY, OK, 0.1, LOWEST_PRIORITY, "other"),
-        (0.8, 300, OK, 0.1, LOWEST_PRIORITY, "other"),
-        (0.8, LOWEST_PRIORITY, REFUSED, 0.1, LOWEST_PRIORITY, "other"),
-        (1.2, LOWEST_PRIORITY, OK, 0.95, LOWEST_PRIORITY, "own"),
-        (1.2, LOWEST_PRIORITY, OK, 0.1, 300, "own"),
+        (0.5, LOWEST_PRIORITY, OK, 0.1, LOWEST_PRIORITY, "local"),
+        (1.2, LOWEST_PRIORITY, OK, 0.1, LOWEST_PRIORITY, "remote"),
+        (0.8, 300, OK, 0.1, LOWEST_PRIORITY, "remote"),
+        (0.8, LOWEST_PRIORITY, REFUSED, 0.1, LOWEST_PRIORITY, "remote"),
+        (1.2, LOWEST_PRIORITY, OK, 0.95, LOWEST_PRIORITY, "local"),
+        (1.2, LOWEST_PRIORITY, OK, 0.1, 300, "local"),
     ],
 )
-def test_spill_only_to_room(
+def test_spill_only_to_headroom(
     load: float,
-    level: int,
+    threshold: int,
     kind: ObservationKind,
-    other_load: float,
-    other_level: int,
+    remote_load: float,
+    remote_threshold: int,
     chosen: str,
 ) -> None:
-    # Guards against overload that moves from one failure domain to the next.
-    router, _ = make(instance("own"), instance("other", "b"))
-    answers(router, 5, "own", "other")
-    answer(router, "own", load=load, level=level, kind=kind)
-    answer(router, "other", load=other_load, level=other_level)
+    # Guards against overload that spreads from one failure domain to the next.
+    router, _ = make(instance("local"), instance("remote", "b"))
+    respond_each(router, 5, "local", "remote")
+    respond(router, "local", load=load, threshold=threshold, kind=kind)
+    respond(router, "remote", load=remote_load, threshold=remote_threshold)
     assert choose(router) == chosen
 
 
-def test_spill_ends_when_the_memory_expires() -> None:
-    router, clock = make(instance("own"), instance("other", "b"))
-    answer(router, "own", load=1.5)
+def test_spill_ends_when_the_reported_load_expires() -> None:
+    router, clock = make(instance("local"), instance("remote", "b"))
+    respond(router, "local", load=1.5)
     clock.advance(1_000.0)
-    assert choose(router) == "own"
+    assert choose(router) == "local"
 
 
-def test_less_loaded_instance_gets_more() -> None:
+def test_less_loaded_instance_gets_more_calls() -> None:
     router, _ = make(instance("n1"), instance("n2"), instance("n3"))
-    answers(router, 10, "n1", "n2", "n3")
+    respond_each(router, 10, "n1", "n2", "n3")
     for _ in range(5):
-        router.started("n1")
-    seen = shares(router)
+        router.record_dispatch("n1")
+    seen = count_choices(router)
     assert seen["n1"] < seen["n2"] / 2
     assert seen["n1"] < seen["n3"] / 2
 
 
-def test_new_instance_gets_no_flood() -> None:
+def test_new_instance_is_not_flooded() -> None:
     # Guards against a cold instance that looks idle to every caller.
     router, _ = make(instance("n1"), instance("n2"))
-    answers(router, 20, "n1", "n2")
+    respond_each(router, 20, "n1", "n2")
     router.update([instance("n1"), instance("n2"), instance("n3")])
     for _ in range(200):
-        router.started(choose(router))
+        router.record_dispatch(choose(router))
     state = router.state()
-    fresh = state["n3"]
-    assert isinstance(fresh, dict)
-    assert fresh["in_flight"] <= RoutingSettings().fresh_in_flight
+    new_state = state["n3"]
+    assert isinstance(new_state, dict)
+    assert new_state["in_flight"] <= RoutingSettings().new_instance_max_in_flight
 
 
 def test_update_keeps_observations_of_the_same_incarnation() -> None:
     router, _ = make(instance("n1"), instance("n2"))
-    answers(router, 3, "n1", "n2")
+    respond_each(router, 3, "n1", "n2")
     router.update([instance("n1"), instance("n2", incarnation=2)])
     state = router.state()
     latencies = [state[n]["latency_ms"] for n in ("n1", "n2")]  # type: ignore[index]
@@ -158,45 +158,45 @@
 @pytest.mark.parametrize("kind", [FAILED, LOST])
 def test_failing_instance_is_ejected_and_probed(kind: ObservationKind) -> None:
     router, clock = make(*[instance(f"n{i}") for i in range(3)])
-    answers(router, 20, "n0", "n1", "n2")
+    respond_each(router, 20, "n0", "n1", "n2")
     for _ in range(5):
-        router.started("n0")
+        router.record_dispatch("n0")
         router.observe("n0", Observation(kind))
-    assert "n0" not in shares(router)
+    assert "n0" not in count_choices(router)
     clock.advance(1_200.0)
-    assert "n0" in shares(router)
-    router.started("n0")
-    assert "n0" not in shares(router)
+    assert "n0" in count_choices(router)
+    router.record_dispatch("n0")
+    assert "n0" not in count_choices(router)
 
 
 def test_ejection_time_grows() -> None:
     router, clock = make(instance("n1"), instance("n2"))
-    answers(router, 20, "n1", "n2")
-    lasted_ms = []
+    respond_each(router, 20, "n1", "n2")
+    durations_ms = []
     for _ in range(3):
         fail(router, "n1")
         began_ms = clock.now_ms()
-        while "n1" not in shares(router, 50):
+        while "n1" not in count_choices(router, 50):
             clock.advance(100.0)
-        lasted_ms.append(clock.now_ms() - began_ms)
-    assert lasted_ms[0] < lasted_ms[1] < lasted_ms[2]
+        durations_ms.append(clock.now_ms() - began_ms)
+    assert durations_ms[0] < durations_ms[1] < durations_ms[2]
 
 
 def test_slow_instance_is_ejected() -> None:
     router, _ = make(*[instance(f"n{i}") for i in range(3)])
-    answers(router, 20, "n1", "n2")
+    respond_each(router, 20, "n1", "n2")
     for _ in range(20):
-        answer(router, "n0", latency_ms=100.0)
-    assert "n0" not in shares(router)
+        respond(router, "n0", latency_ms=100.0)
+    assert "n0" not in count_choices(router)
 
 
-def test_equally_slow_instances_stay() -> None:
-    # Guards against ejections while a deep service slows all instances.
+def test_equally_slow_instances_are_not_ejected() -> None:
+    # Guards against ejections while a slow downstream service slows all instances.
     router, _ = make(*[instance(f"n{i}") for i in range(3)])
     for _ in range(30):
         for node_id in ("n0", "n1", "n2"):
-            answer(router, node_id, latency_ms=500.0)
-    assert len(shares(router)) == 3
+            respond(router, node_id, latency_ms=500.0)
+    assert len(count_choices(router)) == 3
 
 
 def test_only_instance_is_never_ejected() -> None:
@@ -213,7 +213,7 @@
     router, clock = make(*[instance(f"n{i}") for i in range(count)])
     for index, lost in observations * 3:
         node_id = f"n{index % count}"
-        router.started(node_id)
+        router.record_dispatch(node_id)
         kind = LOST if lost else OK
         router.observe(node_id, Observation(kind, 5.0, 0.1, LOWEST_PRIORITY))
         clock.advance(10.0)
@@ -237,12 +237,12 @@
     observations: list[tuple[int, ObservationKind]],
     seed: int,
 ) -> None:
-    # Guards against dispatches to removed instances or to those already tried.
+    # Guards against calls to removed instances or to those already tried.
     clock = ManualClock()
     router = make_router(RoutingSettings(), "a", clock, make_random(seed), Metrics())
     router.update([instance(f"n{i}", "ab"[i % 2]) for i in range(8)])
     for index, kind in observations:
-        router.started(f"n{index}")
+        router.record_dispatch(f"n{index}")
         router.observe(f"n{index}", Observation(kind, 30.0, 1.0, 5))
     router.update([instance(f"n{i}", "ab"[i % 2]) for i in usable])
     for index, kind in observations:
@@ -252,13 +252,13 @@
         result = router.choose("map", exclude)
         if isinstance(result, Choice):
             assert int(result.instance.node_id[1:]) in usable - excluded
-            router.started(result.instance.node_id)
+            router.record_dispatch(result.instance.node_id)
         else:
             assert not usable - excluded
 
 
 @pytest.mark.parametrize(
-    "levels, expected",
+    "thresholds, expected",
     [
         ([300, 200], 300),
         ([300, None], LOWEST_PRIORITY),
@@ -266,30 +266,30 @@
         ([], LOWEST_PRIORITY),
     ],
 )
-def test_refusal_level_is_the_highest_remembered(
-    levels: list[int | None], expected: int
+def test_admission_threshold_is_the_highest_of_the_instances(
+    thresholds: list[int | None], expected: int
 ) -> None:
-    router, _ = make(*[instance(f"n{i}") for i in range(len(levels))])
-    for index, level in enumerate(levels):
-        if level is not None:
-            answer(router, f"n{index}", level=level)
-    assert router.refusal_level("map") == expected
+    router, _ = make(*[instance(f"n{i}") for i in range(len(thresholds))])
+    for index, threshold in enumerate(thresholds):
+        if threshold is not None:
+            respond(router, f"n{index}", threshold=threshold)
+    assert router.admission_threshold("map") == expected
 
 
-def test_remembered_level_expires() -> None:
+def test_reported_threshold_expires() -> None:
     # Guards against early refusals that outlast the overload.
     router, clock = make(instance("n1"))
-    answer(router, "n1", level=100)
-    assert router.refusal_level("map") == 100
+    respond(router, "n1", threshold=100)
+    assert router.admission_threshold("map") == 100
     clock.advance(1_100.0)
-    assert router.refusal_level("map") == LOWEST_PRIORITY
+    assert router.admission_threshold("map") == LOWEST_PRIORITY
 
 
 def test_early_refusal_lets_probes_pass() -> None:
     router, clock = make(instance("n1"))
     passed_count = 0
     for _ in range(1_000):
-        answer(router, "n1", level=100)
+        respond(router, "n1", threshold=100)
         assert router.admits("map", 100)
         passed_count += router.admits("map", 101)
         clock.advance(1.0)
@@ -297,6 +297,6 @@
 
 
 def test_service_without_instances_admits() -> None:
-    # The refusal is then given by choose, with its own reason.
+    # Router.choose then refuses the call with the reason NO_INSTANCE.
     router, _ = make()
     assert router.admits("map", LOWEST_PRIORITY)
--- a/tests/test_rules_policy.py
+++ b/tests/test_rules_policy.py
@@ -41,7 +41,7 @@
     router.update([Instance(n, 1, "s", "a", "127.0.0.1", 1) for n in node_ids])
     for _ in range(50):
         for name in node_ids:
-            router.started(name)
+            router.record_dispatch(name)
             router.observe(name, Observation(ObservationKind.LOST))
     states = [s for s in router.state().values() if isinstance(s, dict)]
     assert sum(s["ejected_for_ms"] > 0 for s in states) == max_ejected
