--- a/benchmarks/retry_budget.py
+++ b/benchmarks/retry_budget.py
@@ -168,7 +168,7 @@
         if not budget.spend():
             return 0
         share = budget.delegate(fan_out_left)
-        budget.give_back(1)
+        budget.refund(1)
         return share
 
 
@@ -227,12 +227,12 @@
         """Dispatch a call until it succeeds or no retry is allowed."""
         retries_count = 0
         if self.ratio:
-            self.ratio.record_first()
+            self.ratio.record_first_attempt()
         while True:
             child = make_budget(self.policy.share(budget, call, fan_out_left))
             outcome = self.attempt(call, child)
             if outcome != "lost":
-                budget.give_back(self.policy.returned(child.left))
+                budget.refund(self.policy.returned(child.left))
             if outcome == "ok":
                 return True
             if outcome == "failed" and not self.policy.retries_failed:
--- a/src/briardock/budget.py
+++ b/src/briardock/budget.py
@@ -1,4 +1,4 @@
-"""Retry budgets: tokens of one action and the retry ratio of one node."""
+"""Retry limits: the token budget of an action and the retry ratio of a node."""
 
 DEFAULT_BURST_TOKENS = 10.0
 
@@ -6,11 +6,12 @@
 class RetryBudget:
     """Retry tokens of one call at its issuer.
 
-    The root of an action starts with the action's tokens. Tokens move to a child
-    call when it is dispatched and come back with its answer. Tokens of a lost
-    answer never come back, so retries in the call tree cannot exceed the root's.
+    The root of an action starts with the tokens of the action. Tokens move to a
+    child call when it is dispatched and return with its response. The tokens of a
+    lost response are never returned, so the retries in the call tree cannot exceed
+    the tokens of the root.
 
-    :param tokens: retries held at the start
+    :param tokens: initial number of retries
     """
 
     __slots__ = ("_left",)
@@ -20,31 +21,31 @@
 
     @property
     def left(self) -> int:
-        """Tokens held here."""
+        """Tokens left."""
         return self._left
 
-    def delegate(self, fan_out_left: int = 1) -> int:
-        """Remove and return the share of one child dispatch.
+    def delegate(self, children_left: int = 1) -> int:
+        """Remove and return the tokens for one child call.
 
-        The share is rounded up, so that the first of several children gets a
-        token even when there are fewer tokens than children.
+        The share is rounded up, so the first of several children gets a token even
+        with fewer tokens than children.
 
-        :param fan_out_left: children still to be dispatched, this one included
+        :param children_left: children still to be dispatched, this one included
         """
-        children_count = max(1, fan_out_left)
+        children_count = max(1, children_left)
         share = -(-self._left // children_count)
         self._left -= share
         return share
 
-    def give_back(self, count: int) -> None:
-        """Add the unspent tokens of an answered child.
+    def refund(self, count: int) -> None:
+        """Return the unused tokens of a child call that received a response.
 
-        :param count: tokens reported by the answer, at most the delegated share
+        :param count: tokens reported by the response, at most the delegated share
         """
         self._left += max(0, count)
 
     def spend(self) -> bool:
-        """Take one token for a retry here.
+        """Take one token for a retry by this node.
 
         :returns: whether the retry is allowed
         """
@@ -57,16 +58,16 @@
 def make_budget(tokens: int) -> RetryBudget:
     """Return the budget of one call.
 
-    :param tokens: retries of the action at its root, or the delegated share
+    :param tokens: retries of the action at the root, or the delegated share
     """
     return RetryBudget(tokens)
 
 
 class RetryRatio:
-    """Limit of a node's retries to a ratio of its first attempts.
+    """Token bucket that limits a node's retries to a ratio of its first attempts.
 
-    :param ratio: retries earned by one first attempt
-    :param burst: most retries that can be saved up
+    :param ratio: tokens added per first attempt
+    :param burst: maximum number of tokens
     """
 
     __slots__ = ("_burst", "_ratio", "_tokens")
@@ -76,12 +77,12 @@
         self._burst = burst
         self._tokens = burst
 
-    def record_first(self) -> None:
+    def record_first_attempt(self) -> None:
         """Count one first attempt."""
         self._tokens = min(self._burst, self._tokens + self._ratio)
 
     def allow_retry(self) -> bool:
-        """Take one retry if the ratio allows it.
+        """Take one token for a retry if there is one.
 
         :returns: whether the retry is allowed
         """
@@ -94,7 +95,7 @@
 def make_retry_ratio(ratio: float, burst: float = DEFAULT_BURST_TOKENS) -> RetryRatio:
     """Return the retry ratio of one node.
 
-    :param ratio: retries per first attempt, for example 0.05
-    :param burst: most retries that can be saved up
+    :param ratio: tokens added per first attempt, for example 0.05
+    :param burst: maximum number of tokens
     """
     return RetryRatio(ratio, burst)
--- a/src/briardock/dispatch.py
+++ b/src/briardock/dispatch.py
@@ -115,7 +115,7 @@
 
         :param call: the call; its budget is drawn from
         """
-        self._ratio.record_first()
+        self._ratio.record_first_attempt()
         tried: set[str] = set()
         reroutes = 0
         lost: Unknown | None = None
@@ -200,10 +200,10 @@
             self._observe(instance, answer, outcome, started_ms)
         match answer:
             case Answer(retries_left=left):
-                call.budget.give_back(min(left, share))
+                call.budget.refund(min(left, share))
                 self._levels.learn(call.operation, answer.chain_level)
             case LinkFailure(sent=False):
-                call.budget.give_back(share)
+                call.budget.refund(share)
         return outcome
 
     def _delegate(self, call: Dispatch) -> int:
@@ -216,7 +216,7 @@
             return 0
         share = call.budget.delegate()
         if share and not call.once:
-            call.budget.give_back(1)
+            call.budget.refund(1)
             share -= 1
         return share
 
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -27,9 +27,9 @@
     assert budget.left == left
 
 
-def test_returned_tokens_serve_the_next_child() -> None:
+def test_refunded_tokens_go_to_the_next_child() -> None:
     budget = make_budget(2)
-    budget.give_back(budget.delegate())
+    budget.refund(budget.delegate())
     assert budget.delegate() == 2
 
 
@@ -44,13 +44,13 @@
     retries_count = 0
     children_count = data.draw(st.integers(0, 3)) if depth else 0
     for index in range(children_count):
-        fan_out_left = children_count - index
+        children_left = children_count - index
         while True:
-            child = make_budget(budget.delegate(fan_out_left))
+            child = make_budget(budget.delegate(children_left))
             retries_count += run_call(child, depth - 1, data)
             outcome = data.draw(st.sampled_from(["ok", "refused", "lost"]))
             if outcome != "lost":
-                budget.give_back(child.left)
+                budget.refund(child.left)
             if outcome == "ok" or not budget.spend():
                 break
             retries_count += 1
@@ -61,21 +61,24 @@
 def test_retries_in_a_tree_never_exceed_the_root_budget(
     tokens: int, depth: int, data: st.DataObject
 ) -> None:
-    # Guards against retries that multiply per hop or come back after a loss.
+    # Guards against retries that multiply per hop, and against a refund of the
+    # tokens of a lost response.
     budget = make_budget(tokens)
     assert run_call(budget, depth, data) + budget.left <= tokens
 
 
 @given(st.floats(0.0, 1.0), st.integers(0, 20), st.lists(st.booleans(), max_size=300))
-def test_ratio_bounds_retries(ratio: float, burst: int, firsts: list[bool]) -> None:
-    # Guards against a retry storm of many actions that each hold a budget.
-    limit = make_retry_ratio(ratio, burst)
-    firsts_count = 0
+def test_ratio_bounds_retries(
+    ratio: float, burst: int, first_attempts: list[bool]
+) -> None:
+    # Guards against a retry storm of many actions, each within its own budget.
+    retry_ratio = make_retry_ratio(ratio, burst)
+    first_attempts_count = 0
     retries_count = 0
-    for first in firsts:
-        if first:
-            limit.record_first()
-            firsts_count += 1
-        elif limit.allow_retry():
+    for is_first in first_attempts:
+        if is_first:
+            retry_ratio.record_first_attempt()
+            first_attempts_count += 1
+        elif retry_ratio.allow_retry():
             retries_count += 1
-        assert retries_count <= burst + ratio * firsts_count + 1e-6
+        assert retries_count <= burst + ratio * first_attempts_count + 1e-6
--- a/tests/test_rules_keys.py
+++ b/tests/test_rules_keys.py
@@ -45,5 +45,5 @@
     # Guards against a retry storm after a long quiet time.
     ratio = make_retry_ratio(0.5, float(burst))
     for _ in range(firsts):
-        ratio.record_first()
+        ratio.record_first_attempt()
     assert sum(ratio.allow_retry() for _ in range(100)) == burst
