--- a/src/briardock/quarantine.py
+++ b/src/briardock/quarantine.py
@@ -1,10 +1,10 @@
 """Fingerprints of requests whose targets died while running them.
 
-When a target dies, every request in flight is suspected. A death of a
-fingerprint counts once per death id. A success clears the deaths before it,
-unless there are already enough of them to refuse the request. Deaths, clears and
-lifts are merged as sets, so entries may arrive late, twice or in any order.
-Times travel as ages in ms, since nodes share no clock.
+When a target dies, every request in flight to it becomes suspected. A fingerprint
+counts each death id once. A success clears the earlier deaths, unless there are
+already enough of them to refuse the request. Deaths, clears and lifts are merged
+as sets, so entries may arrive late, repeatedly and in any order. Messages carry
+times as ages in ms, because nodes have no common clock.
 """
 
 from collections import OrderedDict
@@ -20,8 +20,9 @@
 
 FINGERPRINT_BYTES = 16
 MAX_DEATHS_PER_ENTRY = 16
-# Deaths this close to their expiry are not taken over; the time a message is on
-# its way would otherwise let two nodes hand an expired death back and forth.
+# Deaths this close to their expiry are not accepted from other nodes. Transit time
+# makes a death look younger, so two nodes could otherwise keep sending each other
+# an expired death.
 MIN_REMAINING_MS = 2_000.0
 
 AgeMs = Annotated[float, msgspec.Meta(ge=0.0, le=1e10)]
@@ -31,9 +32,9 @@
 class Death(msgspec.Struct, frozen=True, array_like=True, gc=False):
     """One death of a target with the request in flight.
 
-    :param death_id: names the death, the same for all requests in flight
+    :param death_id: id of the death, the same for all requests in flight
     :param age_ms: time since the death
-    :param cleared: whether a later success or a lift voided it
+    :param cleared: whether a later success or a lift cleared it
     """
 
     death_id: Name
@@ -42,11 +43,11 @@
 
 
 class QuarantineEntry(msgspec.Struct, frozen=True, array_like=True):
-    """Wire form of what is known of one fingerprint.
+    """Wire format of the deaths and the lift of one fingerprint.
 
     :param fingerprint: digest of operation, path and body
     :param deaths: deaths with the request in flight
-    :param lift_age_ms: time since an operator lifted it, or ``None``
+    :param lift_age_ms: time since an operator lifted it, ``None`` if never
     """
 
     fingerprint: Name
@@ -59,9 +60,9 @@
     """Limits of the quarantine.
 
     :param deaths: distinct deaths from which a request is refused
-    :param expiry_s: deaths and lifts count for this long
-    :param max_entries: bound on the number of fingerprints
-    :param max_successes: bound on the recent successes remembered
+    :param expiry_s: lifetime of deaths and lifts in s
+    :param max_entries: maximum number of fingerprints
+    :param max_successes: maximum number of recent successes
     """
 
     deaths: int = 2
@@ -71,14 +72,14 @@
 
 
 @dataclass(slots=True)
-class _Entry:
-    """Deaths as [time in ms, cleared] by death id."""
+class _FingerprintState:
+    """Deaths of one fingerprint as (time in ms, cleared) by death id."""
 
     deaths: dict[str, tuple[float, bool]] = field(default_factory=dict)
     lifted_ms: float | None = None
 
-    def counted(self) -> list[float]:
-        """Return the times of the deaths that count."""
+    def active_deaths(self) -> list[float]:
+        """Return the times of the deaths that are neither cleared nor lifted."""
         lifted_ms = self.lifted_ms
         return [
             at_ms
@@ -86,8 +87,8 @@
             if not cleared and (lifted_ms is None or at_ms > lifted_ms)
         ]
 
-    def newest_ms(self) -> float:
-        """Return the time of the latest death or lift."""
+    def last_event_ms(self) -> float:
+        """Return the time of the last death or lift."""
         times = [at_ms for at_ms, _ in self.deaths.values()]
         if self.lifted_ms is not None:
             times.append(self.lifted_ms)
@@ -105,7 +106,7 @@
         self._settings = settings
         self._clock = clock
         self._expiry_ms = settings.expiry_s * 1_000.0
-        self._entries: dict[str, _Entry] = {}
+        self._entries: dict[str, _FingerprintState] = {}
         self._successes: OrderedDict[str, float] = OrderedDict()
         self._digest: int | None = None
         self._may_refuse: bool | None = None
@@ -115,19 +116,19 @@
     ) -> list[QuarantineEntry]:
         """Suspect the requests in flight at the death of a target.
 
-        :param fingerprints: fingerprints in flight
-        :param death_id: names the death
-        :returns: entries that changed, to be gossiped
+        :param fingerprints: fingerprints of the requests in flight
+        :param death_id: id of the death
+        :returns: changed entries, to be gossiped
         """
         death = Death(death_id, 0.0)
         return self.merge([QuarantineEntry(name, [death]) for name in fingerprints])
 
     def record_success(self, fingerprint: str) -> list[QuarantineEntry]:
-        """Clear a suspected request that completed; refused ones stay refused.
+        """Clear a suspected request that completed; a refused one stays refused.
 
-        The success is remembered for deaths before it that arrive later.
+        The success is kept, because earlier deaths may arrive after it.
 
-        :returns: entries that changed, to be gossiped
+        :returns: changed entries, to be gossiped
         """
         now_ms = self._clock.now_ms()
         self._successes[fingerprint] = now_ms
@@ -137,83 +138,83 @@
         entry = self._entries.get(fingerprint)
         if entry is None or not self._clear_before(entry, now_ms):
             return []
-        self._forget_derived()
-        return [self._wire(fingerprint, entry)]
+        self._invalidate_cached()
+        return [self._to_wire(fingerprint, entry)]
 
-    def _forget_derived(self) -> None:
+    def _invalidate_cached(self) -> None:
         self._digest = None
         self._may_refuse = None
 
     def may_refuse(self) -> bool:
-        """Return whether any request may have to be refused.
+        """Return whether any fingerprint may have to be refused.
 
-        It costs nothing between changes, so that requests are hashed only then.
+        The result is cached, so callers can skip hashing requests cheaply.
         """
         if self._may_refuse is None:
             self._may_refuse = any(
-                len(entry.counted()) >= self._settings.deaths
+                len(entry.active_deaths()) >= self._settings.deaths
                 for entry in self._entries.values()
             )
         return self._may_refuse
 
     def refuses(self, fingerprint: str) -> bool:
-        """Return whether a request has to be refused."""
+        """Return whether a request must be refused."""
         entry = self._entries.get(fingerprint)
         if entry is None:
             return False
         if self._drop_expired(fingerprint, entry):
             return False
-        return len(entry.counted()) >= self._settings.deaths
+        return len(entry.active_deaths()) >= self._settings.deaths
 
     def lift(self, fingerprint: str) -> bool:
-        """Void all deaths of a fingerprint up to now.
+        """Clear all deaths of a fingerprint up to now.
 
-        Gossip ``entries([fingerprint])`` afterwards; the lift wins over deaths
-        before it that are still on their way.
+        The caller gossips ``entries([fingerprint])`` afterwards. The lift overrides
+        earlier deaths that arrive later.
 
         :returns: whether the fingerprint was suspected or refused
         """
         entry = self._entries.get(fingerprint)
         if entry is None or self._drop_expired(fingerprint, entry):
             return False
-        was_counted = bool(entry.counted())
+        had_active_deaths = bool(entry.active_deaths())
         for death_id, (at_ms, _) in entry.deaths.items():
             entry.deaths[death_id] = (at_ms, True)
         entry.lifted_ms = self._clock.now_ms()
-        self._forget_derived()
-        return was_counted
+        self._invalidate_cached()
+        return had_active_deaths
 
     def entries(
         self, fingerprints: Iterable[str] | None = None
     ) -> list[QuarantineEntry]:
-        """Return entries in wire form.
+        """Return entries in wire format.
 
-        :param fingerprints: those wanted, or ``None`` for all
+        :param fingerprints: fingerprints to return, ``None`` for all
         """
         names = list(self._entries) if fingerprints is None else fingerprints
         found = []
         for name in names:
             entry = self._entries.get(name)
             if entry is not None and not self._drop_expired(name, entry):
-                found.append(self._wire(name, entry))
+                found.append(self._to_wire(name, entry))
         return found
 
     def merge(self, entries: Iterable[QuarantineEntry]) -> list[QuarantineEntry]:
-        """Take over entries of another node.
+        """Merge entries of another node.
 
-        :returns: entries that changed and are kept, to be gossiped on
+        :returns: changed entries that were kept, to be gossiped
         """
         changed = []
         for received in entries:
-            if self._merge_one(received):
+            if self._merge_entry(received):
                 changed.append(received.fingerprint)
         if changed:
-            self._forget_derived()
+            self._invalidate_cached()
             self._evict()
         return self.entries(changed)
 
     def digest(self) -> int:
-        """Return a digest of the entries without their times."""
+        """Return a digest of the entries, excluding their times."""
         for name, entry in list(self._entries.items()):
             self._drop_expired(name, entry)
         if self._digest is None:
@@ -221,7 +222,7 @@
         return self._digest
 
     def state(self) -> dict[str, Any]:
-        """Return the entries for a dump."""
+        """Return the entries for a diagnostic dump."""
         shown = [
             {
                 "fingerprint": wire.fingerprint,
@@ -240,24 +241,26 @@
                 value ^= crc32(f"{name}|{death_id}|{cleared}".encode())
         return value
 
-    def _merge_one(self, received: QuarantineEntry) -> bool:
+    def _merge_entry(self, received: QuarantineEntry) -> bool:
         now_ms = self._clock.now_ms()
         name = received.fingerprint
         entry = self._entries.get(name)
         if entry is not None and self._drop_expired(name, entry):
             entry = None
-        target = entry or _Entry()
-        changed = self._merge_lift(target, received.lift_age_ms, now_ms)
+        merged = entry or _FingerprintState()
+        changed = self._merge_lift(merged, received.lift_age_ms, now_ms)
         for death in received.deaths:
-            changed |= self._merge_death(target, death, now_ms)
+            changed |= self._merge_death(merged, death, now_ms)
         success_ms = self._successes.get(name)
         if success_ms is not None:
-            changed |= self._clear_before(target, success_ms)
+            changed |= self._clear_before(merged, success_ms)
         if entry is None and changed:
-            self._entries[name] = target
+            self._entries[name] = merged
         return changed
 
-    def _merge_lift(self, entry: _Entry, age_ms: float | None, now_ms: float) -> bool:
+    def _merge_lift(
+        self, entry: _FingerprintState, age_ms: float | None, now_ms: float
+    ) -> bool:
         if age_ms is None or age_ms > self._expiry_ms - MIN_REMAINING_MS:
             return False
         known_ms = entry.lifted_ms
@@ -265,26 +268,29 @@
         if known_ms is not None and at_ms <= known_ms:
             return False
         entry.lifted_ms = at_ms
-        # One lift received over two paths differs by the time on the way only;
-        # reporting that as a change would spread it without end.
+        # Copies of one lift differ by their transit times. Reporting that as a
+        # change would gossip the lift forever.
         return known_ms is None or at_ms - known_ms > MIN_REMAINING_MS
 
-    def _merge_death(self, entry: _Entry, death: Death, now_ms: float) -> bool:
+    def _merge_death(
+        self, entry: _FingerprintState, death: Death, now_ms: float
+    ) -> bool:
         at_ms = now_ms - death.age_ms
         known = entry.deaths.get(death.death_id)
         if known is None:
             if death.age_ms > self._expiry_ms - MIN_REMAINING_MS:
                 return False
             entry.deaths[death.death_id] = (at_ms, death.cleared)
-            _bound_deaths(entry)
+            _trim_deaths(entry)
             return death.death_id in entry.deaths
-        # Time on the way makes a death look younger, so the earliest is nearest.
+        # Transit time makes a death look younger, so the earliest time is the most
+        # accurate.
         cleared = known[1] or death.cleared
         entry.deaths[death.death_id] = (min(known[0], at_ms), cleared)
         return cleared != known[1]
 
-    def _clear_before(self, entry: _Entry, success_ms: float) -> bool:
-        """Void the deaths before a success, unless they already refuse it."""
+    def _clear_before(self, entry: _FingerprintState, success_ms: float) -> bool:
+        """Clear the deaths before a success, unless the request is refused by them."""
         earlier = [
             death_id
             for death_id, (at_ms, cleared) in entry.deaths.items()
@@ -296,13 +302,13 @@
             entry.deaths[death_id] = (entry.deaths[death_id][0], True)
         return True
 
-    def _drop_expired(self, name: str, entry: _Entry) -> bool:
-        """Drop expired deaths; return whether the entry is gone as well."""
+    def _drop_expired(self, name: str, entry: _FingerprintState) -> bool:
+        """Drop expired deaths; return whether the whole entry was dropped."""
         oldest_ms = self._clock.now_ms() - self._expiry_ms
         for death_id, (at_ms, _) in list(entry.deaths.items()):
             if at_ms <= oldest_ms:
                 del entry.deaths[death_id]
-                self._forget_derived()
+                self._invalidate_cached()
         if entry.lifted_ms is not None and entry.lifted_ms <= oldest_ms:
             entry.lifted_ms = None
         if entry.deaths or entry.lifted_ms is not None:
@@ -311,24 +317,24 @@
         return True
 
     def _evict(self) -> None:
-        """Keep the bound: suspects go first, then voided and refused entries."""
+        """Enforce the limit: drop suspected, then cleared, then refused entries."""
         surplus = len(self._entries) - self._settings.max_entries
         if surplus <= 0:
             return
         for name, entry in list(self._entries.items()):
             self._drop_expired(name, entry)
         surplus = len(self._entries) - self._settings.max_entries
-        for name in sorted(self._entries, key=self._keep_rank)[: max(0, surplus)]:
+        for name in sorted(self._entries, key=self._eviction_order)[: max(0, surplus)]:
             del self._entries[name]
 
-    def _keep_rank(self, name: str) -> tuple[int, float]:
+    def _eviction_order(self, name: str) -> tuple[int, float]:
         entry = self._entries[name]
-        count = len(entry.counted())
+        count = len(entry.active_deaths())
         if count >= self._settings.deaths:
-            return (2, entry.newest_ms())
-        return (1 if count == 0 else 0, entry.newest_ms())
+            return (2, entry.last_event_ms())
+        return (1 if count == 0 else 0, entry.last_event_ms())
 
-    def _wire(self, name: str, entry: _Entry) -> QuarantineEntry:
+    def _to_wire(self, name: str, entry: _FingerprintState) -> QuarantineEntry:
         now_ms = self._clock.now_ms()
         deaths = [
             Death(death_id, max(0.0, now_ms - at_ms), cleared)
@@ -339,8 +345,8 @@
         return QuarantineEntry(name, deaths, age_ms)
 
 
-def _bound_deaths(entry: _Entry) -> None:
-    """Drop the oldest deaths beyond the bound."""
+def _trim_deaths(entry: _FingerprintState) -> None:
+    """Drop the oldest deaths beyond the maximum."""
     while len(entry.deaths) > MAX_DEATHS_PER_ENTRY:
         oldest = min(entry.deaths, key=lambda i: (entry.deaths[i][0], i))
         del entry.deaths[oldest]
