Reword the directory, call graph checks and catalog

Rename Directory.use to track_service, find_place to find_location and place_of to fault_sort_key, and reword comments. Behaviour is unchanged.

--- a/src/briardock/_callgraph.py
+++ b/src/briardock/_callgraph.py
@@ -1,4 +1,4 @@
-"""Checks over the graph of calls between operations."""
+"""Checks of the call graph between operations."""
 
 import graphlib
 from collections.abc import Iterator, Mapping
@@ -15,8 +15,8 @@
 class CallProblem:
     """Problem of one operation.
 
-    :param operation: full name
-    :param key: key that shows the problem
+    :param operation: full name of the operation
+    :param key: key of the operation that is at fault
     :param message: what is wrong
     :param remedy: what the operator can do
     """
@@ -30,7 +30,7 @@
 def check_calls(operations: Mapping[str, Operation]) -> list[CallProblem]:
     """Return the problems of the call graph that prevent publishing.
 
-    They depend only on the names, calls and idempotence of the operations.
+    The result depends only on the names, calls and idempotence of the operations.
 
     :param operations: operations by full name
     """
@@ -41,8 +41,8 @@
         if operation.calls
     }
     order = _order_callees_first(edges, problems)
-    problems += _check_chains(edges, order)
-    problems += _check_repeatable(operations, edges, order)
+    problems += _check_chain_lengths(edges, order)
+    problems += _check_idempotence(operations, edges, order)
     return problems
 
 
@@ -58,7 +58,7 @@
 def _order_callees_first(
     edges: dict[str, list[str]], problems: list[CallProblem]
 ) -> list[str]:
-    """Return callers after their callees; report cycles and cut them."""
+    """Return all callees before their callers; report cycles and break them."""
     while True:
         try:
             return list(graphlib.TopologicalSorter(edges).static_order())
@@ -67,12 +67,12 @@
             cycle = list(reversed(error.args[1]))
             caller, callee = cycle[0], cycle[1]
             edges[caller].remove(callee)
-            shown = " -> ".join(cycle)
+            cycle_text = " -> ".join(cycle)
             problems.append(
                 CallProblem(
                     caller,
                     "calls",
-                    f"calls form a cycle: {shown}",
+                    f"calls form a cycle: {cycle_text}",
                     f"a chain is at most {MAX_CHAIN} calls deep; remove one of them",
                 )
             )
@@ -80,10 +80,10 @@
             edges.clear()
 
 
-def _check_chains(
+def _check_chain_lengths(
     edges: dict[str, list[str]], order: list[str]
 ) -> Iterator[CallProblem]:
-    """Report the operations where a chain first becomes too long."""
+    """Report the operations at which a chain of calls exceeds the maximum length."""
     depth: dict[str, int] = {}
     for name in order:
         depth[name] = 1 + max(
@@ -98,20 +98,20 @@
             )
 
 
-def _check_repeatable(
+def _check_idempotence(
     operations: Mapping[str, Operation], edges: dict[str, list[str]], order: list[str]
 ) -> Iterator[CallProblem]:
-    """Report idempotent operations that reach one that is not idempotent."""
-    via: dict[str, str] = {}
+    """Report idempotent operations that call a non-idempotent one, even indirectly."""
+    next_hop: dict[str, str] = {}
     for name in order:
         for callee in edges.get(name, ()):
-            if not operations[callee].idempotent or callee in via:
-                via[name] = callee
+            if not operations[callee].idempotent or callee in next_hop:
+                next_hop[name] = callee
                 break
-        if name in via and operations[name].idempotent:
+        if name in next_hop and operations[name].idempotent:
             chain = [name]
             while operations[chain[-1]].idempotent:
-                chain.append(via[chain[-1]])
+                chain.append(next_hop[chain[-1]])
             yield CallProblem(
                 name,
                 "idempotent",
@@ -123,18 +123,19 @@
 def check_deadlines(operations: Mapping[str, Operation]) -> Iterator[CallProblem]:
     """Report callees whose deadline is longer than that of the caller.
 
-    This does not prevent publishing: a callee that is also an entry has a
-    deadline of its own.
+    These are warnings and do not prevent publishing, because a callee that is also
+    an entry operation may need its longer deadline there.
 
     :param operations: operations by full name
     """
     for name, operation in operations.items():
         for callee in operation.calls:
-            own_ms, callee_ms = operation.deadline_ms, operations[callee].deadline_ms
-            if callee_ms > own_ms:
+            caller_ms, callee_ms = operation.deadline_ms, operations[callee].deadline_ms
+            if callee_ms > caller_ms:
                 yield CallProblem(
                     name,
                     "deadline_ms",
-                    f"{own_ms} ms is below the {callee_ms} ms of its callee {callee}",
+                    f"{caller_ms} ms is below the {callee_ms} ms "
+                    f"of its callee {callee}",
                     "the callee gets only the time left; raise or lower one of them",
                 )
--- a/src/briardock/_catalog.py
+++ b/src/briardock/_catalog.py
@@ -10,10 +10,10 @@
 class Fault:
     """One problem of a configuration.
 
-    :param file: file name; empty when the problem is in no single file
-    :param line: line counted from 1; 0 when unknown
+    :param file: file name; empty if the problem is not in a single file
+    :param line: line number from 1; 0 if unknown
     :param section: section name
-    :param key: key; empty when the section itself is meant
+    :param key: key; empty for the section itself
     :param message: what is wrong
     :param remedy: what the operator can do
     """
@@ -26,8 +26,8 @@
     remedy: str
 
     def __str__(self) -> str:
-        place = f"{self.file}:{self.line}" if self.line else self.file
-        parts = [place, f"[{self.section}]" if self.section else "", self.key]
+        location = f"{self.file}:{self.line}" if self.line else self.file
+        parts = [location, f"[{self.section}]" if self.section else "", self.key]
         where = " ".join(part for part in parts if part)
         return f"{where}: {self.message}; {self.remedy}"
 
@@ -40,12 +40,12 @@
     :param service: name of the service
     :param method: HTTP method
     :param pattern: path pattern below the service
-    :param class_name: class of calls that enter here
-    :param class_rank: rank of the class; 0 is most important
+    :param class_name: class of the actions that start with this operation
+    :param class_rank: rank of the class; 0 is the most important
     :param idempotent: whether a call may run more than once
-    :param deadline_ms: default time for the whole action
+    :param deadline_ms: default deadline of the whole action in ms
     :param retries: retry budget of the whole action
-    :param max_body_bytes: largest request body
+    :param max_body_bytes: maximum size of the request body
     :param calls: full names of the operations it calls
     """
 
@@ -68,8 +68,9 @@
 
     :param name: name of the service
     :param domains: failure domains that hold instances; empty for any
-    :param slots_hint: expected concurrent runs per instance, or ``None``
-    :param cold_start_s: time until a new instance gets its full share, or ``None``
+    :param slots_hint: expected concurrency of an instance, or ``None``
+    :param cold_start_s: time until a new instance may use its full limit in s, or
+        ``None``
     """
 
     name: str
@@ -80,7 +81,7 @@
 
 @dataclass(frozen=True, slots=True)
 class OperationClass:
-    """Class of actions that are shed together; rank 0 is shed last."""
+    """Class of actions with a common importance; rank 0 is shed last."""
 
     name: str
     rank: int
@@ -88,12 +89,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Policy:
-    """What the deployment weighs, and defaults of operations.
+    """Overload objective of the deployment, and defaults of operations.
 
-    :param weigh: ``goodput`` or ``recovery``
-    :param sojourn_ms: longest wait of the least important class
-    :param critical_sojourn_ms: longest wait of the most important class
-    :param queue_length: calls waiting for a target
+    :param weigh: objective to favour, ``goodput`` or ``recovery``
+    :param sojourn_ms: longest wait of the least important class in ms
+    :param critical_sojourn_ms: longest wait of the most important class in ms
+    :param queue_length: maximum number of calls queued for a target
     """
 
     weigh: str = "goodput"
@@ -107,7 +108,7 @@
 
 
 class Catalog:
-    """Checked configuration; it never changes after it was built.
+    """Validated configuration; immutable once built.
 
     :param files: text of each file
     :param services: services by name
@@ -129,32 +130,32 @@
         self.classes = classes
         self.operations = operations
         self.policy = policy
-        self._literals: dict[str, Operation] = {}
-        self._patterns: dict[str, list[Operation]] = {}
+        self._literal_paths: dict[str, Operation] = {}
+        self._patterns_by_segments: dict[str, list[Operation]] = {}
         self._index(operations.values())
 
     def find(self, service: str, method: str, path: str) -> Operation | None:
         """Return the operation of a request.
 
-        A literal segment goes before a ``{parameter}``, from left to right.
+        Literal segments take precedence over a ``{parameter}``, from left to right.
 
         :param service: name of the service
         :param method: HTTP method
         :param path: path below the service, with or without query
         """
         path = path.partition("?")[0]
-        if found := self._literals.get(f"{service} {method} {path}"):
+        if found := self._literal_paths.get(f"{service} {method} {path}"):
             return found
-        shape = f"{service} {method} {path.count('/')}"
-        for operation in self._patterns.get(shape, ()):
+        segment_key = f"{service} {method} {path.count('/')}"
+        for operation in self._patterns_by_segments.get(segment_key, ()):
             if _matches(operation.pattern, path):
                 return operation
         return None
 
     @property
     def warnings(self) -> list[Fault]:
-        """Problems that do not prevent publishing, found when asked for."""
-        # _callgraph works on the operations defined here.
+        """Problems that do not prevent publishing, computed on each access."""
+        # Imported here because _callgraph imports Operation from this module.
         from briardock._callgraph import check_deadlines
 
         found = [
@@ -167,37 +168,37 @@
             )
             for problem in check_deadlines(self.operations)
         ]
-        return sorted(found, key=place_of)
+        return sorted(found, key=fault_sort_key)
 
     def operation(self, name: str) -> Operation | None:
         """Return an operation by its full name, ``service.name``."""
         return self.operations.get(name)
 
     def source_of(self, section: str, key: str) -> str:
-        """Return the file a value came from; empty for a default.
+        """Return the file that sets a value; empty for a default.
 
         The files are parsed on demand, which keeps the catalog small.
 
         :param section: section name
         :param key: key in the section
         """
-        return find_place(self.files, section, key)[0]
+        return find_location(self.files, section, key)[0]
 
     def _index(self, operations: Iterable[Operation]) -> None:
-        """Fill the tables that ``find`` uses."""
+        """Build the lookup tables for ``find``."""
         for operation in operations:
             prefix = f"{operation.service} {operation.method}"
             if "{" not in operation.pattern:
-                self._literals[f"{prefix} {operation.pattern}"] = operation
+                self._literal_paths[f"{prefix} {operation.pattern}"] = operation
                 continue
-            shape = f"{prefix} {operation.pattern.count('/')}"
-            self._patterns.setdefault(shape, []).append(operation)
-        for found in self._patterns.values():
+            segment_key = f"{prefix} {operation.pattern.count('/')}"
+            self._patterns_by_segments.setdefault(segment_key, []).append(operation)
+        for found in self._patterns_by_segments.values():
             found.sort(key=_specificity)
 
 
-def find_place(files: Mapping[str, str], section: str, key: str) -> tuple[str, int]:
-    """Return file and line that set a key, or ``("", 0)``.
+def find_location(files: Mapping[str, str], section: str, key: str) -> tuple[str, int]:
+    """Return the file and line that set a key, or ``("", 0)``.
 
     :param files: text of each file
     :param section: section name
@@ -219,22 +220,26 @@
 def locate_fault(
     files: Mapping[str, str], section: str, key: str, message: str, remedy: str
 ) -> Fault:
-    """Return a fault at the place of a key, or of its section without the key."""
-    file, line = find_place(files, section, key)
+    """Return a fault at the location of a key, or of its section without the key."""
+    file, line = find_location(files, section, key)
     if not file:
-        file, line = find_place(files, section, "")
+        file, line = find_location(files, section, "")
     return Fault(file, line, section, key, message, remedy)
 
 
-def place_of(fault: Fault) -> tuple[str, int, str, str, str]:
+def fault_sort_key(fault: Fault) -> tuple[str, int, str, str, str]:
     """Return a sort key that does not depend on the order of the checks."""
     return fault.file, fault.line, fault.section, fault.key, fault.message
 
 
 def _matches(pattern: str, path: str) -> bool:
-    """Return whether a path of the same number of segments fits a pattern."""
-    for wanted, given in zip(pattern.split("/"), path.split("/"), strict=True):
-        if wanted != given and not (given and wanted.startswith("{")):
+    """Return whether a path with as many segments as the pattern matches it."""
+    for pattern_segment, path_segment in zip(
+        pattern.split("/"), path.split("/"), strict=True
+    ):
+        if pattern_segment != path_segment and not (
+            path_segment and pattern_segment.startswith("{")
+        ):
             return False
     return True
 
--- a/src/briardock/configuration.py
+++ b/src/briardock/configuration.py
@@ -18,9 +18,9 @@
     OperationClass,
     Policy,
     Service,
-    find_place,
+    fault_sort_key,
+    find_location,
     locate_fault,
-    place_of,
 )
 from briardock._ini import IniError, IniSection, nearest, parse_ini
 from briardock._sections import KEYS, REQUIRED, check_section_name, convert_value
@@ -113,7 +113,7 @@
         catalog = _build(files, merged, previous, affected)
         calls_changed = _calls_changed(catalog, previous, affected)
     _check_whole(catalog, calls_changed, faults)
-    return sorted(faults, key=place_of) or catalog
+    return sorted(faults, key=fault_sort_key) or catalog
 
 
 def _read_text(path: Path) -> str:
@@ -233,9 +233,9 @@
     for section, content in merged.items():
         for key in REQUIRED.get(section.partition(" ")[0], ()):
             # A key that is set but not in the content has a bad value.
-            if key in content or find_place(files, section, key)[0]:
+            if key in content or find_location(files, section, key)[0]:
                 continue
-            file, line = find_place(files, section, "")
+            file, line = find_location(files, section, "")
             faults.append(Fault(file, line, section, key, "missing", "add it"))
 
 
--- a/src/briardock/directory.py
+++ b/src/briardock/directory.py
@@ -1,4 +1,4 @@
-"""Which members are used as instances, and which nodes read the log."""
+"""Service discovery from the member table, and the choice of the log readers."""
 
 import zlib
 from collections.abc import Callable
@@ -9,22 +9,22 @@
 from briardock.routing import Instance, Router
 
 READERS_PER_FAILURE_DOMAIN = 2
-READER_CHECK_MS = 1_000.0
+READER_CHECK_INTERVAL_MS = 1_000.0
 
-UNUSABLE = (MemberState.UNREACHABLE, MemberState.LEFT)
+UNUSABLE_STATES = (MemberState.UNREACHABLE, MemberState.LEFT)
 
 
 class Directory:
-    """Keeps the router's instances in step with the member table.
+    """Updates the router's instances from the member table.
 
-    Only services that this node has called are tracked, so the cost does not
-    grow with the number of services.
+    Only services that this node has called are tracked, so the cost does not grow
+    with the number of services.
 
     :param table: member table
     :param router: chooses instances
     :param clock: monotonic clock
-    :param domains_of: failure domains that may hold instances of a service, empty
-        for any
+    :param domains_of: returns the failure domains that may hold instances of a
+        service; empty for any
     """
 
     def __init__(
@@ -39,11 +39,11 @@
         self._router = router
         self._clock = clock
         self._services: set[str] = set()
-        self._reader = True
+        self._is_reader = True
         self._reader_checked_ms = float("-inf")
 
-    def use(self, service: str) -> None:
-        """Track a service from its first call on.
+    def track_service(self, service: str) -> None:
+        """Start tracking a service at its first call.
 
         :param service: name of the service
         """
@@ -52,9 +52,9 @@
             self.refresh()
 
     def refresh(self) -> None:
-        """Hand the usable instances of the tracked services to the router."""
+        """Update the router with the usable instances of the tracked services."""
         instances = [
-            _instance_of(record)
+            _to_instance(record)
             for service in self._services
             for record in self._table.usable(service)
             if self._is_allowed(record)
@@ -66,7 +66,7 @@
         return not domains or record.failure_domain in domains
 
     def members_changed(self, records: list[MemberRecord]) -> None:
-        """React to changed member records.
+        """Refresh the router if a record belongs to a tracked service.
 
         :param records: changed records
         """
@@ -74,9 +74,9 @@
             self.refresh()
 
     def find_issuer(self, node_id: str, incarnation: int) -> PeerAddress | None:
-        """Return the address of a node if it still has an incarnation.
+        """Return the address of a node if its incarnation is still current.
 
-        :param node_id: node
+        :param node_id: id of the node
         :param incarnation: process incarnation
         """
         record = self._table.get(node_id)
@@ -89,31 +89,32 @@
         )
 
     def is_log_reader(self) -> bool:
-        """Return whether this node is one of the log readers of its domain.
+        """Return whether this node is a log reader of its failure domain.
 
-        Rendezvous hashing over the reachable members needs no agreement: nodes
-        with different views only cause a reader more or less for a while.
+        The readers are chosen by rendezvous hashing over the reachable members,
+        which needs no consensus. Nodes with different views only cause one reader
+        more or less until they converge.
         """
         now_ms = self._clock.now_ms()
-        if now_ms - self._reader_checked_ms >= READER_CHECK_MS:
+        if now_ms - self._reader_checked_ms >= READER_CHECK_INTERVAL_MS:
             self._reader_checked_ms = now_ms
-            self._reader = self._compute_reader()
-        return self._reader
+            self._is_reader = self._compute_is_reader()
+        return self._is_reader
 
-    def _compute_reader(self) -> bool:
-        own = self._table.own
-        own_rank = _reader_rank(own.node_id)
-        ahead = sum(
+    def _compute_is_reader(self) -> bool:
+        local = self._table.own
+        local_score = _rendezvous_score(local.node_id)
+        better_count = sum(
             1
             for record in self._table.records()
-            if record.failure_domain == own.failure_domain
-            and record.state not in UNUSABLE
-            and _reader_rank(record.node_id) < own_rank
+            if record.failure_domain == local.failure_domain
+            and record.state not in UNUSABLE_STATES
+            and _rendezvous_score(record.node_id) < local_score
         )
-        return ahead < READERS_PER_FAILURE_DOMAIN
+        return better_count < READERS_PER_FAILURE_DOMAIN
 
 
-def _instance_of(record: MemberRecord) -> Instance:
+def _to_instance(record: MemberRecord) -> Instance:
     return Instance(
         record.node_id,
         record.incarnation,
@@ -124,7 +125,7 @@
     )
 
 
-def _reader_rank(node_id: str) -> tuple[int, str]:
+def _rendezvous_score(node_id: str) -> tuple[int, str]:
     return zlib.crc32(node_id.encode()), node_id
 
 
@@ -134,12 +135,12 @@
     clock: Clock,
     domains_of: Callable[[str], tuple[str, ...]] = lambda service: (),
 ) -> Directory:
-    """Return a directory that tracks no service yet.
+    """Return a directory that tracks no service.
 
     :param table: member table
     :param router: chooses instances
     :param clock: monotonic clock
-    :param domains_of: failure domains that may hold instances of a service, empty
-        for any
+    :param domains_of: returns the failure domains that may hold instances of a
+        service; empty for any
     """
     return Directory(table, router, clock, domains_of)
--- a/src/briardock/dispatch.py
+++ b/src/briardock/dispatch.py
@@ -168,7 +168,7 @@
     async def _attempt(self, call: Dispatch, tried: set[str]) -> Outcome:
         if self._quarantine.refuses(call.fingerprint):
             return NotRun(Reason.QUARANTINED, f"fingerprint {call.fingerprint}")
-        self._directory.use(call.service)
+        self._directory.track_service(call.service)
         if not self._router.admits(call.service, call.level):
             return NotRun(Reason.OVERLOADED, f"{call.service} sheds this level")
         choice = self._router.choose(call.service, tried)
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 
 from briardock.clock import ManualClock, make_random
-from briardock.directory import READER_CHECK_MS, Directory, make_directory
+from briardock.directory import READER_CHECK_INTERVAL_MS, Directory, make_directory
 from briardock.member_records import with_state
 from briardock.membership import MemberRecord, MemberState
 from briardock.metrics import Metrics
@@ -13,9 +13,9 @@
 from callpath_fakes import CallPath, make_record, make_table
 
 
-def directory_of(own: MemberRecord, others: list[MemberRecord]) -> Directory:
+def make_local_directory(local: MemberRecord, others: list[MemberRecord]) -> Directory:
     clock = ManualClock()
-    table = make_table(clock, own)
+    table = make_table(clock, local)
     table.merge(others)
     router = make_router(RoutingSettings(), "a", clock, make_random(1), Metrics())
     return make_directory(table, router, clock)
@@ -25,10 +25,10 @@
     st.sets(st.integers(0, 99), min_size=1, max_size=20),
     st.lists(st.sampled_from(MemberState), min_size=20, max_size=20),
 )
-def test_each_failure_domain_has_two_readers(
+def test_each_failure_domain_has_two_log_readers(
     ids: set[int], states: list[MemberState]
 ) -> None:
-    # Guards against a domain without readers once the two of them are gone.
+    # Guards against a failure domain without readers after both of its readers left.
     records = [
         with_state(make_record(f"n{i}", domain="ab"[i % 2]), state)
         for i, state in zip(sorted(ids), states, strict=False)
@@ -41,19 +41,21 @@
     for domain in "ab":
         members = [r for r in usable if r.failure_domain == domain]
         readers = [
-            own
-            for own in members
-            if directory_of(own, [r for r in records if r is not own]).is_log_reader()
+            local
+            for local in members
+            if make_local_directory(
+                local, [r for r in records if r is not local]
+            ).is_log_reader()
         ]
         assert len(readers) == min(2, len(members))
 
 
-def test_reader_choice_follows_the_members() -> None:
+def test_choice_of_readers_follows_the_members() -> None:
     path = CallPath()
-    before = path.directory.is_log_reader()
+    was_reader = path.directory.is_log_reader()
     path.add_members(*[f"m{i}" for i in range(50)])
-    assert path.directory.is_log_reader() is before
-    path.clock.advance(READER_CHECK_MS)
+    assert path.directory.is_log_reader() is was_reader
+    path.clock.advance(READER_CHECK_INTERVAL_MS)
     assert path.directory.is_log_reader() is False
 
 
@@ -73,7 +75,7 @@
 def test_issuer_is_found_by_its_incarnation(
     node_id: str, incarnation: int, state: MemberState, found: bool
 ) -> None:
-    # Guards against a resend that reaches a later process of its issuer.
+    # Guards against a resend that is forwarded to a later process of its issuer.
     path = CallPath()
     path.table.merge([with_state(make_record("m1", incarnation=5), state)])
     address = path.directory.find_issuer(node_id, incarnation)
@@ -81,9 +83,9 @@
     assert address is None or address.incarnation == 5
 
 
-def test_late_record_of_an_earlier_incarnation_changes_nothing() -> None:
+def test_late_record_of_an_earlier_incarnation_is_ignored() -> None:
     path = CallPath()
-    path.directory.use("wallet")
+    path.directory.track_service("wallet")
     for incarnation in (5, 4):
         record = make_record("m1", incarnation=incarnation)
         path.directory.members_changed(path.table.merge([record]))
@@ -97,7 +99,7 @@
 )
 def test_member_that_left_gets_no_calls(state: MemberState) -> None:
     path = CallPath()
-    path.directory.use("wallet")
+    path.directory.track_service("wallet")
     record = make_record("m1")
     path.directory.members_changed(path.table.merge([record]))
     assert isinstance(path.router.choose("wallet"), Choice)
@@ -111,7 +113,7 @@
     path = CallPath()
     path.directory.members_changed(path.table.merge([make_record("m1")]))
     assert path.router.state() == {}
-    path.directory.use("wallet")
+    path.directory.track_service("wallet")
     assert list(path.router.state()) == ["m1"]
 
 
@@ -121,12 +123,12 @@
 def test_service_is_called_in_its_failure_domains_only(
     domains: tuple[str, ...], chosen: bool
 ) -> None:
-    # Guards against calls of an instance that was started in a wrong domain.
+    # Guards against calls to an instance started in the wrong failure domain.
     clock = ManualClock()
     table = make_table(clock, make_record("n1", domain="a"))
     table.merge([make_record("n2", domain="a")])
     router = make_router(RoutingSettings(), "a", clock, make_random(1), Metrics())
     directory = make_directory(table, router, clock, lambda service: domains)
-    directory.use("wallet")
+    directory.track_service("wallet")
     found = router.choose("wallet", {"n1"})
     assert isinstance(found, Choice) is chosen
