--- a/src/briardock/_priority_queue.py
+++ b/src/briardock/_priority_queue.py
@@ -51,7 +51,7 @@
     def pop_less_important(self, priority: int) -> Waiter[Result] | None:
         """Remove and return the last waiter if it is less important than an arrival.
 
-        :param priority: priority of the arrival that needs the slot in the queue
+        :param priority: priority of the arrival that needs space in the queue
         """
         if not self._entries or self._entries[-1][0] <= priority:
             return None
--- a/src/briardock/limiter.py
+++ b/src/briardock/limiter.py
@@ -13,7 +13,7 @@
 queueing and falls to the minimum limit. The ratio of the own time to its long-term
 mean grows to the maximum limit under lasting overload, because the mean follows
 the queue. A regression of own time on concurrency was dominated by rare long
-requests. The distribution of own times alone, which was not measured, cannot
+requests. The distribution of own times alone was not tried, because it cannot
 distinguish a queue from a constant added delay.
 """
 
--- a/tests/test_mesh_crashes.py
+++ b/tests/test_mesh_crashes.py
@@ -42,7 +42,7 @@
     suspects.record_death("i-1")
     hashed: list[object] = []
     monkeypatch.setattr(crashes, "_fingerprint", hashed.append)
-    monkeypatch.setattr(suspects.quarantine, "_wire", hashed.append)
+    monkeypatch.setattr(suspects.quarantine, "_to_wire", hashed.append)
     assert not suspects.refuses(make_call(target=b"/a/1"))
     assert not hashed
 
