--- a/src/briardock/dispatch.py
+++ b/src/briardock/dispatch.py
@@ -11,7 +11,7 @@
 from briardock.outcomes import Completed, Headers, NotRun, Outcome, Reason, Unknown
 from briardock.peers import LinkFailure, PeerAddress, PeerLinks
 from briardock.quarantine import Quarantine
-from briardock.refusals import ChainLevels
+from briardock.refusals import DownstreamThresholds
 from briardock.routing import Instance, Observation, ObservationKind, Router
 
 # Refusals that are unrelated to load: the instance cannot serve the call at all.
@@ -91,7 +91,7 @@
         links: PeerLinks,
         local_handler: LocalHandler,
         retry_ratio: RetryRatio,
-        chain_thresholds: ChainLevels,
+        chain_thresholds: DownstreamThresholds,
         quarantine: Quarantine,
         metrics: Metrics,
     ) -> None:
@@ -115,7 +115,7 @@
 
         :param call: the call; retries are taken from its budget
         """
-        self._retry_ratio.record_first()
+        self._retry_ratio.record_first_attempt()
         tried: set[str] = set()
         reroutes = 0
         lost: Unknown | None = None
@@ -168,7 +168,7 @@
     async def _attempt(self, call: Dispatch, tried: set[str]) -> Outcome:
         if self._quarantine.refuses(call.fingerprint):
             return NotRun(Reason.QUARANTINED, f"fingerprint {call.fingerprint}")
-        self._directory.use(call.service)
+        self._directory.track_service(call.service)
         if not self._router.admits(call.service, call.priority):
             return NotRun(
                 Reason.OVERLOADED, f"{call.service} refuses calls of this priority"
@@ -190,7 +190,7 @@
         delegated = self._delegate_retries(call)
         message = self._make_message(call, instance, delegated, started_ms)
         self._metrics.count("dispatch.attempts")
-        self._router.started(instance.node_id)
+        self._router.record_dispatch(instance.node_id)
         response: Answer | LinkFailure = LinkFailure(True, "cancelled")
         try:
             if instance.node_id == self._node_id:
@@ -204,10 +204,10 @@
             self._observe(instance, response, outcome, started_ms)
         match response:
             case Answer(retries_left=left):
-                call.budget.give_back(min(left, delegated))
+                call.budget.refund(min(left, delegated))
                 self._chain_thresholds.learn(call.operation, response.chain_level)
             case LinkFailure(sent=False):
-                call.budget.give_back(delegated)
+                call.budget.refund(delegated)
         return outcome
 
     def _delegate_retries(self, call: Dispatch) -> int:
@@ -221,7 +221,7 @@
             return 0
         delegated = call.budget.delegate()
         if delegated and not call.at_most_once:
-            call.budget.give_back(1)
+            call.budget.refund(1)
             delegated -= 1
         return delegated
 
--- a/src/briardock/entry.py
+++ b/src/briardock/entry.py
@@ -9,7 +9,7 @@
 
 from briardock._reading import CallRequest, make_request_reader
 from briardock.actions import Action, ActionTable, Finished, InProgress, Started
-from briardock.admission import admission_level
+from briardock.admission import request_priority
 from briardock.budget import RetryBudget, make_budget
 from briardock.clock import Clock
 from briardock.configuration import Catalog, Operation
@@ -38,7 +38,7 @@
 from briardock.outcomes import Completed, NotRun, Outcome, Reason, Unknown
 from briardock.peers import LinkFailure, PeerAddress, PeerLinks
 from briardock.quarantine import fingerprint
-from briardock.refusals import ChainLevels
+from briardock.refusals import DownstreamThresholds
 from briardock.responses import ACTION_HEADER, json_response, outcome_response
 
 KEY_HEADER = b"idempotency-key"
@@ -73,7 +73,7 @@
         inbound: Inbound,
         links: PeerLinks,
         find_issuer: FindIssuer,
-        chain_thresholds: ChainLevels,
+        chain_thresholds: DownstreamThresholds,
         drain: Drain,
         metrics: Metrics,
     ) -> None:
@@ -176,7 +176,7 @@
         key = str(self._issuer.issue())
         if not parsed.operation.idempotent:
             return NotRun(Reason.KEY_REQUIRED, parsed.operation.name), ""
-        priority = admission_level(parsed.operation.class_rank, key)
+        priority = request_priority(parsed.operation.class_rank, key)
         budget = make_budget(parsed.operation.retries)
         return await self._dispatch(parsed, key, priority, budget), key
 
@@ -211,7 +211,7 @@
         verified = self._issuer.verify(key)
         if not isinstance(verified, ActionKey):
             return verified
-        priority = admission_level(request.operation.class_rank, str(key))
+        priority = request_priority(request.operation.class_rank, str(key))
         budget = make_budget(request.operation.retries)
         expires_at_ms = self._issuer.expires_at_ms(key)
         return await self._run_once(request, str(key), priority, budget, expires_at_ms)
--- a/src/briardock/inbound.py
+++ b/src/briardock/inbound.py
@@ -327,7 +327,7 @@
         child_threshold: int = MAX_LEVEL,
     ) -> Answer:
         self._metrics.count(f"inbound.{_outcome_name(outcome)}")
-        threshold = self._admission.refusal_level()
+        threshold = self._admission.admission_threshold()
         if self._drain.refuses_new:
             threshold = MAX_LEVEL
         base = answer_from_outcome(outcome, call.call_id)
--- a/src/briardock/parts.py
+++ b/src/briardock/parts.py
@@ -31,7 +31,7 @@
 from briardock.peers import make_peer_links
 from briardock.publishing import NO_VERSION
 from briardock.quarantine import QuarantineEntry, make_quarantine
-from briardock.refusals import make_chain_levels
+from briardock.refusals import make_downstream_thresholds
 from briardock.routing import make_router
 from briardock.settings import NodeSettings
 from briardock.target import make_target_client
@@ -105,7 +105,7 @@
             partial(self.announce, MemberState.LEAVING),
             settings.drain.timeout_s * 1_000.0,
         )
-        self.chain_thresholds = make_chain_levels(clock, rng)
+        self.chain_thresholds = make_downstream_thresholds(clock, rng)
         self._assemble_call_path()
 
     def _assemble_call_path(self) -> None:
@@ -184,7 +184,7 @@
         found = catalog.operation(operation) if catalog is not None else None
         if found is None or not found.calls:
             return MAX_LEVEL
-        return min(self.chain_thresholds.level(name) for name in found.calls)
+        return min(self.chain_thresholds.threshold(name) for name in found.calls)
 
     def target_call_count(self) -> int:
         """Return the number of admitted and queued calls of the local target."""
--- a/tests/callpath_fakes.py
+++ b/tests/callpath_fakes.py
@@ -31,7 +31,7 @@
     QuarantineSettings,
     make_quarantine,
 )
-from briardock.refusals import ChainLevels, make_chain_levels
+from briardock.refusals import DownstreamThresholds, make_downstream_thresholds
 from briardock.routing import Router, RoutingSettings, make_router
 from briardock.target import Lost, NotSent, TargetClient
 
@@ -175,7 +175,7 @@
     quarantine: Quarantine = field(init=False)
     admission: HookedAdmission = field(init=False)
     drain: Drain = field(init=False)
-    chain_thresholds: ChainLevels = field(init=False)
+    chain_thresholds: DownstreamThresholds = field(init=False)
     inbound: Inbound = field(init=False)
     dispatcher: Dispatcher = field(init=False)
     issuer: KeyIssuer = field(init=False)
@@ -195,7 +195,7 @@
         self.admission = HookedAdmission(AdmissionSettings(), clock, metrics)
         self.admission.released = []
         self.drain = make_drain(clock, lambda: self.in_flight, lambda: None, 100.0)
-        self.chain_thresholds = make_chain_levels(clock, make_random(2))
+        self.chain_thresholds = make_downstream_thresholds(clock, make_random(2))
         self.inbound = Inbound(
             LOCAL_ID,
             INCARNATION,
@@ -204,7 +204,7 @@
             self.target,
             self.drain,
             self.quarantine,
-            self.chain_thresholds.level,
+            self.chain_thresholds.threshold,
             self.sent_quarantine.extend,
             lambda running: self.entry.discard_child_actions(running),
             self._count_death,
