Name the admission thresholds of the mesh by the terms of the field

Rename levels.py to thresholds.py, TargetLevel to TargetThreshold, OPEN_LEVEL to OPEN_THRESHOLD and usual demand to baseline demand, and reword the comments. Behaviour is unchanged.

--- a/src/briardock/mesh/chain.py
+++ b/src/briardock/mesh/chain.py
@@ -9,8 +9,8 @@
 import math
 from dataclasses import dataclass, field
 
-from briardock.mesh.levels import OPEN_LEVEL
 from briardock.mesh.model import now_s
+from briardock.mesh.thresholds import OPEN_THRESHOLD
 
 # Time after which a level that was learned from a response is no longer used, s.
 LEVEL_LIFETIME_S = 3.0
@@ -154,12 +154,12 @@
         """
         known = self._services.get(service)
         if known is None:
-            return OPEN_LEVEL
+            return OPEN_THRESHOLD
         now = now_s()
         level = _reopened(_own_level(known, now), now - known.heard_s)
         for average in known.chain.values():
             level = min(level, _reopened(average.level, now - average.told_s))
-        return OPEN_LEVEL if level > highest - OPEN_MARGIN else level
+        return OPEN_THRESHOLD if level > highest - OPEN_MARGIN else level
 
 
 def _own_level(known: _Service, now: float) -> float:
--- a/src/briardock/mesh/forwarder.py
+++ b/src/briardock/mesh/forwarder.py
@@ -22,7 +22,6 @@
 from briardock.mesh.decisions import DecisionLog
 from briardock.mesh.dialect import Dialect
 from briardock.mesh.http1 import ExchangeFailure, Request, Response
-from briardock.mesh.levels import OPEN_LEVEL, DemandMeter, admits
 from briardock.mesh.members import MemberTable, NodeRecord
 from briardock.mesh.model import MeshSettings, RequestHead, Route, now_s
 from briardock.mesh.pool import ConnectionPool
@@ -30,6 +29,7 @@
 from briardock.mesh.routes import RouteTable
 from briardock.mesh.target import Target
 from briardock.mesh.telemetry import Telemetry
+from briardock.mesh.thresholds import OPEN_THRESHOLD, DemandMeter, admits
 
 # Instances that may turn a request away unseen before it is given up.
 MAX_REROUTES = 6
@@ -208,8 +208,8 @@
         key = (attempt.service, priority)
         meter = self._demand.get(key) or self._demand.setdefault(key, DemandMeter())
         meter.record()
-        usual_share = meter.usual_share
-        if admits(priority, attempt.head.request_id, limit, usual_share):
+        baseline_ratio = meter.baseline_ratio
+        if admits(priority, attempt.head.request_id, limit, baseline_ratio):
             return None
         self._log.event(
             "refused-overload",
@@ -218,7 +218,7 @@
             service=attempt.service,
             priority=priority,
             level=round(limit, 3),
-            usual_share=round(usual_share, 2),
+            usual_share=round(baseline_ratio, 2),
         )
         self._telemetry.requests.labels("refused-overload").inc()
         headers = self._dialect.refusal_headers(self._retry_after_s(attempt))
@@ -299,7 +299,7 @@
                 attempt.may_have_run = True
                 # Under overload a failure comes from the chain below, and running
                 # the request again adds to it.
-                overloaded = self._limit(attempt.service) < OPEN_LEVEL
+                overloaded = self._limit(attempt.service) < OPEN_THRESHOLD
             case NotRun(reason, True):
                 pass
             case Unknown(reason):
--- a/src/briardock/mesh/node.py
+++ b/src/briardock/mesh/node.py
@@ -17,7 +17,6 @@
 from briardock.mesh.forwarder import Forwarder
 from briardock.mesh.http1 import Request, Response
 from briardock.mesh.http_server import HttpServer
-from briardock.mesh.levels import CONTROL_PERIOD_S
 from briardock.mesh.members import MemberTable, NodeRecord
 from briardock.mesh.model import (
     Announcement,
@@ -33,6 +32,7 @@
 from briardock.mesh.spread import SYNC_PATH, Spread
 from briardock.mesh.target import Target
 from briardock.mesh.telemetry import Telemetry
+from briardock.mesh.thresholds import CONTROL_PERIOD_S
 
 PEER_POOL = PoolSettings(
     connect_timeout_s=0.5, idle_timeout_s=20.0, unacknowledged_timeout_s=1.0
--- a/src/briardock/mesh/target.py
+++ b/src/briardock/mesh/target.py
@@ -18,9 +18,9 @@
 from briardock.mesh.decisions import DecisionLog
 from briardock.mesh.dialect import Dialect
 from briardock.mesh.http1 import ExchangeFailure, Response, encode_request, end_to_end
-from briardock.mesh.levels import TargetLevel, Usage
 from briardock.mesh.model import Announcement, TargetState, now_s
 from briardock.mesh.pool import ConnectionPool
+from briardock.mesh.thresholds import TargetThreshold, Usage
 
 # Share of the slots that is used; targets may slow down when nearly full.
 SLOT_SHARE = 0.95
@@ -110,8 +110,8 @@
         self._waking = 0
         self._arrivals = 0
         self._caller_arrivals = 0
-        self._level = TargetLevel()
-        self._caller_level = TargetLevel()
+        self._level = TargetThreshold()
+        self._caller_level = TargetThreshold()
         self._run_s = FIRST_RUN_S
         self._changed_s = self._usage_read_s = now_s()
         self._tasks: set[asyncio.Task[Result]] = set()
--- a/tests/test_mesh_chain.py
+++ b/tests/test_mesh_chain.py
@@ -4,7 +4,7 @@
 
 from briardock.mesh import chain
 from briardock.mesh.chain import ChainLevel, LearnedLevels, Levels
-from briardock.mesh.levels import OPEN_LEVEL
+from briardock.mesh.thresholds import OPEN_THRESHOLD
 from mesh_builders import Time
 
 HIGHEST = 2.0
@@ -19,8 +19,8 @@
     """A slow instance once had the requests of its whole domain refused."""
     learned = LearnedLevels()
     learned.learn("jobs", "slow", Levels(1.0), 3.0)
-    learned.learn("jobs", "fast", Levels(OPEN_LEVEL), 3.0)
-    assert learned.of_service("jobs", 3.0) == OPEN_LEVEL
+    learned.learn("jobs", "fast", Levels(OPEN_THRESHOLD), 3.0)
+    assert learned.of_service("jobs", 3.0) == OPEN_THRESHOLD
     clock.now += 0.6
     learned.learn("jobs", "slow", Levels(1.0), 3.0)
     clock.now += 0.6
@@ -36,7 +36,7 @@
     clock.now += 1.0
     assert 1.0 < learned.of_service("jobs", 3.0) < 2.0
     clock.now += 2.0
-    assert learned.of_service("jobs", 3.0) == OPEN_LEVEL
+    assert learned.of_service("jobs", 3.0) == OPEN_THRESHOLD
 
 
 def test_rare_responses_count_more_than_frequent_ones(clock: Time) -> None:
@@ -44,13 +44,13 @@
     each of its few responses moved the average by a tenth only.
     """
     learned = LearnedLevels()
-    learned.learn("jobs", "a", Levels(OPEN_LEVEL, told("maps", 0.5)), 3.0)
+    learned.learn("jobs", "a", Levels(OPEN_THRESHOLD, told("maps", 0.5)), 3.0)
     for _ in range(10):
         clock.now += 0.001
-        learned.learn("jobs", "a", Levels(OPEN_LEVEL, told("maps", 2.5)), 3.0)
+        learned.learn("jobs", "a", Levels(OPEN_THRESHOLD, told("maps", 2.5)), 3.0)
     assert learned.of_service("jobs", 3.0) < 1.0
     clock.now += 1.0
-    learned.learn("jobs", "a", Levels(OPEN_LEVEL, told("maps", 2.5)), 3.0)
+    learned.learn("jobs", "a", Levels(OPEN_THRESHOLD, told("maps", 2.5)), 3.0)
     assert learned.of_service("jobs", 3.0) > 2.4
 
 
@@ -63,11 +63,11 @@
     """
     learned = {service: LearnedLevels() for service in circle}
     callees = dict(zip(circle, [*circle[1:], circle[0]], strict=True))
-    own = dict.fromkeys(circle, OPEN_LEVEL) | {"a": 1.2}
+    own = dict.fromkeys(circle, OPEN_THRESHOLD) | {"a": 1.2}
     for step in range(100):
         clock.now += 0.05
         if step == 20:
-            own["a"] = OPEN_LEVEL
+            own["a"] = OPEN_THRESHOLD
         for service, called in callees.items():
             further = learned[called].along_chain([callees[called]], called, HIGHEST)
             answer = Levels(own[called], further)
@@ -75,16 +75,16 @@
         if step == 19:
             assert learned[circle[-1]].of_service("a", HIGHEST) == 1.2
     for service, called in callees.items():
-        assert learned[service].of_service(called, HIGHEST) == OPEN_LEVEL
+        assert learned[service].of_service(called, HIGHEST) == OPEN_THRESHOLD
 
 
 def test_outdated_level_does_not_replace_a_newer_one(clock: Time) -> None:
     """An instance that rarely calls a service tells what it learned long ago."""
     learned = LearnedLevels()
-    learned.learn("jobs", "busy", Levels(OPEN_LEVEL, told("maps", 1.5)), HIGHEST)
+    learned.learn("jobs", "busy", Levels(OPEN_THRESHOLD, told("maps", 1.5)), HIGHEST)
     for _ in range(10):
         clock.now += 0.1
-        stale = Levels(OPEN_LEVEL, told("maps", 0.2, 2.5))
+        stale = Levels(OPEN_THRESHOLD, told("maps", 0.2, 2.5))
         learned.learn("jobs", "rare", stale, HIGHEST)
     assert learned.of_service("jobs", HIGHEST) == 1.5
 
@@ -97,7 +97,7 @@
     outer.learn(
         "jobs",
         "j",
-        Levels(OPEN_LEVEL, inner.along_chain(["maps"], "jobs", HIGHEST)),
+        Levels(OPEN_THRESHOLD, inner.along_chain(["maps"], "jobs", HIGHEST)),
         HIGHEST,
     )
     assert outer.of_service("jobs", HIGHEST) == 1.25
--- a/tests/test_mesh_path.py
+++ b/tests/test_mesh_path.py
@@ -8,8 +8,8 @@
 
 from briardock.exceptions import SettingsError
 from briardock.mesh.http1 import Request, Response
-from briardock.mesh.levels import OPEN_LEVEL
 from briardock.mesh.node import Node
+from briardock.mesh.thresholds import OPEN_THRESHOLD
 from briardock.platform._dialect import PlatformDialect
 from briardock.platform._store import PlatformStore
 from mesh_fakes import (
@@ -132,7 +132,7 @@
         assert sum(len(o.target.requests) for o in owners) == arrivals
 
 
-@pytest.mark.parametrize(("level", "arrivals"), [(OPEN_LEVEL, 2), (5.0, 1)])
+@pytest.mark.parametrize(("level", "arrivals"), [(OPEN_THRESHOLD, 2), (5.0, 1)])
 async def test_failed_response_is_repeated_only_without_overload(
     level: float, arrivals: int
 ) -> None:
--- /dev/null
+++ b/tests/test_mesh_thresholds.py
@@ -0,0 +1,141 @@
+"""Admission thresholds."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from briardock.mesh.thresholds import (
+    CONTROL_PERIOD_S,
+    OPEN_THRESHOLD,
+    DemandMeter,
+    TargetThreshold,
+    Usage,
+    admits,
+)
+
+
+def usage_at(factor: float) -> Usage:
+    return Usage(
+        elapsed_s=1.0, arrivals=int(100 * factor), capacity_per_s=100, queued=0
+    )
+
+
+def open_threshold() -> TargetThreshold:
+    """Return the threshold of a target that has had headroom for a while."""
+    threshold = TargetThreshold()
+    for _ in range(20):
+        threshold.update(usage_at(0.0), 3.0)
+    assert threshold.value == OPEN_THRESHOLD
+    return threshold
+
+
+@pytest.mark.parametrize(("max_threshold", "first"), [(3.0, 2.0), (1.0, 0.5)])
+def test_threshold_rises_gradually_after_the_start(
+    max_threshold: float, first: float
+) -> None:
+    """A restart of all nodes must not admit all callers at once in its first second."""
+    threshold = TargetThreshold()
+    threshold.update(usage_at(0.9), max_threshold)
+    assert first <= threshold.value < first + 0.1
+    for _ in range(20):
+        threshold.update(usage_at(0.2), max_threshold)
+    assert threshold.value == OPEN_THRESHOLD
+
+
+def test_threshold_falls_under_overload_and_rises_again() -> None:
+    threshold = open_threshold()
+    for _ in range(3):
+        threshold.update(usage_at(2.0), 3.0)
+    assert 2.0 <= threshold.value < 3.0
+    for _ in range(100):
+        threshold.update(usage_at(0.3), 3.0)
+    assert threshold.value == OPEN_THRESHOLD
+
+
+def test_a_priority_is_refused_completely_before_the_next() -> None:
+    """One large step could refuse bookings together with less important reads."""
+    threshold = open_threshold()
+    threshold.update(Usage(1.0, 10_000, 100.0, 500), 3.0)
+    assert threshold.value == 2.0
+    threshold.update(Usage(1.0, 10_000, 100.0, 500), 3.0)
+    assert threshold.value == 2.0
+
+
+def test_threshold_is_kept_while_the_backlog_shrinks() -> None:
+    """The backlog of the first second after a restart of all nodes must not have the
+    most important requests refused once it has stopped growing.
+    """
+    threshold = open_threshold()
+    for queued in (100, 300, 500):
+        threshold.update(Usage(1.0, 150, 100.0, queued), 3.0)
+    lowered = threshold.value
+    for queued in range(480, 0, -20):
+        threshold.update(Usage(1.0, 95, 100.0, queued), 3.0)
+    assert threshold.value == lowered
+
+
+@given(st.integers(0, 5), st.binary(min_size=1, max_size=16))
+def test_surge_does_not_limit_more_important_priorities(
+    priority: int, request_id: bytes
+) -> None:
+    """Scaling by the baseline demand must only affect the priority at the threshold;
+    otherwise requests for certificates are refused as well.
+    """
+    assert admits(priority, request_id, priority + 1.0, baseline_ratio=0.1)
+    assert not admits(priority, request_id, float(priority), baseline_ratio=1.0)
+
+
+def test_surge_is_admitted_at_the_baseline_rate() -> None:
+    meter = DemandMeter()
+    for _ in range(100):
+        for _ in range(10):
+            meter.record()
+        meter.update()
+    assert meter.baseline_ratio > 0.95
+    for _ in range(3):
+        for _ in range(30):
+            meter.record()
+        meter.update()
+    assert meter.baseline_ratio < 0.6
+
+
+@pytest.mark.parametrize("important_share", [0.2, 0.5])
+@pytest.mark.parametrize("delay_s", [0.45, 0.9])
+def test_threshold_uses_the_remaining_capacity_after_the_loss_of_an_instance(
+    important_share: float, delay_s: float
+) -> None:
+    """The threshold must not fall a whole priority below the capacity of the remaining
+    instances, which leaves half of their slots free for more than 3 s.
+    """
+    delay = round(delay_s / CONTROL_PERIOD_S)
+    threshold = open_threshold()
+    history = [3.0] * (delay + 1)
+    queued, used = 0.0, []
+    for step in range(100):
+        capacity_per_s = 1_000.0 if step < 20 else 667.0
+        share = min(1.0, max(0.0, history[-1 - delay] - 2.0))
+        demand_per_s = 800.0 * (important_share + (1.0 - important_share) * share)
+        work = queued + demand_per_s * CONTROL_PERIOD_S
+        completed = min(work, capacity_per_s * CONTROL_PERIOD_S)
+        queued = work - completed
+        used.append(completed / capacity_per_s / CONTROL_PERIOD_S)
+        arrivals = int(demand_per_s * CONTROL_PERIOD_S)
+        usage = Usage(CONTROL_PERIOD_S, arrivals, capacity_per_s, int(queued))
+        threshold.update(usage, 3.0)
+        history.append(min(3.0, threshold.value))
+    assert queued < 0.1 * 667
+    assert sum(used[20:]) / 80 > 0.9
+
+
+def test_threshold_falls_again_soon_after_it_rose_from_a_boundary() -> None:
+    """Settling at a boundary protects the next priority, not the one above it."""
+    threshold = open_threshold()
+    overloaded, idle = Usage(0.15, 300, 1_000.0, 500), Usage(0.15, 0, 1_000.0, 0)
+    while threshold.value != 2.0:
+        threshold.update(overloaded, 3.0)
+    while threshold.value < 2.3:
+        threshold.update(idle, 3.0)
+    raised = threshold.value
+    for _ in range(3):
+        threshold.update(overloaded, 3.0)
+    assert 2.0 <= threshold.value < raised
