--- a/src/briardock/mesh/calls.py
+++ b/src/briardock/mesh/calls.py
@@ -6,7 +6,7 @@
 
 from dataclasses import dataclass
 
-from briardock.mesh.chain import ChainLevel, Levels
+from briardock.mesh.chain import ChainThreshold, InstanceThresholds
 from briardock.mesh.http1 import Request, Response, encode_request
 from briardock.mesh.model import Headers
 
@@ -69,7 +69,7 @@
     """
 
     inflight: int
-    levels: Levels
+    thresholds: InstanceThresholds
 
 
 @dataclass(frozen=True, slots=True)
@@ -178,10 +178,10 @@
     :param load: load of the instance
     """
     chain = ",".join(
-        f"{service}={told.level:.3f}@{int(told.age_s * 1000)}"
-        for service, told in load.levels.chain.items()
+        f"{service}={told.threshold:.3f}@{int(told.age_s * 1000)}"
+        for service, told in load.thresholds.chain.items()
     )
-    tail = f"{load.inflight};{load.levels.own:.3f};{chain}"
+    tail = f"{load.inflight};{load.thresholds.instance:.3f};{chain}"
     match result:
         case Completed(response):
             info = f"completed;;{tail}"
@@ -195,12 +195,12 @@
     return Response(502, [(RESULT_HEADER, info.encode())])
 
 
-def _decode_chain(text: str) -> dict[str, ChainLevel]:
+def _decode_chain(text: str) -> dict[str, ChainThreshold]:
     found = {}
     for item in text.split(",") if text else ():
         service, _, told = item.rpartition("=")
         level, _, age_ms = told.partition("@")
-        found[service] = ChainLevel(float(level), int(age_ms) / 1000)
+        found[service] = ChainThreshold(float(level), int(age_ms) / 1000)
     return found
 
 
@@ -214,7 +214,9 @@
     if len(parts) != 5:
         return Unknown("response of no node"), None
     kind, reason, inflight, own, chain = parts
-    load = LoadReport(int(inflight), Levels(float(own), _decode_chain(chain)))
+    load = LoadReport(
+        int(inflight), InstanceThresholds(float(own), _decode_chain(chain))
+    )
     match kind:
         case "completed":
             return Completed(Response(response.status, headers, response.body)), load
--- a/src/briardock/mesh/chain.py
+++ b/src/briardock/mesh/chain.py
@@ -1,196 +1,221 @@
-"""Admission levels of services and of what they call, as responses told them.
+"""Admission thresholds of services and of their callees, learned from responses.
 
-A response carries the level of its instance, and the levels below the highest one
-of the services further along the chain. Each of these names its service and the
-time since an instance of it told it, so that a level neither returns to its own
-service nor outlives its cause where services call each other in a circle.
+A response carries the threshold of its instance, and those of the services further
+along the chain that do not admit everything. Each of the latter names its service and
+the time since one of its instances reported it, so that a threshold neither returns
+to its service nor outlives its cause where services call each other in a cycle.
 """
 
 import math
 from dataclasses import dataclass, field
 
+from briardock.mesh.levels import OPEN_THRESHOLD
 from briardock.mesh.model import now_s
-from briardock.mesh.thresholds import OPEN_THRESHOLD
-
-# Time after which a level that was learned from a response is no longer used, s.
-LEVEL_LIFETIME_S = 3.0
-# The same for the own level of one instance among others, s. A level further along
-# the chain that is older than the one known by this time is not used either.
-OWN_LEVEL_LIFETIME_S = 1.0
-# Time constant of the average over responses, s. It covers many responses under load,
-# and after a pause the newest one counts alone.
-LEARNING_TIME_S = 0.2
-# Rise of a learned level per s once it is older than its lifetime. A service that
+
+# Time for which a threshold learned from a response applies unchanged, s.
+THRESHOLD_LIFETIME_S = 3.0
+# The same for the threshold of one instance among others, s. A threshold from further
+# along the chain is ignored if it is older than the known one by more than this.
+INSTANCE_THRESHOLD_LIFETIME_S = 1.0
+# Time constant of the average over responses, s. Under load it covers many responses;
+# after a pause only the newest one counts.
+AVERAGING_TIME_S = 0.2
+# Rise of a learned threshold per s once it is older than its lifetime. A service that
 # refuses everything sends no responses; opening it at once would flood it.
-REOPENING_PER_S = 1.0
-# Distance from the highest level at which a learned level counts as open.
+RISE_PER_S = 1.0
+# Distance from the maximum within which a learned threshold counts as open.
 OPEN_MARGIN = 0.01
 
 
 @dataclass(frozen=True, slots=True)
-class ChainLevel:
-    """Level of a service further along the chain.
+class ChainThreshold:
+    """Admission threshold of a service further along the chain.
 
-    :param level: level of the service
-    :param age_s: time since an instance of the service told it
+    :param threshold: threshold of the service
+    :param age_s: time since an instance of the service reported it
     """
 
-    level: float
+    threshold: float
     age_s: float
 
 
 @dataclass(frozen=True, slots=True)
-class Levels:
-    """Levels that the response of an instance carries.
+class InstanceThresholds:
+    """Admission thresholds carried by the response of an instance.
 
-    :param own: level of the instance
-    :param chain: levels of the services that it calls, and that these call; those
-        that are missing admit all
+    :param instance: threshold of the instance
+    :param chain: thresholds of its direct and indirect callees by service; services
+        that are missing admit everything
     """
 
-    own: float
-    chain: dict[str, ChainLevel] = field(default_factory=dict)
+    instance: float
+    chain: dict[str, ChainThreshold] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
 class _Average:
-    """Level of a service further along the chain of another one.
+    """Average threshold of a service further along the chain of another one.
 
-    :param level: moving average over responses of the other service
-    :param learned_s: time of the last of these responses
-    :param told_s: latest time at which an instance of the service told it
+    :param threshold: moving average over responses of the other service
+    :param updated_s: time of the last of these responses
+    :param reported_s: latest time at which an instance of the service reported it
     """
 
-    level: float
-    learned_s: float
-    told_s: float
+    threshold: float
+    updated_s: float
+    reported_s: float
 
 
 @dataclass(slots=True)
 class _Service:
-    """What the responses of one service told.
+    """Thresholds learned from the responses of one service.
 
-    :param own: level and time of learning, by node beside the instance
-    :param heard_s: time of the last response
-    :param chain: services further along the chain that do not admit all
+    :param by_node: threshold and time of the response, by node beside the instance
+    :param last_response_s: time of the last response
+    :param chain: services further along the chain that do not admit everything
     """
 
-    own: dict[str, tuple[float, float]]
-    heard_s: float
+    by_node: dict[str, tuple[float, float]]
+    last_response_s: float
     chain: dict[str, _Average]
 
 
-def _reopened(level: float, age_s: float) -> float:
-    return level + max(0.0, age_s - LEVEL_LIFETIME_S) * REOPENING_PER_S
+def _raised_by_age(threshold: float, age_s: float) -> float:
+    return threshold + max(0.0, age_s - THRESHOLD_LIFETIME_S) * RISE_PER_S
 
 
-class LearnedLevels:
-    """Levels of services as the responses of their instances told them.
+class LearnedThresholds:
+    """Admission thresholds of services, learned from responses of their instances.
 
-    Requests go to the instance with room, so the own level of a service is that of
-    its least loaded instance. What the instances call is the same for all of them;
-    its level is a moving average over responses.
+    Requests go to the instance with headroom, so the threshold of a service is that of
+    its least loaded instance. All instances have the same callees; the thresholds of
+    these are moving averages over responses.
     """
 
     def __init__(self) -> None:
         self._services: dict[str, _Service] = {}
 
-    def learn(self, service: str, node_id: str, levels: Levels, highest: float) -> None:
-        """Take the levels that a response carried.
+    def learn(
+        self,
+        service: str,
+        node_id: str,
+        thresholds: InstanceThresholds,
+        max_threshold: float,
+    ) -> None:
+        """Record the thresholds carried by a response.
 
-        :param service: service of the instance that answered
+        :param service: service of the instance that responded
         :param node_id: node beside the instance
-        :param levels: levels of the instance
-        :param highest: level above all priorities
+        :param thresholds: thresholds in the response
+        :param max_threshold: threshold above all priorities
         """
         now = now_s()
         known = self._services.get(service)
         if known is None:
             known = self._services[service] = _Service({}, now, {})
             known.chain = {
-                name: _Average(min(told.level, highest), now, now - told.age_s)
-                for name, told in levels.chain.items()
+                name: _Average(
+                    min(reported.threshold, max_threshold), now, now - reported.age_s
+                )
+                for name, reported in thresholds.chain.items()
             }
-        known.own[node_id] = (levels.own, now)
-        for name in levels.chain.keys() - known.chain.keys():
-            known.chain[name] = _Average(highest, known.heard_s, 0.0)
-        known.heard_s = now
+        known.by_node[node_id] = (thresholds.instance, now)
+        for name in thresholds.chain.keys() - known.chain.keys():
+            known.chain[name] = _Average(max_threshold, known.last_response_s, 0.0)
+        known.last_response_s = now
         for name in list(known.chain):
-            told = levels.chain.get(name, ChainLevel(highest, 0.0))
+            reported = thresholds.chain.get(name, ChainThreshold(max_threshold, 0.0))
             average = known.chain[name]
-            _move(average, min(told.level, highest), now, now - told.age_s)
-            if average.level > highest - OPEN_MARGIN:
+            _update_average(
+                average,
+                min(reported.threshold, max_threshold),
+                now,
+                now - reported.age_s,
+            )
+            if average.threshold > max_threshold - OPEN_MARGIN:
                 del known.chain[name]
 
     def along_chain(
-        self, services: list[str], own_service: str, highest: float
-    ) -> dict[str, ChainLevel]:
-        """Return the levels of services, and of what these call.
+        self, services: list[str], local_service: str, max_threshold: float
+    ) -> dict[str, ChainThreshold]:
+        """Return the thresholds of services and of their callees.
 
-        :param services: names of the services that the own target calls
-        :param own_service: service of the own target, which is left out
-        :param highest: level above all priorities
+        :param services: names of the services that the local target calls
+        :param local_service: service of the local target, which is left out
+        :param max_threshold: threshold above all priorities
         """
         now = now_s()
-        found: dict[str, ChainLevel] = {}
+        found: dict[str, ChainThreshold] = {}
         for service in services:
             known = self._services.get(service)
             if known is None:
                 continue
-            age_s = now - known.heard_s
-            own = _reopened(_own_level(known, now), age_s)
-            _add(found, service, own, age_s, highest)
+            age_s = now - known.last_response_s
+            instance = _raised_by_age(_instance_threshold(known, now), age_s)
+            _add_threshold(found, service, instance, age_s, max_threshold)
             for name, average in known.chain.items():
-                age_s = now - average.told_s
-                _add(found, name, _reopened(average.level, age_s), age_s, highest)
-        found.pop(own_service, None)
+                age_s = now - average.reported_s
+                _add_threshold(
+                    found,
+                    name,
+                    _raised_by_age(average.threshold, age_s),
+                    age_s,
+                    max_threshold,
+                )
+        found.pop(local_service, None)
         return found
 
-    def of_service(self, service: str, highest: float) -> float:
-        """Return the level of a service and what it calls.
+    def of_service(self, service: str, max_threshold: float) -> float:
+        """Return the lowest threshold of a service and its callees.
 
         :param service: name of the service
-        :param highest: level above all priorities
+        :param max_threshold: threshold above all priorities
         """
         known = self._services.get(service)
         if known is None:
             return OPEN_THRESHOLD
         now = now_s()
-        level = _reopened(_own_level(known, now), now - known.heard_s)
+        threshold = _raised_by_age(
+            _instance_threshold(known, now), now - known.last_response_s
+        )
         for average in known.chain.values():
-            level = min(level, _reopened(average.level, now - average.told_s))
-        return OPEN_THRESHOLD if level > highest - OPEN_MARGIN else level
+            threshold = min(
+                threshold, _raised_by_age(average.threshold, now - average.reported_s)
+            )
+        return OPEN_THRESHOLD if threshold > max_threshold - OPEN_MARGIN else threshold
 
 
-def _own_level(known: _Service, now: float) -> float:
-    """Return the level of the least loaded instance.
+def _instance_threshold(known: _Service, now: float) -> float:
+    """Return the threshold of the least loaded instance.
 
-    The last response is used however old it is.
+    The last response is used regardless of its age.
     """
-    oldest_s = min(now - OWN_LEVEL_LIFETIME_S, known.heard_s)
-    return max(level for level, at in known.own.values() if at >= oldest_s)
+    oldest_s = min(now - INSTANCE_THRESHOLD_LIFETIME_S, known.last_response_s)
+    return max(threshold for threshold, at in known.by_node.values() if at >= oldest_s)
 
 
-def _move(average: _Average, level: float, now: float, told_s: float) -> None:
-    """Move an average by the level that a response carried, unless it is outdated."""
-    if told_s < average.told_s - OWN_LEVEL_LIFETIME_S:
+def _update_average(
+    average: _Average, threshold: float, now: float, reported_s: float
+) -> None:
+    """Update an average by the threshold of a response, unless that is outdated."""
+    if reported_s < average.reported_s - INSTANCE_THRESHOLD_LIFETIME_S:
         return
-    weight = 1.0 - math.exp(-(now - average.learned_s) / LEARNING_TIME_S)
-    average.level += weight * (level - average.level)
-    average.learned_s = now
-    average.told_s = max(average.told_s, told_s)
+    weight = 1.0 - math.exp(-(now - average.updated_s) / AVERAGING_TIME_S)
+    average.threshold += weight * (threshold - average.threshold)
+    average.updated_s = now
+    average.reported_s = max(average.reported_s, reported_s)
 
 
-def _add(
-    found: dict[str, ChainLevel],
+def _add_threshold(
+    found: dict[str, ChainThreshold],
     service: str,
-    level: float,
+    threshold: float,
     age_s: float,
-    highest: float,
+    max_threshold: float,
 ) -> None:
-    """Add the level of a service unless it admits all or a newer one is there."""
-    if level > highest - OPEN_MARGIN:
+    """Add a threshold unless it admits everything or a newer one was added."""
+    if threshold > max_threshold - OPEN_MARGIN:
         return
     other = found.get(service)
     if other is None or age_s < other.age_s:
-        found[service] = ChainLevel(level, age_s)
+        found[service] = ChainThreshold(threshold, age_s)
--- a/src/briardock/mesh/forwarder.py
+++ b/src/briardock/mesh/forwarder.py
@@ -17,11 +17,12 @@
     decode_result,
     encode_call,
 )
-from briardock.mesh.chain import ChainLevel, LearnedLevels, Levels
+from briardock.mesh.chain import ChainThreshold, InstanceThresholds, LearnedThresholds
 from briardock.mesh.deadlines import Deadline
 from briardock.mesh.decisions import DecisionLog
 from briardock.mesh.dialect import Dialect
 from briardock.mesh.http1 import ExchangeFailure, Request, Response
+from briardock.mesh.levels import OPEN_THRESHOLD, DemandMeter, admits
 from briardock.mesh.members import MemberTable, NodeRecord
 from briardock.mesh.model import MeshSettings, RequestHead, Route, now_s
 from briardock.mesh.pool import ConnectionPool
@@ -29,7 +30,6 @@
 from briardock.mesh.routes import RouteTable
 from briardock.mesh.target import Target
 from briardock.mesh.telemetry import Telemetry
-from briardock.mesh.thresholds import OPEN_THRESHOLD, DemandMeter, admits
 
 # Instances that may turn a request away unseen before it is given up.
 MAX_REROUTES = 6
@@ -94,7 +94,7 @@
         balancer: Balancer,
         target: Target,
         peers: ConnectionPool,
-        levels: LearnedLevels,
+        levels: LearnedThresholds,
         entries: EntryRoutes,
         log: DecisionLog,
         telemetry: Telemetry,
@@ -115,7 +115,7 @@
         self._rng = rng
         self._demand: dict[tuple[str, int], DemandMeter] = {}
         self._budgets: dict[str, RetryBudget] = {}
-        self._chain: dict[str, ChainLevel] = {}
+        self._chain: dict[str, ChainThreshold] = {}
         self._chain_at_s = 0.0
 
     @cached_property
@@ -128,7 +128,7 @@
         """Level above the priorities of all routes."""
         return float(self.routes.priority_count) if self.routes else 1.0
 
-    def levels(self, from_caller: bool) -> Levels:
+    def levels(self, from_caller: bool) -> InstanceThresholds:
         """Return the levels of the own target and of what it calls.
 
         :param from_caller: whether it is for callers' requests or for calls
@@ -139,7 +139,7 @@
             self._chain = self._levels.along_chain(
                 self.called.names, self.settings.service, self.highest_level
             )
-        return Levels(self._target.level(from_caller), self._chain)
+        return InstanceThresholds(self._target.level(from_caller), self._chain)
 
     def update_rates(self, runs: int) -> None:
         """Move the rates of demand and of the own target's calls.
@@ -370,7 +370,7 @@
             took_s = now_s() - started_s
             node_id, highest = record.node_id, self.highest_level
             self._balancer.record_response(node_id, took_s, load.inflight, failed)
-            self._levels.learn(attempt.service, node_id, load.levels, highest)
+            self._levels.learn(attempt.service, node_id, load.thresholds, highest)
         return result
 
     async def _send_to_peer(
--- a/src/briardock/mesh/node.py
+++ b/src/briardock/mesh/node.py
@@ -11,12 +11,13 @@
 from briardock.mesh.balancer import Balancer
 from briardock.mesh.callgraph import EntryRoutes
 from briardock.mesh.calls import LoadReport, Result, decode_call, encode_result
-from briardock.mesh.chain import LearnedLevels
+from briardock.mesh.chain import LearnedThresholds
 from briardock.mesh.decisions import FLUSH_PERIOD_S, DecisionLog
 from briardock.mesh.dialect import Departure, Dialect, Store, Undecodable
 from briardock.mesh.forwarder import Forwarder
 from briardock.mesh.http1 import Request, Response
 from briardock.mesh.http_server import HttpServer
+from briardock.mesh.levels import CONTROL_PERIOD_S
 from briardock.mesh.members import MemberTable, NodeRecord
 from briardock.mesh.model import (
     Announcement,
@@ -32,7 +33,6 @@
 from briardock.mesh.spread import SYNC_PATH, Spread
 from briardock.mesh.target import Target
 from briardock.mesh.telemetry import Telemetry
-from briardock.mesh.thresholds import CONTROL_PERIOD_S
 
 PEER_POOL = PoolSettings(
     connect_timeout_s=0.5, idle_timeout_s=20.0, unacknowledged_timeout_s=1.0
@@ -148,7 +148,7 @@
             self.balancer,
             self.target,
             self._peer_pool,
-            LearnedLevels(),
+            LearnedThresholds(),
             self._entries,
             log,
             self.telemetry,
--- a/src/briardock/mesh/target.py
+++ b/src/briardock/mesh/target.py
@@ -18,9 +18,9 @@
 from briardock.mesh.decisions import DecisionLog
 from briardock.mesh.dialect import Dialect
 from briardock.mesh.http1 import ExchangeFailure, Response, encode_request, end_to_end
+from briardock.mesh.levels import TargetThreshold, Usage
 from briardock.mesh.model import Announcement, TargetState, now_s
 from briardock.mesh.pool import ConnectionPool
-from briardock.mesh.thresholds import TargetThreshold, Usage
 
 # Share of the slots that is used; targets may slow down when nearly full.
 SLOT_SHARE = 0.95
--- a/tests/test_mesh_calls.py
+++ b/tests/test_mesh_calls.py
@@ -15,7 +15,7 @@
     encode_call,
     encode_result,
 )
-from briardock.mesh.chain import ChainLevel, Levels
+from briardock.mesh.chain import ChainThreshold, InstanceThresholds
 from briardock.mesh.http1 import Request, Response
 from mesh_builders import make_call
 
@@ -55,7 +55,10 @@
 )
 def test_result_survives_the_wire(result: object) -> None:
     load = LoadReport(
-        7, Levels(1.5, {"maps": ChainLevel(2.0, 0.25), "a=b": ChainLevel(1.0, 0)})
+        7,
+        InstanceThresholds(
+            1.5, {"maps": ChainThreshold(2.0, 0.25), "a=b": ChainThreshold(1.0, 0)}
+        ),
     )
     response = encode_result(result, load)  # type: ignore[arg-type]
     assert decode_result(response) == (result, load)
--- a/tests/test_mesh_thresholds.py
+++ b/tests/test_mesh_levels.py
@@ -4,7 +4,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from briardock.mesh.thresholds import (
+from briardock.mesh.levels import (
     CONTROL_PERIOD_S,
     OPEN_THRESHOLD,
     DemandMeter,
@@ -101,7 +101,7 @@
 
 @pytest.mark.parametrize("important_share", [0.2, 0.5])
 @pytest.mark.parametrize("delay_s", [0.45, 0.9])
-def test_threshold_uses_the_remaining_capacity_after_the_loss_of_an_instance(
+def test_level_follows_a_lost_instance_without_waste(
     important_share: float, delay_s: float
 ) -> None:
     """The threshold must not fall a whole priority below the capacity of the remaining
--- a/tests/test_mesh_path.py
+++ b/tests/test_mesh_path.py
@@ -8,8 +8,8 @@
 
 from briardock.exceptions import SettingsError
 from briardock.mesh.http1 import Request, Response
+from briardock.mesh.levels import OPEN_THRESHOLD
 from briardock.mesh.node import Node
-from briardock.mesh.thresholds import OPEN_THRESHOLD
 from briardock.platform._dialect import PlatformDialect
 from briardock.platform._store import PlatformStore
 from mesh_fakes import (
