--- a/src/briardock/mesh/balancer.py
+++ b/src/briardock/mesh/balancer.py
@@ -1,4 +1,4 @@
-"""Choice of the instance for a request, from what this node observed."""
+"""Load balancing over instances, based on what this node observed of them."""
 
 import random
 from dataclasses import dataclass
@@ -6,80 +6,84 @@
 from briardock.mesh.members import MemberTable, NodeRecord
 from briardock.mesh.model import now_s
 
-# Load of the own failure domain above which other domains are compared.
-SPILL_LOAD = 0.6
-# Load that another domain must have less; bytes between domains cost.
-SPILL_MARGIN = 0.05
-# Candidates of which two are drawn at random instead of comparing all.
-COMPARE_ALL_COUNT = 4
-# First and longest time for which an unreachable node gets no requests, s.
-FIRST_EJECTION_S = 0.3
-LONGEST_EJECTION_S = 4.0
-# Time without any response from a node with requests in flight after which it is
-# avoided, at least and as a multiple of its usual response time.
-SILENCE_S = 0.5
-SILENCE_RESPONSE_TIMES = 4.0
-# Load that counts for an instance whose every response is a failure.
-FAILURE_LOAD = 2.0
-# Weight of the newest observation in moving averages.
+# Load of the local failure domain above which other domains are considered.
+SPILLOVER_LOAD = 0.6
+# Load by which another domain must be lower, because traffic between domains has a
+# cost.
+SPILLOVER_MARGIN = 0.05
+# Number of instances above which only two random ones are compared.
+MAX_COMPARED_INSTANCES = 4
+# Shortest and longest ejection of an unreachable node, s.
+MIN_EJECTION_S = 0.3
+MAX_EJECTION_S = 4.0
+# Time without a response after which a node with requests in flight is suspect: the
+# minimum in s, and the multiple of its mean response time.
+MIN_SILENCE_S = 0.5
+SILENCE_RESPONSE_TIME_FACTOR = 4.0
+# Load added to an instance whose responses are all failures.
+FAILURE_LOAD_PENALTY = 2.0
+# Weight of the newest observation in the moving averages.
 AVERAGE_WEIGHT = 0.1
-# Age at which a reported load is no longer used, s.
-REPORT_LIFETIME_S = 2.0
+# Age up to which a reported load is used, s.
+LOAD_REPORT_LIFETIME_S = 2.0
 
 
 @dataclass(slots=True)
 class InstanceStats:
     """Observations of one instance.
 
-    :param outstanding: requests in flight from this node
+    :param in_flight: requests in flight from this node
     :param reported_inflight: requests running and queued there, from all nodes
-    :param reported_outstanding: requests in flight from this node at that time
+    :param in_flight_at_report: requests in flight from this node at the report
     :param reported_s: time of the report
-    :param heard_s: time of the last response, or of the first request in flight
-    :param response_s: moving average of the response time
-    :param failure_ratio: moving average of failed responses
-    :param failures: failures of the link since the last response
-    :param ejected_until_s: time until which it gets no requests
+    :param last_response_s: time of the last response, or of the first request sent
+        since none was in flight
+    :param mean_response_s: moving average of the response time
+    :param failure_ratio: moving average of the share of failed responses
+    :param failures: connection failures since the last response
+    :param ejected_until_s: end of its ejection
     """
 
-    outstanding: int = 0
+    in_flight: int = 0
     reported_inflight: int = 0
-    reported_outstanding: int = 0
+    in_flight_at_report: int = 0
     reported_s: float = 0.0
-    heard_s: float = 0.0
-    response_s: float = 0.1
+    last_response_s: float = 0.0
+    mean_response_s: float = 0.1
     failure_ratio: float = 0.0
     failures: int = 0
     ejected_until_s: float = 0.0
 
     def load(self, slots: int, now: float) -> float:
-        """Return the estimated requests per slot with one more request.
+        """Return the estimated load, in requests per slot, with one more request.
 
         :param slots: slots of the instance
         :param now: current time in s since boot
         """
-        inflight = self.outstanding
-        if now - self.reported_s < REPORT_LIFETIME_S:
-            change = self.outstanding - self.reported_outstanding
-            inflight = max(inflight, self.reported_inflight + change)
-        return (inflight + 1) / max(1, slots) + FAILURE_LOAD * self.failure_ratio
+        total = self.in_flight
+        if now - self.reported_s < LOAD_REPORT_LIFETIME_S:
+            change = self.in_flight - self.in_flight_at_report
+            total = max(total, self.reported_inflight + change)
+        return (total + 1) / max(1, slots) + FAILURE_LOAD_PENALTY * self.failure_ratio
 
-    def suspect(self, now: float) -> bool:
+    def is_suspect(self, now: float) -> bool:
         """Return whether the instance may be unreachable.
 
         :param now: current time in s since boot
         """
         if self.failures:
             return True
-        limit_s = max(SILENCE_S, SILENCE_RESPONSE_TIMES * self.response_s)
-        return self.outstanding > 0 and now - self.heard_s > limit_s
+        limit_s = max(
+            MIN_SILENCE_S, SILENCE_RESPONSE_TIME_FACTOR * self.mean_response_s
+        )
+        return self.in_flight > 0 and now - self.last_response_s > limit_s
 
 
 class Balancer:
-    """Chooses instances and keeps their observations.
+    """Chooses instances and records observations of them.
 
     :param members: records of all nodes
-    :param domain: own failure domain
+    :param domain: local failure domain
     :param rng: random source
     """
 
@@ -88,10 +92,10 @@
         self._domain = domain
         self._rng = rng
         self._stats: dict[str, InstanceStats] = {}
-        # Nodes to which a link failed and that have not answered since.
-        self._in_trouble: set[str] = set()
-        # Instances of the own and of other domains, by service, and the generation
-        # of the records that they were taken from.
+        # Nodes with a connection failure and no response since.
+        self._failing: set[str] = set()
+        # Instances of the local and of other domains by service, and the generation
+        # of the member table that they were read from.
         self._domains: dict[str, tuple[list[NodeRecord], list[NodeRecord]]] = {}
         self._generation = -1
 
@@ -106,101 +110,108 @@
         return found
 
     def choose(
-        self, service: str, excluded: set[str], repeatable: bool
+        self, service: str, excluded: set[str], idempotent: bool
     ) -> NodeRecord | None:
         """Return the instance for a request, or ``None``.
 
         :param service: service of the request
         :param excluded: ids of nodes already tried
-        :param repeatable: whether the request may try a suspect instance
+        :param idempotent: whether the request may probe a failing instance
         """
         now = now_s()
         return (
-            (self._due_probe(service, excluded, now) if repeatable else None)
-            or self._choose_drawn(service, excluded, now)
-            or self._choose_of_all(service, excluded, now)
+            (self._choose_probe(service, excluded, now) if idempotent else None)
+            or self._choose_sampled(service, excluded, now)
+            or self._choose_fallback(service, excluded, now)
         )
 
-    def _due_probe(
+    def _choose_probe(
         self, service: str, excluded: set[str], now: float
     ) -> NodeRecord | None:
-        """Return an instance in trouble that a request may try again, or ``None``."""
-        due = []
-        for node_id in self._in_trouble:
+        """Return a failing instance that a request may probe, or ``None``."""
+        probeable = []
+        for node_id in self._failing:
             record = self._members.get(node_id)
             if record is None or record.service != service or node_id in excluded:
                 continue
             stats = self.stats(node_id)
-            # One request at a time finds out whether the instance is back.
-            waits = stats.ejected_until_s > now or stats.outstanding
-            if record.target_ready and not record.leaving and not waits:
-                due.append(record)
-        return self._rng.choice(due) if due else None
+            # Only one request at a time probes whether the instance has recovered.
+            must_wait = stats.ejected_until_s > now or stats.in_flight
+            if record.target_ready and not record.leaving and not must_wait:
+                probeable.append(record)
+        return self._rng.choice(probeable) if probeable else None
 
-    def _choose_drawn(
+    def _choose_sampled(
         self, service: str, excluded: set[str], now: float
     ) -> NodeRecord | None:
         """Return the better of a few instances, or ``None`` if none is usable.
 
-        Looking at all of them for each request costs more processor time than all
-        else that a node does for it.
+        Comparing all instances for each request takes more processor time than the
+        rest of its handling.
         """
-        local, remote = self._by_domain(service)
-        best_local = self._least_loaded(self._draw(local), excluded, now)
-        if best_local is not None and best_local[0] < SPILL_LOAD:
+        local, remote = self._candidates_by_domain(service)
+        best_local = self._least_loaded(self._sample(local), excluded, now)
+        if best_local is not None and best_local[0] < SPILLOVER_LOAD:
             return best_local[1]
-        best_remote = self._least_loaded(self._draw(remote), excluded, now)
+        best_remote = self._least_loaded(self._sample(remote), excluded, now)
         if best_local is None:
-            # Others of the own domain go before those of another one.
+            # Other instances of the local domain are preferred to remote ones.
             return best_remote[1] if best_remote and not local else None
-        if best_remote is None or best_remote[0] + SPILL_MARGIN >= best_local[0]:
+        if best_remote is None or best_remote[0] + SPILLOVER_MARGIN >= best_local[0]:
             return best_local[1]
         return best_remote[1]
 
-    def _by_domain(self, service: str) -> tuple[list[NodeRecord], list[NodeRecord]]:
-        """Return the instances of the own and of other domains."""
+    def _candidates_by_domain(
+        self, service: str
+    ) -> tuple[list[NodeRecord], list[NodeRecord]]:
+        """Return the instances of the local domain and those of other domains."""
         if self._generation != self._members.generation:
             self._generation = self._members.generation
             self._domains.clear()
         found = self._domains.get(service)
         if found is None:
             found = ([], [])
-            own_id = self._members.own.node_id
+            local_id = self._members.own.node_id
             for record in self._members.candidates(service):
-                # This node's own callers may use its target until it ends.
-                if not record.leaving or record.node_id == own_id:
+                # Callers of a leaving node may use its local target until it stops.
+                if not record.leaving or record.node_id == local_id:
                     found[record.domain != self._domain].append(record)
             self._domains[service] = found
         return found
 
-    def _draw(self, records: list[NodeRecord]) -> list[NodeRecord]:
-        """Return the records to compare."""
+    def _sample(self, records: list[NodeRecord]) -> list[NodeRecord]:
+        """Return all records if they are few, or else two random ones."""
         count = len(records)
-        if count <= COMPARE_ALL_COUNT:
+        if count <= MAX_COMPARED_INSTANCES:
             return records
-        first = int(self._rng.random() * count)
-        second = int(self._rng.random() * (count - 1))
-        return [records[first], records[second + (second >= first)]]
-
-    def _choose_of_all(
+        first_index = int(self._rng.random() * count)
+        second_index = int(self._rng.random() * (count - 1))
+        return [
+            records[first_index],
+            records[second_index + (second_index >= first_index)],
+        ]
+
+    def _choose_fallback(
         self, service: str, excluded: set[str], now: float
     ) -> NodeRecord | None:
-        """Return the best of all instances, suspect and leaving ones at last."""
-        ranked: tuple[list[NodeRecord], ...] = ([], [], [], [])
+        """Return the best of all instances, with leaving and suspect ones last."""
+        by_preference: tuple[list[NodeRecord], ...] = ([], [], [], [])
         for record in self._members.candidates(service):
             stats = self.stats(record.node_id)
             if record.node_id in excluded or stats.ejected_until_s > now:
                 continue
             if record.leaving and record.node_id != self._members.own.node_id:
-                # A node that is ending still finishes what it takes.
-                rank = 2
-            elif stats.suspect(now):
-                rank = 3
+                # A leaving node still completes the requests that it accepts.
+                preference = 2
+            elif stats.is_suspect(now):
+                preference = 3
             else:
-                rank = int(record.domain != self._domain)
-            ranked[rank].append(record)
-        for records in ranked:
-            found = self._least_loaded(self._draw(records), set(), now, suspects=True)
+                preference = int(record.domain != self._domain)
+            by_preference[preference].append(record)
+        for records in by_preference:
+            found = self._least_loaded(
+                self._sample(records), set(), now, include_suspects=True
+            )
             if found is not None:
                 return found[1]
         return None
@@ -210,71 +221,74 @@
         records: list[NodeRecord],
         excluded: set[str],
         now: float,
-        suspects: bool = False,
+        include_suspects: bool = False,
     ) -> tuple[float, NodeRecord] | None:
         best: tuple[float, NodeRecord] | None = None
         for record in records:
             if record.node_id in excluded:
                 continue
             stats = self.stats(record.node_id)
-            if not suspects and stats.suspect(now):
+            if not include_suspects and stats.is_suspect(now):
                 continue
             load = stats.load(record.slots, now)
             if best is None or load < best[0]:
                 best = (load, record)
         return best
 
-    def begin(self, node_id: str) -> None:
-        """Count a request in flight.
+    def record_start(self, node_id: str) -> None:
+        """Count a request as in flight.
 
         :param node_id: node that it is sent to
         """
         stats = self.stats(node_id)
-        if not stats.outstanding:
-            stats.heard_s = now_s()
-        stats.outstanding += 1
+        if not stats.in_flight:
+            stats.last_response_s = now_s()
+        stats.in_flight += 1
 
-    def end(self, node_id: str) -> None:
-        """Count a request no longer in flight.
+    def record_end(self, node_id: str) -> None:
+        """Count a request as no longer in flight.
 
         :param node_id: node that it was sent to
         """
-        self.stats(node_id).outstanding -= 1
+        self.stats(node_id).in_flight -= 1
 
     def record_response(
-        self, node_id: str, took_s: float, inflight: int, failed: bool
+        self, node_id: str, response_time_s: float, inflight: int, failed: bool
     ) -> None:
-        """Take the observation of a response.
+        """Record the observations of a response.
 
-        :param node_id: node that answered
-        :param took_s: response time
+        :param node_id: node that responded
+        :param response_time_s: response time
         :param inflight: requests running and queued at its target
-        :param failed: whether the target answered with a failure
+        :param failed: whether the request failed
         """
         stats = self.stats(node_id)
-        stats.heard_s = stats.reported_s = now_s()
+        stats.last_response_s = stats.reported_s = now_s()
         if stats.failures:
-            self._in_trouble.discard(node_id)
+            self._failing.discard(node_id)
             stats.failures = 0
             stats.ejected_until_s = 0.0
         stats.reported_inflight = inflight
-        stats.reported_outstanding = stats.outstanding
-        stats.response_s += AVERAGE_WEIGHT * (took_s - stats.response_s)
+        stats.in_flight_at_report = stats.in_flight
+        stats.mean_response_s += AVERAGE_WEIGHT * (
+            response_time_s - stats.mean_response_s
+        )
         stats.failure_ratio += AVERAGE_WEIGHT * (failed - stats.failure_ratio)
 
     def record_lost_connection(self, node_id: str) -> None:
-        """Suspect an instance until it answers on another connection.
+        """Suspect an instance until it responds on another connection.
 
         :param node_id: node to which an established connection was lost
         """
         stats = self.stats(node_id)
         stats.failures = max(1, stats.failures)
-        self._in_trouble.add(node_id)
+        self._failing.add(node_id)
 
     def record_unreachable(self, node_id: str) -> float:
-        """Eject an instance that accepts no connection; return for how long, s.
+        """Eject an instance that accepts no connection; return the duration in s.
 
-        Attempts that fail during an ejection belong to the same failure.
+        Attempts that fail during an ejection belong to the same failure and do not
+        extend it.
 
         :param node_id: node that could not be reached
         """
@@ -282,22 +296,22 @@
         if stats.ejected_until_s > now_s():
             return 0.0
         stats.failures += 1
-        self._in_trouble.add(node_id)
-        doubled = FIRST_EJECTION_S * 2 ** min(stats.failures - 1, 8)
-        duration_s = min(LONGEST_EJECTION_S, doubled)
+        self._failing.add(node_id)
+        backoff_s = MIN_EJECTION_S * 2 ** min(stats.failures - 1, 8)
+        duration_s = min(MAX_EJECTION_S, backoff_s)
         stats.ejected_until_s = now_s() + duration_s
         return duration_s
 
     def reinstate(self, node_id: str) -> None:
-        """Forget failures of a node that announced itself anew.
+        """Clear the failures of a node that was restarted.
 
-        Requests to its former process are still in flight and end later.
+        Requests to its previous process are still counted as in flight.
 
-        :param node_id: name of the machine
+        :param node_id: id of the node
         """
-        former = self._stats.pop(node_id, None)
-        self._in_trouble.discard(node_id)
-        if former is not None:
+        previous = self._stats.pop(node_id, None)
+        self._failing.discard(node_id)
+        if previous is not None:
             self._stats[node_id] = InstanceStats(
-                outstanding=former.outstanding, heard_s=now_s()
+                in_flight=previous.in_flight, last_response_s=now_s()
             )
--- a/src/briardock/mesh/forwarder.py
+++ b/src/briardock/mesh/forwarder.py
@@ -355,7 +355,7 @@
             expires_s=attempt.expires_s,
         )
         started_s = now_s()
-        self._balancer.begin(record.node_id)
+        self._balancer.record_start(record.node_id)
         try:
             if record.node_id == self.settings.node_id:
                 result = await self._target.run(call)
@@ -364,7 +364,7 @@
             else:
                 result, load = await self._send_to_peer(call, record)
         finally:
-            self._balancer.end(record.node_id)
+            self._balancer.record_end(record.node_id)
         if load is not None:
             failed = not isinstance(result, Completed) or result.response.status >= 500
             took_s = now_s() - started_s
--- a/tests/test_mesh_balancer.py
+++ b/tests/test_mesh_balancer.py
@@ -1,4 +1,4 @@
-"""Choice of the instance."""
+"""Load balancing over instances."""
 
 import random
 
@@ -10,8 +10,8 @@
 from mesh_builders import Time, record
 
 
-def choose(balancer: Balancer, repeatable: bool = True) -> str | None:
-    found = balancer.choose("jobs", set(), repeatable)
+def choose(balancer: Balancer, idempotent: bool = True) -> str | None:
+    found = balancer.choose("jobs", set(), idempotent)
     return found.node_id if found else None
 
 
@@ -22,53 +22,53 @@
     return Balancer(members, "d1", random.Random(1))
 
 
-def test_own_domain_is_preferred_until_it_is_loaded(clock: Time) -> None:
+def test_local_domain_is_preferred_until_it_is_loaded(clock: Time) -> None:
     balancer = make_balancer(record("near"), record("faraway", domain="d2"))
     assert choose(balancer) == "near"
     balancer.record_response("near", 0.01, inflight=8, failed=False)
     assert choose(balancer) == "faraway"
 
 
-def test_unreachable_instance_is_avoided_then_tried_by_a_repeatable_request(
+def test_unreachable_instance_is_ejected_then_probed_by_an_idempotent_request(
     clock: Time,
 ) -> None:
     balancer = make_balancer(record("near"), record("other"))
     balancer.record_unreachable("near")
     assert choose(balancer) == "other"
     clock.now += 0.4
-    assert choose(balancer, repeatable=False) == "other"
+    assert choose(balancer, idempotent=False) == "other"
     assert choose(balancer) == "near"
     balancer.record_response("near", 0.01, 0, failed=False)
-    assert not balancer.stats("near").suspect(clock.now)
+    assert not balancer.stats("near").is_suspect(clock.now)
 
 
 def test_lost_connections_do_not_eject_an_instance_that_accepts_new_ones(
     clock: Time,
 ) -> None:
-    """Many connections reset at once used to eject a healthy node for 4 s."""
+    """Many connections reset at once must not eject a healthy node (for up to 4 s)."""
     balancer = make_balancer(record("near"), record("other"))
     for _ in range(10):
         balancer.record_lost_connection("near")
     assert choose(balancer) == "near"
     balancer.record_response("near", 0.01, 0, failed=False)
-    assert not balancer.stats("near").suspect(clock.now)
+    assert not balancer.stats("near").is_suspect(clock.now)
 
 
 def test_failures_at_one_moment_count_once(clock: Time) -> None:
     balancer = make_balancer(record("near"), record("other"))
     durations = [balancer.record_unreachable("near") for _ in range(6)]
-    assert durations == [balancing.FIRST_EJECTION_S, 0, 0, 0, 0, 0]
+    assert durations == [balancing.MIN_EJECTION_S, 0, 0, 0, 0, 0]
 
 
 def test_silent_instance_is_suspect(clock: Time) -> None:
-    """A partitioned node answers nothing; waiting for a timeout takes too long."""
+    """A partitioned node sends no responses; waiting for a timeout takes too long."""
     balancer = make_balancer(record("near"), record("other"))
-    balancer.begin("near")
+    balancer.record_start("near")
     clock.now += 0.6
     assert choose(balancer) == "other"
 
 
-def test_failing_instance_gets_less(clock: Time) -> None:
+def test_failing_instance_gets_fewer_requests(clock: Time) -> None:
     balancer = make_balancer(record("near"), record("other"))
     for _ in range(10):
         balancer.record_response("near", 0.001, 0, failed=True)
@@ -76,48 +76,50 @@
 
 
 def test_leaving_node_serves_others_only_if_it_is_the_last(clock: Time) -> None:
-    """A service was gone while the node beside its last instance was restarted."""
+    """Otherwise a service is unavailable while the node beside its last instance
+    restarts.
+    """
     balancer = make_balancer(record("near", leaving=True), record("other"))
     assert choose(balancer) == "other"
     balancer.record_unreachable("other")
-    assert choose(balancer, repeatable=False) == "near"
+    assert choose(balancer, idempotent=False) == "near"
 
 
-def test_leaving_node_serves_its_own_callers(clock: Time) -> None:
+def test_leaving_node_serves_its_local_callers(clock: Time) -> None:
     members = MemberTable(record("own"))
     members.update_own(leaving=True)
     members.merge(record("other", domain="d2"))
     assert choose(Balancer(members, "d1", random.Random(1))) == "own"
 
 
-def test_choice_among_many_instances_looks_at_a_few(
+def test_choice_among_many_instances_compares_a_few(
     clock: Time, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """With 30 instances a choice took most of the processor time of a request."""
+    """Comparing all of 30 instances takes most of the processor time of a request."""
     records = [record(f"n{i}", address=f"10.0.1.{i}:1") for i in range(30)]
     balancer = make_balancer(*records)
     for name in ("n3", "n4"):
         balancer.record_unreachable(name)
-    looked_at: list[str] = []
+    looked_up: list[str] = []
     stats = balancer.stats
 
     def count(node_id: str) -> InstanceStats:
-        looked_at.append(node_id)
+        looked_up.append(node_id)
         return stats(node_id)
 
     monkeypatch.setattr(balancer, "stats", count)
     chosen = {choose(balancer) for _ in range(300)}
-    assert len(looked_at) < 300 * 6
+    assert len(looked_up) < 300 * 6
     assert chosen >= {r.node_id for r in records} - {"n3", "n4"}
     assert not chosen & {"n3", "n4"}
 
 
-def test_restart_of_a_node_keeps_count_of_requests_in_flight(clock: Time) -> None:
-    """The count fell below zero, and a node that was lost again was never tried."""
+def test_restart_of_a_node_keeps_the_count_of_requests_in_flight(clock: Time) -> None:
+    """If the count falls below zero, a node that fails again is never probed."""
     balancer = make_balancer(record("near"), record("other"))
-    balancer.begin("near")
+    balancer.record_start("near")
     balancer.reinstate("near")
-    balancer.end("near")
+    balancer.record_end("near")
     balancer.record_unreachable("near")
     clock.now += 0.4
     assert choose(balancer) == "near"
