--- a/src/briardock/mesh/balancer.py
+++ b/src/briardock/mesh/balancer.py
@@ -303,7 +303,7 @@
         return duration_s
 
     def reinstate(self, node_id: str) -> None:
-        """Clear the failures of a node that was restarted.
+        """Clear the failures of a node that has joined again.
 
         Requests to its previous process are still counted as in flight.
 
--- a/src/briardock/mesh/calls.py
+++ b/src/briardock/mesh/calls.py
@@ -51,7 +51,7 @@
     expires_s: float
 
     @property
-    def rank(self) -> int:
+    def queue_order(self) -> int:
         """Order in the queue of the target, 0 first.
 
         At one priority callers' requests go first: a call of that priority may
--- a/src/briardock/mesh/forwarder.py
+++ b/src/briardock/mesh/forwarder.py
@@ -1,4 +1,4 @@
-"""Requests of callers and of the own target: admission, routing, repeats, result."""
+"""Forwarding of requests: admission, routing, retries and the final response."""
 
 import asyncio
 import random
@@ -31,21 +31,23 @@
 from briardock.mesh.target import Target
 from briardock.mesh.telemetry import Telemetry
 
-# Instances that may turn a request away unseen before it is given up.
+# Largest number of instances tried for one request, including those that it never
+# reached.
 MAX_REROUTES = 6
-# Time that a caller without a deadline is given, s.
+# Deadline of a request whose caller names none, s.
 DEFAULT_DEADLINE_S = 30.0
-# Time after which a caller may come back while the node knows no configuration, s.
+# Retry-after time while the node has no configuration, s.
 STARTING_RETRY_AFTER_S = 0.5
-# Range, as parts of the objective, in which refused callers are asked back.
-RETRY_AFTER_PARTS = (0.4, 0.9)
-# Time for which the levels along the chain of the own target are told again, s; a
-# node answers up to thousands of calls a second.
-CHAIN_REFRESH_S = 0.02
-# Period at which a call of the own target looks for an instance again, s, and the
-# part of its remaining time for which it does so.
-RETRY_SEARCH_PERIOD_S = 0.05
-RETRY_SEARCH_PART = 0.3
+# Range of the random retry-after time of refused requests, as a share of the route's
+# latency objective.
+RETRY_AFTER_RANGE = (0.4, 0.9)
+# Time for which the thresholds along the chain of the local target are cached, s; a
+# node responds to up to thousands of calls a second.
+CHAIN_CACHE_S = 0.02
+# Period at which a call of the local target looks for an instance again, s, and the
+# share of its remaining time for which it does so.
+INSTANCE_SEARCH_PERIOD_S = 0.05
+INSTANCE_SEARCH_SHARE = 0.3
 
 
 @dataclass(slots=True)
@@ -55,9 +57,9 @@
     :param head: decoded headers
     :param route: its route
     :param service: service chosen for it
-    :param expires_s: time of the final response at the latest
-    :param from_target: whether the own target may have sent it
-    :param arrivals: targets that received it
+    :param expires_s: latest time of the final response
+    :param from_target: whether the local target may have sent it
+    :param arrivals: number of targets that received it
     :param may_have_run: whether one of them may have run it
     """
 
@@ -71,18 +73,18 @@
 
 
 class Forwarder:
-    """Answers requests on the address for callers.
+    """Handles requests on the address for callers and the local target.
 
     :param settings: settings of the node
     :param dialect: headers of the platform
     :param members: records of all nodes
-    :param balancer: choice of instances
+    :param balancer: chooses instances
     :param target: target beside the node
     :param peers: connections to other nodes
-    :param levels: admission levels learned from responses
-    :param entries: tells requests of callers from calls of the own target
-    :param log: decisions
-    :param telemetry: counters
+    :param thresholds: admission thresholds learned from responses
+    :param entries: distinguishes callers' requests from calls of the local target
+    :param log: decision log
+    :param telemetry: metrics
     :param rng: random source
     """
 
@@ -94,7 +96,7 @@
         balancer: Balancer,
         target: Target,
         peers: ConnectionPool,
-        levels: LearnedThresholds,
+        thresholds: LearnedThresholds,
         entries: EntryRoutes,
         log: DecisionLog,
         telemetry: Telemetry,
@@ -108,52 +110,52 @@
         self._balancer = balancer
         self._target = target
         self._peers = peers
-        self._levels = levels
+        self._learned_thresholds = thresholds
         self._entries = entries
         self._log = log
         self._telemetry = telemetry
         self._rng = rng
-        self._demand: dict[tuple[str, int], DemandMeter] = {}
+        self._demand_meters: dict[tuple[str, int], DemandMeter] = {}
         self._budgets: dict[str, RetryBudget] = {}
         self._chain: dict[str, ChainThreshold] = {}
-        self._chain_at_s = 0.0
+        self._chain_updated_s = 0.0
 
     @cached_property
     def _loop(self) -> asyncio.AbstractEventLoop:
-        """Running loop, which takes a system call to find."""
+        """Running event loop, cached because its lookup makes a system call."""
         return asyncio.get_running_loop()
 
     @property
-    def highest_level(self) -> float:
-        """Level above the priorities of all routes."""
+    def max_threshold(self) -> float:
+        """Threshold above the priorities of all routes."""
         return float(self.routes.priority_count) if self.routes else 1.0
 
-    def levels(self, from_caller: bool) -> InstanceThresholds:
-        """Return the levels of the own target and of what it calls.
+    def thresholds(self, from_caller: bool) -> InstanceThresholds:
+        """Return the thresholds of the local target and of its callees.
 
-        :param from_caller: whether it is for callers' requests or for calls
+        :param from_caller: whether they are for callers' requests or for calls
         """
         now = now_s()
-        if now - self._chain_at_s > CHAIN_REFRESH_S:
-            self._chain_at_s = now
-            self._chain = self._levels.along_chain(
-                self.called.names, self.settings.service, self.highest_level
+        if now - self._chain_updated_s > CHAIN_CACHE_S:
+            self._chain_updated_s = now
+            self._chain = self._learned_thresholds.along_chain(
+                self.called.names, self.settings.service, self.max_threshold
             )
-        return InstanceThresholds(self._target.level(from_caller), self._chain)
+        return InstanceThresholds(self._target.threshold(from_caller), self._chain)
 
     def update_rates(self, runs: int) -> None:
-        """Move the rates of demand and of the own target's calls.
+        """Update the rates of demand and of the local target's calls.
 
-        :param runs: requests that came for the own target in the control period
+        :param runs: requests that arrived for the local target in the control period
         """
         self.called.update(runs)
-        for meter in self._demand.values():
+        for meter in self._demand_meters.values():
             meter.update()
 
     async def handle(self, request: Request) -> Response:
         """Return the response to a request.
 
-        :param request: request of a caller or of the own target
+        :param request: request of a caller or of the local target
         """
         head = self._dialect.decode_request(request)
         if self.routes is None:
@@ -168,12 +170,12 @@
             )
             return Response(404)
         deadline_s = DEFAULT_DEADLINE_S if head.deadline_s is None else head.deadline_s
-        limit_s = min(deadline_s, route.timeout_s)
+        timeout_limit_s = min(deadline_s, route.timeout_s)
         attempt = Attempt(
             head,
             route,
             self.routes.pick_service(route),
-            request.received_s + limit_s,
+            request.received_s + timeout_limit_s,
             not self._entries.observe(route, self.routes.longest_timeout_s),
         )
         response = await self._forward(request, attempt)
@@ -188,7 +190,7 @@
             with Deadline(self._loop, attempt.expires_s):
                 result = await self._try_instances(request, attempt)
         except TimeoutError:
-            return self._finish(attempt, 504, "timeout")
+            return self._fail_request(attempt, 504, "timeout")
         match result:
             case Completed(response):
                 self._telemetry.completed.inc()
@@ -196,20 +198,22 @@
             case NotRun(reason) if not attempt.may_have_run:
                 return self._refuse(attempt.head, reason, self._retry_after_s(attempt))
             case NotRun(reason) | Unknown(reason):
-                return self._finish(attempt, 502, reason)
+                return self._fail_request(attempt, 502, reason)
 
     def _admit(self, attempt: Attempt) -> Response | None:
-        """Refuse a caller's request that its chain has no room for."""
+        """Return a refusal if the chain lacks headroom for a caller's request."""
         if attempt.from_target:
             self.called.record_call(attempt.service)
             return None
-        limit = self._limit(attempt.service)
+        threshold = self._service_threshold(attempt.service)
         priority = attempt.route.priority
         key = (attempt.service, priority)
-        meter = self._demand.get(key) or self._demand.setdefault(key, DemandMeter())
+        meter = self._demand_meters.get(key) or self._demand_meters.setdefault(
+            key, DemandMeter()
+        )
         meter.record()
         baseline_ratio = meter.baseline_ratio
-        if admits(priority, attempt.head.request_id, limit, baseline_ratio):
+        if admits(priority, attempt.head.request_id, threshold, baseline_ratio):
             return None
         self._log.event(
             "refused-overload",
@@ -217,26 +221,26 @@
             route=attempt.route.name,
             service=attempt.service,
             priority=priority,
-            level=round(limit, 3),
+            level=round(threshold, 3),
             usual_share=round(baseline_ratio, 2),
         )
         self._telemetry.requests.labels("refused-overload").inc()
         headers = self._dialect.refusal_headers(self._retry_after_s(attempt))
         return Response(503, headers)
 
-    def _limit(self, service: str) -> float:
-        return self._levels.of_service(service, self.highest_level)
+    def _service_threshold(self, service: str) -> float:
+        return self._learned_thresholds.of_service(service, self.max_threshold)
 
     def _retry_after_s(self, attempt: Attempt) -> float:
-        part = self._rng.uniform(*RETRY_AFTER_PARTS)
-        return part * attempt.route.objective_s
+        share = self._rng.uniform(*RETRY_AFTER_RANGE)
+        return share * attempt.route.objective_s
 
     def _refuse(self, head: RequestHead, reason: str, retry_after_s: float) -> Response:
         self._log.event("refused", id=head.request_id.decode("latin-1"), reason=reason)
         self._telemetry.requests.labels("refused").inc()
         return Response(503, self._dialect.refusal_headers(retry_after_s))
 
-    def _finish(self, attempt: Attempt, status: int, reason: str) -> Response:
+    def _fail_request(self, attempt: Attempt, status: int, reason: str) -> Response:
         self._log.event(
             "failed",
             id=attempt.head.request_id.decode("latin-1"),
@@ -253,43 +257,45 @@
         budget = self._budget(attempt.service)
         budget.record_request()
         excluded: set[str] = set()
-        answer: Completed | None = None
+        target_response: Completed | None = None
         result: Result = NotRun("no instance")
         for _ in range(MAX_REROUTES):
-            record = await self._choose(attempt, excluded)
+            record = await self._choose_instance(attempt, excluded)
             if record is None:
                 break
             excluded.add(record.node_id)
             result = await self._send(request, attempt, record)
             if isinstance(result, Completed):
-                answer = result
-            if not self._may_repeat(attempt, result, record, budget):
+                target_response = result
+            if not self._should_retry(attempt, result, record, budget):
                 break
-        # A failure that a target answered with is delivered if no repeat completed.
-        return answer or result
+        # A failed response of a target is passed on if no retry completed.
+        return target_response or result
 
-    async def _choose(self, attempt: Attempt, excluded: set[str]) -> NodeRecord | None:
-        """Return an instance; a call of the own target waits for one for a while."""
+    async def _choose_instance(
+        self, attempt: Attempt, excluded: set[str]
+    ) -> NodeRecord | None:
+        """Return an instance; a call of the local target waits a while for one."""
         idempotent = attempt.route.idempotent
         choose = self._balancer.choose
         record = choose(attempt.service, excluded, idempotent)
         if record is not None or not attempt.from_target:
             return record
         now = now_s()
-        until_s = now + RETRY_SEARCH_PART * (attempt.expires_s - now)
+        until_s = now + INSTANCE_SEARCH_SHARE * (attempt.expires_s - now)
         while record is None and now_s() < until_s:
-            await asyncio.sleep(RETRY_SEARCH_PERIOD_S)
+            await asyncio.sleep(INSTANCE_SEARCH_PERIOD_S)
             record = choose(attempt.service, set(), idempotent)
         return record
 
-    def _may_repeat(
+    def _should_retry(
         self, attempt: Attempt, result: Result, record: NodeRecord, budget: RetryBudget
     ) -> bool:
-        """Return whether another instance is tried after a result."""
+        """Return whether to retry on another instance after a result."""
         overloaded = False
         match result:
             case NotRun(reason, False):
-                self._log_repeat(attempt, record, reason, True)
+                self._log_retry(attempt, record, reason, True)
                 return True
             case Completed(response) if response.status < 500:
                 attempt.arrivals += 1
@@ -297,9 +303,9 @@
             case Completed(response):
                 reason = f"status {response.status}"
                 attempt.may_have_run = True
-                # Under overload a failure comes from the chain below, and running
-                # the request again adds to it.
-                overloaded = self._limit(attempt.service) < OPEN_THRESHOLD
+                # Under overload the failure is caused further along the chain, and a
+                # retry would add load there.
+                overloaded = self._service_threshold(attempt.service) < OPEN_THRESHOLD
             case NotRun(reason, True):
                 pass
             case Unknown(reason):
@@ -311,10 +317,10 @@
             and attempt.arrivals < attempt.route.max_attempts
             and budget.spend(self._members.count)
         )
-        self._log_repeat(attempt, record, reason, allowed)
+        self._log_retry(attempt, record, reason, allowed)
         return allowed
 
-    def _log_repeat(
+    def _log_retry(
         self, attempt: Attempt, record: NodeRecord, reason: str, allowed: bool
     ) -> None:
         self._log.event(
@@ -359,24 +365,28 @@
         try:
             if record.node_id == self.settings.node_id:
                 result = await self._target.run(call)
-                levels = self.levels(call.from_caller)
-                load: LoadReport | None = LoadReport(self._target.inflight, levels)
+                thresholds = self.thresholds(call.from_caller)
+                load: LoadReport | None = LoadReport(self._target.inflight, thresholds)
             else:
                 result, load = await self._send_to_peer(call, record)
         finally:
             self._balancer.record_end(record.node_id)
         if load is not None:
             failed = not isinstance(result, Completed) or result.response.status >= 500
-            took_s = now_s() - started_s
-            node_id, highest = record.node_id, self.highest_level
-            self._balancer.record_response(node_id, took_s, load.inflight, failed)
-            self._levels.learn(attempt.service, node_id, load.thresholds, highest)
+            response_time_s = now_s() - started_s
+            node_id, threshold_limit = record.node_id, self.max_threshold
+            self._balancer.record_response(
+                node_id, response_time_s, load.inflight, failed
+            )
+            self._learned_thresholds.learn(
+                attempt.service, node_id, load.thresholds, threshold_limit
+            )
         return result
 
     async def _send_to_peer(
         self, call: Call, record: NodeRecord
     ) -> tuple[Result, LoadReport | None]:
-        """Return the result and the load, if the other node told it."""
+        """Return the result, and the load if the other node reported it."""
         connection = await self._peers.acquire(record.address)
         if isinstance(connection, ExchangeFailure):
             self._eject(record, connection.reason)
--- a/src/briardock/mesh/node.py
+++ b/src/briardock/mesh/node.py
@@ -214,7 +214,7 @@
         finally:
             self._calls -= 1
         self.telemetry.target_latency.observe(now_s() - started_s)
-        levels = self.forwarder.levels(call.from_caller)
+        levels = self.forwarder.thresholds(call.from_caller)
         return encode_result(result, LoadReport(self.target.inflight, levels))
 
     async def _handle_ready(self, request: Request) -> Response:
@@ -231,7 +231,7 @@
                 self.target.leave(news.target_id, news.born_ms)
                 await self._store_departure(news.target_id)
             case Announcement():
-                if not self.target.concerns(news):
+                if not self.target.matches(news):
                     self.log.event(
                         "announcement-refused",
                         reason="another service or address",
@@ -254,7 +254,7 @@
 
     async def _handle_metrics(self, request: Request) -> Response:
         self.telemetry.queued.set(self.target.queued)
-        self.telemetry.level.set(self.target.level(False))
+        self.telemetry.level.set(self.target.threshold(False))
         return Response(
             200, [(b"content-type", b"text/plain")], self.telemetry.render()
         )
@@ -266,15 +266,15 @@
             await asyncio.sleep(CONTROL_PERIOD_S)
             if self.forwarder.routes is None:
                 continue
-            before = self.target.level(False)
-            usage = self.target.update_levels(self.forwarder.highest_level)
+            before = self.target.threshold(False)
+            usage = self.target.update_thresholds(self.forwarder.max_threshold)
             self.forwarder.update_rates(usage.arrivals)
-            if self.target.level(False) < before:
+            if self.target.threshold(False) < before:
                 self.log.event(
                     "level-lowered",
                     arrivals_per_s=round(usage.arrivals / usage.elapsed_s),
                     capacity_per_s=round(usage.capacity_per_s),
-                    level=round(self.target.level(False), 3),
+                    level=round(self.target.threshold(False), 3),
                     running=self.target.running,
                     queued=self.target.queued,
                 )
@@ -359,7 +359,7 @@
         needs_restart = sorted(set(changed) - set(applied))
         self.log.event("reloaded", applied=applied, needs_restart=needs_restart)
         if "service" in applied or "target_address" in applied:
-            self.target.move(self.settings.target_address, self.settings.service)
+            self.target.reconfigure(self.settings.target_address, self.settings.service)
             self.members.update_own(service=self.settings.service)
             self.spread.own_changed()
 
--- a/src/briardock/mesh/target.py
+++ b/src/briardock/mesh/target.py
@@ -1,7 +1,7 @@
 """The target beside the node: its state, its slots and the queue for them.
 
-Only this node sends requests to the target, so its own count of running requests
-is exact and no health probes are needed.
+Only this node sends requests to the target, so its local count of running requests
+is exact and no health checks are needed.
 """
 
 import asyncio
@@ -22,46 +22,45 @@
 from briardock.mesh.model import Announcement, TargetState, now_s
 from briardock.mesh.pool import ConnectionPool
 
-# Share of the slots that is used; targets may slow down when nearly full.
-SLOT_SHARE = 0.95
-# Time beyond the remaining time of a call for which the target's own answer at
-# its deadline is awaited, s.
+# Share of the slots that is used; a target may slow down when nearly all are busy.
+USABLE_SLOT_SHARE = 0.95
+# Time after the deadline of a call for which the node waits for the response that the
+# target sends at the deadline, s.
 DEADLINE_ALLOWANCE_S = 0.02
-# Idle time beyond which a connection is not reused for a request that must not be
-# repeated: the target may have closed it without the close having been seen. Some
-# targets drop idle connections after 0.3 s.
-MAX_IDLE_ONCE_S = 0.25
-# Longest time from a request to the reset of a connection that the target no longer
-# knew, s; a reset after that ends a run.
-STALE_RESET_S = 0.02
-
-# Time that a refusal needs to reach the node at which the request entered, s.
+# Idle time above which a connection is not reused for a non-idempotent request, s: the
+# target may have closed it already. Some targets close idle connections after 0.3 s.
+MAX_IDLE_NON_IDEMPOTENT_S = 0.25
+# Longest time from sending a request to the reset of a stale connection, s. A later
+# reset interrupts a request that was running.
+STALE_CONNECTION_RESET_S = 0.02
+
+# Time in which a refusal reaches the node at which the request entered, s.
 REFUSAL_TRANSIT_S = 0.015
-# Largest part of the remaining time of a call that is kept for its run.
-MAX_RUN_SHARE = 0.5
+# Largest share of the remaining time of a call that is reserved for its service time.
+MAX_SERVICE_TIME_SHARE = 0.5
 
-# Time of a request at the target before one was measured, and the weight of the
-# newest one in the moving average.
-FIRST_RUN_S = 0.02
-RUN_AVERAGE_WEIGHT = 0.02
+# Assumed service time before the first request, s, and the weight of the newest request
+# in the moving average.
+INITIAL_SERVICE_TIME_S = 0.02
+SERVICE_TIME_WEIGHT = 0.02
 
 
-class _Waiting(NamedTuple):
-    """A queued call; the fields before the last one are its place in the queue.
+class _QueuedCall(NamedTuple):
+    """A queued call; all fields but the last determine its position in the queue.
 
-    A call expires with its parent, so at one rank the calls of the oldest request go
-    first. In order of arrival each call of a chain would wait behind newer requests
-    again, and under a backlog all chains would fail instead of the newest ones.
+    A call expires with its parent, so at equal order the calls of the oldest request go
+    first. In order of arrival, each call of a chain would again wait behind newer
+    requests, and under a backlog all chains would fail instead of the newest ones.
 
-    :param rank: order of its priority and sender
+    :param queue_order: order by priority and sender
     :param expires_s: time at which its result is no longer wanted
-    :param number: order of arrival
-    :param slot: set to whether it has got a slot
+    :param arrival_number: order of arrival
+    :param slot: resolves to whether the call was granted a slot
     """
 
-    rank: int
+    queue_order: int
     expires_s: float
-    number: int
+    arrival_number: int
     slot: asyncio.Future[bool]
 
 
@@ -72,9 +71,9 @@
     :param service: service that it has to belong to
     :param pool: connections to it
     :param dialect: encodes requests and decodes responses
-    :param log: decisions
-    :param crashes: requests that crash targets
-    :param on_change: called after a change of id or state
+    :param log: decision log
+    :param crashes: requests suspected of crashing targets
+    :param on_change: called after a change of id, start, slots or state
     """
 
     def __init__(
@@ -96,43 +95,43 @@
         self.running = 0
         self.queued = 0
         self._sequence = -1
-        # Id and latest start of a target that left before it was known here.
+        # Id and latest start of a target that departed before it was known here.
         self._departed: tuple[str, int] | None = None
         self._pool = pool
         self._dialect = dialect
         self._log = log
         self._crashes = crashes
         self._on_change = on_change
-        # Heap of queued calls; those that were given up stay until the next period.
-        self._queue: list[_Waiting] = []
-        self._numbers = itertools.count()
-        # Queued calls that were given a slot and have not resumed yet.
-        self._waking = 0
+        # Heap of queued calls. Abandoned ones stay in it until the next control period.
+        self._queue: list[_QueuedCall] = []
+        self._arrival_numbers = itertools.count()
+        # Number of queued calls that were granted a slot but have not resumed yet.
+        self._granted = 0
         self._arrivals = 0
         self._caller_arrivals = 0
-        self._level = TargetThreshold()
-        self._caller_level = TargetThreshold()
-        self._run_s = FIRST_RUN_S
-        self._changed_s = self._usage_read_s = now_s()
+        self._threshold = TargetThreshold()
+        self._caller_threshold = TargetThreshold()
+        self._service_time_s = INITIAL_SERVICE_TIME_S
+        self._counts_changed_s = self._usage_updated_s = now_s()
         self._tasks: set[asyncio.Task[Result]] = set()
 
     @cached_property
     def _loop(self) -> asyncio.AbstractEventLoop:
-        """Running loop, which takes a system call to find."""
+        """Running event loop, cached because its lookup makes a system call."""
         return asyncio.get_running_loop()
 
     @property
-    def limit(self) -> int:
-        """Requests that run at once at most."""
-        return max(1, int(self.slots * SLOT_SHARE))
+    def concurrency_limit(self) -> int:
+        """Largest number of requests that run at once."""
+        return max(1, int(self.slots * USABLE_SLOT_SHARE))
 
     @property
     def inflight(self) -> int:
         """Requests running and queued."""
         return self.running + self.queued
 
-    def move(self, address: str, service: str) -> None:
-        """Serve another target; requests wait until it has announced itself.
+    def reconfigure(self, address: str, service: str) -> None:
+        """Serve another target; calls are refused until it has announced itself.
 
         :param address: its host and port
         :param service: its service
@@ -141,41 +140,54 @@
         self._set("", 0, 1, TargetState.ABSENT)
         self._sequence = -1
 
-    def concerns(self, news: Announcement) -> bool:
-        """Return whether an announcement is of the target beside this node.
+    def matches(self, announcement: Announcement) -> bool:
+        """Return whether an announcement is from the target beside this node.
 
-        :param news: decoded announcement
+        :param announcement: decoded announcement
         """
-        return news.service == self.service and news.address == self.address
+        return (
+            announcement.service == self.service
+            and announcement.address == self.address
+        )
 
-    def announce(self, news: Announcement) -> bool:
-        """Take an announcement; return whether it is in order and was used.
+    def announce(self, announcement: Announcement) -> bool:
+        """Apply an announcement; return ``False`` if it is outdated.
 
-        A target that is leaving stays so: what was acknowledged binds this node.
+        A target that is leaving keeps that state until it restarts, because the
+        departure has been acknowledged.
 
-        :param news: decoded announcement
+        :param announcement: decoded announcement
         """
-        if (news.born_ms, news.sequence) <= (self.born_ms, self._sequence):
+        if (announcement.born_ms, announcement.sequence) <= (
+            self.born_ms,
+            self._sequence,
+        ):
             return False
-        restarted = (news.born_ms, news.target_id) != (self.born_ms, self.target_id)
+        restarted = (announcement.born_ms, announcement.target_id) != (
+            self.born_ms,
+            self.target_id,
+        )
         if restarted and self.born_ms:
             self._crashes.record_death(f"{self.target_id}.{self.born_ms}")
-        self._sequence = news.sequence
+        self._sequence = announcement.sequence
         leaving = self.state is TargetState.LEAVING and not restarted
-        if leaving or self._has_departed(news.target_id, news.born_ms):
+        if leaving or self._has_departed(announcement.target_id, announcement.born_ms):
             state = TargetState.LEAVING
         else:
-            state = news.state
-        self._set(news.target_id, news.born_ms, news.slots, state)
+            state = announcement.state
+        self._set(
+            announcement.target_id, announcement.born_ms, announcement.slots, state
+        )
         return True
 
     def adopt(self, target_id: str, born_ms: int, slots: int) -> None:
-        """Take the target that an earlier process of this node had published.
+        """Use the target that an earlier process of this node published.
 
-        Requests name the target's id, so another one on the address rejects them.
+        Requests name the target's id, so that another target at the address rejects
+        them.
 
         :param target_id: id of the target
-        :param born_ms: start of the target
+        :param born_ms: start of the target, Unix time in ms
         :param slots: its slots
         """
         if not self.target_id and target_id:
@@ -186,11 +198,11 @@
     def leave(self, target_id: str, born_ms: int) -> None:
         """Stop sending requests to a target that leaves.
 
-        A node that has just started may hear of the departure before it knows the
-        target; it then must not adopt the target's former record as ready.
+        A node that has just started may learn of the departure before it knows the
+        target; it then must not adopt the target as ready from an earlier record.
 
         :param target_id: id of the target
-        :param born_ms: start of the target, 0 if it was not told
+        :param born_ms: start of the target, Unix time in ms, or 0 if unknown
         """
         if not self.target_id:
             self._departed = (target_id, born_ms or int(time.time() * 1000))
@@ -217,16 +229,16 @@
             self._release_queue()
         self._on_change()
 
-    def _lose(self, reason: str) -> None:
+    def _mark_absent(self, reason: str) -> None:
         if self.state is TargetState.READY:
             self._log.event("target-lost", target=self.target_id, reason=reason)
             self._crashes.record_death(f"{self.target_id}.{self.born_ms}")
             self._set(self.target_id, self.born_ms, self.slots, TargetState.ABSENT)
 
     def _release_queue(self) -> None:
-        for waiting in self._queue:
-            if not waiting.slot.done():
-                waiting.slot.set_result(False)
+        for queued_call in self._queue:
+            if not queued_call.slot.done():
+                queued_call.slot.set_result(False)
         self._queue.clear()
 
     def refusal(self, call: Call) -> NotRun | None:
@@ -245,13 +257,13 @@
     async def run(self, call: Call) -> Result:
         """Run a call once a slot is free.
 
-        A call that must not be repeated is finished even if its caller goes.
+        A non-idempotent call runs to completion even if its caller disconnects.
 
         :param call: call for the target
         """
         self._arrivals += 1
         self._caller_arrivals += call.from_caller
-        refusal = self.refusal(call) or await self._take_slot(call)
+        refusal = self.refusal(call) or await self._acquire_slot(call)
         if refusal is not None:
             return refusal
         if call.idempotent:
@@ -261,15 +273,17 @@
         task.add_done_callback(self._tasks.discard)
         return await asyncio.shield(task)
 
-    async def _take_slot(self, call: Call) -> NotRun | None:
-        if self.running < self.limit and not self.queued:
-            self._count(running=1)
+    async def _acquire_slot(self, call: Call) -> NotRun | None:
+        if self.running < self.concurrency_limit and not self.queued:
+            self._adjust_counts(running=1)
             return None
         waiter: asyncio.Future[bool] = self._loop.create_future()
-        number = next(self._numbers)
-        waiting = _Waiting(call.rank, call.expires_s, number, waiter)
-        heapq.heappush(self._queue, waiting)
-        self._count(queued=1)
+        arrival_number = next(self._arrival_numbers)
+        queued_call = _QueuedCall(
+            call.queue_order, call.expires_s, arrival_number, waiter
+        )
+        heapq.heappush(self._queue, queued_call)
+        self._adjust_counts(queued=1)
         has_slot = False
         try:
             with Deadline(self._loop, self._latest_start_s(call)):
@@ -277,38 +291,40 @@
         except TimeoutError:
             return NotRun("too late to run")
         finally:
-            self._count(queued=-1)
+            self._adjust_counts(queued=-1)
             if waiter.done() and not waiter.cancelled() and waiter.result():
-                self._waking -= 1
+                self._granted -= 1
             if not has_slot:
-                self._start_next()
+                self._grant_slots()
         refusal = self.refusal(call)
         if refusal is None and not has_slot:
             refusal = NotRun("target changed")
         if refusal is not None:
-            self._start_next()
+            self._grant_slots()
             return refusal
-        self._count(running=1)
+        self._adjust_counts(running=1)
         return None
 
     def _latest_start_s(self, call: Call) -> float:
-        """Return the time since boot after which a call is not started any more.
+        """Return the latest time since boot at which a call may start.
 
-        It would not complete before its deadline, and the refusal still reaches the
-        caller, which may try again elsewhere.
+        After it the call would miss its deadline, while a refusal still reaches the
+        sender in time to retry on another instance.
         """
-        run_s = min(self._run_s, MAX_RUN_SHARE * (call.expires_s - now_s()))
-        return call.expires_s - max(REFUSAL_TRANSIT_S, run_s)
+        service_time_s = min(
+            self._service_time_s, MAX_SERVICE_TIME_SHARE * (call.expires_s - now_s())
+        )
+        return call.expires_s - max(REFUSAL_TRANSIT_S, service_time_s)
 
-    def _free_slot(self) -> None:
-        self._count(running=-1)
-        self._start_next()
+    def _release_slot(self) -> None:
+        self._adjust_counts(running=-1)
+        self._grant_slots()
 
-    def _start_next(self) -> None:
-        while self._queue and self.running + self._waking < self.limit:
+    def _grant_slots(self) -> None:
+        while self._queue and self.running + self._granted < self.concurrency_limit:
             slot = heapq.heappop(self._queue).slot
             if not slot.done():
-                self._waking += 1
+                self._granted += 1
                 slot.set_result(True)
 
     async def _run_in_slot(self, call: Call) -> Result:
@@ -318,13 +334,13 @@
         except TimeoutError:
             return Unknown("deadline passed at the target")
         finally:
-            self._free_slot()
+            self._release_slot()
 
     async def _exchange(self, call: Call) -> Result:
-        max_idle_s = None if call.idempotent else MAX_IDLE_ONCE_S
+        max_idle_s = None if call.idempotent else MAX_IDLE_NON_IDEMPOTENT_S
         connection = await self._pool.acquire(self.address, max_idle_s)
         if isinstance(connection, ExchangeFailure):
-            self._lose(connection.reason)
+            self._mark_absent(connection.reason)
             return NotRun(f"target unreachable: {connection.reason}")
         remaining_s = call.expires_s - now_s()
         refusal = self.refusal(call)
@@ -342,66 +358,68 @@
         if isinstance(response, ExchangeFailure):
             if not response.sent:
                 return NotRun(response.reason)
-            if now_s() - started_s < STALE_RESET_S:
+            if now_s() - started_s < STALE_CONNECTION_RESET_S:
                 self._pool.shorten_idle_time(self.address, connection)
             self._crashes.record_loss(call)
             return Unknown(f"target: {response.reason}")
-        reply = self._dialect.decode_reply(response)
-        if not reply.not_run:
-            # A rejection takes next to no time. Counted as a run, it would make the
-            # capacity of a target that rejects much look larger than it is.
-            self._run_s += RUN_AVERAGE_WEIGHT * (now_s() - started_s - self._run_s)
-        if reply.idle_timeout_s is not None:
-            connection.idle_timeout_s = reply.idle_timeout_s
+        decoded = self._dialect.decode_reply(response)
+        if not decoded.not_run:
+            # A rejection takes almost no time. Counted as service time, it would
+            # overestimate the capacity of a target that rejects many requests.
+            self._service_time_s += SERVICE_TIME_WEIGHT * (
+                now_s() - started_s - self._service_time_s
+            )
+        if decoded.idle_timeout_s is not None:
+            connection.idle_timeout_s = decoded.idle_timeout_s
         self._pool.release(self.address, connection)
-        if reply.wrong_target:
-            self._lose("another target answers at the address")
+        if decoded.wrong_target:
+            self._mark_absent("another target answers at the address")
             return NotRun("another target", arrived=False)
-        if reply.not_run:
+        if decoded.not_run:
             return NotRun(f"target rejected it with {response.status}", arrived=True)
-        if response.status < 300 and not reply.complete_success:
+        if response.status < 300 and not decoded.complete_success:
             return Unknown("target: invalid success")
         headers = end_to_end(response.headers)
         return Completed(Response(response.status, headers, response.body))
 
-    def _count(self, running: int = 0, queued: int = 0) -> None:
-        self._changed_s = now_s()
+    def _adjust_counts(self, running: int = 0, queued: int = 0) -> None:
+        self._counts_changed_s = now_s()
         self.running += running
         self.queued += queued
 
     def idle_for_s(self, now: float) -> float:
-        """Return for how long no request has run or waited.
+        """Return for how long no request has been running or queued, in s.
 
         :param now: current time in s since boot
         """
-        return 0.0 if self.inflight else now - self._changed_s
+        return 0.0 if self.inflight else now - self._counts_changed_s
 
-    def level(self, from_caller: bool) -> float:
-        """Return the admission level of this target.
+    def threshold(self, from_caller: bool) -> float:
+        """Return the admission threshold of this target.
 
-        Callers' requests are ahead of calls in the queue, so calls beyond the
+        Callers' requests precede calls in the queue, so calls in excess of the
         capacity do not limit them.
 
         :param from_caller: whether it is for callers' requests or for calls
         """
-        return self._caller_level.value if from_caller else self._level.value
+        return self._caller_threshold.value if from_caller else self._threshold.value
 
-    def update_levels(self, highest: float) -> Usage:
-        """Move the levels after a control period; return the use of the target.
+    def update_thresholds(self, max_threshold: float) -> Usage:
+        """Update the thresholds after a control period; return the load in it.
 
-        :param highest: level above all priorities
+        :param max_threshold: threshold above all priorities
         """
         now = now_s()
-        elapsed_s = max(1e-6, now - self._usage_read_s)
-        self._usage_read_s = now
-        capacity_per_s = self.limit / self._run_s
-        total, callers = self._arrivals, self._caller_arrivals
+        elapsed_s = max(1e-6, now - self._usage_updated_s)
+        self._usage_updated_s = now
+        capacity_per_s = self.concurrency_limit / self._service_time_s
+        total_arrivals, caller_arrivals = self._arrivals, self._caller_arrivals
         self._arrivals = self._caller_arrivals = 0
-        usage = Usage(elapsed_s, total, capacity_per_s, self.queued)
-        self._level.update(usage, highest)
+        usage = Usage(elapsed_s, total_arrivals, capacity_per_s, self.queued)
+        self._threshold.update(usage, max_threshold)
         self._queue = [w for w in self._queue if not w.slot.done()]
         heapq.heapify(self._queue)
-        queued = sum(waiting.rank % 2 == 0 for waiting in self._queue)
-        caller_usage = Usage(elapsed_s, callers, capacity_per_s, queued)
-        self._caller_level.update(caller_usage, highest)
+        queued = sum(queued_call.queue_order % 2 == 0 for queued_call in self._queue)
+        caller_usage = Usage(elapsed_s, caller_arrivals, capacity_per_s, queued)
+        self._caller_threshold.update(caller_usage, max_threshold)
         return usage
--- a/tests/test_mesh_callgraph.py
+++ b/tests/test_mesh_callgraph.py
@@ -6,14 +6,14 @@
 
 
 def test_route_seen_at_an_idle_target_is_an_entry(clock: Time) -> None:
-    members, beside = MemberTable(record("own")), make_target()
+    members, local_target = MemberTable(record("own")), make_target()
     published: list[str] = []
-    entries = EntryRoutes(members, beside, lambda: published.append("x"))
+    entries = EntryRoutes(members, local_target, lambda: published.append("x"))
     route = make_route("r", "/a/")
     clock.now += 10
-    beside._count(running=1)
+    local_target._adjust_counts(running=1)
     assert not entries.observe(route, 5.0)
-    beside._count(running=-1)
+    local_target._adjust_counts(running=-1)
     clock.now += 0.5
     assert not entries.observe(route, 5.0) and not published
     clock.now += 1.0
--- a/tests/test_mesh_crashes.py
+++ b/tests/test_mesh_crashes.py
@@ -57,8 +57,8 @@
 
 
 def test_restart_of_the_target_counts_as_its_death(clock: Time) -> None:
-    beside = make_target()
+    local_target = make_target()
     for start in range(4):
-        beside.announce(announcement(born_ms=start + 1))
-        beside._crashes.record_loss(make_call())
-    assert beside._crashes.refuses(make_call())
+        local_target.announce(announcement(born_ms=start + 1))
+        local_target._crashes.record_loss(make_call())
+    assert local_target._crashes.refuses(make_call())
--- a/tests/test_mesh_path.py
+++ b/tests/test_mesh_path.py
@@ -1,4 +1,4 @@
-"""Whole path of the mesh over real sockets: nodes, targets and the store."""
+"""Request path of the mesh over real sockets, with nodes, targets and the store."""
 
 import asyncio
 from dataclasses import replace
@@ -35,7 +35,7 @@
     return Response(status, list(headers))
 
 
-async def test_request_passes_two_nodes_to_the_target_unchanged() -> None:
+async def test_request_reaches_the_target_through_two_nodes_unchanged() -> None:
     async with fleet() as system:
         entry = await system.add("n1", "portal")
         owner = await system.add("n2", "jobs")
@@ -53,7 +53,7 @@
 
 
 async def test_caller_cannot_set_what_nodes_set() -> None:
-    """A forged service or call header must not reach the target."""
+    """Forged headers of a service or a call must not reach the target."""
     async with fleet() as system:
         entry = await system.add("n1", "jobs")
         await system.settle()
@@ -74,7 +74,7 @@
 
 
 async def test_leaving_target_gets_nothing_after_its_acknowledgement() -> None:
-    """Requests that other nodes still send to it are answered as not run."""
+    """Requests that other nodes still send to it must be refused as not run."""
     async with fleet() as system:
         entry = await system.add("n1", "portal")
         owner = await system.add("n2", "jobs")
@@ -89,7 +89,7 @@
         assert (await entry.call("/jobs/7")).status == 503
 
 
-async def test_rejected_request_that_must_not_repeat_goes_to_another_target() -> None:
+async def test_rejected_non_idempotent_request_is_retried_on_another_target() -> None:
     async with fleet(route("r", "/jobs/", kind="non_idempotent")) as system:
         entry = await system.add("n1", "portal")
         first = await system.add("n2", "jobs")
@@ -106,10 +106,12 @@
     ("kind", "expected", "arrivals"),
     [("non_idempotent", 502, 1), ("idempotent", 200, 2)],
 )
-async def test_lost_answer_is_repeated_only_if_idempotent(
+async def test_lost_response_is_retried_only_if_idempotent(
     kind: str, expected: int, arrivals: int
 ) -> None:
-    """A doubled booking, or a refusal of one that has run, fails here."""
+    """A non-idempotent request, such as a booking, must neither run twice nor be
+    refused as not run after it has run.
+    """
     async with fleet(route("r", "/jobs/", kind=kind)) as system:
         entry = await system.add("n1", "portal")
         owners = [await system.add(n, "jobs") for n in ("n2", "n3")]
@@ -132,42 +134,42 @@
         assert sum(len(o.target.requests) for o in owners) == arrivals
 
 
-@pytest.mark.parametrize(("level", "arrivals"), [(OPEN_THRESHOLD, 2), (5.0, 1)])
-async def test_failed_response_is_repeated_only_without_overload(
-    level: float, arrivals: int
+@pytest.mark.parametrize(("threshold", "arrivals"), [(OPEN_THRESHOLD, 2), (5.0, 1)])
+async def test_failed_response_is_retried_only_without_overload(
+    threshold: float, arrivals: int
 ) -> None:
-    """Repeats of requests that failed for lack of room added to the overload."""
+    """Retries of requests that failed for lack of capacity add to the overload."""
     async with fleet() as system:
         entry = await system.add("n1", "portal")
         owners = [await system.add(n, "jobs") for n in ("n2", "n3")]
         await system.settle()
         for owner in owners:
             owner.target.behaviour = lambda r: fail_with(500)
-        learned = entry.node.forwarder._levels
-        learned.of_service = lambda service, highest: level  # type: ignore[method-assign]
+        learned = entry.node.forwarder._learned_thresholds
+        learned.of_service = lambda service, max_threshold: threshold  # type: ignore[method-assign]
         response = await entry.call("/jobs/7")
         assert response.status == 500
         assert sum(len(o.target.requests) for o in owners) == arrivals
 
 
-async def test_response_of_a_target_is_kept_if_its_repeat_does_not_complete() -> None:
-    """The target's own failure used to be replaced by 502."""
+async def test_failed_response_is_kept_if_the_retry_does_not_complete() -> None:
+    """The failed response of the target must not be replaced by 502."""
     async with fleet() as system:
         entry = await system.add("n1", "portal")
         owners = [await system.add(n, "jobs") for n in ("n2", "n3")]
         await system.settle()
-        answered: list[Request] = []
+        received: list[Request] = []
 
         async def fail_then_reject(request: Request) -> Response:
-            answered.append(request)
-            if len(answered) == 1:
+            received.append(request)
+            if len(received) == 1:
                 return await fail_with(500, (b"x-reason", b"first"))
             return await fail_with(503, (b"not-executed", b"1"))
 
         for owner in owners:
             owner.target.behaviour = fail_then_reject
         response = await entry.call("/jobs/7")
-        assert len(answered) == 2
+        assert len(received) == 2
         assert (response.status, dict(response.headers)[b"x-reason"]) == (500, b"first")
 
 
@@ -187,21 +189,21 @@
         assert 0.25 < loop.time() - started < 0.55
 
 
-async def test_foreign_answer_before_the_own_one_is_skipped() -> None:
-    """A late answer to another request must not reach this caller."""
+async def test_response_to_another_request_is_skipped() -> None:
+    """A late response to another request must not reach this caller."""
     async with fleet() as system:
         entry = await system.add("n1", "jobs")
         await system.settle()
 
-        async def answer_twice(request: Request) -> Response:
+        async def respond_twice(request: Request) -> Response:
             (connection,) = entry.target.server.connections
-            late = b"HTTP/1.1 200 OK\r\nrequest-id: old\r\n"
-            late += b"response-signature: s\r\ncontent-length: 3\r\n\r\nold"
+            late_response = b"HTTP/1.1 200 OK\r\nrequest-id: old\r\n"
+            late_response += b"response-signature: s\r\ncontent-length: 3\r\n\r\nold"
             assert connection._transport is not None
-            connection._transport.write(late)
+            connection._transport.write(late_response)
             return await run_normally(request)
 
-        entry.target.behaviour = answer_twice
+        entry.target.behaviour = respond_twice
         response = await entry.call("/jobs/7", "new")
         assert (response.status, response.body) == (200, b"answer to new")
 
@@ -214,7 +216,7 @@
         assert (await entry.call("/jobs/7")).status == 502
 
 
-async def test_caller_that_leaves_frees_the_slot_of_its_request() -> None:
+async def test_disconnected_caller_frees_the_slot_of_its_request() -> None:
     async with fleet() as system:
         entry = await system.add("n1", "portal")
         owner = await system.add("n2", "jobs")
@@ -263,9 +265,9 @@
         two = await system.add("n2", "jobs")
         await system.settle()
         system.store.down = True
-        again = await system.restart(one.settings.node_id)
+        restarted = await system.restart(one.settings.node_id)
         await system.settle()
-        assert (await again.call("/jobs/7")).status == 200
+        assert (await restarted.call("/jobs/7")).status == 200
         assert len(two.target.requests) == 1
 
 
@@ -280,8 +282,8 @@
         assert (await machine.call("/jobs/7")).status == 200
 
 
-async def test_bodies_beyond_the_memory_bound_are_refused() -> None:
-    """Many large bodies at once used to have no bound but that of each."""
+async def test_bodies_above_the_memory_limit_are_refused() -> None:
+    """The limit for one body does not bound the memory for many at once."""
     async with fleet() as system:
         machine = await system.add("n1", "jobs")
         await system.settle()
@@ -293,8 +295,8 @@
         assert machine.node._callers.buffered_bytes == 0
 
 
-async def test_changed_settings_take_effect_and_bad_ones_do_not() -> None:
-    """A damaged settings file must not stop a node that serves."""
+async def test_valid_changes_of_settings_take_effect_and_invalid_ones_do_not() -> None:
+    """A damaged settings file must not stop a running node."""
     async with fleet(route("r", "/jobs/"), route("m", "/maps/", service="maps")) as s:
         machine = await s.add("n1", "jobs")
         await s.settle()
@@ -318,21 +320,21 @@
         assert (await machine.call("/maps/7")).status == 200
 
 
-async def test_defect_in_a_handler_still_answers_the_caller() -> None:
-    """An exception used to leave the caller waiting without an answer."""
+async def test_caller_gets_a_response_if_a_handler_raises() -> None:
+    """Without a response the caller would wait until its timeout."""
     async with fleet() as system:
         machine = await system.add("n1", "jobs")
         await system.settle()
 
-        async def broken(request: Request) -> Response:
+        async def raise_error(request: Request) -> Response:
             raise KeyError("defect")
 
-        machine.node._callers._handler = broken
+        machine.node._callers._handler = raise_error
         assert (await machine.call("/jobs/7")).status == 500
 
 
-async def test_address_in_use_ends_the_start_with_its_cause() -> None:
-    """A node whose address was taken ended without saying so."""
+async def test_startup_failure_names_the_address_in_use() -> None:
+    """A node must not exit silently if another process listens on its address."""
     async with fleet() as system:
         machine = await system.add("n1", "jobs")
         taken = replace(machine.settings, node_id="n2")
--- a/tests/test_mesh_target.py
+++ b/tests/test_mesh_target.py
@@ -1,4 +1,4 @@
-"""State, slots and queue of the own target."""
+"""State, slots and queue of the local target."""
 
 import asyncio
 import random
@@ -18,8 +18,8 @@
 from mesh_builders import make_call, make_target
 from mesh_fakes import FakeTarget, announcement, free_address
 
-# Serial calls of a request, and the time that its route gives it, s.
-CALLS_IN_CHAIN = 8
+# Serial calls that a request makes, and the timeout of its route.
+SERIAL_CALLS = 8
 CHAIN_TIMEOUT_S = 0.6
 
 
@@ -37,31 +37,31 @@
         (1, 1_001, TargetState.READY, TargetState.READY),
     ],
 )
-def test_late_announcements_change_nothing(
+def test_outdated_announcements_are_ignored(
     sequence: int, born_ms: int, state: TargetState, expected: TargetState
 ) -> None:
-    beside = make_target()
-    beside.announce(announcement())
-    news = announcement(sequence=sequence, born_ms=born_ms, state=state)
-    beside.announce(news)
-    assert beside.state is expected
+    local_target = make_target()
+    local_target.announce(announcement())
+    late = announcement(sequence=sequence, born_ms=born_ms, state=state)
+    local_target.announce(late)
+    assert local_target.state is expected
 
 
 def test_leaving_lasts_until_the_target_is_started_again() -> None:
-    beside = make_target()
-    beside.announce(announcement())
-    beside.leave("i-1", 1_000)
-    beside.announce(announcement(sequence=5))
-    assert beside.state is TargetState.LEAVING
-    beside.announce(announcement(sequence=0, born_ms=2_000))
-    assert beside.state is TargetState.READY
+    local_target = make_target()
+    local_target.announce(announcement())
+    local_target.leave("i-1", 1_000)
+    local_target.announce(announcement(sequence=5))
+    assert local_target.state is TargetState.LEAVING
+    local_target.announce(announcement(sequence=0, born_ms=2_000))
+    assert local_target.state is TargetState.READY
 
 
 def test_departure_of_an_earlier_incarnation_is_ignored() -> None:
-    beside = make_target()
-    beside.announce(announcement(born_ms=2_000))
-    beside.leave("i-1", 1_000)
-    assert beside.state is TargetState.READY
+    local_target = make_target()
+    local_target.announce(announcement(born_ms=2_000))
+    local_target.leave("i-1", 1_000)
+    assert local_target.state is TargetState.READY
 
 
 @pytest.mark.parametrize(
@@ -69,66 +69,70 @@
 )
 @pytest.mark.anyio
 async def test_call_for_another_target_does_not_run(changes: dict[str, str]) -> None:
-    """A stale record must not send a request to a reused address."""
-    beside = make_target()
-    beside.announce(announcement())
-    assert isinstance(await beside.run(make_call(**changes)), NotRun)
+    """A request sent by an outdated record must not run on another target that now
+    uses the address.
+    """
+    local_target = make_target()
+    local_target.announce(announcement())
+    assert isinstance(await local_target.run(make_call(**changes)), NotRun)
 
 
 @pytest.mark.anyio
 async def test_refused_connection_is_not_run_and_marks_the_target_absent() -> None:
     address = free_address()
-    beside = make_target(address)
-    beside.announce(announcement(address=address))
-    assert isinstance(await beside.run(make_call()), NotRun)
-    assert beside.state is TargetState.ABSENT
-    beside.announce(announcement(address=address, sequence=2))
-    assert beside.state is TargetState.READY
+    local_target = make_target(address)
+    local_target.announce(announcement(address=address))
+    assert isinstance(await local_target.run(make_call()), NotRun)
+    assert local_target.state is TargetState.ABSENT
+    local_target.announce(announcement(address=address, sequence=2))
+    assert local_target.state is TargetState.READY
 
 
 @pytest.mark.parametrize(
-    ("run_s", "latest_s"),
+    ("service_time_s", "latest_s"),
     [(0.0, 0.19), (0.08, 0.13), (5.0, 0.11)],
 )
 @pytest.mark.anyio
 async def test_queued_call_is_refused_while_its_caller_still_waits(
-    run_s: float, latest_s: float
+    service_time_s: float, latest_s: float
 ) -> None:
-    """Callers were told 504 about requests that had never reached a target."""
-    beside = make_target()
-    beside.announce(announcement(slots=1))
-    beside._count(running=1)
-    beside._run_s = run_s
+    """The refusal must arrive before the deadline. Otherwise callers get 504 for
+    requests that never reached a target.
+    """
+    local_target = make_target()
+    local_target.announce(announcement(slots=1))
+    local_target._adjust_counts(running=1)
+    local_target._service_time_s = service_time_s
     started_s = now_s()
-    result = await beside.run(make_call(expires_s=started_s + 0.2))
+    result = await local_target.run(make_call(expires_s=started_s + 0.2))
     assert isinstance(result, NotRun)
     assert not result.arrived
     assert now_s() - started_s < latest_s
 
 
 @given(st.lists(st.sampled_from(["start", "end", "cancel"]), max_size=40))
-def test_slots_are_never_lost_or_exceeded(actions: list[str]) -> None:
-    """A waiting call that is cancelled while it is woken must pass its slot on."""
-    asyncio.run(_play_slots(actions))
+def test_slots_are_never_leaked_or_exceeded(actions: list[str]) -> None:
+    """A queued call that is cancelled after it was granted a slot must release it."""
+    asyncio.run(_run_slot_actions(actions))
 
 
-async def _play_slots(actions: list[str]) -> None:
-    beside = make_target()
-    beside.announce(announcement())
+async def _run_slot_actions(actions: list[str]) -> None:
+    local_target = make_target()
+    local_target.announce(announcement())
     ends: list[asyncio.Event] = []
     tasks: list[asyncio.Task[object]] = []
 
     async def exchange(call: Call) -> Completed:
-        assert beside.running <= beside.limit
+        assert local_target.running <= local_target.concurrency_limit
         event = asyncio.Event()
         ends.append(event)
         await event.wait()
         return Completed(Response(200))
 
-    beside._exchange = exchange  # type: ignore[method-assign]
+    local_target._exchange = exchange  # type: ignore[method-assign]
     for action in actions:
         if action == "start":
-            tasks.append(asyncio.create_task(beside.run(make_call())))
+            tasks.append(asyncio.create_task(local_target.run(make_call())))
         elif action == "end" and ends:
             ends.pop(0).set()
         elif action == "cancel" and tasks:
@@ -139,14 +143,20 @@
         for event in ends:
             event.set()
         await asyncio.sleep(0)
-    assert (beside.running, beside.queued, beside._waking) == (0, 0, 0)
+    assert (local_target.running, local_target.queued, local_target._granted) == (
+        0,
+        0,
+        0,
+    )
 
 
 @pytest.mark.anyio
 async def test_callers_go_before_calls_of_the_same_priority() -> None:
-    """Hazard lookups waited behind the calls of less important requests."""
-    beside = make_target()
-    beside.announce(announcement(slots=1))
+    """A call may belong to a less important request, behind which callers' requests of
+    the same priority must not wait.
+    """
+    local_target = make_target()
+    local_target.announce(announcement(slots=1))
     order: list[bytes] = []
 
     async def exchange(call: Call) -> Completed:
@@ -154,19 +164,19 @@
         await asyncio.sleep(0.01)
         return Completed(Response(200))
 
-    beside._exchange = exchange  # type: ignore[method-assign]
+    local_target._exchange = exchange  # type: ignore[method-assign]
     calls = [
         make_call(request_id=b"running"),
         make_call(request_id=b"call", from_caller=False),
         make_call(request_id=b"caller"),
         make_call(request_id=b"urgent", priority=0, from_caller=False),
     ]
-    await asyncio.gather(*(beside.run(call) for call in calls))
+    await asyncio.gather(*(local_target.run(call) for call in calls))
     assert order == [b"running", b"urgent", b"caller", b"call"]
 
 
 def test_departure_before_the_target_is_known_prevents_its_adoption() -> None:
-    """A node that restarted adopted a target whose departure it had acknowledged."""
+    """A restarted node must not adopt a target whose departure it has acknowledged."""
     target = make_target()
     target.leave("i-1", 0)
     target.adopt("i-1", 1_000, 4)
@@ -180,7 +190,7 @@
 def test_departure_before_the_target_is_known_ends_with_its_restart(
     born_ms: int, state: TargetState
 ) -> None:
-    """A late heartbeat must not bring a target back; its next start must."""
+    """A late heartbeat must not make a departed target ready; its next start must."""
     target = make_target()
     target.leave("i-1", 1_000)
     target.announce(announcement(born_ms=born_ms, state=TargetState.READY))
@@ -188,9 +198,9 @@
 
 
 @pytest.mark.anyio
-async def test_rejections_do_not_shorten_the_run_time() -> None:
-    """A target that rejected half of the requests seemed to run the others in half
-    of their time, so its level admitted twice what it could complete.
+async def test_rejections_do_not_shorten_the_service_time() -> None:
+    """Counting rejections halves the service time of a target that rejects half of its
+    requests, so that its threshold admits twice its capacity.
     """
     rejected = [(b"not-executed", b"1"), (b"request-id", b"r;1")]
 
@@ -199,26 +209,26 @@
 
     fake = FakeTarget(free_address(), reject)
     await fake.start()
-    beside = make_target(fake.address)
-    beside.announce(announcement(address=fake.address))
-    beside._run_s = 0.5
+    local_target = make_target(fake.address)
+    local_target.announce(announcement(address=fake.address))
+    local_target._service_time_s = 0.5
     for _ in range(20):
-        assert await beside.run(make_call()) == NotRun(
+        assert await local_target.run(make_call()) == NotRun(
             "target rejected it with 503", arrived=True
         )
-    assert beside._run_s == 0.5
+    assert local_target._service_time_s == 0.5
 
 
-async def chain_of_calls(
-    beside: Target, started_s: float, rng: random.Random
+async def run_serial_calls(
+    local_target: Target, started_s: float, rng: random.Random
 ) -> tuple[bool, float]:
-    """Make calls one after the other that expire with their parent, as a target does;
-    return whether all completed in time.
+    """Make serial calls that expire with their parent, as a target does; return
+    whether all completed in time, and the start.
     """
     expires_s = started_s + CHAIN_TIMEOUT_S
-    for _ in range(CALLS_IN_CHAIN):
+    for _ in range(SERIAL_CALLS):
         call = make_call(from_caller=False, expires_s=expires_s)
-        if not isinstance(await beside.run(call), Completed):
+        if not isinstance(await local_target.run(call), Completed):
             return False, started_s
         await asyncio.sleep(rng.uniform(0.0, 0.004))
     return now_s() <= expires_s, started_s
@@ -226,42 +236,44 @@
 
 @pytest.mark.anyio
 async def test_chains_of_calls_complete_behind_a_backlog() -> None:
-    """Each call of a chain waited behind the first calls of newer requests, so as a
-    surge set in nearly all certificates failed, though there was room for most.
+    """If each call of a chain waits behind the first calls of newer requests, nearly
+    all chains fail at the start of a surge although there is capacity for most.
     """
-    beside = make_target()
-    beside.announce(announcement(slots=8))
+    local_target = make_target()
+    local_target.announce(announcement(slots=8))
 
     async def exchange(call: Call) -> Completed:
         await asyncio.sleep(0.01)
         return Completed(Response(200))
 
-    beside._exchange = exchange  # type: ignore[method-assign]
+    local_target._exchange = exchange  # type: ignore[method-assign]
     rng = random.Random(5)
     chains: list[asyncio.Task[tuple[bool, float]]] = []
-    # Room for 7 / (8 x 0.01 s) = 87 chains a second. 1.8 times as many arrive for
-    # half a second, and then so few that the backlog is worked off.
-    for rate_per_s, lasts_s in ((157.0, 0.5), (30.0, 0.9)):
-        end_s = now_s() + lasts_s
+    # The capacity is 7 / (8 x 0.01 s) = 87 chains a second. 1.8 times as many arrive
+    # for half a second, and then so few that the backlog is drained.
+    for rate_per_s, duration_s in ((157.0, 0.5), (30.0, 0.9)):
+        end_s = now_s() + duration_s
         while now_s() < end_s:
-            chains.append(asyncio.create_task(chain_of_calls(beside, now_s(), rng)))
+            chains.append(
+                asyncio.create_task(run_serial_calls(local_target, now_s(), rng))
+            )
             await asyncio.sleep(1.0 / rate_per_s)
     completed = [found[0] for found in await asyncio.gather(*chains)]
     assert sum(completed) / len(completed) > 0.9
 
 
-@pytest.mark.parametrize("given_up", [True, False])
+@pytest.mark.parametrize("cancelled", [True, False])
 @pytest.mark.anyio
-async def test_calls_that_were_given_up_leave_the_queue(given_up: bool) -> None:
-    """They would pile up behind more important requests that keep the slots."""
-    beside = make_target()
-    beside.announce(announcement(slots=1))
-    beside._count(running=1)
-    task = asyncio.create_task(beside.run(make_call()))
+async def test_abandoned_calls_leave_the_queue(cancelled: bool) -> None:
+    """They would accumulate behind more important requests that occupy the slots."""
+    local_target = make_target()
+    local_target.announce(announcement(slots=1))
+    local_target._adjust_counts(running=1)
+    task = asyncio.create_task(local_target.run(make_call()))
     await asyncio.sleep(0)
-    if given_up:
+    if cancelled:
         task.cancel()
         await asyncio.sleep(0)
-    beside.update_levels(3.0)
-    assert len(beside._queue) == (not given_up)
+    local_target.update_thresholds(3.0)
+    assert len(local_target._queue) == (not cancelled)
     task.cancel()
