--- a/src/briardock/mesh/calls.py
+++ b/src/briardock/mesh/calls.py
@@ -1,7 +1,7 @@
-"""A request between two nodes, its result, and their form on the wire.
+"""Calls between nodes, their results, and the encoding of both.
 
-The request keeps its method, path, headers and body; one header carries what the
-receiving node must know. A response carries the result in one header likewise.
+A call keeps the method, path, headers and body of the request; one additional header
+carries the data for the receiving node. A response carries the result in one header.
 """
 
 from dataclasses import dataclass
@@ -12,28 +12,30 @@
 
 CALL_HEADER = b"briardock-call"
 RESULT_HEADER = b"briardock-result"
-# Headers of messages between nodes that are not those of the request or response.
-# Nodes add no others, so that the list of RFC 9110 need not be searched here.
-OWN_HEADERS = frozenset({CALL_HEADER, RESULT_HEADER, b"content-length", b"connection"})
-# Taken off the remaining time for the way to the other node, s.
+# Headers that nodes add to messages between them. They add no others, so hop-by-hop
+# headers (RFC 9110) need not be looked up here.
+INTERNODE_HEADERS = frozenset(
+    {CALL_HEADER, RESULT_HEADER, b"content-length", b"connection"}
+)
+# Deducted from the remaining time for the transfer to the other node, s.
 HOP_ALLOWANCE_S = 0.002
 
 
 @dataclass(slots=True)
 class Call:
-    """A request on its way to one target.
+    """A request forwarded to one target.
 
     :param method: method
     :param target: path and query
     :param headers: end-to-end headers of the caller
     :param body: whole body
-    :param request_id: id that the caller gave
+    :param request_id: id given by the caller
     :param service: service that has to run it
     :param target_id: target that has to run it
-    :param caller_service: service beside which it entered
+    :param caller_service: service of the node at which it entered
     :param idempotent: whether it may run more than once
     :param priority: priority of its route
-    :param from_caller: whether a caller sent it, not another target
+    :param from_caller: whether it was sent by a caller rather than a target
     :param expires_s: time at which its result is no longer wanted
     """
 
@@ -52,10 +54,10 @@
 
     @property
     def queue_order(self) -> int:
-        """Order in the queue of the target, 0 first.
+        """Order in the queue of the target, lowest first.
 
-        At one priority callers' requests go first: a call of that priority may
-        belong to a less important request.
+        At equal priority callers' requests go first, because a call may belong to a
+        less important request.
         """
         return 2 * self.priority + (not self.from_caller)
 
@@ -65,7 +67,7 @@
     """Load of an instance at the time of a result.
 
     :param inflight: requests running and queued
-    :param levels: admission levels of it and its chain
+    :param thresholds: admission thresholds of the instance and its chain
     """
 
     inflight: int
@@ -74,7 +76,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Completed:
-    """The target answered.
+    """The target responded.
 
     :param response: its response, unchanged
     """
@@ -108,9 +110,9 @@
 
 
 def encode_call(call: Call, now: float) -> bytes:
-    """Return the request to the other node.
+    """Return the encoded request to the other node.
 
-    :param call: call to pass on
+    :param call: call to forward
     :param now: current time in s since boot
     """
     remaining_ms = int((call.expires_s - now - HOP_ALLOWANCE_S) * 1000)
@@ -130,20 +132,20 @@
     return encode_request(call.method, call.target, headers, call.body)
 
 
-def _split_headers(headers: Headers, own: bytes) -> tuple[bytes | None, Headers]:
-    """Return the value of the header between nodes and the headers passed on."""
+def _split_headers(headers: Headers, name: bytes) -> tuple[bytes | None, Headers]:
+    """Return the value of a header between nodes, and the end-to-end headers."""
     value = None
-    passed_on = []
+    forwarded = []
     for header in headers:
-        if header[0] not in OWN_HEADERS:
-            passed_on.append(header)
-        elif header[0] == own:
+        if header[0] not in INTERNODE_HEADERS:
+            forwarded.append(header)
+        elif header[0] == name:
             value = header[1]
-    return value, passed_on
+    return value, forwarded
 
 
 def decode_call(request: Request) -> Call | None:
-    """Return the call in a request of another node, or ``None`` if it is none.
+    """Return the call in a request of another node, or ``None`` if it is malformed.
 
     :param request: request on the address for peers
     """
@@ -154,13 +156,13 @@
     if len(parts) != 8 or not parts[4].isdigit() or not parts[6].isdigit():
         return None
     service, target_id, caller_service, idempotent = parts[:4]
-    priority, from_caller, remaining_ms, ident = parts[4:]
+    priority, from_caller, remaining_ms, request_id_text = parts[4:]
     return Call(
         method=request.method,
         target=request.target,
         headers=headers,
         body=request.body,
-        request_id=ident.encode("latin-1"),
+        request_id=request_id_text.encode("latin-1"),
         service=service,
         target_id=target_id,
         caller_service=caller_service,
@@ -178,29 +180,29 @@
     :param load: load of the instance
     """
     chain = ",".join(
-        f"{service}={told.threshold:.3f}@{int(told.age_s * 1000)}"
-        for service, told in load.thresholds.chain.items()
+        f"{service}={reported.threshold:.3f}@{int(reported.age_s * 1000)}"
+        for service, reported in load.thresholds.chain.items()
     )
-    tail = f"{load.inflight};{load.thresholds.instance:.3f};{chain}"
+    load_fields = f"{load.inflight};{load.thresholds.instance:.3f};{chain}"
     match result:
         case Completed(response):
-            info = f"completed;;{tail}"
+            info = f"completed;;{load_fields}"
             headers = [*response.headers, (RESULT_HEADER, info.encode())]
             return Response(response.status, headers, response.body)
         case NotRun(reason, arrived):
-            kind = "rejected" if arrived else "not-run"
-            info = f"{kind};{reason};{tail}"
+            outcome = "rejected" if arrived else "not-run"
+            info = f"{outcome};{reason};{load_fields}"
         case Unknown(reason):
-            info = f"unknown;{reason};{tail}"
+            info = f"unknown;{reason};{load_fields}"
     return Response(502, [(RESULT_HEADER, info.encode())])
 
 
 def _decode_chain(text: str) -> dict[str, ChainThreshold]:
     found = {}
     for item in text.split(",") if text else ():
-        service, _, told = item.rpartition("=")
-        level, _, age_ms = told.partition("@")
-        found[service] = ChainThreshold(float(level), int(age_ms) / 1000)
+        service, _, reported = item.rpartition("=")
+        threshold, _, age_ms = reported.partition("@")
+        found[service] = ChainThreshold(float(threshold), int(age_ms) / 1000)
     return found
 
 
@@ -213,11 +215,11 @@
     parts = info.decode("latin-1").split(";") if info is not None else []
     if len(parts) != 5:
         return Unknown("response of no node"), None
-    kind, reason, inflight, own, chain = parts
+    outcome, reason, inflight, instance, chain = parts
     load = LoadReport(
-        int(inflight), InstanceThresholds(float(own), _decode_chain(chain))
+        int(inflight), InstanceThresholds(float(instance), _decode_chain(chain))
     )
-    match kind:
+    match outcome:
         case "completed":
             return Completed(Response(response.status, headers, response.body)), load
         case "rejected":
--- a/tests/test_mesh_callgraph.py
+++ b/tests/test_mesh_callgraph.py
@@ -5,7 +5,7 @@
 from mesh_builders import Time, make_route, make_target, record
 
 
-def test_route_seen_at_an_idle_target_is_an_entry(clock: Time) -> None:
+def test_request_at_an_idle_target_marks_an_entry_route(clock: Time) -> None:
     members, local_target = MemberTable(record("own")), make_target()
     published: list[str] = []
     entries = EntryRoutes(members, local_target, lambda: published.append("x"))
@@ -21,10 +21,10 @@
     assert entries.observe(route, 5.0) and published == ["x"]
 
 
-def test_nothing_is_learned_while_a_former_process_may_have_left_requests(
+def test_no_route_is_learned_while_requests_of_an_earlier_process_may_run(
     clock: Time,
 ) -> None:
-    """Calls of requests that ran before a restart would look like callers'."""
+    """Calls of requests that began before a restart look like callers' requests."""
     members = MemberTable(record("own"))
     entries = EntryRoutes(members, make_target(), lambda: None)
     clock.now += 3.0
@@ -32,8 +32,10 @@
     assert not members.entry_routes
 
 
-def test_few_requests_of_callers_do_not_make_a_service_called() -> None:
-    """Probes of callers once closed a cycle in which a low level lasted."""
+def test_few_requests_of_callers_do_not_count_as_calls() -> None:
+    """Counted as calls, callers' probes can close a cycle of services in which a low
+    threshold persists.
+    """
     called = CalledServices()
     for period in range(40):
         for _ in range(20):
--- a/tests/test_mesh_calls.py
+++ b/tests/test_mesh_calls.py
@@ -1,4 +1,4 @@
-"""Calls and results on the wire between nodes."""
+"""Encoding of calls and results between nodes."""
 
 from dataclasses import replace
 
@@ -20,7 +20,7 @@
 from mesh_builders import make_call
 
 
-def test_call_survives_the_wire() -> None:
+def test_call_is_unchanged_by_encoding_and_decoding() -> None:
     call = make_call(body=b"x", method=b"POST")
     data = encode_call(call, call.expires_s - 2.0)
     read: list[Request] = []
@@ -53,7 +53,7 @@
         Unknown("lost"),
     ],
 )
-def test_result_survives_the_wire(result: object) -> None:
+def test_result_is_unchanged_by_encoding_and_decoding(result: object) -> None:
     load = LoadReport(
         7,
         InstanceThresholds(
@@ -64,5 +64,5 @@
     assert decode_result(response) == (result, load)
 
 
-def test_response_of_no_node_is_unknown() -> None:
+def test_response_without_a_result_is_unknown() -> None:
     assert decode_result(Response(503)) == (Unknown("response of no node"), None)
