--- a/src/briardock/mesh/crashes.py
+++ b/src/briardock/mesh/crashes.py
@@ -1,8 +1,8 @@
-"""Requests that crash the targets that run them.
+"""Quarantine of requests that crash the targets that run them.
 
-When the target beside this node dies, the requests that it was running are
-suspected. The suspects spread between nodes, and one that was in flight at three
-deaths is refused everywhere, under whichever id it comes again.
+When the target beside this node dies, the requests that it was running become
+suspects. Nodes exchange suspects by gossip and refuse a request that was in flight at
+three deaths, regardless of the request id under which it is sent again.
 """
 
 from collections.abc import Callable
@@ -17,45 +17,50 @@
     fingerprint,
 )
 
-# Deaths after which a request is refused. Requests that merely ran beside the one
-# that crashes are rarely present at three of them.
-DEATHS_TO_REFUSE = 3
-# Time after a lost answer in which the target's death counts for it, s.
-LOSS_LIFETIME_S = 3.0
+# Deaths after which a request is refused. Requests that merely ran at the same time as
+# the crashing one are rarely in flight at three deaths.
+REFUSAL_DEATHS = 3
+# Time after the loss of a response in which a death of the target is attributed to its
+# request, s.
+LOST_RESPONSE_LIFETIME_S = 3.0
 
 
 class CrashSuspects:
-    """Suspected requests, and the answers that were lost lately.
+    """Suspected requests, and requests whose responses were recently lost.
 
     :param clock: time source of the quarantine
-    :param spread: called with entries that other nodes need
+    :param publish: called with new entries for other nodes
     """
 
     def __init__(
-        self, clock: Clock, spread: Callable[[list[QuarantineEntry]], None]
+        self, clock: Clock, publish: Callable[[list[QuarantineEntry]], None]
     ) -> None:
-        settings = QuarantineSettings(deaths=DEATHS_TO_REFUSE)
+        settings = QuarantineSettings(deaths=REFUSAL_DEATHS)
         self.quarantine = Quarantine(settings, clock)
-        self._spread = spread
-        self._lost: dict[str, float] = {}
+        self._publish = publish
+        self._lost_responses: dict[str, float] = {}
 
     def record_loss(self, call: Call) -> None:
-        """Remember a request whose answer was lost at the target.
+        """Record a request whose response from the target was lost.
 
         :param call: the request
         """
-        self._lost[_fingerprint(call)] = now_s()
+        self._lost_responses[_fingerprint(call)] = now_s()
 
     def record_death(self, death_id: str) -> None:
-        """Suspect the requests whose answers were lost just before a death.
+        """Suspect the requests whose responses were lost just before a death.
 
-        :param death_id: names the death
+        :param death_id: identifies the death
         """
-        oldest = now_s() - LOSS_LIFETIME_S
-        names = [name for name, at in self._lost.items() if at > oldest]
-        self._lost.clear()
-        if names:
-            self._spread(self.quarantine.record_death(names, death_id))
+        oldest_s = now_s() - LOST_RESPONSE_LIFETIME_S
+        fingerprints = [
+            request_fingerprint
+            for request_fingerprint, lost_s in self._lost_responses.items()
+            if lost_s > oldest_s
+        ]
+        self._lost_responses.clear()
+        if fingerprints:
+            self._publish(self.quarantine.record_death(fingerprints, death_id))
 
     def refuses(self, call: Call) -> bool:
         """Return whether a request is refused.
--- a/src/briardock/mesh/deadlines.py
+++ b/src/briardock/mesh/deadlines.py
@@ -1,4 +1,4 @@
-"""Deadline of the work of one task, for the path of a request."""
+"""Deadline for the current task, optimized for the request path."""
 
 import asyncio
 from types import TracebackType
@@ -7,12 +7,12 @@
 
 
 class Deadline:
-    """Cancels the work of the current task at a time and raises ``TimeoutError``.
+    """Cancels the body at a point in time and raises ``TimeoutError``.
 
-    ``asyncio.timeout`` does the same, but finds the running loop several times for
-    each use, which costs a system call each in Python 3.11.
+    ``asyncio.timeout`` does the same, but looks up the running event loop several times
+    for each use, which takes a system call each in Python 3.11.
 
-    :param loop: running loop
+    :param loop: running event loop
     :param expires_s: time since boot in s
     """
 
@@ -40,15 +40,15 @@
 
     def __exit__(
         self,
-        kind: type[BaseException] | None,
+        exc_type: type[BaseException] | None,
         error: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
-        """Stop the timer; turn its cancellation into a timeout."""
+        """Stop the timer; turn its cancellation into ``TimeoutError``."""
         assert self._task is not None and self._handle is not None
         self._handle.cancel()
-        # A cancellation from elsewhere that came as well is left in force.
+        # A concurrent cancellation by other code takes precedence.
         if not self._expired or self._task.uncancel() > self._cancelling:
             return
-        if kind is asyncio.CancelledError:
+        if exc_type is asyncio.CancelledError:
             raise TimeoutError from error
--- a/src/briardock/mesh/decisions.py
+++ b/src/briardock/mesh/decisions.py
@@ -1,7 +1,8 @@
-"""Structured log of decisions: one JSON object a line on standard output.
+"""Structured decision log: one JSON object per line on standard output.
 
-Lines are buffered and written without blocking. Each kind has a budget of lines a
-second; what exceeds it, or a full pipe, is counted and reported in a later line.
+Lines are buffered and written without blocking. Each event is limited in lines per
+second. Lines omitted due to this limit or a full buffer are counted, and the counts
+are reported in a later line.
 """
 
 import os
@@ -10,11 +11,11 @@
 
 import msgspec
 
-# Lines of one kind that are kept in a second.
-LINES_PER_KIND = 20
-# Bytes that wait for a slow reader of standard output.
+# Largest number of lines of one event in a second.
+MAX_LINES_PER_EVENT_PER_S = 20
+# Buffer size above which lines are omitted while standard output is read slowly.
 MAX_BUFFERED_BYTES = 256 * 1024
-# Period of writing, s.
+# Period of flushing the buffer, s.
 FLUSH_PERIOD_S = 0.2
 
 
@@ -28,8 +29,8 @@
 class DecisionLog:
     """Bounded writer of structured log lines.
 
-    :param node_id: written into every line
-    :param write: writes bytes without blocking, returns how many it took
+    :param node_id: included in every line
+    :param write: writes bytes without blocking and returns the number written
     """
 
     def __init__(
@@ -41,37 +42,44 @@
         self._buffer = bytearray()
         self._counts: dict[str, int] = {}
         self._omitted: dict[str, int] = {}
-        self._second = 0
+        self._current_second = 0
 
-    def event(self, kind: str, **fields: object) -> None:
-        """Add a line, unless its kind has used its budget of this second.
+    def event(self, event_name: str, **fields: object) -> None:
+        """Append a line unless its event has reached its limit for this second.
 
-        :param kind: name of the event, listed in docs/OPERATIONS.md
-        :param fields: request id, inputs of the decision and outcome
+        :param event_name: name of the event, listed in docs/OPERATIONS.md
+        :param fields: request id, inputs and outcome of the decision
         """
         now = time.time()
-        if int(now) != self._second:
+        if int(now) != self._current_second:
             self._start_second(int(now))
-        count = self._counts.get(kind, 0) + 1
-        self._counts[kind] = count
-        if count > LINES_PER_KIND or len(self._buffer) > MAX_BUFFERED_BYTES:
-            self._omitted[kind] = self._omitted.get(kind, 0) + 1
+        count = self._counts.get(event_name, 0) + 1
+        self._counts[event_name] = count
+        if count > MAX_LINES_PER_EVENT_PER_S or len(self._buffer) > MAX_BUFFERED_BYTES:
+            self._omitted[event_name] = self._omitted.get(event_name, 0) + 1
             return
-        self._add(now, kind, fields)
+        self._append_line(now, event_name, fields)
 
     def _start_second(self, second: int) -> None:
-        self._second = second
+        self._current_second = second
         self._counts.clear()
         if self._omitted:
             omitted, self._omitted = self._omitted, {}
-            self._add(time.time(), "lines-omitted", {"count_by_event": omitted})
+            self._append_line(time.time(), "lines-omitted", {"count_by_event": omitted})
 
-    def _add(self, now: float, kind: str, fields: dict[str, object]) -> None:
-        line = {"at": round(now, 3), "node": self._node_id, "event": kind, **fields}
+    def _append_line(
+        self, now: float, event_name: str, fields: dict[str, object]
+    ) -> None:
+        line = {
+            "at": round(now, 3),
+            "node": self._node_id,
+            "event": event_name,
+            **fields,
+        }
         self._buffer += self._encoder.encode(line) + b"\n"
 
     def flush(self) -> None:
-        """Write what the reader of standard output takes now."""
+        """Write as much of the buffer as standard output accepts now."""
         if self._buffer:
             written = self._write(bytes(self._buffer))
             del self._buffer[:written]
--- a/tests/test_mesh_crashes.py
+++ b/tests/test_mesh_crashes.py
@@ -1,4 +1,4 @@
-"""Requests that crash targets."""
+"""Quarantine of requests that crash targets."""
 
 from dataclasses import replace
 
@@ -18,36 +18,36 @@
 
 @pytest.mark.anyio
 async def test_request_in_flight_at_three_deaths_is_refused(clock: Time) -> None:
-    """It comes again under other ids and would crash one target after the other."""
-    spread: list[object] = []
-    suspects = CrashSuspects(ManualClock(), spread.append)
-    poison, innocent = make_call(body=b"poison"), make_call(body=b"fine")
+    """The request is sent again under other ids and would crash target after target."""
+    published: list[object] = []
+    suspects = CrashSuspects(ManualClock(), published.append)
+    crashing, harmless = make_call(body=b"poison"), make_call(body=b"fine")
     for death in range(3):
-        assert not suspects.refuses(poison)
-        suspects.record_loss(replace(poison, request_id=b"%d" % death))
+        assert not suspects.refuses(crashing)
+        suspects.record_loss(replace(crashing, request_id=b"%d" % death))
         if death == 0:
-            suspects.record_loss(innocent)
+            suspects.record_loss(harmless)
         suspects.record_death(f"i-{death}")
-    assert suspects.refuses(poison) and not suspects.refuses(innocent)
-    assert len(spread) == 3
+    assert suspects.refuses(crashing) and not suspects.refuses(harmless)
+    assert len(published) == 3
 
 
-def test_suspects_below_the_limit_cost_no_time_per_call(
+def test_suspects_below_the_limit_are_not_compared_for_each_call(
     clock: Time, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """Hundreds of suspects were encoded for each call, and nodes ran out of cores."""
+    """Encoding hundreds of suspects for each call exhausts the processors of nodes."""
     suspects = CrashSuspects(ManualClock(), lambda entries: None)
     for number in range(400):
         suspects.record_loss(make_call(target=b"/a/%d" % number))
     suspects.record_death("i-1")
-    hashed: list[object] = []
-    monkeypatch.setattr(crashes, "_fingerprint", hashed.append)
-    monkeypatch.setattr(suspects.quarantine, "_wire", hashed.append)
+    encoded: list[object] = []
+    monkeypatch.setattr(crashes, "_fingerprint", encoded.append)
+    monkeypatch.setattr(suspects.quarantine, "_wire", encoded.append)
     assert not suspects.refuses(make_call(target=b"/a/1"))
-    assert not hashed
+    assert not encoded
 
 
-def test_lost_answer_without_a_death_is_no_crash(clock: Time) -> None:
+def test_lost_response_without_a_death_is_not_suspected(clock: Time) -> None:
     suspects = CrashSuspects(ManualClock(), lambda entries: None)
     for death in range(3):
         suspects.record_loss(make_call())
--- a/tests/test_mesh_deadlines.py
+++ b/tests/test_mesh_deadlines.py
@@ -1,4 +1,4 @@
-"""Deadline of the work of one task."""
+"""Deadline for the current task."""
 
 import asyncio
 
@@ -28,22 +28,22 @@
     ("timeout_s", "work_s", "result"),
     [(5.0, 0.0, "done"), (0.01, 5.0, "timeout"), (-1.0, 5.0, "timeout")],
 )
-async def test_work_ends_at_the_deadline(
+async def test_body_ends_at_the_deadline(
     timeout_s: float, work_s: float, result: str
 ) -> None:
     assert await wait_with_deadline(timeout_s, work_s) == result
 
 
-async def test_task_goes_on_after_a_timeout() -> None:
-    """A cancellation that stays counted would end a later wait of the task."""
+async def test_task_continues_after_a_timeout() -> None:
+    """A cancellation that is not uncounted would end a later wait of the task."""
     assert await wait_with_deadline(0.01, 5.0) == "timeout"
     task = asyncio.current_task()
     assert task is not None and task.cancelling() == 0
     assert await wait_with_deadline(5.0, 0.01) == "done"
 
 
-async def test_cancellation_from_elsewhere_is_no_timeout() -> None:
-    """A caller that leaves must not be answered as if its time had passed."""
+async def test_external_cancellation_is_not_a_timeout() -> None:
+    """A disconnected caller must not be handled like a timeout."""
     task = asyncio.create_task(wait_with_deadline(5.0, 5.0))
     await asyncio.sleep(0.01)
     task.cancel()
@@ -51,8 +51,8 @@
         await task
 
 
-async def test_cancellation_at_the_same_moment_stays_in_force() -> None:
-    """The deadline must not swallow the cancellation of a caller that left."""
+async def test_external_cancellation_takes_precedence_over_the_deadline() -> None:
+    """The deadline must not swallow the cancellation for a disconnected caller."""
     task = asyncio.create_task(wait_with_deadline(0.01, 5.0))
     await asyncio.sleep(0)
     deadline_s = now_s() + 0.02
@@ -64,7 +64,7 @@
         await task
 
 
-async def test_inner_deadline_leaves_the_outer_one_alone() -> None:
+async def test_inner_deadline_does_not_affect_the_outer_one() -> None:
     loop = asyncio.get_running_loop()
     with Deadline(loop, now_s() + 5.0):
         assert await wait_with_deadline(0.01, 5.0) == "timeout"
--- a/tests/test_mesh_decisions.py
+++ b/tests/test_mesh_decisions.py
@@ -1,15 +1,15 @@
-"""The structured log."""
+"""Structured decision log."""
 
 import msgspec
 import pytest
 
-from briardock.mesh.decisions import LINES_PER_KIND, DecisionLog
+from briardock.mesh.decisions import MAX_LINES_PER_EVENT_PER_S, DecisionLog
 
 
-def test_log_is_bounded_and_counts_what_it_leaves_out(
+def test_log_is_bounded_and_counts_omitted_lines(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """A flood of refusals must neither block nor hide that lines are missing."""
+    """A burst of refusals must not block, and the log must report omitted lines."""
     lines: list[bytes] = []
     now = [100.0]
     monkeypatch.setattr("briardock.mesh.decisions.time.time", lambda: now[0])
@@ -19,13 +19,13 @@
         return len(data)
 
     log = DecisionLog("n", write=write)
-    for _ in range(LINES_PER_KIND + 5):
+    for _ in range(MAX_LINES_PER_EVENT_PER_S + 5):
         log.event("refused", id="x")
     now[0] += 1.0
     log.event("other")
     log.flush()
     decoded = [msgspec.json.decode(line) for line in lines]
-    assert [d["event"] for d in decoded].count("refused") == LINES_PER_KIND
+    assert [d["event"] for d in decoded].count("refused") == MAX_LINES_PER_EVENT_PER_S
     omitted = [d for d in decoded if d["event"] == "lines-omitted"]
     assert omitted[0]["count_by_event"] == {"refused": 5}
 
