--- a/src/briardock/mesh/dialect.py
+++ b/src/briardock/mesh/dialect.py
@@ -9,7 +9,7 @@
     Headers,
     RequestHead,
     RoutingConfig,
-    TargetReply,
+    TargetResponse,
 )
 
 
@@ -56,7 +56,7 @@
         """Return whether a response belongs to the request with an id."""
         ...
 
-    def decode_reply(self, response: Response) -> TargetReply:
+    def decode_reply(self, response: Response) -> TargetResponse:
         """Return what the headers of a target's response say."""
         ...
 
--- a/src/briardock/mesh/model.py
+++ b/src/briardock/mesh/model.py
@@ -9,14 +9,14 @@
 Headers = list[tuple[bytes, bytes]]
 
 
-# Returns the time since boot in s, which counts a suspension of the machine. A
-# deadline taken from the monotonic clock would be extended by that time. Each request
-# reads it about ten times, so it is called without a function of its own.
+# Returns the time since boot in s, including time in which the machine is suspended,
+# by which a deadline on the monotonic clock would be extended. A partial avoids the
+# call of a Python function, as each request reads the clock about ten times.
 now_s: Callable[[], float] = partial(time.clock_gettime, time.CLOCK_BOOTTIME)
 
 
 class TargetState(enum.StrEnum):
-    """Whether a target takes new requests."""
+    """Whether a target accepts new requests."""
 
     ABSENT = "absent"
     READY = "ready"
@@ -25,10 +25,10 @@
 
 @dataclass(frozen=True, slots=True)
 class WeightedService:
-    """One part of the traffic of a route.
+    """A service that receives a share of the traffic of a route.
 
     :param service: name of the service
-    :param weight: share relative to the other parts
+    :param weight: share relative to the other services of the route
     """
 
     service: str
@@ -37,17 +37,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Route:
-    """Where requests of one host and path prefix go and how they are treated.
+    """Destination and handling of the requests for one host and path prefix.
 
-    :param name: name that the operator gave it
+    :param name: name given by the operator
     :param host: lower-case host without port
     :param path_prefix: prefix that begins and ends with a slash
     :param idempotent: whether a request may run more than once
     :param timeout_s: longest time until the final response
-    :param objective_s: time within which a response has its full value
-    :param priority: rank, 0 is the most important
-    :param max_attempts: most targets that one request is sent to
-    :param services: parts of the traffic
+    :param objective_s: latency objective; a later response loses value
+    :param priority: importance of its requests, 0 being the most important
+    :param max_attempts: largest number of targets that receive one request
+    :param services: services that share the traffic
     """
 
     name: str
@@ -63,7 +63,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CallerLimits:
-    """What a caller may send and how long it may take.
+    """Limits on the size and duration of callers' requests.
 
     :param header_bytes: largest request head
     :param body_bytes: largest request body
@@ -81,10 +81,10 @@
 class RoutingConfig:
     """One version of the operator's configuration.
 
-    :param version: grows with each change
+    :param version: increases with each change
     :param routes: all routes
     :param limits: limits on callers
-    :param document: encoded form, for passing on to other nodes
+    :param document: encoded form that is sent to other nodes
     """
 
     version: int
@@ -95,14 +95,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Announcement:
-    """What a target says of itself.
+    """Announcement of a target to the node beside it.
 
     :param target_id: id of the target process
     :param service: service that it belongs to
     :param address: host and port that it listens on
-    :param slots: requests that it runs at once
-    :param state: whether it takes new requests
-    :param sequence: grows with each announcement of one incarnation
+    :param slots: number of requests that it runs at once
+    :param state: whether it accepts new requests
+    :param sequence: increases with each announcement of one incarnation
     :param born_ms: start of the incarnation, Unix time in ms
     """
 
@@ -117,12 +117,12 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestHead:
-    """Headers of a caller's request after decoding.
+    """Decoded headers of a caller's request.
 
     :param request_id: id that the caller gave to this attempt, or empty
     :param host: lower-case host without port
-    :param deadline_s: time that the caller waits, or ``None``
-    :param forwarded: headers that are passed on, without those set by nodes
+    :param deadline_s: time for which the caller waits, or ``None``
+    :param forwarded: headers to forward, without those set by nodes
     """
 
     request_id: bytes
@@ -132,12 +132,12 @@
 
 
 @dataclass(frozen=True, slots=True)
-class TargetReply:
-    """What the headers of a target's response say.
+class TargetResponse:
+    """Decoded headers of a target's response.
 
-    :param complete_success: whether a success carries what makes it valid
+    :param complete_success: whether the headers that a valid success needs are present
     :param not_run: whether the target states that it did not run the request
-    :param wrong_target: whether another target has taken the address
+    :param wrong_target: whether another target uses the address
     :param idle_timeout_s: time after which the target closes the connection
     """
 
@@ -155,17 +155,17 @@
     :param domain: failure domain
     :param service: service of the target beside the node
     :param target_address: host and port of that target
-    :param caller_address: where callers and the target send requests
-    :param peer_address: where other nodes send requests
-    :param ready_address: where readiness is asked
-    :param announce_address: where the target announces itself
-    :param metrics_port: port of the metrics page on the node's own address
+    :param caller_address: listens for requests of callers and the target
+    :param peer_address: listens for requests of other nodes
+    :param ready_address: listens for readiness checks
+    :param announce_address: listens for announcements of the target
+    :param metrics_port: port of the metrics page on the node's address
     :param store_address: host and port of the platform's store
     :param memory_bytes: memory limit of the process
     :param grace_s: time between a request to stop and the kill
-    :param retry_ratio: repeats per request that all nodes may send to a service
-    :param retry_slack: repeats in a window that all nodes may send beyond that
-    :param retry_window_s: window of the two figures before
+    :param retry_ratio: retries per request that all nodes may send to a service
+    :param retry_slack: additional retries in a window that all nodes may send
+    :param retry_window_s: length of the window for ratio and slack
     """
 
     node_id: str
--- a/src/briardock/mesh/routes.py
+++ b/src/briardock/mesh/routes.py
@@ -1,10 +1,10 @@
-"""Selection of the route and the service of a request."""
+"""Selection of the route and the service for a request."""
 
 from briardock.mesh.model import CallerLimits, Route, RoutingConfig
 
 
 class RouteTable:
-    """Routes of one configuration, found by host and longest path prefix.
+    """Routes of one configuration, matched by host and longest path prefix.
 
     :param config: configuration in force
     """
@@ -16,7 +16,7 @@
         self.priority_count = 1 + max((r.priority for r in config.routes), default=0)
         self.longest_timeout_s = max((r.timeout_s for r in config.routes), default=0.0)
         self._by_host: dict[str, dict[str, Route]] = {}
-        self._shares: dict[str, list[float]] = {}
+        self._current_weights: dict[str, list[float]] = {}
         for route in config.routes:
             self._by_host.setdefault(route.host, {})[route.path_prefix] = route
 
@@ -30,9 +30,9 @@
         if prefixes is None:
             return None
         path = target.partition(b"?")[0].decode("latin-1")
-        end = len(path)
-        while (end := path.rfind("/", 0, end)) >= 0:
-            route = prefixes.get(path[: end + 1])
+        prefix_end = len(path)
+        while (prefix_end := path.rfind("/", 0, prefix_end)) >= 0:
+            route = prefixes.get(path[: prefix_end + 1])
             if route is not None:
                 return route
         return None
@@ -42,12 +42,16 @@
 
         :param route: route of the request
         """
-        parts = route.services
-        if len(parts) == 1:
-            return parts[0].service
-        shares = self._shares.setdefault(route.name, [0.0] * len(parts))
-        for index, part in enumerate(parts):
-            shares[index] += part.weight
-        best = max(range(len(parts)), key=shares.__getitem__)
-        shares[best] -= sum(part.weight for part in parts)
-        return parts[best].service
+        weighted_services = route.services
+        if len(weighted_services) == 1:
+            return weighted_services[0].service
+        current_weights = self._current_weights.setdefault(
+            route.name, [0.0] * len(weighted_services)
+        )
+        for index, weighted_service in enumerate(weighted_services):
+            current_weights[index] += weighted_service.weight
+        chosen = max(range(len(weighted_services)), key=current_weights.__getitem__)
+        current_weights[chosen] -= sum(
+            weighted_service.weight for weighted_service in weighted_services
+        )
+        return weighted_services[chosen].service
--- a/src/briardock/platform/_dialect.py
+++ b/src/briardock/platform/_dialect.py
@@ -14,7 +14,7 @@
     RequestHead,
     Route,
     RoutingConfig,
-    TargetReply,
+    TargetResponse,
     TargetState,
     WeightedService,
 )
@@ -148,12 +148,12 @@
         ident = _find(response.headers, REQUEST_ID)
         return ident is None or ident == request_id
 
-    def decode_reply(self, response: Response) -> TargetReply:
+    def decode_reply(self, response: Response) -> TargetResponse:
         """Return what the headers of a target's response say."""
         headers = dict(response.headers)
         keep_alive = _KEEP_ALIVE.search(headers.get(b"keep-alive", b""))
         wrong_target = response.status == 421
-        return TargetReply(
+        return TargetResponse(
             complete_success=SIGNATURE in headers
             and b"content-encoding" not in headers,
             not_run=NOT_RUN in headers or wrong_target,
--- a/tests/test_mesh_routes.py
+++ b/tests/test_mesh_routes.py
@@ -9,7 +9,7 @@
 from mesh_builders import make_route
 
 
-def table(*routes: Route) -> RouteTable:
+def make_route_table(*routes: Route) -> RouteTable:
     return RouteTable(RoutingConfig(1, routes, CallerLimits(), b""))
 
 
@@ -25,19 +25,21 @@
     ],
 )
 def test_longest_prefix_of_the_path_wins(path: bytes, expected: str | None) -> None:
-    found = table(make_route("short", "/a/"), make_route("long", "/a/b/")).match(
-        "h", path
-    )
+    found = make_route_table(
+        make_route("short", "/a/"), make_route("long", "/a/b/")
+    ).match("h", path)
     assert (found.name if found else None) == expected
 
 
 @given(st.lists(st.integers(1, 20), min_size=2, max_size=4), st.integers(50, 300))
-def test_each_part_gets_its_weight(weights: list[int], count: int) -> None:
-    """Shares must lie within 0.1 of the weights over any longer span."""
-    parts = [WeightedService(str(i), float(w)) for i, w in enumerate(weights)]
-    route = make_route("r", "/a/", *parts)
-    routes = table(route)
+def test_each_service_gets_its_share(weights: list[int], count: int) -> None:
+    """Shares must lie within 0.1 of the weights over 50 requests or more."""
+    weighted_services = [
+        WeightedService(str(i), float(w)) for i, w in enumerate(weights)
+    ]
+    route = make_route("r", "/a/", *weighted_services)
+    routes = make_route_table(route)
     picks = [routes.pick_service(route) for _ in range(count)]
-    for part in parts:
-        share = picks.count(part.service) / count
-        assert abs(share - part.weight / sum(weights)) <= 0.1
+    for weighted_service in weighted_services:
+        share = picks.count(weighted_service.service) / count
+        assert abs(share - weighted_service.weight / sum(weights)) <= 0.1
