--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,9 +2,9 @@
 
 import pytest
 
-from mesh_builders import Time
+from mesh_builders import FakeClock
 
 
 @pytest.fixture
-def clock(monkeypatch: pytest.MonkeyPatch) -> Time:
-    return Time(monkeypatch)
+def clock(monkeypatch: pytest.MonkeyPatch) -> FakeClock:
+    return FakeClock(monkeypatch)
--- a/tests/mesh_builders.py
+++ b/tests/mesh_builders.py
@@ -1,4 +1,4 @@
-"""Records, routes, calls and a clock for the tests of the mesh's decisions."""
+"""Builders of records, routes and calls, and a fake clock for tests of the mesh."""
 
 from dataclasses import replace
 
@@ -25,8 +25,8 @@
 from mesh_fakes import quiet_log
 
 
-class Time:
-    """Replaces the clock of the modules under test."""
+class FakeClock:
+    """Clock of the modules under test, set by the test."""
 
     def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
         self.now = 1_000.0
--- a/tests/mesh_fakes.py
+++ b/tests/mesh_fakes.py
@@ -1,4 +1,4 @@
-"""Stand-ins for the platform's targets and store, and nodes to test against them."""
+"""Fakes of the platform's targets and store, and nodes that run against them."""
 
 import asyncio
 import base64
@@ -38,7 +38,7 @@
 
 
 def free_address() -> str:
-    """Return an address that nothing listens on and no outgoing connection gets."""
+    """Return an address without a listener that no outgoing connection uses."""
     return f"{HOST}:{_PORTS.take()}"
 
 
@@ -76,7 +76,7 @@
 
 
 class FakeStore:
-    """Keyed topics of the platform's store; ``down`` makes it answer 503."""
+    """Keyed topics of the platform's store; ``down`` makes it respond with 503."""
 
     def __init__(self, address: str) -> None:
         self.address = address
@@ -98,10 +98,10 @@
     async def _handle(self, request: Request) -> Response:
         if self.down:
             return Response(503)
-        parts = urlsplit(request.target.decode())
-        query = {k: v[0] for k, v in parse_qs(parts.query).items()}
+        url = urlsplit(request.target.decode())
+        query = {k: v[0] for k, v in parse_qs(url.query).items()}
         records = self._topics[query["topic"]]
-        match parts.path:
+        match url.path:
             case "/log-append":
                 self.appends += 1
                 (size,) = struct.unpack_from(">I", request.body)
@@ -126,11 +126,11 @@
         offset = int(query["from"])
         wait_s = int(query.get("wait-ms", "0")) / 1000
         loop = asyncio.get_running_loop()
-        until = loop.time() + wait_s
-        while len(records) <= offset and loop.time() < until:
+        deadline = loop.time() + wait_s
+        while len(records) <= offset and loop.time() < deadline:
             added = self._added
             try:
-                async with asyncio.timeout_at(until):
+                async with asyncio.timeout_at(deadline):
                     await added.wait()
             except TimeoutError:
                 break
@@ -141,19 +141,19 @@
         return Response(200, body=body)
 
 
-async def run_normally(request: Request) -> Response:
-    """Answer as a healthy target does."""
-    ident = dict(request.headers).get(b"request-id", b"")
-    headers = [(b"request-id", ident), (b"response-signature", b"s")]
-    return Response(200, headers, b"answer to " + ident)
+async def respond_normally(request: Request) -> Response:
+    """Respond like a healthy target."""
+    request_id = dict(request.headers).get(b"request-id", b"")
+    headers = [(b"request-id", request_id), (b"response-signature", b"s")]
+    return Response(200, headers, b"response to " + request_id)
 
 
 @dataclass
 class FakeTarget:
-    """A target that records what it ran."""
+    """A target that records its requests."""
 
     address: str
-    behaviour: Behaviour = run_normally
+    behaviour: Behaviour = respond_normally
     requests: list[Request] = field(default_factory=list)
 
     async def start(self) -> None:
@@ -196,15 +196,21 @@
         return response.status
 
     async def call(
-        self, path: str, ident: str = "r1", body: bytes = b"", **headers: str
+        self, path: str, request_id: str = "r1", body: bytes = b"", **headers: str
     ) -> Response:
         """Send a caller's request to the node."""
-        named = [(k.replace("_", "-").encode(), v.encode()) for k, v in headers.items()]
+        extra_headers = [
+            (k.replace("_", "-").encode(), v.encode()) for k, v in headers.items()
+        ]
         return await send(
             self.settings.caller_address,
             path,
             body,
-            [(b"host", b"a.example"), (b"request-id", ident.encode()), *named],
+            [
+                (b"host", b"a.example"),
+                (b"request-id", request_id.encode()),
+                *extra_headers,
+            ],
         )
 
 
@@ -214,7 +220,7 @@
     body: bytes = b"",
     headers: list[tuple[bytes, bytes]] | None = None,
 ) -> Response:
-    """Send one request on a connection of its own."""
+    """Send one request on a new connection."""
     loop = asyncio.get_running_loop()
     host, port = split_address(address)
     _, connection = await loop.create_connection(ClientConnection, host, port)
@@ -274,25 +280,25 @@
         async def started() -> bool:
             if task.done():
                 task.result()
-            return await answers(settings.ready_address)
+            return await is_listening(settings.ready_address)
 
         await eventually(started)
         return Machine(node, target, task, settings)
 
     async def restart(self, node_id: str) -> Machine:
-        """End a node without notice and start it beside the same target."""
-        ended = self.machines[node_id]
-        ended.task.cancel()
-        await asyncio.gather(ended.task, return_exceptions=True)
-        for server in ended.node._servers:
+        """Stop a node abruptly and start it again beside the same target."""
+        stopped = self.machines[node_id]
+        stopped.task.cancel()
+        await asyncio.gather(stopped.task, return_exceptions=True)
+        for server in stopped.node._servers:
             server.stop_listening()
             server.close_idle()
-        machine = await self.start_node(ended.settings, ended.target)
+        machine = await self.start_node(stopped.settings, stopped.target)
         self.machines[node_id] = machine
         return machine
 
     async def settle(self) -> None:
-        """Wait until all nodes know the same records and a configuration."""
+        """Wait until all nodes have the same records and a configuration."""
 
         async def settled() -> bool:
             nodes = [m.node for m in self.machines.values()]
@@ -309,8 +315,8 @@
         await eventually(settled)
 
 
-async def answers(address: str) -> bool:
-    """Return whether something answers at an address."""
+async def is_listening(address: str) -> bool:
+    """Return whether a server responds at an address."""
     try:
         return (await send(address, "/ready")).status > 0
     except OSError:
@@ -328,15 +334,15 @@
 
 @asynccontextmanager
 async def fleet(*routes: dict[str, Any]) -> AsyncIterator[Fleet]:
-    """Run a store with a configuration; the test adds the machines."""
+    """Run a store with a configuration, to which the test adds machines."""
     store = FakeStore(free_address())
     await store.server.start(*split_address(store.address))
     store.put("keyed.op", "config", config(1, *(routes or [route("r", "/jobs/")])))
-    found = Fleet(store)
+    created = Fleet(store)
     try:
-        yield found
+        yield created
     finally:
-        for machine in found.machines.values():
+        for machine in created.machines.values():
             machine.task.cancel()
             await asyncio.gather(machine.task, return_exceptions=True)
         _PORTS.release()
--- a/tests/test_mesh_balancer.py
+++ b/tests/test_mesh_balancer.py
@@ -7,7 +7,7 @@
 from briardock.mesh import balancer as balancing
 from briardock.mesh.balancer import Balancer, InstanceStats
 from briardock.mesh.members import MemberTable, NodeRecord
-from mesh_builders import Time, record
+from mesh_builders import FakeClock, record
 
 
 def choose(balancer: Balancer, idempotent: bool = True) -> str | None:
@@ -22,7 +22,7 @@
     return Balancer(members, "d1", random.Random(1))
 
 
-def test_local_domain_is_preferred_until_it_is_loaded(clock: Time) -> None:
+def test_local_domain_is_preferred_until_it_is_loaded(clock: FakeClock) -> None:
     balancer = make_balancer(record("near"), record("faraway", domain="d2"))
     assert choose(balancer) == "near"
     balancer.record_response("near", 0.01, inflight=8, failed=False)
@@ -30,7 +30,7 @@
 
 
 def test_unreachable_instance_is_ejected_then_probed_by_an_idempotent_request(
-    clock: Time,
+    clock: FakeClock,
 ) -> None:
     balancer = make_balancer(record("near"), record("other"))
     balancer.record_unreachable("near")
@@ -43,7 +43,7 @@
 
 
 def test_lost_connections_do_not_eject_an_instance_that_accepts_new_ones(
-    clock: Time,
+    clock: FakeClock,
 ) -> None:
     """Many connections reset at once must not eject a healthy node (for up to 4 s)."""
     balancer = make_balancer(record("near"), record("other"))
@@ -54,13 +54,13 @@
     assert not balancer.stats("near").is_suspect(clock.now)
 
 
-def test_failures_at_one_moment_count_once(clock: Time) -> None:
+def test_failures_at_one_moment_count_once(clock: FakeClock) -> None:
     balancer = make_balancer(record("near"), record("other"))
     durations = [balancer.record_unreachable("near") for _ in range(6)]
     assert durations == [balancing.MIN_EJECTION_S, 0, 0, 0, 0, 0]
 
 
-def test_silent_instance_is_suspect(clock: Time) -> None:
+def test_silent_instance_is_suspect(clock: FakeClock) -> None:
     """A partitioned node sends no responses; waiting for a timeout takes too long."""
     balancer = make_balancer(record("near"), record("other"))
     balancer.record_start("near")
@@ -68,14 +68,14 @@
     assert choose(balancer) == "other"
 
 
-def test_failing_instance_gets_fewer_requests(clock: Time) -> None:
+def test_failing_instance_gets_fewer_requests(clock: FakeClock) -> None:
     balancer = make_balancer(record("near"), record("other"))
     for _ in range(10):
         balancer.record_response("near", 0.001, 0, failed=True)
     assert choose(balancer) == "other"
 
 
-def test_leaving_node_serves_others_only_if_it_is_the_last(clock: Time) -> None:
+def test_leaving_node_serves_others_only_if_it_is_the_last(clock: FakeClock) -> None:
     """Otherwise a service is unavailable while the node beside its last instance
     restarts.
     """
@@ -85,7 +85,7 @@
     assert choose(balancer, idempotent=False) == "near"
 
 
-def test_leaving_node_serves_its_local_callers(clock: Time) -> None:
+def test_leaving_node_serves_its_local_callers(clock: FakeClock) -> None:
     members = MemberTable(record("own"))
     members.update_own(leaving=True)
     members.merge(record("other", domain="d2"))
@@ -93,7 +93,7 @@
 
 
 def test_choice_among_many_instances_compares_a_few(
-    clock: Time, monkeypatch: pytest.MonkeyPatch
+    clock: FakeClock, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Comparing all of 30 instances takes most of the processor time of a request."""
     records = [record(f"n{i}", address=f"10.0.1.{i}:1") for i in range(30)]
@@ -114,7 +114,9 @@
     assert not chosen & {"n3", "n4"}
 
 
-def test_restart_of_a_node_keeps_the_count_of_requests_in_flight(clock: Time) -> None:
+def test_restart_of_a_node_keeps_the_count_of_requests_in_flight(
+    clock: FakeClock,
+) -> None:
     """If the count falls below zero, a node that fails again is never probed."""
     balancer = make_balancer(record("near"), record("other"))
     balancer.record_start("near")
--- a/tests/test_mesh_callgraph.py
+++ b/tests/test_mesh_callgraph.py
@@ -2,10 +2,10 @@
 
 from briardock.mesh.callgraph import CalledServices, EntryRoutes
 from briardock.mesh.members import MemberTable
-from mesh_builders import Time, make_route, make_target, record
+from mesh_builders import FakeClock, make_route, make_target, record
 
 
-def test_request_at_an_idle_target_marks_an_entry_route(clock: Time) -> None:
+def test_request_at_an_idle_target_marks_an_entry_route(clock: FakeClock) -> None:
     members, local_target = MemberTable(record("own")), make_target()
     published: list[str] = []
     entries = EntryRoutes(members, local_target, lambda: published.append("x"))
@@ -22,7 +22,7 @@
 
 
 def test_no_route_is_learned_while_requests_of_an_earlier_process_may_run(
-    clock: Time,
+    clock: FakeClock,
 ) -> None:
     """Calls of requests that began before a restart look like callers' requests."""
     members = MemberTable(record("own"))
--- a/tests/test_mesh_chain.py
+++ b/tests/test_mesh_chain.py
@@ -5,7 +5,7 @@
 from briardock.mesh import chain
 from briardock.mesh.chain import ChainThreshold, InstanceThresholds, LearnedThresholds
 from briardock.mesh.levels import OPEN_THRESHOLD
-from mesh_builders import Time
+from mesh_builders import FakeClock
 
 MAX_THRESHOLD = 2.0
 
@@ -17,7 +17,7 @@
     return {service: ChainThreshold(threshold, age_s)}
 
 
-def test_one_overloaded_instance_does_not_limit_its_service(clock: Time) -> None:
+def test_one_overloaded_instance_does_not_limit_its_service(clock: FakeClock) -> None:
     """A slow instance must not have the requests of its whole domain refused."""
     learned = LearnedThresholds()
     learned.learn("jobs", "slow", InstanceThresholds(1.0), 3.0)
@@ -29,7 +29,7 @@
     assert learned.of_service("jobs", 3.0) == 1.0
 
 
-def test_learned_threshold_rises_gradually_after_its_lifetime(clock: Time) -> None:
+def test_learned_threshold_rises_gradually_after_its_lifetime(clock: FakeClock) -> None:
     """A service that refuses everything sends no responses, and must not be flooded
     when its last one expires after 3 s.
     """
@@ -43,7 +43,7 @@
     assert learned.of_service("jobs", 3.0) == OPEN_THRESHOLD
 
 
-def test_rare_responses_count_more_than_frequent_ones(clock: Time) -> None:
+def test_rare_responses_count_more_than_frequent_ones(clock: FakeClock) -> None:
     """With a fixed weight of a tenth for each response, an entry node that refuses
     nearly everything gets few responses and keeps a low threshold for seconds.
     """
@@ -69,7 +69,7 @@
 
 @pytest.mark.parametrize("cycle", [["a", "b"], ["a", "b", "c"]])
 def test_low_threshold_does_not_persist_in_a_cycle_of_services(
-    clock: Time, cycle: list[str]
+    clock: FakeClock, cycle: list[str]
 ) -> None:
     """Services that call each other could pass a low threshold around for more than
     15 s after the only overload had ended (fault soak, seed 102).
@@ -93,7 +93,7 @@
         assert learned[service].of_service(callee, MAX_THRESHOLD) == OPEN_THRESHOLD
 
 
-def test_outdated_threshold_does_not_replace_a_newer_one(clock: Time) -> None:
+def test_outdated_threshold_does_not_replace_a_newer_one(clock: FakeClock) -> None:
     """An instance that rarely calls a service reports what it learned long ago."""
     learned = LearnedThresholds()
     learned.learn(
@@ -109,7 +109,9 @@
     assert learned.of_service("jobs", MAX_THRESHOLD) == 1.5
 
 
-def test_thresholds_of_all_services_along_the_chain_are_passed_on(clock: Time) -> None:
+def test_thresholds_of_all_services_along_the_chain_are_passed_on(
+    clock: FakeClock,
+) -> None:
     """The threshold of the deepest service must reach the entry nodes, regardless of
     how many nodes relay it.
     """
--- a/tests/test_mesh_crashes.py
+++ b/tests/test_mesh_crashes.py
@@ -7,7 +7,7 @@
 from briardock.clock import ManualClock
 from briardock.mesh import crashes
 from briardock.mesh.crashes import CrashSuspects
-from mesh_builders import Time, make_call, make_target
+from mesh_builders import FakeClock, make_call, make_target
 from mesh_fakes import announcement
 
 
@@ -17,7 +17,7 @@
 
 
 @pytest.mark.anyio
-async def test_request_in_flight_at_three_deaths_is_refused(clock: Time) -> None:
+async def test_request_in_flight_at_three_deaths_is_refused(clock: FakeClock) -> None:
     """The request is sent again under other ids and would crash target after target."""
     published: list[object] = []
     suspects = CrashSuspects(ManualClock(), published.append)
@@ -33,7 +33,7 @@
 
 
 def test_suspects_below_the_limit_are_not_compared_for_each_call(
-    clock: Time, monkeypatch: pytest.MonkeyPatch
+    clock: FakeClock, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Encoding hundreds of suspects for each call exhausts the processors of nodes."""
     suspects = CrashSuspects(ManualClock(), lambda entries: None)
@@ -47,7 +47,7 @@
     assert not encoded
 
 
-def test_lost_response_without_a_death_is_not_suspected(clock: Time) -> None:
+def test_lost_response_without_a_death_is_not_suspected(clock: FakeClock) -> None:
     suspects = CrashSuspects(ManualClock(), lambda entries: None)
     for death in range(3):
         suspects.record_loss(make_call())
@@ -56,7 +56,7 @@
     assert not suspects.refuses(make_call())
 
 
-def test_restart_of_the_target_counts_as_its_death(clock: Time) -> None:
+def test_restart_of_the_target_counts_as_its_death(clock: FakeClock) -> None:
     local_target = make_target()
     for start in range(4):
         local_target.announce(announcement(born_ms=start + 1))
--- a/tests/test_mesh_departure.py
+++ b/tests/test_mesh_departure.py
@@ -1,4 +1,4 @@
-"""Departures of targets that nodes acknowledge shortly before they end."""
+"""Departures of targets that nodes acknowledge shortly before they stop."""
 
 import asyncio
 
@@ -18,17 +18,17 @@
     return "asyncio", {"use_uvloop": True}
 
 
-def slow_down_appends(system: Fleet, delay_s: float) -> None:
-    """Make the store answer appends after a delay."""
+def delay_appends(system: Fleet, delay_s: float) -> None:
+    """Delay the store's responses to appends."""
     server = system.store.server
     handle = server._handler
 
-    async def handle_slowly(request: Request) -> Response:
+    async def handle_with_delay(request: Request) -> Response:
         if request.target.startswith(b"/log-append"):
             await asyncio.sleep(delay_s)
         return await handle(request)
 
-    server._handler = handle_slowly
+    server._handler = handle_with_delay
 
 
 async def announce_departure(machine: Machine, call: str) -> int:
@@ -41,11 +41,13 @@
 
 @pytest.mark.parametrize("call", ["heartbeat", "deregister"])
 async def test_departure_is_stored_before_it_is_acknowledged(call: str) -> None:
-    """A node that was killed after the acknowledgement took the target as ready."""
+    """Otherwise a node killed after the acknowledgement restarts with the target as
+    ready.
+    """
     async with fleet() as system:
         owner = await system.add("n1", "jobs")
         await system.settle()
-        slow_down_appends(system, 0.2)
+        delay_appends(system, 0.2)
         assert await announce_departure(owner, call) == 200
         stored = system.store.newest("keyed.briardock-nodes")["n1"]
         record = msgspec.msgpack.decode(stored, type=NodeRecord)
@@ -53,7 +55,7 @@
 
 
 async def test_departure_is_acknowledged_in_time_without_the_store() -> None:
-    """A target that gets no acknowledgement within 1 s ends without one."""
+    """A target that gets no acknowledgement within 1 s stops without one."""
     async with fleet() as system:
         owner = await system.add("n1", "jobs")
         await system.settle()
@@ -62,8 +64,8 @@
             assert await owner.announce("draining") == 200
 
 
-async def test_restarted_node_takes_its_target_from_peers_without_the_store() -> None:
-    """A restarted node waited for the next heartbeat while the store was away."""
+async def test_restarted_node_adopts_its_target_from_peers_without_the_store() -> None:
+    """A restarted node must not wait for the next heartbeat while the store is down."""
     async with fleet() as system:
         await system.add("n1", "jobs")
         await system.add("n2", "jobs")
@@ -71,31 +73,33 @@
         system.store.down = True
         restarted = await system.restart("n1")
 
-        async def taken() -> bool:
+        async def adopted() -> bool:
             return restarted.node.target.state is TargetState.READY
 
-        await eventually(taken, timeout_s=3.0)
+        await eventually(adopted, timeout_s=3.0)
 
 
-async def test_departure_that_peers_know_is_kept_by_the_next_process() -> None:
-    """The store may still hold the record from before the departure."""
+async def test_restarted_node_learns_the_departure_from_its_peers() -> None:
+    """The store may still hold a record from before the departure."""
     async with fleet() as system:
         owner = await system.add("n1", "jobs")
         await system.add("n2", "jobs")
         await system.settle()
-        slow_down_appends(system, 5.0)
+        delay_appends(system, 5.0)
         assert await announce_departure(owner, "heartbeat") == 200
         restarted = await system.restart("n1")
 
-        async def left() -> bool:
+        async def is_leaving() -> bool:
             return restarted.node.target.state is TargetState.LEAVING
 
-        await eventually(left, timeout_s=3.0)
+        await eventually(is_leaving, timeout_s=3.0)
 
 
 @pytest.mark.parametrize("count", [1, 2])
-async def test_entry_routes_outlive_a_restart_of_all_nodes(count: int) -> None:
-    """After all nodes lost power, callers' requests passed admission as calls."""
+async def test_entry_routes_survive_a_restart_of_all_nodes(count: int) -> None:
+    """After a power loss of all nodes, callers' requests must not pass admission as
+    calls of targets.
+    """
     async with fleet() as system:
         names = [f"n{number}" for number in range(1, count + 1)]
         first = [await system.add(name, "jobs") for name in names][0]
@@ -107,10 +111,10 @@
             await system.restart(name)
         system.store.down = False
 
-        async def known() -> bool:
+        async def all_known() -> bool:
             tables = [m.node.members for m in system.machines.values()]
             return all(table.entry_routes == {"r"} for table in tables)
 
-        await eventually(known, timeout_s=5.0)
+        await eventually(all_known, timeout_s=5.0)
         await system.restart("n1")
-        await eventually(known, timeout_s=5.0)
+        await eventually(all_known, timeout_s=5.0)
--- a/tests/test_mesh_operations.py
+++ b/tests/test_mesh_operations.py
@@ -1,4 +1,4 @@
-"""The operating page lists what nodes write, and the explanation of a request."""
+"""The page for operators lists all events and metrics; explanation of a request."""
 
 import ast
 import json
@@ -15,7 +15,7 @@
 
 
 def logged_fields() -> dict[str, set[str]]:
-    """Return the fields that the code gives to each event."""
+    """Return the fields that the code logs with each event."""
     found: dict[str, set[str]] = {}
     for path in (ROOT / "src/briardock/mesh").glob("*.py"):
         for node in ast.walk(ast.parse(path.read_text())):
@@ -48,8 +48,8 @@
     return json.dumps({"at": at, "node": node, "event": event, **fields})
 
 
-def test_explanation_is_in_order_and_names_missing_logs() -> None:
-    """Logs of several nodes arrive in any order, and one may be lost."""
+def test_explanation_is_sorted_by_time_and_names_missing_logs() -> None:
+    """The logs of several nodes may be given in any order, and one may be missing."""
     found = explain(
         "r1",
         [
@@ -69,6 +69,6 @@
 
 
 @pytest.mark.parametrize("lines", [[], [line(1.0, "a", "started")]])
-def test_request_without_lines_says_what_that_may_mean(lines: list[str]) -> None:
+def test_explanation_reports_that_no_line_was_found(lines: list[str]) -> None:
     (text,) = explain("r1", lines)
     assert "no line of request r1" in text
--- a/tests/test_mesh_path.py
+++ b/tests/test_mesh_path.py
@@ -18,8 +18,8 @@
     fleet,
     free_address,
     quiet_log,
+    respond_normally,
     route,
-    run_normally,
     send,
 )
 
@@ -41,7 +41,7 @@
         owner = await system.add("n2", "jobs")
         await system.settle()
         response = await entry.call("/jobs/7?x=1", body=b"abc", deadline_ms="1500")
-        assert (response.status, response.body) == (200, b"answer to r1")
+        assert (response.status, response.body) == (200, b"response to r1")
         assert dict(response.headers)[b"response-signature"] == b"s"
         (request,) = owner.target.requests
         headers = dict(request.headers)
@@ -125,7 +125,7 @@
                 for owner in owners:
                     for connection in list(owner.target.server.connections):
                         connection.abort_quietly()
-            return await run_normally(request)
+            return await respond_normally(request)
 
         for owner in owners:
             owner.target.behaviour = lose_once
@@ -180,7 +180,7 @@
 
         async def hang(request: Request) -> Response:
             await asyncio.sleep(5)
-            return await run_normally(request)
+            return await respond_normally(request)
 
         entry.target.behaviour = hang
         loop = asyncio.get_running_loop()
@@ -201,11 +201,11 @@
             late_response += b"response-signature: s\r\ncontent-length: 3\r\n\r\nold"
             assert connection._transport is not None
             connection._transport.write(late_response)
-            return await run_normally(request)
+            return await respond_normally(request)
 
         entry.target.behaviour = respond_twice
         response = await entry.call("/jobs/7", "new")
-        assert (response.status, response.body) == (200, b"answer to new")
+        assert (response.status, response.body) == (200, b"response to new")
 
 
 async def test_success_without_signature_is_not_passed_on() -> None:
@@ -224,7 +224,7 @@
 
         async def hang(request: Request) -> Response:
             await asyncio.sleep(5)
-            return await run_normally(request)
+            return await respond_normally(request)
 
         owner.target.behaviour = hang
         task = asyncio.create_task(entry.call("/jobs/7"))
--- a/tests/test_mesh_pool.py
+++ b/tests/test_mesh_pool.py
@@ -8,7 +8,7 @@
 
 from briardock.mesh.calls import Completed, Result, Unknown
 from briardock.mesh.model import split_address
-from briardock.mesh.target import MAX_IDLE_ONCE_S, Target
+from briardock.mesh.target import MAX_IDLE_NON_IDEMPOTENT_S, Target
 from mesh_builders import make_call, make_target
 from mesh_fakes import announcement, free_address
 
@@ -68,7 +68,7 @@
 async def test_request_that_must_not_repeat_takes_no_idle_connection() -> None:
     """Its outcome would be unknown, although the target never saw it."""
     async with forgetful_target() as beside:
-        pause_s = MAX_IDLE_ONCE_S + 0.05
+        pause_s = MAX_IDLE_NON_IDEMPOTENT_S + 0.05
         assert isinstance(await run_after(beside, 0.0), Completed)
         assert isinstance(await run_after(beside, pause_s, False), Completed)
         assert len(beside._pool._idle[beside.address]) == 2
--- a/tests/test_mesh_retries.py
+++ b/tests/test_mesh_retries.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies as st
 
 from briardock.mesh.retries import RetryBudget
-from mesh_builders import Time
+from mesh_builders import FakeClock
 
 
 @given(
@@ -26,7 +26,7 @@
     assert retries * node_count <= ratio * requests * node_count + slack
 
 
-def test_retries_expire_after_the_window(clock: Time) -> None:
+def test_retries_expire_after_the_window(clock: FakeClock) -> None:
     budget = RetryBudget(0.2, 4.0, 10.0)
     assert [budget.spend(1) for _ in range(3)] == [True, True, False]
     clock.now += 11
