--- a/src/briardock/mesh/calls.py
+++ b/src/briardock/mesh/calls.py
@@ -198,12 +198,12 @@
 
 
 def _decode_chain(text: str) -> dict[str, ChainThreshold]:
-    found = {}
+    decoded_chain = {}
     for item in text.split(",") if text else ():
         service, _, reported = item.rpartition("=")
         threshold, _, age_ms = reported.partition("@")
-        found[service] = ChainThreshold(float(threshold), int(age_ms) / 1000)
-    return found
+        decoded_chain[service] = ChainThreshold(float(threshold), int(age_ms) / 1000)
+    return decoded_chain
 
 
 def decode_result(response: Response) -> tuple[Result, LoadReport | None]:
--- a/src/briardock/mesh/chain.py
+++ b/src/briardock/mesh/chain.py
@@ -67,7 +67,7 @@
 
 
 @dataclass(slots=True)
-class _Service:
+class _ServiceThresholds:
     """Thresholds learned from the responses of one service.
 
     :param by_node: threshold and time of the response, by node beside the instance
@@ -93,7 +93,7 @@
     """
 
     def __init__(self) -> None:
-        self._services: dict[str, _Service] = {}
+        self._services: dict[str, _ServiceThresholds] = {}
 
     def learn(
         self,
@@ -112,7 +112,7 @@
         now = now_s()
         known = self._services.get(service)
         if known is None:
-            known = self._services[service] = _Service({}, now, {})
+            known = self._services[service] = _ServiceThresholds({}, now, {})
             known.chain = {
                 name: _Average(
                     min(reported.threshold, max_threshold), now, now - reported.age_s
@@ -145,25 +145,25 @@
         :param max_threshold: threshold above all priorities
         """
         now = now_s()
-        found: dict[str, ChainThreshold] = {}
+        collected: dict[str, ChainThreshold] = {}
         for service in services:
             known = self._services.get(service)
             if known is None:
                 continue
             age_s = now - known.last_response_s
-            instance = _raised_by_age(_instance_threshold(known, now), age_s)
-            _add_threshold(found, service, instance, age_s, max_threshold)
+            instance_threshold = _raised_by_age(_instance_threshold(known, now), age_s)
+            _add_threshold(collected, service, instance_threshold, age_s, max_threshold)
             for name, average in known.chain.items():
                 age_s = now - average.reported_s
                 _add_threshold(
-                    found,
+                    collected,
                     name,
                     _raised_by_age(average.threshold, age_s),
                     age_s,
                     max_threshold,
                 )
-        found.pop(local_service, None)
-        return found
+        collected.pop(local_service, None)
+        return collected
 
     def of_service(self, service: str, max_threshold: float) -> float:
         """Return the lowest threshold of a service and its callees.
@@ -185,7 +185,7 @@
         return OPEN_THRESHOLD if threshold > max_threshold - OPEN_MARGIN else threshold
 
 
-def _instance_threshold(known: _Service, now: float) -> float:
+def _instance_threshold(known: _ServiceThresholds, now: float) -> float:
     """Return the threshold of the least loaded instance.
 
     The last response is used regardless of its age.
@@ -207,7 +207,7 @@
 
 
 def _add_threshold(
-    found: dict[str, ChainThreshold],
+    collected: dict[str, ChainThreshold],
     service: str,
     threshold: float,
     age_s: float,
@@ -216,6 +216,6 @@
     """Add a threshold unless it admits everything or a newer one was added."""
     if threshold > max_threshold - OPEN_MARGIN:
         return
-    other = found.get(service)
+    other = collected.get(service)
     if other is None or age_s < other.age_s:
-        found[service] = ChainThreshold(threshold, age_s)
+        collected[service] = ChainThreshold(threshold, age_s)
--- a/src/briardock/mesh/forwarder.py
+++ b/src/briardock/mesh/forwarder.py
@@ -33,7 +33,7 @@
 
 # Largest number of instances tried for one request, including those that it never
 # reached.
-MAX_REROUTES = 6
+MAX_TRIED_INSTANCES = 6
 # Deadline of a request whose caller names none, s.
 DEFAULT_DEADLINE_S = 30.0
 # Retry-after time while the node has no configuration, s.
@@ -259,7 +259,7 @@
         excluded: set[str] = set()
         target_response: Completed | None = None
         result: Result = NotRun("no instance")
-        for _ in range(MAX_REROUTES):
+        for _ in range(MAX_TRIED_INSTANCES):
             record = await self._choose_instance(attempt, excluded)
             if record is None:
                 break
--- a/src/briardock/mesh/levels.py
+++ b/src/briardock/mesh/levels.py
@@ -11,7 +11,7 @@
 from zlib import crc32
 
 # Set point of the control loop. The remaining headroom absorbs variation of arrivals;
-# it can be small because the queue serves the oldest requests first.
+# a backlog is tolerable because the queue serves the oldest requests first.
 TARGET_UTILIZATION = 0.97
 # Time in which the backlog is to be drained, s, and the largest share of the capacity
 # reserved for it.
--- a/src/briardock/mesh/target.py
+++ b/src/briardock/mesh/target.py
@@ -28,7 +28,7 @@
 # target sends at the deadline, s.
 DEADLINE_ALLOWANCE_S = 0.02
 # Idle time above which a connection is not reused for a non-idempotent request, s: the
-# target may have closed it already. Some targets close idle connections after 0.3 s.
+# target may have closed it unnoticed. Some targets drop idle connections after 0.3 s.
 MAX_IDLE_NON_IDEMPOTENT_S = 0.25
 # Longest time from sending a request to the reset of a stale connection, s. A later
 # reset interrupts a request that was running.
--- a/tests/test_mesh_calls.py
+++ b/tests/test_mesh_calls.py
@@ -23,7 +23,7 @@
 def test_call_is_unchanged_by_encoding_and_decoding() -> None:
     call = make_call(body=b"x", method=b"POST")
     data = encode_call(call, call.expires_s - 2.0)
-    read: list[Request] = []
+    parsed: list[Request] = []
 
     class Sink:
         def __init__(self) -> None:
@@ -38,10 +38,10 @@
     sink = Sink()
     parser = httptools.HttpRequestParser(sink)
     parser.feed_data(data)
-    read.append(Request(parser.get_method(), sink.url, sink.headers, b"x", 50.0))
-    found = decode_call(read[0])
-    assert found == replace(call, expires_s=found.expires_s if found else 0.0)
-    assert 51.9 < found.expires_s < 52.0
+    parsed.append(Request(parser.get_method(), sink.url, sink.headers, b"x", 50.0))
+    decoded = decode_call(parsed[0])
+    assert decoded == replace(call, expires_s=decoded.expires_s if decoded else 0.0)
+    assert 51.9 < decoded.expires_s < 52.0
 
 
 @pytest.mark.parametrize(
