--- a/src/briardock/mesh/dialect.py
+++ b/src/briardock/mesh/dialect.py
@@ -9,7 +9,7 @@
     Headers,
     RequestHead,
     RoutingConfig,
-    TargetReply,
+    TargetResponse,
 )
 
 
@@ -56,7 +56,7 @@
         """Return whether a response belongs to the request with the given id."""
         ...
 
-    def decode_target_response(self, response: Response) -> TargetReply:
+    def decode_target_response(self, response: Response) -> TargetResponse:
         """Decode the headers of a target's response."""
         ...
 
--- a/src/briardock/mesh/levels.py
+++ b/src/briardock/mesh/levels.py
@@ -1,69 +1,71 @@
-"""Admission levels by which entries refuse what a deeper service cannot run.
+"""Admission thresholds that let entry nodes refuse what a deeper service cannot run.
 
-A level is a priority plus the share of the requests of that priority that may enter.
-The node beside a target lowers the level of its service while the target is
-overloaded. Responses carry the levels along the chain, and the node at which a
-caller's request enters refuses what lies above the lowest one.
+A threshold is a priority plus the share of the requests of that priority to admit.
+The node beside a target lowers its threshold while the target is overloaded.
+Responses carry the thresholds back along the call chain, and the node at which a
+caller's request enters refuses requests above the lowest one.
 """
 
 import math
 from dataclasses import dataclass
 from zlib import crc32
 
-# Arrivals per capacity that the level aims at. What is left absorbs the variation
-# of arrivals; a backlog is bearable because the oldest requests go first.
+# Set point of the control loop. The remaining headroom absorbs variation of arrivals;
+# a backlog is tolerable because the queue serves the oldest requests first.
 TARGET_UTILIZATION = 0.97
-# Time in which queued requests are to be worked off, s, and the largest part of the
-# capacity that is kept for them.
+# Time in which the backlog is to be drained, s, and the largest share of the capacity
+# reserved for it.
 BACKLOG_DRAIN_S = 0.3
 MAX_BACKLOG_SHARE = 0.8
 # Period of the control loop, s.
 CONTROL_PERIOD_S = 0.15
-# Time until a change of the level shows in the arrivals, s: that of a request from its
-# entry through the chain to the deepest service. Changes younger than this count as
-# if they showed, so that the loop does not act twice on one cause.
-RESPONSE_TIME_S = 1.05
-# Utilization that the requests of one priority are taken to cause. The loop is slower
-# or faster if they cause another one.
+# Dead time of the control loop, s: a request takes this long from its entry through
+# the chain to the deepest service. More recent changes of the threshold count as
+# effective already, so that the loop does not react twice to one cause.
+FEEDBACK_DELAY_S = 1.05
+# Assumed utilization caused by the requests of one priority. The loop reacts more
+# slowly or faster if the actual utilization differs.
 PRIORITY_UTILIZATION = 0.7
-# Part of the excess, and of the room, that one control period acts on. Requests that
-# wait fail in number, while those that are refused come back.
+# Share of the excess load, and of the headroom, corrected in one control period.
+# Lowering is faster: queued requests fail in large numbers, refused ones are retried.
 LOWER_GAIN = 0.8
 RAISE_GAIN = 0.2
 # Weight of the newest control period in the utilization.
 UTILIZATION_WEIGHT = 0.5
-# Periods after a whole priority is refused, in which what was admitted before is
-# worked off and the next priority is not touched.
+# Control periods after a whole priority is refused in which the next priority is not
+# affected, while the requests admitted before complete.
 BOUNDARY_SETTLING_PERIODS = 10
-# Weights of the newest control period in the recent and the usual demand.
-RECENT_WEIGHT = 0.5
-USUAL_WEIGHT = 0.04
-# Level at which everything is admitted.
-OPEN_LEVEL = 1_000.0
+# Weights of the newest control period in the recent and the baseline demand.
+RECENT_DEMAND_WEIGHT = 0.5
+BASELINE_DEMAND_WEIGHT = 0.04
+# Threshold at which everything is admitted.
+OPEN_THRESHOLD = 1_000.0
 
 
-def admits(priority: int, request_id: bytes, limit: float, usual_share: float) -> bool:
-    """Return whether a request may enter.
+def admits(
+    priority: int, request_id: bytes, threshold: float, baseline_ratio: float
+) -> bool:
+    """Return whether a request is admitted.
 
     :param priority: priority of its route
-    :param request_id: id of the caller's attempt, which decides by lot
-    :param limit: level of its service
-    :param usual_share: usual demand per recent demand at this entry
+    :param request_id: id of the caller's attempt, hashed to sample requests
+    :param threshold: admission threshold of its service
+    :param baseline_ratio: baseline demand by recent demand at this entry node
     """
-    share = limit - priority
+    share = threshold - priority
     if share >= 1.0:
         return True
-    return crc32(request_id) / 2**32 < share * usual_share
+    return crc32(request_id) / 2**32 < share * baseline_ratio
 
 
 @dataclass(frozen=True, slots=True)
 class Usage:
-    """Use of a target in one control period.
+    """Load of a target in one control period.
 
     :param elapsed_s: length of the period
-    :param arrivals: requests that came for it
-    :param capacity_per_s: requests that it completes when its slots are full
-    :param queued: requests waiting at the end of the period
+    :param arrivals: requests that arrived for the target
+    :param capacity_per_s: requests that it completes while all its slots are in use
+    :param queued: requests queued at the end of the period
     """
 
     elapsed_s: float
@@ -73,110 +75,113 @@
 
     @property
     def arrival_utilization(self) -> float:
-        """Arrivals per capacity."""
+        """Arrivals by capacity."""
         return self.arrivals / self.elapsed_s / self.capacity_per_s
 
     @property
     def backlog_share(self) -> float:
-        """Part of the capacity that the queued requests need for a while."""
+        """Share of the capacity needed to drain the backlog in time."""
         needed = self.queued / BACKLOG_DRAIN_S / self.capacity_per_s
         return min(MAX_BACKLOG_SHARE, needed)
 
 
 class DemandMeter:
-    """Demand of callers for one service at this entry, recent and usual.
+    """Recent and baseline demand of callers for one service at this entry node.
 
-    A level admits a share of the demand. Scaling it by the usual demand makes it
-    admit a rate, so that a surge does not reach the services before their level
-    has moved.
+    A threshold admits a share of the demand. Scaling the share by the baseline demand
+    turns it into a rate, so that a surge does not reach the services before their
+    thresholds have adapted.
     """
 
     def __init__(self) -> None:
         self._arrivals = 0
         self._recent = 0.0
-        self._usual = 0.0
+        self._baseline = 0.0
 
     def record(self) -> None:
-        """Count a request of a caller."""
+        """Count a caller's request."""
         self._arrivals += 1
 
     def update(self) -> None:
-        """Move the averages after a control period."""
+        """Update the averages after a control period."""
         arrivals, self._arrivals = self._arrivals, 0
-        self._recent += RECENT_WEIGHT * (arrivals - self._recent)
-        # Starting from the first period lets an entry ramp up over seconds if the
-        # services are overloaded when its demand begins.
-        if self._usual == 0.0:
-            self._usual = self._recent
-        self._usual += USUAL_WEIGHT * (self._recent - self._usual)
+        self._recent += RECENT_DEMAND_WEIGHT * (arrivals - self._recent)
+        # Starting at the demand of the first period makes an entry node ramp up over
+        # seconds if the services are overloaded when its demand begins.
+        if self._baseline == 0.0:
+            self._baseline = self._recent
+        self._baseline += BASELINE_DEMAND_WEIGHT * (self._recent - self._baseline)
 
     @property
-    def usual_share(self) -> float:
-        """Usual demand per recent demand, at most 1."""
-        if self._recent <= self._usual:
+    def baseline_ratio(self) -> float:
+        """Baseline demand by recent demand, at most 1."""
+        if self._recent <= self._baseline:
             return 1.0
-        return self._usual / self._recent
+        return self._baseline / self._recent
 
 
-class TargetLevel:
-    """Level of the target beside this node, moved by a control loop.
+class TargetThreshold:
+    """Admission threshold of the local target, set by a control loop.
 
-    It starts by refusing the least important priority and opens while there is room.
+    It starts by refusing the least important priority and rises while there is
+    headroom.
     """
 
     def __init__(self) -> None:
-        self.value = OPEN_LEVEL
-        # Boundary between priorities that was reached last, and the periods for which
-        # it is not crossed.
+        self.value = OPEN_THRESHOLD
+        # Boundary between priorities that was reached last, and the remaining control
+        # periods in which the threshold does not fall below it.
         self._boundary = -1.0
-        self._settling = 0
-        self._queued = 0
+        self._settling_periods = 0
+        self._last_queued = 0
         self._started = False
         self._utilization = 0.0
-        # Age in s and size of the changes that do not show yet.
-        self._changes: list[tuple[float, float]] = []
+        # Age in s and size of the changes that do not affect the arrivals yet.
+        self._pending_changes: list[tuple[float, float]] = []
 
-    def update(self, usage: Usage, highest: float) -> None:
-        """Move the level after one control period.
+    def update(self, usage: Usage, max_threshold: float) -> None:
+        """Update the threshold after one control period.
 
-        :param usage: use of the target in the period
-        :param highest: level above all priorities
+        :param usage: load of the target in the period
+        :param max_threshold: threshold above all priorities
         """
         if not self._started:
-            # After a restart of all nodes the callers come back at once, to targets
-            # that are slow at first. One open instance of a service opens it.
+            # After a restart of all nodes the callers reconnect at once to targets
+            # that are still cold, and one open instance would open its whole service.
             self._started = True
-            self.value = highest - min(1.0, highest / 2)
+            self.value = max_threshold - min(1.0, max_threshold / 2)
             self._utilization = usage.arrival_utilization
-        level = min(self.value, highest)
-        change = self._change(usage)
-        # One priority is refused completely before the next one is touched.
-        floor = math.ceil(level) - 1.0
-        self._settling = max(0, self._settling - 1)
-        if self._settling and level == self._boundary:
-            floor = level
-        changed = max(0.0, floor, min(highest, level + change))
-        if changed == floor < level:
+        current = min(self.value, max_threshold)
+        change = self._compute_change(usage)
+        # One priority is refused completely before the next one is affected.
+        floor = math.ceil(current) - 1.0
+        self._settling_periods = max(0, self._settling_periods - 1)
+        if self._settling_periods and current == self._boundary:
+            floor = current
+        updated = max(0.0, floor, min(max_threshold, current + change))
+        if updated == floor < current:
             self._boundary = floor
-            self._settling = BOUNDARY_SETTLING_PERIODS
-        if changed != level:
-            self._changes.append((0.0, changed - level))
-        self.value = OPEN_LEVEL if changed >= highest else changed
-
-    def _change(self, usage: Usage) -> float:
-        """Return the change that brings the arrivals to what the target completes."""
-        found = usage.arrival_utilization
-        self._utilization += UTILIZATION_WEIGHT * (found - self._utilization)
-        shrinking = usage.queued < self._queued and found <= 1.0
-        self._queued = usage.queued
-        aged = [(age_s + usage.elapsed_s, size) for age_s, size in self._changes]
-        self._changes = [item for item in aged if item[0] < RESPONSE_TIME_S]
-        hidden = sum(size for _, size in self._changes)
-        expected = self._utilization + PRIORITY_UTILIZATION * hidden
-        room = TARGET_UTILIZATION - usage.backlog_share - expected
-        # Requests admitted before the level was lowered still arrive through the
-        # chain; while they are worked off, lowering it further serves nobody.
-        if room < 0.0 and shrinking:
+            self._settling_periods = BOUNDARY_SETTLING_PERIODS
+        if updated != current:
+            self._pending_changes.append((0.0, updated - current))
+        self.value = OPEN_THRESHOLD if updated >= max_threshold else updated
+
+    def _compute_change(self, usage: Usage) -> float:
+        """Return the change that matches the arrivals to the target's capacity."""
+        utilization = usage.arrival_utilization
+        self._utilization += UTILIZATION_WEIGHT * (utilization - self._utilization)
+        backlog_shrinking = usage.queued < self._last_queued and utilization <= 1.0
+        self._last_queued = usage.queued
+        aged = [
+            (age_s + usage.elapsed_s, size) for age_s, size in self._pending_changes
+        ]
+        self._pending_changes = [item for item in aged if item[0] < FEEDBACK_DELAY_S]
+        pending = sum(size for _, size in self._pending_changes)
+        expected = self._utilization + PRIORITY_UTILIZATION * pending
+        headroom = TARGET_UTILIZATION - usage.backlog_share - expected
+        # Requests admitted before the threshold was lowered still arrive through the
+        # chain. Lowering it further while the backlog shrinks has no benefit.
+        if headroom < 0.0 and backlog_shrinking:
             return 0.0
-        gain = RAISE_GAIN if room > 0.0 else LOWER_GAIN
-        return gain * room / PRIORITY_UTILIZATION
+        gain = RAISE_GAIN if headroom > 0.0 else LOWER_GAIN
+        return gain * headroom / PRIORITY_UTILIZATION
--- a/src/briardock/mesh/node.py
+++ b/src/briardock/mesh/node.py
@@ -11,7 +11,7 @@
 from briardock.mesh.balancer import Balancer
 from briardock.mesh.callgraph import EntryRoutes
 from briardock.mesh.calls import LoadReport, Result, decode_call, encode_result
-from briardock.mesh.chain import LearnedLevels
+from briardock.mesh.chain import LearnedThresholds
 from briardock.mesh.decisions import FLUSH_PERIOD_S, DecisionLog
 from briardock.mesh.dialect import Departure, Dialect, Store, Undecodable
 from briardock.mesh.forwarder import Forwarder
@@ -150,7 +150,7 @@
             self.balancer,
             self.target,
             self._peer_pool,
-            LearnedLevels(),
+            LearnedThresholds(),
             self._entries,
             log,
             self.telemetry,
@@ -218,7 +218,7 @@
         finally:
             self._peer_calls_in_flight -= 1
         self.telemetry.target_latency.observe(now_s() - started_s)
-        levels = self.forwarder.levels(call.from_caller)
+        levels = self.forwarder.thresholds(call.from_caller)
         return encode_result(result, LoadReport(self.target.inflight, levels))
 
     async def _handle_ready(self, request: Request) -> Response:
@@ -235,7 +235,7 @@
                 self.target.leave(announcement.target_id, announcement.born_ms)
                 await self._store_departure(announcement.target_id)
             case Announcement():
-                if not self.target.concerns(announcement):
+                if not self.target.matches(announcement):
                     self.log.event(
                         "announcement-refused",
                         reason="another service or address",
@@ -259,7 +259,7 @@
 
     async def _handle_metrics(self, request: Request) -> Response:
         self.telemetry.queued.set(self.target.queued)
-        self.telemetry.admission_threshold.set(self.target.level(False))
+        self.telemetry.admission_threshold.set(self.target.threshold(False))
         return Response(
             200, [(b"content-type", b"text/plain")], self.telemetry.render()
         )
@@ -271,15 +271,15 @@
             await asyncio.sleep(CONTROL_PERIOD_S)
             if self.forwarder.routes is None:
                 continue
-            before = self.target.level(False)
-            usage = self.target.update_levels(self.forwarder.highest_level)
+            before = self.target.threshold(False)
+            usage = self.target.update_thresholds(self.forwarder.max_threshold)
             self.forwarder.update_rates(usage.arrivals)
-            if self.target.level(False) < before:
+            if self.target.threshold(False) < before:
                 self.log.event(
                     "level-lowered",
                     arrivals_per_s=round(usage.arrivals / usage.elapsed_s),
                     capacity_per_s=round(usage.capacity_per_s),
-                    level=round(self.target.level(False), 3),
+                    level=round(self.target.threshold(False), 3),
                     running=self.target.running,
                     queued=self.target.queued,
                 )
@@ -364,7 +364,7 @@
         needs_restart = sorted(set(changed) - set(applied))
         self.log.event("reloaded", applied=applied, needs_restart=needs_restart)
         if "service" in applied or "target_address" in applied:
-            self.target.move(self.settings.target_address, self.settings.service)
+            self.target.reconfigure(self.settings.target_address, self.settings.service)
             self.members.update_local(service=self.settings.service)
             self.replicator.local_record_changed()
 
--- a/tests/test_mesh_calls.py
+++ b/tests/test_mesh_calls.py
@@ -1,4 +1,4 @@
-"""Calls and results on the wire between nodes."""
+"""Encoding of calls and results between nodes."""
 
 from dataclasses import replace
 
@@ -15,15 +15,15 @@
     encode_call,
     encode_result,
 )
-from briardock.mesh.chain import ChainLevel, Levels
+from briardock.mesh.chain import ChainThreshold, InstanceThresholds
 from briardock.mesh.http1 import Request, Response
 from mesh_builders import make_call
 
 
-def test_call_survives_the_wire() -> None:
+def test_call_is_unchanged_by_encoding_and_decoding() -> None:
     call = make_call(body=b"x", method=b"POST")
     data = encode_call(call, call.expires_s - 2.0)
-    read: list[Request] = []
+    parsed: list[Request] = []
 
     class Sink:
         def __init__(self) -> None:
@@ -38,10 +38,10 @@
     sink = Sink()
     parser = httptools.HttpRequestParser(sink)
     parser.feed_data(data)
-    read.append(Request(parser.get_method(), sink.url, sink.headers, b"x", 50.0))
-    found = decode_call(read[0])
-    assert found == replace(call, expires_s=found.expires_s if found else 0.0)
-    assert 51.9 < found.expires_s < 52.0
+    parsed.append(Request(parser.get_method(), sink.url, sink.headers, b"x", 50.0))
+    decoded = decode_call(parsed[0])
+    assert decoded == replace(call, expires_s=decoded.expires_s if decoded else 0.0)
+    assert 51.9 < decoded.expires_s < 52.0
 
 
 @pytest.mark.parametrize(
@@ -53,13 +53,16 @@
         Unknown("lost"),
     ],
 )
-def test_result_survives_the_wire(result: object) -> None:
+def test_result_is_unchanged_by_encoding_and_decoding(result: object) -> None:
     load = LoadReport(
-        7, Levels(1.5, {"maps": ChainLevel(2.0, 0.25), "a=b": ChainLevel(1.0, 0)})
+        7,
+        InstanceThresholds(
+            1.5, {"maps": ChainThreshold(2.0, 0.25), "a=b": ChainThreshold(1.0, 0)}
+        ),
     )
     response = encode_result(result, load)  # type: ignore[arg-type]
     assert decode_result(response) == (result, load)
 
 
-def test_response_of_no_node_is_unknown() -> None:
+def test_response_without_a_result_is_unknown() -> None:
     assert decode_result(Response(503)) == (Unknown("response of no node"), None)
