Reword the configuration loader and the log reader

Rename _WEIGHED to _POLICY_PRESETS, is_chosen to should_read, following to end_offset, and private names to the terms of an append-only log. Comments, doc comments and limit messages use plain terms. Behaviour is unchanged.

--- a/src/briardock/configuration.py
+++ b/src/briardock/configuration.py
@@ -1,7 +1,7 @@
-"""Operators' configuration: a folder of INI files merged in the order of names.
+"""Operators' configuration: a folder of INI files merged in file name order.
 
-A later file overrides single keys of an earlier one, so teams add files without
-editing those of others.
+A later file overrides single keys of an earlier one, so that a team can add files
+without editing those of other teams.
 """
 
 import re
@@ -40,14 +40,15 @@
 MAX_FILES = 2_000
 MAX_FILE_BYTES = 256 * 1024
 MAX_TOTAL_BYTES = 4 * 1024 * 1024
-# Beyond this a full build is not slower than parsing old and new texts.
+# With more changed files, a full build is as fast as an incremental one, which parses
+# both the old and the new text of each changed file.
 MAX_INCREMENTAL_FILES = 16
 FILE_SUFFIX = ".ini"
 _FILE_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,99}\.ini\Z")
 _PARAMETER = re.compile(r"\{[^}]*\}")
 
-# A short queue empties sooner after a surge; a long one wastes fewer slots.
-_WEIGHED = {
+# A short queue drains sooner after a surge; a long one leaves fewer slots idle.
+_POLICY_PRESETS = {
     "goodput": {
         "sojourn_ms": 50,
         "critical_sojourn_ms": 300,
@@ -61,7 +62,8 @@
 }
 
 
-# Typed values by section and key; the texts of all files would take more memory.
+# Converted values by section and key. Keeping the text of all files would take more
+# memory.
 _Merged = dict[str, dict[str, Any]]
 
 
@@ -73,12 +75,12 @@
     """
     folder = Path(path)
     try:
-        found = sorted(
+        paths = sorted(
             item
             for item in folder.iterdir()
             if item.suffix == FILE_SUFFIX and not item.name.startswith(".")
         )
-        files = {item.name: _read_text(item) for item in found}
+        files = {item.name: _read_text(item) for item in paths}
     except OSError as error:
         raise ConfigurationError(
             f"{error.filename or folder}: cannot be read: {error.strerror}",
@@ -86,7 +88,7 @@
         ) from error
     if not files:
         raise ConfigurationError(
-            f"{folder}: holds no *{FILE_SUFFIX} file", "give a configuration folder"
+            f"{folder}: contains no *{FILE_SUFFIX} file", "give a configuration folder"
         )
     return files
 
@@ -94,11 +96,11 @@
 def merge_and_check(
     files: Mapping[str, str], previous: Catalog | None = None
 ) -> Catalog | list[Fault]:
-    """Return the catalog of the merged files, or every fault at once.
+    """Return the catalog of the merged files, or all of their faults.
 
     :param files: text by file name
-    :param previous: catalog that differs in a few files, to reuse its parts; the
-        result is the same with and without it
+    :param previous: catalog that differs in a few files, whose unchanged parts are
+        reused; the result is the same as without it
     """
     faults = list(_check_files(files))
     if faults:
@@ -112,7 +114,7 @@
     else:
         catalog = _build(files, merged, previous, affected)
         calls_changed = _calls_changed(catalog, previous, affected)
-    _check_whole(catalog, calls_changed, faults)
+    _check_across_sections(catalog, calls_changed, faults)
     return sorted(faults, key=place_of) or catalog
 
 
@@ -136,10 +138,10 @@
 
 
 def _check_files(files: Mapping[str, str]) -> Iterator[Fault]:
-    """Check names and sizes of the files."""
+    """Return faults in the number, names and sizes of the files."""
     if len(files) > MAX_FILES:
-        message = f"{len(files)} files are more than {MAX_FILES}"
-        yield Fault("", 0, "", "", message, "join some of them")
+        message = f"{len(files)} files exceed the limit of {MAX_FILES}"
+        yield Fault("", 0, "", "", message, "merge some of them")
     total_bytes = 0
     for name, text in files.items():
         size_bytes = len(text) if text.isascii() else len(text.encode())
@@ -151,12 +153,12 @@
             message = f"larger than {MAX_FILE_BYTES} bytes"
             yield Fault(name, 0, "", "", message, "split it into several files")
     if total_bytes > MAX_TOTAL_BYTES:
-        message = f"{total_bytes} bytes in all are more than {MAX_TOTAL_BYTES}"
+        message = f"total of {total_bytes} bytes exceeds the limit of {MAX_TOTAL_BYTES}"
         yield Fault("", 0, "", "", message, "shorten the descriptions and comments")
 
 
 def _affected_sections(files: Mapping[str, str], previous: Catalog) -> set[str] | None:
-    """Return the sections that changed files hold, or ``None`` for a full build."""
+    """Return the sections in changed files, or ``None`` if a full build is needed."""
     changed = [
         name
         for name in files.keys() | previous.files.keys()
@@ -178,9 +180,9 @@
 def _merge(
     files: Mapping[str, str], affected: set[str] | None, faults: list[Fault]
 ) -> _Merged:
-    """Merge the sections in the order of file names.
+    """Merge the sections in file name order.
 
-    :param affected: sections wanted, or ``None`` for all
+    :param affected: sections to merge, or ``None`` for all
     """
     merged: _Merged = {}
     headers = None if affected is None else [f"[{item}]" for item in affected]
@@ -216,14 +218,14 @@
             faults.append(Fault(file, value.line, section, key, "unknown key", remedy))
             continue
         try:
-            converted = convert_value(key, value.text, KEYS[kind][key])
+            typed_value = convert_value(key, value.text, KEYS[kind][key])
         except ValueError as error:
             message = str(error)[:1].lower() + str(error)[1:]
             remedy = f"got '{value.text[:60]}'"
             faults.append(Fault(file, value.line, section, key, message, remedy))
             continue
         if key != "description":
-            target[key] = converted
+            target[key] = typed_value
 
 
 def _require_keys(
@@ -232,7 +234,8 @@
     """Report required keys that no file sets."""
     for section, content in merged.items():
         for key in REQUIRED.get(section.partition(" ")[0], ()):
-            # A key that is set but not in the content has a bad value.
+            # A key that a file sets but the content lacks has an invalid value, which
+            # is already reported.
             if key in content or find_place(files, section, key)[0]:
                 continue
             file, line = find_place(files, section, "")
@@ -245,7 +248,7 @@
     base: Catalog,
     affected: Iterable[str] = (),
 ) -> Catalog:
-    """Return a catalog of the merged sections on top of those kept from a base."""
+    """Return a catalog of the merged sections and the unaffected ones of a base."""
     services = dict(base.services)
     operations = dict(base.operations)
     for section in affected:
@@ -270,9 +273,9 @@
 
 
 def _make_policy(values: dict[str, Any]) -> Policy:
-    """Return the policy with the bounds that its weighing implies."""
+    """Return the policy, with the queue limits that its ``weigh`` value implies."""
     weigh = values.get("weigh", "goodput")
-    return Policy(**{**_WEIGHED[weigh], **values})
+    return Policy(**{**_POLICY_PRESETS[weigh], **values})
 
 
 def _make_service(name: str, values: dict[str, Any]) -> Service:
@@ -291,7 +294,7 @@
     policy: Policy,
     classes: Mapping[str, OperationClass],
 ) -> Operation:
-    """Return an operation; the caller checks its references."""
+    """Return an operation, without a check of its references."""
     name = sys.intern(name)
     method, pattern = values.get("match", ("", ""))
     class_name = values.get("class", policy.default_class)
@@ -326,8 +329,10 @@
     return False
 
 
-def _check_whole(catalog: Catalog, calls_changed: bool, faults: list[Fault]) -> None:
-    """Report faults between sections."""
+def _check_across_sections(
+    catalog: Catalog, calls_changed: bool, faults: list[Fault]
+) -> None:
+    """Report faults that involve more than one section."""
     default_class = catalog.policy.default_class
     if default_class and default_class not in catalog.classes:
         message = f"unknown class '{default_class}'"
@@ -340,20 +345,20 @@
             faults.append(
                 locate_fault(catalog.files, f"operation {operation.name}", *problem)
             )
-    for name, message in _duplicates(catalog.operations.values()):
+    for name, message in _duplicate_patterns(catalog.operations.values()):
         section, remedy = f"operation {name}", "change one of them"
         faults.append(locate_fault(catalog.files, section, "match", message, remedy))
-    for found in check_calls(catalog.operations) if calls_changed else ():
-        section = f"operation {found.operation}"
+    for issue in check_calls(catalog.operations) if calls_changed else ():
+        section = f"operation {issue.operation}"
         faults.append(
-            locate_fault(catalog.files, section, found.key, found.message, found.remedy)
+            locate_fault(catalog.files, section, issue.key, issue.message, issue.remedy)
         )
 
 
 def _check_references(
     operation: Operation, catalog: Catalog
 ) -> Iterator[tuple[str, str, str]]:
-    """Return key, message and remedy of bad references of an operation."""
+    """Return key, message and remedy of each invalid reference of an operation."""
     if operation.service not in catalog.services:
         message = f"no section [service {operation.service}]"
         yield "", message, nearest(operation.service, catalog.services)
@@ -364,14 +369,14 @@
         yield "class", f"unknown class '{name}'", nearest(name, catalog.classes)
 
 
-def _duplicates(operations: Iterable[Operation]) -> Iterator[tuple[str, str]]:
-    """Return name and message of operations whose pattern is taken."""
+def _duplicate_patterns(operations: Iterable[Operation]) -> Iterator[tuple[str, str]]:
+    """Return name and message of operations that repeat the pattern of another."""
     seen: dict[str, str] = {}
     for operation in operations:
         if not operation.pattern:
             continue
-        shape = _PARAMETER.sub("{}", operation.pattern)
-        match = f"{operation.service} {operation.method} {shape}"
+        normalized = _PARAMETER.sub("{}", operation.pattern)
+        match = f"{operation.service} {operation.method} {normalized}"
         owner = seen.setdefault(match, operation.name)
         if owner != operation.name:
             text = f"{operation.method} {operation.pattern}"
--- a/src/briardock/publishing.py
+++ b/src/briardock/publishing.py
@@ -1,4 +1,4 @@
-"""Publishing: the acceptance rule over log records, and the reader of the log."""
+"""Publishing of the configuration: the log reader, and the public names."""
 
 import random
 from collections.abc import Callable
@@ -46,16 +46,17 @@
 READ_RECORDS = 100
 MAX_BACKOFF_MS = 5_000.0
 MAX_BACKOFF_DOUBLINGS = 10
-# A checkpoint bounds the replay of a fresh node to this many records.
+# A checkpoint is appended after this many records, which bounds the replay of a new
+# node.
 CHECKPOINT_RECORDS = 200
-# Retention may be by time, so a quiet log needs a fresh checkpoint too.
+# Retention may be limited by time, so an idle log needs a new checkpoint as well.
 CHECKPOINT_PERIOD_MS = 15 * 60_000.0
-# Readers wait a random part of this, so that usually one of them appends.
+# Each reader waits a random part of this, so that usually only one of them appends.
 CHECKPOINT_JITTER_MS = 5_000.0
 
 
 class LogStream(Protocol):
-    """The part of the log client that the reader uses."""
+    """Operations of the log client that the reader uses."""
 
     async def append(self, stream: str, body: bytes) -> int | LogFailure:
         """Append a record."""
@@ -69,19 +70,19 @@
 
 
 async def skip_to_checkpoint(
-    log: LogStream, state: ConfigState, first: int, following: int
+    log: LogStream, state: ConfigState, first: int, end_offset: int
 ) -> bool:
-    """Restore a fresh state from the latest checkpoint, to spare a long replay.
+    """Restore an empty state from the latest checkpoint, to avoid a long replay.
 
     :param log: client of the log
     :param state: state without any version
     :param first: oldest offset that can be read
-    :param following: offset where to stop
+    :param end_offset: offset at which to stop
     :returns: whether a checkpoint was restored
     """
     latest: tuple[Checkpoint, int] | None = None
     offset = first
-    while offset < following:
+    while offset < end_offset:
         result = await log.read(STREAM, offset, READ_RECORDS)
         if isinstance(result, LogFailure) or not result.records:
             break
@@ -94,15 +95,15 @@
 
 
 class ConfigReader:
-    """Follows the log and applies its records to the state of this node.
+    """Reads the log continuously and applies its records to the local state.
 
     :param log: client of the log
-    :param state: state of this node
+    :param state: local configuration state
     :param on_accepted: called with the delta of each new version
     :param clock: monotonic clock
     :param rng: random source of jitter
-    :param poll_ms: longest time between two reads
-    :param is_chosen: whether this node is one of the readers of its domain
+    :param poll_ms: longest wait of a read, and pause after a read without records
+    :param should_read: whether this node reads the log now
     """
 
     def __init__(
@@ -113,7 +114,7 @@
         clock: Clock,
         rng: random.Random,
         poll_ms: float,
-        is_chosen: Callable[[], bool],
+        should_read: Callable[[], bool],
     ) -> None:
         self.reachable = False
         self.caught_up = False
@@ -124,53 +125,55 @@
         self._clock = clock
         self._rng = rng
         self._poll_ms = poll_ms
-        self._is_chosen = is_chosen
+        self._should_read = should_read
         self._failure_count = 0
-        self._first = 0
-        self._next = 0
-        self._checkpoint_seen_ms = clock.now_ms()
-        self._checkpoint_at_ms: float | None = None
+        self._first_offset = 0
+        self._end_offset = 0
+        self._last_checkpoint_ms = clock.now_ms()
+        self._next_checkpoint_ms: float | None = None
         self._may_skip = True
-        self._limit = READ_RECORDS
+        self._read_limit = READ_RECORDS
 
     async def run(self) -> None:
-        """Follow the log until cancelled."""
+        """Read the log until cancelled."""
         while True:
-            if not self._is_chosen():
+            if not self._should_read():
                 await anyio.sleep(self._poll_ms / 1000)
                 continue
             pause_ms = await self.step()
             await anyio.sleep(pause_ms / 1000)
 
     async def step(self) -> float:
-        """Read once, append a checkpoint when due, and return the pause in ms."""
+        """Read once, append a checkpoint if due, and return the pause in ms."""
         started_ms = self._clock.now_ms()
-        before = self._state.next_offset
-        result = await self._log.read(STREAM, before, self._limit, self._poll_ms)
+        from_offset = self._state.next_offset
+        result = await self._log.read(
+            STREAM, from_offset, self._read_limit, self._poll_ms
+        )
         if isinstance(result, LogFailure):
             if result.kind is FailureKind.BAD_ANSWER:
-                # The records may be too large together for one answer.
-                self._limit = max(1, self._limit // 4)
-            return self._note_failure(result)
-        self._note_success()
+                # The records may exceed the response limit, so request fewer of them.
+                self._read_limit = max(1, self._read_limit // 4)
+            return self._record_failure(result)
+        self._record_success()
         await self._apply(result)
         if not self.caught_up:
             return 0.0 if result.records else self._poll_ms
-        self._limit = READ_RECORDS
+        self._read_limit = READ_RECORDS
         if self._state.is_incomplete:
             return self._poll_ms
         await self._append_checkpoint_if_due()
         if result.records:
             return 0.0
-        # The service normally waits for a record; this bounds the rate if not.
+        # The service normally waits for a record; this limits the rate if it does not.
         return max(0.0, self._poll_ms - (self._clock.now_ms() - started_ms))
 
     async def _apply(self, result: ReadResult) -> None:
         """Apply the records of one read."""
         state = self._state
-        self._first, self._next = result.first, result.next
+        self._first_offset, self._end_offset = result.first, result.next
         state.observe_log(result.first, result.next)
-        if await self._skip(result):
+        if await self._skip_replay(result):
             return
         checkpoint_before = state.checkpoint_offset
         for record in result.records:
@@ -179,15 +182,15 @@
             if isinstance(outcome, Accepted):
                 self._on_accepted(outcome.delta)
             if was_incomplete and not state.is_incomplete:
-                # The records between the checkpoint and here are read again.
+                # Read the records after the checkpoint again: they were skipped.
                 break
             await anyio.sleep(0)
         if state.checkpoint_offset != checkpoint_before:
-            self._checkpoint_seen_ms = self._clock.now_ms()
+            self._last_checkpoint_ms = self._clock.now_ms()
         self.caught_up = state.next_offset >= result.next
 
-    async def _skip(self, result: ReadResult) -> bool:
-        """Replace a long replay by a checkpoint, once, and return whether done."""
+    async def _skip_replay(self, result: ReadResult) -> bool:
+        """Replace a long replay with a checkpoint once; return whether it was done."""
         state = self._state
         backlog = result.next - state.next_offset
         if not self._may_skip or state.version != NO_VERSION:
@@ -200,16 +203,16 @@
         self._on_accepted(state.snapshot())
         return True
 
-    def _note_success(self) -> None:
-        """Record that the log answers."""
+    def _record_success(self) -> None:
+        """Record a successful read."""
         if not self.reachable:
             emit(Event.CONFIG_LOG_REACHABLE, applied=self._state.last_offset)
         self.reachable = True
         self.last_failure = ""
         self._failure_count = 0
 
-    def _note_failure(self, failure: LogFailure) -> float:
-        """Record that the log does not answer and return the pause in ms."""
+    def _record_failure(self, failure: LogFailure) -> float:
+        """Record a failed read and return the pause in ms."""
         if self.reachable or not self._failure_count:
             emit(Event.CONFIG_LOG_UNREACHABLE, kind=failure.kind, detail=failure.detail)
         self.reachable = False
@@ -220,17 +223,17 @@
         return pause_ms * self._rng.uniform(0.5, 1.0)
 
     async def _append_checkpoint_if_due(self) -> None:
-        """Append a checkpoint when due for a random time."""
+        """Append a checkpoint if one has been due for a random delay."""
         now_ms = self._clock.now_ms()
         if not self._is_checkpoint_due(now_ms):
-            self._checkpoint_at_ms = None
+            self._next_checkpoint_ms = None
             return
-        if self._checkpoint_at_ms is None:
+        if self._next_checkpoint_ms is None:
             delay_ms = self._rng.uniform(0, CHECKPOINT_JITTER_MS)
-            self._checkpoint_at_ms = now_ms + delay_ms
-        if now_ms < self._checkpoint_at_ms:
+            self._next_checkpoint_ms = now_ms + delay_ms
+        if now_ms < self._next_checkpoint_ms:
             return
-        self._checkpoint_at_ms = now_ms + CHECKPOINT_JITTER_MS
+        self._next_checkpoint_ms = now_ms + CHECKPOINT_JITTER_MS
         body = encode_record(self._state.checkpoint())
         result = await self._log.append(STREAM, body)
         if isinstance(result, LogFailure):
@@ -241,13 +244,16 @@
         state = self._state
         if state.version == NO_VERSION or state.log_restarted:
             return False
-        seen = state.checkpoint_offset
-        if self._next - 1 - seen >= CHECKPOINT_RECORDS:
+        checkpoint_offset = state.checkpoint_offset
+        if self._end_offset - 1 - checkpoint_offset >= CHECKPOINT_RECORDS:
             return True
-        trimming = self._first > 0
-        if trimming and seen < (self._first + self._next) // 2:
+        is_trimming = self._first_offset > 0
+        if (
+            is_trimming
+            and checkpoint_offset < (self._first_offset + self._end_offset) // 2
+        ):
             return True
-        return now_ms - self._checkpoint_seen_ms >= CHECKPOINT_PERIOD_MS
+        return now_ms - self._last_checkpoint_ms >= CHECKPOINT_PERIOD_MS
 
 
 def make_config_reader(
@@ -257,16 +263,16 @@
     clock: Clock,
     rng: random.Random,
     poll_ms: float = 500.0,
-    is_chosen: Callable[[], bool] = lambda: True,
+    should_read: Callable[[], bool] = lambda: True,
 ) -> ConfigReader:
-    """Return a reader of the log; its ``run`` is one task of the node.
+    """Return a log reader, whose ``run`` is a background task of the node.
 
     :param log: client of the log
-    :param state: state of this node
+    :param state: local configuration state
     :param on_accepted: called with the delta of each new version
     :param clock: monotonic clock
     :param rng: random source of jitter
-    :param poll_ms: longest time between two reads
-    :param is_chosen: whether this node is one of the readers of its domain
+    :param poll_ms: longest wait of a read, and pause after a read without records
+    :param should_read: whether this node reads the log now
     """
-    return ConfigReader(log, state, on_accepted, clock, rng, poll_ms, is_chosen)
+    return ConfigReader(log, state, on_accepted, clock, rng, poll_ms, should_read)
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -1,4 +1,4 @@
-"""Tests of merging, checks and look-up of the operators' configuration."""
+"""Tests of merging, checking and lookup of the operators' configuration."""
 
 from pathlib import Path
 
@@ -127,7 +127,7 @@
         ("[class x]\nrank = 1\nrank = 2\n", 3, "", "repeated"),
     ],
 )
-def test_fault_names_place_and_remedy(
+def test_fault_has_location_and_remedy(
     text: str, line: int, key: str, message: str
 ) -> None:
     found = faults(text)
@@ -145,8 +145,8 @@
 @pytest.mark.parametrize(
     "flags, reported",
     [
-        # Operation n calls n + 1; y is idempotent. Guards against a money action
-        # that a retry of its caller would run twice.
+        # Operation n calls n + 1; y marks an idempotent one. Guards against a retry of
+        # an idempotent caller that runs a payment twice.
         ("yn", {0}),
         ("yyn", {0, 1}),
         ("yny", {0}),
@@ -161,8 +161,8 @@
     text = ""
     for index, flag in enumerate(flags):
         calls = f"calls = s.o{index + 1}" if index + 1 < len(flags) else ""
-        answer = "yes" if flag == "y" else "no"
-        text += operation(f"o{index}", f"idempotent = {answer}", calls)
+        value = "yes" if flag == "y" else "no"
+        text += operation(f"o{index}", f"idempotent = {value}", calls)
     checked = merge_and_check({"00.ini": HEAD, "10.ini": text})
     found = checked if isinstance(checked, list) else []
     assert {fault.section for fault in found} == {
@@ -171,14 +171,14 @@
     assert all(fault.remedy == "mark it idempotent = no" for fault in found)
 
 
-@pytest.mark.parametrize("length, sound", [(13, True), (14, False), (40, False)])
-def test_chain_is_at_most_13_operations(length: int, sound: bool) -> None:
+@pytest.mark.parametrize("length, valid", [(13, True), (14, False), (40, False)])
+def test_chain_is_at_most_13_operations(length: int, valid: bool) -> None:
     text = "".join(
         operation(f"o{n}", f"calls = s.o{n + 1}" if n + 1 < length else "")
         for n in range(length)
     )
     checked = merge_and_check({"00.ini": HEAD, "10.ini": text})
-    assert isinstance(checked, Catalog) == sound
+    assert isinstance(checked, Catalog) == valid
 
 
 def test_long_cycle_is_reported_once() -> None:
@@ -266,8 +266,8 @@
 )
 
 
-def view(checked: Catalog | list[Fault]) -> object:
-    """Return everything that two results must have in common."""
+def comparable(checked: Catalog | list[Fault]) -> object:
+    """Return the parts of a result that must be equal with and without ``previous``."""
     if isinstance(checked, list):
         return checked
     paths = ["/a", "/b", "/zz"]
@@ -286,7 +286,7 @@
     ],
 )
 def test_change_of_one_file_is_checked_against_the_others(after: str) -> None:
-    # The fault of each change shows only together with a file not changed.
+    # Each change is invalid only in combination with a file that did not change.
     callers = operation("a", YES, "calls = s.b") + "[operation t.x]\nmatch = GET /\n"
     before = SERVICE_T + operation("b", YES)
     files = {"00.ini": HEAD, "10.ini": callers, "20.ini": before}
@@ -298,15 +298,16 @@
 
 @settings(max_examples=300, deadline=None)
 @given(steps=st.lists(_FILES, min_size=2, max_size=6))
-def test_result_does_not_depend_on_the_catalog_before(
+def test_result_does_not_depend_on_the_previous_catalog(
     steps: list[dict[str, str]],
 ) -> None:
-    # Guards against nodes that judge a change by the path they came from.
+    # Guards against nodes that accept or reject the same change differently, depending
+    # on the configurations that they had before.
     previous = build({"00.ini": HEAD})
     for step in steps:
         files = {"00.ini": HEAD, **step}
         checked = merge_and_check(files, previous)
-        assert view(checked) == view(merge_and_check(files))
+        assert comparable(checked) == comparable(merge_and_check(files))
         if isinstance(checked, Catalog):
             previous = checked
 
@@ -314,7 +315,7 @@
 @settings(max_examples=400, deadline=None)
 @given(text=st.text("[]=#; \t\n\r\x0c%ab.{}/\u2028\u00e9", max_size=60))
 def test_any_text_gives_a_catalog_or_faults(text: str) -> None:
-    # Guards against a published file that ends the process of every node.
+    # Guards against a published file that crashes every node.
     for files in ({"a.ini": text}, {"a.ini": HEAD + "[operation s.a]\n" + text}):
         checked = merge_and_check(files)
         assert isinstance(checked, Catalog) or all(map(str, checked))
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -18,7 +18,7 @@
 from briardock._catalog import Catalog, Policy
 from briardock._sections import KEYS, REQUIRED
 from briardock.cli import COMMANDS
-from briardock.configuration import _WEIGHED, merge_and_check
+from briardock.configuration import _POLICY_PRESETS, merge_and_check
 from briardock.events import Event
 from briardock.gossip import STATE_EVENTS
 from briardock.outcomes import REASONS, Reason
@@ -175,8 +175,11 @@
     """Return the default of a configuration key as the page writes it."""
     if key in REQUIRED.get(kind, ()):
         return "required"
-    if kind == "policy" and key in _WEIGHED["goodput"]:
-        goodput, recovery = _WEIGHED["goodput"][key], _WEIGHED["recovery"][key]
+    if kind == "policy" and key in _POLICY_PRESETS["goodput"]:
+        goodput, recovery = (
+            _POLICY_PRESETS["goodput"][key],
+            _POLICY_PRESETS["recovery"][key],
+        )
         return f"{goodput} for goodput, {recovery} for recovery"
     if kind == "policy":
         defaults = {item.name: item.default for item in fields(Policy)}
@@ -203,7 +206,7 @@
     catalog = merge_and_check({})
     assert isinstance(catalog, Catalog)
     for item in fields(Policy):
-        expected = _WEIGHED["goodput"].get(item.name, item.default)
+        expected = _POLICY_PRESETS["goodput"].get(item.name, item.default)
         assert getattr(catalog.policy, item.name) == expected
 
 
--- a/tests/test_publishing.py
+++ b/tests/test_publishing.py
@@ -47,7 +47,7 @@
 
 
 class FakeLog:
-    """Log in memory with trimming and a switch for failures."""
+    """In-memory log with trimming and injected failures."""
 
     def __init__(self) -> None:
         self.first = 0
@@ -79,13 +79,13 @@
         self, stream: str, from_offset: int, limit: int, wait_ms: float = 0.0
     ) -> ReadResult | LogFailure:
         if limit > self.max_records:
-            return LogFailure(FailureKind.BAD_ANSWER, "answer is too large")
+            return LogFailure(FailureKind.BAD_ANSWER, "response is too large")
         result = ReadResult(self.first, self.next, self.records(from_offset, limit))
         return self.failure or result
 
 
 def follow(state: ConfigState, log: FakeLog, limit: int = 1000) -> None:
-    """Read on like the reader does, until the end or a number of records."""
+    """Read like the reader does, up to the end or a number of records."""
     for _ in range(3):
         state.observe_log(log.first, log.next)
         for record in log.records(state.next_offset, limit):
@@ -118,7 +118,7 @@
         ({NAMES[0]: 3}, {NAMES[0]: text(NAMES[0], 3)}, Rejected),
         ({}, {NAMES[1]: text(NAMES[1], 3)}, Accepted),
         ({NAMES[1]: ABSENT}, {NAMES[1]: text(NAMES[1], 3)}, Accepted),
-        # An absent file is not the one that the record at offset 0 created.
+        # The base version of an absent file is not offset 0.
         ({NAMES[1]: 0}, {NAMES[1]: text(NAMES[1], 3)}, Rejected),
         ({NAMES[0]: 2}, {NAMES[0]: None}, Accepted),
         ({NAMES[0]: 2}, {NAMES[0]: "[class a]\nrank = 9\n"}, Rejected),
@@ -128,7 +128,7 @@
         ({}, {}, Ignored),
     ],
 )
-def test_change_is_accepted_only_on_current_bases_and_sound_files(
+def test_change_is_accepted_only_with_current_bases_and_valid_files(
     base: dict[str, int], changes: dict[str, str | None], kind: type
 ) -> None:
     state, _ = published(3)
@@ -151,28 +151,28 @@
         b"[" * 9999,
     ],
 )
-def test_undecodable_record_is_ignored_and_passed(record: bytes) -> None:
-    # Guards against a node that stops at a record written by something else.
+def test_undecodable_record_is_ignored_and_skipped(record: bytes) -> None:
+    # Guards against a node that stops at a record written by another program.
     state, _ = published(2)
     assert isinstance(state.apply(2, record), Ignored)
     assert (state.version, state.last_offset) == (1, 2)
 
 
-def test_loser_of_a_race_is_told_the_conflicting_file() -> None:
+def test_rejected_change_names_the_conflicting_file() -> None:
     state, _ = published(1)
-    state.apply(1, body("winner", {NAMES[0]: 0}, {NAMES[0]: text(NAMES[0], 5)}))
+    state.apply(1, body("first", {NAMES[0]: 0}, {NAMES[0]: text(NAMES[0], 5)}))
     change = {NAMES[0]: text(NAMES[0], 6), NAMES[1]: text(NAMES[1], 1)}
-    outcome = state.apply(2, body("loser", {NAMES[0]: 0}, change))
+    outcome = state.apply(2, body("second", {NAMES[0]: 0}, change))
     assert isinstance(outcome, Rejected)
     assert outcome.conflicts == (NAMES[0],)
-    result = state.result_of("loser")
+    result = state.result_of("second")
     assert result is not None and result.conflicts == (NAMES[0],)
     assert NAMES[1] not in state.files
 
 
-def test_late_duplicate_does_not_bring_a_deleted_file_back() -> None:
+def test_late_duplicate_does_not_restore_a_deleted_file() -> None:
     # Guards against a retried append that takes effect after its change id was
-    # forgotten: the deleted file keeps its version.
+    # dropped from the recent changes: the deleted file keeps its version.
     state = make_config_state()
     create = body("create", {}, {NAMES[0]: text(NAMES[0], 1)})
     state.apply(0, create)
@@ -192,7 +192,7 @@
     assert len(state.checkpoint().results) == _changes.RECENT_CHANGES
 
 
-def test_log_that_restarted_lower_does_not_take_the_version_back() -> None:
+def test_log_that_restarted_lower_does_not_lower_the_version() -> None:
     state, _ = published(5)
     state.observe_log(0, 1)
     outcome = state.apply(0, body("fresh", {}, {NAMES[1]: text(NAMES[1], 1)}))
@@ -214,15 +214,15 @@
 
 
 @pytest.mark.parametrize(
-    "choose, known_count, kind",
+    "choose_delta, known_count, kind",
     [pytest.param(*case[1:], id=case[0]) for case in _delta_cases()],
 )
 def test_delta_applies_only_to_the_version_before(
-    choose: Callable[[list[bytes]], bytes], known_count: int, kind: type
+    choose_delta: Callable[[list[bytes]], bytes], known_count: int, kind: type
 ) -> None:
     _, deltas = published(4)
     state, _ = published(known_count)
-    assert type(state.apply_delta(choose(deltas))) is kind
+    assert type(state.apply_delta(choose_delta(deltas))) is kind
 
 
 def test_snapshot_is_installed_only_when_newer() -> None:
@@ -232,36 +232,36 @@
     newer.apply(4, body("late", {}, {NAMES[0]: ""}))
     assert older.install_snapshot(newer.snapshot())
     assert older.digest == newer.digest
-    # It holds what was known at its version, so that reading on is the same.
+    # The snapshot has the results up to its version, so further reading gives the same.
     assert older.result_of("id3") == newer.result_of("id3")
     assert older.result_of("late") is None
     assert not older.install_snapshot(newer.snapshot())
 
 
-def test_reader_of_a_trimmed_log_says_that_it_cannot_reconstruct() -> None:
+def test_state_of_a_trimmed_log_is_incomplete_until_a_checkpoint() -> None:
     log = FakeLog()
-    whole, _ = published(0)
+    complete, _ = published(0)
     for offset in range(6):
         base = {NAMES[0]: offset - 1}
         log.add(body(f"id{offset}", base, {NAMES[0]: text(NAMES[0], offset)}))
-    follow(whole, log)
+    follow(complete, log)
     log.trim(3)
     fresh = make_config_state()
     follow(fresh, log)
     assert fresh.is_incomplete and fresh.version == -1
-    log.add(encode_record(whole.checkpoint()))
+    log.add(encode_record(complete.checkpoint()))
     follow(fresh, log)
     assert not fresh.is_incomplete
-    assert (fresh.digest, fresh.last_offset) == (whole.digest, 6)
-    assert fresh.result_of("id1") == whole.result_of("id1")
+    assert (fresh.digest, fresh.last_offset) == (complete.digest, 6)
+    assert fresh.result_of("id1") == complete.result_of("id1")
 
 
-@pytest.mark.parametrize("trimmed, covered", [(2, True), (3, False), (4, False)])
-def test_checkpoint_must_reach_the_first_record_held(
-    trimmed: int, covered: bool
+@pytest.mark.parametrize("trimmed, restored", [(2, True), (3, False), (4, False)])
+def test_checkpoint_must_reach_the_first_retained_record(
+    trimmed: int, restored: bool
 ) -> None:
-    # Guards against a state that misses the records between the checkpoint and
-    # the first one that is still held.
+    # Guards against a state without the records between the checkpoint and the first
+    # record that the log retains.
     state, _ = published(2)
     early = state.checkpoint()
     log = FakeLog()
@@ -271,12 +271,13 @@
     log.trim(trimmed)
     fresh = make_config_state()
     follow(fresh, log)
-    assert fresh.is_incomplete != covered
-    assert fresh.version == (4 if covered else -1)
+    assert fresh.is_incomplete != restored
+    assert fresh.version == (4 if restored else -1)
 
 
 def test_checkpoint_of_a_lower_version_does_not_fill_a_gap() -> None:
-    # Guards against a log that lost its end and then grew past this node.
+    # Guards against a log that lost its last records and then grew past the offset of
+    # this node.
     state, _ = published(4)
     other, _ = published(2)
     old = other.checkpoint()
@@ -288,7 +289,7 @@
 
 @pytest.mark.parametrize("accepted", [True, False])
 def test_duplicate_keeps_the_first_result(accepted: bool) -> None:
-    # Guards against a retried append that tells its author the wrong result.
+    # Guards against a retried append that returns the wrong result to its author.
     state, _ = published(1)
     base = 0 if accepted else 5
     record = body("twice", {NAMES[0]: base}, {NAMES[0]: text(NAMES[0], 4)})
@@ -299,14 +300,16 @@
     assert (result.offset, result.accepted) == (1, accepted)
 
 
-def test_damaged_or_foreign_checkpoint_is_ignored() -> None:
+def test_damaged_or_inconsistent_checkpoint_is_ignored() -> None:
     state, _ = published(3)
     files = {**state.checkpoint().files}
     other, _ = published(2)
-    foreign = other.checkpoint()
-    moved = type(foreign)(2, 2, foreign.files, [], digest_of(2, foreign.files))
-    damaged = type(foreign)(2, 2, files, [], "00")
-    for offset, record in enumerate((moved, damaged), 3):
+    other_checkpoint = other.checkpoint()
+    inconsistent = type(other_checkpoint)(
+        2, 2, other_checkpoint.files, [], digest_of(2, other_checkpoint.files)
+    )
+    damaged = type(other_checkpoint)(2, 2, files, [], "00")
+    for offset, record in enumerate((inconsistent, damaged), 3):
         outcome = state.apply(offset, encode_record(record))
         assert outcome == Ignored("checkpoint differs from the own state")
     assert state.checkpoint_offset == -1
@@ -340,8 +343,8 @@
     anyio.run(run)
 
 
-def test_reader_asks_for_fewer_records_when_an_answer_is_too_large() -> None:
-    # Guards against a node that never gets past a few large records.
+def test_reader_requests_fewer_records_when_a_response_is_too_large() -> None:
+    # Guards against a node that never reads past a few large records.
     log, state = FakeLog(), make_config_state()
     reader, _ = make_reader(log, state)
     for offset in range(10):
@@ -360,26 +363,26 @@
     log = FakeLog()
     for offset in range(publishing.CHECKPOINT_RECORDS):
         log.add(body(f"{offset}", {NAMES[0]: offset - 1}, {NAMES[0]: BASE}))
-    pairs = [make_reader(log, make_config_state())[0] for _ in range(3)]
+    readers = [make_reader(log, make_config_state())[0] for _ in range(3)]
 
     async def run() -> None:
         for _ in range(30):
-            for reader in pairs:
+            for reader in readers:
                 await reader.step()
                 reader._clock.advance(500.0)  # type: ignore[attr-defined]
 
     anyio.run(run)
-    # The first append cancels those of the other readers.
+    # The checkpoint of the first reader makes those of the others unnecessary.
     assert log.next == publishing.CHECKPOINT_RECORDS + 1
 
 
-def test_fresh_reader_skips_a_long_replay(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_new_reader_skips_a_long_replay(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(publishing, "CHECKPOINT_RECORDS", 10)
-    log, whole = FakeLog(), make_config_state()
+    log, complete = FakeLog(), make_config_state()
     for offset in range(40):
         log.add(body(f"{offset}", {NAMES[0]: offset - 1}, {NAMES[0]: BASE}))
-    follow(whole, log)
-    log.add(encode_record(whole.checkpoint()))
+    follow(complete, log)
+    log.add(encode_record(complete.checkpoint()))
     log.add(body("last", {NAMES[0]: 39}, {NAMES[0]: text(NAMES[0], 2)}))
     state = make_config_state()
     reader, deltas = make_reader(log, state)
@@ -395,50 +398,50 @@
 class LogHistories(RuleBasedStateMachine):
     """Random histories with races, duplicates, trimming, checkpoints and gossip.
 
-    ``reference`` applies every record in order. Each node must agree with what
-    the reference was at the node's own position.
+    ``reference`` applies every record in order. Each node must have the state that the
+    reference had at the last offset of the node.
     """
 
     @initialize()
     def start(self) -> None:
         self.log = FakeLog()
-        self.everything: list[bytes] = []
+        self.all_records: list[bytes] = []
         self.reference = make_config_state()
         self.digests = {-1: self.reference.digest}
         self.results = {-1: self.reference.checkpoint().results}
         self.nodes = [make_config_state() for _ in range(3)]
-        self.highest = [-1] * 3
+        self.highest_versions = [-1] * 3
         self.deltas: list[bytes] = []
-        self.views = [dict(self.reference.versions)]
+        self.version_maps = [dict(self.reference.versions)]
 
     def _append(self, record: bytes) -> None:
         offset = self.log.add(record)
-        self.everything.append(record)
+        self.all_records.append(record)
         outcome = self.reference.apply(offset, record)
         if isinstance(outcome, Accepted):
             self.deltas.append(outcome.delta)
         self.digests[offset] = self.reference.digest
         self.results[offset] = self.reference.checkpoint().results
-        self.views.append(dict(self.reference.versions))
+        self.version_maps.append(dict(self.reference.versions))
 
     @rule(
         data=st.data(),
         names=st.sets(st.sampled_from(NAMES), min_size=1),
         rank=st.integers(0, 9),
-        drop=st.booleans(),
+        delete=st.booleans(),
     )
     def publish(
-        self, data: st.DataObject, names: set[str], rank: int, drop: bool
+        self, data: st.DataObject, names: set[str], rank: int, delete: bool
     ) -> None:
-        view = data.draw(st.sampled_from(self.views[-3:]))
+        view = data.draw(st.sampled_from(self.version_maps[-3:]))
         base = {name: view.get(name, ABSENT) for name in names}
-        changes = {name: None if drop else text(name, rank) for name in names}
-        self._append(body(f"id{len(self.everything)}", base, changes))
+        changes = {name: None if delete else text(name, rank) for name in names}
+        self._append(body(f"id{len(self.all_records)}", base, changes))
 
     @rule(data=st.data())
     def append_again(self, data: st.DataObject) -> None:
-        if self.everything:
-            self._append(data.draw(st.sampled_from(self.everything)))
+        if self.all_records:
+            self._append(data.draw(st.sampled_from(self.all_records)))
 
     @rule(record=st.binary(max_size=8))
     def append_garbage(self, record: bytes) -> None:
@@ -461,7 +464,7 @@
     @rule(index=st.integers(0, 2))
     def replace(self, index: int) -> None:
         self.nodes[index] = make_config_state()
-        self.highest[index] = -1
+        self.highest_versions[index] = -1
 
     @rule(source=st.integers(0, 2), index=st.integers(0, 2))
     def pull(self, source: int, index: int) -> None:
@@ -474,12 +477,12 @@
             self.nodes[index].apply_delta(data.draw(st.sampled_from(self.deltas)))
 
     @invariant()
-    def nodes_agree_and_never_go_back(self) -> None:
+    def nodes_agree_and_versions_never_decrease(self) -> None:
         for index, node in enumerate(getattr(self, "nodes", ())):
-            assert node.version >= self.highest[index]
-            self.highest[index] = node.version
+            assert node.version >= self.highest_versions[index]
+            self.highest_versions[index] = node.version
             assert node.digest == self.digests[node.last_offset]
-            # Otherwise nodes would judge a later duplicate differently.
+            # Otherwise nodes would treat a later duplicate differently.
             assert node.checkpoint().results == self.results[node.last_offset]
 
     def teardown(self) -> None:
