Reword the client of the platform log

Use response instead of answer, and name the exception and the connection flag after what they mean. Error texts say response and status. The kinds of failure and the records keep their names. Behaviour is unchanged.

--- a/src/briardock/configuration.py
+++ b/src/briardock/configuration.py
@@ -153,7 +153,7 @@
             message = f"larger than {MAX_FILE_BYTES} bytes"
             yield Fault(name, 0, "", "", message, "split it into several files")
     if total_bytes > MAX_TOTAL_BYTES:
-        message = f"total of {total_bytes} bytes exceeds the limit of {MAX_TOTAL_BYTES}"
+        message = f"{total_bytes} bytes in total exceed the limit of {MAX_TOTAL_BYTES}"
         yield Fault("", 0, "", "", message, "shorten the descriptions and comments")
 
 
--- a/src/briardock/platformlog.py
+++ b/src/briardock/platformlog.py
@@ -1,8 +1,8 @@
-"""Client of the platform log: an append-only service reached over HTTP.
+"""Client of the platform log, an append-only log service with an HTTP interface.
 
-It uses h11 on anyio streams because httpx costs a node 26 MB of memory. Reads
-reuse one connection; an append opens its own, so that a connection closed by
-the service while idle is never mistaken for a lost acknowledgement.
+The client uses h11 on anyio streams because httpx takes 26 MB of memory per node.
+Reads reuse one connection. Each append opens a new one, so that an idle connection
+closed by the service is not reported as a lost acknowledgement.
 """
 
 import enum
@@ -13,7 +13,7 @@
 import h11
 import msgspec
 
-MAX_ANSWER_BYTES = 32 * 1024 * 1024
+MAX_RESPONSE_BYTES = 32 * 1024 * 1024
 MAX_RECORD_BYTES = 8 * 1024 * 1024
 MAX_READ_RECORDS = 1_000
 RECEIVE_BYTES = 64 * 1024
@@ -23,13 +23,13 @@
     anyio.ClosedResourceError,
     anyio.EndOfStream,
 )
-# The service answers these before it writes anything.
-_REFUSING_STATUSES = range(400, 500)
+# Statuses that the service sends before it writes anything.
+_REJECTED_STATUSES = range(400, 500)
 _UNAVAILABLE_STATUS = 503
 
 
 class FailureKind(enum.StrEnum):
-    """Kinds of failure of one request to the log."""
+    """Kinds of failure of a request to the log."""
 
     REFUSED = "refused"
     TIMEOUT = "timeout"
@@ -39,7 +39,7 @@
 
 @dataclass(frozen=True, slots=True)
 class LogFailure:
-    """A request to the log that gave no usable answer.
+    """Failure of a request to the log.
 
     :param kind: what went wrong
     :param detail: text for the user
@@ -54,7 +54,7 @@
 class LogRecord(msgspec.Struct, frozen=True):
     """One record of a stream.
 
-    :param offset: position in the stream, rising
+    :param offset: position in the stream; offsets increase
     :param body: content, base64 on the wire
     """
 
@@ -63,9 +63,9 @@
 
 
 class ReadResult(msgspec.Struct, frozen=True):
-    """Answer to a read.
+    """Response to a read.
 
-    :param first: offset of the oldest record that is still held
+    :param first: offset of the oldest retained record
     :param next: offset that the next append will get
     :param records: records from the requested offset on
     """
@@ -76,21 +76,21 @@
 
 
 class _AppendResult(msgspec.Struct, frozen=True):
-    """Answer to an append."""
+    """Response to an append."""
 
     offset: int
 
 
 @dataclass(frozen=True, slots=True)
-class _Answer:
-    """Status and body of an HTTP answer."""
+class _Response:
+    """Status and body of an HTTP response."""
 
     status: int
     body: bytes
 
 
-class _RefusedError(Exception):
-    """No connection could be made, so nothing was sent."""
+class _ConnectError(Exception):
+    """The connection could not be opened, so nothing was sent."""
 
 
 class _Connection:
@@ -100,10 +100,10 @@
         self._stream = stream
         self._http = h11.Connection(h11.CLIENT)
 
-    async def exchange(self, request: h11.Request, body: bytes) -> _Answer:
-        """Send a request and return the whole answer.
+    async def exchange(self, request: h11.Request, body: bytes) -> _Response:
+        """Send a request and return the complete response.
 
-        :raises h11.RemoteProtocolError: if the answer is malformed or cut short
+        :raises h11.RemoteProtocolError: if the response is malformed or too large
         """
         data = self._http.send(request) or b""
         if body:
@@ -120,15 +120,15 @@
             elif isinstance(event, h11.Data):
                 parts.append(bytes(event.data))
                 size_bytes += len(event.data)
-                if size_bytes > MAX_ANSWER_BYTES:
-                    raise h11.RemoteProtocolError("answer is too large")
+                if size_bytes > MAX_RESPONSE_BYTES:
+                    raise h11.RemoteProtocolError("response is too large")
             elif isinstance(event, h11.EndOfMessage):
-                return _Answer(status, b"".join(parts))
+                return _Response(status, b"".join(parts))
             elif isinstance(event, h11.ConnectionClosed):
                 raise anyio.EndOfStream
 
     async def _next_event(self) -> object:
-        """Return the next event of the answer, receiving as needed."""
+        """Return the next event of the response, receiving data as needed."""
         while (event := self._http.next_event()) is h11.NEED_DATA:
             try:
                 data = await self._stream.receive(RECEIVE_BYTES)
@@ -138,9 +138,9 @@
         return event
 
     def _end_of_stream(self) -> object:
-        """Return the event that the end of the stream makes.
+        """Return the event that follows from the end of the stream.
 
-        :raises anyio.EndOfStream: if it cuts the answer short
+        :raises anyio.EndOfStream: if the response is truncated
         """
         self._http.receive_data(b"")
         try:
@@ -148,8 +148,8 @@
         except h11.RemoteProtocolError:
             raise anyio.EndOfStream from None
 
-    def reuse(self) -> bool:
-        """Make the connection ready for another request, if it can carry one."""
+    def try_reuse(self) -> bool:
+        """Prepare the connection for another request; return whether it is usable."""
         if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
             self._http.start_next_cycle()
             return True
@@ -165,7 +165,7 @@
 
     :param host: numeric IP address of the service
     :param port: port of the service
-    :param timeout_ms: longest wait for one answer
+    :param timeout_ms: longest wait for one response
     :param source_host: local address to connect from, or ``None`` for any
     """
 
@@ -186,48 +186,48 @@
         """Append one record and return its offset.
 
         :param stream: name of the stream
-        :param body: record
+        :param body: content of the record
         """
         if len(body) > MAX_RECORD_BYTES:
             return LogFailure(
                 FailureKind.REFUSED, f"record of {len(body)} bytes is too large"
             )
         request = self._request("POST", f"/streams/{stream}", len(body))
-        answer = await self._send(request, body, self._timeout_s, fresh=True)
-        if isinstance(answer, LogFailure):
-            return answer
-        if answer.status != 200:
-            return _status_failure(answer)
+        response = await self._send(request, body, self._timeout_s, new_connection=True)
+        if isinstance(response, LogFailure):
+            return response
+        if response.status != 200:
+            return _status_failure(response)
         try:
-            return msgspec.json.decode(answer.body, type=_AppendResult).offset
+            return msgspec.json.decode(response.body, type=_AppendResult).offset
         except msgspec.DecodeError as error:
             return LogFailure(FailureKind.BAD_ANSWER, str(error), True)
 
     async def read(
         self, stream: str, from_offset: int, limit: int, wait_ms: float = 0.0
     ) -> ReadResult | LogFailure:
-        """Read records from an offset on.
+        """Read records starting at an offset.
 
         :param stream: name of the stream
-        :param from_offset: first offset wanted
+        :param from_offset: first offset to read
         :param limit: largest number of records
-        :param wait_ms: how long the service may wait for a first record
+        :param wait_ms: longest time the service waits for a first record
         """
         limit = min(limit, MAX_READ_RECORDS)
         target = (
             f"/streams/{stream}?from={from_offset}&limit={limit}&wait_ms={wait_ms:.0f}"
         )
         timeout_s = self._timeout_s + wait_ms / 1000.0
-        answer = await self._read_once(self._request("GET", target), timeout_s)
-        if isinstance(answer, LogFailure):
-            return answer
-        if answer.status != 200:
-            return _status_failure(answer)
+        response = await self._read_once(self._request("GET", target), timeout_s)
+        if isinstance(response, LogFailure):
+            return response
+        if response.status != 200:
+            return _status_failure(response)
         try:
-            result = msgspec.json.decode(answer.body, type=ReadResult)
+            result = msgspec.json.decode(response.body, type=ReadResult)
         except msgspec.DecodeError as error:
             return LogFailure(FailureKind.BAD_ANSWER, str(error))
-        return _check_order(result, from_offset)
+        return _check_offsets(result, from_offset)
 
     async def close(self) -> None:
         """Close idle connections."""
@@ -236,37 +236,39 @@
 
     async def _read_once(
         self, request: h11.Request, timeout_s: float
-    ) -> _Answer | LogFailure:
-        """Send a read; a reused connection that was closed is replaced once."""
+    ) -> _Response | LogFailure:
+        """Send a read, again on a new connection if the reused one was closed."""
         reused = bool(self._idle)
-        answer = await self._send(request, b"", timeout_s, fresh=False)
+        response = await self._send(request, b"", timeout_s, new_connection=False)
         if (
             reused
-            and isinstance(answer, LogFailure)
-            and answer.kind is FailureKind.LOST_ACK
+            and isinstance(response, LogFailure)
+            and response.kind is FailureKind.LOST_ACK
         ):
-            return await self._send(request, b"", timeout_s, fresh=True)
-        return answer
+            return await self._send(request, b"", timeout_s, new_connection=True)
+        return response
 
     async def _send(
-        self, request: h11.Request, body: bytes, timeout_s: float, fresh: bool
-    ) -> _Answer | LogFailure:
+        self, request: h11.Request, body: bytes, timeout_s: float, new_connection: bool
+    ) -> _Response | LogFailure:
         """Send a request within a time limit."""
         connection: _Connection | None = None
         try:
             with anyio.fail_after(timeout_s):
-                connection = await self._connect(fresh)
-                answer = await connection.exchange(request, body)
-            if not fresh and connection.reuse():
+                connection = await self._connect(new_connection)
+                response = await connection.exchange(request, body)
+            if not new_connection and connection.try_reuse():
                 self._idle.append(connection)
                 connection = None
-            return answer
-        except _RefusedError as error:
+            return response
+        except _ConnectError as error:
             return LogFailure(FailureKind.REFUSED, f"cannot connect to {self}: {error}")
         except TimeoutError:
             sent = connection is not None
             return LogFailure(
-                FailureKind.TIMEOUT, f"no answer from {self} in {timeout_s:.1f} s", sent
+                FailureKind.TIMEOUT,
+                f"no response from {self} in {timeout_s:.1f} s",
+                sent,
             )
         except _STREAM_ERRORS as error:
             return LogFailure(
@@ -278,12 +280,12 @@
             if connection is not None:
                 await connection.close()
 
-    async def _connect(self, fresh: bool) -> _Connection:
+    async def _connect(self, new_connection: bool) -> _Connection:
         """Return an idle connection or a new one.
 
-        :raises _RefusedError: if no connection could be made
+        :raises _ConnectError: if the connection cannot be opened
         """
-        if self._idle and not fresh:
+        if self._idle and not new_connection:
             return self._idle.pop()
         try:
             return _Connection(
@@ -292,7 +294,7 @@
                 )
             )
         except OSError as error:
-            raise _RefusedError(str(error)) from error
+            raise _ConnectError(str(error)) from error
 
     def _request(self, method: str, target: str, size_bytes: int = 0) -> h11.Request:
         """Return the head of a request."""
@@ -315,30 +317,34 @@
 
     :param host: numeric IP address of the service
     :param port: port of the service
-    :param timeout_ms: longest wait for one answer
+    :param timeout_ms: longest wait for one response
     :param source_host: local address to connect from, or ``None`` for any
     """
     return LogClient(host, port, timeout_ms, source_host)
 
 
-def _status_failure(answer: _Answer) -> LogFailure:
-    """Return the failure of an answer that is not 200."""
-    refused = (
-        answer.status in _REFUSING_STATUSES or answer.status == _UNAVAILABLE_STATUS
+def _status_failure(response: _Response) -> LogFailure:
+    """Return the failure for a response with a status other than 200."""
+    is_refused = (
+        response.status in _REJECTED_STATUSES or response.status == _UNAVAILABLE_STATUS
     )
-    text = answer.body[:200].decode("utf-8", "replace")
-    kind = FailureKind.REFUSED if refused else FailureKind.BAD_ANSWER
+    text = response.body[:200].decode("utf-8", "replace")
+    kind = FailureKind.REFUSED if is_refused else FailureKind.BAD_ANSWER
     return LogFailure(
-        kind, f"log service answered {answer.status}: {text}", not refused
+        kind,
+        f"log service responded with status {response.status}: {text}",
+        not is_refused,
     )
 
 
-def _check_order(result: ReadResult, from_offset: int) -> ReadResult | LogFailure:
-    """Return a result whose offsets rise and lie where they were asked for."""
+def _check_offsets(result: ReadResult, from_offset: int) -> ReadResult | LogFailure:
+    """Return the result if its offsets increase from the requested one on."""
     last = from_offset - 1
     for record in result.records:
         if record.offset <= last:
-            return LogFailure(FailureKind.BAD_ANSWER, "offsets do not rise")
+            return LogFailure(
+                FailureKind.BAD_ANSWER, "offsets do not increase from the requested one"
+            )
         last = record.offset
     if result.first < 0 or result.next < result.first:
         return LogFailure(FailureKind.BAD_ANSWER, "offsets are inconsistent")
--- a/tests/log_service.py
+++ b/tests/log_service.py
@@ -1,4 +1,4 @@
-"""The stand-in log served in a thread of the test process."""
+"""Runs the stand-in log service in a thread of the test process."""
 
 import asyncio
 import contextlib
@@ -15,7 +15,7 @@
 
 
 class LogService:
-    """Address and fault switch of a running stand-in log."""
+    """Address and fault injection of a running stand-in log."""
 
     def __init__(self, port: int) -> None:
         self.host = "127.0.0.1"
@@ -31,7 +31,7 @@
 def running_log(
     retention_records: int = 1000, clock: Clock | None = None
 ) -> Iterator[LogService]:
-    """Serve a log on a free port until the block ends."""
+    """Serve a log on a free port for the duration of the block."""
     listener = socket.create_server(("127.0.0.1", 0))
     port = listener.getsockname()[1]
     # The server closes the descriptor itself.
--- a/tests/test_platformlog.py
+++ b/tests/test_platformlog.py
@@ -1,4 +1,4 @@
-"""Tests of the log client against the stand-in and against bad servers."""
+"""Tests of the log client against the stand-in and against faulty servers."""
 
 import socket
 import threading
@@ -31,7 +31,7 @@
         yield running
 
 
-def ask(
+def run_client(
     port: int,
     action: Callable[[LogClient], Awaitable[Result]],
     timeout_ms: float = 2_000.0,
@@ -48,26 +48,26 @@
     return anyio.run(run)
 
 
-def test_records_come_back_whole_and_in_order(service: LogService) -> None:
+def test_records_are_read_back_complete_and_in_order(service: LogService) -> None:
     async def action(client: LogClient) -> ReadResult | LogFailure:
         offsets = [await client.append("order", BODY + bytes([n])) for n in range(5)]
         assert offsets == [0, 1, 2, 3, 4]
         return await client.read("order", 1, 3)
 
-    result = ask(service.port, action)
+    result = run_client(service.port, action)
     assert isinstance(result, ReadResult)
     assert (result.first, result.next) == (0, 5)
-    found = [(record.offset, record.body) for record in result.records]
-    assert found == [(n, BODY + bytes([n])) for n in (1, 2, 3)]
+    read_back = [(record.offset, record.body) for record in result.records]
+    assert read_back == [(n, BODY + bytes([n])) for n in (1, 2, 3)]
 
 
-def test_trimmed_records_are_visible_as_a_higher_first(service: LogService) -> None:
+def test_trimming_raises_the_first_offset(service: LogService) -> None:
     async def action(client: LogClient) -> ReadResult | LogFailure:
         for _ in range(60):
             await client.append("trimmed", b"x")
         return await client.read("trimmed", 0, 100)
 
-    result = ask(service.port, action)
+    result = run_client(service.port, action)
     assert isinstance(result, ReadResult)
     assert (result.first, result.next, len(result.records)) == (10, 60, 50)
 
@@ -86,45 +86,45 @@
             await client.append("wait", b"x")
         assert isinstance(results[0], ReadResult) and len(results[0].records) == 1
 
-    ask(service.port, action)
+    run_client(service.port, action)
 
 
 @pytest.mark.parametrize(
-    "mode, kind, unknown, written",
+    "mode, kind, outcome_unknown, written_count",
     [
         ("outage", FailureKind.REFUSED, False, 0),
         ("lose_ack", FailureKind.LOST_ACK, True, 1),
         ("slow", FailureKind.TIMEOUT, True, None),
     ],
 )
-def test_fault_of_the_service_gives_its_kind(
+def test_service_fault_is_reported_with_its_kind(
     service: LogService,
     mode: str,
     kind: FailureKind,
-    unknown: bool,
-    written: int | None,
+    outcome_unknown: bool,
+    written_count: int | None,
 ) -> None:
-    # Guards against a lost acknowledgement that is taken for a refusal, after
-    # which a publisher would report that nothing was published.
+    # Guards against a lost acknowledgement that is reported as a refusal, after which
+    # a publisher would report that nothing was published.
     stream = f"fault-{mode}"
     service.set_fault(mode, delay_ms=600, count=1)
 
     async def append(client: LogClient) -> int | LogFailure:
         return await client.append(stream, b"x")
 
-    failure = ask(service.port, append, timeout_ms=200)
+    failure = run_client(service.port, append, timeout_ms=200)
     assert isinstance(failure, LogFailure)
-    assert (failure.kind, failure.outcome_unknown) == (kind, unknown)
+    assert (failure.kind, failure.outcome_unknown) == (kind, outcome_unknown)
 
     async def read(client: LogClient) -> ReadResult | LogFailure:
         return await client.read(stream, 0, 10)
 
-    result = ask(service.port, read)
+    result = run_client(service.port, read)
     assert isinstance(result, ReadResult)
-    assert written is None or result.next == written
+    assert written_count is None or result.next == written_count
 
 
-def test_append_rate_is_limited_and_refusals_mean_not_written() -> None:
+def test_append_rate_is_limited_and_refused_records_are_not_written() -> None:
     clock = ManualClock()
 
     async def action(client: LogClient) -> None:
@@ -139,7 +139,7 @@
         assert isinstance(result, ReadResult) and result.next == 2 * BURST_APPENDS
 
     with running_log(clock=clock) as limited:
-        ask(limited.port, action)
+        run_client(limited.port, action)
 
 
 @pytest.mark.parametrize(
@@ -155,35 +155,35 @@
         ("POST", "/faults", '{"mode":"other"}', 400),
     ],
 )
-def test_stand_in_answers_bad_requests(
+def test_stand_in_returns_the_status_of_a_request(
     service: LogService, method: str, path: str, body: str, status: int
 ) -> None:
-    answer = httpx.request(method, f"http://{service.address}{path}", content=body)
-    assert answer.status_code == status
+    response = httpx.request(method, f"http://{service.address}{path}", content=body)
+    assert response.status_code == status
 
 
-def test_refused_connection_means_not_written() -> None:
+def test_refused_connection_is_reported_as_not_written() -> None:
     with socket.create_server(("127.0.0.1", 0)) as listener:
         port = listener.getsockname()[1]
 
     async def action(client: LogClient) -> int | LogFailure:
         return await client.append("s", b"x")
 
-    failure = ask(port, action)
+    failure = run_client(port, action)
     assert isinstance(failure, LogFailure)
     assert (failure.kind, failure.outcome_unknown) == (FailureKind.REFUSED, False)
 
 
-def _answer(status: str, body: bytes, length: int | None = None) -> bytes:
+def _response(status: str, body: bytes, length: int | None = None) -> bytes:
     size = len(body) if length is None else length
     return f"HTTP/1.1 {status}\r\nContent-Length: {size}\r\n\r\n".encode() + body
 
 
 class CannedServer:
-    """Server that gives one fixed answer per connection and closes it."""
+    """Server that sends one fixed response per connection and closes it."""
 
-    def __init__(self, answer: bytes) -> None:
-        self._answer = answer
+    def __init__(self, response: bytes) -> None:
+        self._response = response
         self._listener = socket.create_server(("127.0.0.1", 0))
         self.port = self._listener.getsockname()[1]
         self.connection_count = 0
@@ -199,7 +199,7 @@
             self.connection_count += 1
             with connection:
                 connection.recv(65536)
-                connection.sendall(self._answer)
+                connection.sendall(self._response)
 
     def close(self) -> None:
         self._listener.shutdown(socket.SHUT_RDWR)
@@ -208,39 +208,42 @@
 
 
 @pytest.mark.parametrize(
-    "answer, kind, unknown",
+    "response, kind, outcome_unknown",
     [
         (b"", FailureKind.LOST_ACK, True),
         (b"HTTP/1.1 200 OK\r\n", FailureKind.LOST_ACK, True),
-        (_answer("200 OK", b'{"off', 99), FailureKind.LOST_ACK, True),
+        (_response("200 OK", b'{"off', 99), FailureKind.LOST_ACK, True),
         (b"garbage\r\n\r\n", FailureKind.BAD_ANSWER, True),
-        (_answer("200 OK", b"{}"), FailureKind.BAD_ANSWER, True),
-        (_answer("200 OK", b"\xff"), FailureKind.BAD_ANSWER, True),
-        (_answer("500 Error", b"oops"), FailureKind.BAD_ANSWER, True),
-        (_answer("503 Busy", b""), FailureKind.REFUSED, False),
-        (_answer("404 Not Found", b""), FailureKind.REFUSED, False),
-        (_answer("200 OK", b"x" * 2000), FailureKind.BAD_ANSWER, True),
+        (_response("200 OK", b"{}"), FailureKind.BAD_ANSWER, True),
+        (_response("200 OK", b"\xff"), FailureKind.BAD_ANSWER, True),
+        (_response("500 Error", b"oops"), FailureKind.BAD_ANSWER, True),
+        (_response("503 Busy", b""), FailureKind.REFUSED, False),
+        (_response("404 Not Found", b""), FailureKind.REFUSED, False),
+        (_response("200 OK", b"x" * 2000), FailureKind.BAD_ANSWER, True),
     ],
 )
-def test_bad_answer_to_an_append_is_typed(
-    answer: bytes, kind: FailureKind, unknown: bool, monkeypatch: pytest.MonkeyPatch
+def test_bad_response_to_an_append_is_reported_with_its_kind(
+    response: bytes,
+    kind: FailureKind,
+    outcome_unknown: bool,
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(platformlog, "MAX_ANSWER_BYTES", 1000)
-    server = CannedServer(answer)
+    monkeypatch.setattr(platformlog, "MAX_RESPONSE_BYTES", 1000)
+    server = CannedServer(response)
 
     async def action(client: LogClient) -> int | LogFailure:
         return await client.append("s", b"x")
 
     try:
-        failure = ask(server.port, action)
+        failure = run_client(server.port, action)
     finally:
         server.close()
     assert isinstance(failure, LogFailure)
-    assert (failure.kind, failure.outcome_unknown) == (kind, unknown)
+    assert (failure.kind, failure.outcome_unknown) == (kind, outcome_unknown)
 
 
 @pytest.mark.parametrize(
-    "content",
+    "response_body",
     [
         b'{"first":0,"next":2,"records":[{"offset":1,"body":""},{"offset":1,"body":""}]}',
         b'{"first":0,"next":2,"records":[{"offset":0,"body":""}]}',
@@ -248,14 +251,14 @@
         b'{"first":0,"next":2,"records":[{"offset":1,"body":"%%"}]}',
     ],
 )
-def test_inconsistent_read_is_refused(content: bytes) -> None:
-    server = CannedServer(_answer("200 OK", content))
+def test_inconsistent_read_is_refused(response_body: bytes) -> None:
+    server = CannedServer(_response("200 OK", response_body))
 
     async def action(client: LogClient) -> ReadResult | LogFailure:
         return await client.read("s", 1, 10)
 
     try:
-        failure = ask(server.port, action)
+        failure = run_client(server.port, action)
     finally:
         server.close()
     assert isinstance(failure, LogFailure)
@@ -263,15 +266,15 @@
 
 
 def test_read_replaces_a_connection_closed_while_idle() -> None:
-    # Guards against a reader that reports an outage whenever the service has
-    # closed its idle connection.
-    server = CannedServer(_answer("200 OK", b'{"first":0,"next":0,"records":[]}'))
+    # Guards against a reader that reports an outage whenever the service closed an
+    # idle connection.
+    server = CannedServer(_response("200 OK", b'{"first":0,"next":0,"records":[]}'))
 
     async def action(client: LogClient) -> list[ReadResult | LogFailure]:
         return [await client.read("s", 0, 10) for _ in range(3)]
 
     try:
-        results = ask(server.port, action)
+        results = run_client(server.port, action)
     finally:
         server.close()
     assert all(isinstance(item, ReadResult) for item in results)
@@ -282,6 +285,6 @@
     async def action(client: LogClient) -> int | LogFailure:
         return await client.append("s", bytes(platformlog.MAX_RECORD_BYTES + 1))
 
-    failure = ask(1, action)
+    failure = run_client(1, action)
     assert isinstance(failure, LogFailure)
     assert (failure.kind, failure.outcome_unknown) == (FailureKind.REFUSED, False)
