Reword the configuration state, its records and recent changes

Rename recognises to is_recent and private names of the state, and describe versions, deltas and checkpoints in plain terms.

--- a/src/briardock/_configstate.py
+++ b/src/briardock/_configstate.py
@@ -1,7 +1,7 @@
-"""Version state of the configuration, a function of the log alone.
+"""Versioned state of the configuration, determined by the log alone.
 
-Every node that applies the same records reaches the same state: the rule uses
-offsets and contents of records, never times or the order of arrival.
+Every node that applies the same records reaches the same state: acceptance depends on
+offsets and contents of records, never on times or the order of arrival.
 """
 
 from collections.abc import Mapping
@@ -33,13 +33,13 @@
 from briardock.configuration import merge_and_check
 from briardock.events import Event, emit
 
-# Deleted files keep their version, so that a late duplicate of the record that
-# created one cannot bring it back. This bounds live and deleted names.
+# Limits existing and deleted files together. Deleted files keep their version, so that
+# a late duplicate of the record that created one cannot restore it.
 MAX_NAMES = 4_000
 
 
 class ConfigState:
-    """Files, versions and recent changes of one node."""
+    """Files, versions and recent changes of the configuration on one node."""
 
     def __init__(self) -> None:
         self.version = NO_VERSION
@@ -60,12 +60,12 @@
 
     @property
     def versions(self) -> dict[str, int]:
-        """Version of each file, with the deleted ones."""
+        """Version of each file, including deleted files."""
         return {name: entry.version for name, entry in self._files.items()}
 
     @property
     def next_offset(self) -> int:
-        """Offset to read next from the log."""
+        """Offset of the next record to read from the log."""
         if self._missing_before is not None:
             return max(self._scan_offset, self.last_offset + 1)
         return self.last_offset + 1
@@ -81,7 +81,7 @@
         return digest_of(self.version, self._files)
 
     def report(self) -> dict[str, object]:
-        """Return the state without the texts, for a dump."""
+        """Return the state without the file texts, for a dump."""
         return {
             "version": self.version,
             "last_offset": self.last_offset,
@@ -93,24 +93,24 @@
         }
 
     def result_of(self, change_id: str) -> ChangeResult | None:
-        """Return what became of a recent change, or ``None`` if it was not seen."""
+        """Return the result of a recent change, or ``None`` if it is unknown."""
         return self._changes.get(change_id)
 
-    def observe_log(self, first: int, following: int) -> None:
-        """Take note of the range of offsets that the log holds.
+    def observe_log(self, first: int, end_offset: int) -> None:
+        """Update the range of offsets that the log holds.
 
         :param first: oldest offset that can be read
-        :param following: offset of the next append
+        :param end_offset: offset of the next append
         """
-        restarted = following <= self.last_offset
-        if restarted and not self.log_restarted:
+        has_restarted = end_offset <= self.last_offset
+        if has_restarted and not self.log_restarted:
             emit(
                 Event.CONFIG_LOG_RESTARTED,
-                log_next=following,
+                log_next=end_offset,
                 applied=self.last_offset,
                 version=self.version,
             )
-        self.log_restarted = restarted
+        self.log_restarted = has_restarted
         if first <= self.last_offset + 1:
             self._missing_before = None
         elif self._missing_before is None:
@@ -138,7 +138,7 @@
             case Publish():
                 return self._apply_publish(offset, record)
             case Checkpoint():
-                return self._compare(offset, record)
+                return self._verify_checkpoint(offset, record)
         emit(Event.CONFIG_RECORD_IGNORED, offset=offset, size_bytes=len(body))
         return Ignored("not a configuration record")
 
@@ -153,7 +153,7 @@
         )
 
     def restore(self, checkpoint: Checkpoint, offset: int) -> bool:
-        """Replace the state by a checkpoint that is not older.
+        """Replace the state with a checkpoint, unless it is older.
 
         :param checkpoint: from the log
         :param offset: offset of its record
@@ -183,19 +183,19 @@
         """Return the whole state of the current version, for gossip."""
         if self._snapshot is None:
             results = self._changes.between(-1, self.version)
-            whole = Delta(NO_VERSION, self.version, self._files, results)
-            self._snapshot = encode_delta(whole)
+            full_delta = Delta(NO_VERSION, self.version, self._files, results)
+            self._snapshot = encode_delta(full_delta)
         return self._snapshot
 
     def install_snapshot(self, data: bytes) -> bool:
-        """Take over a snapshot if it is newer, and return whether it was.
+        """Install a snapshot if it is newer, and return whether it was installed.
 
         :param data: from :meth:`snapshot` of another node
         """
         return isinstance(self.apply_delta(data), Applied)
 
     def apply_delta(self, data: bytes) -> Applied | Behind | Stale:
-        """Apply a step or snapshot of another node.
+        """Apply a delta or snapshot of another node.
 
         :param data: from :class:`Accepted` or :meth:`snapshot`
         """
@@ -207,8 +207,8 @@
             return Stale("not newer")
         if delta.previous not in (NO_VERSION, self.version):
             return Behind(delta.version)
-        kept = {} if delta.previous == NO_VERSION else self._files
-        if not self._install(delta.version, {**kept, **delta.files}):
+        base_files = {} if delta.previous == NO_VERSION else self._files
+        if not self._install(delta.version, {**base_files, **delta.files}):
             return Stale("does not pass the checks")
         self._changes.add(delta.results)
         self._advance(delta.version)
@@ -225,7 +225,7 @@
         self, offset: int, record: Publish
     ) -> Accepted | Rejected | Ignored:
         """Accept or reject a change."""
-        if self._changes.recognises(record.change_id):
+        if self._changes.is_recent(record.change_id):
             return Ignored("change id already seen")
         conflicts = tuple(
             sorted(
@@ -243,11 +243,11 @@
         files = {**self._files, **changed}
         if len(files) > MAX_NAMES:
             return self._reject(offset, record, f"more than {MAX_NAMES} file names", ())
-        checked = merge_and_check(_present(files), self.catalog)
+        checked = merge_and_check(_existing_texts(files), self.catalog)
         if isinstance(checked, list):
             return self._reject(offset, record, f"{checked[0]}", ())
         previous = self.version
-        self._take(offset, files, checked)
+        self._put_in_force(offset, files, checked)
         self._changes.append(ChangeResult(offset, record.change_id, True))
         results = self._changes.between(previous, offset)
         emit(
@@ -262,7 +262,7 @@
     def _reject(
         self, offset: int, record: Publish, reason: str, conflicts: tuple[str, ...]
     ) -> Rejected:
-        """Remember that a change has no effect."""
+        """Record that a change is rejected."""
         reason = reason[:MAX_REASON_LENGTH]
         result = ChangeResult(offset, record.change_id, False, reason, conflicts)
         self._changes.append(result)
@@ -275,11 +275,11 @@
         )
         return Rejected(record.change_id, reason, conflicts)
 
-    def _compare(self, offset: int, checkpoint: Checkpoint) -> Ignored:
-        """Compare a checkpoint with the own state, where both are comparable."""
+    def _verify_checkpoint(self, offset: int, checkpoint: Checkpoint) -> Ignored:
+        """Compare a checkpoint with the local state if it covers the same version."""
         if checkpoint.as_of >= offset:
             emit(Event.CONFIG_CHECKPOINT_DAMAGED, as_of=checkpoint.as_of, offset=offset)
-            return Ignored("checkpoint of a later record")
+            return Ignored("checkpoint covers its own or later offsets")
         if checkpoint.as_of >= self.version and checkpoint.digest != self.digest:
             emit(
                 Event.CONFIG_CHECKPOINT_MISMATCH,
@@ -287,22 +287,22 @@
                 as_of=checkpoint.as_of,
                 version=self.version,
             )
-            return Ignored("checkpoint differs from the own state")
+            return Ignored("checkpoint differs from the local state")
         self.checkpoint_offset = offset
         return Ignored("checkpoint")
 
     def _restore_from(
         self, offset: int, record: Publish | Checkpoint | None
     ) -> Accepted | Ignored:
-        """Use a record of a trimmed log if it is a checkpoint that covers the gap."""
+        """Restore from a record of a trimmed log if its checkpoint covers the gap."""
         first = self._missing_before or 0
         if not isinstance(record, Checkpoint) or not first - 1 <= record.as_of < offset:
             return Ignored("records are missing; waiting for a checkpoint")
-        before = self.version
+        previous_version = self.version
         if not self.restore(record, offset):
             return Ignored("checkpoint cannot be used")
-        if self.version == before:
-            return Ignored("checkpoint of the current version")
+        if self.version == previous_version:
+            return Ignored("checkpoint has the version in force")
         return Accepted(self.version, self.snapshot())
 
     def _version_of(self, name: str) -> int:
@@ -311,15 +311,15 @@
         return entry.version if entry else ABSENT
 
     def _install(self, version: int, files: dict[str, FileVersion]) -> bool:
-        """Take over files that another node accepted, and return whether possible."""
-        checked = merge_and_check(_present(files), self.catalog)
+        """Install files of another node; return whether they pass the checks here."""
+        checked = merge_and_check(_existing_texts(files), self.catalog)
         if isinstance(checked, list):
             emit(Event.CONFIG_NOT_INSTALLED, version=version, fault=checked[0])
             return False
-        self._take(version, files, checked)
+        self._put_in_force(version, files, checked)
         return True
 
-    def _take(
+    def _put_in_force(
         self, version: int, files: dict[str, FileVersion], catalog: Catalog
     ) -> None:
         """Put a version in force."""
@@ -334,7 +334,7 @@
     return ConfigState()
 
 
-def _present(files: Mapping[str, FileVersion]) -> dict[str, str]:
+def _existing_texts(files: Mapping[str, FileVersion]) -> dict[str, str]:
     """Return the text of the files that are not deleted."""
     return {name: entry.text for name, entry in files.items() if entry.text is not None}
 
--- a/src/briardock/_records.py
+++ b/src/briardock/_records.py
@@ -1,4 +1,4 @@
-"""Records of the log stream ``configuration`` and their gossip form."""
+"""Records of the log stream ``configuration``, and the deltas sent by gossip."""
 
 import hashlib
 import zlib
@@ -8,7 +8,7 @@
 
 STREAM = "configuration"
 NO_VERSION = -1
-# A file that never existed. Offset 0 is a valid version, so 0 cannot mean this.
+# Version of a file that never existed. Offset 0 is a valid version.
 ABSENT = -1
 MAX_PUBLISH_BYTES = 5 * 1024 * 1024
 MAX_DELTA_BYTES = 32 * 1024 * 1024
@@ -29,13 +29,13 @@
 
 
 class ChangeResult(msgspec.Struct, frozen=True, array_like=True):
-    """What became of one publish record.
+    """Result of one publish record.
 
     :param offset: offset of the record
-    :param change_id: id that its author gave to it
-    :param accepted: whether it is in force
-    :param reason: why not, otherwise empty
-    :param conflicts: files whose version had moved
+    :param change_id: id that the author assigned
+    :param accepted: whether the change was accepted
+    :param reason: why it was rejected, otherwise empty
+    :param conflicts: files whose version differs from the base of the change
     """
 
     offset: int
@@ -46,11 +46,11 @@
 
 
 class Publish(msgspec.Struct, frozen=True, tag="publish"):
-    """Change of one or more files, accepted or rejected as a whole.
+    """Atomic change of one or more files.
 
     :param change_id: unique id; a record with an id already seen has no effect
-    :param author: who publishes
-    :param base: version of each changed file that the author started from
+    :param author: name of the publisher
+    :param base: version of each changed file that the edits are based on
     :param changes: new text of each changed file, or ``None`` to delete it
     """
 
@@ -61,11 +61,11 @@
 
 
 class Checkpoint(msgspec.Struct, frozen=True, tag="checkpoint"):
-    """Whole state, so that it outlives the retention of the log.
+    """Complete state, so that it survives the trimming of older records.
 
-    :param as_of: offset of the last record it includes
+    :param as_of: offset of the last record included
     :param version: offset of the last accepted publish
-    :param files: all files, with the deleted ones
+    :param files: all files, including deleted ones
     :param results: recent changes, oldest first
     :param digest: of version and files
     """
@@ -78,10 +78,11 @@
 
 
 class Delta(msgspec.Struct, frozen=True, array_like=True):
-    """Step between two versions, for gossip.
+    """Difference between two versions, for gossip.
 
-    :param previous: version it applies to; -1 with all files for any version
-    :param version: version it leads to
+    :param previous: version that the delta applies to; -1 for a snapshot, which has all
+        files and replaces any version
+    :param version: resulting version
     :param files: changed files
     :param results: changes after ``previous`` up to ``version``, oldest first
     """
@@ -99,12 +100,12 @@
 
 
 def encode_record(record: Publish | Checkpoint) -> bytes:
-    """Return a record in its JSON form."""
+    """Return a record encoded as JSON."""
     return _encoder.encode(record)
 
 
 def decode_record(body: bytes) -> Publish | Checkpoint | None:
-    """Return a record, or ``None`` if it is not one or is too large."""
+    """Return the decoded record, or ``None`` if it is invalid or too large."""
     try:
         record = _record_decoder.decode(body)
     except (msgspec.DecodeError, ValueError, RecursionError):
@@ -119,12 +120,12 @@
 
 
 def encode_delta(delta: Delta) -> bytes:
-    """Return a delta in compressed form."""
+    """Return an encoded and compressed delta."""
     return zlib.compress(_delta_encoder.encode(delta))
 
 
 def decode_delta(data: bytes) -> Delta | None:
-    """Return a delta, or ``None`` if the data is damaged or too large."""
+    """Return the decoded delta, or ``None`` if the data is damaged or too large."""
     try:
         unpacker = zlib.decompressobj()
         plain = unpacker.decompress(data, MAX_DELTA_BYTES)
@@ -139,7 +140,7 @@
     """Return the digest of a state.
 
     :param version: offset of the last accepted publish
-    :param files: all files, with the deleted ones
+    :param files: all files, including deleted ones
     """
     content = [version, sorted(files.items())]
     digest = hashlib.blake2b(_encoder.encode(content), digest_size=DIGEST_BYTES)
--- a/tests/test_publishing.py
+++ b/tests/test_publishing.py
@@ -311,7 +311,7 @@
     damaged = type(other_checkpoint)(2, 2, files, [], "00")
     for offset, record in enumerate((inconsistent, damaged), 3):
         outcome = state.apply(offset, encode_record(record))
-        assert outcome == Ignored("checkpoint differs from the own state")
+        assert outcome == Ignored("checkpoint differs from the local state")
     assert state.checkpoint_offset == -1
     assert not make_config_state().restore(damaged, 3)
 
