Reword the publish commands and their view of the log

Rename Published to PublishResult, require_checked to require_valid and private names. Error texts say published files instead of files of others. Behaviour is unchanged.

--- a/src/briardock/_publisher.py
+++ b/src/briardock/_publisher.py
@@ -1,4 +1,4 @@
-"""Operator side of publishing: the base of a folder, and one publish attempt."""
+"""Commands of operators that fetch, publish and restore a configuration folder."""
 
 import getpass
 import uuid
@@ -31,10 +31,10 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Published:
+class PublishResult:
     """Result of a publish.
 
-    :param version: version now in force, or the current one without changes
+    :param version: version of the change, or the current one if nothing changed
     :param changed: names of the changed files
     """
 
@@ -43,12 +43,12 @@
 
 
 def fetch_into(folder: Path, state: ConfigState, overwrite: bool) -> int:
-    """Write the published files and their versions, and return their number.
+    """Write the published files and their versions, and return the number of files.
 
     :param folder: created if missing
     :param state: published state
     :param overwrite: replace files that were edited locally
-    :raises ConfigurationError: if that would lose local edits
+    :raises ConfigurationError: if local edits would be lost
     """
     folder.mkdir(parents=True, exist_ok=True)
     local = load_folder(folder) if any(folder.glob("*.ini")) else {}
@@ -74,67 +74,68 @@
 
 async def publish_folder(
     folder: Path, view: LogView, author: str, base_current: bool
-) -> Published:
-    """Publish what differs from the base of a folder.
+) -> PublishResult:
+    """Publish the files that differ from the base of a folder.
 
     :param folder: folder of INI files
     :param view: view of the log, not yet read
-    :param author: shown to others; empty for the user name
-    :param base_current: take the current published state as the base
-    :raises ConfigurationError: if the files or their base do not fit
+    :param author: name shown to other operators; empty for the user name
+    :param base_current: use the published state as the base
+    :raises ConfigurationError: if the files or their base are invalid
     :raises PublishConflictError: if another publish changed the same file
     """
     local = load_folder(folder)
-    require_checked(local, str(folder))
+    require_valid(local, str(folder))
     await view.read_to_end()
     view.require_complete()
     state = view.state
     base = _base_of(state) if base_current else _require_base(folder, state)
-    changes = _changes(local, base, state)
+    changes = _changed_files(local, base, state)
     if not changes:
         _update_base(folder, base, local, state)
-        return Published(state.version, ())
-    _require_current(changes, base, view)
+        return PublishResult(state.version, ())
+    _require_current_base(changes, base, view)
     merged = {**state.files, **changes}
-    require_checked(
+    require_valid(
         {name: text for name, text in merged.items() if text is not None},
-        "merged with the files of others",
+        "merged with the published files",
     )
     versions = {name: base.version_of(name) for name in changes}
     record = Publish(uuid.uuid4().hex, author or _user_name(), versions, changes)
     result = await view.send(record)
     if not result.accepted:
-        raise _rejection(result, view)
+        raise _rejection_error(result, view)
     _update_base(folder, base, local, state)
-    return Published(result.offset, tuple(sorted(changes)))
+    return PublishResult(result.offset, tuple(sorted(changes)))
 
 
 async def restore_folder(folder: Path, view: LogView) -> int:
-    """Start again from the files of a folder, and return the version.
+    """Restore an incomplete log from the files of a folder, and return the version.
 
     :param folder: folder of INI files
     :param view: view of the log, not yet read
-    :raises ConfigurationError: if the log is complete, so that this would discard
-        what others published
+    :raises ConfigurationError: if the log is complete, since a restore would discard
+        published changes
     """
     local = load_folder(folder)
-    require_checked(local, str(folder))
+    require_valid(local, str(folder))
     await view.read_to_end()
     if not view.state.is_incomplete:
         raise ConfigurationError("the log is complete", "use 'briardock publish'")
     version = await view.append_checkpoint(local)
     if dict(view.state.files) != local:
         raise PublishConflictError(
-            "another restore came first", "fetch what it restored into another folder"
+            "another restore was applied first",
+            "fetch its files into another folder",
         )
     write_base(folder, _base_of(view.state))
     return version
 
 
-def require_checked(files: Mapping[str, str], what: str) -> None:
+def require_valid(files: Mapping[str, str], what: str) -> None:
     """Check merged files.
 
-    :raises ConfigurationError: naming the first fault and their number
+    :raises ConfigurationError: with the first fault and the number of others
     """
     checked = merge_and_check(files)
     if isinstance(checked, list):
@@ -155,24 +156,26 @@
 
 
 def _require_base(folder: Path, state: ConfigState) -> Base:
-    """Return the base of a folder, which may only miss before the first publish."""
+    """Return the base of a folder; it may be absent only before the first publish."""
     base = read_base(folder)
     if base is None and state.versions:
         raise ConfigurationError(
-            f"{folder}: it is not known which version the edits started from",
+            f"{folder}: the version that the edits are based on is unknown",
             "fetch into another folder and redo the edits there, or give "
             "--base-current to replace what is published now",
         )
     return base or Base({})
 
 
-def _changes(
+def _changed_files(
     local: Mapping[str, str], base: Base, state: ConfigState
 ) -> dict[str, str | None]:
-    """Return the files whose text differs from both base and published state."""
+    """Return the files whose text differs from both the base and the published one."""
     changes: dict[str, str | None] = {}
-    known = {name for name, entry in base.files.items() if entry.digest is not None}
-    for name in sorted(local.keys() | known):
+    base_names = {
+        name for name, entry in base.files.items() if entry.digest is not None
+    }
+    for name in sorted(local.keys() | base_names):
         text = local.get(name)
         if digest_of_text(text) != base.digest_of(name) and text != state.files.get(
             name
@@ -181,44 +184,45 @@
     return changes
 
 
-def _require_current(
+def _require_current_base(
     changes: Mapping[str, str | None], base: Base, view: LogView
 ) -> None:
-    """Check that no changed file has moved since the base."""
+    """Check that nobody published a new version of a changed file since the base."""
     current = view.state.versions
-    moved = [
+    outdated = [
         name
         for name in changes
         if base.version_of(name) != current.get(name, ABSENT)
         or base.digest_of(name) != digest_of_text(view.state.files.get(name))
     ]
-    if moved:
+    if outdated:
         raise PublishConflictError(
-            f"changed by another publish since your fetch: {_blame(moved, view)}",
+            "changed by another publish since your fetch: "
+            f"{_last_changes(outdated, view)}",
             "fetch into another folder, redo the edits there and publish it",
         )
 
 
-def _rejection(result: ChangeResult, view: LogView) -> Exception:
-    """Return the error of a change that lost a race or fails with those of others."""
+def _rejection_error(result: ChangeResult, view: LogView) -> Exception:
+    """Return the error for a change that conflicts or does not pass the checks."""
     if result.conflicts:
         return PublishConflictError(
-            "another publish came first; nothing of this one is in force: "
-            f"{_blame(result.conflicts, view)}",
+            "another publish was accepted first; no part of this one is in force: "
+            f"{_last_changes(result.conflicts, view)}",
             "fetch into another folder, redo the edits there and publish it",
         )
     return ConfigurationError(
-        f"rejected, merged with the files of others: {result.reason}",
+        f"rejected, merged with the published files: {result.reason}",
         "correct the file and publish again",
     )
 
 
-def _blame(names: list[str] | tuple[str, ...], view: LogView) -> str:
-    """Return file names with the version and author that changed them last."""
+def _last_changes(names: list[str] | tuple[str, ...], view: LogView) -> str:
+    """Return file names with the version and author of their last change."""
     versions = view.state.versions
     return ", ".join(
         f"{name} (version {versions.get(name, ABSENT)}"
-        f" by {view.authors.get(name, 'an earlier author')})"
+        f" by {view.authors.get(name, 'an unknown author')})"
         for name in names
     )
 
@@ -226,7 +230,7 @@
 def _update_base(
     folder: Path, base: Base, local: Mapping[str, str], state: ConfigState
 ) -> None:
-    """Move the base of the files whose local text is the published one."""
+    """Update the base of the files whose local text equals the published one."""
     entries = dict(base.files)
     for name, version in state.versions.items():
         if local.get(name) == state.files.get(name):
--- a/src/briardock/cli.py
+++ b/src/briardock/cli.py
@@ -110,12 +110,12 @@
     :param admin: HOST:PORT of admin endpoints of the nodes to wait for
     :param token: bearer token of the nodes; defaults to $BRIARDOCK_TOKEN
     """
-    from briardock._publisher import Published, publish_folder
+    from briardock._publisher import PublishResult, publish_folder
 
     if wait_s > 0 and not admin:
         raise BriardockError("--wait-s needs nodes to wait for", "give --admin")
 
-    async def run(view: "LogView") -> Published:
+    async def run(view: "LogView") -> PublishResult:
         return await publish_folder(folder, view, author, base_current)
 
     try:
