Reword the request reader, the INI parser and the initial contacts

Rename the module _reading to _requestreader, own to local_contact, REPEAT_S to REPUBLISH_INTERVAL_S and private names. Behaviour is unchanged.

--- a/src/briardock/_basefile.py
+++ b/src/briardock/_basefile.py
@@ -1,4 +1,4 @@
-"""Base of a configuration folder: the published state its edits started from."""
+"""Base of a configuration folder: the published state that its edits are based on."""
 
 import hashlib
 import os
@@ -15,7 +15,7 @@
 
 
 class BaseEntry(msgspec.Struct, frozen=True):
-    """State of one file when the operator fetched or published it.
+    """Published state of one file when the operator fetched or published it.
 
     :param version: version of the file
     :param digest: digest of its text, or ``None`` if it was deleted
@@ -26,7 +26,7 @@
 
 
 class Base(msgspec.Struct, frozen=True):
-    """State that the edits in a folder started from.
+    """Published state that the edits in a folder are based on.
 
     :param files: entries by file name
     """
@@ -34,7 +34,7 @@
     files: dict[str, BaseEntry]
 
     def version_of(self, name: str) -> int:
-        """Return the version of a file; a name not listed never existed."""
+        """Return the version of a file, or ``ABSENT`` if it never existed."""
         entry = self.files.get(name)
         return entry.version if entry else ABSENT
 
@@ -73,15 +73,17 @@
 
 
 def write_atomically(path: Path, data: bytes) -> None:
-    """Replace a file so that an interruption leaves the old or the new one."""
-    handle, temporary = tempfile.mkstemp(dir=path.parent, prefix=".briardock-tmp-")
+    """Replace a file, so that an interruption leaves either the old or the new one."""
+    descriptor, temporary_path = tempfile.mkstemp(
+        dir=path.parent, prefix=".briardock-tmp-"
+    )
     try:
-        with os.fdopen(handle, "wb") as file:
+        with os.fdopen(descriptor, "wb") as file:
             file.write(data)
             file.flush()
             os.fsync(file.fileno())
-        os.chmod(temporary, 0o644)
-        os.replace(temporary, path)
+        os.chmod(temporary_path, 0o644)
+        os.replace(temporary_path, path)
     except BaseException:
-        Path(temporary).unlink(missing_ok=True)
+        Path(temporary_path).unlink(missing_ok=True)
         raise
--- a/src/briardock/_ini.py
+++ b/src/briardock/_ini.py
@@ -1,4 +1,4 @@
-"""INI text with the line of every key, for errors that name the place."""
+"""INI parser that keeps the line number of every key for error messages."""
 
 import configparser
 import difflib
@@ -13,7 +13,7 @@
 
 @dataclass(frozen=True, slots=True)
 class IniValue:
-    """Text of one key and the line where it starts, counted from 1."""
+    """Value of a key, and the line where it starts, counted from 1."""
 
     text: str
     line: int
@@ -29,7 +29,7 @@
 
 @dataclass(frozen=True, slots=True)
 class IniError:
-    """Text that is no valid INI."""
+    """Syntax error in an INI text."""
 
     line: int
     message: str
@@ -53,7 +53,7 @@
         parser.read_string(text)
     except configparser.Error as error:
         return _syntax_error(error)
-    lines = _locate(text)
+    lines = _find_lines(text)
     return {
         name: IniSection(
             lines.get((name, ""), 0),
@@ -67,7 +67,7 @@
 
 
 def nearest(name: str, known: Iterable[str]) -> str:
-    """Return a remedy that names the closest known name, or lists all of them."""
+    """Return a remedy that suggests the closest known name, or lists known names."""
     names = sorted(known)
     close = difflib.get_close_matches(name, names, n=1)
     if close:
@@ -78,8 +78,8 @@
     return f"known are: {shown}{', ...' if len(names) > 12 else ''}"
 
 
-def _locate(text: str) -> dict[tuple[str, str], int]:
-    """Return the line of each section, with an empty key, and of each key."""
+def _find_lines(text: str) -> dict[tuple[str, str], int]:
+    """Return the line of each section, under an empty key, and of each key."""
     lines: dict[tuple[str, str], int] = {}
     section = ""
     for number, line in enumerate(text.split("\n"), 1):
@@ -92,7 +92,7 @@
 
 
 def _syntax_error(error: configparser.Error) -> IniError:
-    """Return the line and reason of a parser error in one line of text."""
+    """Return the line number and a one-line message of a parser error."""
     match error:
         case configparser.DuplicateSectionError():
             return IniError(error.lineno or 0, f"section [{error.section}] is repeated")
@@ -102,5 +102,5 @@
             return IniError(error.lineno, "text before the first [section]")
         case configparser.ParsingError():
             line, source = error.errors[0]
-            return IniError(line, f"no 'key = value': {source.strip()}")
+            return IniError(line, f"not a 'key = value' line: {source.strip()}")
     return IniError(0, " ".join(str(error).split()))
--- a/src/briardock/_reading.py
+++ b/src/briardock/_requestreader.py
@@ -1,4 +1,4 @@
-"""Reading of HTTP requests as calls of published operations."""
+"""Parsing of HTTP requests into calls of published operations."""
 
 import math
 from collections.abc import Callable
@@ -13,12 +13,12 @@
 
 @dataclass(frozen=True, slots=True)
 class CallRequest:
-    """One request after its operation was found.
+    """Request to a known operation.
 
     :param operation: operation in force
     :param method: HTTP method
-    :param path: path with query below the service
-    :param headers: end-to-end headers without those of nodes
+    :param path: path below the service, with the query
+    :param headers: end-to-end headers, without the headers reserved for nodes
     :param body: request body
     :param deadline_at_ms: deadline on this node's clock
     """
@@ -60,9 +60,9 @@
     def read(
         self, request: HttpRequest, headers: dict[bytes, bytes], limit_at_ms: float
     ) -> CallRequest | NotRun:
-        """Return the call that a request asks for.
+        """Return the call that a request makes, or why it is refused.
 
-        :param request: whole HTTP request
+        :param request: complete HTTP request
         :param headers: its headers by lower-case name
         :param limit_at_ms: latest deadline on this node's clock
         """
@@ -72,23 +72,27 @@
         if isinstance(operation, NotRun):
             return operation
         if len(request.body) > operation.max_body_bytes:
-            detail = f"{operation.name} takes {operation.max_body_bytes} bytes"
+            detail = (
+                f"{operation.name} accepts at most {operation.max_body_bytes} bytes"
+            )
             return NotRun(Reason.BODY_TOO_LARGE, detail)
         remaining_ms = _parse_ms(headers.get(DEADLINE_HEADER.lower()))
         if remaining_ms is None:
-            return NotRun(Reason.BAD_REQUEST, "Briardock-Deadline-Ms is no number")
+            return NotRun(
+                Reason.BAD_REQUEST, "Briardock-Deadline-Ms is not a valid number"
+            )
         deadline_at_ms = self._clock.now_ms() + min(remaining_ms, operation.deadline_ms)
         return CallRequest(
             operation,
             request.method,
             path,
-            _end_to_end(request.headers),
+            _end_to_end_headers(request.headers),
             request.body,
             min(deadline_at_ms, limit_at_ms),
         )
 
 
-def _end_to_end(headers: Headers) -> Headers:
+def _end_to_end_headers(headers: Headers) -> Headers:
     return tuple(
         (name, value) for name, value in headers if name.lower() not in RESERVED_HEADERS
     )
--- a/src/briardock/_sections.py
+++ b/src/briardock/_sections.py
@@ -1,4 +1,4 @@
-"""Sections and keys of the operators' configuration, with types and ranges."""
+"""Sections and keys of the operators' configuration, with their types and ranges."""
 
 import re
 import sys
@@ -52,23 +52,23 @@
 
 
 def check_section_name(kind: str, name: str) -> tuple[str, str] | None:
-    """Return message and remedy of a bad section name."""
+    """Return message and remedy if a section name is invalid."""
     if kind not in KEYS:
         return "unknown section", nearest(kind, KEYS)
     if kind == "policy":
-        return ("the policy has no name", "write [policy]") if name else None
+        return ("the policy section takes no name", "write [policy]") if name else None
     parts = name.split(".")
-    wanted = 2 if kind == "operation" else 1
-    if len(parts) == wanted and all(_NAME.match(part) for part in parts):
+    expected_count = 2 if kind == "operation" else 1
+    if len(parts) == expected_count and all(_NAME.match(part) for part in parts):
         return None
-    form = "SERVICE.NAME" if kind == "operation" else "NAME"
-    return "bad name", f"write [{kind} {form}] with letters, digits, '_' and '-'"
+    name_format = "SERVICE.NAME" if kind == "operation" else "NAME"
+    return "bad name", f"write [{kind} {name_format}] with letters, digits, '_' and '-'"
 
 
 def convert_value(key: str, text: str, annotation: Any) -> Any:
-    """Return one value in its type.
+    """Return a value converted to its type.
 
-    :raises ValueError: saying what was expected
+    :raises ValueError: with the expected form as the message
     """
     if annotation is bool:
         if text.lower() not in ("yes", "no"):
--- a/src/briardock/contacts.py
+++ b/src/briardock/contacts.py
@@ -1,4 +1,4 @@
-"""First contacts of a node from the log stream ``members``."""
+"""Initial gossip contacts of a node, from the log stream ``members``."""
 
 import random
 from collections.abc import Callable
@@ -10,9 +10,10 @@
 
 STREAM = "members"
 READ_RECORDS = 100
-ALONE_RETRY_S = 2.0
-# Retention of the log is limited, so the readers of each domain repeat theirs.
-REPEAT_S = 600.0
+RETRY_INTERVAL_S = 2.0
+# The log retains records for a limited time, so the readers of each domain publish
+# their addresses again.
+REPUBLISH_INTERVAL_S = 600.0
 
 
 class Contact(msgspec.Struct, frozen=True):
@@ -29,12 +30,12 @@
 
 
 class Contacts:
-    """Publishes the own address and reads others while the node is alone.
+    """Publishes the address of this node, and reads others while it has no peers.
 
     :param log: client of the platform log
-    :param own: own address
-    :param is_alone: whether no other member is reachable
-    :param is_reader: whether this node reads the log for its domain
+    :param local_contact: gossip address of this node
+    :param is_alone: returns whether no other member is reachable
+    :param is_reader: returns whether this node reads the log for its failure domain
     :param add_contacts: receives (host, port) pairs
     :param rng: random source of jitter
     """
@@ -42,54 +43,57 @@
     def __init__(
         self,
         log: LogClient,
-        own: Contact,
+        local_contact: Contact,
         is_alone: Callable[[], bool],
         is_reader: Callable[[], bool],
         add_contacts: Callable[[list[tuple[str, int]]], None],
         rng: random.Random,
     ) -> None:
         self._log = log
-        self._own = own
+        self._local_contact = local_contact
         self._is_alone = is_alone
         self._is_reader = is_reader
         self._add_contacts = add_contacts
         self._rng = rng
 
     async def run(self) -> None:
-        """Publish and read until cancelled; an outage of the log only delays."""
+        """Publish and read until cancelled; failures of the log are retried."""
         await self._read()
         published = False
         while True:
             if not published or self._is_reader():
                 published = await self._publish()
-            pause_s = REPEAT_S * self._rng.uniform(0.5, 1.0)
-            with anyio.move_on_after(pause_s if published else ALONE_RETRY_S):
+            pause_s = REPUBLISH_INTERVAL_S * self._rng.uniform(0.5, 1.0)
+            with anyio.move_on_after(pause_s if published else RETRY_INTERVAL_S):
                 await self._read_while_alone()
 
     async def _read_while_alone(self) -> None:
         while True:
             if self._is_alone():
                 await self._read()
-            await anyio.sleep(ALONE_RETRY_S * self._rng.uniform(0.5, 1.0))
+            await anyio.sleep(RETRY_INTERVAL_S * self._rng.uniform(0.5, 1.0))
 
     async def _publish(self) -> bool:
-        result = await self._log.append(STREAM, msgspec.json.encode(self._own))
+        result = await self._log.append(
+            STREAM, msgspec.json.encode(self._local_contact)
+        )
         return not isinstance(result, LogFailure)
 
     async def _read(self) -> None:
-        head = await self._log.read(STREAM, 0, 1)
-        if isinstance(head, LogFailure):
+        oldest = await self._log.read(STREAM, 0, 1)
+        if isinstance(oldest, LogFailure):
             return
-        start = max(head.first, head.next - READ_RECORDS)
-        tail = await self._log.read(STREAM, start, READ_RECORDS)
-        if isinstance(tail, LogFailure):
+        start = max(oldest.first, oldest.next - READ_RECORDS)
+        newest = await self._log.read(STREAM, start, READ_RECORDS)
+        if isinstance(newest, LogFailure):
             return
-        found = [_decode(record.body) for record in tail.records]
+        contacts = [_decode(record.body) for record in newest.records]
         self._add_contacts(
             [
                 (contact.host, contact.port)
-                for contact in found
-                if contact is not None and contact.node_id != self._own.node_id
+                for contact in contacts
+                if contact is not None
+                and contact.node_id != self._local_contact.node_id
             ]
         )
 
@@ -103,19 +107,19 @@
 
 def make_contacts(
     log: LogClient,
-    own: Contact,
+    local_contact: Contact,
     is_alone: Callable[[], bool],
     is_reader: Callable[[], bool],
     add_contacts: Callable[[list[tuple[str, int]]], None],
     rng: random.Random,
 ) -> Contacts:
-    """Return the source of first contacts.
+    """Return the publisher and reader of initial contacts.
 
     :param log: client of the platform log
-    :param own: own address
-    :param is_alone: whether no other member is reachable
-    :param is_reader: whether this node reads the log for its domain
+    :param local_contact: gossip address of this node
+    :param is_alone: returns whether no other member is reachable
+    :param is_reader: returns whether this node reads the log for its failure domain
     :param add_contacts: receives (host, port) pairs
     :param rng: random source of jitter
     """
-    return Contacts(log, own, is_alone, is_reader, add_contacts, rng)
+    return Contacts(log, local_contact, is_alone, is_reader, add_contacts, rng)
--- a/src/briardock/entry.py
+++ b/src/briardock/entry.py
@@ -7,7 +7,7 @@
 import anyio
 import msgspec
 
-from briardock._reading import CallRequest, make_request_reader
+from briardock._requestreader import CallRequest, make_request_reader
 from briardock.actions import Action, ActionTable, Begun, Finished, InProgress
 from briardock.admission import admission_level
 from briardock.budget import RetryBudget, make_budget
--- a/tests/test_contacts.py
+++ b/tests/test_contacts.py
@@ -1,4 +1,4 @@
-"""Tests of first contacts: published once, read while alone, outages tolerated."""
+"""Tests of initial contacts: publishing, reading without peers, and log outages."""
 
 import anyio
 import msgspec
@@ -15,13 +15,13 @@
     ReadResult,
 )
 
-OWN = Contact("n1", "127.0.0.1", 1)
-OTHER = Contact("n2", "127.0.0.1", 2)
-DOWN = LogFailure(FailureKind.TIMEOUT, "down")
+LOCAL_CONTACT = Contact("n1", "127.0.0.1", 1)
+OTHER_CONTACT = Contact("n2", "127.0.0.1", 2)
+LOG_FAILURE = LogFailure(FailureKind.TIMEOUT, "down")
 
 
 class FakeLog(LogClient):
-    """Log in memory that can be down."""
+    """In-memory log that can be unavailable."""
 
     def __init__(self, bodies: list[bytes], first: int = 0) -> None:
         self.bodies = bodies
@@ -32,7 +32,7 @@
 
     async def append(self, stream: str, body: bytes) -> int | LogFailure:
         if self.down:
-            return DOWN
+            return LOG_FAILURE
         self.appended.append(body)
         return len(self.bodies)
 
@@ -40,7 +40,7 @@
         self, stream: str, from_offset: int, limit: int, wait_ms: float = 0.0
     ) -> ReadResult | LogFailure:
         if self.down:
-            return DOWN
+            return LOG_FAILURE
         self.read_count += 1
         following = self.first + len(self.bodies)
         records = [
@@ -52,69 +52,76 @@
 
 
 class Run:
-    """Contacts run for a number of pauses of about 1 ms."""
+    """Runs contacts for a number of waits of about 1 ms."""
 
-    def __init__(self, log: FakeLog, alone: bool = True, reader: bool = False) -> None:
+    def __init__(
+        self, log: FakeLog, is_alone: bool = True, is_reader: bool = False
+    ) -> None:
         self.log = log
-        self.alone = alone
+        self.is_alone = is_alone
         self.added: list[tuple[str, int]] = []
         self.contacts = make_contacts(
-            log, OWN, lambda: self.alone, lambda: reader, self.add, make_random(1)
+            log,
+            LOCAL_CONTACT,
+            lambda: self.is_alone,
+            lambda: is_reader,
+            self.add,
+            make_random(1),
         )
 
     def add(self, found: list[tuple[str, int]]) -> None:
         self.added += found
 
-    async def wait(self, seen: int, repair_at: int = -1) -> None:
-        """Run until the log was asked a number of times."""
+    async def wait(self, wait_count: int, recover_at: int = -1) -> None:
+        """Run for a number of waits; the log recovers after some of them."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.contacts.run)
-            asked = 0
-            while asked < seen:
+            waits = 0
+            while waits < wait_count:
                 await anyio.sleep(0.001)
-                asked += 1
-                if asked == repair_at:
+                waits += 1
+                if waits == recover_at:
                     self.log.down = False
             tasks.cancel_scope.cancel()
 
 
 @pytest.fixture(autouse=True)
 def short_pauses(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(contacts_module, "ALONE_RETRY_S", 0.001)
+    monkeypatch.setattr(contacts_module, "RETRY_INTERVAL_S", 0.001)
 
 
 def encode(contact: Contact) -> bytes:
     return msgspec.json.encode(contact)
 
 
-def test_own_address_is_published_once_and_others_are_read() -> None:
-    log = FakeLog([encode(OWN), b"damaged", encode(OTHER)])
-    run = Run(log, alone=False)
+def test_local_address_is_published_once_and_others_are_read() -> None:
+    log = FakeLog([encode(LOCAL_CONTACT), b"damaged", encode(OTHER_CONTACT)])
+    run = Run(log, is_alone=False)
     anyio.run(run.wait, 20)
-    assert log.appended == [encode(OWN)]
+    assert log.appended == [encode(LOCAL_CONTACT)]
     assert run.added == [("127.0.0.1", 2)]
 
 
 def test_only_the_newest_records_are_read() -> None:
-    # Guards against a start that reads the whole log or expects its beginning.
+    # Guards against a start that reads the complete log or requires its first record.
     bodies = [encode(Contact(f"m{i}", "127.0.0.1", i)) for i in range(300)]
-    run = Run(FakeLog(bodies, first=1_000), alone=False)
+    run = Run(FakeLog(bodies, first=1_000), is_alone=False)
     anyio.run(run.wait, 5)
     assert [port for _, port in run.added] == list(range(300 - READ_RECORDS, 300))
 
 
-def test_lonely_node_reads_again() -> None:
-    # Guards against two nodes that start at once and never meet.
+def test_node_without_peers_reads_again() -> None:
+    # Guards against two nodes that start at the same time and never find each other.
     log = FakeLog([])
     run = Run(log)
     anyio.run(run.wait, 50)
     assert log.read_count > 4
 
 
-def test_outage_delays_the_publish_and_ends_nothing() -> None:
-    log = FakeLog([encode(OTHER)])
+def test_publishing_and_reading_resume_after_an_outage() -> None:
+    log = FakeLog([encode(OTHER_CONTACT)])
     log.down = True
     run = Run(log)
     anyio.run(run.wait, 60, 10)
-    assert log.appended == [encode(OWN)]
+    assert log.appended == [encode(LOCAL_CONTACT)]
     assert ("127.0.0.1", 2) in run.added
