--- a/src/briardock/_configstate.py
+++ b/src/briardock/_configstate.py
@@ -143,7 +143,7 @@
         return Ignored("not a configuration record")
 
     def checkpoint(self) -> Checkpoint:
-        """Return the whole state as of the last applied record."""
+        """Return the complete state as of the last applied record."""
         return Checkpoint(
             as_of=self.last_offset,
             version=self.version,
@@ -180,7 +180,7 @@
         return True
 
     def snapshot(self) -> bytes:
-        """Return the whole state of the current version, for gossip."""
+        """Return the complete state of the current version, for gossip."""
         if self._snapshot is None:
             results = self._changes.between(-1, self.version)
             full_delta = Delta(NO_VERSION, self.version, self._files, results)
--- a/tests/test_publishing.py
+++ b/tests/test_publishing.py
@@ -217,7 +217,7 @@
     "choose_delta, known_count, kind",
     [pytest.param(*case[1:], id=case[0]) for case in _delta_cases()],
 )
-def test_delta_applies_only_to_the_version_before(
+def test_delta_applies_only_to_the_previous_version(
     choose_delta: Callable[[list[bytes]], bytes], known_count: int, kind: type
 ) -> None:
     _, deltas = published(4)
@@ -246,14 +246,14 @@
         log.add(body(f"id{offset}", base, {NAMES[0]: text(NAMES[0], offset)}))
     follow(complete, log)
     log.trim(3)
-    fresh = make_config_state()
-    follow(fresh, log)
-    assert fresh.is_incomplete and fresh.version == -1
+    new_state = make_config_state()
+    follow(new_state, log)
+    assert new_state.is_incomplete and new_state.version == -1
     log.add(encode_record(complete.checkpoint()))
-    follow(fresh, log)
-    assert not fresh.is_incomplete
-    assert (fresh.digest, fresh.last_offset) == (complete.digest, 6)
-    assert fresh.result_of("id1") == complete.result_of("id1")
+    follow(new_state, log)
+    assert not new_state.is_incomplete
+    assert (new_state.digest, new_state.last_offset) == (complete.digest, 6)
+    assert new_state.result_of("id1") == complete.result_of("id1")
 
 
 @pytest.mark.parametrize("trimmed, restored", [(2, True), (3, False), (4, False)])
@@ -269,10 +269,10 @@
         log.add(body(f"id{offset}", {NAMES[0]: offset - 1}, {NAMES[0]: BASE}))
     log.add(encode_record(early))
     log.trim(trimmed)
-    fresh = make_config_state()
-    follow(fresh, log)
-    assert fresh.is_incomplete != restored
-    assert fresh.version == (4 if restored else -1)
+    new_state = make_config_state()
+    follow(new_state, log)
+    assert new_state.is_incomplete != restored
+    assert new_state.version == (4 if restored else -1)
 
 
 def test_checkpoint_of_a_lower_version_does_not_fill_a_gap() -> None:
