--- a/src/briardock/_logview.py
+++ b/src/briardock/_logview.py
@@ -90,7 +90,7 @@
                 f"change of {len(body)} bytes exceeds the limit of {MAX_PUBLISH_BYTES}",
                 "publish fewer files at a time",
             )
-        detail, uncertain = "no response", False
+        detail, uncertain = "no answer", False
         with anyio.move_on_after(self._timeout_s):
             while True:
                 append_result = await self._client.append(STREAM, body)
