--- a/src/briardock/entry.py
+++ b/src/briardock/entry.py
@@ -7,7 +7,7 @@
 import anyio
 import msgspec
 
-from briardock._reading import CallRequest, make_request_reader
+from briardock._requestreader import CallRequest, make_request_reader
 from briardock.actions import Action, ActionTable, Finished, InProgress, Started
 from briardock.admission import request_priority
 from briardock.budget import RetryBudget, make_budget
