--- a/src/briardock/_frames.py
+++ b/src/briardock/_frames.py
@@ -1,4 +1,4 @@
-"""Frames of a call link: 4-byte big-endian length and one message."""
+"""Framing of a link: a 4-byte big-endian length and one message."""
 
 import struct
 
@@ -18,17 +18,17 @@
     encode,
 )
 
-# A stranger cannot make a node buffer more than this. Larger frames are sent
-# only after both sides have greeted.
+# Limits what an unknown peer can make a node buffer. Larger frames are accepted only
+# after the handshake.
 MAX_HELLO_BYTES = 4_096
-# One frame of the largest size always fits; more is refused, not buffered.
+# Queue size at which further calls are refused; fits one frame of the maximum size.
 MAX_QUEUED_BYTES = MAX_FRAME_BYTES
 
 _HEADER = struct.Struct(">I")
 
 
 class FrameError(Exception):
-    """The other side broke the protocol; the connection has to be closed."""
+    """The peer violated the protocol; the connection has to be closed."""
 
 
 def encode_frame(message: Message) -> bytes:
@@ -43,9 +43,9 @@
 
 
 class FrameReader:
-    """Messages of one stream.
+    """Reads messages from a stream.
 
-    :param stream: connection; nothing else reads it
+    :param stream: connection with no other reader
     """
 
     def __init__(self, stream: anyio.abc.SocketStream) -> None:
@@ -54,35 +54,35 @@
         self.max_frame_bytes = MAX_HELLO_BYTES
 
     async def receive(self) -> list[LinkMessage]:
-        """Wait for input and return all messages that are complete.
+        """Wait for input and return all complete messages.
 
         :raises FrameError: if a frame is too large or undecodable
-        :raises anyio.EndOfStream: when the other side closed
+        :raises anyio.EndOfStream: when the peer closed the connection
         """
         while True:
             data = await self._stream.receive(RECEIVE_BYTES)
             if self._buffer:
                 self._buffer += data
-                messages = self._take_from_buffer()
+                messages = self._parse_buffer()
             else:
-                messages = self._take(data)
+                messages = self._parse(data)
             if messages:
                 return messages
 
-    def _take_from_buffer(self) -> list[LinkMessage]:
-        size_bytes = self._size(self._buffer, 0)
+    def _parse_buffer(self) -> list[LinkMessage]:
+        size_bytes = self._frame_size(self._buffer, 0)
         if len(self._buffer) < FRAME_HEADER_BYTES + size_bytes:
             return []
         data = bytes(self._buffer)
         self._buffer.clear()
-        return self._take(data)
+        return self._parse(data)
 
-    def _take(self, data: bytes) -> list[LinkMessage]:
+    def _parse(self, data: bytes) -> list[LinkMessage]:
         messages = []
         view = memoryview(data)
         start = 0
         while start < len(data):
-            end = start + FRAME_HEADER_BYTES + self._size(data, start)
+            end = start + FRAME_HEADER_BYTES + self._frame_size(data, start)
             if end > len(data) or start + FRAME_HEADER_BYTES > len(data):
                 self._buffer += view[start:]
                 break
@@ -90,8 +90,8 @@
             start = end
         return messages
 
-    def _size(self, data: bytes | bytearray, start: int) -> int:
-        """Return the length a header announces, 0 for a partial header."""
+    def _frame_size(self, data: bytes | bytearray, start: int) -> int:
+        """Return the payload size given by a header, 0 for a partial header."""
         if len(data) - start < FRAME_HEADER_BYTES:
             return 0
         size_bytes = int(_HEADER.unpack_from(data, start)[0])
@@ -109,51 +109,51 @@
 
 
 class FrameWriter:
-    """Writes frames of several tasks to one stream, without a copy if it is idle.
+    """Writes the frames of several tasks to a stream, without a copy if it is idle.
 
-    A frame is sent by the task that has it when nothing is queued, and by the
-    task in ``run`` otherwise.
+    The calling task sends a frame itself if nothing is queued; otherwise the task
+    in ``run`` sends it.
 
-    :param stream: connection; nothing else writes it
+    :param stream: connection with no other writer
     """
 
     def __init__(self, stream: anyio.abc.SocketStream) -> None:
         self._stream = stream
         self._queue: dict[int, bytes] = {}
         self._queued_bytes = 0
-        self._busy = False
-        # Whether a send was given up while the other side did not read.
+        self._is_sending = False
+        # Whether a send was cancelled while the peer did not read.
         self._is_stalled = False
         self._wake = anyio.Event()
 
     def is_full(self) -> bool:
-        """Return whether the other side takes frames too slowly."""
+        """Return whether the queue is full because the peer reads too slowly."""
         return self._queued_bytes >= MAX_QUEUED_BYTES
 
     async def send(self, frame: bytes, tag: int) -> None:
         """Send or queue a frame.
 
-        :param frame: whole frame
+        :param frame: encoded frame
         :param tag: identifies the frame for ``withdraw``
         :raises anyio.BrokenResourceError: if the connection is lost
         """
-        if self._busy or self._queue or self._is_stalled:
+        if self._is_sending or self._queue or self._is_stalled:
             self.queue(frame, tag)
             return
-        self._busy = self._is_stalled = True
+        self._is_sending = self._is_stalled = True
         try:
             await self._stream.send(frame)
             self._is_stalled = False
         finally:
-            self._busy = False
+            self._is_sending = False
             if self._queue:
                 self._wake.set()
 
     def queue(self, frame: bytes, tag: int) -> None:
-        """Leave a frame to the task in ``run``."""
+        """Queue a frame for the task in ``run``."""
         self._queue[tag] = frame
         self._queued_bytes += len(frame)
-        if not self._busy:
+        if not self._is_sending:
             self._wake.set()
 
     def withdraw(self, tag: int) -> bool:
@@ -169,7 +169,7 @@
         while True:
             await self._wake.wait()
             self._wake = anyio.Event()
-            if self._busy:
+            if self._is_sending:
                 continue
             try:
                 await self._send_queued()
@@ -178,16 +178,16 @@
                 return
 
     async def _send_queued(self) -> None:
-        self._busy = True
+        self._is_sending = True
         try:
             if self._is_stalled:
-                # Frames stay withdrawable until the stream takes bytes again.
+                # Queued frames can be withdrawn until the stream accepts bytes again.
                 await self._stream.send(b"")
                 self._is_stalled = False
             while self._queue:
                 await self._stream.send(self._take_batch())
         finally:
-            self._busy = False
+            self._is_sending = False
 
     def _take_batch(self) -> bytes:
         batch = []
@@ -202,11 +202,11 @@
 
 
 def expect_hello(reader: FrameReader, message: LinkMessage) -> Hello:
-    """Return the message if it is a greeting of this protocol version.
+    """Return the message if it is a ``Hello`` of this protocol version.
 
-    Frames of full size are accepted from then on.
+    The reader then accepts frames of the maximum size.
 
-    :raises FrameError: if it is anything else
+    :raises FrameError: if it is any other message
     """
     if not isinstance(message, Hello):
         raise FrameError(f"{type(message).__name__} before Hello")
--- a/src/briardock/_link.py
+++ b/src/briardock/_link.py
@@ -1,4 +1,4 @@
-"""One outgoing connection to a peer and the calls that wait on it."""
+"""One outgoing connection to a peer and its pending calls."""
 
 from dataclasses import dataclass
 from typing import Protocol
@@ -19,14 +19,15 @@
 from briardock.messages import Answer, Cancel, LinkMessage
 from briardock.metrics import Metrics
 
-# A call to an unreachable or frozen peer waits for both at most; it is not sent
-# then and can go elsewhere, so they are well below the usual deadlines.
+# A call to an unreachable or unresponsive peer fails after at most both timeouts.
+# It was not sent then and can be routed to another instance, so both timeouts are
+# well below the usual deadlines.
 CONNECT_TIMEOUT_S = 0.5
 HELLO_TIMEOUT_S = 0.5
 
 
 class LinkOwner(Protocol):
-    """What a link needs from the object that started it."""
+    """Attributes that a link uses of the object that started it."""
 
     hello_frame: bytes
     clock: Clock
@@ -34,16 +35,16 @@
     source_host: str | None
 
     def link_ended(self, link: "Link", detail: str) -> None:
-        """Take note of the end of a link."""
+        """Handle the end of a link."""
         ...
 
 
 @dataclass(frozen=True, slots=True)
 class LinkFailure:
-    """No answer came for a call.
+    """A call that failed without a response.
 
     :param sent: whether the frame may have reached the peer
-    :param detail: what was found
+    :param detail: cause of the failure
     """
 
     sent: bool
@@ -52,10 +53,10 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerAddress:
-    """Node to call, with the incarnation it is believed to have.
+    """Address and expected incarnation of a node to call.
 
-    :param node_id: node
-    :param incarnation: process incarnation
+    :param node_id: id of the node
+    :param incarnation: process incarnation of the node
     :param host: numeric IP address
     :param port: TCP port of its peer listener
     """
@@ -66,8 +67,8 @@
     port: int
 
 
-class Pending:
-    """A call that waits for its answer."""
+class PendingCall:
+    """A call that waits for its response."""
 
     __slots__ = ("done", "result", "sent", "sent_at_ms")
 
@@ -89,38 +90,38 @@
         self.peer = peer
         self.writer: FrameWriter | None = None
         self.failure: LinkFailure | None = None
-        self.pending: dict[int, Pending] = {}
+        self.pending: dict[int, PendingCall] = {}
         self.retired = False
         self.started_at_ms = owner.clock.now_ms()
         self.received_at_ms = self.started_at_ms
         self.scope = anyio.CancelScope()
         self._owner = owner
         self._ready = anyio.Event()
-        self._waiting_count = 0
+        self._ready_waiter_count = 0
 
     def is_idle(self) -> bool:
         """Return whether no call uses the link."""
-        return not self.pending and not self._waiting_count
+        return not self.pending and not self._ready_waiter_count
 
     async def wait_ready(self) -> FrameWriter | LinkFailure:
-        """Return the writer once the peer has greeted."""
-        self._waiting_count += 1
+        """Wait for the handshake and return the writer, or the failure of the link."""
+        self._ready_waiter_count += 1
         try:
             await self._ready.wait()
         finally:
-            self._waiting_count -= 1
+            self._ready_waiter_count -= 1
         if self.failure is not None or self.writer is None:
             return self.failure or LinkFailure(False, "link closed")
         return self.writer
 
     async def run(self) -> None:
-        """Connect, greet and read answers until the link ends."""
+        """Connect, perform the handshake and read responses until the link ends."""
         detail = ""
         try:
             with self.scope:
                 detail = await self._connect_and_read()
         finally:
-            self._end(detail)
+            self._fail_calls(detail)
 
     async def _connect_and_read(self) -> str:
         """Return why the link ended."""
@@ -132,7 +133,7 @@
         except OSError as error:
             return f"connection failed: {error!r}"
         try:
-            return await self._read(stream)
+            return await self._serve_stream(stream)
         except FrameError as error:
             return str(error)
         except STREAM_ERRORS as error:
@@ -141,23 +142,23 @@
             with anyio.CancelScope(shield=True):
                 await stream.aclose()
 
-    async def _read(self, stream: anyio.abc.SocketStream) -> str:
+    async def _serve_stream(self, stream: anyio.abc.SocketStream) -> str:
         reader = FrameReader(stream)
-        messages = await self._greet(stream, reader)
+        messages = await self._handshake(stream, reader)
         writer = FrameWriter(stream)
         self.writer = writer
         self._ready.set()
         detail = ""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(writer.run)
-            detail = await self._read_answers(reader, messages)
+            detail = await self._read_responses(reader, messages)
             tasks.cancel_scope.cancel()
         return detail
 
-    async def _greet(
+    async def _handshake(
         self, stream: anyio.abc.SocketStream, reader: FrameReader
     ) -> list[LinkMessage]:
-        """Exchange greetings; return messages that came with the peer's.
+        """Exchange ``Hello`` messages; return messages received after the peer's.
 
         :raises FrameError: if the peer is not the expected one
         """
@@ -165,7 +166,7 @@
             await stream.send(self._owner.hello_frame)
             messages = await reader.receive()
         if scope.cancelled_caught:
-            raise FrameError("no greeting from the peer")
+            raise FrameError("timed out waiting for Hello")
         hello = expect_hello(reader, messages[0])
         expected = (self.peer.node_id, self.peer.incarnation)
         if (hello.node_id, hello.incarnation) != expected:
@@ -174,7 +175,7 @@
             )
         return messages[1:]
 
-    async def _read_answers(
+    async def _read_responses(
         self, reader: FrameReader, messages: list[LinkMessage]
     ) -> str:
         try:
@@ -190,34 +191,34 @@
         except STREAM_ERRORS as error:
             return f"connection lost: {error!r}"
 
-    def _resolve(self, answer: Answer) -> None:
-        pending = self.pending.pop(answer.call_id, None)
+    def _resolve(self, response: Answer) -> None:
+        pending = self.pending.pop(response.call_id, None)
         if pending is None:
-            # Answers to abandoned calls also end here.
+            # This includes responses to cancelled calls.
             self._owner.metrics.count("peers.answers_unknown")
-        elif answer.body_bytes == len(answer.body):
-            pending.resolve(answer)
+        elif response.body_bytes == len(response.body):
+            pending.resolve(response)
         else:
             self._owner.metrics.count("peers.answers_wrong_length")
-            emit(Event.ANSWER_DROPPED, peer=self.peer.node_id, call_id=answer.call_id)
-            pending.resolve(LinkFailure(True, "answer of wrong length"))
+            emit(Event.ANSWER_DROPPED, peer=self.peer.node_id, call_id=response.call_id)
+            pending.resolve(LinkFailure(True, "response body has the wrong length"))
 
-    def _end(self, detail: str) -> None:
-        """Fail all calls.
+    def _fail_calls(self, detail: str) -> None:
+        """Fail all pending calls.
 
         :param detail: why the link failed, empty if this node closed it
         """
-        shown = detail or "link closed"
-        self.failure = LinkFailure(False, shown)
+        reason = detail or "link closed"
+        self.failure = LinkFailure(False, reason)
         self._ready.set()
         for call_id, pending in self.pending.items():
             withdrawn = self.writer is not None and self.writer.withdraw(call_id)
-            pending.resolve(LinkFailure(not withdrawn, shown))
+            pending.resolve(LinkFailure(not withdrawn, reason))
         self.pending.clear()
         self._owner.link_ended(self, detail)
 
-    def abandon(self, call_id: int) -> bool:
-        """Give a call up; return whether its frame may have been written."""
+    def cancel_call(self, call_id: int) -> bool:
+        """Cancel a pending call; return whether its frame may have been written."""
         pending = self.pending.pop(call_id, None)
         if pending is None or self.writer is None:
             return pending is None
--- a/src/briardock/peers.py
+++ b/src/briardock/peers.py
@@ -1,4 +1,4 @@
-"""Framed TCP links between nodes: outgoing calls, and the server for them."""
+"""TCP links between nodes: outgoing calls and the server that receives them."""
 
 from dataclasses import dataclass
 
@@ -8,7 +8,7 @@
 
 from briardock._frames import FrameError, encode_frame
 from briardock._http import STREAM_ERRORS
-from briardock._link import Link, LinkFailure, PeerAddress, Pending
+from briardock._link import Link, LinkFailure, PeerAddress, PendingCall
 from briardock._peerserver import PeerHandler, PeerInfo, serve_peers
 from briardock.clock import Clock
 from briardock.events import Event, emit
@@ -27,19 +27,20 @@
 
 BACKOFF_FIRST_MS = 50.0
 BACKOFF_MAX_MS = 2_000.0
-# A link that ends sooner than this counts as a failed attempt.
-STABLE_MS = 1_000.0
-IDLE_CLOSE_MS = 60_000.0
-SILENCE_MS = 500.0
+# A link that ends within this time counts as a failed connection attempt.
+STABLE_LINK_MS = 1_000.0
+IDLE_TIMEOUT_MS = 60_000.0
+# A link that receives nothing for this long while a call waits is replaced.
+SILENT_LINK_MS = 500.0
 SWEEP_PERIOD_S = 5.0
 
 
 @dataclass(slots=True)
 class _Backoff:
-    """Wait before the next connection attempt to one peer.
+    """Delay before the next connection attempt to one peer.
 
-    :param step_ms: wait after the last failure
-    :param until_ms: clock reading before which calls fail at once
+    :param step_ms: delay after the last failure
+    :param until_ms: clock reading in ms until which calls fail immediately
     :param detail: why the last attempt failed
     """
 
@@ -49,13 +50,13 @@
 
 
 class PeerLinks:
-    """Outgoing links, each started at the first call to its peer.
+    """Outgoing links, each opened by the first call to its peer.
 
-    :param hello: greeting of this node
+    :param hello: ``Hello`` message of this node
     :param clock: time source
     :param metrics: counters
     :param source_host: local address to connect from, or ``None``
-    :param max_links: links open at once
+    :param max_links: maximum number of open links
     """
 
     def __init__(
@@ -78,7 +79,7 @@
         self._last_call_id = 0
 
     async def run(self) -> None:
-        """Own the link tasks until cancelled; calls fail before and after."""
+        """Run the link tasks until cancelled; calls fail while this does not run."""
         try:
             async with anyio.create_task_group() as tasks:
                 self._tasks = tasks
@@ -91,15 +92,15 @@
     async def call(
         self, peer: PeerAddress, message: Call | Forward, deadline_at_ms: float
     ) -> Answer | LinkFailure:
-        """Send a call and wait for its answer.
+        """Send a call and wait for its response.
 
         ``call_id``, ``remaining_ms`` and, for a ``Call``, ``sent_ms`` of the
-        message are replaced when the frame is made; callers leave them 0.
+        message are set when the frame is encoded; callers leave them 0.
         When the deadline passes or the task is cancelled, ``Cancel`` is sent.
 
         :param peer: node to call
         :param message: call to send
-        :param deadline_at_ms: clock reading in ms at which the call is given up
+        :param deadline_at_ms: deadline of the call, as a clock reading in ms
         """
         remaining_ms = deadline_at_ms - self.clock.now_ms()
         if remaining_ms <= 0:
@@ -107,12 +108,12 @@
         link = self._links.get(peer) or self._start_link(peer)
         if isinstance(link, LinkFailure):
             return link
-        pending = Pending()
+        pending = PendingCall()
         with anyio.move_on_after(remaining_ms / 1000.0):
             await self._exchange(link, message, deadline_at_ms, pending)
         if pending.result is not None:
             return pending.result
-        self._deadline_passed(link, pending)
+        self._handle_missed_deadline(link, pending)
         return LinkFailure(pending.sent, "deadline")
 
     async def _exchange(
@@ -120,9 +121,9 @@
         link: Link,
         message: Call | Forward,
         deadline_at_ms: float,
-        pending: Pending,
+        pending: PendingCall,
     ) -> None:
-        """Send a call and wait until it is resolved."""
+        """Send a call and wait until it has a response or has failed."""
         writer = link.writer or await link.wait_ready()
         if isinstance(writer, LinkFailure):
             pending.result = writer
@@ -146,7 +147,7 @@
             pending.result = LinkFailure(True, f"connection lost: {error!r}")
         finally:
             if pending.result is None:
-                pending.sent = link.abandon(call_id)
+                pending.sent = link.cancel_call(call_id)
             self._close_if_unused(link)
 
     def _start_link(self, peer: PeerAddress) -> Link | LinkFailure:
@@ -156,7 +157,7 @@
         if backoff is not None and self.clock.now_ms() < backoff.until_ms:
             return LinkFailure(False, backoff.detail)
         if len(self._links) + len(self._retired) >= self._max_links:
-            self._evict()
+            self._evict_idle_link()
         if len(self._links) + len(self._retired) >= self._max_links:
             self.metrics.count("peers.links_refused")
             return LinkFailure(False, f"all {self._max_links} links are in use")
@@ -166,8 +167,8 @@
         self._tasks.start_soon(link.run)
         return link
 
-    def _evict(self) -> None:
-        """Close the link that is unused for the longest time."""
+    def _evict_idle_link(self) -> None:
+        """Close the least recently used idle link."""
         idle = [link for link in self._links.values() if link.is_idle()]
         if idle:
             oldest = min(idle, key=lambda link: link.received_at_ms)
@@ -175,17 +176,18 @@
             oldest.retired = True
             oldest.scope.cancel()
 
-    def _deadline_passed(self, link: Link, pending: Pending) -> None:
-        """Count a missed deadline; take a silent link out of use.
+    def _handle_missed_deadline(self, link: Link, pending: PendingCall) -> None:
+        """Count a missed deadline and retire the link if it is silent.
 
-        A link through a partition stays open for minutes. Nothing received
-        while a call waited for ``SILENCE_MS`` makes the next call connect
-        anew, so that it fails before it is sent if the peer is unreachable.
+        A TCP connection across a network partition stays open for minutes. If
+        nothing was received while a call waited for ``SILENT_LINK_MS``, the next call
+        opens a new connection, so that it fails before it is sent if the peer is
+        unreachable.
         """
         self.metrics.count("peers.deadlines")
         if not pending.sent or link.received_at_ms > pending.sent_at_ms:
             return
-        if self.clock.now_ms() - pending.sent_at_ms < SILENCE_MS:
+        if self.clock.now_ms() - pending.sent_at_ms < SILENT_LINK_MS:
             return
         if self._links.get(link.peer) is link:
             self.metrics.count("peers.links_silent")
@@ -199,9 +201,9 @@
             link.scope.cancel()
 
     def link_ended(self, link: Link, detail: str) -> None:
-        """Forget a link; after a failure, delay the next attempt.
+        """Remove a link; after a failure, delay the next connection attempt.
 
-        :param link: link whose task ends
+        :param link: link whose task ended
         :param detail: why it failed, empty if this node closed it
         """
         self._retired.discard(link)
@@ -213,23 +215,23 @@
         emit(Event.PEER_LINK_FAILED, peer=link.peer.node_id, detail=detail)
         now_ms = self.clock.now_ms()
         last = self._backoffs.get(link.peer)
-        if link.writer is not None and now_ms - link.started_at_ms >= STABLE_MS:
+        if link.writer is not None and now_ms - link.started_at_ms >= STABLE_LINK_MS:
             self._backoffs.pop(link.peer, None)
             return
         step_ms = min(last.step_ms * 2, BACKOFF_MAX_MS) if last else BACKOFF_FIRST_MS
         self._backoffs[link.peer] = _Backoff(step_ms, now_ms + step_ms, detail)
 
     def _sweep(self) -> None:
-        """Close idle links and forget old failures."""
+        """Close idle links and remove expired backoffs."""
         now_ms = self.clock.now_ms()
         for link in list(self._links.values()):
-            if link.is_idle() and now_ms - link.received_at_ms > IDLE_CLOSE_MS:
+            if link.is_idle() and now_ms - link.received_at_ms > IDLE_TIMEOUT_MS:
                 self.metrics.count("peers.idle_closed")
                 del self._links[link.peer]
                 link.retired = True
                 link.scope.cancel()
         for peer, backoff in list(self._backoffs.items()):
-            if now_ms - backoff.until_ms > IDLE_CLOSE_MS:
+            if now_ms - backoff.until_ms > IDLE_TIMEOUT_MS:
                 del self._backoffs[peer]
 
 
@@ -256,14 +258,14 @@
     source_host: str | None,
     max_links: int,
 ) -> PeerLinks:
-    """Return links that work while their ``run`` runs.
+    """Return links that accept calls while ``run`` is running.
 
     :param node_id: this node
     :param incarnation: incarnation of this process
     :param clock: time source
     :param metrics: counters
     :param source_host: local address to connect from, or ``None`` for any
-    :param max_links: links open at once
+    :param max_links: maximum number of open links
     """
     hello = Hello(PROTOCOL_VERSION, node_id, incarnation)
     return PeerLinks(hello, clock, metrics, source_host, max_links)
--- a/tests/peer_fakes.py
+++ b/tests/peer_fakes.py
@@ -1,4 +1,4 @@
-"""Fake peers, and the links and the server under test."""
+"""Fake peers, and fixtures for the links and the server under test."""
 
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
@@ -54,18 +54,18 @@
 )
 
 
-async def until(condition: Callable[[], bool]) -> None:
+async def wait_until(condition: Callable[[], bool]) -> None:
     while not condition():
         await anyio.sleep(0.002)
 
 
-def answer_to(call_id: int, body: bytes = b"") -> Answer:
+def response_to(call_id: int, body: bytes = b"") -> Answer:
     return Answer(call_id, "completed", 200, [], body, len(body))
 
 
 @dataclass
 class FramePeer:
-    """One side of a link that sends and receives single messages."""
+    """One end of a link that sends and receives single messages."""
 
     stream: anyio.abc.SocketStream
     queue: list[LinkMessage] = field(default_factory=list)
@@ -95,7 +95,7 @@
 
 @dataclass
 class Client:
-    """Links under test and the fake peer they call."""
+    """The links under test and the fake peer that they call."""
 
     links: PeerLinks
     clock: ManualClock
@@ -112,10 +112,10 @@
 
 
 @asynccontextmanager
-async def client_of(
+async def client_for(
     script: Script, source_host: str | None = None, max_links: int = 10
 ) -> AsyncIterator[Client]:
-    """Run links against a fake peer that runs a script on each connection."""
+    """Run links to a fake peer that runs a script on each connection."""
     listener = await anyio.create_tcp_listener(local_host=HOST)
     port = listener.extra(anyio.abc.SocketAttribute.local_port)
     clock = ManualClock()
@@ -124,7 +124,7 @@
 
     async def serve(stream: anyio.abc.SocketStream) -> None:
         remote = stream.extra(anyio.abc.SocketAttribute.remote_address)
-        it.remotes.append(remote[0])
+        client.remotes.append(remote[0])
         async with stream:
             try:
                 await script(FramePeer(stream))
@@ -134,16 +134,16 @@
     with anyio.fail_after(10):
         async with anyio.create_task_group() as tasks:
             peer = PeerAddress("b", 2, HOST, port)
-            it = Client(links, clock, metrics, peer, tasks)
+            client = Client(links, clock, metrics, peer, tasks)
             tasks.start_soon(listener.serve, serve, tasks)
             tasks.start_soon(links.run)
             await anyio.wait_all_tasks_blocked()
-            yield it
+            yield client
             tasks.cancel_scope.cancel()
 
 
-def greeted(script: Script) -> Script:
-    """Return a script that first exchanges greetings."""
+def with_handshake(script: Script) -> Script:
+    """Return a script that exchanges ``Hello`` messages first."""
 
     async def run(peer: FramePeer) -> None:
         assert await peer.receive() == CLIENT_HELLO
@@ -153,21 +153,21 @@
     return run
 
 
-@greeted
+@with_handshake
 async def echo(peer: FramePeer) -> None:
     while True:
         match await peer.receive():
             case Call(call_id=call_id, body=body):
-                await peer.send(answer_to(call_id, body))
+                await peer.send(response_to(call_id, body))
 
 
-@greeted
+@with_handshake
 async def silent(peer: FramePeer) -> None:
     await peer.is_closed()
 
 
-def first_frame(data: bytes, then_close: bool = False) -> Script:
-    """Return a script that answers the first frame with fixed bytes."""
+def respond_to_first_frame(data: bytes, then_close: bool = False) -> Script:
+    """Return a script that responds to the first frame with fixed bytes."""
 
     async def run(peer: FramePeer) -> None:
         await peer.receive()
@@ -178,22 +178,24 @@
     return run
 
 
-def first_call(make: Callable[[Call], bytes], then_close: bool = False) -> Script:
-    """Return a script that answers the first call with bytes made from it."""
+def respond_to_first_call(
+    make_response: Callable[[Call], bytes], then_close: bool = False
+) -> Script:
+    """Return a script that responds to the first call with bytes made from it."""
 
     async def run(peer: FramePeer) -> None:
         call = await peer.receive()
         assert isinstance(call, Call)
-        await peer.stream.send(make(call))
+        await peer.stream.send(make_response(call))
         if not then_close:
             await peer.is_closed()
 
-    return greeted(run)
+    return with_handshake(run)
 
 
 @dataclass
 class Server:
-    """A running ``serve_peers`` and what its handler saw."""
+    """A running ``serve_peers`` and the calls that its handler received."""
 
     port: int = 0
     infos: list[PeerInfo] = field(default_factory=list)
@@ -206,17 +208,17 @@
         self.infos.append(info)
         match message.path:
             case "/fail":
-                raise ValueError("fault in the handler")
+                raise ValueError("handler error")
             case "/huge":
-                return answer_to(message.call_id, b"x" * MAX_FRAME_BYTES)
+                return response_to(message.call_id, b"x" * MAX_FRAME_BYTES)
             case "/wait":
                 await self._wait()
             case "/shield":
                 with anyio.CancelScope(shield=True):
                     self.started.set()
                     await anyio.sleep(0.05)
-        # The id is wrong on purpose; the server has to correct it.
-        return answer_to(0, message.body)
+        # The server replaces the wrong call id.
+        return response_to(0, message.body)
 
     async def advance(self, step_ms: float) -> None:
         while True:
@@ -233,7 +235,7 @@
 
 
 @asynccontextmanager
-async def serving(max_connections: int = 10) -> AsyncIterator[Server]:
+async def running_server(max_connections: int = 10) -> AsyncIterator[Server]:
     server = Server()
     listener = await anyio.create_tcp_listener(local_host=HOST)
     server.port = listener.extra(anyio.abc.SocketAttribute.local_port)
@@ -271,4 +273,4 @@
 async def assert_serves(server: Server) -> None:
     peer = await connect(server)
     await peer.send(call_with(1))
-    assert await peer.receive() == answer_to(1, b"body")
+    assert await peer.receive() == response_to(1, b"body")
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,4 +1,4 @@
-"""Links between nodes: outcomes of calls, broken peers, Cancel and limits."""
+"""Links between nodes: outcomes of calls, faulty peers, Cancel and limits."""
 
 import anyio
 import anyio.abc
@@ -32,15 +32,15 @@
     SHORT_MS,
     FramePeer,
     Script,
-    answer_to,
-    client_of,
+    client_for,
     echo,
-    first_call,
-    first_frame,
-    greeted,
-    serving,
+    respond_to_first_call,
+    respond_to_first_frame,
+    response_to,
+    running_server,
     silent,
-    until,
+    wait_until,
+    with_handshake,
 )
 
 pytestmark = pytest.mark.anyio
@@ -55,37 +55,45 @@
     ("script", "detail"),
     [
         pytest.param(
-            first_frame(encode_frame(Hello(PROTOCOL_VERSION + 1, "b", 2))),
+            respond_to_first_frame(encode_frame(Hello(PROTOCOL_VERSION + 1, "b", 2))),
             "protocol version",
             id="version",
         ),
         pytest.param(
-            first_frame(encode_frame(Hello(PROTOCOL_VERSION, "c", 2))),
+            respond_to_first_frame(encode_frame(Hello(PROTOCOL_VERSION, "c", 2))),
             "the peer is c",
             id="node",
         ),
         pytest.param(
-            first_frame(encode_frame(Hello(PROTOCOL_VERSION, "b", 3))),
+            respond_to_first_frame(encode_frame(Hello(PROTOCOL_VERSION, "b", 3))),
             "incarnation 3",
             id="incarnation",
         ),
         pytest.param(
-            first_frame(encode_frame(answer_to(1))), "before Hello", id="no-hello"
+            respond_to_first_frame(encode_frame(response_to(1))),
+            "before Hello",
+            id="no-hello",
         ),
-        pytest.param(first_frame(b"HTTP/1.1 400 \r\n\r\n"), "exceeds", id="http"),
-        pytest.param(first_frame(b"\0\0\0\3abc"), "undecodable", id="garbage"),
-        pytest.param(first_frame(b"\0", True), "connection lost", id="closed"),
-        pytest.param(None, "no greeting", id="mute"),
+        pytest.param(
+            respond_to_first_frame(b"HTTP/1.1 400 \r\n\r\n"), "exceeds", id="http"
+        ),
+        pytest.param(
+            respond_to_first_frame(b"\0\0\0\3abc"), "undecodable", id="garbage"
+        ),
+        pytest.param(
+            respond_to_first_frame(b"\0", True), "connection lost", id="closed"
+        ),
+        pytest.param(None, "timed out waiting for Hello", id="no-data"),
     ],
 )
-async def test_peer_that_does_not_greet(
+async def test_failed_handshake(
     script: Script | None, detail: str, monkeypatch: pytest.MonkeyPatch
 ):
-    """Guards against calls sent to a stranger and reported as unknown."""
+    """Guards against calls sent to an unverified peer and reported as unknown."""
     if script is None:
         monkeypatch.setattr(_link, "HELLO_TIMEOUT_S", 0.05)
-    async with client_of(script or FramePeer.is_closed) as it:
-        failure = await it.call()
+    async with client_for(script or FramePeer.is_closed) as client:
+        failure = await client.call()
         assert isinstance(failure, LinkFailure)
         assert failure.sent is False
         assert detail in failure.detail
@@ -95,97 +103,103 @@
     ("script", "expected", "counter"),
     [
         pytest.param(
-            first_call(lambda call: encode_frame(answer_to(call.call_id + 77))),
+            respond_to_first_call(
+                lambda call: encode_frame(response_to(call.call_id + 77))
+            ),
             LinkFailure(True, "deadline"),
             "peers.answers_unknown",
             id="unknown-id",
         ),
         pytest.param(
-            first_call(
+            respond_to_first_call(
                 lambda call: encode_frame(
-                    msgspec.structs.replace(answer_to(call.call_id), body_bytes=9)
+                    msgspec.structs.replace(response_to(call.call_id), body_bytes=9)
                 )
             ),
-            LinkFailure(True, "answer of wrong length"),
+            LinkFailure(True, "response body has the wrong length"),
             "peers.answers_wrong_length",
             id="wrong-length",
         ),
         pytest.param(
-            first_call(lambda call: encode_frame(SERVER_HELLO)),
+            respond_to_first_call(lambda call: encode_frame(SERVER_HELLO)),
             LinkFailure(True, "unexpected Hello from the peer"),
             "peers.links_failed",
             id="second-hello",
         ),
         pytest.param(
-            first_call(lambda call: b"\xff\xff\xff\xff"),
+            respond_to_first_call(lambda call: b"\xff\xff\xff\xff"),
             LinkFailure(True, f"frame of 4294967295 bytes exceeds {MAX_FRAME_BYTES}"),
             "peers.links_failed",
             id="oversized",
         ),
         pytest.param(
-            first_call(lambda call: encode_frame(answer_to(call.call_id))[:-1], True),
+            respond_to_first_call(
+                lambda call: encode_frame(response_to(call.call_id))[:-1], True
+            ),
             LinkFailure(True, "connection lost: EndOfStream()"),
             "peers.links_failed",
-            id="cut-answer",
+            id="truncated-response",
         ),
         pytest.param(
-            first_call(lambda call: b"", True),
+            respond_to_first_call(lambda call: b"", True),
             LinkFailure(True, "connection lost: EndOfStream()"),
             "peers.links_failed",
-            id="closed-without-answer",
+            id="closed-without-response",
         ),
         pytest.param(
-            silent, LinkFailure(True, "deadline"), "peers.deadlines", id="no-answer"
+            silent, LinkFailure(True, "deadline"), "peers.deadlines", id="no-response"
         ),
     ],
 )
-async def test_sent_call_without_whole_answer(
+async def test_sent_call_without_complete_response(
     script: Script, expected: LinkFailure, counter: str
 ):
     """Guards against "not sent" for a call that the peer may have run."""
-    async with client_of(script) as it:
+    async with client_for(script) as client:
         remaining_ms = SHORT_MS if expected.detail == "deadline" else DEADLINE_MS
-        assert await it.call(remaining_ms=remaining_ms) == expected
-        assert it.metrics.counters[counter] == 1
+        assert await client.call(remaining_ms=remaining_ms) == expected
+        assert client.metrics.counters[counter] == 1
 
 
-async def test_duplicate_answer_is_dropped():
-    """Guards against a repeated answer given to the next call."""
+async def test_duplicate_response_is_dropped():
+    """Guards against a duplicate response given to the next call."""
 
-    @greeted
+    @with_handshake
     async def script(peer: FramePeer) -> None:
         while True:
             call = await peer.receive()
             body = b"%d" % call.call_id
-            await peer.send(*[answer_to(call.call_id, body)] * 2)
+            await peer.send(*[response_to(call.call_id, body)] * 2)
 
-    async with client_of(script) as it:
-        bodies = [(await it.call()).body for _ in range(5)]
+    async with client_for(script) as client:
+        bodies = [(await client.call()).body for _ in range(5)]
         assert len(set(bodies)) == 5
-        counters = it.metrics.counters
-        await until(lambda: counters.get("peers.answers_unknown") == 5)
+        counters = client.metrics.counters
+        await wait_until(lambda: counters.get("peers.answers_unknown") == 5)
 
 
-async def test_reordered_answers_reach_their_calls():
-    """Guards against answers matched by order instead of by id."""
+async def test_reordered_responses_reach_their_calls():
+    """Guards against responses matched by order instead of by id."""
 
-    @greeted
+    @with_handshake
     async def script(peer: FramePeer) -> None:
         calls = [await peer.receive() for _ in range(20)]
-        await peer.send(*[answer_to(it.call_id, it.body) for it in reversed(calls)])
+        await peer.send(
+            *[response_to(call.call_id, call.body) for call in reversed(calls)]
+        )
         await peer.is_closed()
 
     results: dict[int, Answer | LinkFailure] = {}
-    async with client_of(script) as it:
+    async with client_for(script) as client:
 
         async def call(number: int) -> None:
             message = msgspec.structs.replace(CALL, body=b"%d" % number)
-            results[number] = await it.call(message)
+            results[number] = await client.call(message)
 
         async with anyio.create_task_group() as tasks:
             for number in range(20):
                 tasks.start_soon(call, number)
-        assert len(it.remotes) == 1
+        assert len(client.remotes) == 1
     assert [results[number].body for number in range(20)] == [
         b"%d" % number for number in range(20)
     ]
@@ -193,24 +207,26 @@
 
 @pytest.mark.parametrize("by_deadline", [True, False])
 async def test_cancel_is_sent(by_deadline: bool):
-    """Guards against a peer that works on for a caller that gave up."""
+    """Guards against a peer that keeps running a call nobody waits for."""
     seen: list[LinkMessage] = []
     received = anyio.Event()
     cancelled = anyio.Event()
 
-    @greeted
+    @with_handshake
     async def script(peer: FramePeer) -> None:
         seen.append(await peer.receive())
         received.set()
         seen.append(await peer.receive())
         cancelled.set()
 
-    async with client_of(script) as it:
+    async with client_for(script) as client:
         if by_deadline:
-            assert await it.call(remaining_ms=SHORT_MS) == LinkFailure(True, "deadline")
+            assert await client.call(remaining_ms=SHORT_MS) == LinkFailure(
+                True, "deadline"
+            )
         else:
             async with anyio.create_task_group() as tasks:
-                tasks.start_soon(it.call)
+                tasks.start_soon(client.call)
                 await received.wait()
                 tasks.cancel_scope.cancel()
         await cancelled.wait()
@@ -219,21 +235,21 @@
         assert seen[1] == Cancel(call.call_id)
 
 
-async def test_call_is_stamped():
-    """Guards against stale times in calls that waited for their link."""
+async def test_call_fields_are_set_when_sent():
+    """Guards against stale times in calls that waited for the handshake."""
     seen: list[LinkMessage] = []
 
-    @greeted
+    @with_handshake
     async def script(peer: FramePeer) -> None:
         while True:
             call = await peer.receive()
             seen.append(call)
-            await peer.send(answer_to(call.call_id))
+            await peer.send(response_to(call.call_id))
 
-    async with client_of(script) as it:
-        it.clock.advance(1_000.0)
-        await it.call(CALL, 400.0)
-        await it.call(FORWARD, 300.0)
+    async with client_for(script) as client:
+        client.clock.advance(1_000.0)
+        await client.call(CALL, 400.0)
+        await client.call(FORWARD, 300.0)
     call, forward = seen
     assert call == msgspec.structs.replace(
         CALL, call_id=call.call_id, remaining_ms=400.0, sent_ms=1_000.0
@@ -245,44 +261,44 @@
 
 
 async def test_peer_that_does_not_read():
-    """Guards against one stuck peer that blocks calls or other peers."""
+    """Guards against a blocked peer that delays its callers or calls to other peers."""
     big = msgspec.structs.replace(CALL, body=b"x" * 15_000_000)
 
-    @greeted
+    @with_handshake
     async def stuck(peer: FramePeer) -> None:
         await anyio.sleep_forever()
 
     results: list[Answer | LinkFailure] = []
-    async with client_of(stuck) as it, client_of(echo) as other:
+    async with client_for(stuck) as client, client_for(echo) as other:
 
         async def call(message: Call) -> None:
-            results.append(await it.call(message, 2 * SHORT_MS))
+            results.append(await client.call(message, 2 * SHORT_MS))
 
         async with anyio.create_task_group() as tasks:
             for message in (big, big, CALL, big):
                 tasks.start_soon(call, message)
             await anyio.sleep(0.05)
-            # The same links object serves the other peer meanwhile.
-            deadline_at_ms = it.clock.now_ms() + DEADLINE_MS
-            answer = await it.links.call(other.peer, CALL, deadline_at_ms)
-            assert isinstance(answer, Answer)
-        # Only the first frame was written in part; the others never were.
+            # The same links object calls another peer at the same time.
+            deadline_at_ms = client.clock.now_ms() + DEADLINE_MS
+            response = await client.links.call(other.peer, CALL, deadline_at_ms)
+            assert isinstance(response, Answer)
+        # Only the first frame was written, in part.
         assert sorted(result.sent for result in results) == [False, False, False, True]
 
 
 async def test_call_behind_a_stalled_frame_is_not_sent():
-    """Guards against a queued frame that follows one given up by its sender."""
+    """Guards against writing a queued frame after a partly written, cancelled one."""
     big = msgspec.structs.replace(CALL, body=b"x" * 15_000_000)
 
-    @greeted
+    @with_handshake
     async def stuck(peer: FramePeer) -> None:
         await anyio.sleep_forever()
 
     results: dict[str, Answer | LinkFailure] = {}
-    async with client_of(stuck) as it:
+    async with client_for(stuck) as client:
 
         async def call(name: str, message: Call, remaining_ms: float) -> None:
-            results[name] = await it.call(message, remaining_ms)
+            results[name] = await client.call(message, remaining_ms)
 
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(call, "stalled", big, SHORT_MS)
@@ -294,22 +310,22 @@
     assert sent == {"stalled": True, "queued": False, "later": False}
 
 
-async def test_link_loss_tells_unwritten_calls_apart():
+async def test_link_loss_distinguishes_unwritten_calls():
     """Guards against an unknown outcome for a frame that was still queued."""
     big = msgspec.structs.replace(CALL, body=b"x" * 15_000_000)
     ready = anyio.Event()
     drop = anyio.Event()
 
-    @greeted
+    @with_handshake
     async def script(peer: FramePeer) -> None:
         ready.set()
         await drop.wait()
 
     results: dict[str, Answer | LinkFailure] = {}
-    async with client_of(script) as it:
+    async with client_for(script) as client:
 
         async def call(name: str, message: Call) -> None:
-            results[name] = await it.call(message)
+            results[name] = await client.call(message)
 
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(call, "written", big)
@@ -338,15 +354,15 @@
     message: Call, remaining_ms: float, detail: str
 ):
     """Guards against an unknown outcome for a call that was never written."""
-    async with client_of(echo) as it:
-        failure = await it.call(message, remaining_ms)
+    async with client_for(echo) as client:
+        failure = await client.call(message, remaining_ms)
         assert failure.sent is False
         assert detail in failure.detail
-        assert isinstance(await it.call(), Answer)
+        assert isinstance(await client.call(), Answer)
 
 
-async def test_links_that_do_not_run():
-    """Guards against calls that wait for links nobody runs."""
+async def test_call_without_running_links():
+    """Guards against calls that wait although the links are not running."""
     links = make_peer_links("a", 1, ManualClock(), Metrics(), None, 1)
     result = await links.call(PeerAddress("b", 2, HOST, 1), CALL, DEADLINE_MS)
     assert result == LinkFailure(False, "links are not running")
@@ -354,11 +370,11 @@
 
 @pytest.mark.parametrize("size_bytes", [0, 1, 70_000, 15_000_000])
 async def test_links_and_server_together(size_bytes: int):
-    """Guards against frames cut or joined on the way."""
-    async with serving() as server, client_of(echo) as it:
-        it.peer = PeerAddress("b", 2, HOST, server.port)
+    """Guards against frames split or joined in transit."""
+    async with running_server() as server, client_for(echo) as client:
+        client.peer = PeerAddress("b", 2, HOST, server.port)
         body = bytes(size_bytes)
         for message in (CALL, FORWARD, CALL):
-            answer = await it.call(msgspec.structs.replace(message, body=body))
-            assert isinstance(answer, Answer)
-            assert answer.body == body
+            response = await client.call(msgspec.structs.replace(message, body=body))
+            assert isinstance(response, Answer)
+            assert response.body == body
--- a/tests/test_peerserver.py
+++ b/tests/test_peerserver.py
@@ -1,4 +1,4 @@
-"""Server of links: broken peers, Cancel, transit times and framing."""
+"""Peer server: faulty peers, Cancel, transit times and framing."""
 
 import contextlib
 
@@ -18,11 +18,11 @@
 )
 from peer_fakes import (
     CLIENT_HELLO,
-    answer_to,
     assert_serves,
     call_with,
     connect,
-    serving,
+    response_to,
+    running_server,
 )
 
 pytestmark = pytest.mark.anyio
@@ -44,20 +44,20 @@
         pytest.param(CLIENT_HELLO, b"\xff\xff\xff\xff", id="oversized"),
         pytest.param(CLIENT_HELLO, b"\0\0\0\2\x92\xa4", id="undecodable"),
         pytest.param(CLIENT_HELLO, encode_frame(CLIENT_HELLO), id="second-hello"),
-        pytest.param(CLIENT_HELLO, encode_frame(answer_to(1)), id="answer"),
+        pytest.param(CLIENT_HELLO, encode_frame(response_to(1)), id="response"),
         pytest.param(
             CLIENT_HELLO,
             encode_frame(call_with(1)) + encode_frame(call_with(1)),
-            id="repeated-call-id",
+            id="duplicate-call-id",
         ),
         pytest.param(
             Hello(PROTOCOL_VERSION + 1, "a", 1), b"", id="other-protocol-version"
         ),
     ],
 )
-async def test_broken_peer_is_disconnected(hello: Hello | None, data: bytes):
-    """Guards against broken peers that stop the process or run a call twice."""
-    async with serving() as server:
+async def test_faulty_peer_is_disconnected(hello: Hello | None, data: bytes):
+    """Guards against faulty peers that stop the process or run a call twice."""
+    async with running_server() as server:
         peer = await connect(server, hello)
         await peer.stream.send(data)
         assert await peer.is_closed()
@@ -66,29 +66,29 @@
         await assert_serves(server)
 
 
-async def test_mute_connection_is_closed(monkeypatch: pytest.MonkeyPatch):
-    """Guards against strangers that hold connections open."""
+async def test_connection_without_hello_is_closed(monkeypatch: pytest.MonkeyPatch):
+    """Guards against clients that hold connections open without a handshake."""
     monkeypatch.setattr(_peerserver, "HELLO_TIMEOUT_S", 0.02)
-    async with serving() as server:
+    async with running_server() as server:
         peer = await connect(server, None)
         assert await peer.is_closed()
         await assert_serves(server)
 
 
-async def test_connections_are_bounded():
-    """Guards against more connections than descriptors."""
-    async with serving(max_connections=1) as server:
+async def test_number_of_connections_is_limited():
+    """Guards against running out of file descriptors."""
+    async with running_server(max_connections=1) as server:
         first = await connect(server)
         second = await connect(server, None)
         assert await second.is_closed()
         await first.send(call_with(1))
-        assert await first.receive() == answer_to(1, b"body")
+        assert await first.receive() == response_to(1, b"body")
 
 
-async def test_vanished_peer_is_closed(monkeypatch: pytest.MonkeyPatch):
-    """Guards against connections of dead hosts that use up the limit."""
+async def test_idle_connection_is_closed(monkeypatch: pytest.MonkeyPatch):
+    """Guards against connections of dead hosts that use up the connection limit."""
     monkeypatch.setattr(_peerserver, "SWEEP_PERIOD_S", 0.01)
-    async with serving() as server:
+    async with running_server() as server:
         busy = await connect(server)
         await busy.send(call_with(1, path="/wait"))
         await server.started.wait()
@@ -103,38 +103,38 @@
 @pytest.mark.parametrize(
     ("path", "reason"), [("/fail", "internal-error"), ("/huge", "answer-lost")]
 )
-async def test_handler_fault_gives_unknown(path: str, reason: str):
-    """Guards against calls without an answer and against a false "not run"."""
-    async with serving() as server:
+async def test_handler_error_gives_unknown(path: str, reason: str):
+    """Guards against calls without a response and against a false "not run"."""
+    async with running_server() as server:
         peer = await connect(server)
         await peer.send(call_with(5, path=path))
-        answer = await peer.receive()
-        assert (answer.call_id, answer.outcome) == (5, "unknown")
-        assert answer.reason == reason
+        response = await peer.receive()
+        assert (response.call_id, response.outcome) == (5, "unknown")
+        assert response.reason == reason
         await peer.send(call_with(6))
-        assert await peer.receive() == answer_to(6, b"body")
+        assert await peer.receive() == response_to(6, b"body")
 
 
 @pytest.mark.parametrize(
-    ("path", "answered"), [("/wait", False), ("/shield", True)], ids=str
+    ("path", "has_response"), [("/wait", False), ("/shield", True)], ids=str
 )
-async def test_cancel(path: str, answered: bool):
-    """Guards against work for calls given up, and against lost shielded answers."""
-    async with serving() as server:
+async def test_cancel(path: str, has_response: bool):
+    """Guards against running cancelled calls and losing shielded responses."""
+    async with running_server() as server:
         peer = await connect(server)
         await peer.send(call_with(1, path=path), call_with(2, path="/late"))
         await server.started.wait()
         await peer.send(Cancel(1), Cancel(77))
-        assert await peer.receive() == answer_to(2, b"body")
-        if answered:
-            assert await peer.receive() == answer_to(1, b"body")
+        assert await peer.receive() == response_to(2, b"body")
+        if has_response:
+            assert await peer.receive() == response_to(1, b"body")
         else:
             await server.cancelled.wait()
 
 
 async def test_connection_loss_cancels_handlers():
-    """Guards against work whose answer nobody can receive."""
-    async with serving() as server:
+    """Guards against running calls whose response cannot be delivered."""
+    async with running_server() as server:
         peer = await connect(server)
         await peer.send(call_with(1, path="/wait"))
         await server.started.wait()
@@ -157,13 +157,13 @@
             [(100.0, 50.0), (10_100.0, 10_000.0)], [0.0, 45.0], id="drift-allowance"
         ),
         pytest.param(
-            [(100.0, 50.0), (30_100.0, 60.0)], [0.0, 29_975.0], id="frozen-receiver"
+            [(100.0, 50.0), (30_100.0, 60.0)], [0.0, 29_975.0], id="paused-receiver"
         ),
     ],
 )
 async def test_transit(frames: list[tuple[float, float]], transit_ms: list[float]):
-    """Guards against old frames of a frozen node taken for fresh ones."""
-    async with serving() as server:
+    """Guards against treating delayed frames of a paused node as recent ones."""
+    async with running_server() as server:
         peer = await connect(server)
         for call_id, (received_ms, sent_ms) in enumerate(frames, start=1):
             server.clock.advance(received_ms - server.clock.now_ms())
@@ -175,7 +175,7 @@
 
 
 class ChunkStream:
-    """Stream that returns prepared chunks."""
+    """Stream that returns given chunks."""
 
     def __init__(self, chunks: list[bytes]) -> None:
         self.chunks = chunks
@@ -190,9 +190,9 @@
     bodies=st.lists(st.binary(max_size=40), min_size=1, max_size=8),
     cuts=st.lists(st.integers(min_value=0, max_value=600), max_size=12),
 )
-def test_frames_survive_any_split(bodies: list[bytes], cuts: list[int]):
-    """Guards against frames misread where the network splits them."""
-    messages = [answer_to(number, body) for number, body in enumerate(bodies)]
+def test_frames_are_read_with_any_split(bodies: list[bytes], cuts: list[int]):
+    """Guards against misreading frames that arrive in several chunks."""
+    messages = [response_to(number, body) for number, body in enumerate(bodies)]
     data = b"".join(map(encode_frame, messages))
     edges = sorted({0, len(data), *(cut for cut in cuts if cut < len(data))})
     chunks = [data[start:end] for start, end in zip(edges, edges[1:], strict=False)]
@@ -213,15 +213,13 @@
     hello=st.sampled_from([None, CLIENT_HELLO]),
     framed=st.booleans(),
 )
-def test_any_input_leaves_the_server_serving(
-    data: bytes, hello: Hello | None, framed: bool
-):
-    """Guards against input that stops the process or another peer's calls."""
+def test_server_survives_any_input(data: bytes, hello: Hello | None, framed: bool):
+    """Guards against input that stops the process or the calls of other peers."""
     if framed:
         data = len(data).to_bytes(4, "big") + data
 
     async def run() -> None:
-        async with serving() as server:
+        async with running_server() as server:
             peer = await connect(server, hello)
             with contextlib.suppress(anyio.BrokenResourceError):
                 await peer.stream.send(data)
--- a/tests/test_rules_io.py
+++ b/tests/test_rules_io.py
@@ -6,14 +6,14 @@
 from briardock.outcomes import Completed
 from briardock.peers import LinkFailure
 from briardock.target import NotSent
-from peer_fakes import client_of, echo
+from peer_fakes import client_for, echo
 from target_fakes import OK, bench, replies
 
 
 def test_expired_call_is_not_written_on_an_open_link() -> None:
     # Guards against an unknown outcome after a pause of the process.
     async def main() -> None:
-        async with client_of(echo) as it:
+        async with client_for(echo) as it:
             assert isinstance(await it.call(), Answer)
             failure = await it.call(remaining_ms=-1.0)
             assert failure == LinkFailure(False, "deadline")
--- a/tests/test_rules_outcomes.py
+++ b/tests/test_rules_outcomes.py
@@ -16,7 +16,7 @@
     make_dispatch,
     told,
 )
-from peer_fakes import call_with, connect, serving
+from peer_fakes import call_with, connect, running_server
 
 RENAMED = CONFIG.replace("POST /payments", "POST /transfers")
 SMALLER = CONFIG.replace("max_body_kb = 1", "max_body_kb = 2")
@@ -91,7 +91,7 @@
     monkeypatch.setattr(_peerserver, "MAX_CALLS_PER_CONNECTION", 1)
 
     async def main() -> list[str]:
-        async with serving() as server:
+        async with running_server() as server:
             peer = await connect(server)
             await peer.send(call_with(1, path="/wait"))
             forward = Forward(2, "k", "s", "POST", "/p", [], b"", 900.0)
