Use protocol terms in the peer server and the link messages

Rename the message handling, timeouts and responses of the peer server, and reword its comments and those of the messages. Class and field names on the wire stay; behaviour is unchanged.

--- a/src/briardock/_frames.py
+++ b/src/briardock/_frames.py
@@ -14,7 +14,7 @@
     Hello,
     LinkMessage,
     Message,
-    decode_link,
+    decode_link_message,
     encode,
 )
 
@@ -103,7 +103,7 @@
 
 def _decode(data: memoryview) -> LinkMessage:
     try:
-        return decode_link(data)
+        return decode_link_message(data)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         raise FrameError(f"undecodable frame: {error}") from error
 
--- a/src/briardock/_peerserver.py
+++ b/src/briardock/_peerserver.py
@@ -29,26 +29,26 @@
 from briardock.metrics import Metrics
 from briardock.outcomes import Reason
 
-# Longer than the idle time after which the calling side closes a link, so that
-# only connections of vanished peers are closed here.
-SERVER_IDLE_MS = 180_000.0
+# Longer than the idle timeout of the calling side, so that the server closes only
+# connections of peers that disappeared without closing them.
+SERVER_IDLE_TIMEOUT_MS = 180_000.0
 HELLO_TIMEOUT_S = 2.0
 SWEEP_PERIOD_S = 5.0
 MAX_CALLS_PER_CONNECTION = 4_096
-# Monotonic clocks of two hosts may drift apart by 500 ppm (the slewing limit
-# of NTP). The smallest transit time of a link is raised at this rate, so that
-# drift does not make the frames of a long-lived link look delayed.
-CLOCK_DRIFT = 500e-6
+# Monotonic clocks of two hosts may drift apart by 500 ppm, the slew limit of NTP.
+# The minimum clock difference of a link is raised at this rate, so that drift does
+# not make the frames of a long-lived link look delayed.
+MAX_CLOCK_DRIFT_RATIO = 500e-6
 
 
 @dataclass(frozen=True, slots=True)
 class PeerInfo:
     """Sender of a call.
 
-    :param node_id: node
-    :param incarnation: process incarnation
-    :param transit_ms: delay of this frame beyond the smallest one seen on the
-        connection; 0 for a forwarded request, which carries no send time
+    :param node_id: id of the sending node
+    :param incarnation: process incarnation of the sender
+    :param transit_ms: transit time of this frame above the minimum of the
+        connection; 0 for a forwarded request, which has no send time
     """
 
     node_id: str
@@ -60,10 +60,10 @@
 
 
 class TransitMeter:
-    """Delay of frames beyond the smallest one, allowing for clock drift."""
+    """Transit time of frames above the minimum, allowing for clock drift."""
 
     def __init__(self) -> None:
-        self._smallest_ms = float("inf")
+        self._minimum_ms = float("inf")
         self._measured_at_ms = 0.0
 
     def excess_ms(self, sent_ms: float, received_ms: float) -> float:
@@ -73,11 +73,11 @@
         :param received_ms: reading of the receiver's clock
         """
         difference_ms = received_ms - sent_ms
-        drift_ms = (received_ms - self._measured_at_ms) * CLOCK_DRIFT
-        smallest_ms = min(difference_ms, self._smallest_ms + drift_ms)
-        self._smallest_ms = smallest_ms
+        drift_ms = (received_ms - self._measured_at_ms) * MAX_CLOCK_DRIFT_RATIO
+        minimum_ms = min(difference_ms, self._minimum_ms + drift_ms)
+        self._minimum_ms = minimum_ms
         self._measured_at_ms = received_ms
-        return difference_ms - smallest_ms
+        return difference_ms - minimum_ms
 
 
 class _Connection:
@@ -92,17 +92,17 @@
         self._node_id = ""
         self._incarnation = 0
         self._last_call_id = 0
-        self._running: dict[int, anyio.CancelScope] = {}
+        self._calls_in_flight: dict[int, anyio.CancelScope] = {}
         self._tasks: anyio.abc.TaskGroup | None = None
         self.scope = anyio.CancelScope()
         self.active_at_ms = server.clock.now_ms()
 
     def is_idle(self) -> bool:
-        """Return whether no call runs."""
-        return not self._running
+        """Return whether no call is in flight."""
+        return not self._calls_in_flight
 
     async def run(self) -> None:
-        """Serve calls until either side closes or breaks the protocol."""
+        """Serve calls until a side closes the connection or violates the protocol."""
         try:
             with self.scope:
                 await self._serve()
@@ -116,7 +116,7 @@
                 await self._stream.aclose()
 
     async def _serve(self) -> None:
-        messages = await self._greet()
+        messages = await self._handshake()
         failure: Exception | None = None
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
@@ -129,12 +129,12 @@
         if failure is not None:
             raise failure
 
-    async def _greet(self) -> list[LinkMessage]:
-        """Exchange greetings; return messages that came with the peer's."""
+    async def _handshake(self) -> list[LinkMessage]:
+        """Exchange ``Hello`` messages; return messages received after the peer's."""
         with anyio.move_on_after(HELLO_TIMEOUT_S) as scope:
             messages = await self._reader.receive()
         if scope.cancelled_caught:
-            raise FrameError("no greeting from the peer")
+            raise FrameError("timed out waiting for Hello")
         if isinstance(messages[0], Hello):
             await self._stream.send(self._server.hello_frame)
         hello = expect_hello(self._reader, messages[0])
@@ -147,91 +147,91 @@
             now_ms = self._server.clock.now_ms()
             self.active_at_ms = now_ms
             for message in messages:
-                self._take(message, now_ms)
+                self._handle_message(message, now_ms)
             messages = await self._reader.receive()
 
-    def _take(self, message: LinkMessage, now_ms: float) -> None:
+    def _handle_message(self, message: LinkMessage, now_ms: float) -> None:
         match message:
             case Call():
                 transit_ms = self._transit.excess_ms(message.sent_ms, now_ms)
-                self._start(message, transit_ms)
+                self._start_call(message, transit_ms)
             case Forward():
-                self._start(message, 0.0)
+                self._start_call(message, 0.0)
             case Cancel():
-                scope = self._running.get(message.call_id)
+                scope = self._calls_in_flight.get(message.call_id)
                 if scope is not None:
                     self._server.metrics.count("peers.cancels")
                     scope.cancel()
             case _:
                 raise FrameError(f"unexpected {type(message).__name__}")
 
-    def _start(self, message: Call | Forward, transit_ms: float) -> None:
-        # Ids only grow on a link, so a repeated frame never runs a call twice.
+    def _start_call(self, message: Call | Forward, transit_ms: float) -> None:
+        # Call ids increase on a link, so a duplicate frame never runs a call twice.
         if message.call_id <= self._last_call_id:
             raise FrameError(f"call id {message.call_id} is not new")
         self._last_call_id = message.call_id
         assert self._tasks is not None
-        if len(self._running) >= MAX_CALLS_PER_CONNECTION:
-            self._refuse(message)
+        if len(self._calls_in_flight) >= MAX_CALLS_PER_CONNECTION:
+            self._refuse_call(message)
             return
         info = PeerInfo(self._node_id, self._incarnation, transit_ms)
         scope = anyio.CancelScope()
-        self._running[message.call_id] = scope
+        self._calls_in_flight[message.call_id] = scope
         self._tasks.start_soon(self._run_call, message, info, scope)
 
-    def _refuse(self, message: Call | Forward) -> None:
+    def _refuse_call(self, message: Call | Forward) -> None:
         self._server.metrics.count("peers.calls_refused")
         detail = f"more than {MAX_CALLS_PER_CONNECTION} calls on one link"
-        # An earlier request with the key of a forward may have run.
+        # An earlier request with the key of a forwarded one may have run.
         outcome = "not-run" if isinstance(message, Call) else "unknown"
-        answer = Answer(
+        response = Answer(
             message.call_id, outcome, reason=Reason.OVERLOADED, detail=detail
         )
-        self._writer.queue(encode_frame(answer), message.call_id)
+        self._writer.queue(encode_frame(response), message.call_id)
 
     async def _run_call(
         self, message: Call | Forward, info: PeerInfo, scope: anyio.CancelScope
     ) -> None:
         call_id = message.call_id
-        answer: Answer | None = None
+        response: Answer | None = None
         with scope:
             try:
-                answer = await self._server.handler(message, info)
+                response = await self._server.handler(message, info)
             except Exception as error:
-                answer = self._handler_failed(call_id, error)
-        del self._running[call_id]
-        if answer is None:
+                response = self._handler_error_response(call_id, error)
+        del self._calls_in_flight[call_id]
+        if response is None:
             return
-        if answer.call_id != call_id:
-            answer = msgspec.structs.replace(answer, call_id=call_id)
+        if response.call_id != call_id:
+            response = msgspec.structs.replace(response, call_id=call_id)
         try:
-            await self._writer.send(self._frame(answer), call_id)
+            await self._writer.send(self._encode_response(response), call_id)
         except STREAM_ERRORS:
             self._server.metrics.count("peers.answers_unsent")
 
-    def _handler_failed(self, call_id: int, error: Exception) -> Answer:
+    def _handler_error_response(self, call_id: int, error: Exception) -> Answer:
         self._server.metrics.count("peers.handler_errors")
         emit(Event.PEER_HANDLER_FAILED, peer=self._node_id, error=repr(error))
         return Answer(
             call_id, "unknown", reason=Reason.INTERNAL, detail="the handler failed"
         )
 
-    def _frame(self, answer: Answer) -> bytes:
+    def _encode_response(self, response: Answer) -> bytes:
         try:
-            return encode_frame(answer)
+            return encode_frame(response)
         except FrameError as error:
             self._server.metrics.count("peers.answers_too_large")
-            lost = Answer(
-                answer.call_id,
+            failure_response = Answer(
+                response.call_id,
                 "unknown",
                 reason=Reason.ANSWER_LOST,
                 detail=str(error),
-                retries_left=answer.retries_left,
-                refusal_level=answer.refusal_level,
-                load=answer.load,
-                own_time_ms=answer.own_time_ms,
+                retries_left=response.retries_left,
+                refusal_level=response.refusal_level,
+                load=response.load,
+                own_time_ms=response.own_time_ms,
             )
-            return encode_frame(lost)
+            return encode_frame(failure_response)
 
 
 class _Server:
@@ -268,12 +268,12 @@
             self._connections.discard(connection)
 
     async def sweep_idle(self) -> None:
-        """Close connections whose peers vanished without closing them."""
+        """Close connections whose peers disappeared without closing them."""
         while True:
             await anyio.sleep(SWEEP_PERIOD_S)
-            oldest_ms = self.clock.now_ms() - SERVER_IDLE_MS
+            cutoff_ms = self.clock.now_ms() - SERVER_IDLE_TIMEOUT_MS
             for connection in list(self._connections):
-                if connection.is_idle() and connection.active_at_ms < oldest_ms:
+                if connection.is_idle() and connection.active_at_ms < cutoff_ms:
                     self.metrics.count("peers.idle_closed")
                     connection.scope.cancel()
 
@@ -289,18 +289,18 @@
 ) -> None:
     """Serve calls of other nodes until cancelled.
 
-    ``Cancel`` and the loss of the connection cancel the scope of a handler,
-    which may shield itself; what it still returns is sent. An exception in
-    the handler gives ``unknown`` with ``internal-error``. The handler sets
-    ``body_bytes`` of its answer; ``call_id`` is corrected here.
+    ``Cancel`` and the loss of the connection cancel the scope of a handler. A
+    handler may shield itself; its response is still sent. An exception in the
+    handler gives the outcome ``unknown`` with ``internal-error``. The handler
+    sets ``body_bytes`` of its response; the server sets ``call_id``.
 
     :param listener: TCP listener; closed on return
-    :param handler: makes the answer to one call
+    :param handler: returns the response to a call
     :param node_id: this node
     :param incarnation: incarnation of this process
     :param clock: time source
     :param metrics: counters
-    :param max_connections: connections open at once
+    :param max_connections: maximum number of open connections
     """
     hello = Hello(PROTOCOL_VERSION, node_id, incarnation)
     server = _Server(handler, hello, clock, metrics, max_connections)
--- a/src/briardock/messages.py
+++ b/src/briardock/messages.py
@@ -1,6 +1,6 @@
-"""Wire messages between nodes, validated when they are decoded.
+"""Messages on the links between nodes, validated when they are decoded.
 
-Frames on a call link are a 4-byte big-endian length and one MessagePack array.
+A frame on a link is a 4-byte big-endian length and one MessagePack array.
 """
 
 import msgspec
@@ -14,14 +14,14 @@
 
 
 class Message(msgspec.Struct, frozen=True, array_like=True, tag=True):
-    """Base of all messages; the first array element names the type."""
+    """Base of all messages; the first array element is the name of the type."""
 
 
 class Hello(Message, frozen=True):
-    """First frame on a link, in both directions.
+    """First message on a link, in both directions.
 
     :param version: protocol version
-    :param node_id: sender
+    :param node_id: id of the sender
     :param incarnation: process incarnation of the sender
     """
 
@@ -31,21 +31,21 @@
 
 
 class Call(Message, frozen=True):
-    """One dispatch of a call to the inbound node of an instance.
+    """One attempt of a call, sent to the node of a target instance.
 
     :param call_id: unique within the link
-    :param target_incarnation: incarnation the sender believes the receiver has
+    :param target_incarnation: incarnation that the sender expects of the receiver
     :param key: action or child key in text form
     :param operation: full name of the operation, ``service.name``
     :param method: HTTP method
     :param path: path with query below the service
     :param headers: end-to-end headers
     :param body: request body
-    :param level: admission level; lower is more important
+    :param level: priority for admission; lower is more important
     :param once: whether every ancestor runs at most once
     :param remaining_ms: time left until the deadline
-    :param sent_ms: sender's monotonic clock, to detect delay in transit
-    :param retries: retries delegated with this call
+    :param sent_ms: monotonic clock reading of the sender, to detect delay in transit
+    :param retries: number of retries delegated with this call
     :param fingerprint: digest of operation, path and body
     """
 
@@ -66,7 +66,7 @@
 
 
 class Forward(Message, frozen=True):
-    """A request with a key of the receiver, passed to its issuer.
+    """A request forwarded to the node that issued its key.
 
     :param call_id: unique within the link
     :param key: action key in text form
@@ -89,22 +89,22 @@
 
 
 class Answer(Message, frozen=True):
-    """Answer to a call or forward.
+    """Response to a ``Call`` or ``Forward``.
 
     :param call_id: id of the call
     :param outcome: ``completed``, ``not-run`` or ``unknown``
-    :param status: HTTP status where completed
-    :param headers: answer headers
-    :param body: answer body
-    :param body_bytes: length of the body as the sender saw it
-    :param reason: reason where not completed
-    :param detail: detail where not completed
-    :param retries_left: unspent part of the delegated retries
+    :param status: HTTP status if completed
+    :param headers: response headers
+    :param body: response body
+    :param body_bytes: length of the body as set by the sender
+    :param reason: reason if not completed
+    :param detail: detail if not completed
+    :param retries_left: unused part of the delegated retries
     :param refusal_level: admission threshold of the instance
     :param load: load of the instance, 1.0 is full
-    :param own_time_ms: time spent in the instance without its child calls
-    :param chain_level: lowest threshold of the instance and the services its
-        operation calls
+    :param own_time_ms: time spent in the instance, excluding its child calls
+    :param chain_level: lowest admission threshold of the instance and of the
+        services that its operation calls
     """
 
     call_id: int
@@ -123,7 +123,7 @@
 
 
 class Cancel(Message, frozen=True):
-    """The caller gave the call up; drop it unless the target already runs it.
+    """The sender stopped waiting for a call; dropped unless the target runs it.
 
     :param call_id: id of the call
     """
@@ -138,13 +138,13 @@
 
 
 def encode(message: Message) -> bytes:
-    """Return a message in MessagePack form."""
+    """Return the MessagePack encoding of a message."""
     return _encoder.encode(message)
 
 
-def decode_link(data: bytes | memoryview) -> LinkMessage:
+def decode_link_message(data: bytes | memoryview) -> LinkMessage:
     """Return the message of one frame.
 
-    :raises msgspec.DecodeError: if the data is no valid message
+    :raises msgspec.DecodeError: if the data is not a valid message
     """
     return _link_decoder.decode(data)
--- a/tests/test_peerserver.py
+++ b/tests/test_peerserver.py
@@ -94,7 +94,7 @@
         await server.started.wait()
         idle = await connect(server)
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(server.advance, _peerserver.SERVER_IDLE_MS + 1.0)
+            tasks.start_soon(server.advance, _peerserver.SERVER_IDLE_TIMEOUT_MS + 1.0)
             assert await idle.is_closed()
             tasks.cancel_scope.cancel()
         assert not server.cancelled.is_set()
