Use HTTP and socket terms in the listener

Rename the disconnect watch, the listen backlog, the refusal of connections over the limit and the test caller after what they do, and reword comments and one log text. Behaviour is unchanged.

--- a/src/briardock/_address.py
+++ b/src/briardock/_address.py
@@ -1,4 +1,4 @@
-"""Addresses given on the command line."""
+"""Parser for addresses given on the command line."""
 
 from briardock.exceptions import BriardockError
 
@@ -6,7 +6,7 @@
 def parse_address(text: str) -> tuple[str, int]:
     """Return host and port of a ``host:port`` text.
 
-    :raises BriardockError: if it is none
+    :raises BriardockError: if the text is not a valid address
     """
     host, _, port = text.rpartition(":")
     if not host or not port.isascii() or not port.isdigit() or int(port) > 65535:
--- a/src/briardock/_http.py
+++ b/src/briardock/_http.py
@@ -14,8 +14,8 @@
 
 RECEIVE_BYTES = 65_536
 MAX_HEADER_BYTES = 65_536
-# Pause after a failed accept, which fails again at once while the process has
-# no free descriptor.
+# Delay after a failed accept, which fails again immediately while the process has
+# no free file descriptor.
 ACCEPT_RETRY_S = 0.1
 
 AnyListener = (
@@ -30,7 +30,7 @@
     anyio.EndOfStream,
 )
 
-# RFC 9110 section 7.6.1, with the obsolete names that callers still send.
+# RFC 9110 section 7.6.1, and obsolete fields that callers still send.
 HOP_BY_HOP = frozenset(
     (
         b"connection",
@@ -44,44 +44,46 @@
         b"upgrade",
     )
 )
-# Fields that each connection computes itself.
-_OWN = HOP_BY_HOP | {b"content-length"}
-_OWN_OF_REQUEST = _OWN | {b"host", b"expect"}
+# Fields that are not forwarded because each connection sets its own.
+_UNFORWARDED_FIELDS = HOP_BY_HOP | {b"content-length"}
+_UNFORWARDED_REQUEST_FIELDS = _UNFORWARDED_FIELDS | {b"host", b"expect"}
 
 
 def end_to_end(
     headers: Iterable[tuple[bytes, bytes]], *, request: bool
 ) -> list[tuple[bytes, bytes]]:
-    """Return the headers that pass a hop, with names in lower case.
+    """Return the end-to-end headers, with names in lower case.
 
-    Hop-by-hop fields, fields named by ``Connection`` and the framing fields
-    are left out; for a request, so are ``Host`` and ``Expect``.
+    Hop-by-hop fields, fields named by ``Connection`` and ``Content-Length`` are
+    removed; for a request, so are ``Host`` and ``Expect``.
 
     :param headers: fields of one message
     :param request: whether the message is a request
     """
-    own = _OWN_OF_REQUEST if request else _OWN
+    unforwarded = _UNFORWARDED_REQUEST_FIELDS if request else _UNFORWARDED_FIELDS
     kept = []
-    named: set[bytes] = set()
+    connection_options: set[bytes] = set()
     for name, value in headers:
         lower = name.lower()
-        if lower not in own:
+        if lower not in unforwarded:
             kept.append((lower, value))
         elif lower == b"connection":
-            named.update(token.strip().lower() for token in value.split(b","))
-    if named:
-        kept = [field for field in kept if field[0] not in named]
+            connection_options.update(
+                token.strip().lower() for token in value.split(b",")
+            )
+    if connection_options:
+        kept = [field for field in kept if field[0] not in connection_options]
     return kept
 
 
 async def accept_forever(
     listener: AnyListener, handler: StreamHandler, tasks: anyio.abc.TaskGroup
 ) -> None:
-    """Accept connections until cancelled; errors of one accept are logged.
+    """Accept connections until cancelled; log errors of an accept and retry.
 
     :param listener: TCP listener
-    :param handler: serves one connection in a task of its own
-    :param tasks: owner of these tasks
+    :param handler: serves one connection in a separate task
+    :param tasks: task group for the connection tasks
     """
     while True:
         try:
@@ -91,25 +93,27 @@
         await anyio.sleep(ACCEPT_RETRY_S)
 
 
-def accept_queued(
+def accept_backlog(
     listener: AnyListener, handler: StreamHandler, tasks: anyio.abc.TaskGroup
 ) -> None:
-    """Accept the connections that the kernel has established already.
+    """Accept the connections in the listen backlog.
 
-    It would reset them when the listener closes.
+    The kernel resets them when the listener closes.
 
-    :param listener: TCP listener that nothing accepts from any more
-    :param handler: serves one connection in a task of its own
-    :param tasks: owner of these tasks
+    :param listener: TCP listener that no other task accepts from
+    :param handler: serves one connection in a separate task
+    :param tasks: task group for the connection tasks
     """
-    parts = listener.listeners if isinstance(listener, MultiListener) else [listener]
-    for part in parts:
-        raw = part.extra(anyio.abc.SocketAttribute.raw_socket)
+    tcp_listeners = (
+        listener.listeners if isinstance(listener, MultiListener) else [listener]
+    )
+    for tcp_listener in tcp_listeners:
+        raw = tcp_listener.extra(anyio.abc.SocketAttribute.raw_socket)
         while True:
             try:
                 accepted, _ = raw.accept()
             except OSError:
-                # None is queued, or a caller has gone again.
+                # The backlog is empty, or the caller has already disconnected.
                 break
             tasks.start_soon(_serve_socket, accepted, handler)
 
@@ -126,7 +130,7 @@
 
 
 def find_header(headers: Headers, name: bytes) -> bytes | None:
-    """Return the value of the first field of a name.
+    """Return the value of the first field with a name.
 
     :param headers: fields with names in lower case
     :param name: name in lower case
@@ -144,39 +148,39 @@
 
 
 def has_input(stream: anyio.abc.SocketStream) -> bool:
-    """Return whether a stream that nothing reads has input or an end waiting."""
-    if _unread(stream):
+    """Return whether a stream without a reader has unread input or was closed."""
+    if _read_ahead(stream):
         return True
     poll = select.poll()
     poll.register(stream_fd(stream), select.POLLIN | select.POLLRDHUP)
     return bool(poll.poll(0))
 
 
-def _unread(stream: anyio.abc.SocketStream) -> Sequence[bytes]:
-    """Return the chunks that anyio has read ahead; it has no public access."""
+def _read_ahead(stream: anyio.abc.SocketStream) -> Sequence[bytes]:
+    """Return the chunks that anyio has read ahead; it has no public API for them."""
     protocol = getattr(stream, "_protocol", None)
     return getattr(protocol, "read_queue", ())
 
 
 class IdleProbe:
-    """Tells whether an idle connection has input, an end or an error waiting.
+    """Checks whether an idle connection has unread input, was closed or failed.
 
-    :param stream: connection; nothing may read it while it is idle
+    :param stream: connection without a reader while it is idle
     """
 
     def __init__(self, stream: anyio.abc.SocketStream) -> None:
         self._poll = select.poll()
-        # The duplicate stays valid when the transport closes its descriptor.
+        # The duplicate stays valid after the transport closes its descriptor.
         self._fd = os.dup(stream_fd(stream))
         self._poll.register(self._fd, select.POLLIN | select.POLLRDHUP)
-        self._unread = _unread(stream)
+        self._read_ahead = _read_ahead(stream)
 
     def is_quiet(self) -> bool:
-        """Return whether nothing has arrived since the last whole answer."""
-        return not self._unread and not self._poll.poll(0)
+        """Return whether nothing has arrived since the last complete response."""
+        return not self._read_ahead and not self._poll.poll(0)
 
     def close(self) -> None:
-        """Release the duplicate descriptor."""
+        """Close the duplicate descriptor."""
         if self._fd >= 0:
             os.close(self._fd)
             self._fd = -1
--- a/src/briardock/_httpconnection.py
+++ b/src/briardock/_httpconnection.py
@@ -1,4 +1,4 @@
-"""One caller connection of the HTTP server and the messages it carries."""
+"""One caller connection of the HTTP server, its requests and responses."""
 
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
@@ -23,19 +23,19 @@
 HEADERS_TOO_LARGE = 431
 NOT_IMPLEMENTED = 501
 VERSION_NOT_SUPPORTED = 505
-# Time in which the rest of a refused request is read and thrown away, so that
-# a reset does not destroy the answer on its way to the caller.
+# Time to read and discard the rest of a refused request, so that a TCP reset does
+# not discard the response before the caller reads it.
 LINGER_S = 1.0
 
 
 @dataclass(slots=True)
 class HttpRequest:
-    """One whole request.
+    """A complete request.
 
     :param method: HTTP method
     :param path: path with query
     :param headers: end-to-end headers, names in lower case
-    :param body: whole body
+    :param body: complete body
     :param peer: numeric address of the caller, ``host:port``
     """
 
@@ -48,11 +48,11 @@
 
 @dataclass(slots=True)
 class HttpResponse:
-    """One whole answer.
+    """A complete response.
 
     :param status: HTTP status code
     :param headers: end-to-end headers
-    :param body: whole body
+    :param body: complete body
     """
 
     status: int
@@ -64,11 +64,11 @@
 class HttpLimits:
     """Limits of a listener.
 
-    :param max_header_bytes: request line and headers of one request
-    :param max_body_bytes: body of one request
-    :param max_connections: connections open at once
-    :param idle_timeout_s: silence after which a connection is closed, unless
-        its request runs
+    :param max_header_bytes: size of the request line and headers
+    :param max_body_bytes: size of a request body
+    :param max_connections: number of open connections
+    :param idle_timeout_s: time without input after which a connection is closed,
+        unless a request is running
     """
 
     max_header_bytes: int = 32_768
@@ -82,11 +82,11 @@
 
 
 class _Refusal(Exception):
-    """A request that is answered without the handler.
+    """A request that is refused without calling the handler.
 
-    :param reason: typed kind
-    :param detail: what was found
-    :param status: HTTP status where it differs from that of the reason
+    :param reason: reason code
+    :param detail: cause of the refusal
+    :param status: HTTP status if it differs from that of the reason
     """
 
     def __init__(self, reason: Reason, detail: str, status: int = 0) -> None:
@@ -99,10 +99,10 @@
 def refusal_response(
     reason: Reason, detail: str, status: int = 0, outcome: str = "not-run"
 ) -> HttpResponse:
-    """Return the JSON answer of a request that has no answer of a target.
+    """Return the JSON response to a request that has no response of a target.
 
-    :param reason: typed kind
-    :param detail: what was found
+    :param reason: reason code
+    :param detail: cause of the refusal or failure
     :param status: HTTP status, 0 for that of the reason
     :param outcome: ``not-run``, or ``unknown`` if the request may have run
     """
@@ -120,16 +120,16 @@
     return HttpResponse(status or info.status, headers, msgspec.json.encode(fields))
 
 
-def _handler_failed() -> HttpResponse:
+def _handler_error_response() -> HttpResponse:
     # The handler may have dispatched the request before it failed.
     return refusal_response(Reason.INTERNAL, "the handler failed", outcome="unknown")
 
 
 class HttpContext:
-    """What the connections of one listener share.
+    """State shared by the connections of one listener.
 
-    :param handler: makes the answer to one request
-    :param limits: bounds of what callers may use
+    :param handler: returns the response to a request
+    :param limits: limits for callers
     :param metrics: counters
     :param clock: time source
     """
@@ -144,12 +144,12 @@
         self.stopping = False
 
     def count_refusal(self, reason: Reason, detail: str, peer: str) -> None:
-        """Count and log one refused request."""
+        """Count and log a refused request."""
         self.metrics.count(f"listener.refused.{reason.value}")
         emit(Event.HTTP_REQUEST_REFUSED, reason=reason.value, peer=peer, detail=detail)
 
     def count_handler_error(self, where: str, error: Exception) -> None:
-        """Count and log one failure of the handler."""
+        """Count and log an error of the handler."""
         self.metrics.count("listener.handler_errors")
         emit(Event.HTTP_HANDLER_FAILED, where=where, error=repr(error))
 
@@ -167,25 +167,25 @@
         self.active_at_ms = context.clock.now_ms()
         self.running = False
         self.idle = True
-        # No byte has arrived; the caller may have sent its first request already.
+        # No byte has been read yet; the first request may already be in transit.
         self.unused = True
-        self.hung_up = False
+        self.disconnected = False
         self._received_bytes = 0
 
-    def is_silent(self, since_ms: float) -> bool:
-        """Return whether no request runs or arrives.
+    def is_inactive_since(self, since_ms: float) -> bool:
+        """Return whether no request runs and there was no activity since a time.
 
-        :param since_ms: clock reading before which it was last active
+        :param since_ms: clock reading in ms
         """
         if self.running or self.active_at_ms >= since_ms:
             return False
         return not (self.idle and has_input(self._stream))
 
     async def run(self) -> None:
-        """Answer requests until either side closes.
+        """Serve requests until either side closes the connection.
 
-        A request that arrives between the look at the idle connection and its close
-        is still answered.
+        A request that arrives between the idle check of the connection and its close
+        is still served.
         """
         await self._serve_until_cancelled()
         while self.scope.cancelled_caught and self._has_waiting_request():
@@ -195,20 +195,20 @@
     async def _serve_until_cancelled(self) -> None:
         with self.scope:
             try:
-                while await self._serve_one():
+                while await self._serve_request():
                     pass
             except STREAM_ERRORS:
                 if not self.idle:
                     self._context.metrics.count("listener.disconnects")
 
     def _has_waiting_request(self) -> bool:
-        return self.idle and not self.hung_up and has_input(self._stream)
+        return self.idle and not self.disconnected and has_input(self._stream)
 
-    async def _serve_one(self) -> bool:
+    async def _serve_request(self) -> bool:
         """Serve one request; return whether the connection stays open."""
-        # The last answer may not have told the caller that the connection ends.
-        ends = self.idle and self._context.stopping and not self.unused
-        if ends and not self._has_waiting_request():
+        # The last response may have been sent without Connection: close.
+        is_closing = self.idle and self._context.stopping and not self.unused
+        if is_closing and not self._has_waiting_request():
             return False
         try:
             request = await self._read_request()
@@ -216,7 +216,7 @@
             await self._refuse(refusal)
             return False
         except h11.RemoteProtocolError as error:
-            await self._refuse(_malformed(error))
+            await self._refuse(_malformed_request(error))
             return False
         if request is None:
             return False
@@ -227,7 +227,7 @@
         http = self._http
         self._received_bytes = len(http.trailing_data[0])
         head: h11.Request | None = None
-        parts: list[bytes] = []
+        chunks: list[bytes] = []
         size_bytes = 0
         while True:
             event = http.next_event()
@@ -240,23 +240,23 @@
                 fields = event.headers.raw_items()
                 self._check_head(event, fields)
             elif type(event) is h11.Data:
-                parts.append(bytes(event.data))
+                chunks.append(bytes(event.data))
                 size_bytes += len(event.data)
                 if size_bytes > self._context.limits.max_body_bytes:
-                    raise self._too_large()
+                    raise self._body_too_large()
             elif type(event) is h11.EndOfMessage and head is not None:
-                return self._request(head, fields, parts)
+                return self._build_request(head, fields, chunks)
             else:
                 return None
 
-    def _request(
-        self, head: h11.Request, fields: FieldList, parts: list[bytes]
+    def _build_request(
+        self, head: h11.Request, fields: FieldList, chunks: list[bytes]
     ) -> HttpRequest:
         return HttpRequest(
             head.method.decode("ascii"),
             _origin_form(head.target.decode("ascii")),
             tuple(end_to_end(fields, request=True)),
-            b"".join(parts),
+            b"".join(chunks),
             self._peer,
         )
 
@@ -265,7 +265,7 @@
         if not head.http_version.startswith(b"1."):
             detail = f"HTTP version {head.http_version.decode()}"
             raise _Refusal(Reason.BAD_REQUEST, detail, VERSION_NOT_SUPPORTED)
-        # h11 bounds only headers that do not end within one read.
+        # h11 limits only headers that do not end within one read.
         if self._received_bytes > limits.max_header_bytes:
             size_bytes = sum(len(name) + len(value) + 4 for name, value in fields)
             if size_bytes > limits.max_header_bytes:
@@ -274,18 +274,18 @@
         for name, value in fields:
             if len(name) == 14 and name.lower() == b"content-length":
                 if int(value) > limits.max_body_bytes:
-                    raise self._too_large()
+                    raise self._body_too_large()
                 return
 
-    def _too_large(self) -> _Refusal:
+    def _body_too_large(self) -> _Refusal:
         limit_bytes = self._context.limits.max_body_bytes
         return _Refusal(Reason.BODY_TOO_LARGE, f"body exceeds {limit_bytes} bytes")
 
     async def _receive(self) -> None:
         data = await self._stream.receive(RECEIVE_BYTES)
         self._received_bytes += len(data)
-        # A request head has to arrive within the idle timeout as a whole; a
-        # body may take longer as long as it keeps arriving.
+        # A complete request head has to arrive within the idle timeout; a body may
+        # take longer as long as data keeps arriving.
         if self.idle or self._http.their_state is h11.SEND_BODY:
             self.active_at_ms = self._context.clock.now_ms()
         self.idle = self.unused = False
@@ -298,7 +298,7 @@
     async def _run_handler(self, request: HttpRequest) -> HttpResponse:
         context = self._context
         context.metrics.count("listener.requests")
-        if self.hung_up:
+        if self.disconnected:
             context.metrics.count("listener.cancelled")
             raise anyio.EndOfStream
         self.running = True
@@ -306,18 +306,18 @@
             return await context.handler(request)
         except Exception as error:
             context.count_handler_error(request.path, error)
-            return _handler_failed()
+            return _handler_error_response()
         finally:
             self.running = False
             self.active_at_ms = context.clock.now_ms()
 
     async def _respond(self, method: str, response: HttpResponse) -> bool:
-        """Write an answer; return whether the connection stays open."""
+        """Send a response; return whether the connection stays open."""
         try:
             data = self._encode(method, response)
         except (h11.LocalProtocolError, UnicodeError) as error:
-            self._context.count_handler_error("the answer is not valid HTTP", error)
-            await self._stream.send(encode_last(_handler_failed()))
+            self._context.count_handler_error("response is not valid HTTP", error)
+            await self._stream.send(encode_final_response(_handler_error_response()))
             return False
         await self._stream.send(data)
         http = self._http
@@ -351,13 +351,13 @@
     async def _refuse(self, refusal: _Refusal) -> None:
         self._context.count_refusal(refusal.reason, refusal.detail, self._peer)
         response = refusal_response(refusal.reason, refusal.detail, refusal.status)
-        await send_and_linger(self._stream, encode_last(response))
+        await send_and_linger(self._stream, encode_final_response(response))
 
 
-def _malformed(error: h11.RemoteProtocolError) -> _Refusal:
+def _malformed_request(error: h11.RemoteProtocolError) -> _Refusal:
     status = error.error_status_hint
-    kept = status if status in (HEADERS_TOO_LARGE, NOT_IMPLEMENTED) else 0
-    return _Refusal(Reason.BAD_REQUEST, str(error), kept)
+    status_override = status if status in (HEADERS_TOO_LARGE, NOT_IMPLEMENTED) else 0
+    return _Refusal(Reason.BAD_REQUEST, str(error), status_override)
 
 
 def _origin_form(target: str) -> str:
@@ -368,8 +368,8 @@
     return target[slash:] if slash > 0 else "/"
 
 
-def encode_last(response: HttpResponse) -> bytes:
-    """Return the bytes of an answer after which the connection is closed."""
+def encode_final_response(response: HttpResponse) -> bytes:
+    """Return the bytes of a response after which the connection is closed."""
     fields = [*response.headers, (b"connection", b"close")]
     fields.append((b"content-length", b"%d" % len(response.body)))
     event = h11.Response(status_code=response.status, headers=fields)
@@ -378,7 +378,7 @@
 
 
 async def send_and_linger(stream: anyio.abc.SocketStream, data: bytes) -> None:
-    """Send a last answer and discard what the caller still sends."""
+    """Send a final response and discard further input from the caller."""
     with anyio.move_on_after(LINGER_S):
         await stream.send(data)
         await stream.send_eof()
--- a/src/briardock/_sockets.py
+++ b/src/briardock/_sockets.py
@@ -1,4 +1,4 @@
-"""TCP listeners of a process."""
+"""Functions that open TCP listeners."""
 
 import anyio
 import anyio.abc
@@ -11,9 +11,9 @@
     """Bind one TCP listener.
 
     :param host: numeric local address
-    :param port: port, 0 for any free one
-    :param key: name of the setting, for the error
-    :raises SettingsError: if the address is taken or not local
+    :param port: port, 0 for any free port
+    :param key: name of the setting, for the error message
+    :raises SettingsError: if the address is in use or not local
     """
     try:
         multi = await anyio.create_tcp_listener(local_host=host, local_port=port)
--- a/src/briardock/listener.py
+++ b/src/briardock/listener.py
@@ -10,8 +10,8 @@
 from briardock._http import (
     STREAM_ERRORS,
     AnyListener,
+    accept_backlog,
     accept_forever,
-    accept_queued,
     stream_fd,
 )
 from briardock._httpconnection import (
@@ -21,7 +21,7 @@
     HttpLimits,
     HttpRequest,
     HttpResponse,
-    encode_last,
+    encode_final_response,
     refusal_response,
     send_and_linger,
 )
@@ -40,30 +40,30 @@
 ]
 
 SWEEP_PERIOD_S = 0.25
-# Connections beyond the limit that are told so at the same time; the others
-# are closed without an answer.
-MAX_TURNED_AWAY = 64
-# Time after the end of accepting in which the first request of a connection may
-# arrive, s. Its caller connected before the port was closed.
-FIRST_REQUEST_S = 0.1
+# Connections over the limit that are refused with a response at the same time; any
+# others are closed without a response.
+MAX_CONCURRENT_REFUSALS = 64
+# Time for the first request of a connection to arrive after the listener has stopped
+# accepting. The caller connected before the port was closed.
+FIRST_REQUEST_GRACE_S = 0.1
 
 
 class HttpControl:
-    """Graceful stop of one listener."""
+    """Controls the graceful shutdown of one listener."""
 
     def __init__(self) -> None:
         self._stop = anyio.Event()
 
     def stop_accepting(self) -> None:
-        """Accept no more connections and close each one as it becomes idle.
+        """Stop accepting connections and close each open one when it becomes idle.
 
-        Running requests are finished and answered with ``Connection: close``;
+        Requests in flight are finished, with ``Connection: close`` in the response;
         ``serve_http`` returns after the last one.
         """
         self._stop.set()
 
     async def wait_stopped(self) -> None:
-        """Wait until ``stop_accepting`` was called."""
+        """Wait until ``stop_accepting`` is called."""
         await self._stop.wait()
 
 
@@ -71,20 +71,20 @@
     """Connections of one listener."""
 
     def __init__(self, context: HttpContext) -> None:
-        self.hangups = select.epoll()
+        self.disconnect_epoll = select.epoll()
         self._context = context
         self._connections: dict[int, HttpConnection] = {}
-        self._turned_away_count = 0
+        self._refusal_count = 0
 
     async def accept(self, stream: anyio.abc.SocketStream) -> None:
         """Serve one accepted connection."""
         if len(self._connections) >= self._context.limits.max_connections:
-            await self._turn_away(stream)
+            await self._refuse_connection(stream)
             return
         try:
             connection = HttpConnection(self._context, stream)
             fd = stream_fd(stream)
-            self.hangups.register(fd, select.EPOLLRDHUP | select.EPOLLET)
+            self.disconnect_epoll.register(fd, select.EPOLLRDHUP | select.EPOLLET)
         except (OSError, anyio.TypedAttributeLookupError):
             self._context.metrics.count("listener.disconnects")
             await stream.aclose()
@@ -93,79 +93,79 @@
         try:
             await connection.run()
         finally:
-            self._forget(fd, connection)
+            self._unregister(fd, connection)
             with anyio.CancelScope(shield=True):
                 await stream.aclose()
 
-    def _forget(self, fd: int, connection: HttpConnection) -> None:
-        # A transport that failed has closed its descriptor by itself, which
-        # also left the epoll object, and another connection may have it now.
+    def _unregister(self, fd: int, connection: HttpConnection) -> None:
+        # A failed transport has already closed its descriptor, which also removed
+        # it from the epoll object; another connection may use the same number now.
         if self._connections.get(fd) is not connection:
             return
         del self._connections[fd]
         with contextlib.suppress(OSError):
-            self.hangups.unregister(fd)
+            self.disconnect_epoll.unregister(fd)
 
-    async def _turn_away(self, stream: anyio.abc.SocketStream) -> None:
+    async def _refuse_connection(self, stream: anyio.abc.SocketStream) -> None:
         detail = f"more than {self._context.limits.max_connections} connections"
         self._context.count_refusal(Reason.OVERLOADED, detail, "")
-        data = encode_last(refusal_response(Reason.OVERLOADED, detail))
-        self._turned_away_count += 1
+        data = encode_final_response(refusal_response(Reason.OVERLOADED, detail))
+        self._refusal_count += 1
         try:
-            if self._turned_away_count <= MAX_TURNED_AWAY:
+            if self._refusal_count <= MAX_CONCURRENT_REFUSALS:
                 await send_and_linger(stream, data)
         except STREAM_ERRORS:
             self._context.metrics.count("listener.disconnects")
         finally:
-            self._turned_away_count -= 1
+            self._refusal_count -= 1
             with anyio.CancelScope(shield=True):
                 await stream.aclose()
 
-    async def watch_hangups(self) -> None:
-        """Cancel the request of each caller that disconnects.
+    async def watch_disconnects(self) -> None:
+        """Cancel the running request of each caller that disconnects.
 
-        The kernel reports the end of a connection to one epoll object, so a
-        request costs neither a task nor a system call to watch its caller.
+        One epoll object reports all disconnects, so that watching the caller costs
+        a request neither a task nor a system call.
         """
         while True:
-            await anyio.wait_readable(self.hangups.fileno())
-            for fd, _flags in self.hangups.poll(0):
-                self._hang_up(self._connections.get(fd))
+            await anyio.wait_readable(self.disconnect_epoll.fileno())
+            for fd, _flags in self.disconnect_epoll.poll(0):
+                self._handle_disconnect(self._connections.get(fd))
 
-    def _hang_up(self, connection: HttpConnection | None) -> None:
+    def _handle_disconnect(self, connection: HttpConnection | None) -> None:
         if connection is None:
             return
-        connection.hung_up = True
+        connection.disconnected = True
         if connection.running:
             self._context.metrics.count("listener.cancelled")
             connection.scope.cancel()
 
     async def sweep_idle(self) -> None:
-        """Close connections that are silent for too long."""
+        """Close connections that exceed the idle timeout."""
         period_s = min(SWEEP_PERIOD_S, self._context.limits.idle_timeout_s)
         while True:
             await anyio.sleep(period_s)
-            oldest_ms = (
+            cutoff_ms = (
                 self._context.clock.now_ms()
                 - self._context.limits.idle_timeout_s * 1000.0
             )
             for connection in list(self._connections.values()):
-                if connection.is_silent(oldest_ms):
+                if connection.is_inactive_since(cutoff_ms):
                     self._context.metrics.count("listener.idle_closed")
                     connection.scope.cancel()
 
     async def close_idle(self) -> None:
-        """Close the connections that wait for a request, the unused ones last."""
+        """Close the idle connections; those without any request yet are closed last."""
         self._close_idle(unused=False)
         if any(connection.unused for connection in self._connections.values()):
-            await anyio.sleep(FIRST_REQUEST_S)
+            await anyio.sleep(FIRST_REQUEST_GRACE_S)
             self._close_idle(unused=True)
 
     def _close_idle(self, unused: bool) -> None:
         for connection in list(self._connections.values()):
             if connection.unused is not unused:
                 continue
-            if connection.is_silent(math.inf) and connection.idle:
+            if connection.is_inactive_since(math.inf) and connection.idle:
                 connection.scope.cancel()
 
 
@@ -177,26 +177,26 @@
     control: HttpControl | None = None,
     clock: Clock | None = None,
 ) -> None:
-    """Serve HTTP/1.1 until cancelled or until the control has stopped it.
+    """Serve HTTP/1.1 until cancelled or until ``control`` has stopped it.
 
-    The handler is cancelled when its caller closes the connection, also if it
-    closes only the sending half. An exception in the handler gives 500
-    ``internal-error`` with outcome ``unknown``.
+    The handler is cancelled when its caller closes the connection, or only its
+    sending half. An exception in the handler gives status 500, ``internal-error``,
+    with the outcome ``unknown``.
 
     :param listener: TCP listener; closed on return
-    :param handler: makes the answer to one request
-    :param limits: bounds of what callers may use
+    :param handler: returns the response to a request
+    :param limits: limits for callers
     :param metrics: counters
-    :param control: graceful stop
+    :param control: graceful shutdown of the listener
     :param clock: time source of the idle timeout
     """
     control = control or HttpControl()
     context = HttpContext(handler, limits, metrics, clock or SystemClock())
     server = _Server(context)
     try:
-        async with anyio.create_task_group() as helpers:
-            helpers.start_soon(server.watch_hangups)
-            helpers.start_soon(server.sweep_idle)
+        async with anyio.create_task_group() as background_tasks:
+            background_tasks.start_soon(server.watch_disconnects)
+            background_tasks.start_soon(server.sweep_idle)
             async with anyio.create_task_group() as connections:
                 async with anyio.create_task_group() as accepting:
                     accepting.start_soon(
@@ -205,11 +205,11 @@
                     await control.wait_stopped()
                     context.stopping = True
                     accepting.cancel_scope.cancel()
-                accept_queued(listener, server.accept, connections)
+                accept_backlog(listener, server.accept, connections)
                 await listener.aclose()
                 await server.close_idle()
-            helpers.cancel_scope.cancel()
+            background_tasks.cancel_scope.cancel()
     finally:
-        server.hangups.close()
+        server.disconnect_epoll.close()
         with anyio.CancelScope(shield=True):
             await listener.aclose()
--- a/tests/listener_fakes.py
+++ b/tests/listener_fakes.py
@@ -1,4 +1,4 @@
-"""A listener under test and a caller that speaks HTTP by hand."""
+"""A running listener and a caller that sends and reads raw HTTP."""
 
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
@@ -28,7 +28,7 @@
 
 @dataclass
 class Server:
-    """A running listener and what its handler saw."""
+    """A running listener and the requests that its handler received."""
 
     port: int = 0
     requests: list[HttpRequest] = field(default_factory=list)
@@ -46,7 +46,7 @@
             case "/wait":
                 await self._wait()
             case "/fail":
-                raise ValueError("fault in the handler")
+                raise ValueError("handler error")
             case "/invalid":
                 return HttpResponse(200, ((b"x", b"a\r\nb: c"),))
             case "/length":
@@ -91,8 +91,8 @@
 
 
 @dataclass
-class Answer:
-    """One parsed answer."""
+class Response:
+    """A parsed response."""
 
     status: int
     headers: dict[str, str]
@@ -100,30 +100,30 @@
 
 
 class Caller:
-    """Plain socket that speaks HTTP by hand."""
+    """Connection that sends and reads raw HTTP."""
 
     def __init__(self, stream: anyio.abc.SocketStream) -> None:
         self.stream = stream
         self.buffer = b""
 
-    async def read_until(self, mark: bytes) -> bytes:
-        while mark not in self.buffer:
+    async def read_until(self, delimiter: bytes) -> bytes:
+        while delimiter not in self.buffer:
             self.buffer += await self.stream.receive()
-        head, self.buffer = self.buffer.split(mark, 1)
+        head, self.buffer = self.buffer.split(delimiter, 1)
         return head
 
-    async def answer(self, has_body: bool = True) -> Answer:
+    async def read_response(self, has_body: bool = True) -> Response:
         lines = (await self.read_until(b"\r\n\r\n")).decode().split("\r\n")
         headers = dict(line.lower().split(": ", 1) for line in lines[1:])
         size_bytes = int(headers.get("content-length", 0)) if has_body else 0
         while len(self.buffer) < size_bytes:
             self.buffer += await self.stream.receive()
         body, self.buffer = self.buffer[:size_bytes], self.buffer[size_bytes:]
-        return Answer(int(lines[0].split(" ")[1]), headers, body)
+        return Response(int(lines[0].split(" ")[1]), headers, body)
 
-    async def ask(self, data: bytes) -> Answer:
+    async def send_request(self, data: bytes) -> Response:
         await self.stream.send(data)
-        return await self.answer()
+        return await self.read_response()
 
     async def is_closed(self) -> bool:
         try:
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -44,23 +44,23 @@
         ),
     ],
 )
-async def test_request_is_answered_and_connection_kept(data: bytes, body: bytes):
-    """Guards against misread framing and needless closing of connections."""
+async def test_connection_is_kept_after_a_response(data: bytes, body: bytes):
+    """Guards against misread framing and unnecessary closing of connections."""
     async with running() as server:
         caller = await connect(server)
         for _ in range(150):
-            answer = await caller.ask(data)
-            assert (answer.status, answer.body) == (200, body)
-            assert answer.headers["x-seen"] == "1"
-            assert "connection" not in answer.headers
+            response = await caller.send_request(data)
+            assert (response.status, response.body) == (200, body)
+            assert response.headers["x-seen"] == "1"
+            assert "connection" not in response.headers
         assert len(server.requests) == 150
 
 
 async def test_request_fields():
-    """Guards against hop-by-hop fields that reach the target."""
+    """Guards against forwarding hop-by-hop fields to the target."""
     async with running() as server:
         caller = await connect(server)
-        await caller.ask(
+        await caller.send_request(
             b"GET http://h:1/p?q=1 HTTP/1.1\r\nHost: x\r\nConnection: X-Hop\r\n"
             b"X-Hop: 1\r\nKeep-Alive: 5\r\nAccept: */*\r\n\r\n"
         )
@@ -70,41 +70,41 @@
         assert request.peer.startswith("127.0.0.1:")
 
 
-async def test_pipelined_requests_are_answered_in_order():
-    """Guards against a second request lost in the first one's read."""
+async def test_pipelined_requests_are_served_in_order():
+    """Guards against losing a request that is read together with the previous one."""
     async with running() as server:
         caller = await connect(server)
-        first = await caller.ask(GET + GET.replace(b"GET", b"PUT"))
-        second = await caller.answer()
+        first = await caller.send_request(GET + GET.replace(b"GET", b"PUT"))
+        second = await caller.read_response()
         assert (first.body, second.body) == (b"GET", b"PUT")
 
 
 @pytest.mark.parametrize(
     ("path", "expected"), [(b"/length", "9"), (b"/a", None), (b"/no-content", None)]
 )
-async def test_answer_without_body(path: bytes, expected: str | None):
-    """Guards against a body after HEAD or 204, which shifts the next answer."""
+async def test_response_without_body(path: bytes, expected: str | None):
+    """Guards against a body after HEAD or 204, which corrupts the next response."""
     async with running() as server:
         caller = await connect(server)
         await caller.stream.send(b"HEAD " + path + b" HTTP/1.1\r\nHost: x\r\n\r\n")
-        head = await caller.answer(has_body=False)
+        head = await caller.read_response(has_body=False)
         assert head.headers.get("content-length") == expected
         await caller.stream.send(b"GET /no-content HTTP/1.1\r\nHost: x\r\n\r\n")
-        empty = await caller.answer()
+        empty = await caller.read_response()
         assert (empty.status, "content-length" in empty.headers) == (204, False)
-        assert (await caller.ask(GET)).body == b"GET"
+        assert (await caller.send_request(GET)).body == b"GET"
 
 
 async def test_expect_continue():
-    """Guards against callers that wait in vain for 100 Continue."""
+    """Guards against callers that never receive 100 Continue."""
     async with running() as server:
         caller = await connect(server)
-        interim = await caller.ask(
+        interim = await caller.send_request(
             b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n"
             b"Expect: 100-continue\r\n\r\n"
         )
         assert interim.status == 100
-        assert (await caller.ask(b"ab")).body == b"POSTab"
+        assert (await caller.send_request(b"ab")).body == b"POSTab"
 
 
 @pytest.mark.parametrize(
@@ -164,20 +164,22 @@
         ),
     ],
 )
-async def test_bad_request_gets_typed_answer(data: bytes, status: int, reason: str):
-    """Guards against bad input that kills the process or gets no answer."""
+async def test_bad_request_gets_a_response_with_reason(
+    data: bytes, status: int, reason: str
+):
+    """Guards against bad input that stops the process or gets no response."""
     async with running() as server:
         caller = await connect(server)
-        answer = await caller.ask(data)
-        shown = json.loads(answer.body)
-        assert (answer.status, shown["reason"]) == (status, reason)
-        assert shown["outcome"] == answer.headers["briardock-outcome"] == "not-run"
-        assert shown["remedy"]
-        assert answer.headers["connection"] == "close"
+        response = await caller.send_request(data)
+        payload = json.loads(response.body)
+        assert (response.status, payload["reason"]) == (status, reason)
+        assert payload["outcome"] == response.headers["briardock-outcome"] == "not-run"
+        assert payload["remedy"]
+        assert response.headers["connection"] == "close"
         assert await caller.is_closed()
         assert server.metrics.counters[f"listener.refused.{reason}"] == 1
         assert server.requests == []
-        assert (await (await connect(server)).ask(GET)).status == 200
+        assert (await (await connect(server)).send_request(GET)).status == 200
 
 
 async def test_too_many_connections():
@@ -185,50 +187,52 @@
     async with running() as server:
         callers = [await connect(server) for _ in range(LIMITS.max_connections)]
         for caller in callers:
-            await caller.ask(GET)
-        refused = await (await connect(server)).answer()
+            await caller.send_request(GET)
+        refused = await (await connect(server)).read_response()
         assert refused.status == 503
         assert json.loads(refused.body)["reason"] == "overloaded"
         await callers[0].stream.aclose()
-        while (await (await connect(server)).ask(GET)).status != 200:
+        while (await (await connect(server)).send_request(GET)).status != 200:
             await anyio.sleep(0.01)
 
 
 @pytest.mark.parametrize("path", [b"/fail", b"/invalid"])
-async def test_handler_fault_gives_unknown(path: bytes):
+async def test_handler_error_gives_unknown(path: bytes):
     """Guards against "not run" for a request that the handler dispatched."""
     async with running() as server:
         caller = await connect(server)
-        answer = await caller.ask(b"GET " + path + b" HTTP/1.1\r\nHost: x\r\n\r\n")
-        shown = json.loads(answer.body)
-        assert answer.status == 500
-        assert (shown["outcome"], shown["reason"]) == ("unknown", "internal-error")
+        response = await caller.send_request(
+            b"GET " + path + b" HTTP/1.1\r\nHost: x\r\n\r\n"
+        )
+        payload = json.loads(response.body)
+        assert response.status == 500
+        assert (payload["outcome"], payload["reason"]) == ("unknown", "internal-error")
         assert server.metrics.counters["listener.handler_errors"] == 1
-        assert (await (await connect(server)).ask(GET)).status == 200
+        assert (await (await connect(server)).send_request(GET)).status == 200
 
 
-@pytest.mark.parametrize("half", [False, True])
-async def test_disconnect_cancels_handler(half: bool):
-    """Guards against work for callers that are gone."""
+@pytest.mark.parametrize("half_close", [False, True])
+async def test_disconnect_cancels_handler(half_close: bool):
+    """Guards against running requests of callers that have disconnected."""
     async with running() as server:
         caller = await connect(server)
         other = await connect(server)
         await caller.stream.send(b"GET /wait HTTP/1.1\r\nHost: x\r\n\r\n")
         await server.started.wait()
-        if half:
+        if half_close:
             await caller.stream.send_eof()
         else:
             await caller.stream.aclose()
         await server.cancelled.wait()
         assert server.metrics.counters["listener.cancelled"] == 1
-        assert (await other.ask(GET)).status == 200
+        assert (await other.send_request(GET)).status == 200
 
 
-async def test_request_of_vanished_caller_is_not_started():
-    """Guards against work for callers that left before their request was read."""
+async def test_request_of_disconnected_caller_is_not_started():
+    """Guards against running a request whose caller disconnected before it was read."""
     async with running() as server:
         caller = await connect(server)
-        await caller.ask(GET)
+        await caller.send_request(GET)
         second = GET.replace(b"GET", b"PUT")
         await caller.stream.send(b"GET /wait HTTP/1.1\r\nHost: x\r\n\r\n" + second)
         await server.started.wait()
@@ -242,7 +246,7 @@
     """Guards against requests interrupted by a graceful shutdown."""
     async with running() as server:
         idle = await connect(server)
-        await idle.ask(GET)
+        await idle.send_request(GET)
         busy = await connect(server)
         await busy.stream.send(b"GET /wait HTTP/1.1\r\nHost: x\r\n\r\n")
         await server.started.wait()
@@ -252,22 +256,22 @@
             await connect(server)
         assert not server.returned.is_set()
         server.release.set()
-        answer = await busy.answer()
-        assert (answer.status, answer.headers["connection"]) == (200, "close")
+        response = await busy.read_response()
+        assert (response.status, response.headers["connection"]) == (200, "close")
         assert await busy.is_closed()
         await server.returned.wait()
 
 
 async def test_stop_serves_request_that_has_arrived():
-    """Guards against requests lost in the input of a connection closed as idle."""
+    """Guards against losing unread requests of a connection that is closed as idle."""
     async with running() as server:
         caller = await connect(server)
-        await caller.ask(GET)
-        # A plain send gives the listener no turn before it is stopped.
+        await caller.send_request(GET)
+        # A synchronous write does not let the listener run before it is stopped.
         raw = caller.stream.extra(anyio.abc.SocketAttribute.raw_socket)
         os.write(raw.fileno(), GET)
         server.control.stop_accepting()
-        assert (await caller.answer()).status == 200
+        assert (await caller.read_response()).status == 200
         assert await caller.is_closed()
         await server.returned.wait()
 
@@ -275,41 +279,42 @@
 async def test_stop_serves_request_that_arrives_as_its_connection_is_closed(
     monkeypatch: pytest.MonkeyPatch,
 ):
-    """Guards against a request lost between the look at an idle connection and its
-    close, which are turns of the event loop apart; a caller was told nothing.
+    """Guards against losing a request that arrives between the idle check of a
+    connection and its close, which run in different iterations of the event loop.
+    The caller got no response.
     """
     async with running() as server:
         caller = await connect(server)
-        await caller.ask(GET)
+        await caller.send_request(GET)
         raw = caller.stream.extra(anyio.abc.SocketAttribute.raw_socket)
 
-        def look_then_send(stream: anyio.abc.SocketStream) -> bool:
+        def check_then_send(stream: anyio.abc.SocketStream) -> bool:
             monkeypatch.setattr("briardock._httpconnection.has_input", has_input)
             found = has_input(stream)
             os.write(raw.fileno(), GET)
             return found
 
-        monkeypatch.setattr("briardock._httpconnection.has_input", look_then_send)
+        monkeypatch.setattr("briardock._httpconnection.has_input", check_then_send)
         server.control.stop_accepting()
-        answer = await caller.answer()
-        assert (answer.status, answer.headers["connection"]) == (200, "close")
+        response = await caller.read_response()
+        assert (response.status, response.headers["connection"]) == (200, "close")
         assert await caller.is_closed()
         await server.returned.wait()
 
 
-async def test_stop_serves_request_sent_after_an_answer_that_did_not_say_close(
+async def test_stop_serves_request_sent_after_a_keep_alive_response(
     monkeypatch: pytest.MonkeyPatch,
 ):
-    """Guards against a close right after an answer that kept the connection open."""
+    """Guards against closing right after a response that kept the connection open."""
     async with running() as server:
         caller = await connect(server)
         raw = caller.stream.extra(anyio.abc.SocketAttribute.raw_socket)
         respond = HttpConnection._respond
 
         async def stop_after(
-            connection: HttpConnection, method: str, response: HttpResponse
+            connection: HttpConnection, method: str, http_response: HttpResponse
         ) -> bool:
-            kept = await respond(connection, method, response)
+            kept = await respond(connection, method, http_response)
             if len(server.requests) == 1:
                 os.write(raw.fileno(), GET)
                 server.control.stop_accepting()
@@ -318,27 +323,27 @@
             return kept
 
         monkeypatch.setattr(HttpConnection, "_respond", stop_after)
-        assert (await caller.ask(GET)).status == 200
-        answer = await caller.answer()
-        assert (answer.status, answer.headers["connection"]) == (200, "close")
+        assert (await caller.send_request(GET)).status == 200
+        response = await caller.read_response()
+        assert (response.status, response.headers["connection"]) == (200, "close")
         await server.returned.wait()
 
 
-async def test_stop_serves_callers_whose_connection_was_not_accepted_yet():
+async def test_stop_serves_connections_in_the_listen_backlog():
     """Guards against resets of connections that the kernel had established."""
     async with running() as server:
-        # A plain socket gives the listener no turn before it is stopped.
+        # A blocking socket does not let the listener run before it is stopped.
         with socket.create_connection((HOST, server.port)) as raw:
             raw.sendall(GET)
             server.control.stop_accepting()
             raw.setblocking(False)
             stream = await anyio.abc.SocketStream.from_socket(raw.dup())
-            answer = await Caller(stream).answer()
-            assert (answer.status, answer.headers["connection"]) == (200, "close")
+            response = await Caller(stream).read_response()
+            assert (response.status, response.headers["connection"]) == (200, "close")
             await server.returned.wait()
 
 
-async def test_stop_awaits_the_first_request_of_a_connection_shortly():
+async def test_stop_waits_for_the_first_request_of_a_connection():
     """Guards against resets of callers that connected just before the stop."""
     async with running() as server:
         caller = await connect(server)
@@ -346,7 +351,7 @@
         await anyio.sleep(0.02)
         server.control.stop_accepting()
         await anyio.sleep(0.02)
-        assert (await caller.ask(GET)).status == 200
+        assert (await caller.send_request(GET)).status == 200
         assert await unused.is_closed()
         await server.returned.wait()
 
@@ -360,10 +365,10 @@
     ],
 )
 async def test_idle_timeout(sent: bytes, closes: bool):
-    """Guards against silent connections that use up the limit."""
+    """Guards against idle connections that use up the connection limit."""
     async with running() as server:
         caller = await connect(server)
-        await caller.ask(GET)
+        await caller.send_request(GET)
         if sent:
             await caller.stream.send(sent)
         async with anyio.create_task_group() as tasks:
@@ -378,11 +383,11 @@
             tasks.cancel_scope.cancel()
         if not closes:
             server.release.set()
-            assert (await caller.answer()).status == 200
+            assert (await caller.read_response()).status == 200
 
 
 class FailingListener(anyio.abc.Listener[anyio.abc.SocketStream]):
-    """Listener whose first serve ends as if no descriptor were free."""
+    """Listener whose first ``serve`` fails with EMFILE."""
 
     def __init__(self, inner: anyio.abc.Listener) -> None:
         self.inner = inner
@@ -399,40 +404,40 @@
 
 
 async def test_failed_accept_is_retried():
-    """Guards against a listener that ends when descriptors run out."""
+    """Guards against a listener that stops when file descriptors run out."""
     async with running(FailingListener) as server:
-        assert (await (await connect(server)).ask(GET)).status == 200
+        assert (await (await connect(server)).send_request(GET)).status == 200
 
 
 @pytest.mark.parametrize(
-    ("act", "expected"),
+    ("action", "expected"),
     [
-        pytest.param("none", False, id="quiet"),
-        pytest.param("write", True, id="input-in-the-kernel"),
-        pytest.param("close", True, id="end"),
+        pytest.param("none", False, id="no-input"),
+        pytest.param("write", True, id="input-in-socket-buffer"),
+        pytest.param("close", True, id="closed"),
         pytest.param("read-ahead", True, id="input-read-ahead"),
     ],
 )
-async def test_has_input(act: str, expected: bool):
+async def test_has_input(action: str, expected: bool):
     """Guards against closing or reusing a connection that has unread input."""
     listener = await anyio.create_tcp_listener(local_host=HOST)
     port = listener.extra(anyio.abc.SocketAttribute.local_port)
     near = await anyio.connect_tcp(HOST, port)
     far = await listener.listeners[0].accept()
     async with near, far, listener:
-        if act in ("write", "read-ahead"):
+        if action in ("write", "read-ahead"):
             os.write(stream_fd(far), b"ab")
-        if act == "read-ahead":
+        if action == "read-ahead":
             await near.receive(1)
-        if act == "close":
+        if action == "close":
             await far.aclose()
         assert has_input(near) is expected
 
 
 @settings(max_examples=40, deadline=None)
 @given(data=st.binary(max_size=300), prefix=st.sampled_from([b"", GET, GET[:-2]]))
-def test_any_input_leaves_the_listener_serving(data: bytes, prefix: bytes):
-    """Guards against input that stops the process or another caller's request."""
+def test_listener_survives_any_input(data: bytes, prefix: bytes):
+    """Guards against input that stops the process or the requests of other callers."""
 
     async def run() -> None:
         async with running() as server:
@@ -442,6 +447,6 @@
                 await caller.stream.send_eof()
             while not await caller.is_closed():
                 pass
-            assert (await (await connect(server)).ask(GET)).status == 200
+            assert (await (await connect(server)).send_request(GET)).status == 200
 
     anyio.run(run, backend_options={"use_uvloop": True})
