--- a/src/briardock/_link.py
+++ b/src/briardock/_link.py
@@ -27,7 +27,7 @@
 
 
 class LinkOwner(Protocol):
-    """Attributes that a link uses of the object that started it."""
+    """Interface that a link requires of the object that started it."""
 
     hello_frame: bytes
     clock: Clock
--- a/tests/listener_fakes.py
+++ b/tests/listener_fakes.py
@@ -77,7 +77,7 @@
 
 
 @asynccontextmanager
-async def running(
+async def running_listener(
     wrap: Callable[[anyio.abc.Listener], anyio.abc.Listener] = lambda inner: inner,
 ) -> AsyncIterator[Server]:
     server = Server()
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -14,7 +14,7 @@
 
 from briardock._http import has_input, stream_fd
 from briardock._httpconnection import HttpConnection, HttpResponse
-from listener_fakes import GET, HOST, LIMITS, Caller, connect, running
+from listener_fakes import GET, HOST, LIMITS, Caller, connect, running_listener
 
 pytestmark = pytest.mark.anyio
 
@@ -46,7 +46,7 @@
 )
 async def test_connection_is_kept_after_a_response(data: bytes, body: bytes):
     """Guards against misread framing and unnecessary closing of connections."""
-    async with running() as server:
+    async with running_listener() as server:
         caller = await connect(server)
         for _ in range(150):
             response = await caller.send_request(data)
@@ -58,7 +58,7 @@
 
 async def test_request_fields():
     """Guards against forwarding hop-by-hop fields to the target."""
-    async with running() as server:
+    async with running_listener() as server:
         caller = await connect(server)
         await caller.send_request(
             b"GET http://h:1/p?q=1 HTTP/1.1\r\nHost: x\r\nConnection: X-Hop\r\n"
@@ -72,7 +72,7 @@
 
 async def test_pipelined_requests_are_served_in_order():
     """Guards against losing a request that is read together with the previous one."""
-    async with running() as server:
+    async with running_listener() as server:
         caller = await connect(server)
         first = await caller.send_request(GET + GET.replace(b"GET", b"PUT"))
         second = await caller.read_response()
@@ -84,7 +84,7 @@
 )
 async def test_response_without_body(path: bytes, expected: str | None):
     """Guards against a body after HEAD or 204, which corrupts the next response."""
-    async with running() as server:
+    async with running_listener() as server:
         caller = await connect(server)
         await caller.stream.send(b"HEAD " + path + b" HTTP/1.1\r\nHost: x\r\n\r\n")
         head = await caller.read_response(has_body=False)
@@ -97,7 +97,7 @@
 
 async def test_expect_continue():
     """Guards against callers that never receive 100 Continue."""
-    async with running() as server:
+    async with running_listener() as server:
         caller = await connect(server)
         interim = await caller.send_request(
             b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n"
@@ -141,7 +141,7 @@
             b"GET / HTTP/1.1\r\nHost: x\r\nA: " + b"a" * 2_000 + b"\r\n\r\n",
             431,
             "bad-request",
-            id="whole-header-too-large",
+            id="complete-header-too-large",
         ),
         pytest.param(
             b"GET / HTTP/1.1\r\nA: " + b"a" * 5_000,
@@ -168,7 +168,7 @@
     data: bytes, status: int, reason: str
 ):
     """Guards against bad input that stops the process or gets no response."""
-    async with running() as server:
+    async with running_listener() as server:
         caller = await connect(server)
         response = await caller.send_request(data)
         payload = json.loads(response.body)
@@ -184,7 +184,7 @@
 
 async def test_too_many_connections():
     """Guards against callers that wait for a connection that is never served."""
-    async with running() as server:
+    async with running_listener() as server:
         callers = [await connect(server) for _ in range(LIMITS.max_connections)]
         for caller in callers:
             await caller.send_request(GET)
@@ -199,7 +199,7 @@
 @pytest.mark.parametrize("path", [b"/fail", b"/invalid"])
 async def test_handler_error_gives_unknown(path: bytes):
     """Guards against "not run" for a request that the handler dispatched."""
-    async with running() as server:
+    async with running_listener() as server:
         caller = await connect(server)
         response = await caller.send_request(
             b"GET " + path + b" HTTP/1.1\r\nHost: x\r\n\r\n"
@@ -214,7 +214,7 @@
 @pytest.mark.parametrize("half_close", [False, True])
 async def test_disconnect_cancels_handler(half_close: bool):
     """Guards against running requests of callers that have disconnected."""
-    async with running() as server:
+    async with running_listener() as server:
         caller = await connect(server)
         other = await connect(server)
         await caller.stream.send(b"GET /wait HTTP/1.1\r\nHost: x\r\n\r\n")
@@ -230,7 +230,7 @@
 
 async def test_request_of_disconnected_caller_is_not_started():
     """Guards against running a request whose caller disconnected before it was read."""
-    async with running() as server:
+    async with running_listener() as server:
         caller = await connect(server)
         await caller.send_request(GET)
         second = GET.replace(b"GET", b"PUT")
@@ -244,7 +244,7 @@
 
 async def test_stop_finishes_running_requests_and_closes_idle_connections():
     """Guards against requests interrupted by a graceful shutdown."""
-    async with running() as server:
+    async with running_listener() as server:
         idle = await connect(server)
         await idle.send_request(GET)
         busy = await connect(server)
@@ -264,7 +264,7 @@
 
 async def test_stop_serves_request_that_has_arrived():
     """Guards against losing unread requests of a connection that is closed as idle."""
-    async with running() as server:
+    async with running_listener() as server:
         caller = await connect(server)
         await caller.send_request(GET)
         # A synchronous write does not let the listener run before it is stopped.
@@ -283,7 +283,7 @@
     connection and its close, which run in different iterations of the event loop.
     The caller got no response.
     """
-    async with running() as server:
+    async with running_listener() as server:
         caller = await connect(server)
         await caller.send_request(GET)
         raw = caller.stream.extra(anyio.abc.SocketAttribute.raw_socket)
@@ -306,7 +306,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ):
     """Guards against closing right after a response that kept the connection open."""
-    async with running() as server:
+    async with running_listener() as server:
         caller = await connect(server)
         raw = caller.stream.extra(anyio.abc.SocketAttribute.raw_socket)
         respond = HttpConnection._respond
@@ -331,7 +331,7 @@
 
 async def test_stop_serves_connections_in_the_listen_backlog():
     """Guards against resets of connections that the kernel had established."""
-    async with running() as server:
+    async with running_listener() as server:
         # A blocking socket does not let the listener run before it is stopped.
         with socket.create_connection((HOST, server.port)) as raw:
             raw.sendall(GET)
@@ -345,7 +345,7 @@
 
 async def test_stop_waits_for_the_first_request_of_a_connection():
     """Guards against resets of callers that connected just before the stop."""
-    async with running() as server:
+    async with running_listener() as server:
         caller = await connect(server)
         unused = await connect(server)
         await anyio.sleep(0.02)
@@ -366,7 +366,7 @@
 )
 async def test_idle_timeout(sent: bytes, closes: bool):
     """Guards against idle connections that use up the connection limit."""
-    async with running() as server:
+    async with running_listener() as server:
         caller = await connect(server)
         await caller.send_request(GET)
         if sent:
@@ -405,7 +405,7 @@
 
 async def test_failed_accept_is_retried():
     """Guards against a listener that stops when file descriptors run out."""
-    async with running(FailingListener) as server:
+    async with running_listener(FailingListener) as server:
         assert (await (await connect(server)).send_request(GET)).status == 200
 
 
@@ -422,16 +422,16 @@
     """Guards against closing or reusing a connection that has unread input."""
     listener = await anyio.create_tcp_listener(local_host=HOST)
     port = listener.extra(anyio.abc.SocketAttribute.local_port)
-    near = await anyio.connect_tcp(HOST, port)
-    far = await listener.listeners[0].accept()
-    async with near, far, listener:
+    client_stream = await anyio.connect_tcp(HOST, port)
+    server_stream = await listener.listeners[0].accept()
+    async with client_stream, server_stream, listener:
         if action in ("write", "read-ahead"):
-            os.write(stream_fd(far), b"ab")
+            os.write(stream_fd(server_stream), b"ab")
         if action == "read-ahead":
-            await near.receive(1)
+            await client_stream.receive(1)
         if action == "close":
-            await far.aclose()
-        assert has_input(near) is expected
+            await server_stream.aclose()
+        assert has_input(client_stream) is expected
 
 
 @settings(max_examples=40, deadline=None)
@@ -440,7 +440,7 @@
     """Guards against input that stops the process or the requests of other callers."""
 
     async def run() -> None:
-        async with running() as server:
+        async with running_listener() as server:
             caller = await connect(server)
             with contextlib.suppress(anyio.BrokenResourceError):
                 await caller.stream.send(prefix + data)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -208,15 +208,15 @@
 @pytest.mark.parametrize("by_deadline", [True, False])
 async def test_cancel_is_sent(by_deadline: bool):
     """Guards against a peer that keeps running a call nobody waits for."""
-    seen: list[LinkMessage] = []
+    received_messages: list[LinkMessage] = []
     received = anyio.Event()
     cancelled = anyio.Event()
 
     @with_handshake
     async def script(peer: FramePeer) -> None:
-        seen.append(await peer.receive())
+        received_messages.append(await peer.receive())
         received.set()
-        seen.append(await peer.receive())
+        received_messages.append(await peer.receive())
         cancelled.set()
 
     async with client_for(script) as client:
@@ -230,27 +230,27 @@
                 await received.wait()
                 tasks.cancel_scope.cancel()
         await cancelled.wait()
-        call = seen[0]
+        call = received_messages[0]
         assert isinstance(call, Call)
-        assert seen[1] == Cancel(call.call_id)
+        assert received_messages[1] == Cancel(call.call_id)
 
 
 async def test_call_fields_are_set_when_sent():
     """Guards against stale times in calls that waited for the handshake."""
-    seen: list[LinkMessage] = []
+    received_messages: list[LinkMessage] = []
 
     @with_handshake
     async def script(peer: FramePeer) -> None:
         while True:
             call = await peer.receive()
-            seen.append(call)
+            received_messages.append(call)
             await peer.send(response_to(call.call_id))
 
     async with client_for(script) as client:
         client.clock.advance(1_000.0)
         await client.call(CALL, 400.0)
         await client.call(FORWARD, 300.0)
-    call, forward = seen
+    call, forward = received_messages
     assert call == msgspec.structs.replace(
         CALL, call_id=call.call_id, remaining_ms=400.0, sent_ms=1_000.0
     )
@@ -262,20 +262,20 @@
 
 async def test_peer_that_does_not_read():
     """Guards against a blocked peer that delays its callers or calls to other peers."""
-    big = msgspec.structs.replace(CALL, body=b"x" * 15_000_000)
+    large_call = msgspec.structs.replace(CALL, body=b"x" * 15_000_000)
 
     @with_handshake
-    async def stuck(peer: FramePeer) -> None:
+    async def blocked_peer(peer: FramePeer) -> None:
         await anyio.sleep_forever()
 
     results: list[Answer | LinkFailure] = []
-    async with client_for(stuck) as client, client_for(echo) as other:
+    async with client_for(blocked_peer) as client, client_for(echo) as other:
 
         async def call(message: Call) -> None:
             results.append(await client.call(message, 2 * SHORT_MS))
 
         async with anyio.create_task_group() as tasks:
-            for message in (big, big, CALL, big):
+            for message in (large_call, large_call, CALL, large_call):
                 tasks.start_soon(call, message)
             await anyio.sleep(0.05)
             # The same links object calls another peer at the same time.
@@ -288,20 +288,20 @@
 
 async def test_call_behind_a_stalled_frame_is_not_sent():
     """Guards against writing a queued frame after a partly written, cancelled one."""
-    big = msgspec.structs.replace(CALL, body=b"x" * 15_000_000)
+    large_call = msgspec.structs.replace(CALL, body=b"x" * 15_000_000)
 
     @with_handshake
-    async def stuck(peer: FramePeer) -> None:
+    async def blocked_peer(peer: FramePeer) -> None:
         await anyio.sleep_forever()
 
     results: dict[str, Answer | LinkFailure] = {}
-    async with client_for(stuck) as client:
+    async with client_for(blocked_peer) as client:
 
         async def call(name: str, message: Call, remaining_ms: float) -> None:
             results[name] = await client.call(message, remaining_ms)
 
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(call, "stalled", big, SHORT_MS)
+            tasks.start_soon(call, "stalled", large_call, SHORT_MS)
             await anyio.sleep(0.05)
             tasks.start_soon(call, "queued", CALL, 2 * SHORT_MS)
             await anyio.sleep(1.2 * SHORT_MS / 1000)
@@ -312,7 +312,7 @@
 
 async def test_link_loss_distinguishes_unwritten_calls():
     """Guards against an unknown outcome for a frame that was still queued."""
-    big = msgspec.structs.replace(CALL, body=b"x" * 15_000_000)
+    large_call = msgspec.structs.replace(CALL, body=b"x" * 15_000_000)
     ready = anyio.Event()
     drop = anyio.Event()
 
@@ -328,7 +328,7 @@
             results[name] = await client.call(message)
 
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(call, "written", big)
+            tasks.start_soon(call, "written", large_call)
             await ready.wait()
             await anyio.sleep(0.05)
             tasks.start_soon(call, "queued", CALL)
