Reword the operator command and its admin client

Use request and response for calls to admin endpoints and name the polling interval, the default log address and the pending nodes by what they are. Error messages say that a request failed or what a node responded. Behaviour is unchanged.

--- a/src/briardock/_nodeclient.py
+++ b/src/briardock/_nodeclient.py
@@ -1,4 +1,4 @@
-"""Requests of the operator command to admin endpoints of nodes."""
+"""HTTP client of the operator command for the admin endpoints of nodes."""
 
 import os
 from typing import Any
@@ -20,16 +20,16 @@
     content: object = None,
     timeout_s: float = REQUEST_TIMEOUT_S,
 ) -> Any:
-    """Return the JSON answer of an admin endpoint.
+    """Return the JSON response of an admin endpoint.
 
-    :raises NodeUnavailableError: if there is none
+    :raises NodeUnavailableError: if the request fails or the response is an error
     """
     host, port = parse_address(node)
     host = f"[{host}]" if ":" in host else host
     token = token or os.environ.get(TOKEN_VARIABLE, "")
     headers = {"Authorization": f"Bearer {token}"} if token else {}
     try:
-        answer = httpx.request(
+        response = httpx.request(
             method,
             f"http://{host}:{port}{path}",
             headers=headers,
@@ -39,31 +39,31 @@
         )
     except (httpx.HTTPError, httpx.InvalidURL, UnicodeEncodeError) as error:
         raise NodeUnavailableError(
-            f"node {node} cannot be asked: {error}",
+            f"request to node {node} failed: {error}",
             "check the address of its admin endpoint and that it runs",
         ) from error
-    return _answer_content(node, path, answer)
+    return _decode_response(node, path, response)
 
 
-def _answer_content(node: str, path: str, answer: httpx.Response) -> Any:
-    """Return the content of an answer.
+def _decode_response(node: str, path: str, response: httpx.Response) -> Any:
+    """Return the decoded JSON body of a response.
 
-    :raises NodeUnavailableError: if it is an error or no JSON
+    :raises NodeUnavailableError: if it is an error or not JSON
     """
-    if answer.status_code in (401, 403):
+    if response.status_code in (401, 403):
         raise NodeUnavailableError(
             f"node {node} refused the token", f"set {TOKEN_VARIABLE} or give --token"
         )
     try:
-        content = answer.json()
+        content = response.json()
     except ValueError:
         content = None
-    if answer.is_success and content is not None:
+    if response.is_success and content is not None:
         return content
-    message, remedy = answer.text[:200], "check the address and the node's log"
+    message, remedy = response.text[:200], "check the address and the node's log"
     if isinstance(content, dict):
         message = content.get("error") or content.get("detail") or message
         remedy = content.get("remedy") or remedy
     raise NodeUnavailableError(
-        f"node {node} answered {answer.status_code} to {path}: {message}", remedy
+        f"node {node} responded {response.status_code} to {path}: {message}", remedy
     )
--- a/src/briardock/cli.py
+++ b/src/briardock/cli.py
@@ -1,6 +1,7 @@
-"""Operator command ``briardock``: check and publish configuration, ask nodes.
+"""Operator command ``briardock``: check and publish configuration, query nodes.
 
-Heavy imports happen inside the commands, so that usage errors are quick.
+Modules that are slow to import are imported inside the commands, so that usage errors
+are reported quickly.
 """
 
 import json
@@ -21,9 +22,9 @@
 if TYPE_CHECKING:
     from briardock._publisher import LogView
 
-DEFAULT_LOG = "127.0.0.1:8410"
+DEFAULT_LOG_ADDRESS = "127.0.0.1:8410"
 DEBUG_VARIABLE = "BRIARDOCK_DEBUG"
-POLL_PAUSE_S = 0.2
+STATUS_POLL_INTERVAL_S = 0.2
 EXIT_INTERNAL = 70
 EXIT_INTERRUPTED = 130
 EXIT_CODES = (
@@ -66,7 +67,7 @@
 def fetch(
     folder: Path,
     *,
-    log: str = DEFAULT_LOG,
+    log: str = DEFAULT_LOG_ADDRESS,
     timeout_s: float = 10.0,
     overwrite: bool = False,
 ) -> None:
@@ -91,7 +92,7 @@
 def publish(
     folder: Path,
     *,
-    log: str = DEFAULT_LOG,
+    log: str = DEFAULT_LOG_ADDRESS,
     author: str = "",
     timeout_s: float = 10.0,
     base_current: bool = False,
@@ -105,7 +106,7 @@
     :param log: HOST:PORT of the log service
     :param author: shown to others; defaults to the user name
     :param timeout_s: longest time to read the log and to publish
-    :param base_current: replace what is published now, without a fetch before
+    :param base_current: replace the current version without fetching it first
     :param wait_s: time to wait until the nodes have it in force; 0 not to wait
     :param admin: HOST:PORT of admin endpoints of the nodes to wait for
     :param token: bearer token of the nodes; defaults to $BRIARDOCK_TOKEN
@@ -134,12 +135,14 @@
         print(f"version {result.version} is in force on {len(admin)} nodes")
 
 
-def restore(folder: Path, *, log: str = DEFAULT_LOG, timeout_s: float = 10.0) -> None:
-    """Start again from known files, after the log lost records for good.
+def restore(
+    folder: Path, *, log: str = DEFAULT_LOG_ADDRESS, timeout_s: float = 10.0
+) -> None:
+    """Publish known files as a new start, after the log permanently lost records.
 
-    It is refused while the log holds all records or a checkpoint.
+    Refused while the log still holds all records or a checkpoint.
 
-    :param folder: folder of INI files, the last ones known to be in force
+    :param folder: folder of INI files, the last known to be in force
     :param log: HOST:PORT of the log service
     :param timeout_s: longest time to read the log and to append
     """
@@ -172,7 +175,7 @@
 
 
 def dump(node: str, *, token: str = "") -> None:
-    """Print the whole state of a node.
+    """Print the full state of a node.
 
     :param node: HOST:PORT of its admin endpoint
     :param token: bearer token of the node; defaults to $BRIARDOCK_TOKEN
@@ -184,7 +187,7 @@
     """Make a node refuse new work and wait until nothing is in flight.
 
     :param node: HOST:PORT of its admin endpoint
-    :param timeout_s: longest time to wait for its answer
+    :param timeout_s: longest time to wait for its response
     :param token: bearer token of the node; defaults to $BRIARDOCK_TOKEN
     """
     _print_json(_ask_node(node, "POST", "/drain", token, timeout_s=timeout_s))
@@ -200,10 +203,10 @@
 
 
 def quarantine_lift(node: str, fingerprint: str, *, token: str = "") -> None:
-    """Admit a quarantined request again.
+    """Remove a request from the quarantine, so that it is admitted again.
 
     :param node: HOST:PORT of the admin endpoint of any node
-    :param fingerprint: from the list
+    :param fingerprint: one from the output of quarantine list
     :param token: bearer token of the node; defaults to $BRIARDOCK_TOKEN
     """
     content = {"fingerprint": fingerprint}
@@ -218,7 +221,7 @@
 
 
 def explain(request_id: str, *files: str) -> None:
-    """Print the way of one request through the logs of platform nodes.
+    """Trace one request through the logs of platform nodes.
 
     :param request_id: id of the request
     :param files: log files of any number of nodes; standard input if none
@@ -285,14 +288,14 @@
         no_negated_flags=True,
         argparse_kwargs={
             "prog": "briardock",
-            "description": "Check and publish configuration, and ask nodes.",
+            "description": "Check and publish configuration, and query nodes.",
             "epilog": EXIT_CODES,
         },
     )
 
 
 def _fail(message: str, exit_code: int) -> None:
-    """Print one line and exit."""
+    """Print the message on one line and exit."""
     print(f"briardock: {' '.join(message.split())}", file=sys.stderr)
     sys.exit(exit_code)
 
@@ -318,7 +321,7 @@
         finally:
             await client.close()
 
-    # Events are for the log of a node; the command reports by its own messages.
+    # Log events are meant for nodes; the command prints its own messages instead.
     with logbook.NullHandler().applicationbound():
         return anyio.run(run)
 
@@ -326,30 +329,30 @@
 def _wait_in_force(version: int, nodes: list[str], token: str, wait_s: float) -> None:
     """Wait until nodes report a version or a later one.
 
-    :raises NodeUnavailableError: naming the nodes that do not in time
+    :raises NodeUnavailableError: naming the nodes that do not report it in time
     """
     deadline_s = time.monotonic() + wait_s
-    waiting = {node: "no answer" for node in nodes}
+    pending = {node: "no response" for node in nodes}
     while True:
-        for node in list(waiting):
+        for node in list(pending):
             try:
-                answer = _ask_node(node, "GET", "/status", token)
+                response = _ask_node(node, "GET", "/status", token)
             except NodeUnavailableError as error:
-                waiting[node] = error.message
+                pending[node] = error.message
                 continue
-            found = _version_in(answer)
-            waiting[node] = f"{node} has version {found}"
-            if found is not None and found >= version:
-                del waiting[node]
-        if not waiting:
+            reported_version = _version_in(response)
+            pending[node] = f"{node} has version {reported_version}"
+            if reported_version is not None and reported_version >= version:
+                del pending[node]
+        if not pending:
             return
         if time.monotonic() >= deadline_s:
             raise NodeUnavailableError(
                 f"version {version} is published but not in force after {wait_s:g} s: "
-                f"{'; '.join(waiting.values())}",
+                f"{'; '.join(pending.values())}",
                 "see 'briardock status' of these nodes",
             )
-        time.sleep(POLL_PAUSE_S)
+        time.sleep(STATUS_POLL_INTERVAL_S)
 
 
 def _version_in(status: object) -> int | None:
@@ -360,14 +363,14 @@
 
 
 def _ask_node(*arguments: Any, **options: Any) -> Any:
-    """Return the JSON answer of an admin endpoint."""
+    """Return the JSON response of an admin endpoint."""
     from briardock._nodeclient import ask_node
 
     return ask_node(*arguments, **options)
 
 
 def _print_json(content: object) -> None:
-    """Print JSON for people."""
+    """Print indented JSON with sorted keys."""
     print(json.dumps(content, indent=2, sort_keys=True, ensure_ascii=False))
 
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -1,4 +1,4 @@
-"""Tests of the operator command against the stand-in log and a canned node."""
+"""Tests of the operator command against the stand-in log service and a stub node."""
 
 import http.server
 import json
@@ -21,7 +21,7 @@
 from briardock.publishing import STREAM, Publish, encode_record
 from log_service import LogService, running_log
 
-HEAD = "[policy]\ndefault_class = c\n[class c]\nrank = 3\n"
+POLICY_AND_CLASS = "[policy]\ndefault_class = c\n[class c]\nrank = 3\n"
 
 
 @pytest.fixture
@@ -32,11 +32,11 @@
 
 @pytest.fixture
 def folder(tmp_path: Path) -> Path:
-    made = tmp_path / "mine"
-    made.mkdir()
-    (made / "00.ini").write_text(HEAD)
-    (made / "10.ini").write_text("[service s]\n")
-    return made
+    created = tmp_path / "mine"
+    created.mkdir()
+    (created / "00.ini").write_text(POLICY_AND_CLASS)
+    (created / "10.ini").write_text("[service s]\n")
+    return created
 
 
 def run(*arguments: object) -> int:
@@ -115,14 +115,14 @@
     assert publish(service, other) == 4
     line = error_line(capsys)
     assert "10.ini" in line and "by ana" in line
-    # Neither publish nor fetch may lose the edit.
+    # Neither a refused publish nor a refused fetch overwrites the local edit.
     assert fetch(service, other) == 3
     assert (other / "10.ini").read_text() == "[service u]\n"
     assert fetch(service, other, "--overwrite") == 0
     assert (other / "10.ini").read_text() == "[service t]\n"
 
 
-def test_loser_of_a_race_is_told_who_won(
+def test_concurrent_publish_conflict_names_the_winner(
     service: LogService,
     folder: Path,
     monkeypatch: pytest.MonkeyPatch,
@@ -131,14 +131,16 @@
     publish(service, folder)
     (folder / "10.ini").write_text("[service mine]\n")
     send = _publisher.LogView.send
-    winner = Publish("w", "bob", {"10.ini": 0}, {"10.ini": "[service theirs]\n"})
+    winning_change = Publish(
+        "w", "bob", {"10.ini": 0}, {"10.ini": "[service theirs]\n"}
+    )
 
-    async def lose(view: _publisher.LogView, record: Publish) -> object:
-        # The other change lands between the check and the append.
-        await view._client.append(STREAM, encode_record(winner))
+    async def send_after_winner(view: _publisher.LogView, record: Publish) -> object:
+        # The concurrent change is appended between the check and the append.
+        await view._client.append(STREAM, encode_record(winning_change))
         return await send(view, record)
 
-    monkeypatch.setattr(_publisher.LogView, "send", lose)
+    monkeypatch.setattr(_publisher.LogView, "send", send_after_winner)
     capsys.readouterr()
     assert publish(service, folder) == 4
     line = error_line(capsys)
@@ -146,7 +148,7 @@
 
 
 @pytest.mark.parametrize("lost", [1, 3])
-def test_lost_acknowledgement_does_not_double(
+def test_lost_acknowledgement_does_not_publish_twice(
     service: LogService, folder: Path, lost: int
 ) -> None:
     service.set_fault("lose_ack", count=lost)
@@ -158,12 +160,14 @@
 def test_lost_append_is_retried_under_its_change_id(
     service: LogService, folder: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    # Guards against a retry with a new id, which the first append, when it
-    # arrives late, would defeat.
+    # A retry under a new change id conflicts with the first append if that one
+    # arrives late.
     append = LogClient.append
     bodies: list[bytes] = []
 
-    async def flaky(client: LogClient, stream: str, body: bytes) -> object:
+    async def append_twice_after_timeout(
+        client: LogClient, stream: str, body: bytes
+    ) -> object:
         bodies.append(body)
         if len(bodies) == 1:
             kind = FailureKind.TIMEOUT
@@ -171,13 +175,13 @@
         await append(client, stream, body)
         return await append(client, stream, body)
 
-    monkeypatch.setattr(LogClient, "append", flaky)
+    monkeypatch.setattr(LogClient, "append", append_twice_after_timeout)
     assert publish(service, folder) == 0
     assert len(bodies) == 2 and bodies[0] == bodies[1]
     assert record_count(service) == 2
 
 
-def test_outage_is_a_clear_error_and_publish_can_be_repeated(
+def test_outage_is_a_clear_error_and_publish_can_be_retried(
     service: LogService, folder: Path, capsys: pytest.CaptureFixture[str]
 ) -> None:
     service.set_fault("outage")
@@ -201,15 +205,18 @@
 
 
 def test_base_of_another_log_is_refused(service: LogService, folder: Path) -> None:
-    # Guards against versions that agree by chance.
+    # Guards against a base that is accepted because the version numbers of two logs
+    # agree by chance.
     publish(service, folder)
     (folder / "10.ini").write_text("[service t]\n")
     with running_log() as other:
-        theirs = Publish("x", "bob", {}, {"10.ini": "[service u]\n", "00.ini": HEAD})
+        other_change = Publish(
+            "x", "bob", {}, {"10.ini": "[service u]\n", "00.ini": POLICY_AND_CLASS}
+        )
 
         async def append() -> None:
             client = make_log_client(other.host, other.port)
-            await client.append(STREAM, encode_record(theirs))
+            await client.append(STREAM, encode_record(other_change))
 
         anyio.run(append)
         assert publish(other, folder) == 4
@@ -224,7 +231,7 @@
     other = tmp_path / "other"
     fetch(service, other)
     assert sorted(item.name for item in other.iterdir()) == [BASE_FILE, "00.ini"]
-    # The name can be used again, from the version of its deletion.
+    # A deleted name can be published again on top of the version that deleted it.
     (other / "10.ini").write_text("[service v]\n")
     assert publish(service, other) == 0
 
@@ -232,7 +239,7 @@
 def test_lost_history_is_restored_from_known_files(
     folder: Path, capsys: pytest.CaptureFixture[str]
 ) -> None:
-    # Guards against a log whose trimmed records stop every later publish.
+    # Guards against a log with trimmed records that blocks every later publish.
     with running_log(retention_records=2) as service:
         for name in "abcd":
             (folder / "10.ini").write_text(f"[service {name}]\n")
@@ -295,7 +302,7 @@
         (PermissionError(13, "Permission denied", "/x"), 1, "/x: Permission denied"),
     ],
 )
-def test_unexpected_end_is_one_line(
+def test_unexpected_error_is_printed_on_one_line(
     monkeypatch: pytest.MonkeyPatch,
     capsys: pytest.CaptureFixture[str],
     error: BaseException,
@@ -310,25 +317,25 @@
     assert text in error_line(capsys)
 
 
-class CannedNode(http.server.BaseHTTPRequestHandler):
-    """Admin endpoint of a node whose version rises with every question."""
+class StubNode(http.server.BaseHTTPRequestHandler):
+    """Admin endpoint of a node whose version rises by 1 with every request."""
 
     version = 0
-    seen: list[tuple[str, str, str]] = []
+    requests: list[tuple[str, str, str]] = []
 
     def do_GET(self) -> None:
-        self._reply()
+        self._respond()
 
     def do_POST(self) -> None:
-        self._reply()
+        self._respond()
 
-    def _reply(self) -> None:
+    def _respond(self) -> None:
         size = int(self.headers.get("Content-Length", 0))
         body = self.rfile.read(size).decode()
-        CannedNode.seen.append((self.command, self.path, body))
-        CannedNode.version += 1
+        StubNode.requests.append((self.command, self.path, body))
+        StubNode.version += 1
         status: int = 200
-        content: dict[str, object] = {"configuration": {"version": CannedNode.version}}
+        content: dict[str, object] = {"configuration": {"version": StubNode.version}}
         if self.headers.get("Authorization") != "Bearer secret":
             status = 401
         elif self.path == "/quarantine/lift" and "known" not in body:
@@ -347,8 +354,8 @@
 @pytest.fixture
 def node(monkeypatch: pytest.MonkeyPatch) -> Iterator[str]:
     monkeypatch.setenv(TOKEN_VARIABLE, "secret")
-    CannedNode.version, CannedNode.seen = 0, []
-    server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), CannedNode)
+    StubNode.version, StubNode.requests = 0, []
+    server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), StubNode)
     thread = threading.Thread(target=server.serve_forever)
     thread.start()
     yield f"127.0.0.1:{server.server_port}"
@@ -366,7 +373,7 @@
         (["quarantine", "list"], "GET", "/quarantine"),
     ],
 )
-def test_node_commands_ask_their_endpoint(
+def test_node_commands_request_their_endpoint(
     node: str,
     arguments: list[str],
     method: str,
@@ -374,23 +381,23 @@
     capsys: pytest.CaptureFixture[str],
 ) -> None:
     assert run(*arguments, node) == 0
-    assert [item[:2] for item in CannedNode.seen] == [(method, path)]
+    assert [item[:2] for item in StubNode.requests] == [(method, path)]
     assert '"version": 1' in capsys.readouterr().out
 
 
-def test_status_shows_the_nodes_that_answer(
+def test_status_shows_the_nodes_that_respond(
     node: str, capsys: pytest.CaptureFixture[str]
 ) -> None:
     assert run("status", "127.0.0.1:1", node) == 6
     captured = capsys.readouterr()
-    assert node in captured.out and "127.0.0.1:1 cannot be asked" in captured.err
+    assert node in captured.out and "request to node 127.0.0.1:1 failed" in captured.err
 
 
 def test_quarantine_lift_names_the_fingerprint(
     node: str, capsys: pytest.CaptureFixture[str]
 ) -> None:
     assert run("quarantine", "lift", node, "known") == 0
-    assert json.loads(CannedNode.seen[0][2]) == {"fingerprint": "known"}
+    assert json.loads(StubNode.requests[0][2]) == {"fingerprint": "known"}
     capsys.readouterr()
     assert run("quarantine", "lift", node, "other") == 6
     assert "no such fingerprint; list" in error_line(capsys)
@@ -414,7 +421,7 @@
 ) -> None:
     publish(service, folder)
     (folder / "10.ini").write_text("[service t]\n")
-    CannedNode.version = -3 if exit_code == 0 else -1000
+    StubNode.version = -3 if exit_code == 0 else -1000
     capsys.readouterr()
     options = ("--wait-s", wait_s, "--admin", node)
     assert publish(service, folder, *options) == exit_code
