Reword the loading and checking of settings

Name file names, sections, fields and annotations by what they are, and reword the doc comments. The printed settings page and all behaviour are unchanged.

--- a/src/briardock/_node_settings.py
+++ b/src/briardock/_node_settings.py
@@ -1,4 +1,4 @@
-"""Settings of the parts of a node, taken from the settings of the process."""
+"""Convert the settings of the process to the settings of each component."""
 
 from dataclasses import replace
 
@@ -14,7 +14,7 @@
 
 
 def http_limits(settings: NodeSettings) -> HttpLimits:
-    """Return the bounds of what callers may use.
+    """Return the size, connection and idle limits of the caller listener.
 
     :param settings: settings of the process
     """
@@ -46,9 +46,9 @@
 
 
 def with_policy(settings: AdmissionSettings, policy: Policy) -> AdmissionSettings:
-    """Return settings with the queue bounds of the published policy.
+    """Return admission settings with the queue limits of the published policy.
 
-    :param settings: settings of the process
+    :param settings: admission settings of the process
     :param policy: policy in force
     """
     return replace(
@@ -60,7 +60,7 @@
 
 
 def target_cold_start_s(settings: NodeSettings, service: Service | None) -> float:
-    """Return the cold start of a target: that of its service, else of the process.
+    """Return the cold start time of a target: that of its service, else the setting.
 
     :param settings: settings of the process
     :param service: published service of the target
--- a/src/briardock/_settings_table.py
+++ b/src/briardock/_settings_table.py
@@ -1,7 +1,7 @@
-"""Table of the settings of a node process.
+"""Definitions of the settings of a node process.
 
-The field name carries the unit, the annotation the range and description, the
-value the default.
+The suffix of a field name is the unit, the annotation holds the range and the
+description, and the value is the default.
 """
 
 from dataclasses import dataclass
--- a/src/briardock/settings.py
+++ b/src/briardock/settings.py
@@ -1,6 +1,6 @@
-"""Settings of one node process, read from an INI file and checked.
+"""Load and validate the settings of a node process from an INI file.
 
-``_settings_table`` lists every key; ``docs/settings.md`` is the output of
+``_settings_table`` defines every key; ``docs/settings.md`` is the output of
 :func:`settings_page`.
 """
 
@@ -50,7 +50,7 @@
 ]
 
 MAX_FILE_BYTES = 256 * 1024
-OVERRIDE_FILE = "override"
+OVERRIDE_SOURCE_NAME = "override"
 
 SECTIONS: dict[str, type] = typing.get_type_hints(NodeSettings)
 _NUMERIC_HOSTS = {
@@ -72,23 +72,25 @@
     :param overrides: values by ``section.key`` that replace those of the file
     :raises SettingsError: naming file, line, key and remedy
     """
-    name = str(path)
+    file_name = str(path)
     parsed = parse_ini(_read_text(Path(path)))
     if isinstance(parsed, IniError):
-        raise SettingsError(f"{name}:{parsed.line}: {parsed.message}", "correct it")
+        raise SettingsError(
+            f"{file_name}:{parsed.line}: {parsed.message}", "correct it"
+        )
     _apply_overrides(parsed, overrides or {})
-    for section, content in parsed.items():
+    for section, ini_section in parsed.items():
         if section not in SECTIONS:
             raise SettingsError(
-                f"{name}:{content.line}: unknown section [{section}]",
+                f"{file_name}:{ini_section.line}: unknown section [{section}]",
                 nearest(section, SECTIONS),
             )
     sections: dict[str, Any] = {
-        section: _load_section(name, section, kind, parsed.get(section))
-        for section, kind in SECTIONS.items()
+        section: _load_section(file_name, section, section_type, parsed.get(section))
+        for section, section_type in SECTIONS.items()
     }
     settings = NodeSettings(**sections)
-    _check_together(name, parsed, settings)
+    _check_key_combinations(file_name, parsed, settings)
     return settings
 
 
@@ -101,28 +103,30 @@
         "The suffix of a key is its unit. This page is the output of",
         "`briardock settings`.",
     ]
-    for section, kind in SECTIONS.items():
-        lines += ["", f"## [{section}]", "", f"{kind.__doc__}", ""]
+    for section, section_type in SECTIONS.items():
+        lines += ["", f"## [{section}]", "", f"{section_type.__doc__}", ""]
         lines += ["| key | default | range | description |", "|---|---|---|---|"]
-        lines += [_page_row(kind, item) for item in fields(kind)]
+        lines += [_page_row(section_type, field) for field in fields(section_type)]
     return "\n".join(lines) + "\n"
 
 
-def _page_row(kind: type, item: Field) -> str:
+def _page_row(section_type: type, field: Field) -> str:
     """Return the table row of one key."""
-    annotation = typing.get_type_hints(kind, include_extras=True)[item.name]
+    annotation = typing.get_type_hints(section_type, include_extras=True)[field.name]
     inner, meta = typing.get_args(annotation)
-    if item.default is MISSING:
+    if field.default is MISSING:
         default = "required"
-    elif item.default in (None, "", ()):
+    elif field.default in (None, "", ()):
         default = "empty"
     else:
-        default = f"`{item.default}`"
-    return f"| `{item.name}` | {default} | {_range(inner, meta)} | {meta.description} |"
+        default = f"`{field.default}`"
+    return (
+        f"| `{field.name}` | {default} | {_range(inner, meta)} | {meta.description} |"
+    )
 
 
 def _range(inner: object, meta: Meta) -> str:
-    """Return the permitted values of a key in words."""
+    """Return a description of the permitted values of a key."""
     if meta.ge is not None:
         return f"{meta.ge} to {meta.le}"
     if typing.get_origin(inner) is Literal:
@@ -156,51 +160,56 @@
 def _apply_overrides(
     parsed: dict[str, IniSection], overrides: Mapping[str, str]
 ) -> None:
-    """Put overriding values in place of those of the file."""
+    """Replace values of the file by the overriding values."""
     for full_key, text in overrides.items():
         section, _, key = full_key.partition(".")
         if section not in SECTIONS or not key:
             raise SettingsError(
-                f"{OVERRIDE_FILE}: unknown key '{full_key}'",
+                f"{OVERRIDE_SOURCE_NAME}: unknown key '{full_key}'",
                 "write section.key; " + nearest(section, SECTIONS),
             )
-        content = parsed.setdefault(section, IniSection(0))
-        content.values[key.lower()] = IniValue(text, 0)
+        ini_section = parsed.setdefault(section, IniSection(0))
+        ini_section.values[key.lower()] = IniValue(text, 0)
 
 
 def _load_section(
-    name: str, section: str, kind: type, content: IniSection | None
+    file_name: str, section: str, section_type: type, ini_section: IniSection | None
 ) -> object:
-    """Return one section with every key converted and checked."""
-    given = content.values if content else {}
-    hints = typing.get_type_hints(kind, include_extras=True)
+    """Return one section with every key converted and validated."""
+    given = ini_section.values if ini_section else {}
+    annotations = typing.get_type_hints(section_type, include_extras=True)
     for key, value in given.items():
-        if key not in hints:
+        if key not in annotations:
             raise _error(
-                name, section, key, value.line, "unknown key", nearest(key, hints)
+                file_name,
+                section,
+                key,
+                value.line,
+                "unknown key",
+                nearest(key, annotations),
             )
     values = {}
-    for item in fields(kind):
-        found = given.get(item.name)
-        if found is not None and not _is_unset(found.text, item):
-            values[item.name] = _convert(
-                name, section, item.name, found, hints[item.name]
+    for field in fields(section_type):
+        found = given.get(field.name)
+        if found is not None and not _selects_empty_default(found.text, field):
+            values[field.name] = _convert(
+                file_name, section, field.name, found, annotations[field.name]
             )
-        elif item.default is MISSING:
-            line = content.line if content else 0
-            raise _error(name, section, item.name, line, "missing", "add it")
-    return kind(**values)
+        elif field.default is MISSING:
+            line = ini_section.line if ini_section else 0
+            raise _error(file_name, section, field.name, line, "missing", "add it")
+    return section_type(**values)
 
 
-def _is_unset(text: str, item: Field) -> bool:
-    """Return whether an empty value stands for the empty default."""
-    return not text and item.default in (None, "", ())
+def _selects_empty_default(text: str, field: Field) -> bool:
+    """Return whether an empty value selects a default that is itself empty."""
+    return not text and field.default in (None, "", ())
 
 
 def _convert(
-    name: str, section: str, key: str, value: IniValue, annotation: object
+    file_name: str, section: str, key: str, value: IniValue, annotation: object
 ) -> object:
-    """Return the value of one key in its type and range."""
+    """Convert the text of one key to its type and check its range."""
     try:
         if key == "seeds":
             return _parse_seeds(value.text)
@@ -210,11 +219,11 @@
     except msgspec.ValidationError as error:
         message = str(error)[0].lower() + str(error)[1:]
         raise _error(
-            name, section, key, value.line, message, f"got '{value.text}'"
+            file_name, section, key, value.line, message, f"got '{value.text}'"
         ) from error
     except ValueError as error:
         raise _error(
-            name, section, key, value.line, str(error), "use a numeric IP address"
+            file_name, section, key, value.line, str(error), "use a numeric IP address"
         ) from error
 
 
@@ -235,23 +244,25 @@
     :raises ValueError: if it is not a numeric address and port
     """
     host, _, port = text.rpartition(":")
-    number = int(port) if port.isascii() and port.isdigit() else 0
-    if not 1 <= number <= 65535:
+    port_number = int(port) if port.isascii() and port.isdigit() else 0
+    if not 1 <= port_number <= 65535:
         raise ValueError(f"'{text}' is not host:port")
-    return Address(str(ipaddress.ip_address(host.strip("[]"))), number)
+    return Address(str(ipaddress.ip_address(host.strip("[]"))), port_number)
 
 
-def _check_together(
-    name: str, parsed: dict[str, IniSection], settings: NodeSettings
+def _check_key_combinations(
+    file_name: str, parsed: dict[str, IniSection], settings: NodeSettings
 ) -> None:
-    """Check rules over several keys.
+    """Check rules that involve several keys.
 
     :raises SettingsError: naming the key to change
     """
 
     def fail(section: str, key: str, message: str, remedy: str) -> None:
         value = parsed.get(section, IniSection(0)).values.get(key)
-        raise _error(name, section, key, value.line if value else 0, message, remedy)
+        raise _error(
+            file_name, section, key, value.line if value else 0, message, remedy
+        )
 
     admin, admission = settings.admin, settings.admission
     if not admin.token and not ipaddress.ip_address(admin.host).is_loopback:
@@ -270,8 +281,8 @@
 
 
 def _error(
-    name: str, section: str, key: str, line: int, message: str, remedy: str
+    file_name: str, section: str, key: str, line: int, message: str, remedy: str
 ) -> SettingsError:
-    """Return the error of one key."""
-    place = f"{name}:{line}" if line else name
-    return SettingsError(f"{place}: [{section}] {key}: {message}", remedy)
+    """Return the error for one key, with file and line."""
+    location = f"{file_name}:{line}" if line else file_name
+    return SettingsError(f"{location}: [{section}] {key}: {message}", remedy)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -9,26 +9,27 @@
 from briardock.settings import SECTIONS, Address, load_settings, settings_page
 
 ROOT = Path(__file__).resolve().parent.parent
-MINIMAL = "[node]\nnode_id = n1\nregion = r\nfailure_domain = d\n"
+REQUIRED_KEYS = "[node]\nnode_id = n1\nregion = r\nfailure_domain = d\n"
 
 
-def write(folder: Path, text: str) -> Path:
+def write_settings(folder: Path, text: str) -> Path:
     path = folder / "node.ini"
     path.write_text(text)
     return path
 
 
-def test_defaults_fill_what_is_not_given(tmp_path: Path) -> None:
-    settings = load_settings(write(tmp_path, MINIMAL))
+def test_missing_keys_take_their_defaults(tmp_path: Path) -> None:
+    settings = load_settings(write_settings(tmp_path, REQUIRED_KEYS))
     assert (settings.node.node_id, settings.node.service) == ("n1", "")
     assert settings.quarantine.deaths == 2
     assert settings.routing.retry_ratio == 0.05
 
 
 def test_values_are_converted_and_overridden(tmp_path: Path) -> None:
-    text = MINIMAL + "seeds = 127.0.0.1:1, [::1]:2\n  10.0.0.1:3\nseed = 7\n"
+    text = REQUIRED_KEYS + "seeds = 127.0.0.1:1, [::1]:2\n  10.0.0.1:3\nseed = 7\n"
     settings = load_settings(
-        write(tmp_path, text), {"node.http_port": "9", "routing.eject_s": "0.5"}
+        write_settings(tmp_path, text),
+        {"node.http_port": "9", "routing.eject_s": "0.5"},
     )
     addresses = (Address("127.0.0.1", 1), Address("::1", 2), Address("10.0.0.1", 3))
     assert settings.node.seeds == addresses
@@ -39,24 +40,39 @@
 @pytest.mark.parametrize(
     "text, line, key, remedy",
     [
-        (MINIMAL + "hots = 1\n", 5, "hots", "did you mean 'host'?"),
-        (MINIMAL + "[gosip]\n", 5, "gosip", "did you mean 'gossip'?"),
-        (MINIMAL + "http_port = x\n", 5, "http_port", "got 'x'"),
-        (MINIMAL + "http_port = 65536\n", 5, "http_port", "65535"),
-        (MINIMAL + "http_port =\n", 5, "http_port", "got ''"),
-        (MINIMAL + "host = example.org\n", 5, "host", "numeric IP"),
-        (MINIMAL + "seeds = 127.0.0.1\n", 5, "seeds", "host:port"),
-        (MINIMAL + "seeds = 127.0.0.1:0\n", 5, "seeds", "host:port"),
-        (MINIMAL + "node_id = n2\n", 5, "node_id", "repeated"),
-        (MINIMAL + "rubbish\n", 5, "rubbish", "key = value"),
-        (MINIMAL + "[routing]\neject_s = nan\n", 6, "eject_s", "got 'nan'"),
-        (MINIMAL + "[routing]\nretry_ratio = 1.5\n", 6, "retry_ratio", "1.0"),
-        (MINIMAL + "[logging]\nlevel = LOUD\n", 6, "level", "got 'LOUD'"),
-        (MINIMAL + "[admin]\nhost = 10.0.0.1\n", 0, "token", "add it"),
-        (MINIMAL + "[admission]\nmin_limit = 2000\n", 6, "min_limit", "max_limit"),
-        (MINIMAL + "[admission]\ninitial_limit = 1\n", 6, "initial_limit", "min_limit"),
-        (MINIMAL + "[gossip]\nperiod_ms = 100\n", 0, "ack_timeout_ms", "period_ms"),
-        (MINIMAL.replace("n1", "a.b"), 2, "node_id", "got 'a.b'"),
+        (REQUIRED_KEYS + "hots = 1\n", 5, "hots", "did you mean 'host'?"),
+        (REQUIRED_KEYS + "[gosip]\n", 5, "gosip", "did you mean 'gossip'?"),
+        (REQUIRED_KEYS + "http_port = x\n", 5, "http_port", "got 'x'"),
+        (REQUIRED_KEYS + "http_port = 65536\n", 5, "http_port", "65535"),
+        (REQUIRED_KEYS + "http_port =\n", 5, "http_port", "got ''"),
+        (REQUIRED_KEYS + "host = example.org\n", 5, "host", "numeric IP"),
+        (REQUIRED_KEYS + "seeds = 127.0.0.1\n", 5, "seeds", "host:port"),
+        (REQUIRED_KEYS + "seeds = 127.0.0.1:0\n", 5, "seeds", "host:port"),
+        (REQUIRED_KEYS + "node_id = n2\n", 5, "node_id", "repeated"),
+        (REQUIRED_KEYS + "rubbish\n", 5, "rubbish", "key = value"),
+        (REQUIRED_KEYS + "[routing]\neject_s = nan\n", 6, "eject_s", "got 'nan'"),
+        (REQUIRED_KEYS + "[routing]\nretry_ratio = 1.5\n", 6, "retry_ratio", "1.0"),
+        (REQUIRED_KEYS + "[logging]\nlevel = LOUD\n", 6, "level", "got 'LOUD'"),
+        (REQUIRED_KEYS + "[admin]\nhost = 10.0.0.1\n", 0, "token", "add it"),
+        (
+            REQUIRED_KEYS + "[admission]\nmin_limit = 2000\n",
+            6,
+            "min_limit",
+            "max_limit",
+        ),
+        (
+            REQUIRED_KEYS + "[admission]\ninitial_limit = 1\n",
+            6,
+            "initial_limit",
+            "min_limit",
+        ),
+        (
+            REQUIRED_KEYS + "[gossip]\nperiod_ms = 100\n",
+            0,
+            "ack_timeout_ms",
+            "period_ms",
+        ),
+        (REQUIRED_KEYS.replace("n1", "a.b"), 2, "node_id", "got 'a.b'"),
         ("[node]\nregion = r\nfailure_domain = d\n", 1, "node_id", "missing"),
         ("node_id = n1\n", 1, "[section]", "[section]"),
         ("", 0, "node_id", "missing"),
@@ -65,7 +81,7 @@
 def test_bad_settings_name_line_key_and_remedy(
     tmp_path: Path, text: str, line: int, key: str, remedy: str
 ) -> None:
-    path = write(tmp_path, text)
+    path = write_settings(tmp_path, text)
     with pytest.raises(SettingsError) as caught:
         load_settings(path)
     message = str(caught.value)
@@ -81,7 +97,7 @@
     tmp_path: Path, overrides: dict[str, str]
 ) -> None:
     with pytest.raises(SettingsError):
-        load_settings(write(tmp_path, MINIMAL), overrides)
+        load_settings(write_settings(tmp_path, REQUIRED_KEYS), overrides)
 
 
 @pytest.mark.parametrize("content", [None, b"\xff\xfe\x00", b"#" * 300_000])
@@ -94,12 +110,14 @@
 
 
 def test_page_lists_every_key() -> None:
-    # Guards against a key that operators cannot find.
+    # Guards against a key that is missing from the page for operators.
     page = (ROOT / "docs" / "settings.md").read_text()
     assert page == settings_page()
-    for section, kind in SECTIONS.items():
-        part = page.partition(f"## [{section}]")[2].partition("\n## ")[0]
-        assert all(f"| `{item.name}` |" in part for item in fields(kind))
+    for section, section_type in SECTIONS.items():
+        section_text = page.partition(f"## [{section}]")[2].partition("\n## ")[0]
+        assert all(
+            f"| `{item.name}` |" in section_text for item in fields(section_type)
+        )
 
 
 def test_example_settings_load() -> None:
