Reword the node, its background tasks, reports and operator endpoints

Name the poll intervals, shutdown steps and background checks by what they are, and explain why shutdown waits for issued keys and why a drain is shielded from cancellation. Behaviour is unchanged.

--- a/src/briardock/admin.py
+++ b/src/briardock/admin.py
@@ -17,7 +17,7 @@
 STATUS_UNAUTHORIZED = 401
 STATUS_NOT_FOUND = 404
 
-Dump = Callable[[], dict[str, object]]
+StateSource = Callable[[], dict[str, object]]
 
 
 class LiftRequest(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -36,18 +36,18 @@
 
 @dataclass(frozen=True, slots=True)
 class AdminSources:
-    """What the operator endpoints show and do.
+    """State and actions behind the operator endpoints.
 
     :param status: short state of the node
-    :param dump: whole state of the node
-    :param drain: drain state
+    :param dump: full state of the node
+    :param drain: drain of the node
     :param on_drained: called once a requested drain has ended
-    :param quarantine: requests that kill their targets
-    :param on_lift: spreads a lifted fingerprint
+    :param quarantine: requests that are refused because their targets died
+    :param on_lift: called with each lifted fingerprint, to gossip it
     """
 
-    status: Dump
-    dump: Dump
+    status: StateSource
+    dump: StateSource
     drain: Drain
     on_drained: Callable[[], None]
     quarantine: Quarantine
@@ -55,9 +55,9 @@
 
 
 class Admin:
-    """Answers operator requests.
+    """Handles operator requests.
 
-    :param sources: what is shown and done
+    :param sources: state and actions behind the endpoints
     :param token: bearer token, empty for none
     """
 
@@ -75,9 +75,9 @@
         }
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
-        """Answer one request.
+        """Return the response to one request.
 
-        :param request: whole HTTP request
+        :param request: complete HTTP request
         """
         if not self._is_authorized(request):
             remedy = "send the token of [admin] as 'Authorization: Bearer TOKEN'"
@@ -104,12 +104,15 @@
         return json_response(STATUS_OK, body)
 
     async def _drain(self, request: HttpRequest) -> HttpResponse:
-        # A drain that stopped because its requester left would leave a node that
-        # refuses everything and never ends.
+        # Shielded from cancellation: a drain that stops when its requester disconnects
+        # leaves a node that refuses every request and never ends.
         with anyio.CancelScope(shield=True):
-            empty = await self._sources.drain.run()
+            in_flight_empty = await self._sources.drain.run()
             self._sources.on_drained()
-        body = {"state": self._sources.drain.state.value, "in_flight_empty": empty}
+        body = {
+            "state": self._sources.drain.state.value,
+            "in_flight_empty": in_flight_empty,
+        }
         return json_response(STATUS_OK, msgspec.json.encode(body))
 
     async def _quarantine(self, request: HttpRequest) -> HttpResponse:
@@ -135,7 +138,7 @@
 def make_admin(sources: AdminSources, token: str) -> Admin:
     """Return the operator endpoints of a node.
 
-    :param sources: what is shown and done
+    :param sources: state and actions behind the endpoints
     :param token: bearer token, empty for none
     """
     return Admin(sources, token)
--- a/src/briardock/node.py
+++ b/src/briardock/node.py
@@ -14,7 +14,7 @@
 from briardock._peerserver import PeerInfo, serve_peers
 from briardock._sockets import listen, port_of
 from briardock.admin import AdminSources, make_admin
-from briardock.background import Task, send_metrics, supervise, watch
+from briardock.background import Task, run_periodic_checks, send_metrics, supervise
 from briardock.caller_routes import handle_caller
 from briardock.clock import Clock, SystemClock, make_random
 from briardock.events import Event, emit, start_logging
@@ -34,13 +34,13 @@
 MAX_ADMIN_CONNECTIONS = 16
 MAX_ADMIN_BODY_BYTES = 64 * 1024
 ADMIN_IDLE_TIMEOUT_S = 30.0
-LEFT_NOTICE_S = 0.3
-ISSUER_IDLE_MS = 1_000.0
-ISSUER_POLL_S = 0.05
+LEFT_NOTICE_DELAY_S = 0.3
+KEY_ISSUER_IDLE_MS = 1_000.0
+DRAIN_POLL_INTERVAL_S = 0.05
 
 
 class Node(Parts):
-    """One node process: its listeners, background tasks and end.
+    """One node process: its listeners, background tasks and shutdown.
 
     :param settings: checked settings
     :param clock: monotonic clock
@@ -51,9 +51,9 @@
         self, settings: NodeSettings, clock: Clock, rng: random.Random
     ) -> None:
         super().__init__(settings, clock, rng)
-        self._stop = anyio.Event()
-        self._control = HttpControl()
-        self._callers_served = anyio.Event()
+        self._drain_ended = anyio.Event()
+        self._caller_control = HttpControl()
+        self._caller_listener_finished = anyio.Event()
         self._superseded = False
 
     async def run(self) -> None:
@@ -87,15 +87,15 @@
             tasks.start_soon(self._serve_callers, http)
             tasks.start_soon(self._serve_calls, calls)
             tasks.start_soon(self._serve_admin, admin)
-            await self._stop.wait()
-            await self._finish()
+            await self._drain_ended.wait()
+            await self._shut_down()
             tasks.cancel_scope.cancel()
         emit(Event.NODE_STOPPED, node_id=node.node_id)
 
     async def stop(self) -> None:
         """Drain, then end ``run``."""
         await self.drain.run()
-        self._stop.set()
+        self._drain_ended.set()
 
     def _start_background(self, tasks: anyio.abc.TaskGroup) -> None:
         background: dict[str, Task] = {
@@ -105,7 +105,7 @@
             "contacts": self.cluster.contacts.run,
             "admission": self.admission.run,
             "watch": partial(
-                watch,
+                run_periodic_checks,
                 self.clock,
                 [
                     self.announcements.withdraw_expired,
@@ -132,36 +132,37 @@
             partial(handle_caller, self.entry, self.announcements),
             http_limits(self.settings),
             self.metrics,
-            self._control,
+            self._caller_control,
             self.clock,
         )
-        self._callers_served.set()
+        self._caller_listener_finished.set()
 
-    async def _finish(self) -> None:
-        # Requests that callers sent here are answered before the process ends,
-        # whichever instance runs them.
-        self._control.stop_accepting()
+    async def _shut_down(self) -> None:
+        # Every accepted caller request gets its response before the process ends,
+        # including requests that run on other instances.
+        self._caller_control.stop_accepting()
         with anyio.move_on_after(self.settings.drain.timeout_s):
-            await self._callers_served.wait()
-            while self._is_issuer_in_use():
-                await anyio.sleep(ISSUER_POLL_S)
+            await self._caller_listener_finished.wait()
+            while self._are_issued_keys_in_use():
+                await anyio.sleep(DRAIN_POLL_INTERVAL_S)
         self.announce(MemberState.LEFT)
-        # The last notice and the last answers need a moment to be sent.
-        await anyio.sleep(LEFT_NOTICE_S)
-        # A call that another node forwarded before it knew the notice is finished.
+        # Leaves time to send the membership notice and the last responses.
+        await anyio.sleep(LEFT_NOTICE_DELAY_S)
+        # Finishes calls that other nodes forwarded before they received the notice.
         with anyio.move_on_after(self.settings.drain.timeout_s):
             while self.entry.in_flight > 0:
-                await anyio.sleep(ISSUER_POLL_S)
+                await anyio.sleep(DRAIN_POLL_INTERVAL_S)
         await self.cluster.log.close()
         await self.target.aclose()
 
-    def _is_issuer_in_use(self) -> bool:
-        """Return whether callers elsewhere still use keys of this node.
+    def _are_issued_keys_in_use(self) -> bool:
+        """Return whether callers of other nodes still use keys that this node issued.
 
-        Its records end with the process, so it stays for them until it is idle.
+        The action records of these keys are lost when the process ends, so
+        shutdown waits until no other node has used one for ``KEY_ISSUER_IDLE_MS``.
         """
         idle_ms = self.clock.now_ms() - self.entry.last_forward_at_ms
-        return self.entry.in_flight > 0 or idle_ms < ISSUER_IDLE_MS
+        return self.entry.in_flight > 0 or idle_ms < KEY_ISSUER_IDLE_MS
 
     async def _handle_peer(self, message: Call | Forward, peer: PeerInfo) -> Answer:
         match message:
@@ -186,7 +187,7 @@
             partial(node_status, self),
             partial(dump_node, self),
             self.drain,
-            self._stop.set,
+            self._drain_ended.set,
             self.quarantine,
             self.send_quarantine_lift,
         )
@@ -200,10 +201,10 @@
         await serve_http(listener, admin.handle, limits, self.metrics)
 
     def _check_superseded(self) -> None:
-        later = self.cluster.table.superseded_by
-        if later is not None and not self._superseded:
+        later_incarnation = self.cluster.table.superseded_by
+        if later_incarnation is not None and not self._superseded:
             self._superseded = True
-            emit(Event.NODE_SUPERSEDED, incarnation=later)
+            emit(Event.NODE_SUPERSEDED, incarnation=later_incarnation)
 
     def _set_gauges(self) -> None:
         self.metrics.gauge("admission.load", self.admission.load())
@@ -221,7 +222,7 @@
 
 def main() -> None:
     """Run the command line of ``briardock-node``."""
-    # defopt would cost a node 14 MB of memory for one option.
+    # argparse rather than defopt, which takes 14 MB of memory in every node.
     parser = argparse.ArgumentParser(
         prog="briardock-node", description="Run one node beside its target."
     )
--- a/src/briardock/report.py
+++ b/src/briardock/report.py
@@ -1,4 +1,4 @@
-"""State of a node for operators: a short status and a whole dump."""
+"""State of a node for operators: a short status and a full dump."""
 
 import resource
 from collections.abc import Mapping
@@ -16,7 +16,7 @@
 
 
 def node_status(node: "Node") -> dict[str, object]:
-    """Return what an operator looks at first.
+    """Return the short status that an operator checks first.
 
     :param node: node to describe
     """
@@ -27,15 +27,15 @@
         "incarnation": node.incarnation,
         "state": node.drain.state.value,
         "service": target.service,
-        "target": "leaving" if target.leaving else _presence(target.present),
+        "target": "leaving" if target.leaving else _target_presence(target.present),
         "configuration": {
             "version": None if config.version == NO_VERSION else config.version,
             "digest": "" if config.version == NO_VERSION else config.digest,
-            "state": _source_of(node),
+            "state": _configuration_state(node),
         },
-        "log_reachable": _log_state(node),
+        "log_reachable": _log_reachability(node),
         "log_reader": node.directory.is_log_reader(),
-        "members": [_member(node, one) for one in node.cluster.table.records()],
+        "members": [_member(node, member) for member in node.cluster.table.records()],
         "in_flight": len(node.inbound.running),
         "queued": node.admission.queued,
         "load": node.admission.load(),
@@ -44,7 +44,7 @@
 
 
 def dump_node(node: "Node") -> dict[str, object]:
-    """Return the whole state of a node.
+    """Return the full state of a node.
 
     :param node: node to describe
     """
@@ -54,8 +54,8 @@
         "settings": _settings(node),
         "configuration": _configuration(node),
         "members": [
-            {**msgspec.structs.asdict(one), "state": one.state.name.lower()}
-            for one in node.cluster.table.records()
+            {**msgspec.structs.asdict(member), "state": member.state.name.lower()}
+            for member in node.cluster.table.records()
         ],
         "gossip": node.cluster.gossip.state(),
         "admission": node.admission.state(),
@@ -73,11 +73,11 @@
     }
 
 
-def _presence(present: bool) -> str:
+def _target_presence(present: bool) -> str:
     return "ready" if present else "absent"
 
 
-def _source_of(node: "Node") -> str:
+def _configuration_state(node: "Node") -> str:
     if node.cluster.config.version != NO_VERSION:
         return "in force"
     if not node.cluster.reader.reachable and node.cluster.table.is_alone():
@@ -85,8 +85,11 @@
     return "none: nothing has been published"
 
 
-def _log_state(node: "Node") -> bool | None:
-    """Return whether the log answers; a node that seldom reads it cannot tell."""
+def _log_reachability(node: "Node") -> bool | None:
+    """Return whether the log service responds, or ``None`` if this cannot be told.
+
+    A node that is not a log reader reads the log too seldom to tell.
+    """
     if not node.directory.is_log_reader():
         return None
     return node.cluster.reader.reachable
@@ -120,7 +123,7 @@
     if config.version == NO_VERSION:
         return {"version": NO_VERSION}
     catalog = config.catalog
-    sources = _sources(config.files)
+    sources = _defining_files(config.files)
     return {
         "version": config.version,
         "file_versions": dict(config.versions),
@@ -150,14 +153,14 @@
     ]
 
 
-def _sources(files: Mapping[str, str]) -> dict[str, dict[str, str]]:
-    """Return the file that set each key, by section."""
+def _defining_files(files: Mapping[str, str]) -> dict[str, dict[str, str]]:
+    """Return the name of the file that defines each key, by section and key."""
     sources: dict[str, dict[str, str]] = {}
     for name in sorted(files):
         parsed = parse_ini(files[name])
         if isinstance(parsed, IniError):
             continue
         for section, content in parsed.items():
-            found = sources.setdefault(section, {})
-            found.update(dict.fromkeys(content.values, name))
+            file_by_key = sources.setdefault(section, {})
+            file_by_key.update(dict.fromkeys(content.values, name))
     return sources
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -10,21 +10,21 @@
 from callpath_fakes import CallPath
 
 
-def make(token: str = "") -> tuple[Admin, CallPath, list[str]]:
-    path = CallPath()
+def make_test_admin(token: str = "") -> tuple[Admin, CallPath, list[str]]:
+    call_path = CallPath()
     calls: list[str] = []
     sources = AdminSources(
         lambda: {"state": "serving"},
         lambda: {"whole": 1},
-        path.drain,
+        call_path.drain,
         lambda: calls.append("drained"),
-        path.quarantine,
+        call_path.quarantine,
         calls.append,
     )
-    return make_admin(sources, token), path, calls
+    return make_admin(sources, token), call_path, calls
 
 
-def ask(
+def send_request(
     admin: Admin, method: str, target: str, body: bytes = b"", authorization: str = ""
 ) -> HttpResponse:
     headers = ((b"authorization", authorization.encode()),) if authorization else ()
@@ -46,14 +46,17 @@
 def test_token_is_required_where_one_is_set(
     token: str, authorization: str, status: int
 ) -> None:
-    admin, _, _ = make(token)
-    assert ask(admin, "GET", "/status", authorization=authorization).status == status
+    admin, _, _ = make_test_admin(token)
+    assert (
+        send_request(admin, "GET", "/status", authorization=authorization).status
+        == status
+    )
 
 
 def test_unauthorized_drain_does_not_drain() -> None:
-    admin, path, calls = make("s3")
-    assert ask(admin, "POST", "/drain").status == 401
-    assert not path.drain.refuses_new
+    admin, call_path, calls = make_test_admin("s3")
+    assert send_request(admin, "POST", "/drain").status == 401
+    assert not call_path.drain.refuses_new
     assert not calls
 
 
@@ -71,26 +74,30 @@
     ],
 )
 def test_routes(method: str, target: str, status: int) -> None:
-    admin, path, _ = make()
-    response = ask(admin, method, target)
+    admin, call_path, _ = make_test_admin()
+    response = send_request(admin, method, target)
     assert response.status == status
     assert (b"POST /quarantine/lift" in response.body) is (status == 404)
-    assert not path.drain.refuses_new
+    assert not call_path.drain.refuses_new
 
 
-def test_drain_goes_on_without_its_requester() -> None:
-    """A requester that left in the middle of a drain stopped it: the node refused
-    everything from then on and never ended, so it was never replaced.
-    """
+def test_drain_continues_after_its_requester_disconnects() -> None:
+    # Guards against a drain that is cancelled when its requester disconnects: the node
+    # then refuses every request, never ends and is never replaced.
     calls: list[str] = []
     in_flight = 1
 
-    async def leave_in_the_middle() -> None:
+    async def cancel_requester_during_drain() -> None:
         nonlocal in_flight
         drain = make_drain(SystemClock(), lambda: in_flight, lambda: None, 5_000.0)
-        _, path, _ = make()
+        _, call_path, _ = make_test_admin()
         sources = AdminSources(
-            dict, dict, drain, lambda: calls.append("drained"), path.quarantine, print
+            dict,
+            dict,
+            drain,
+            lambda: calls.append("drained"),
+            call_path.quarantine,
+            print,
         )
         admin = make_admin(sources, "")
         async with anyio.create_task_group() as requester:
@@ -102,15 +109,15 @@
             in_flight = 0
         assert drain.state is DrainState.LEFT
 
-    anyio.run(leave_in_the_middle)
+    anyio.run(cancel_requester_during_drain)
     assert calls == ["drained"]
 
 
-def test_drain_reports_its_end() -> None:
-    admin, path, calls = make()
-    body = ask(admin, "POST", "/drain").body
+def test_drain_reports_that_it_has_finished() -> None:
+    admin, call_path, calls = make_test_admin()
+    body = send_request(admin, "POST", "/drain").body
     assert body == b'{"state":"left","in_flight_empty":true}'
-    assert path.drain.refuses_new
+    assert call_path.drain.refuses_new
     assert calls == ["drained"]
 
 
@@ -126,9 +133,9 @@
     ],
 )
 def test_lift(body: bytes, status: int, lifted: list[str]) -> None:
-    admin, path, calls = make()
+    admin, call_path, calls = make_test_admin()
     for death in ("d1", "d2"):
-        path.quarantine.record_death(["f1"], death)
-    assert ask(admin, "POST", "/quarantine/lift", body).status == status
+        call_path.quarantine.record_death(["f1"], death)
+    assert send_request(admin, "POST", "/quarantine/lift", body).status == status
     assert calls == lifted
-    assert path.quarantine.refuses("f1") is not bool(lifted)
+    assert call_path.quarantine.refuses("f1") is not bool(lifted)
