Reword events, metrics, clock, exceptions and the test runner

Name the bounds of the event queue and of parallel suites by what they limit, and reword doc comments of the page checks and the test runner. Event texts, metric names and behaviour are unchanged.

--- a/src/briardock/clock.py
+++ b/src/briardock/clock.py
@@ -1,4 +1,4 @@
-"""Time and random source, injected so that a seed repeats a run."""
+"""Clock and random source, injected so that a run can be reproduced from a seed."""
 
 import random
 import time
@@ -22,7 +22,7 @@
 
 
 class ManualClock:
-    """Clock that moves only when told to, for tests.
+    """Clock for tests that advances only by explicit steps.
 
     :param start_ms: first reading in ms
     """
@@ -35,9 +35,9 @@
         return self._now_ms
 
     def advance(self, step_ms: float) -> None:
-        """Move the clock forward.
+        """Advance the clock.
 
-        :param step_ms: distance in ms
+        :param step_ms: time to advance in ms
         """
         self._now_ms += step_ms
 
--- a/src/briardock/events.py
+++ b/src/briardock/events.py
@@ -1,7 +1,7 @@
 """Numbered log events; the catalogue is docs/events.md.
 
-Records pass through a bounded queue to a writer thread, so that a slow log
-device never blocks a call. Records beyond the bound are dropped and counted.
+Records pass through a bounded queue to a writer thread, so that a slow log device
+never blocks a call. Records are dropped and counted while the queue is full.
 """
 
 import enum
@@ -13,7 +13,7 @@
 
 import logbook
 
-QUEUE_RECORDS = 2_000
+MAX_QUEUED_RECORDS = 2_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,9 +31,9 @@
 
 
 class Event(enum.Enum):
-    """All events; 1xx call path, 2xx overload, 3xx membership, 4xx configuration.
+    """All events by number.
 
-    5xx are events of the process itself.
+    1xx call path, 2xx overload, 3xx membership, 4xx configuration, 5xx process.
     """
 
     HTTP_REQUEST_REFUSED = EventInfo(100, "WARNING", "listener refused a request")
@@ -96,13 +96,13 @@
 
 
 class _QueueHandler(logbook.Handler):
-    """Handler that hands formatted records to a writer thread."""
+    """Passes formatted records to a writer thread."""
 
     def __init__(self, stream: TextIO, level: str) -> None:
         super().__init__(level=logbook.lookup_level(level))
         self.dropped_count = 0
         self._stream = stream
-        self._lines: queue.Queue[str] = queue.Queue(QUEUE_RECORDS)
+        self._lines: queue.Queue[str] = queue.Queue(MAX_QUEUED_RECORDS)
         threading.Thread(target=self._write_lines, daemon=True).start()
 
     def emit(self, record: logbook.LogRecord) -> None:
@@ -141,6 +141,6 @@
     :param fields: values in the order given
     """
     info = event.value
-    shown = " ".join(f"{name}={value}" for name, value in fields.items())
+    field_text = " ".join(f"{name}={value}" for name, value in fields.items())
     level = logbook.lookup_level(info.severity)
-    _logger.log(level, f"E{info.number} {info.text} {shown}".rstrip())
+    _logger.log(level, f"E{info.number} {info.text} {field_text}".rstrip())
--- a/src/briardock/exceptions.py
+++ b/src/briardock/exceptions.py
@@ -1,4 +1,4 @@
-"""Exceptions of the package; each message is for the user and names the remedy."""
+"""Exceptions of the package; each message tells the user the cause and the remedy."""
 
 
 class BriardockError(Exception):
@@ -17,7 +17,7 @@
 
 
 class SettingsError(BriardockError):
-    """A settings file is missing, unreadable or holds a bad value."""
+    """A settings file is missing, unreadable or contains an invalid value."""
 
     exit_code = 2
 
@@ -35,12 +35,12 @@
 
 
 class LogUnavailableError(BriardockError):
-    """The platform's log service cannot be reached or answered with an error."""
+    """The platform's log service cannot be reached or responded with an error."""
 
     exit_code = 5
 
 
 class NodeUnavailableError(BriardockError):
-    """A node's operator endpoint cannot be reached or refused the request."""
+    """A node's admin endpoint cannot be reached or refused the request."""
 
     exit_code = 6
--- a/src/briardock/metrics.py
+++ b/src/briardock/metrics.py
@@ -1,7 +1,7 @@
-"""Counters and gauges, summed in the process and sent by statsd in batches.
+"""Counters and gauges, kept in the process and sent to statsd in batches.
 
-The call path only adds to a dictionary. Sending uses UDP, which drops rather
-than blocks when the receiver is slow or absent.
+The call path only updates a dictionary. Metrics are sent over UDP, which drops packets
+instead of blocking when the receiver is slow or absent.
 """
 
 import statsd
@@ -15,7 +15,7 @@
     def __init__(self) -> None:
         self.counters: dict[str, int] = {}
         self.gauges: dict[str, float] = {}
-        self._sent: dict[str, int] = {}
+        self._sent_counters: dict[str, int] = {}
 
     def count(self, name: str, step: int = 1) -> None:
         """Add to a counter.
@@ -34,25 +34,25 @@
         self.gauges[name] = value
 
     def flush(self, client: statsd.StatsClient) -> None:
-        """Send the changes since the last flush.
+        """Send the counter increments since the last flush and all gauges.
 
         :param client: statsd client
         """
         with client.pipeline() as pipeline:
             for name, value in self.counters.items():
-                step = value - self._sent.get(name, 0)
+                step = value - self._sent_counters.get(name, 0)
                 if step:
                     pipeline.incr(name, step)
-                    self._sent[name] = value
-            for name, level in self.gauges.items():
-                pipeline.gauge(name, level)
+                    self._sent_counters[name] = value
+            for name, gauge_value in self.gauges.items():
+                pipeline.gauge(name, gauge_value)
 
 
 def make_statsd_client(host: str, port: int, prefix: str) -> statsd.StatsClient:
     """Return a client that sends over UDP.
 
-    :param host: numeric address of the receiver
+    :param host: numeric IP address of the receiver
     :param port: UDP port of the receiver
-    :param prefix: prefix of all names
+    :param prefix: prefix of all metric names
     """
     return statsd.StatsClient(host, port, prefix=prefix)
--- a/tests/run_all.py
+++ b/tests/run_all.py
@@ -1,7 +1,7 @@
 """Run every test suite and print one closing line with the totals.
 
-Scenarios listed in KNOWN-RED.txt run too; their failure is printed and does not
-fail the run. Each entry there is a block whose first line is ``test: <id>``.
+Tests listed in KNOWN-RED.txt run too; their failures are printed and do not fail the
+run. Each entry in that file is a block whose first line is ``test: <id>``.
 """
 
 import re
@@ -15,8 +15,8 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED_FILE = ROOT / "KNOWN-RED.txt"
-# Each feature runs about 12 processes that mostly wait.
-PARALLEL_SUITES = 6
+# Each feature suite runs about 12 processes, which are idle most of the time.
+MAX_PARALLEL_SUITES = 6
 SHOWN_CHARS = 4_000
 
 
@@ -38,14 +38,14 @@
 
 
 def load_known_red() -> set[str]:
-    """Return the ids of the tests whose failure is on record."""
+    """Return the ids of the tests in KNOWN-RED.txt, which may fail."""
     if not KNOWN_RED_FILE.exists():
         return set()
     return set(re.findall(r"^test: (.+)$", KNOWN_RED_FILE.read_text(), re.MULTILINE))
 
 
 def run_suite(suite: Suite) -> tuple[Suite, int]:
-    """Run one suite, show its output once it has ended and return its exit code."""
+    """Run one suite, print its output when it ends and return its exit code."""
     result = subprocess.run(
         suite.command,
         cwd=ROOT,
@@ -59,7 +59,7 @@
 
 
 def make_suites(reports: Path) -> list[Suite]:
-    """Return all suites, one for each feature file."""
+    """Return the unit test suite and one suite for each feature file."""
     unit = reports / "unit"
     suites = [
         Suite([sys.executable, "-m", "pytest", f"--junitxml={unit / 'unit.xml'}"], unit)
@@ -81,11 +81,14 @@
 
 
 def add_suite(totals: Totals, suite: Suite, code: int, known_red: set[str]) -> None:
-    """Add the reports of one suite; a suite must not fail without a failed case."""
-    broken_before = len(totals.failed) + len(totals.known_red)
+    """Add the reports of one suite.
+
+    A suite that exits with an error and reports no failed test counts as a failure.
+    """
+    failures_before = len(totals.failed) + len(totals.known_red)
     for report in sorted(suite.reports.rglob("*.xml")):
         add_report(totals, report, known_red)
-    if code and len(totals.failed) + len(totals.known_red) == broken_before:
+    if code and len(totals.failed) + len(totals.known_red) == failures_before:
         totals.failed.append(f"{suite.command} ended with exit code {code}")
 
 
@@ -93,14 +96,14 @@
     """Add the results of one JUnit report to the totals."""
     for case in ElementTree.parse(report).iter("testcase"):
         case_id = f"{case.get('classname')}::{case.get('name')}"
-        fault = case.find("failure")
-        fault = case.find("error") if fault is None else fault
-        broken = fault is not None
-        if fault is not None:
-            print(f"{case_id}\n{fault.get('message')}\n{fault.text}"[:SHOWN_CHARS])
-        if not broken and case.find("skipped") is None:
+        failure = case.find("failure")
+        failure = case.find("error") if failure is None else failure
+        has_failed = failure is not None
+        if failure is not None:
+            print(f"{case_id}\n{failure.get('message')}\n{failure.text}"[:SHOWN_CHARS])
+        if not has_failed and case.find("skipped") is None:
             totals.passed_count += 1
-        elif broken and case_id in known_red:
+        elif has_failed and case_id in known_red:
             totals.known_red.append(case_id)
         else:
             totals.failed.append(case_id)
@@ -112,7 +115,7 @@
     totals = Totals()
     with tempfile.TemporaryDirectory() as folder:
         reports = Path(folder)
-        with ThreadPoolExecutor(PARALLEL_SUITES) as pool:
+        with ThreadPoolExecutor(MAX_PARALLEL_SUITES) as pool:
             for suite, code in pool.map(run_suite, make_suites(reports)):
                 add_suite(totals, suite, code, known_red)
     for case_id in totals.known_red:
--- a/tests/test_clock.py
+++ b/tests/test_clock.py
@@ -6,7 +6,7 @@
 
 
 @pytest.mark.parametrize("steps_ms, expected_ms", [([], 5.0), ([1.5, 2.5], 9.0)])
-def test_manual_clock_moves_only_by_steps(
+def test_manual_clock_advances_only_by_steps(
     steps_ms: list[float], expected_ms: float
 ) -> None:
     clock = ManualClock(5.0)
@@ -15,6 +15,6 @@
     assert clock.now_ms() == expected_ms
 
 
-def test_seed_repeats_the_sequence() -> None:
+def test_seed_reproduces_the_sequence() -> None:
     # Guards against a random source that ignores its seed.
     assert make_random(7).random() == make_random(7).random()
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -1,7 +1,7 @@
-"""The pages for operators list what the code has.
+"""Compare the pages for operators with the code.
 
-A number, metric, reason, key or command that is added to the code without its
-page, or renamed in only one of them, fails here.
+An event number, metric, reason, key or command fails here if it is added to the code
+and not to its page, or renamed in only one of the two.
 """
 
 import ast
@@ -25,7 +25,7 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 SOURCES = sorted((ROOT / "src" / "briardock").glob("*.py"))
-OWN_PAGES = (
+CHECKED_PAGES = (
     "README.md",
     "CHANGES.md",
     "docs/glossary.md",
@@ -48,7 +48,7 @@
 
 
 def anchors(text: str) -> set[str]:
-    """Return the anchors that a page has by its headings."""
+    """Return the link anchors of the headings of a page."""
     titles = re.findall(r"^#+ (.+)$", text, re.MULTILINE)
     return {re.sub(r"[^\w -]", "", t).lower().replace(" ", "-") for t in titles}
 
@@ -88,7 +88,7 @@
 
 
 def metric_names(method: str) -> set[str]:
-    """Return the metric names in the package, ``*`` for a part filled in."""
+    """Return the metric names in the package, with ``*`` for a formatted part."""
     names: set[str] = set()
     for call in calls(method):
         owner = ast.unparse(call.func).rpartition(".")[0]
@@ -128,7 +128,7 @@
     assert listed == expected
 
 
-def test_event_catalogue_says_what_to_do() -> None:
+def test_event_catalogue_gives_a_remedy_for_every_event() -> None:
     for row in rows(page("docs/events.md")):
         assert len(row) == 5 and row[4], row
 
@@ -153,7 +153,7 @@
 
 
 def range_text(key: str, annotation: Any) -> str:
-    """Return the range of a configuration key as the page writes it."""
+    """Return the range of a configuration key in the wording of the page."""
     if annotation is bool:
         return "yes, no"
     if key == "match":
@@ -172,7 +172,7 @@
 
 
 def default_text(kind: str, key: str) -> str:
-    """Return the default of a configuration key as the page writes it."""
+    """Return the default of a configuration key in the wording of the page."""
     if key in REQUIRED.get(kind, ()):
         return "required"
     if kind == "policy" and key in _WEIGHED["goodput"]:
@@ -199,7 +199,7 @@
 
 
 def test_policy_defaults_of_the_page_are_those_in_force() -> None:
-    """The dataclass defaults must not differ from those of an empty folder."""
+    # Guards against dataclass defaults that differ from those of an empty folder.
     catalog = merge_and_check({})
     assert isinstance(catalog, Catalog)
     for item in fields(Policy):
@@ -218,7 +218,7 @@
     assert codes <= listed
 
 
-@pytest.mark.parametrize("name", OWN_PAGES)
+@pytest.mark.parametrize("name", CHECKED_PAGES)
 def test_links_and_commands_of_a_page_exist(name: str) -> None:
     text = page(name)
     for link, anchor in re.findall(r"\]\(([^)#:]*)(?:#([^)]*))?\)", text):
