--- a/src/briardock/cli.py
+++ b/src/briardock/cli.py
@@ -206,7 +206,7 @@
     """Remove a request from the quarantine, so that it is admitted again.
 
     :param node: HOST:PORT of the admin endpoint of any node
-    :param fingerprint: one from the output of quarantine list
+    :param fingerprint: a fingerprint from the output of 'quarantine list'
     :param token: bearer token of the node; defaults to $BRIARDOCK_TOKEN
     """
     content = {"fingerprint": fingerprint}
