Name processes, HTTP client and child calls of the stand-ins in usual terms

Rename answers.py to responses.py (Answer to ResponseBody, is_own_answer to is_matching_response), _remote.py to _control.py (Remote to ControlClient, answers to is_responding) and ManagedProcess.end to wait_or_kill, with their uses. Reword doc comments. Behaviour is unchanged.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -169,7 +169,7 @@
         for process in self._processes:
             process.terminate()
         for process in self._processes:
-            process.end(5.0)
+            process.wait_or_kill(5.0)
         self.ports.release()
         shutil.rmtree(self.folder, ignore_errors=True)
 
--- a/features/bench.py
+++ b/features/bench.py
@@ -383,7 +383,7 @@
 
     def restart_target(self, name: str) -> None:
         """Start a killed target again, as the platform would."""
-        self.deployment.processes[target_name(name)].end(1.0)
+        self.deployment.processes[target_name(name)].wait_or_kill(1.0)
         self.deployment.start_target(name)
 
 
--- a/src/briardock_standins/_children.py
+++ b/src/briardock_standins/_children.py
@@ -1,4 +1,4 @@
-"""Child calls of a target stand-in, through its node or directly."""
+"""Child calls of a target stand-in, sent through its node or directly."""
 
 import enum
 import random
@@ -15,12 +15,15 @@
     parse_address,
 )
 from briardock_standins._state import Status
-from briardock_standins.answers import failure_detail, is_own_answer
 from briardock_standins.plans import NUMBER, ChildCall, OperationPlan, TargetPlan
+from briardock_standins.responses import failure_detail, is_matching_response
 
 
 class ChildState(enum.Enum):
-    """How a child call ended."""
+    """Result of a child call.
+
+    ``FOREIGN`` is a response that is incomplete or belongs to another request.
+    """
 
     OK = "ok"
     FAILED = "failed"
@@ -29,10 +32,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ChildResult:
-    """How a child call ended, and why.
+    """Result of a child call with its reason.
 
-    :param state: how it ended
-    :param detail: reason of the deepest failure
+    :param state: result
+    :param detail: reason of the failure deepest in the call chain
     """
 
     state: ChildState
@@ -40,13 +43,13 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Parent:
-    """The run that makes child calls.
+class ParentRun:
+    """The run that makes the child calls.
 
     :param run: id of the run
-    :param nonce: nonce of its call
-    :param context: ``Briardock-Context`` it received
-    :param path: path of its request
+    :param nonce: nonce of the call that it runs
+    :param context: ``Briardock-Context`` header of that call
+    :param path: request path of that call
     """
 
     run: str
@@ -55,8 +58,8 @@
     path: str
 
     @property
-    def number(self) -> str:
-        """Return the last segment of the path."""
+    def last_segment(self) -> str:
+        """Return the last segment of the request path."""
         return self.path.rpartition("/")[2]
 
 
@@ -67,7 +70,7 @@
     :param plan: plan of the target
     :param client: HTTP client
     :param rng: random source
-    :param status: counters to add to
+    :param status: counters to update
     """
 
     plan: TargetPlan
@@ -76,14 +79,14 @@
     status: Status
 
     async def call_all(
-        self, operation: OperationPlan, parent: Parent
+        self, operation: OperationPlan, parent: ParentRun
     ) -> list[ChildResult]:
         """Make the child calls of an operation.
 
-        Sequential calls end at the first failure of a required one.
+        Sequential calls stop after the first required call that fails.
 
-        :param operation: calling operation
-        :param parent: calling run
+        :param operation: operation that makes the calls
+        :param parent: run that makes the calls
         """
         if operation.parallel and len(operation.calls) > 1:
             return await self._call_parallel(operation, parent)
@@ -96,7 +99,7 @@
         return results
 
     async def _call_parallel(
-        self, operation: OperationPlan, parent: Parent
+        self, operation: OperationPlan, parent: ParentRun
     ) -> list[ChildResult]:
         results = [ChildResult(ChildState.FAILED)] * len(operation.calls)
 
@@ -109,7 +112,7 @@
         return results
 
     async def _call(
-        self, call: ChildCall, parent: Parent, position: int
+        self, call: ChildCall, parent: ParentRun, position: int
     ) -> ChildResult:
         nonce = f"{parent.nonce}/{position}"
         headers = [
@@ -121,7 +124,7 @@
         if call.label:
             headers.append((b"idempotency-key", call.label.encode()))
         body = b"" if call.method == "GET" else nonce.encode()
-        path = call.path.replace(NUMBER, parent.number)
+        path = call.path.replace(NUMBER, parent.last_segment)
         if not self._is_direct(call):
             path = f"/{call.service}{path}"
         request = HttpRequest(call.method, path, tuple(headers), body)
@@ -130,10 +133,10 @@
         for _ in range(self.plan.attempts if self._is_direct(call) else 1):
             address = self._choose_address(call)
             self.status.child_send_count += 1
-            answer = await self.client.request(
+            exchange = await self.client.request(
                 address, request, self.plan.call_timeout_ms
             )
-            result = _judge(answer, call.service, nonce, body)
+            result = _classify_exchange(exchange, call.service, nonce, body)
             if result.state is not ChildState.FAILED:
                 break
         return result
@@ -147,16 +150,16 @@
         return parse_address(self.plan.node)
 
 
-def _judge(
-    answer: Exchange, service: str, nonce: str, request_body: bytes
+def _classify_exchange(
+    exchange: Exchange, service: str, nonce: str, request_body: bytes
 ) -> ChildResult:
-    if not isinstance(answer, HttpResponse):
-        return ChildResult(ChildState.FAILED, f"{service}: {type(answer).__name__}")
-    outcome = answer.header("briardock-outcome")
-    if outcome not in ("", "completed") or answer.status != 200:
-        detail = failure_detail(answer.body) or str(answer.status)
-        where = "" if ": " in detail else f"{service}: "
-        return ChildResult(ChildState.FAILED, f"{where}{detail}")
-    if is_own_answer(answer.body, nonce, request_body):
+    if not isinstance(exchange, HttpResponse):
+        return ChildResult(ChildState.FAILED, f"{service}: {type(exchange).__name__}")
+    outcome = exchange.header("briardock-outcome")
+    if outcome not in ("", "completed") or exchange.status != 200:
+        detail = failure_detail(exchange.body) or str(exchange.status)
+        prefix = "" if ": " in detail else f"{service}: "
+        return ChildResult(ChildState.FAILED, f"{prefix}{detail}")
+    if is_matching_response(exchange.body, nonce, request_body):
         return ChildResult(ChildState.OK)
     return ChildResult(ChildState.FOREIGN, f"{service}: foreign answer")
--- a/src/briardock_standins/_client.py
+++ b/src/briardock_standins/_client.py
@@ -9,7 +9,7 @@
 
 from briardock.outcomes import Headers
 from briardock_standins._http import (
-    CLOSED,
+    CLOSED_ERRORS,
     MAX_HEAD_BYTES,
     READ_BYTES,
     Address,
@@ -21,7 +21,7 @@
     TimedOut,
 )
 
-IDLE_CONNECTIONS = 256
+MAX_IDLE_CONNECTIONS = 256
 
 
 class _ClientConnection:
@@ -38,13 +38,13 @@
         )
 
     def is_reusable(self) -> bool:
-        """Return whether the connection is idle and the server keeps it open."""
+        """Return whether the connection is idle and the server has not closed it."""
         return self._protocol.our_state is h11.IDLE and not self._poll.poll(0)
 
     async def exchange(self, address: Address, request: HttpRequest) -> HttpResponse:
         """Send a request and return its response.
 
-        :raises h11.RemoteProtocolError: if the response is not whole
+        :raises h11.RemoteProtocolError: if the response is incomplete
         """
         send = self._protocol.send
         head = h11.Request(
@@ -94,13 +94,13 @@
         self._protocol.receive_data(data)
 
     async def close(self) -> None:
-        """Close the connection at once."""
+        """Close the connection without a graceful shutdown."""
         await anyio.aclose_forcefully(self._stream)
 
 
 @dataclass(slots=True)
 class HttpClient:
-    """Client that keeps idle connections per server.
+    """HTTP client that pools idle connections per server.
 
     :param source_host: IP address to connect from
     """
@@ -111,11 +111,11 @@
     async def request(
         self, address: Address, request: HttpRequest, timeout_ms: float
     ) -> Exchange:
-        """Send one request; nothing is repeated.
+        """Send one request, without retries.
 
         :param address: server
         :param request: request
-        :param timeout_ms: time until the whole response must have arrived
+        :param timeout_ms: time within which the whole response must arrive
         """
         with anyio.move_on_after(timeout_ms / 1000.0):
             connection = await self._acquire(address)
@@ -129,7 +129,7 @@
     ) -> HttpResponse | AnswerMissing:
         try:
             return await connection.exchange(address, request)
-        except (h11.ProtocolError, *CLOSED) as error:
+        except (h11.ProtocolError, *CLOSED_ERRORS) as error:
             return AnswerMissing(repr(error))
         finally:
             await self._release(address, connection)
@@ -151,7 +151,7 @@
 
     async def _release(self, address: Address, connection: _ClientConnection) -> None:
         idle = self._idle.setdefault(address, [])
-        if connection.is_reusable() and len(idle) < IDLE_CONNECTIONS:
+        if connection.is_reusable() and len(idle) < MAX_IDLE_CONNECTIONS:
             idle.append(connection)
         else:
             await connection.close()
--- a/src/briardock_standins/_remote.py
+++ b/src/briardock_standins/_control.py
@@ -1,4 +1,4 @@
-"""HTTP requests to the processes of a deployment: their state and their faults."""
+"""HTTP requests that read the state of a deployment's processes and inject faults."""
 
 from typing import Any
 
@@ -6,26 +6,26 @@
 
 from briardock_standins.deployments import Instance
 
-HTTP_TIMEOUT_S = 5.0
+REQUEST_TIMEOUT_S = 5.0
 
 
-class Remote:
-    """Reads the state of processes and sets their faults."""
+class ControlClient:
+    """Reads the state of the processes of a deployment and injects faults."""
 
     def __init__(self) -> None:
         self.instances: dict[str, Instance] = {}
         self.log_port = 0
         self.relay_control = ""
-        self._http = httpx.Client(timeout=HTTP_TIMEOUT_S, trust_env=False)
+        self._http = httpx.Client(timeout=REQUEST_TIMEOUT_S, trust_env=False)
 
     def close(self) -> None:
         """Close the connections."""
         self._http.close()
 
-    def answers(self, url: str) -> bool:
-        """Return whether a server answers without a server error.
+    def is_responding(self, url: str) -> bool:
+        """Return whether a server responds with a status below 500.
 
-        :raises httpx.HTTPError: if it does not answer
+        :raises httpx.HTTPError: if it does not respond
         """
         return self._http.get(url).status_code < 500
 
@@ -34,37 +34,37 @@
         return self.admin_get(name, "/status")
 
     def admin_get(self, name: str, path: str) -> dict[str, Any]:
-        """Return the JSON answer of a node's operator endpoint.
+        """Return the JSON response of a node's operator endpoint.
 
         :param name: node id
         :param path: path with query
-        :raises httpx.HTTPError: if the node does not answer
+        :raises httpx.HTTPError: if the node does not respond or returns an error
         """
-        answer = self._http.get(f"http://{self.instances[name].admin}{path}")
-        answer.raise_for_status()
-        found: dict[str, Any] = answer.json()
-        return found
+        response = self._http.get(f"http://{self.instances[name].admin}{path}")
+        response.raise_for_status()
+        content: dict[str, Any] = response.json()
+        return content
 
     def target_status(self, name: str) -> dict[str, Any]:
         """Return ``GET /status`` of the target beside a node."""
         url = f"http://{self.instances[name].control}/status"
-        found: dict[str, Any] = self._http.get(url).raise_for_status().json()
-        return found
+        content: dict[str, Any] = self._http.get(url).raise_for_status().json()
+        return content
 
     def set_target_faults(self, name: str, **faults: object) -> None:
-        """Set the faults of the target beside a node; others are reset.
+        """Set the faults of the target beside a node and reset all that are not given.
 
         :param name: node id
-        :param faults: fields of :class:`briardock_standins.target.Faults`
+        :param faults: fields of :class:`briardock_standins._state.Faults`
         """
         self._post(f"http://{self.instances[name].control}/faults", faults)
 
     def set_log_faults(self, mode: str, delay_ms: int = 0, count: int = 0) -> None:
-        """Set the fault of the log stand-in.
+        """Set the fault of the stand-in for the log service.
 
         :param mode: ``none``, ``outage``, ``slow`` or ``lose_ack``
-        :param delay_ms: delay of each answer
-        :param count: answers concerned, 0 for all
+        :param delay_ms: delay of each response
+        :param count: requests affected, 0 for all
         """
         body = {"mode": mode, "delay_ms": delay_ms, "count": count}
         self._post(f"http://127.0.0.1:{self.log_port}/faults", body)
@@ -72,12 +72,12 @@
     def set_path(
         self, source: str, destination: str, mode: str, delay_ms: float = 0.0
     ) -> None:
-        """Cut, hold or open the traffic between two domains in both directions.
+        """Refuse, hold or pass the traffic between two domains in both directions.
 
         :param source: failure domain
         :param destination: failure domain or ``platform``
         :param mode: ``open``, ``refuse`` or ``black-hole``
-        :param delay_ms: delay one way
+        :param delay_ms: one-way delay
         """
         body = {"source": source, "destination": destination, "mode": mode}
         url = f"http://{self.relay_control}/paths"
--- a/src/briardock_standins/_http.py
+++ b/src/briardock_standins/_http.py
@@ -12,7 +12,7 @@
 READ_BYTES = 65_536
 MAX_HEAD_BYTES = 65_536
 
-CLOSED = (
+CLOSED_ERRORS = (
     anyio.EndOfStream,
     anyio.BrokenResourceError,
     anyio.ClosedResourceError,
@@ -38,7 +38,7 @@
 def parse_address(text: str) -> Address:
     """Return the address written as ``host:port``.
 
-    :raises ValueError: if the port is no number
+    :raises ValueError: if the port is not a number
     """
     host, _, port = text.rpartition(":")
     return Address(host, int(port))
@@ -71,7 +71,7 @@
 
 @dataclass(frozen=True, slots=True)
 class HttpResponse:
-    """One whole response.
+    """One complete response.
 
     :param status: HTTP status code
     :param headers: header fields
@@ -89,21 +89,21 @@
 
 @dataclass(frozen=True, slots=True)
 class ConnectFailed:
-    """No connection; the request was not sent."""
+    """No connection could be opened; the request was not sent."""
 
     detail: str
 
 
 @dataclass(frozen=True, slots=True)
 class AnswerMissing:
-    """The connection ended before the whole response arrived."""
+    """The connection closed before the whole response arrived."""
 
     detail: str
 
 
 @dataclass(frozen=True, slots=True)
 class TimedOut:
-    """The time for the response passed."""
+    """The response did not arrive within the timeout."""
 
 
 Exchange = HttpResponse | ConnectFailed | AnswerMissing | TimedOut
@@ -126,7 +126,10 @@
 
 
 class _ServerConnection:
-    """One accepted connection; reads on while a handler runs, to notice its end."""
+    """One accepted connection.
+
+    It reads on while a handler runs, so that it detects a close by the client.
+    """
 
     def __init__(
         self, stream: SocketStream, handler: Handler, cancel_on_close: bool
@@ -137,16 +140,16 @@
         self._protocol = h11.Connection(
             h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES
         )
-        self._arrived = anyio.Event()
-        self._running: anyio.CancelScope | None = None
+        self._data_received = anyio.Event()
+        self._handler_scope: anyio.CancelScope | None = None
 
     async def run(self) -> None:
-        """Serve requests until the connection ends."""
+        """Serve requests until the connection closes."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._read)
             try:
                 await self._serve_requests()
-            except (h11.ProtocolError, *CLOSED):
+            except (h11.ProtocolError, *CLOSED_ERRORS):
                 pass
             finally:
                 tasks.cancel_scope.cancel()
@@ -157,38 +160,38 @@
         while data:
             try:
                 data = await self._stream.receive(READ_BYTES)
-            except CLOSED:
+            except CLOSED_ERRORS:
                 data = b""
             try:
                 self._protocol.receive_data(data)
             except (h11.ProtocolError, RuntimeError):
                 data = b""
-            self._arrived.set()
-        if self._running is not None and self._cancel_on_close:
-            self._running.cancel()
+            self._data_received.set()
+        if self._handler_scope is not None and self._cancel_on_close:
+            self._handler_scope.cancel()
 
     async def _next_event(self) -> object:
         while True:
             event = self._protocol.next_event()
             if event is not h11.NEED_DATA:
                 return event
-            self._arrived = anyio.Event()
-            await self._arrived.wait()
+            self._data_received = anyio.Event()
+            await self._data_received.wait()
 
     async def _serve_requests(self) -> None:
         while True:
             request = await self._receive_request()
             if request is None:
                 return
-            with anyio.CancelScope() as self._running:
+            with anyio.CancelScope() as self._handler_scope:
                 response = await self._handler(request)
-                self._running.shield = True
+                self._handler_scope.shield = True
                 await self._send(response)
-            if self._running.cancelled_caught:
+            if self._handler_scope.cancelled_caught:
                 return
             if self._protocol.our_state is h11.MUST_CLOSE:
                 return
-            self._running = None
+            self._handler_scope = None
             self._protocol.start_next_cycle()
 
     async def _receive_request(self) -> HttpRequest | None:
@@ -236,7 +239,7 @@
 
     :param listener: bound listener
     :param handler: called once per request
-    :param cancel_on_close: whether a closed connection cancels its handler
+    :param cancel_on_close: whether a close by the client cancels the running handler
     """
 
     async def serve(stream: SocketStream) -> None:
@@ -249,11 +252,11 @@
     """Bind a listener.
 
     :param host: IP address
-    :param port: TCP port, 0 for any free one
+    :param port: TCP port, 0 for any free port
     :raises OSError: if the address is in use
     """
-    multi = await anyio.create_tcp_listener(
+    multi_listener = await anyio.create_tcp_listener(
         local_host=host, local_port=port, backlog=4096
     )
-    listener: anyio.abc.SocketListener = multi.listeners[0]  # type: ignore[assignment]
+    listener: anyio.abc.SocketListener = multi_listener.listeners[0]  # type: ignore[assignment]
     return listener, Address(host, listener.extra(SocketAttribute.local_port))
--- a/src/briardock_standins/_processes.py
+++ b/src/briardock_standins/_processes.py
@@ -1,4 +1,4 @@
-"""Processes and ports that the harness manages."""
+"""Child processes and reserved ports of the harness."""
 
 import ctypes
 import os
@@ -9,47 +9,48 @@
 from pathlib import Path
 
 PR_SET_PDEATHSIG = 1
-TAIL_BYTES = 2_000
-KILL_BOUND_S = 10.0
+STDERR_TAIL_BYTES = 2_000
+KILL_TIMEOUT_S = 10.0
 
 _libc = ctypes.CDLL(None, use_errno=True)
 
 
-def _die_with_parent() -> None:
+def _set_parent_death_signal() -> None:
     _libc.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
 
 
 class PortPool:
-    """Free TCP ports, held against other processes for the life of the pool.
+    """Reserves free TCP ports until the pool is released.
 
-    The sockets that hold them are bound but do not listen, so a listener that sets
-    ``SO_REUSEADDR`` can still bind them, and no outgoing connection is given one.
+    The sockets that reserve the ports are bound but do not listen: a listener that
+    sets ``SO_REUSEADDR`` can still bind such a port, and the kernel does not choose
+    it as the source port of an outgoing connection.
     """
 
     def __init__(self) -> None:
-        self._held: list[socket.socket] = []
+        self._sockets: list[socket.socket] = []
 
     def take(self) -> int:
-        """Return a free port."""
-        held = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        held.bind(("127.0.0.1", 0))
-        self._held.append(held)
-        port: int = held.getsockname()[1]
+        """Reserve a free port and return it."""
+        reserved = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        reserved.bind(("127.0.0.1", 0))
+        self._sockets.append(reserved)
+        port: int = reserved.getsockname()[1]
         return port
 
     def release(self) -> None:
-        """Give all ports back."""
-        while self._held:
-            self._held.pop().close()
+        """Release all ports."""
+        while self._sockets:
+            self._sockets.pop().close()
 
 
 class ManagedProcess:
-    """A child process that writes its output to files.
+    """A child process whose output goes to files.
 
-    :param name: name of the output files
+    :param name: base name of the output files
     :param command: program and arguments
-    :param folder: where the output goes
+    :param folder: folder of the output files
     """
 
     def __init__(self, name: str, command: list[str], folder: Path) -> None:
@@ -57,16 +58,16 @@
         self._cpu_s = 0.0
         self._output = folder / f"{name}.out"
         self._errors = folder / f"{name}.err"
-        # The signal is tied to the thread that starts the process, so it is asked
-        # for only where that thread lives as long as this process.
-        in_main = threading.current_thread() is threading.main_thread()
+        # The kernel sends the signal when the thread that started the child ends, so
+        # it is requested only in the main thread, which lives as long as the process.
+        in_main_thread = threading.current_thread() is threading.main_thread()
         with self._output.open("wb") as output, self._errors.open("ab") as errors:
             self._popen = subprocess.Popen(
                 command,
                 stdin=subprocess.DEVNULL,
                 stdout=output,
                 stderr=errors,
-                preexec_fn=_die_with_parent if in_main else None,
+                preexec_fn=_set_parent_death_signal if in_main_thread else None,
             )
 
     @property
@@ -75,23 +76,23 @@
         return self._popen.pid
 
     def poll(self) -> int | None:
-        """Return the exit code, or ``None`` while it runs."""
+        """Return the exit code, or ``None`` while the process runs."""
         return self._popen.poll()
 
     def is_running(self) -> bool:
-        """Return whether it runs; a frozen process does."""
+        """Return whether the process has not exited; a frozen one counts as running."""
         return self.poll() is None
 
     def output(self) -> bytes:
-        """Return its standard output so far."""
+        """Return the standard output so far."""
         return self._output.read_bytes()
 
     def tail(self) -> str:
-        """Return the end of its standard error."""
-        return self._errors.read_bytes()[-TAIL_BYTES:].decode(errors="replace")
+        """Return the last part of the standard error."""
+        return self._errors.read_bytes()[-STDERR_TAIL_BYTES:].decode(errors="replace")
 
     def cpu_s(self) -> float:
-        """Return the CPU time it has used; the last one known after its end."""
+        """Return the CPU time used; after the exit, the last value read."""
         try:
             fields = Path(f"/proc/{self.pid}/stat").read_text().rpartition(")")[2]
         except OSError:
@@ -101,30 +102,30 @@
         return self._cpu_s
 
     def kill(self) -> None:
-        """End it at once with SIGKILL and wait for its end."""
+        """Kill the process with SIGKILL and wait until it has exited."""
         self.cpu_s()
         self._signal(signal.SIGKILL)
-        self._popen.wait(KILL_BOUND_S)
+        self._popen.wait(KILL_TIMEOUT_S)
 
     def freeze(self) -> None:
-        """Stop it with SIGSTOP."""
+        """Suspend the process with SIGSTOP."""
         self._signal(signal.SIGSTOP)
 
     def resume(self) -> None:
-        """Let it go on after :meth:`freeze`."""
+        """Continue the process after :meth:`freeze`."""
         self._signal(signal.SIGCONT)
 
     def terminate(self) -> None:
-        """Ask it to end, with SIGTERM."""
+        """Send SIGTERM, without waiting for the exit."""
         self._signal(signal.SIGTERM)
 
-    def end(self, bound_s: float) -> None:
-        """Wait for its end and kill it if the bound passes.
+    def wait_or_kill(self, timeout_s: float) -> None:
+        """Wait until the process has exited and kill it after a timeout.
 
-        :param bound_s: time to wait
+        :param timeout_s: time to wait before the kill
         """
         try:
-            self._popen.wait(max(bound_s, 0.0))
+            self._popen.wait(max(timeout_s, 0.0))
         except subprocess.TimeoutExpired:
             self.kill()
 
--- a/src/briardock_standins/_state.py
+++ b/src/briardock_standins/_state.py
@@ -1,16 +1,16 @@
-"""Switchable faults and counters of a target stand-in."""
+"""Injected faults and counters of a target stand-in."""
 
 import msgspec
 
 
 class Faults(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Faults that can be switched at run time.
+    """Faults that can be injected at run time.
 
-    :param slow_factor: factor of own times
-    :param die_after: runs until the process exits at once, negative for never
-    :param hang: whether requests are taken and never answered
-    :param lying_load: announced load, ``None`` for the true one
-    :param shed: whether every request is shed
+    :param slow_factor: factor that processing times are multiplied by
+    :param die_after: runs until the process exits abruptly, negative for never
+    :param hang: whether requests are accepted but never responded to
+    :param lying_load: load to announce, ``None`` for the actual load
+    :param shed: whether every request is refused as if the queue were full
     """
 
     slow_factor: float = 1.0
@@ -21,7 +21,7 @@
 
 
 class Status(msgspec.Struct):
-    """Counters of a target, shown by ``GET /status``."""
+    """Counters of a target, returned by ``GET /status``."""
 
     instance: str
     service: str
--- a/src/briardock_standins/harness.py
+++ b/src/briardock_standins/harness.py
@@ -19,8 +19,8 @@
 import msgspec
 
 from briardock.exceptions import BriardockError
+from briardock_standins._control import ControlClient
 from briardock_standins._processes import ManagedProcess, PortPool
-from briardock_standins._remote import Remote
 from briardock_standins.deployments import (
     RELAYED_PURPOSES,
     DeploymentSpec,
@@ -41,7 +41,7 @@
     """A process of the deployment did not do what the harness waited for."""
 
 
-class Deployment(Remote):
+class Deployment(ControlClient):
     """Processes of one deployment; use it as a context manager.
 
     :param spec: what to run
@@ -128,7 +128,7 @@
             process.terminate()
         deadline = time.monotonic() + STOP_BOUND_S
         for process in self.processes.values():
-            process.end(deadline - time.monotonic())
+            process.wait_or_kill(deadline - time.monotonic())
         self.close()
         self.ports.release()
         shutil.rmtree(self.folder, ignore_errors=True)
@@ -146,7 +146,7 @@
             f"--seed={self.spec.seed}",
         )
         url = f"http://127.0.0.1:{self.log_port}/streams/members?from=0"
-        self.wait_until("the log to answer", lambda: self.answers(url), "log")
+        self.wait_until("the log to answer", lambda: self.is_responding(url), "log")
 
     def _start_relay(self) -> None:
         links = [self._add_link("log", self.log_port, PLATFORM)]
@@ -179,7 +179,7 @@
         :param name: node id
         """
         url = f"http://{self.instances[name].admin}/status"
-        self.wait_until(f"node {name} to answer", lambda: self.answers(url), name)
+        self.wait_until(f"node {name} to answer", lambda: self.is_responding(url), name)
 
     def start_target(self, name: str) -> None:
         """Start the target beside a node and wait until it listens.
--- a/src/briardock_standins/load.py
+++ b/src/briardock_standins/load.py
@@ -27,9 +27,9 @@
     parse_address,
 )
 from briardock_standins._keystore import IssuedKey, KeyStore
-from briardock_standins.answers import failure_detail, is_own_answer
 from briardock_standins.ledger import LedgerWriter, Told
 from briardock_standins.plans import ActionPlan, LoadPlan, Phase, read_plan
+from briardock_standins.responses import failure_detail, is_matching_response
 
 
 @dataclass(slots=True)
@@ -277,7 +277,7 @@
         shed = answer.header("briardock-not-run") == "1"
         outcome = "not-run" if shed else "completed"
     if outcome == "completed":
-        body_ok = is_own_answer(answer.body, nonce, body)
+        body_ok = is_matching_response(answer.body, nonce, body)
         reason = "" if answer.status == 200 else failure_detail(answer.body)
         return _Verdict(outcome, reason, answer.status, body_ok)
     reason = failure_detail(answer.body) or "unreadable-refusal"
--- a/src/briardock_standins/relay.py
+++ b/src/briardock_standins/relay.py
@@ -24,7 +24,7 @@
 from briardock.clock import Clock, SystemClock
 from briardock.exceptions import BriardockError
 from briardock_standins._http import (
-    CLOSED,
+    CLOSED_ERRORS,
     READ_BYTES,
     Address,
     HttpRequest,
@@ -214,7 +214,7 @@
             while True:
                 try:
                     data = await source.receive(READ_BYTES)
-                except CLOSED:
+                except CLOSED_ERRORS:
                     return
                 due_ms = self._clock.now_ms() + path.delay_ms
                 await send.send(_Chunk(data, due_ms))
@@ -237,7 +237,7 @@
                     await sink.send(chunk.data)
             await _wait_while_held(path)
             await sink.send_eof()
-        except (*CLOSED, RuntimeError):
+        except (*CLOSED_ERRORS, RuntimeError):
             # uvloop raises RuntimeError for the end of data on a reset connection.
             scope.cancel()
 
--- a/src/briardock_standins/answers.py
+++ b/src/briardock_standins/responses.py
@@ -1,18 +1,18 @@
-"""Answers of target stand-ins, and the check that they reach their own caller."""
+"""Response bodies of target stand-ins, which receivers match with their request."""
 
 import msgspec
 
 from briardock_standins.ledger import body_digest
 
 
-class Answer(msgspec.Struct, frozen=True):
-    """Body of an answer, from which its receiver can tell that it is its own.
+class ResponseBody(msgspec.Struct, frozen=True):
+    """Body of a response, which identifies the request that it belongs to.
 
     :param nonce: nonce of the request
     :param operation: full name of the operation
     :param run: id of the run
     :param request_digest: digest of the request body
-    :param error: why the operation failed, empty where it succeeded
+    :param error: why the operation failed, empty if it succeeded
     :param pad_bytes: length of ``pad``
     :param pad: padding
     """
@@ -26,27 +26,27 @@
     pad: str
 
 
-_decoder = msgspec.json.Decoder(Answer)
+_decoder = msgspec.json.Decoder(ResponseBody)
 
 
-def is_own_answer(body: bytes, nonce: str, request_body: bytes) -> bool:
-    """Return whether an answer is whole and belongs to a request.
+def is_matching_response(body: bytes, nonce: str, request_body: bytes) -> bool:
+    """Return whether a response is complete and belongs to a request.
 
-    :param body: answer body
+    :param body: response body
     :param nonce: nonce of the request
     :param request_body: request body
     """
     try:
-        answer = _decoder.decode(body)
+        response = _decoder.decode(body)
     except msgspec.DecodeError:
         return False
-    if answer.nonce != nonce or answer.request_digest != body_digest(request_body):
+    if response.nonce != nonce or response.request_digest != body_digest(request_body):
         return False
-    return len(answer.pad) == answer.pad_bytes
+    return len(response.pad) == response.pad_bytes
 
 
 class _Failure(msgspec.Struct):
-    """Fields of a refusal or failed answer that say why."""
+    """Fields of a refusal or of a failed response that hold its reason."""
 
     reason: str = ""
     error: str = ""
@@ -56,9 +56,9 @@
 
 
 def failure_detail(body: bytes) -> str:
-    """Return why a call failed, or an empty string if its body does not say so.
+    """Return why a call failed, or an empty string if the body has no reason.
 
-    :param body: body of a refusal of a node or of an answer of a target
+    :param body: body of a node's refusal or of a target's response
     """
     try:
         failure = _failure_decoder.decode(body)
--- a/src/briardock_standins/target.py
+++ b/src/briardock_standins/target.py
@@ -19,7 +19,7 @@
 
 from briardock.clock import SystemClock, make_random
 from briardock.exceptions import BriardockError
-from briardock_standins._children import ChildCaller, ChildState, Parent
+from briardock_standins._children import ChildCaller, ChildState, ParentRun
 from briardock_standins._client import HttpClient
 from briardock_standins._http import (
     HttpRequest,
@@ -30,7 +30,6 @@
     serve_http,
 )
 from briardock_standins._state import Faults, Status
-from briardock_standins.answers import Answer
 from briardock_standins.ledger import (
     LedgerWriter,
     Notice,
@@ -44,6 +43,7 @@
     TargetPlan,
     read_plan,
 )
+from briardock_standins.responses import ResponseBody
 
 CRASH_EXIT_CODE = 70
 ANNOUNCE_TIMEOUT_MS = 2_000.0
@@ -92,7 +92,7 @@
         return self.status.in_flight / self.plan.slots
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
-        """Answer one request to the service."""
+        """Handle one request to the service."""
         self._last_request_ms = self._clock.now_ms()
         operation = self._find_operation(request)
         if operation is None:
@@ -197,7 +197,7 @@
             await self._spend_own_time(operation)
         finally:
             work.own_ms = self._clock.now_ms() - started.at_ms
-        parent = Parent(
+        parent = ParentRun(
             started.run,
             started.nonce,
             request.header("briardock-context"),
@@ -234,7 +234,7 @@
     def _answer(
         self, operation: OperationPlan, started: RunStarted, status: int, error: str
     ) -> HttpResponse:
-        answer = Answer(
+        answer = ResponseBody(
             nonce=started.nonce,
             operation=started.operation,
             run=started.run,
@@ -246,7 +246,7 @@
         return json_response(status, msgspec.json.encode(answer))
 
     async def control(self, request: HttpRequest) -> HttpResponse:
-        """Answer one request to the control port."""
+        """Handle one request to the control port."""
         match (request.method, request.path):
             case ("GET", "/status"):
                 return json_response(200, msgspec.json.encode(self.status))
--- a/tests/test_target_standin.py
+++ b/tests/test_target_standin.py
@@ -17,9 +17,9 @@
     serve_http,
 )
 from briardock_standins._state import Faults
-from briardock_standins.answers import is_own_answer
 from briardock_standins.ledger import RunEnded, RunStarted
 from briardock_standins.plans import ChildCall, OperationPlan, TargetPlan
+from briardock_standins.responses import is_matching_response
 from briardock_standins.target import Target
 
 LONG_MS = 20_000.0
@@ -112,9 +112,9 @@
             async with serving(plan) as (_, address):
                 answer = await ask(address)
             assert answer.status == status
-            assert is_own_answer(answer.body, "n1", b"body")
-            assert not is_own_answer(answer.body, "n2", b"body")
-            assert not is_own_answer(answer.body[:-3], "n1", b"body")
+            assert is_matching_response(answer.body, "n1", b"body")
+            assert not is_matching_response(answer.body, "n2", b"body")
+            assert not is_matching_response(answer.body[:-3], "n1", b"body")
             assert count_runs(deep) == (2 if status == 200 else 0)
 
     anyio.run(scenario)
