Reword plans, catalogs and the target stand-in

Call the time of a run without its child calls processing time, once_operations non_idempotent_operations, NUMBER NUMBER_PLACEHOLDER and Target.control handle_control (in the relay too); rename private names of the target stand-in. Behaviour is unchanged.

--- a/benchmarks/demo.py
+++ b/benchmarks/demo.py
@@ -12,7 +12,7 @@
 from briardock.clock import SystemClock
 from briardock_standins.catalogs import (
     entry_actions,
-    once_operations,
+    non_idempotent_operations,
     read_catalog,
     single_operation,
     target_plan,
@@ -79,7 +79,7 @@
         told = anyio.run(
             send_actions, deployment, folder, backend_options={"use_uvloop": True}
         )
-        once = once_operations(read_catalog(folder))
+        once = non_idempotent_operations(read_catalog(folder))
         violations = check(deployment.target_ledgers(), [told], once)
     for violation in violations:
         print(f"  {violation.rule}: {violation.subject}: {violation.detail}")
--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -23,7 +23,7 @@
 from briardock.clock import SystemClock
 from briardock_standins.catalogs import (
     entry_actions,
-    once_operations,
+    non_idempotent_operations,
     read_catalog,
     single_operation,
     target_plan,
@@ -291,7 +291,7 @@
         ledgers = self._read_new_ledgers()
         runs = collect_runs(entry for ledger in ledgers for entry in ledger)
         final = [entry for entry in told if entry.final]
-        once = once_operations(read_catalog(CONFIG))
+        once = non_idempotent_operations(read_catalog(CONFIG))
         recovery_s = None
         if len(scenario.phases) > 2:
             end_ms = start_ms + scenario.fault_end_s * 1_000.0
--- a/src/briardock_standins/_children.py
+++ b/src/briardock_standins/_children.py
@@ -15,7 +15,12 @@
     parse_address,
 )
 from briardock_standins._state import Status
-from briardock_standins.plans import NUMBER, ChildCall, OperationPlan, TargetPlan
+from briardock_standins.plans import (
+    NUMBER_PLACEHOLDER,
+    ChildCall,
+    OperationPlan,
+    TargetPlan,
+)
 from briardock_standins.responses import failure_detail, is_matching_response
 
 
@@ -124,7 +129,7 @@
         if call.label:
             headers.append((b"idempotency-key", call.label.encode()))
         body = b"" if call.method == "GET" else nonce.encode()
-        path = call.path.replace(NUMBER, parent.last_segment)
+        path = call.path.replace(NUMBER_PLACEHOLDER, parent.last_segment)
         if not self._is_direct(call):
             path = f"/{call.service}{path}"
         request = HttpRequest(call.method, path, tuple(headers), body)
--- a/src/briardock_standins/catalogs.py
+++ b/src/briardock_standins/catalogs.py
@@ -1,4 +1,4 @@
-"""Plans of target stand-ins that follow an operators' configuration."""
+"""Plans of target stand-ins, derived from an operators' configuration."""
 
 import re
 from pathlib import Path
@@ -8,21 +8,21 @@
 from briardock.configuration import Catalog, load_folder, merge_and_check
 from briardock.exceptions import ConfigurationError
 from briardock_standins.plans import (
-    NUMBER,
+    NUMBER_PLACEHOLDER,
     ActionPlan,
     ChildCall,
     OperationPlan,
     TargetPlan,
 )
 
-_PARAMETER = re.compile(r"\{[^}]*\}")
+_PATH_PARAMETER = re.compile(r"\{[^}]*\}")
 
 
 def read_catalog(folder: Path) -> Catalog:
     """Return the catalog of a configuration folder.
 
     :param folder: operators' configuration
-    :raises ConfigurationError: if it does not pass its checks
+    :raises ConfigurationError: if the configuration does not pass its checks
     """
     catalog = merge_and_check(load_folder(folder))
     if isinstance(catalog, Catalog):
@@ -31,16 +31,17 @@
 
 
 def target_plan(catalog: Catalog, template: TargetPlan, parallel: bool) -> TargetPlan:
-    """Return a plan whose operations and child calls follow the catalog.
+    """Return a plan with the operations and child calls of the catalog.
 
     :param catalog: configuration
-    :param template: names the service; own times are those of its first operation
-    :param parallel: whether operations make their child calls at the same time
+    :param template: plan that names the service; the processing time of its first
+        operation applies to all operations
+    :param parallel: whether operations make their child calls concurrently
     """
-    timing = template.operations[0]
+    template_operation = template.operations[0]
     operations = tuple(
         msgspec.structs.replace(
-            timing,
+            template_operation,
             name=operation.name.partition(".")[2],
             path=operation.pattern,
             method=operation.method,
@@ -60,8 +61,8 @@
 
 
 def fill_pattern(pattern: str) -> str:
-    """Return a path with the number of the action for each parameter."""
-    return _PARAMETER.sub(NUMBER, pattern)
+    """Return a path with the placeholder of the action's number per parameter."""
+    return _PATH_PARAMETER.sub(NUMBER_PLACEHOLDER, pattern)
 
 
 def entry_actions(catalog: Catalog) -> tuple[ActionPlan, ...]:
@@ -69,7 +70,7 @@
 
     :param catalog: configuration
     """
-    called = {name for one in catalog.operations.values() for name in one.calls}
+    called = {name for caller in catalog.operations.values() for name in caller.calls}
     return tuple(
         ActionPlan(
             operation=operation.name,
@@ -77,7 +78,7 @@
             class_name=operation.class_name,
             method=operation.method,
             keyed=not operation.idempotent,
-            body="" if operation.method == "GET" else f"action {NUMBER}",
+            body="" if operation.method == "GET" else f"action {NUMBER_PLACEHOLDER}",
             deadline_ms=operation.deadline_ms,
         )
         for operation in catalog.operations.values()
@@ -85,7 +86,7 @@
     )
 
 
-def once_operations(catalog: Catalog) -> frozenset[str]:
+def non_idempotent_operations(catalog: Catalog) -> frozenset[str]:
     """Return the full names of the non-idempotent operations."""
     return frozenset(
         name
@@ -95,5 +96,8 @@
 
 
 def single_operation(service_ms: float) -> tuple[OperationPlan, ...]:
-    """Return the operations of a template with a mean own time in ms."""
+    """Return the operations of a template plan.
+
+    :param service_ms: mean processing time in ms, without child calls
+    """
     return (OperationPlan("any", service_ms=service_ms),)
--- a/src/briardock_standins/ledger.py
+++ b/src/briardock_standins/ledger.py
@@ -217,14 +217,14 @@
 def check(
     target_ledgers: Iterable[Iterable[Entry]],
     caller_ledgers: Iterable[Iterable[Entry]],
-    once_operations: Collection[str] = (),
+    non_idempotent_operations: Collection[str] = (),
     retries: int = DEFAULT_RETRIES,
 ) -> list[Violation]:
     """Return the broken rules, empty where all hold.
 
     :param target_ledgers: entries of each target
     :param caller_ledgers: entries of each load generator
-    :param once_operations: full names of the non-idempotent operations
+    :param non_idempotent_operations: full names of the non-idempotent operations
     :param retries: retry budget of an action
     """
     runs = collect_runs(entry for ledger in target_ledgers for entry in ledger)
@@ -235,7 +235,7 @@
         if isinstance(entry, Told)
     ]
     return [
-        *_check_once(runs, once_operations),
+        *_check_once(runs, non_idempotent_operations),
         *_check_not_run(runs, told),
         *_check_answers(runs, told),
         *_check_budget(runs, told, retries),
@@ -243,7 +243,7 @@
 
 
 def _check_once(
-    runs: list[Run], once_operations: Collection[str]
+    runs: list[Run], non_idempotent_operations: Collection[str]
 ) -> Iterable[Violation]:
     """Yield calls of non-idempotent operations that ran more than once.
 
@@ -252,7 +252,7 @@
     """
     counts: dict[tuple[str, str, str], int] = defaultdict(int)
     for run in runs:
-        if run.started.operation not in once_operations:
+        if run.started.operation not in non_idempotent_operations:
             continue
         for kind, value in (("key", run.started.key), ("nonce", run.started.nonce)):
             if value:
--- a/src/briardock_standins/plans.py
+++ b/src/briardock_standins/plans.py
@@ -1,4 +1,4 @@
-"""Plans of the stand-ins, read from JSON and checked when they are decoded."""
+"""Plans of the stand-ins, read from JSON and validated when they are decoded."""
 
 import enum
 from pathlib import Path
@@ -8,11 +8,11 @@
 
 from briardock.exceptions import SettingsError
 
-NUMBER = "{n}"
+NUMBER_PLACEHOLDER = "{n}"
 
 
 class Distribution(enum.StrEnum):
-    """Distribution of service times."""
+    """Distribution of processing times."""
 
     EXPONENTIAL = "exponential"
     FIXED = "fixed"
@@ -42,11 +42,11 @@
     :param name: name below the service
     :param path: path pattern; ``{x}`` matches one segment, ``*`` any path
     :param method: HTTP method, ``*`` for any
-    :param service_ms: mean own time in ms
-    :param distribution: distribution of the own time
-    :param answer_bytes: length of the padding in the answer
-    :param calls: child calls, made after the own time
-    :param parallel: whether child calls run at the same time
+    :param service_ms: mean processing time in ms, without child calls
+    :param distribution: distribution of the processing time
+    :param answer_bytes: length of the padding in the response body
+    :param calls: child calls, made after the processing time
+    :param parallel: whether child calls run concurrently
     """
 
     name: str
@@ -64,37 +64,38 @@
             return False
         if self.path == "*":
             return True
-        wanted = self.path.strip("/").split("/")
-        found = path.strip("/").split("/")
-        if len(wanted) != len(found):
+        pattern = self.path.strip("/").split("/")
+        segments = path.strip("/").split("/")
+        if len(pattern) != len(segments):
             return False
-        pairs = zip(wanted, found, strict=True)
-        return all(w == f or w.startswith("{") for w, f in pairs)
+        pairs = zip(pattern, segments, strict=True)
+        return all(part == found or part.startswith("{") for part, found in pairs)
 
 
 class TargetPlan(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Behaviour of one target process.
 
     :param service: name of its service
-    :param operations: operations; the first match counts
+    :param operations: operations; the first that matches a request handles it
     :param host: loopback address to listen on
-    :param port: port of its service, 0 for any free one
-    :param control_port: port of ``/faults`` and ``/status``, 0 for any free one
+    :param port: port of the service, 0 for any free port
+    :param control_port: port of ``/faults`` and ``/status``, 0 for any free port
     :param node: ``host:port`` of the HTTP listener of the node beside it, empty
         for a target without a node
-    :param upstreams: addresses per service, called directly where there is no node
+    :param upstreams: addresses per service, called directly without a node
     :param attempts: attempts of each direct child call
-    :param call_timeout_ms: time for each attempt of a child call
-    :param slots: requests run at the same time
-    :param queue_length: requests that wait for a slot before others are shed
-    :param cancel_on_close: whether a closed caller connection stops its work
-    :param cold_start_s: time after the start in which own times are longer
-    :param cold_factor: factor of own times right after the start, falling to 1
+    :param call_timeout_ms: timeout of each attempt of a child call
+    :param slots: requests that may run concurrently
+    :param queue_length: requests that may wait for a slot; further ones are refused
+    :param cancel_on_close: whether a close of the caller's connection stops its run
+    :param cold_start_s: time after the start in which processing times are longer
+    :param cold_factor: factor of processing times at the start, which falls linearly
+        to 1
     :param announce_s: time between announcements
-    :param drain_idle_s: time without a request after which a leaving target ends
-    :param crash_marker: a body that contains it ends the process at once
+    :param drain_idle_s: time without a request after which a leaving target exits
+    :param crash_marker: text in a request body that makes the process exit abruptly
     :param ledger: path of the JSON lines ledger, empty for none
-    :param seed: seed of service times and choices
+    :param seed: seed of processing times and of upstream choices
     """
 
     service: str
@@ -123,13 +124,13 @@
 
     :param operation: full name, ``service.name``
     :param path: path below the service; ``{n}`` stands for the action's number
-    :param class_name: class, for the report
+    :param class_name: operation class, for the report
     :param method: HTTP method
-    :param weight: share of the sent actions, relative to the other weights
-    :param keyed: whether it is sent with an issued ``Idempotency-Key``
-    :param deadline_ms: time until the caller has no more use for the answer
+    :param weight: relative frequency among the actions of the mix
+    :param keyed: whether it is sent with an ``Idempotency-Key`` issued by a node
+    :param deadline_ms: time after which the response is of no use to the caller
     :param body: request body; ``{n}`` as in the path
-    :param resends: resends with the same key until it succeeds
+    :param resends: most resends with the same key, until one succeeds
     :param resend_delay_ms: time before each resend
     """
 
@@ -147,13 +148,13 @@
     def numbered(self, number: int) -> "ActionPlan":
         """Return the action with its number in path and body.
 
-        Distinct requests matter to nodes, which quarantine a request by its content.
+        Distinct content matters because nodes quarantine a request by its content.
         """
         text = str(number)
         return msgspec.structs.replace(
             self,
-            path=self.path.replace(NUMBER, text),
-            body=self.body.replace(NUMBER, text),
+            path=self.path.replace(NUMBER_PLACEHOLDER, text),
+            body=self.body.replace(NUMBER_PLACEHOLDER, text),
         )
 
     @property
@@ -163,9 +164,9 @@
 
 
 class Phase(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Part of the arrival schedule.
+    """One period of the arrival schedule.
 
-    :param duration_s: length
+    :param duration_s: duration
     :param multiple: arrival rate as a multiple of the plan's rate
     """
 
@@ -177,16 +178,17 @@
     """Open-loop load of many callers.
 
     :param entries: ``host:port`` of nodes, or of targets if ``direct``
-    :param actions: weighted mix
+    :param actions: weighted mix of actions
     :param phases: arrival schedule
     :param rate_per_s: mean arrivals per second at multiple 1
     :param direct: whether entries are targets, which take paths without the service
     :param foreign_key_share: share of keyed actions sent to another node than the
         issuer of their key
-    :param answer_grace_ms: time after the deadline until the caller hangs up
+    :param answer_grace_ms: time after the deadline until the caller closes the
+        connection
     :param source_host: IP address to connect from, empty for any
     :param ledger: path of the JSON lines ledger, empty for none
-    :param seed: seed of arrivals and choices
+    :param seed: seed of arrivals and of the choice of actions and nodes
     """
 
     entries: tuple[str, ...]
@@ -205,7 +207,7 @@
     """One listening port of a relay.
 
     :param port: port that is advertised in place of the real one
-    :param to: ``host:port`` its connections go to
+    :param to: ``host:port`` that connections are relayed to
     :param domain: failure domain of that address
     """
 
@@ -215,13 +217,13 @@
 
 
 class RelayPlan(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Links of a relay.
+    """Domains and links of a relay.
 
     :param domains: source IP address of each failure domain
     :param links: listening ports
     :param host: loopback address to listen on
-    :param control_port: port of ``/paths``, 0 for any free one
-    :param delay_ms: delay in transit between different domains, one way
+    :param control_port: port of ``/paths``, 0 for any free port
+    :param delay_ms: one-way delay between different domains
     """
 
     domains: dict[str, str]
--- a/src/briardock_standins/relay.py
+++ b/src/briardock_standins/relay.py
@@ -241,7 +241,7 @@
             # uvloop raises RuntimeError for the end of data on a reset connection.
             scope.cancel()
 
-    async def control(self, request: HttpRequest) -> HttpResponse:
+    async def handle_control(self, request: HttpRequest) -> HttpResponse:
         """Answer one request to the control port."""
         match (request.method, request.path):
             case ("GET", "/paths"):
@@ -303,7 +303,7 @@
                 listener, _ = await listen(plan.host, link.port)
                 to = parse_address(link.to)
                 tasks.start_soon(relay.serve, listener, to, link.domain)
-            tasks.start_soon(serve_http, control_listener, relay.control)
+            tasks.start_soon(serve_http, control_listener, relay.handle_control)
             print(json.dumps({"control": str(control_address)}), flush=True)
             async for _ in signals:
                 break
--- a/src/briardock_standins/target.py
+++ b/src/briardock_standins/target.py
@@ -1,8 +1,8 @@
 """Stand-in for a target service: slots, service times, child calls and faults.
 
-It listens with h11 on anyio: at 1,000 requests/s for 5 s, with this handler, a
-process used 1.0 s of CPU with h11 and 1.4 s with hypercorn, and an overload
-measurement runs many targets on few cores.
+It serves HTTP with h11 on anyio because overload measurements run many targets on
+few cores: at 1,000 requests/s for 5 s with this handler, a process used 1.0 s of CPU
+with h11 and 1.4 s with hypercorn.
 """
 
 import json
@@ -51,18 +51,18 @@
 
 
 @dataclass(slots=True)
-class _Work:
-    """What happened in one run so far."""
+class _RunProgress:
+    """Progress of one run."""
 
     ok: bool = False
     foreign: bool = False
-    own_ms: float = 0.0
+    processing_ms: float = 0.0
 
 
 class Target:
     """One target process.
 
-    :param plan: its behaviour
+    :param plan: behaviour
     :param clock: time
     :param rng: random source
     """
@@ -77,16 +77,16 @@
         self._clock = clock
         self._rng = rng
         self._slots = anyio.Semaphore(plan.slots)
-        self._resumed = anyio.Event()
+        self._hang_ended = anyio.Event()
         self._client = HttpClient()
-        self._children = ChildCaller(plan, self._client, rng, self.status)
+        self._child_caller = ChildCaller(plan, self._client, rng, self.status)
         self._started_ms = clock.now_ms()
         self._last_request_ms = self._started_ms
         self._sequence = 0
 
     @property
     def load(self) -> float:
-        """Return the load announced to the node, 1.0 is full."""
+        """Return the load to announce to the node, where 1.0 means full."""
         if self.faults.lying_load is not None:
             return self.faults.lying_load
         return self.status.in_flight / self.plan.slots
@@ -102,7 +102,7 @@
             return json_response(503, b'{"error":"full"}', NOT_RUN_HEADERS)
         self.status.in_flight += 1
         try:
-            return await self._handle_in_slot(operation, request)
+            return await self._wait_and_run(operation, request)
         except anyio.get_cancelled_exc_class():
             self.status.cancelled_count += 1
             raise
@@ -121,10 +121,10 @@
             return False
         return self.status.waiting >= self.plan.queue_length
 
-    async def _handle_in_slot(
+    async def _wait_and_run(
         self, operation: OperationPlan, request: HttpRequest
     ) -> HttpResponse:
-        deadline_ms = self._deadline_of(request)
+        deadline_ms = self._deadline_ms(request)
         self.status.waiting += 1
         try:
             await self._slots.acquire()
@@ -138,7 +138,7 @@
         finally:
             self._slots.release()
 
-    def _deadline_of(self, request: HttpRequest) -> float:
+    def _deadline_ms(self, request: HttpRequest) -> float:
         text = request.header("briardock-deadline-ms")
         return self._clock.now_ms() + float(text) if text else float("inf")
 
@@ -146,13 +146,13 @@
         self, operation: OperationPlan, request: HttpRequest, deadline_ms: float
     ) -> HttpResponse:
         started = self._start_run(operation, request)
-        work = _Work()
+        progress = _RunProgress()
         try:
             with anyio.move_on_after((deadline_ms - started.at_ms) / 1000.0):
-                return await self._work(operation, request, started, work)
-            return self._answer(operation, started, 504, "deadline passed")
+                return await self._execute(operation, request, started, progress)
+            return self._respond(operation, started, 504, "deadline passed")
         finally:
-            self._end_run(started, work)
+            self._end_run(started, progress)
 
     def _start_run(self, operation: OperationPlan, request: HttpRequest) -> RunStarted:
         self._sequence += 1
@@ -168,10 +168,10 @@
             at_ms=self._clock.now_ms(),
         )
         self.ledger.append(started)
-        self._die_if_told(request)
+        self._crash_if_requested(request)
         return started
 
-    def _die_if_told(self, request: HttpRequest) -> None:
+    def _crash_if_requested(self, request: HttpRequest) -> None:
         marker = self.plan.crash_marker.encode()
         if (marker and marker in request.body) or self.faults.die_after == 0:
             os._exit(CRASH_EXIT_CODE)
@@ -180,31 +180,35 @@
                 self.faults, die_after=self.faults.die_after - 1
             )
 
-    def _end_run(self, started: RunStarted, work: _Work) -> None:
+    def _end_run(self, started: RunStarted, progress: _RunProgress) -> None:
         ended = RunEnded(
-            started.run, work.ok, work.own_ms, self._clock.now_ms(), work.foreign
+            started.run,
+            progress.ok,
+            progress.processing_ms,
+            self._clock.now_ms(),
+            progress.foreign,
         )
         self.ledger.append(ended)
 
-    async def _work(
+    async def _execute(
         self,
         operation: OperationPlan,
         request: HttpRequest,
         started: RunStarted,
-        work: _Work,
+        progress: _RunProgress,
     ) -> HttpResponse:
         try:
-            await self._spend_own_time(operation)
+            await self._simulate_processing(operation)
         finally:
-            work.own_ms = self._clock.now_ms() - started.at_ms
+            progress.processing_ms = self._clock.now_ms() - started.at_ms
         parent = ParentRun(
             started.run,
             started.nonce,
             request.header("briardock-context"),
             request.path,
         )
-        results = await self._children.call_all(operation, parent)
-        work.foreign = any(one.state is ChildState.FOREIGN for one in results)
+        results = await self._child_caller.call_all(operation, parent)
+        progress.foreign = any(result.state is ChildState.FOREIGN for result in results)
         failed = [
             result
             for call, result in zip(operation.calls, results, strict=False)
@@ -212,29 +216,31 @@
             or (call.required and result.state is ChildState.FAILED)
         ]
         if failed:
-            return self._answer(operation, started, 502, failed[0].detail)
-        work.ok = True
-        return self._answer(operation, started, 200, "")
+            return self._respond(operation, started, 502, failed[0].detail)
+        progress.ok = True
+        return self._respond(operation, started, 200, "")
 
-    async def _spend_own_time(self, operation: OperationPlan) -> None:
+    async def _simulate_processing(self, operation: OperationPlan) -> None:
         while self.faults.hang:
-            await self._resumed.wait()
-        mean_ms = operation.service_ms * self.faults.slow_factor * self._cold_factor()
+            await self._hang_ended.wait()
+        duration_ms = (
+            operation.service_ms * self.faults.slow_factor * self._cold_start_factor()
+        )
         if operation.distribution is Distribution.EXPONENTIAL:
-            mean_ms = self._rng.expovariate(1.0) * mean_ms
-        await anyio.sleep(mean_ms / 1000.0)
+            duration_ms = self._rng.expovariate(1.0) * duration_ms
+        await anyio.sleep(duration_ms / 1000.0)
 
-    def _cold_factor(self) -> float:
+    def _cold_start_factor(self) -> float:
         age_s = (self._clock.now_ms() - self._started_ms) / 1000.0
         if age_s >= self.plan.cold_start_s:
             return 1.0
-        left = 1.0 - age_s / self.plan.cold_start_s
-        return 1.0 + (self.plan.cold_factor - 1.0) * left
+        remaining = 1.0 - age_s / self.plan.cold_start_s
+        return 1.0 + (self.plan.cold_factor - 1.0) * remaining
 
-    def _answer(
+    def _respond(
         self, operation: OperationPlan, started: RunStarted, status: int, error: str
     ) -> HttpResponse:
-        answer = ResponseBody(
+        body = ResponseBody(
             nonce=started.nonce,
             operation=started.operation,
             run=started.run,
@@ -243,9 +249,9 @@
             pad_bytes=operation.answer_bytes,
             pad="x" * operation.answer_bytes,
         )
-        return json_response(status, msgspec.json.encode(answer))
+        return json_response(status, msgspec.json.encode(body))
 
-    async def control(self, request: HttpRequest) -> HttpResponse:
+    async def handle_control(self, request: HttpRequest) -> HttpResponse:
         """Handle one request to the control port."""
         match (request.method, request.path):
             case ("GET", "/status"):
@@ -260,12 +266,12 @@
         except msgspec.DecodeError as error:
             return json_response(400, json.dumps({"error": str(error)}).encode())
         if not self.faults.hang:
-            self._resumed.set()
-            self._resumed = anyio.Event()
+            self._hang_ended.set()
+            self._hang_ended = anyio.Event()
         return json_response(200, msgspec.json.encode(self.faults))
 
     async def announce(self, port: int) -> None:
-        """Announce the target to its node once per period, forever.
+        """Announce the target to its node once per period, until cancelled.
 
         :param port: port of the service
         """
@@ -292,7 +298,7 @@
         await self._client.request(node, request, ANNOUNCE_TIMEOUT_MS)
 
     async def drain(self, port: int) -> None:
-        """Announce that the target leaves and wait until nothing is in flight.
+        """Announce that the target leaves and wait until no request is in flight.
 
         :param port: port of the service
         """
@@ -311,9 +317,9 @@
 
 
 async def run_target(plan: TargetPlan) -> None:
-    """Run a target until SIGTERM or SIGINT has drained it.
+    """Run a target until SIGTERM or SIGINT, then drain it.
 
-    :param plan: its behaviour
+    :param plan: behaviour
     """
     target = Target(plan, SystemClock(), make_random(plan.seed))
     listener, address = await listen(plan.host, plan.port)
@@ -326,7 +332,7 @@
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(serve_http, listener, target.handle, plan.cancel_on_close)
-            tasks.start_soon(serve_http, control_listener, target.control)
+            tasks.start_soon(serve_http, control_listener, target.handle_control)
             if plan.node:
                 tasks.start_soon(target.announce, address.port)
             print(json.dumps(ready), flush=True)
@@ -352,19 +358,19 @@
 ) -> None:
     """Run a stand-in for a target service.
 
-    It prints one JSON line with its addresses when it is ready. Options replace
-    the values of the plan.
+    Print one JSON line with the addresses when it is ready. Options override the
+    values of the plan.
 
     :param plan: JSON file with a target plan
     :param service: name of the service
     :param node: host:port of the HTTP listener of the node beside it
     :param host: loopback address to listen on
-    :param port: port of the service, 0 for any free one
-    :param control_port: port of POST /faults and GET /status, 0 for any free one
+    :param port: port of the service, 0 for any free port
+    :param control_port: port of POST /faults and GET /status, 0 for any free port
     :param ledger: file to append the ledger to
-    :param slots: requests run at the same time
-    :param service_ms: mean own time in ms of a single operation that takes any path
-    :param seed: seed of service times
+    :param slots: requests that may run concurrently
+    :param service_ms: mean processing time in ms of a single operation for any path
+    :param seed: seed of processing times
     """
     settings = read_plan(plan, TargetPlan) if plan else TargetPlan(service)
     changes: dict[str, object] = {
--- a/tests/test_target_standin.py
+++ b/tests/test_target_standin.py
@@ -1,4 +1,4 @@
-"""Tests of the target stand-in within this process."""
+"""Tests of the target stand-in, run within the test process."""
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -37,11 +37,11 @@
         tasks.cancel_scope.cancel()
 
 
-async def ask(address: Address, *headers: tuple[bytes, bytes]) -> HttpResponse:
+async def send_request(address: Address, *headers: tuple[bytes, bytes]) -> HttpResponse:
     request = HttpRequest("POST", "/x", (*NONCE, *headers), b"body")
-    answer = await HttpClient().request(address, request, LONG_MS)
-    assert isinstance(answer, HttpResponse)
-    return answer
+    response = await HttpClient().request(address, request, LONG_MS)
+    assert isinstance(response, HttpResponse)
+    return response
 
 
 def count_runs(target: Target) -> int:
@@ -49,19 +49,19 @@
 
 
 def test_full_target_sheds_without_a_run() -> None:
-    # Guards against a refusal marked not-run whose work was started.
+    # Guards against a response that is marked not-run although the run was started.
     plan = TargetPlan("a", (OperationPlan("any"),), slots=1, queue_length=0)
 
     async def scenario() -> None:
         async with serving(plan) as (target, address):
             target.faults = Faults(hang=True)
             async with anyio.create_task_group() as tasks:
-                tasks.start_soon(ask, address)
+                tasks.start_soon(send_request, address)
                 while not count_runs(target):
                     await anyio.sleep(0)
-                answer = await ask(address)
-                assert answer.header("briardock-not-run") == "1"
-                await target.control(HttpRequest("POST", "/faults", (), b"{}"))
+                response = await send_request(address)
+                assert response.header("briardock-not-run") == "1"
+                await target.handle_control(HttpRequest("POST", "/faults", (), b"{}"))
             assert count_runs(target) == 1
 
     anyio.run(scenario)
@@ -74,8 +74,8 @@
         async with serving(plan) as (target, address):
             target.faults = Faults(hang=True)
             request = HttpRequest("GET", "/x", NONCE)
-            answer = await HttpClient().request(address, request, 50.0)
-            assert isinstance(answer, TimedOut)
+            response = await HttpClient().request(address, request, 50.0)
+            assert isinstance(response, TimedOut)
             while target.status.in_flight:
                 await anyio.sleep(0)
             ended = target.ledger.entries[-1]
@@ -87,8 +87,8 @@
 def test_expired_request_does_not_run() -> None:
     async def scenario() -> None:
         async with serving(TargetPlan("a")) as (target, address):
-            answer = await ask(address, (b"briardock-deadline-ms", b"0"))
-            assert answer.header("briardock-not-run") == "1"
+            response = await send_request(address, (b"briardock-deadline-ms", b"0"))
+            assert response.header("briardock-not-run") == "1"
             assert count_runs(target) == 0
 
     anyio.run(scenario)
@@ -96,25 +96,25 @@
 
 @pytest.mark.parametrize("parallel", [False, True])
 @pytest.mark.parametrize(
-    "deep_fault, status", [(Faults(), 200), (Faults(shed=True), 502)]
+    "callee_faults, status", [(Faults(), 200), (Faults(shed=True), 502)]
 )
-def test_child_calls_decide_the_answer(
-    parallel: bool, deep_fault: Faults, status: int
+def test_child_calls_determine_the_response(
+    parallel: bool, callee_faults: Faults, status: int
 ) -> None:
     async def scenario() -> None:
         async with serving(TargetPlan("deep")) as (deep, deep_address):
-            deep.faults = deep_fault
+            deep.faults = callee_faults
             calls = (ChildCall("deep", "/y"), ChildCall("deep", "/z", "POST"))
             operation = OperationPlan("any", calls=calls, parallel=parallel)
             plan = TargetPlan(
                 "top", (operation,), upstreams={"deep": (str(deep_address),)}
             )
             async with serving(plan) as (_, address):
-                answer = await ask(address)
-            assert answer.status == status
-            assert is_matching_response(answer.body, "n1", b"body")
-            assert not is_matching_response(answer.body, "n2", b"body")
-            assert not is_matching_response(answer.body[:-3], "n1", b"body")
+                response = await send_request(address)
+            assert response.status == status
+            assert is_matching_response(response.body, "n1", b"body")
+            assert not is_matching_response(response.body, "n2", b"body")
+            assert not is_matching_response(response.body[:-3], "n1", b"body")
             assert count_runs(deep) == (2 if status == 200 else 0)
 
     anyio.run(scenario)
