Reword the load generator and its key store

Rename LoadGenerator.told to results, KeyStore.fetch_ahead to prefetch and private names of both modules. Behaviour is unchanged.

--- a/benchmarks/demo.py
+++ b/benchmarks/demo.py
@@ -54,7 +54,7 @@
         for action in sorted(actions, key=lambda one: one.class_name):
             show(await generator.perform(action))
     await generator.close()
-    return generator.told
+    return generator.results
 
 
 def show(told: Told) -> None:
--- a/src/briardock_standins/_keystore.py
+++ b/src/briardock_standins/_keystore.py
@@ -1,4 +1,4 @@
-"""Keys that callers fetch from nodes ahead of their use."""
+"""Idempotency keys that callers prefetch from nodes."""
 
 import json
 from dataclasses import dataclass
@@ -9,15 +9,15 @@
 from briardock_standins._client import HttpClient
 from briardock_standins._http import Address, HttpRequest, HttpResponse
 
-KEY_BATCH = 100
-KEY_LOW_WATER = 30
+KEY_BATCH_SIZE = 100
+KEY_LOW_WATERMARK = 30
 KEY_MAX_AGE_MS = 60_000.0
-KEY_TIMEOUT_MS = 2_000.0
+KEY_FETCH_TIMEOUT_MS = 2_000.0
 
 
 @dataclass(frozen=True, slots=True)
 class IssuedKey:
-    """Key with the node that issued it and when it was fetched."""
+    """Idempotency key with the node that issued it and the time of the fetch."""
 
     text: str
     issuer: Address
@@ -25,10 +25,10 @@
 
 
 class KeyStore:
-    """Keys fetched in batches ahead of their use, as a caller would.
+    """Prefetches keys in batches, as a caller would.
 
     :param client: HTTP client
-    :param entries: nodes to fetch from, in rotation
+    :param entries: nodes to fetch from, in round-robin order
     :param clock: time
     """
 
@@ -39,11 +39,11 @@
         self._entries = entries
         self._clock = clock
         self._keys: list[IssuedKey] = []
-        self._turn = 0
+        self._next_entry = 0
         self._lock = anyio.Lock()
 
     async def take(self) -> IssuedKey | None:
-        """Return a key, or ``None`` where no node issues any."""
+        """Return an unexpired key, or ``None`` if no node issues one."""
         key = self._pop()
         if key is not None:
             return key
@@ -55,25 +55,25 @@
         return self._pop()
 
     def is_low(self) -> bool:
-        """Return whether a batch should be fetched ahead."""
-        return len(self._keys) < KEY_LOW_WATER and not self._lock.locked()
+        """Return whether another batch should be prefetched."""
+        return len(self._keys) < KEY_LOW_WATERMARK and not self._lock.locked()
 
-    async def fetch_ahead(self) -> None:
-        """Fetch a batch unless another task does."""
+    async def prefetch(self) -> None:
+        """Fetch a batch unless another task is fetching one."""
         if not self._lock.locked():
             async with self._lock:
                 await self.fetch()
 
     async def fetch(self) -> None:
-        """Fetch one batch from the next node; a failure leaves the store as it is."""
-        entry = self._entries[self._turn % len(self._entries)]
-        self._turn += 1
-        request = HttpRequest("POST", f"/_briardock/keys?count={KEY_BATCH}")
-        answer = await self._client.request(entry, request, KEY_TIMEOUT_MS)
-        if not isinstance(answer, HttpResponse) or answer.status != 200:
+        """Fetch one batch from the next node; a failure leaves the store unchanged."""
+        entry = self._entries[self._next_entry % len(self._entries)]
+        self._next_entry += 1
+        request = HttpRequest("POST", f"/_briardock/keys?count={KEY_BATCH_SIZE}")
+        response = await self._client.request(entry, request, KEY_FETCH_TIMEOUT_MS)
+        if not isinstance(response, HttpResponse) or response.status != 200:
             return
         now_ms = self._clock.now_ms()
-        texts = json.loads(answer.body)["keys"]
+        texts = json.loads(response.body)["keys"]
         self._keys = [IssuedKey(text, entry, now_ms) for text in texts] + self._keys
 
     def _pop(self) -> IssuedKey | None:
--- a/src/briardock_standins/load.py
+++ b/src/briardock_standins/load.py
@@ -1,4 +1,4 @@
-"""Open-loop load generator with a ledger of what callers were told."""
+"""Open-loop load generator with a ledger of the results that callers received."""
 
 import json
 import random
@@ -34,7 +34,7 @@
 
 @dataclass(slots=True)
 class ClassReport:
-    """Counts of one class; latencies are of succeeded actions, in ms."""
+    """Counts of one operation class, and the latencies of succeeded actions."""
 
     sent: int = 0
     completed: int = 0
@@ -45,8 +45,8 @@
     latencies_ms: list[float] = field(default_factory=list)
 
     def summary(self) -> dict[str, float]:
-        """Return the counts with quantiles in place of the latencies."""
-        found = sorted(self.latencies_ms)
+        """Return the counts, and quantiles instead of the latencies."""
+        ordered = sorted(self.latencies_ms)
         return {
             "sent": self.sent,
             "completed": self.completed,
@@ -54,20 +54,20 @@
             "not_run": self.not_run,
             "unknown": self.unknown,
             "sends": self.sends,
-            "p50_ms": round(quantile(found, 0.5), 2),
-            "p99_ms": round(quantile(found, 0.99), 2),
+            "p50_ms": round(quantile(ordered, 0.5), 2),
+            "p99_ms": round(quantile(ordered, 0.99), 2),
         }
 
 
 def quantile(ordered: list[float], share: float) -> float:
-    """Return a quantile of sorted values, or 0.0 without any."""
+    """Return a quantile of sorted values, or 0.0 if there are none."""
     if not ordered:
         return 0.0
     return ordered[min(int(len(ordered) * share), len(ordered) - 1)]
 
 
 def summarise(entries: list[Told]) -> dict[str, ClassReport]:
-    """Return the report per class of a caller ledger."""
+    """Return the report of each operation class in a caller ledger."""
     reports: dict[str, ClassReport] = defaultdict(ClassReport)
     first_ms: dict[str, float] = {}
     for entry in entries:
@@ -89,7 +89,7 @@
 def arrivals(
     phases: tuple[Phase, ...], rate_per_s: float, rng: random.Random
 ) -> Iterator[float]:
-    """Yield arrival times in s from the start, Poisson within each phase.
+    """Yield arrival times in s from the start, a Poisson process within each phase.
 
     :param phases: schedule
     :param rate_per_s: rate at multiple 1
@@ -109,9 +109,9 @@
 
 
 class LoadGenerator:
-    """Sends actions on a schedule that answers do not slow down.
+    """Sends actions on a schedule that does not depend on responses.
 
-    :param plan: schedule and mix
+    :param plan: schedule and mix of actions
     :param clock: time
     """
 
@@ -126,12 +126,12 @@
         self._sequence = 0
 
     @property
-    def told(self) -> list[Told]:
-        """Return what callers were told so far."""
+    def results(self) -> list[Told]:
+        """Return the results that callers received so far."""
         return [entry for entry in self.ledger.entries if isinstance(entry, Told)]
 
     async def run(self) -> list[Told]:
-        """Run the schedule, wait for the last answers, and return the ledger."""
+        """Run the schedule, wait for the last responses and return all results."""
         if any(action.keyed for action in self.plan.actions):
             await self._keys.fetch()
         weights = [action.weight for action in self.plan.actions]
@@ -144,9 +144,9 @@
                 action = self._rng.choices(self.plan.actions, weights)[0]
                 tasks.start_soon(self.perform, action)
                 if action.keyed and self._keys.is_low():
-                    tasks.start_soon(self._keys.fetch_ahead)
+                    tasks.start_soon(self._keys.prefetch)
         await self.close()
-        return self.told
+        return self.results
 
     async def close(self) -> None:
         """Close the connections and the ledger file."""
@@ -154,48 +154,58 @@
         self.ledger.close()
 
     async def perform(self, action: ActionPlan) -> Told:
-        """Send one action with its resends and return what was told last.
+        """Send one action with its resends and return the last result.
 
         :param action: action to send
         """
         self._sequence += 1
-        name = f"a{self.plan.seed}-{self._sequence}"
+        action_id = f"a{self.plan.seed}-{self._sequence}"
         action = action.numbered(self._sequence)
         key = await self._keys.take() if action.keyed else None
         if action.keyed and key is None:
-            return self._record_unsent(name, action)
+            return self._record_unsent(action_id, action)
         deadline_ms = self._clock.now_ms() + action.deadline_ms
         attempt = 0
         may_have_run = False
         while True:
             start_ms = self._clock.now_ms()
-            answer = await self._send(name, action, key, deadline_ms - start_ms)
-            told = self._judge(name, action, key, answer, start_ms, attempt)
-            if may_have_run and isinstance(answer, ConnectFailed):
-                # No node was asked, so this says nothing of the earlier attempt.
-                told = msgspec.structs.replace(told, outcome="unknown")
-            may_have_run = may_have_run or told.outcome == "unknown"
+            exchange = await self._send(action_id, action, key, deadline_ms - start_ms)
+            result = self._make_result(
+                action_id, action, key, exchange, start_ms, attempt
+            )
+            if may_have_run and isinstance(exchange, ConnectFailed):
+                # The resend reached no node, so an earlier attempt may still have run.
+                result = msgspec.structs.replace(result, outcome="unknown")
+            may_have_run = may_have_run or result.outcome == "unknown"
             resend_ms = self._clock.now_ms() + action.resend_delay_ms
-            if told.succeeded or attempt >= action.resends or resend_ms >= deadline_ms:
-                self.ledger.append(told)
-                return told
-            self.ledger.append(msgspec.structs.replace(told, final=False))
+            if (
+                result.succeeded
+                or attempt >= action.resends
+                or resend_ms >= deadline_ms
+            ):
+                self.ledger.append(result)
+                return result
+            self.ledger.append(msgspec.structs.replace(result, final=False))
             attempt += 1
             await anyio.sleep(action.resend_delay_ms / 1000.0)
 
     async def _send(
-        self, name: str, action: ActionPlan, key: IssuedKey | None, left_ms: float
+        self,
+        action_id: str,
+        action: ActionPlan,
+        key: IssuedKey | None,
+        remaining_ms: float,
     ) -> Exchange:
         entry = self._choose_entry(key)
-        headers = [(b"x-nonce", name.encode())]
+        headers = [(b"x-nonce", action_id.encode())]
         if not self.plan.direct:
-            deadline = b"%d" % max(int(left_ms), 0)
+            deadline = b"%d" % max(int(remaining_ms), 0)
             headers.append((b"briardock-deadline-ms", deadline))
         if key is not None:
             headers.append((b"idempotency-key", key.text.encode()))
         path = action.path if self.plan.direct else f"/{action.service}{action.path}"
         request = HttpRequest(action.method, path, tuple(headers), action.body.encode())
-        timeout_ms = left_ms + self.plan.answer_grace_ms
+        timeout_ms = remaining_ms + self.plan.answer_grace_ms
         return await self._client.request(entry, request, timeout_ms)
 
     def _choose_entry(self, key: IssuedKey | None) -> Address:
@@ -203,10 +213,10 @@
             return key.issuer
         return self._rng.choice(self._entries)
 
-    def _record_unsent(self, name: str, action: ActionPlan) -> Told:
+    def _record_unsent(self, action_id: str, action: ActionPlan) -> Told:
         now_ms = self._clock.now_ms()
-        told = Told(
-            action=name,
+        result = Told(
+            action=action_id,
             attempt=0,
             final=True,
             key="",
@@ -219,38 +229,38 @@
             start_ms=now_ms,
             end_ms=now_ms,
         )
-        self.ledger.append(told)
-        return told
+        self.ledger.append(result)
+        return result
 
-    def _judge(
+    def _make_result(
         self,
-        name: str,
+        action_id: str,
         action: ActionPlan,
         key: IssuedKey | None,
-        answer: Exchange,
+        exchange: Exchange,
         start_ms: float,
         attempt: int,
     ) -> Told:
-        verdict = _read_answer(answer, name, action.body.encode())
+        classified = _classify_exchange(exchange, action_id, action.body.encode())
         return Told(
-            action=name,
+            action=action_id,
             attempt=attempt,
             final=True,
             key=key.text if key is not None else "",
             operation=action.operation,
             class_name=action.class_name,
-            outcome=verdict.outcome,
-            reason=verdict.reason,
-            status=verdict.status,
-            body_ok=verdict.body_ok,
+            outcome=classified.outcome,
+            reason=classified.reason,
+            status=classified.status,
+            body_ok=classified.body_ok,
             start_ms=start_ms,
             end_ms=self._clock.now_ms(),
         )
 
 
 @dataclass(frozen=True, slots=True)
-class _Verdict:
-    """What an exchange tells the caller."""
+class _Outcome:
+    """Outcome of one send."""
 
     outcome: str
     reason: str = ""
@@ -258,36 +268,39 @@
     body_ok: bool = False
 
 
-def _read_answer(answer: Exchange, nonce: str, body: bytes) -> _Verdict:
-    match answer:
+def _classify_exchange(exchange: Exchange, nonce: str, body: bytes) -> _Outcome:
+    match exchange:
         case ConnectFailed(detail=detail):
-            return _Verdict("not-run", f"caller-connect: {detail}")
+            return _Outcome("not-run", f"caller-connect: {detail}")
         case AnswerMissing(detail=detail):
-            return _Verdict("unknown", f"caller-lost: {detail}")
+            return _Outcome("unknown", f"caller-lost: {detail}")
         case TimedOut():
-            return _Verdict("unknown", "caller-timeout")
+            return _Outcome("unknown", "caller-timeout")
         case HttpResponse():
-            return _read_response(answer, nonce, body)
+            return _classify_response(exchange, nonce, body)
 
 
-def _read_response(answer: HttpResponse, nonce: str, body: bytes) -> _Verdict:
-    """Return the verdict of a response; direct targets send no outcome header."""
-    outcome = answer.header("briardock-outcome")
+def _classify_response(response: HttpResponse, nonce: str, body: bytes) -> _Outcome:
+    """Return the outcome of a response.
+
+    A target that is called directly sends no outcome header.
+    """
+    outcome = response.header("briardock-outcome")
     if not outcome:
-        shed = answer.header("briardock-not-run") == "1"
-        outcome = "not-run" if shed else "completed"
+        refused = response.header("briardock-not-run") == "1"
+        outcome = "not-run" if refused else "completed"
     if outcome == "completed":
-        body_ok = is_matching_response(answer.body, nonce, body)
-        reason = "" if answer.status == 200 else failure_detail(answer.body)
-        return _Verdict(outcome, reason, answer.status, body_ok)
-    reason = failure_detail(answer.body) or "unreadable-refusal"
-    return _Verdict(outcome, reason, answer.status)
+        body_ok = is_matching_response(response.body, nonce, body)
+        reason = "" if response.status == 200 else failure_detail(response.body)
+        return _Outcome(outcome, reason, response.status, body_ok)
+    reason = failure_detail(response.body) or "unreadable-refusal"
+    return _Outcome(outcome, reason, response.status)
 
 
 async def run_load(plan: LoadPlan) -> list[Told]:
-    """Run a load plan and return what callers were told.
+    """Run a load plan and return the results that callers received.
 
-    :param plan: schedule and mix
+    :param plan: schedule and mix of actions
     """
     return await LoadGenerator(plan, SystemClock()).run()
 
@@ -300,15 +313,15 @@
     ledger: Path | None = None,
     seed: int = -1,
 ) -> None:
-    """Send open-loop load and print one JSON line with the report per class.
+    """Send open-loop load and print one JSON line with the report of each class.
 
-    Options replace the values of the plan.
+    Options override the values of the plan.
 
     :param plan: JSON file with a load plan
     :param entries: host:port of the nodes to send to
     :param rate_per_s: mean arrivals per second at multiple 1
     :param ledger: file to append the caller ledger to
-    :param seed: seed of arrivals and choices
+    :param seed: seed of arrivals and of the choice of actions and nodes
     """
     settings = read_plan(plan, LoadPlan)
     changes: dict[str, object] = {
@@ -320,8 +333,8 @@
     if seed >= 0:
         changes["seed"] = seed
     settings = msgspec.structs.replace(settings, **changes)
-    told = anyio.run(run_load, settings, backend_options={"use_uvloop": True})
-    reports = summarise(told)
+    results = anyio.run(run_load, settings, backend_options={"use_uvloop": True})
+    reports = summarise(results)
     print(json.dumps({name: r.summary() for name, r in sorted(reports.items())}))
 
 
--- a/src/briardock_standins/plans.py
+++ b/src/briardock_standins/plans.py
@@ -249,4 +249,4 @@
         raise SettingsError(f"cannot read plan {path}: {error.strerror}") from error
     except msgspec.DecodeError as error:
         remedy = "see briardock_standins.plans for the fields"
-        raise SettingsError(f"bad plan {path}: {error}", remedy) from error
+        raise SettingsError(f"invalid plan {path}: {error}", remedy) from error
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -1,4 +1,4 @@
-"""Tests of the load generator against a small server in this process."""
+"""Tests of the load generator against a small server in the test process."""
 
 import json
 
@@ -26,7 +26,7 @@
 
 
 @pytest.mark.parametrize(
-    "answer, outcome, body_ok",
+    "response, outcome, body_ok",
     [
         (refusal("not-run"), "not-run", False),
         (refusal("unknown"), "unknown", False),
@@ -35,16 +35,16 @@
     ],
 )
 def test_resends_keep_the_key_and_are_recorded(
-    answer: HttpResponse, outcome: str, body_ok: bool
+    response: HttpResponse, outcome: str, body_ok: bool
 ) -> None:
-    # Guards against resends under a new key, which would hide a second run.
+    # Guards against resends under a new key, which would hide a duplicate run.
     keys_seen: list[str] = []
 
     async def handle(request: HttpRequest) -> HttpResponse:
         if request.path == "/_briardock/keys":
             return HttpResponse(200, (), json.dumps({"keys": ["k2", "k1"]}).encode())
         keys_seen.append(request.header("idempotency-key"))
-        return answer
+        return response
 
     async def scenario() -> None:
         listener, address = await listen("127.0.0.1", 0)
@@ -53,13 +53,13 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(serve_http, listener, handle)
             generator = LoadGenerator(plan, SystemClock())
-            told = await generator.perform(action)
+            result = await generator.perform(action)
             await generator.close()
             tasks.cancel_scope.cancel()
-        assert (told.outcome, told.body_ok, told.attempt) == (outcome, body_ok, 2)
+        assert (result.outcome, result.body_ok, result.attempt) == (outcome, body_ok, 2)
         assert keys_seen == ["k1"] * 3
-        assert [entry.final for entry in generator.told] == [False, False, True]
-        assert summarise(generator.told)["money"].sent == 1
+        assert [entry.final for entry in generator.results] == [False, False, True]
+        assert summarise(generator.results)["money"].sent == 1
 
     anyio.run(scenario)
 
@@ -72,23 +72,24 @@
         (ConnectFailed("refused"), "not-run"),
     ],
 )
-def test_resend_that_finds_no_node_keeps_what_the_first_attempt_left_open(
+def test_resend_without_connection_keeps_the_outcome_of_the_first_attempt(
     first: Exchange, expected: str
 ) -> None:
-    """The ledger check took such a resend for a refusal by the system."""
+    # A resend that cannot connect says nothing about the first attempt. Guards against
+    # recording it as not-run, which the ledger check takes for a refusal by a node.
 
     async def scenario() -> None:
         action = ActionPlan("a.pay", "/pay", "money", "POST", resends=1)
         generator = LoadGenerator(LoadPlan(("127.0.0.1:1",), (action,)), SystemClock())
-        answers = [first, ConnectFailed("refused")]
+        exchanges = [first, ConnectFailed("refused")]
 
         async def send(*arguments: object) -> Exchange:
-            return answers.pop(0)
+            return exchanges.pop(0)
 
         generator._send = send  # type: ignore[method-assign]
-        told = await generator.perform(action)
+        result = await generator.perform(action)
         await generator.close()
-        assert (told.outcome, told.attempt) == (expected, 1)
+        assert (result.outcome, result.attempt) == (expected, 1)
 
     anyio.run(scenario)
 
