Reword the log stand-in and the relay

Rename Relay.change to apply, DomainPath.set to update, RateLimit to RateLimiter and private names: streams of the relay are client and upstream, its paths forward and return. Behaviour is unchanged.

--- a/src/briardock_standins/log.py
+++ b/src/briardock_standins/log.py
@@ -1,4 +1,4 @@
-"""Stand-in for the platform log: streams in memory, with switchable faults."""
+"""Stand-in for the platform's log service: streams in memory, with injected faults."""
 
 import asyncio
 import random
@@ -18,7 +18,7 @@
 MAX_READ_BYTES = 16 * 1024 * 1024
 APPENDS_PER_S = 400
 BURST_APPENDS = 100
-# hypercorn closes a connection after 1,000 requests by default.
+# By default, hypercorn closes a connection after 1,000 requests.
 KEEP_ALIVE_REQUESTS = 1_000_000_000
 KEEP_ALIVE_S = 3_600
 
@@ -35,7 +35,7 @@
 
 
 class ReadAnswer(msgspec.Struct, frozen=True):
-    """Answer to a read."""
+    """Response to a read."""
 
     first: int
     next: int
@@ -43,23 +43,23 @@
 
 
 class AppendAnswer(msgspec.Struct, frozen=True):
-    """Answer to an append."""
+    """Response to an append."""
 
     offset: int
 
 
 class ErrorAnswer(msgspec.Struct, frozen=True):
-    """Answer to a refused request."""
+    """Response to a refused request."""
 
     error: str
 
 
 class Fault(msgspec.Struct, frozen=True):
-    """A fault that the service shows.
+    """An injected fault.
 
-    :param mode: ``outage`` refuses with 503, ``slow`` delays every answer,
-        ``lose_ack`` writes and then closes the connection without an answer
-    :param delay_ms: delay of ``slow``, spread by 20% either way
+    :param mode: ``outage`` refuses requests with 503, ``slow`` delays every response,
+        ``lose_ack`` appends the record and closes the connection without a response
+    :param delay_ms: delay of ``slow``, with a jitter of 20% either way
     :param count: requests affected before the fault ends; 0 for no end
     """
 
@@ -70,30 +70,30 @@
 
 @dataclass(slots=True)
 class Stream:
-    """Records of one stream; the oldest are dropped beyond the retention."""
+    """Records of one stream, of which the newest are retained."""
 
     first: int = 0
     records: deque[bytes] = field(default_factory=deque)
-    grown: asyncio.Event = field(default_factory=asyncio.Event)
+    record_appended: asyncio.Event = field(default_factory=asyncio.Event)
 
     @property
     def next(self) -> int:
-        """Offset of the next append."""
+        """Offset of the next record."""
         return self.first + len(self.records)
 
     def append(self, body: bytes, retention_records: int) -> int:
-        """Store a record and return its offset."""
+        """Append a record, drop those beyond the retention and return its offset."""
         offset = self.next
         self.records.append(body)
         while len(self.records) > retention_records:
             self.records.popleft()
             self.first += 1
-        self.grown.set()
-        self.grown = asyncio.Event()
+        self.record_appended.set()
+        self.record_appended = asyncio.Event()
         return offset
 
     def read(self, from_offset: int, limit: int) -> list[Record]:
-        """Return up to ``limit`` records from an offset on."""
+        """Return up to ``limit`` records from an offset on, bounded in size."""
         start = max(from_offset, self.first)
         records: list[Record] = []
         size_bytes = 0
@@ -106,22 +106,22 @@
         return records
 
 
-class RateLimit:
-    """Token bucket over appends."""
+class RateLimiter:
+    """Token bucket that limits the rate of appends."""
 
     def __init__(self, rate_per_s: float, burst: float, clock: Clock) -> None:
         self._rate_per_s = rate_per_s
         self._burst = burst
         self._tokens = burst
         self._clock = clock
-        self._filled_ms = clock.now_ms()
+        self._refilled_ms = clock.now_ms()
 
     def take(self) -> bool:
-        """Return whether one more append is allowed now."""
+        """Take a token and return whether there was one."""
         now_ms = self._clock.now_ms()
-        gained = (now_ms - self._filled_ms) / 1000 * self._rate_per_s
-        self._tokens = min(self._burst, self._tokens + gained)
-        self._filled_ms = now_ms
+        refill = (now_ms - self._refilled_ms) / 1000 * self._rate_per_s
+        self._tokens = min(self._burst, self._tokens + refill)
+        self._refilled_ms = now_ms
         if self._tokens < 1:
             return False
         self._tokens -= 1
@@ -129,11 +129,11 @@
 
 
 class LogApp:
-    """ASGI application of the log.
+    """ASGI application of the log service.
 
-    :param retention_records: records held per stream
+    :param retention_records: records retained per stream
     :param rng: random source of delays
-    :param clock: clock of the append rate
+    :param clock: clock of the rate limit
     """
 
     def __init__(
@@ -144,73 +144,73 @@
         self._streams: dict[str, Stream] = {}
         self._fault = Fault("none")
         self._affected_count = 0
-        self._rate = RateLimit(APPENDS_PER_S, BURST_APPENDS, clock)
+        self._append_limiter = RateLimiter(APPENDS_PER_S, BURST_APPENDS, clock)
 
     async def __call__(self, scope: Message, receive: Receive, send: Send) -> None:
-        """Answer one request."""
+        """Handle one request."""
         if scope["type"] == "lifespan":
             await _run_lifespan(receive, send)
             return
         body = await _read_body(receive)
         if body is None:
-            await _answer(send, 413, ErrorAnswer("body is too large"))
+            await _respond(send, 413, ErrorAnswer("body is too large"))
             return
         path, method = scope["path"], scope["method"]
         if path == "/health" and method == "GET":
-            await _answer(send, 200, {"status": "ok"})
+            await _respond(send, 200, {"status": "ok"})
         elif path == "/faults" and method == "POST":
             await self._set_fault(send, body)
         elif path.startswith("/streams/"):
             name = path.removeprefix("/streams/")
             await self._serve_stream(scope, send, name, body)
         else:
-            await _answer(send, 404, ErrorAnswer(f"no such resource: {path}"))
+            await _respond(send, 404, ErrorAnswer(f"no such resource: {path}"))
 
     async def _set_fault(self, send: Send, body: bytes) -> None:
         try:
             self._fault = msgspec.json.decode(body, type=Fault)
         except msgspec.DecodeError as error:
-            await _answer(send, 400, ErrorAnswer(str(error)))
+            await _respond(send, 400, ErrorAnswer(str(error)))
             return
         self._affected_count = 0
-        await _answer(send, 200, self._fault)
+        await _respond(send, 200, self._fault)
 
     async def _serve_stream(
         self, scope: Message, send: Send, name: str, body: bytes
     ) -> None:
-        append = scope["method"] == "POST"
-        fault = self._next_fault(append)
+        is_append = scope["method"] == "POST"
+        fault = self._next_fault(is_append)
         if fault.mode == "slow":
             await asyncio.sleep(fault.delay_ms / 1000 * self._rng.uniform(0.8, 1.2))
         if fault.mode == "outage":
-            await _answer(send, 503, ErrorAnswer("the log is not available"))
-        elif append:
+            await _respond(send, 503, ErrorAnswer("the log is not available"))
+        elif is_append:
             await self._append(send, name, body, fault.mode == "lose_ack")
         elif scope["method"] == "GET":
             await self._read(send, name, scope["query_string"].decode("latin-1"))
         else:
-            await _answer(send, 405, ErrorAnswer("use GET or POST"))
+            await _respond(send, 405, ErrorAnswer("use GET or POST"))
 
-    def _next_fault(self, append: bool) -> Fault:
-        """Return the fault that applies to this request and count it."""
+    def _next_fault(self, is_append: bool) -> Fault:
+        """Return the fault that applies to this request, and count the request."""
         fault = self._fault
-        if fault.mode == "none" or (fault.mode == "lose_ack" and not append):
+        if fault.mode == "none" or (fault.mode == "lose_ack" and not is_append):
             return Fault("none")
         self._affected_count += 1
         if fault.count and self._affected_count >= fault.count:
             self._fault = Fault("none")
         return fault
 
-    async def _append(self, send: Send, name: str, body: bytes, lose: bool) -> None:
-        if not self._rate.take():
-            await _answer(send, 429, ErrorAnswer("too many appends; slow down"))
+    async def _append(self, send: Send, name: str, body: bytes, lose_ack: bool) -> None:
+        if not self._append_limiter.take():
+            await _respond(send, 429, ErrorAnswer("too many appends; slow down"))
             return
         stream = self._streams.setdefault(name, Stream())
         offset = stream.append(body, self._retention_records)
-        if lose:
-            await _close_without_answer(send)
+        if lose_ack:
+            await _close_without_response(send)
         else:
-            await _answer(send, 200, AppendAnswer(offset))
+            await _respond(send, 200, AppendAnswer(offset))
 
     async def _read(self, send: Send, name: str, query: str) -> None:
         values = dict(urllib.parse.parse_qsl(query))
@@ -219,24 +219,26 @@
             limit = int(values.get("limit", "100"))
             wait_ms = float(values.get("wait_ms", "0"))
         except ValueError as error:
-            await _answer(send, 400, ErrorAnswer(str(error)))
+            await _respond(send, 400, ErrorAnswer(str(error)))
             return
         if from_offset < 0 or limit < 1 or not 0 <= wait_ms <= MAX_WAIT_MS:
-            await _answer(send, 400, ErrorAnswer("from, limit or wait_ms out of range"))
+            await _respond(
+                send, 400, ErrorAnswer("from, limit or wait_ms out of range")
+            )
             return
         stream = self._streams.setdefault(name, Stream())
         if from_offset >= stream.next and wait_ms:
-            await _wait(stream, from_offset, wait_ms)
+            await _wait_for_record(stream, from_offset, wait_ms)
         records = stream.read(from_offset, min(limit, MAX_READ_RECORDS))
-        await _answer(send, 200, ReadAnswer(stream.first, stream.next, records))
+        await _respond(send, 200, ReadAnswer(stream.first, stream.next, records))
 
 
-async def _wait(stream: Stream, from_offset: int, wait_ms: float) -> None:
-    """Wait until a stream reaches an offset or the time is over."""
+async def _wait_for_record(stream: Stream, from_offset: int, wait_ms: float) -> None:
+    """Wait until a stream has a record at an offset, or until the timeout."""
     try:
         async with asyncio.timeout(wait_ms / 1000):
             while from_offset >= stream.next:
-                await stream.grown.wait()
+                await stream.record_appended.wait()
     except TimeoutError:
         return
 
@@ -264,7 +266,7 @@
     return b"".join(parts) if size_bytes <= MAX_BODY_BYTES else None
 
 
-async def _answer(send: Send, status: int, content: object) -> None:
+async def _respond(send: Send, status: int, content: object) -> None:
     body = msgspec.json.encode(content)
     headers = [
         (b"content-type", b"application/json"),
@@ -274,11 +276,11 @@
     await send({"type": "http.response.body", "body": body})
 
 
-async def _close_without_answer(send: Send) -> None:
+async def _close_without_response(send: Send) -> None:
     """Close the connection of a request.
 
-    ASGI has no message for this, so the stream object behind ``send`` is told
-    that it is closed.
+    ASGI has no message for this, so hypercorn's stream object behind ``send`` gets
+    the event of a closed stream.
     """
     from hypercorn.protocol.events import StreamClosed
 
@@ -287,9 +289,9 @@
 
 
 def make_config(bind: str) -> Any:
-    """Return the server configuration of the log.
+    """Return the hypercorn configuration of the log service.
 
-    :param bind: address in the form of hypercorn
+    :param bind: address in hypercorn's format
     """
     from hypercorn.config import Config
 
@@ -305,17 +307,17 @@
 def _report_unless_cancelled(
     loop: asyncio.AbstractEventLoop, context: dict[str, Any]
 ) -> None:
-    """Report an error of the loop, but not connections cut by the shutdown."""
+    """Report an event loop error, except for connections cancelled at shutdown."""
     if not isinstance(context.get("exception"), asyncio.CancelledError):
         loop.default_exception_handler(context)
 
 
 async def serve_log(host: str, port: int, retention_records: int, seed: int) -> None:
-    """Serve the log until the process is told to stop.
+    """Serve the log until the process receives a signal to stop.
 
     :param host: numeric IP address to bind to
     :param port: port to bind to
-    :param retention_records: records held per stream
+    :param retention_records: records retained per stream
     :param seed: seed of random delays
     """
     from hypercorn.asyncio import serve
@@ -332,11 +334,11 @@
     retention_records: int = 100_000,
     seed: int = 0,
 ) -> None:
-    """Serve a stand-in for the platform log until it is interrupted.
+    """Serve a stand-in for the platform's log service until it is interrupted.
 
     :param host: numeric IP address to bind to
     :param port: port to bind to
-    :param retention_records: records held per stream; older ones are dropped
+    :param retention_records: records retained per stream; older ones are dropped
     :param seed: seed of random delays
     """
     import uvloop
--- a/src/briardock_standins/relay.py
+++ b/src/briardock_standins/relay.py
@@ -1,7 +1,7 @@
-"""TCP relay between failure domains that cuts, holds or delays their traffic.
+"""TCP relay between failure domains that refuses, holds or delays their traffic.
 
-The source domain of a connection is known by its source IP address, the
-destination domain by the port it was accepted on.
+The source IP address of a connection identifies its source domain, and the port that
+accepted it identifies the destination domain.
 """
 
 import enum
@@ -36,7 +36,7 @@
 )
 from briardock_standins.plans import RelayPlan, read_plan
 
-CHUNKS_IN_TRANSIT = 1_024
+MAX_CHUNKS_IN_TRANSIT = 1_024
 LINGER_RESET = struct.pack("ii", 1, 0)
 
 
@@ -49,13 +49,13 @@
 
 
 class PathChange(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Body of ``POST /paths``: sets the traffic between two domains.
+    """Body of ``POST /paths``: sets the mode and the delay between two domains.
 
     :param source: failure domain
     :param destination: failure domain, or another name of the plan
     :param mode: ``open``, ``refuse`` (connections are reset) or ``black-hole``
         (data is held until the path is open again)
-    :param delay_ms: delay in transit, one way
+    :param delay_ms: one-way delay
     :param both_ways: whether the opposite direction is set too
     """
 
@@ -70,16 +70,17 @@
 class DomainPath:
     """Traffic in one direction between two domains.
 
-    :param mode: what happens to it
-    :param delay_ms: delay in transit
+    :param mode: what happens to the traffic
+    :param delay_ms: one-way delay
+    :param changed: set and replaced when the path changes
     """
 
     mode: Mode = Mode.OPEN
     delay_ms: float = 0.0
     changed: anyio.Event = field(default_factory=anyio.Event)
 
-    def set(self, mode: Mode, delay_ms: float) -> None:
-        """Change the path and wake the connections on it."""
+    def update(self, mode: Mode, delay_ms: float) -> None:
+        """Update the path and wake the tasks that wait for a change."""
         self.mode = mode
         self.delay_ms = delay_ms
         self.changed.set()
@@ -88,14 +89,14 @@
 
 @dataclass(frozen=True, slots=True)
 class _Chunk:
-    """Data in transit and the time at which it arrives."""
+    """Data in transit and the time at which it is due."""
 
     data: bytes
     due_ms: float
 
 
 class Relay:
-    """Relay of all links of a deployment.
+    """Relays the links of a deployment.
 
     :param plan: domains and links
     :param clock: time
@@ -110,87 +111,109 @@
 
     def path(self, source: str, destination: str) -> DomainPath:
         """Return the path from one domain to another."""
-        found = self._paths.get((source, destination))
-        if found is None:
+        path = self._paths.get((source, destination))
+        if path is None:
             delay_ms = self.plan.delay_ms if source != destination else 0.0
-            found = DomainPath(delay_ms=delay_ms)
-            self._paths[(source, destination)] = found
-        return found
+            path = DomainPath(delay_ms=delay_ms)
+            self._paths[(source, destination)] = path
+        return path
 
-    def change(self, change: PathChange) -> None:
-        """Apply a change of one pair of domains."""
+    def apply(self, change: PathChange) -> None:
+        """Apply a change to the paths between two domains."""
         pairs = [(change.source, change.destination)]
         if change.both_ways:
             pairs.append((change.destination, change.source))
         for source, destination in pairs:
-            self.path(source, destination).set(change.mode, change.delay_ms)
+            self.path(source, destination).update(change.mode, change.delay_ms)
 
     async def serve(
-        self, listener: anyio.abc.SocketListener, to: Address, destination: str
+        self, listener: anyio.abc.SocketListener, upstream: Address, destination: str
     ) -> None:
         """Relay the connections of one listener until cancelled.
 
         :param listener: bound listener
-        :param to: where its connections go
-        :param destination: domain of that address
+        :param upstream: address that connections are relayed to
+        :param destination: failure domain of that address
         """
 
-        async def relay(near: SocketStream) -> None:
+        async def relay(client_stream: SocketStream) -> None:
             try:
-                await self._relay(near, to, destination)
+                await self._relay(client_stream, upstream, destination)
             except Exception as error:
-                # One connection that breaks in an unusual place must not end the
-                # relay, which would look like a cut of all failure domains.
-                print(f"connection failed: {error!r}", file=sys.stderr, flush=True)
+                # An unexpected error of one connection must not stop the relay, because
+                # that would look like a partition of all failure domains.
+                print(
+                    f"relaying a connection failed: {error!r}",
+                    file=sys.stderr,
+                    flush=True,
+                )
 
         await listener.serve(relay)
 
-    async def _relay(self, near: SocketStream, to: Address, destination: str) -> None:
-        source_ip = near.extra(SocketAttribute.remote_address)[0]
+    async def _relay(
+        self, client_stream: SocketStream, upstream: Address, destination: str
+    ) -> None:
+        source_ip = client_stream.extra(SocketAttribute.remote_address)[0]
         source = self._domains.get(str(source_ip), str(source_ip))
-        there = self.path(source, destination)
-        back = self.path(destination, source)
+        forward_path = self.path(source, destination)
+        return_path = self.path(destination, source)
         self.connection_count += 1
         try:
-            await self._connect_and_pump(near, to, there, back)
+            await self._connect_and_pump(
+                client_stream, upstream, forward_path, return_path
+            )
         finally:
             self.connection_count -= 1
-            await anyio.aclose_forcefully(near)
+            await anyio.aclose_forcefully(client_stream)
 
     async def _connect_and_pump(
-        self, near: SocketStream, to: Address, there: DomainPath, back: DomainPath
+        self,
+        client_stream: SocketStream,
+        upstream: Address,
+        forward_path: DomainPath,
+        return_path: DomainPath,
     ) -> None:
-        await _wait_while_held(there)
-        if Mode.REFUSE in (there.mode, back.mode):
-            _reset_on_close(near)
+        await _wait_while_held(forward_path)
+        if Mode.REFUSE in (forward_path.mode, return_path.mode):
+            _reset_on_close(client_stream)
             return
         try:
-            far = await anyio.connect_tcp(to.host, to.port)
+            upstream_stream = await anyio.connect_tcp(upstream.host, upstream.port)
         except OSError:
             return
         try:
             async with anyio.create_task_group() as tasks:
-                tasks.start_soon(_wait_for_refusal, there, tasks.cancel_scope)
-                tasks.start_soon(_wait_for_refusal, back, tasks.cancel_scope)
-                await self._pump_both(near, far, there, back, tasks.cancel_scope)
+                tasks.start_soon(_wait_for_refusal, forward_path, tasks.cancel_scope)
+                tasks.start_soon(_wait_for_refusal, return_path, tasks.cancel_scope)
+                await self._pump_both(
+                    client_stream,
+                    upstream_stream,
+                    forward_path,
+                    return_path,
+                    tasks.cancel_scope,
+                )
                 tasks.cancel_scope.cancel()
         finally:
-            if Mode.REFUSE in (there.mode, back.mode):
-                _reset_on_close(near)
-                _reset_on_close(far)
-            await anyio.aclose_forcefully(far)
+            if Mode.REFUSE in (forward_path.mode, return_path.mode):
+                _reset_on_close(client_stream)
+                _reset_on_close(upstream_stream)
+            await anyio.aclose_forcefully(upstream_stream)
 
     async def _pump_both(
         self,
-        near: SocketStream,
-        far: SocketStream,
-        there: DomainPath,
-        back: DomainPath,
+        client_stream: SocketStream,
+        upstream_stream: SocketStream,
+        forward_path: DomainPath,
+        return_path: DomainPath,
         scope: anyio.CancelScope,
     ) -> None:
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._pump, near, far, there, scope)
-            tasks.start_soon(self._pump, far, near, back, scope)
+            tasks.start_soon(
+                self._pump, client_stream, upstream_stream, forward_path, scope
+            )
+            tasks.start_soon(
+                self._pump, upstream_stream, client_stream, return_path, scope
+            )
 
     async def _pump(
         self,
@@ -199,12 +222,12 @@
         path: DomainPath,
         scope: anyio.CancelScope,
     ) -> None:
-        send, receive = anyio.create_memory_object_stream[_Chunk](CHUNKS_IN_TRANSIT)
+        send, receive = anyio.create_memory_object_stream[_Chunk](MAX_CHUNKS_IN_TRANSIT)
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._deliver, receive, sink, path, scope)
-            await self._accept(source, send, path)
+            tasks.start_soon(self._write_chunks, receive, sink, path, scope)
+            await self._read_chunks(source, send, path)
 
-    async def _accept(
+    async def _read_chunks(
         self,
         source: SocketStream,
         send: MemoryObjectSendStream[_Chunk],
@@ -219,14 +242,14 @@
                 due_ms = self._clock.now_ms() + path.delay_ms
                 await send.send(_Chunk(data, due_ms))
 
-    async def _deliver(
+    async def _write_chunks(
         self,
         receive: MemoryObjectReceiveStream[_Chunk],
         sink: SocketStream,
         path: DomainPath,
         scope: anyio.CancelScope,
     ) -> None:
-        """Send chunks on when they are due; a closed sink ends the connection."""
+        """Forward chunks when they are due; a closed sink ends the connection."""
         try:
             async with receive:
                 async for chunk in receive:
@@ -238,16 +261,16 @@
             await _wait_while_held(path)
             await sink.send_eof()
         except (*CLOSED_ERRORS, RuntimeError):
-            # uvloop raises RuntimeError for the end of data on a reset connection.
+            # uvloop raises RuntimeError if send_eof is called on a reset connection.
             scope.cancel()
 
     async def handle_control(self, request: HttpRequest) -> HttpResponse:
-        """Answer one request to the control port."""
+        """Handle one request to the control port."""
         match (request.method, request.path):
             case ("GET", "/paths"):
                 return json_response(200, self._describe())
             case ("POST", "/paths"):
-                return self._change(request.body)
+                return self._handle_change(request.body)
         return json_response(404, b'{"error":"use GET /paths or POST /paths"}')
 
     def _describe(self) -> bytes:
@@ -264,16 +287,16 @@
             {"connections": self.connection_count, "paths": paths}
         ).encode()
 
-    def _change(self, body: bytes) -> HttpResponse:
+    def _handle_change(self, body: bytes) -> HttpResponse:
         try:
-            self.change(msgspec.json.decode(body, type=PathChange))
+            self.apply(msgspec.json.decode(body, type=PathChange))
         except msgspec.DecodeError as error:
             return json_response(400, json.dumps({"error": str(error)}).encode())
         return json_response(200, self._describe())
 
 
 def _reset_on_close(stream: SocketStream) -> None:
-    """Have the connection end with a reset, as after a refusal by a firewall."""
+    """Make the close send a TCP reset, like a firewall that rejects a connection."""
     raw = stream.extra(SocketAttribute.raw_socket)
     with suppress(OSError):
         raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
@@ -301,8 +324,8 @@
         async with anyio.create_task_group() as tasks:
             for link in plan.links:
                 listener, _ = await listen(plan.host, link.port)
-                to = parse_address(link.to)
-                tasks.start_soon(relay.serve, listener, to, link.domain)
+                upstream = parse_address(link.to)
+                tasks.start_soon(relay.serve, listener, upstream, link.domain)
             tasks.start_soon(serve_http, control_listener, relay.handle_control)
             print(json.dumps({"control": str(control_address)}), flush=True)
             async for _ in signals:
@@ -313,7 +336,7 @@
 def _command(plan: Path) -> None:
     """Run a relay between failure domains.
 
-    It prints one JSON line with its control address when it is ready.
+    Print one JSON line with the control address when it is ready.
 
     :param plan: JSON file with a relay plan
     """
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -47,27 +47,27 @@
 def test_relays_whole_bodies_both_ways() -> None:
     async def scenario() -> None:
         async with relayed() as (relay, address):
-            relay.change(PathChange("a", "b", delay_ms=1.0))
-            answer = await HttpClient("127.0.1.1").request(address, REQUEST, LONG_MS)
-            assert answer == HttpResponse(200, answer.headers, REQUEST.body)  # type: ignore[union-attr]
+            relay.apply(PathChange("a", "b", delay_ms=1.0))
+            response = await HttpClient("127.0.1.1").request(address, REQUEST, LONG_MS)
+            assert response == HttpResponse(200, response.headers, REQUEST.body)  # type: ignore[union-attr]
 
     anyio.run(scenario)
 
 
 def test_refused_path_resets_new_and_open_connections() -> None:
-    # Guards against a partition that leaves established links usable.
+    # Guards against a partition that leaves established connections usable.
     async def scenario() -> None:
         async with relayed() as (relay, address):
             client = HttpClient("127.0.1.1")
             other = HttpClient("127.0.3.1")
             await client.request(address, REQUEST, LONG_MS)
-            relay.change(PathChange("a", "b", Mode.REFUSE))
+            relay.apply(PathChange("a", "b", Mode.REFUSE))
             for _ in range(2):
-                answer = await client.request(address, REQUEST, LONG_MS)
-                assert isinstance(answer, AnswerMissing)
+                response = await client.request(address, REQUEST, LONG_MS)
+                assert isinstance(response, AnswerMissing)
             unaffected = await other.request(address, REQUEST, LONG_MS)
             assert isinstance(unaffected, HttpResponse)
-            relay.change(PathChange("a", "b"))
+            relay.apply(PathChange("a", "b"))
             healed = await client.request(address, REQUEST, LONG_MS)
             assert isinstance(healed, HttpResponse)
 
@@ -76,32 +76,32 @@
 
 @pytest.mark.parametrize("source, destination", [("a", "b"), ("b", "a")])
 def test_black_hole_holds_data_until_healed(source: str, destination: str) -> None:
-    # Guards against a cut of one direction that lets data of that direction pass.
+    # Guards against a one-way partition that lets data of that direction pass.
     async def scenario() -> None:
         async with relayed() as (relay, address):
             client = HttpClient("127.0.1.1")
             held = PathChange(source, destination, Mode.BLACK_HOLE, both_ways=False)
-            relay.change(held)
+            relay.apply(held)
             assert isinstance(
                 await client.request(address, REQUEST, SHORT_MS), TimedOut
             )
             results: list[object] = []
             async with anyio.create_task_group() as tasks:
 
-                async def ask() -> None:
+                async def send_request() -> None:
                     results.append(await client.request(address, REQUEST, LONG_MS))
 
-                tasks.start_soon(ask)
+                tasks.start_soon(send_request)
                 await anyio.wait_all_tasks_blocked()
-                relay.change(PathChange(source, destination, both_ways=False))
+                relay.apply(PathChange(source, destination, both_ways=False))
             assert isinstance(results[0], HttpResponse)
 
     anyio.run(scenario)
 
 
 def test_reset_connection_does_not_end_the_relay() -> None:
-    # uvloop raises RuntimeError where asyncio raises nothing when the end of data
-    # is sent to a reset connection; that ended the relay.
+    # On a reset connection, send_eof raises RuntimeError with uvloop but nothing with
+    # asyncio. Guards against that error stopping the relay.
     async def scenario() -> None:
         async with relayed() as (_, address):
             for _ in range(20):
@@ -110,7 +110,7 @@
                 raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
                 raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
                 await anyio.aclose_forcefully(stream)
-            answer = await HttpClient("127.0.1.1").request(address, REQUEST, LONG_MS)
-            assert isinstance(answer, HttpResponse)
+            response = await HttpClient("127.0.1.1").request(address, REQUEST, LONG_MS)
+            assert isinstance(response, HttpResponse)
 
     anyio.run(scenario, backend_options={"use_uvloop": True})
