Reword the ledger check, the deployments and the harness

Rename ledger.check to find_violations and bound_s to timeout_s; call what a caller received a result. Reword messages of the harness and of violations. Behaviour is unchanged.

--- a/benchmarks/demo.py
+++ b/benchmarks/demo.py
@@ -19,7 +19,7 @@
 )
 from briardock_standins.deployments import DeploymentSpec, ServiceSpec
 from briardock_standins.harness import Deployment
-from briardock_standins.ledger import Told, check
+from briardock_standins.ledger import Told, find_violations
 from briardock_standins.load import LoadGenerator
 from briardock_standins.plans import LoadPlan, TargetPlan
 
@@ -80,7 +80,7 @@
             send_actions, deployment, folder, backend_options={"use_uvloop": True}
         )
         once = non_idempotent_operations(read_catalog(folder))
-        violations = check(deployment.target_ledgers(), [told], once)
+        violations = find_violations(deployment.target_ledgers(), [told], once)
     for violation in violations:
         print(f"  {violation.rule}: {violation.subject}: {violation.detail}")
     return not violations and all(one.succeeded for one in told)
--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -34,8 +34,8 @@
     Entry,
     Run,
     Told,
-    check,
     collect_runs,
+    find_violations,
     read_ledger,
 )
 from briardock_standins.load import LoadGenerator
@@ -327,7 +327,7 @@
 
     Without nodes there are no keys, so only repeated runs and foreign answers count.
     """
-    return len(check(ledgers, [told], frozenset(once)))
+    return len(find_violations(ledgers, [told], frozenset(once)))
 
 
 def measure_goodput(scenario: Scenario, final: list[Told], start_ms: float) -> float:
--- a/features/bench.py
+++ b/features/bench.py
@@ -20,7 +20,7 @@
     RunStarted,
     Told,
     Violation,
-    check,
+    find_violations,
     read_ledger,
 )
 from briardock_standins.load import LoadGenerator
@@ -290,7 +290,7 @@
         """Return the broken rules over all ledgers so far."""
         probes = [*self._recovery, *([probe] if probe else [])]
         told = [*self.load_told, *(one for each in probes for one in each.told)]
-        return check(self.deployment.target_ledgers(), [told], ONCE, RETRIES)
+        return find_violations(self.deployment.target_ledgers(), [told], ONCE, RETRIES)
 
     # Faults
 
--- a/src/briardock_standins/deployments.py
+++ b/src/briardock_standins/deployments.py
@@ -13,7 +13,7 @@
 class ServiceSpec:
     """One service of a deployment.
 
-    :param target: behaviour of its targets; addresses and seed are filled in
+    :param target: behaviour of its targets; the harness sets addresses and seed
     :param domains: failure domain of each instance
     """
 
@@ -26,14 +26,14 @@
     """A small deployment.
 
     :param services: services
-    :param config: operators' configuration folder, ``None`` to publish nothing
+    :param config: operators' configuration folder, ``None`` to publish none
     :param domains: source IP address of each failure domain
     :param region: region of all nodes
     :param direct: whether targets call each other without nodes, log and relay
     :param relay: whether a relay carries the traffic between nodes
-    :param delay_ms: delay between failure domains, one way, with a relay
-    :param tunables: further settings of nodes, by section and key
-    :param retention_records: records that the log keeps per stream
+    :param delay_ms: one-way delay between failure domains, with a relay
+    :param tunables: additional node settings, by section and key
+    :param retention_records: records that the log retains per stream
     :param seed: seed of all processes
     """
 
@@ -57,9 +57,9 @@
     :param domain: failure domain
     :param plan: plan of the target
     :param ports: ports of the node, by purpose
-    :param control: address of the target's control port, once it runs
-    :param address: address of the target, once it runs
-    :param ledgers: ledger of each start of the target
+    :param control: address of the target's control port, empty before its start
+    :param address: address of the target, empty before its start
+    :param ledgers: one ledger for each start of the target
     """
 
     name: str
@@ -72,7 +72,7 @@
 
     @property
     def entry(self) -> str:
-        """Return the address that callers use."""
+        """Return the address that callers send requests to."""
         return f"127.0.0.1:{self.ports['http']}"
 
     @property
@@ -92,9 +92,10 @@
 
     :param spec: deployment
     :param instance: the node
-    :param instances: all nodes, for the first contacts
-    :param relay_ports: advertised ports by ``<node id>.<purpose>``, if relayed
-    :param log_port: port of the log stand-in
+    :param instances: all nodes, from which the seeds are chosen
+    :param relay_ports: advertised ports by ``<node id>.<purpose>``, empty without a
+        relay
+    :param log_port: port of the log service
     """
     ports = instance.ports
     sections: dict[str, dict[str, str]] = {
@@ -129,19 +130,19 @@
     instance: Instance, instances: Iterable[Instance], relay_ports: dict[str, int]
 ) -> list[str]:
     """Return the gossip addresses of the first other instance of each domain."""
-    first: dict[str, Instance] = {}
+    seed_by_domain: dict[str, Instance] = {}
     for other in instances:
         if other is not instance:
-            first.setdefault(other.domain, other)
+            seed_by_domain.setdefault(other.domain, other)
     seeds: list[str] = []
-    for one in first.values():
-        port = relay_ports.get(f"{one.name}.gossip", one.ports["gossip"])
+    for seed in seed_by_domain.values():
+        port = relay_ports.get(f"{seed.name}.gossip", seed.ports["gossip"])
         seeds.append(f"127.0.0.1:{port}")
     return seeds
 
 
 def _render_ini(sections: dict[str, dict[str, str]]) -> str:
-    """Return INI text."""
+    """Return sections as INI text."""
     lines: list[str] = []
     for section, values in sections.items():
         lines.append(f"[{section}]")
--- a/src/briardock_standins/harness.py
+++ b/src/briardock_standins/harness.py
@@ -1,7 +1,7 @@
-"""Starts and ends the processes of a small deployment, for tests and benchmarks.
+"""Starts and stops the processes of a small deployment, for tests and benchmarks.
 
-The harness is synchronous; load generators run beside it in the event loop of
-their caller. It signals only processes that it started, by their id.
+The harness is synchronous; load generators run concurrently in the event loop of
+their caller. The harness signals only processes that it started, by their id.
 """
 
 import json
@@ -31,20 +31,20 @@
 from briardock_standins.ledger import Entry, read_ledger
 from briardock_standins.plans import RelayLink, RelayPlan
 
-READY_BOUND_S = 30.0
-POLL_S = 0.02
-STOP_BOUND_S = 10.0
+READY_TIMEOUT_S = 30.0
+POLL_INTERVAL_S = 0.02
+STOP_TIMEOUT_S = 10.0
 PLATFORM = "platform"
 
 
 class HarnessError(BriardockError):
-    """A process of the deployment did not do what the harness waited for."""
+    """A process exited early, did not get ready in time or failed a command."""
 
 
 class Deployment(ControlClient):
-    """Processes of one deployment; use it as a context manager.
+    """Processes of one deployment, as a context manager.
 
-    :param spec: what to run
+    :param spec: specification of the deployment
     """
 
     def __init__(self, spec: DeploymentSpec) -> None:
@@ -77,8 +77,8 @@
 
     def _add_instance(self, service: ServiceSpec, domain: str) -> None:
         number = sum(
-            one.plan.service == service.target.service
-            for one in self.instances.values()
+            instance.plan.service == service.target.service
+            for instance in self.instances.values()
         )
         name = f"{service.target.service}-{number}"
         purposes = ("http", "call", "gossip", "admin", "target")
@@ -122,11 +122,11 @@
             self.start_target(name)
 
     def stop(self) -> None:
-        """End all processes that run and remove the temporary folder."""
+        """Stop all running processes and remove the temporary folder."""
         for process in self.processes.values():
             process.resume()
             process.terminate()
-        deadline = time.monotonic() + STOP_BOUND_S
+        deadline = time.monotonic() + STOP_TIMEOUT_S
         for process in self.processes.values():
             process.wait_or_kill(deadline - time.monotonic())
         self.close()
@@ -136,7 +136,7 @@
     # Processes
 
     def start_log(self) -> None:
-        """Start the log stand-in and wait until it answers."""
+        """Start the stand-in for the log service and wait until it responds."""
         self._spawn(
             "log",
             "briardock_standins.log",
@@ -146,7 +146,7 @@
             f"--seed={self.spec.seed}",
         )
         url = f"http://127.0.0.1:{self.log_port}/streams/members?from=0"
-        self.wait_until("the log to answer", lambda: self.is_responding(url), "log")
+        self.wait_until("the log to respond", lambda: self.is_responding(url), "log")
 
     def _start_relay(self) -> None:
         links = [self._add_link("log", self.log_port, PLATFORM)]
@@ -174,12 +174,14 @@
         self._spawn(name, "briardock.node", "--settings", str(path))
 
     def wait_for_node(self, name: str) -> None:
-        """Wait until the operator endpoint of a node answers.
+        """Wait until the operator endpoint of a node responds.
 
         :param name: node id
         """
         url = f"http://{self.instances[name].admin}/status"
-        self.wait_until(f"node {name} to answer", lambda: self.is_responding(url), name)
+        self.wait_until(
+            f"node {name} to respond", lambda: self.is_responding(url), name
+        )
 
     def start_target(self, name: str) -> None:
         """Start the target beside a node and wait until it listens.
@@ -220,29 +222,29 @@
     # Faults
 
     def kill(self, name: str) -> None:
-        """End a process at once and wait for its end.
+        """Kill a process with SIGKILL and wait until it has exited.
 
         :param name: node id, ``<node id>.target``, ``log`` or ``relay``
         """
         self.processes[name].kill()
 
     def freeze(self, name: str) -> None:
-        """Stop a process with SIGSTOP."""
+        """Suspend a process with SIGSTOP."""
         self.processes[name].freeze()
 
     def resume(self, name: str) -> None:
-        """Let a frozen process go on."""
+        """Continue a frozen process."""
         self.processes[name].resume()
 
     def terminate(self, name: str) -> None:
-        """Ask a process to end, with SIGTERM, without waiting for it."""
+        """Send SIGTERM to a process, without waiting for its exit."""
         self.processes[name].terminate()
 
-    def wait_for_end(self, name: str, bound_s: float = READY_BOUND_S) -> int:
-        """Wait until a process has ended and return its exit code."""
+    def wait_for_end(self, name: str, timeout_s: float = READY_TIMEOUT_S) -> int:
+        """Wait until a process has exited and return its exit code."""
         process = self.processes[name]
         self.wait_until(
-            f"{name} to end", lambda: process.poll() is not None, "", bound_s
+            f"{name} to exit", lambda: process.poll() is not None, "", timeout_s
         )
         code = process.poll()
         assert code is not None
@@ -251,7 +253,7 @@
     # Observation
 
     def target_ledgers(self) -> list[list[Entry]]:
-        """Return the ledger of each start of each target."""
+        """Return the ledgers of all targets, one for each start of a target."""
         return [
             read_ledger(path)
             for instance in self.instances.values()
@@ -260,11 +262,11 @@
         ]
 
     def entries(self, *names: str) -> tuple[str, ...]:
-        """Return the caller addresses of nodes, of all without names."""
-        chosen = [self.instances[name] for name in names or self.instances]
+        """Return the caller addresses of the named nodes, or of all nodes."""
+        instances = [self.instances[name] for name in names or self.instances]
         if self.spec.direct:
-            return tuple(instance.address for instance in chosen)
-        return tuple(instance.entry for instance in chosen)
+            return tuple(instance.address for instance in instances)
+        return tuple(instance.entry for instance in instances)
 
     # Configuration
 
@@ -274,7 +276,7 @@
         """Publish a configuration folder with the operator command.
 
         :param folder: operators' configuration
-        :param operator: whose copy of the published versions is used
+        :param operator: operator whose copy of the published versions is used
         :raises HarnessError: if the command fails
         """
         result = self.try_publish(folder, operator)
@@ -287,8 +289,8 @@
     ) -> subprocess.CompletedProcess[str]:
         """Run the operator command that publishes a folder and return its result.
 
-        The command keeps the published versions in the folder, so it gets a copy
-        that belongs to one operator of this deployment.
+        The command stores the published versions in the folder, so it runs on a copy
+        for one operator of this deployment.
         """
         copy = self.folder / "operators" / operator
         copy.mkdir(parents=True, exist_ok=True)
@@ -300,13 +302,17 @@
         arguments = ["briardock.cli", "publish", str(copy), "--log", log]
         command = [sys.executable, "-m", *arguments]
         return subprocess.run(
-            command, capture_output=True, text=True, timeout=READY_BOUND_S, check=False
+            command,
+            capture_output=True,
+            text=True,
+            timeout=READY_TIMEOUT_S,
+            check=False,
         )
 
     def wait_for_configuration(self, version: int = 0) -> None:
         """Wait until every running node has a configuration.
 
-        :param version: lowest version that counts
+        :param version: minimum version
         """
         for name in self._running_nodes():
             self.wait_until(
@@ -316,26 +322,26 @@
             )
 
     def _has_version(self, name: str, version: int) -> bool:
-        found = self.status(name)["configuration"]["version"]
-        return found is not None and int(found) >= version
+        in_force = self.status(name)["configuration"]["version"]
+        return in_force is not None and int(in_force) >= version
 
     def wait_for_members(self) -> None:
-        """Wait until every running node knows a ready target on each running node."""
-        wanted = self._running_nodes()
-        for name in wanted:
+        """Wait until every running node sees a ready target on each running node."""
+        expected = self._running_nodes()
+        for name in expected:
             self.wait_until(
-                f"{name} to know {len(wanted)} members",
-                partial(self._knows, name, set(wanted)),
+                f"{name} to see {len(expected)} members",
+                partial(self._sees_members, name, set(expected)),
                 name,
             )
 
-    def _knows(self, name: str, wanted: set[str]) -> bool:
-        found = {
+    def _sees_members(self, name: str, expected: set[str]) -> bool:
+        ready = {
             member["node_id"]
             for member in self.status(name)["members"]
             if member["reachable"] and member["state"] == "ready"
         }
-        return found >= wanted
+        return ready >= expected
 
     def _running_nodes(self) -> list[str]:
         return [name for name in self.instances if self.processes[name].is_running()]
@@ -344,19 +350,19 @@
 
     def wait_until(
         self,
-        what: str,
+        description: str,
         predicate: Callable[[], bool],
         process: str = "",
-        bound_s: float = READY_BOUND_S,
+        timeout_s: float = READY_TIMEOUT_S,
     ) -> float:
         """Poll until a predicate holds and return the time it took in s.
 
-        :param what: for the error message
-        :param predicate: errors of HTTP requests count as false
-        :param process: process whose end makes waiting pointless, and whose output
-            is shown
-        :param bound_s: time after which waiting fails
-        :raises HarnessError: if it does not hold in time
+        :param description: description of the predicate, for the error message
+        :param predicate: condition; an error of an HTTP request counts as false
+        :param process: process whose exit ends the wait with an error, and whose
+            standard error the message shows
+        :param timeout_s: timeout
+        :raises HarnessError: if the predicate does not hold within the timeout
         """
         start = time.monotonic()
         while True:
@@ -367,11 +373,13 @@
                 pass
             managed = self.processes.get(process)
             if managed is not None and managed.poll() is not None:
-                raise HarnessError(f"{process} ended: {managed.tail()}")
-            if time.monotonic() - start > bound_s:
-                shown = managed.tail() if managed is not None else ""
-                raise HarnessError(f"waited {bound_s} s for {what}; {shown}")
-            time.sleep(POLL_S)
+                raise HarnessError(f"{process} exited: {managed.tail()}")
+            if time.monotonic() - start > timeout_s:
+                stderr = managed.tail() if managed is not None else ""
+                raise HarnessError(
+                    f"timed out after {timeout_s} s waiting for {description}; {stderr}"
+                )
+            time.sleep(POLL_INTERVAL_S)
 
 
 def target_name(node: str) -> str:
--- a/src/briardock_standins/ledger.py
+++ b/src/briardock_standins/ledger.py
@@ -1,8 +1,8 @@
-"""Ledgers of what targets ran and what callers were told, and their check.
+"""Ledgers of the runs of targets and of the results of callers, and their check.
 
-Both are JSON lines, written line by line, so that a killed process leaves its
-ledger. Times are ms of the system's monotonic clock, which all processes of one
-machine share.
+Ledgers are JSON lines that are flushed line by line, so that they survive a kill of
+the process. Times are in ms of the system's monotonic clock, which all processes of
+a machine share.
 """
 
 import enum
@@ -20,17 +20,17 @@
 
 
 def body_digest(body: bytes) -> str:
-    """Return the digest of a body as it appears in ledgers and answers."""
+    """Return the digest of a body, as it is written in ledgers and responses."""
     return hashlib.blake2b(body, digest_size=DIGEST_BYTES).hexdigest()
 
 
 class RunStarted(msgspec.Struct, frozen=True, tag="started"):
-    """A target began to run a call.
+    """A target started to run a call.
 
     :param run: id of the run
     :param key: key of the call, empty without a node
     :param nonce: nonce of the call; child calls append ``/`` and their position
-    :param parent_run: run that made the call, empty for entry calls
+    :param parent_run: id of the run that made the call, empty for entry calls
     :param operation: full name, ``service.name``
     :param digest: digest of the request body
     :param instance: target process
@@ -48,13 +48,14 @@
 
 
 class RunEnded(msgspec.Struct, frozen=True, tag="ended"):
-    """A run ended, whole or not.
+    """A run ended, successfully or not.
 
     :param run: id of the run
-    :param ok: whether the whole answer was produced
-    :param time_ms: own time spent, without child calls
+    :param ok: whether the run succeeded and produced its whole response
+    :param time_ms: processing time, without child calls
     :param at_ms: monotonic time in ms
-    :param foreign: a child call got an answer that was not its own or not whole
+    :param foreign: whether the response to a child call was incomplete or belonged
+        to another request
     """
 
     run: str
@@ -65,7 +66,7 @@
 
 
 class Notice(msgspec.Struct, frozen=True, tag="notice"):
-    """The target announced that it leaves, or was ready.
+    """The target announced that it is leaving or ready.
 
     :param instance: target process
     :param state: announced state
@@ -78,20 +79,20 @@
 
 
 class Told(msgspec.Struct, frozen=True, tag="told"):
-    """What a caller was told about one send of an action.
+    """The result that a caller received for one send of an action.
 
-    :param action: id of the action, also its nonce
-    :param attempt: 0 for the first send, counting the caller's resends
-    :param final: whether the caller sent the action no more after this
-    :param key: entry key, empty where none was sent
+    :param action: id of the action, which is also the nonce of its entry call
+    :param attempt: number of the caller's resends before this send
+    :param final: whether the caller did not resend the action after this
+    :param key: idempotency key, empty if none was sent
     :param operation: full name, ``service.name``
     :param class_name: class of the action
     :param outcome: ``completed``, ``not-run`` or ``unknown``
     :param reason: reason of a refusal or failure
-    :param status: HTTP status, 0 without an answer
-    :param body_ok: whether the answer is whole and the caller's own
+    :param status: HTTP status, 0 without a response
+    :param body_ok: whether the response is complete and belongs to the request
     :param start_ms: monotonic time of the send in ms
-    :param end_ms: monotonic time of the answer in ms
+    :param end_ms: monotonic time of the result in ms
     """
 
     action: str
@@ -109,7 +110,7 @@
 
     @property
     def succeeded(self) -> bool:
-        """Return whether the caller got its whole answer with status 200."""
+        """Return whether the caller received its complete response with status 200."""
         return self.outcome == "completed" and self.status == 200 and self.body_ok
 
 
@@ -118,7 +119,7 @@
 
 
 class LedgerWriter:
-    """Appends entries to memory and to a file.
+    """Keeps entries in memory and appends them to a file.
 
     :param path: file, or ``None`` to keep entries in memory only
     """
@@ -143,7 +144,9 @@
 
 
 def read_ledger(path: Path, first_byte: int = 0) -> list[Entry]:
-    """Return the entries of a file; a torn last line of a killed process is left out.
+    """Return the entries of a file, without a truncated last line.
+
+    A process that is killed while it writes leaves a truncated line.
 
     :param path: file written by :class:`LedgerWriter`
     :param first_byte: start of the first line to read
@@ -166,19 +169,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Run:
-    """One run of a call by a target; ``ended`` is missing where it was killed."""
+    """One run of a call by a target; ``ended`` is ``None`` if the target was killed."""
 
     started: RunStarted
     ended: RunEnded | None
 
     @property
     def action(self) -> str:
-        """Return the id of the action the run belongs to."""
+        """Return the id of the action that the run belongs to."""
         return self.started.nonce.partition("/")[0]
 
 
 def collect_runs(entries: Iterable[Entry]) -> list[Run]:
-    """Return the runs of target ledgers in the order of their start."""
+    """Return the runs in target ledgers, sorted by their start."""
     started: list[RunStarted] = []
     ended: dict[str, RunEnded] = {}
     for entry in entries:
@@ -192,7 +195,13 @@
 
 
 class Rule(enum.StrEnum):
-    """Rules that the ledgers of a run must keep."""
+    """Rules that the ledgers of a deployment are checked against.
+
+    ``RAN_TWICE``: a non-idempotent call ran at most once. ``NOT_RUN_RAN``: an action
+    that was refused as ``not-run`` did not run. ``FOREIGN_ANSWER``: each response is
+    complete and belongs to its request. ``OVER_BUDGET``: nodes retried no more than
+    the retry budget allows.
+    """
 
     RAN_TWICE = "ran-twice"
     NOT_RUN_RAN = "not-run-ran"
@@ -202,11 +211,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Violation:
-    """A rule that was broken.
+    """Violation of a rule.
 
-    :param rule: rule
-    :param subject: key or action it concerns
-    :param detail: what was found
+    :param rule: violated rule
+    :param subject: key, nonce or action concerned
+    :param detail: description
     """
 
     rule: Rule
@@ -214,41 +223,41 @@
     detail: str
 
 
-def check(
+def find_violations(
     target_ledgers: Iterable[Iterable[Entry]],
     caller_ledgers: Iterable[Iterable[Entry]],
     non_idempotent_operations: Collection[str] = (),
     retries: int = DEFAULT_RETRIES,
 ) -> list[Violation]:
-    """Return the broken rules, empty where all hold.
+    """Return the violations of the rules, empty if all hold.
 
     :param target_ledgers: entries of each target
     :param caller_ledgers: entries of each load generator
     :param non_idempotent_operations: full names of the non-idempotent operations
-    :param retries: retry budget of an action
+    :param retries: retry budget of each action
     """
     runs = collect_runs(entry for ledger in target_ledgers for entry in ledger)
-    told = [
+    results = [
         entry
         for ledger in caller_ledgers
         for entry in ledger
         if isinstance(entry, Told)
     ]
     return [
-        *_check_once(runs, non_idempotent_operations),
-        *_check_not_run(runs, told),
-        *_check_answers(runs, told),
-        *_check_budget(runs, told, retries),
+        *_check_duplicate_runs(runs, non_idempotent_operations),
+        *_check_refusals(runs, results),
+        *_check_responses(runs, results),
+        *_check_retry_budget(runs, results, retries),
     ]
 
 
-def _check_once(
+def _check_duplicate_runs(
     runs: list[Run], non_idempotent_operations: Collection[str]
 ) -> Iterable[Violation]:
     """Yield calls of non-idempotent operations that ran more than once.
 
-    The nonce is counted besides the key: one call that runs under two keys would
-    otherwise go unnoticed.
+    Runs are counted per nonce besides per key, because a call that runs under two
+    keys would otherwise go unnoticed.
     """
     counts: dict[tuple[str, str, str], int] = defaultdict(int)
     for run in runs:
@@ -263,41 +272,41 @@
             yield Violation(Rule.RAN_TWICE, value, detail)
 
 
-def _check_not_run(runs: list[Run], told: list[Told]) -> Iterable[Violation]:
-    """Yield keyed actions that ran although their caller was told ``not-run``.
+def _check_refusals(runs: list[Run], results: list[Told]) -> Iterable[Violation]:
+    """Yield keyed actions that ran although their caller received ``not-run``.
 
-    A run that starts after a ``not-run`` is correct only if the caller sent the
-    action again after it.
+    A run that starts after a ``not-run`` is correct only if the caller resent the
+    action after it.
     """
     starts: dict[str, list[float]] = defaultdict(list)
     for run in runs:
         if run.started.key:
             starts[run.started.key].append(run.started.at_ms)
-    for answer in told:
-        if not answer.key or answer.outcome != "not-run":
+    for result in results:
+        if not result.key or result.outcome != "not-run":
             continue
-        for start_ms in starts.get(answer.key, ()):
-            if answer.final or start_ms <= answer.end_ms:
-                detail = f"{answer.operation} ran, but was refused as {answer.reason}"
-                yield Violation(Rule.NOT_RUN_RAN, answer.key, detail)
+        for start_ms in starts.get(result.key, ()):
+            if result.final or start_ms <= result.end_ms:
+                detail = f"{result.operation} ran but was refused as {result.reason}"
+                yield Violation(Rule.NOT_RUN_RAN, result.key, detail)
 
 
-def _check_answers(runs: list[Run], told: list[Told]) -> Iterable[Violation]:
-    for answer in told:
-        if answer.outcome == "completed" and not answer.body_ok:
-            detail = f"{answer.operation} answered {answer.status} with a foreign body"
-            yield Violation(Rule.FOREIGN_ANSWER, answer.action, detail)
+def _check_responses(runs: list[Run], results: list[Told]) -> Iterable[Violation]:
+    for result in results:
+        if result.outcome == "completed" and not result.body_ok:
+            detail = f"{result.operation} returned {result.status} with a foreign body"
+            yield Violation(Rule.FOREIGN_ANSWER, result.action, detail)
     for run in runs:
         if run.ended is not None and run.ended.foreign:
-            detail = f"{run.started.operation} got a foreign answer to a child call"
+            detail = f"{run.started.operation} got a foreign response to a child call"
             yield Violation(Rule.FOREIGN_ANSWER, run.started.nonce, detail)
 
 
 def count_retries(runs: Iterable[Run]) -> dict[str, int]:
-    """Return the repeated runs per action that nodes caused.
+    """Return the number of runs per action that were retries by nodes.
 
-    Repeats are counted per calling run, so that the children of a retried parent
-    count as first attempts. Entry calls count all runs after the first.
+    Retries are counted per parent run, so that the child calls of a retried parent
+    count as first attempts. For entry calls, every run after the first is a retry.
     """
     seen: dict[tuple[str, str, str], int] = defaultdict(int)
     for run in runs:
@@ -308,23 +317,23 @@
     return retries
 
 
-def _check_budget(
-    runs: list[Run], told: list[Told], retries: int
+def _check_retry_budget(
+    runs: list[Run], results: list[Told], retries: int
 ) -> Iterable[Violation]:
-    """Yield actions whose calls were repeated more often than their budget.
+    """Yield actions whose calls were retried more often than their budget allows.
 
-    Each send without a key is an action of its own for the nodes.
+    Nodes treat each send without a key as a separate action.
     """
     allowed: dict[str, int] = {}
-    for answer in told:
-        if answer.key:
-            allowed[answer.action] = retries
+    for result in results:
+        if result.key:
+            allowed[result.action] = retries
         else:
-            sends = answer.attempt + 1
-            budget = sends * retries + answer.attempt
-            allowed[answer.action] = max(allowed.get(answer.action, 0), budget)
+            sends = result.attempt + 1
+            budget = sends * retries + result.attempt
+            allowed[result.action] = max(allowed.get(result.action, 0), budget)
     for action, count in count_retries(runs).items():
         limit = allowed.get(action)
         if limit is not None and count > limit:
-            detail = f"{count} repeated calls, {limit} allowed"
+            detail = f"{count} retries, {limit} allowed"
             yield Violation(Rule.OVER_BUDGET, action, detail)
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -1,4 +1,4 @@
-"""Tests of the check of ledgers: each rule is found broken where it is."""
+"""Tests of the ledger check: it finds the violations of each rule and no others."""
 
 from pathlib import Path
 
@@ -11,7 +11,7 @@
     RunEnded,
     RunStarted,
     Told,
-    check,
+    find_violations,
     read_ledger,
 )
 
@@ -63,7 +63,7 @@
     ),
     ("refused and ran", [run("r1")], [told("not-run")], [Rule.NOT_RUN_RAN]),
     (
-        "refused, then ran after the last answer",
+        "refused, then ran after the last result",
         [run("r1", at_ms=30.0)],
         [told("not-run")],
         [Rule.NOT_RUN_RAN],
@@ -81,21 +81,21 @@
         [Rule.NOT_RUN_RAN],
     ),
     ("unknown may have run", [run("r1")], [told("unknown")], []),
-    ("torn answer", [run("r1")], [told(body_ok=False)], [Rule.FOREIGN_ANSWER]),
+    ("incomplete response", [run("r1")], [told(body_ok=False)], [Rule.FOREIGN_ANSWER]),
     (
-        "foreign answer to a child call",
+        "foreign response to a child call",
         [run("r1"), RunEnded("r1", False, 1.0, 15.0, foreign=True)],
         [told()],
         [Rule.FOREIGN_ANSWER],
     ),
     (
-        "repeated child calls over the budget",
+        "retried child calls over the budget",
         [run(f"r{n}", "c", "a1/0", "p", operation="map.read") for n in range(4)],
         [told()],
         [Rule.OVER_BUDGET],
     ),
     (
-        "children of a retried parent are first attempts",
+        "child calls of a retried parent are first attempts",
         [run(f"r{n}", "c", "a1/0", f"p{n}", operation="map.read") for n in range(4)],
         [told()],
         [],
@@ -110,18 +110,18 @@
 
 
 @pytest.mark.parametrize(
-    "runs, answers, rules", [case[1:] for case in CASES], ids=[c[0] for c in CASES]
+    "runs, results, rules", [case[1:] for case in CASES], ids=[c[0] for c in CASES]
 )
-def test_check_finds_broken_rules(
-    runs: list[Entry], answers: list[Entry], rules: list[Rule]
+def test_check_finds_violations(
+    runs: list[Entry], results: list[Entry], rules: list[Rule]
 ) -> None:
-    # Guards against a checker that passes everything, or that reports legal repeats.
-    found = check([runs], [answers], ["pay.charge"], retries=2)
+    # Guards against a check that passes everything or that reports allowed retries.
+    found = find_violations([runs], [results], ["pay.charge"], retries=2)
     assert sorted({violation.rule for violation in found}) == sorted(rules)
 
 
-def test_torn_last_line_is_left_out(tmp_path: Path) -> None:
-    # A process killed while writing leaves half a line.
+def test_truncated_last_line_is_skipped(tmp_path: Path) -> None:
+    # A process that is killed while it writes leaves a truncated line.
     path = tmp_path / "ledger.jsonl"
     writer = LedgerWriter(path)
     writer.append(run("r1"))
