--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -27,7 +27,7 @@
     return RunStarted(name, key, nonce, parent, operation, "d", "i", at_ms)
 
 
-def told(
+def result(
     outcome: str = "completed",
     key: str = "k1",
     attempt: int = 0,
@@ -52,58 +52,63 @@
 
 
 CASES: list[tuple[str, list[Entry], list[Entry], list[Rule]]] = [
-    ("correct", [run("r1")], [told()], []),
+    ("correct", [run("r1")], [result()], []),
     ("same key twice", [run("r1"), run("r2", nonce="b")], [], [Rule.RAN_TWICE]),
     ("other key, same call", [run("r1"), run("r2", "k2")], [], [Rule.RAN_TWICE]),
     (
         "idempotent twice",
         [run("r1", operation="map.read"), run("r2", operation="map.read")],
-        [told()],
+        [result()],
         [],
     ),
-    ("refused and ran", [run("r1")], [told("not-run")], [Rule.NOT_RUN_RAN]),
+    ("refused and ran", [run("r1")], [result("not-run")], [Rule.NOT_RUN_RAN]),
     (
         "refused, then ran after the last result",
         [run("r1", at_ms=30.0)],
-        [told("not-run")],
+        [result("not-run")],
         [Rule.NOT_RUN_RAN],
     ),
     (
         "refused, then resent",
         [run("r1", at_ms=30.0)],
-        [told("not-run", final=False), told(attempt=1, end_ms=40.0)],
+        [result("not-run", final=False), result(attempt=1, end_ms=40.0)],
         [],
     ),
     (
         "refused while it ran, then resent",
         [run("r1")],
-        [told("not-run", final=False), told(attempt=1, end_ms=40.0)],
+        [result("not-run", final=False), result(attempt=1, end_ms=40.0)],
         [Rule.NOT_RUN_RAN],
     ),
-    ("unknown may have run", [run("r1")], [told("unknown")], []),
-    ("incomplete response", [run("r1")], [told(body_ok=False)], [Rule.FOREIGN_ANSWER]),
+    ("unknown may have run", [run("r1")], [result("unknown")], []),
+    (
+        "incomplete response",
+        [run("r1")],
+        [result(body_ok=False)],
+        [Rule.FOREIGN_ANSWER],
+    ),
     (
         "foreign response to a child call",
         [run("r1"), RunEnded("r1", False, 1.0, 15.0, foreign=True)],
-        [told()],
+        [result()],
         [Rule.FOREIGN_ANSWER],
     ),
     (
         "retried child calls over the budget",
         [run(f"r{n}", "c", "a1/0", "p", operation="map.read") for n in range(4)],
-        [told()],
+        [result()],
         [Rule.OVER_BUDGET],
     ),
     (
         "child calls of a retried parent are first attempts",
         [run(f"r{n}", "c", "a1/0", f"p{n}", operation="map.read") for n in range(4)],
-        [told()],
+        [result()],
         [],
     ),
     (
         "each send without a key has its own budget",
         [run(f"r{n}", "", operation="map.read") for n in range(6)],
-        [told(key="", final=False), told(key="", attempt=1)],
+        [result(key="", final=False), result(key="", attempt=1)],
         [],
     ),
 ]
@@ -125,7 +130,7 @@
     path = tmp_path / "ledger.jsonl"
     writer = LedgerWriter(path)
     writer.append(run("r1"))
-    writer.append(told())
+    writer.append(result())
     writer.close()
     path.write_bytes(path.read_bytes()[:-5])
     assert read_ledger(path) == [run("r1")]
