--- a/benchmarks/demo.py
+++ b/benchmarks/demo.py
@@ -12,14 +12,14 @@
 from briardock.clock import SystemClock
 from briardock_standins.catalogs import (
     entry_actions,
-    once_operations,
+    non_idempotent_operations,
     read_catalog,
     single_operation,
     target_plan,
 )
 from briardock_standins.deployments import DeploymentSpec, ServiceSpec
 from briardock_standins.harness import Deployment
-from briardock_standins.ledger import Told, check
+from briardock_standins.ledger import Told, find_violations
 from briardock_standins.load import LoadGenerator
 from briardock_standins.plans import LoadPlan, TargetPlan
 
@@ -54,7 +54,7 @@
         for action in sorted(actions, key=lambda one: one.class_name):
             show(await generator.perform(action))
     await generator.close()
-    return generator.told
+    return generator.results
 
 
 def show(told: Told) -> None:
@@ -79,8 +79,8 @@
         told = anyio.run(
             send_actions, deployment, folder, backend_options={"use_uvloop": True}
         )
-        once = once_operations(read_catalog(folder))
-        violations = check(deployment.target_ledgers(), [told], once)
+        once = non_idempotent_operations(read_catalog(folder))
+        violations = find_violations(deployment.target_ledgers(), [told], once)
     for violation in violations:
         print(f"  {violation.rule}: {violation.subject}: {violation.detail}")
     return not violations and all(one.succeeded for one in told)
--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -23,7 +23,7 @@
 from briardock.clock import SystemClock
 from briardock_standins.catalogs import (
     entry_actions,
-    once_operations,
+    non_idempotent_operations,
     read_catalog,
     single_operation,
     target_plan,
@@ -34,8 +34,8 @@
     Entry,
     Run,
     Told,
-    check,
     collect_runs,
+    find_violations,
     read_ledger,
 )
 from briardock_standins.load import LoadGenerator
@@ -291,7 +291,7 @@
         ledgers = self._read_new_ledgers()
         runs = collect_runs(entry for ledger in ledgers for entry in ledger)
         final = [entry for entry in told if entry.final]
-        once = once_operations(read_catalog(CONFIG))
+        once = non_idempotent_operations(read_catalog(CONFIG))
         recovery_s = None
         if len(scenario.phases) > 2:
             end_ms = start_ms + scenario.fault_end_s * 1_000.0
@@ -327,7 +327,7 @@
 
     Without nodes there are no keys, so only repeated runs and foreign answers count.
     """
-    return len(check(ledgers, [told], frozenset(once)))
+    return len(find_violations(ledgers, [told], frozenset(once)))
 
 
 def measure_goodput(scenario: Scenario, final: list[Told], start_ms: float) -> float:
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -1,4 +1,4 @@
-"""Tests of the check of ledgers: each rule is found broken where it is."""
+"""Tests of the ledger check: it finds the violations of each rule and no others."""
 
 from pathlib import Path
 
@@ -11,7 +11,7 @@
     RunEnded,
     RunStarted,
     Told,
-    check,
+    find_violations,
     read_ledger,
 )
 
@@ -27,7 +27,7 @@
     return RunStarted(name, key, nonce, parent, operation, "d", "i", at_ms)
 
 
-def told(
+def result(
     outcome: str = "completed",
     key: str = "k1",
     attempt: int = 0,
@@ -52,80 +52,85 @@
 
 
 CASES: list[tuple[str, list[Entry], list[Entry], list[Rule]]] = [
-    ("correct", [run("r1")], [told()], []),
+    ("correct", [run("r1")], [result()], []),
     ("same key twice", [run("r1"), run("r2", nonce="b")], [], [Rule.RAN_TWICE]),
     ("other key, same call", [run("r1"), run("r2", "k2")], [], [Rule.RAN_TWICE]),
     (
         "idempotent twice",
         [run("r1", operation="map.read"), run("r2", operation="map.read")],
-        [told()],
+        [result()],
         [],
     ),
-    ("refused and ran", [run("r1")], [told("not-run")], [Rule.NOT_RUN_RAN]),
+    ("refused and ran", [run("r1")], [result("not-run")], [Rule.NOT_RUN_RAN]),
     (
-        "refused, then ran after the last answer",
+        "refused, then ran after the last result",
         [run("r1", at_ms=30.0)],
-        [told("not-run")],
+        [result("not-run")],
         [Rule.NOT_RUN_RAN],
     ),
     (
         "refused, then resent",
         [run("r1", at_ms=30.0)],
-        [told("not-run", final=False), told(attempt=1, end_ms=40.0)],
+        [result("not-run", final=False), result(attempt=1, end_ms=40.0)],
         [],
     ),
     (
         "refused while it ran, then resent",
         [run("r1")],
-        [told("not-run", final=False), told(attempt=1, end_ms=40.0)],
+        [result("not-run", final=False), result(attempt=1, end_ms=40.0)],
         [Rule.NOT_RUN_RAN],
     ),
-    ("unknown may have run", [run("r1")], [told("unknown")], []),
-    ("torn answer", [run("r1")], [told(body_ok=False)], [Rule.FOREIGN_ANSWER]),
+    ("unknown may have run", [run("r1")], [result("unknown")], []),
     (
-        "foreign answer to a child call",
+        "incomplete response",
+        [run("r1")],
+        [result(body_ok=False)],
+        [Rule.FOREIGN_ANSWER],
+    ),
+    (
+        "foreign response to a child call",
         [run("r1"), RunEnded("r1", False, 1.0, 15.0, foreign=True)],
-        [told()],
+        [result()],
         [Rule.FOREIGN_ANSWER],
     ),
     (
-        "repeated child calls over the budget",
+        "retried child calls over the budget",
         [run(f"r{n}", "c", "a1/0", "p", operation="map.read") for n in range(4)],
-        [told()],
+        [result()],
         [Rule.OVER_BUDGET],
     ),
     (
-        "children of a retried parent are first attempts",
+        "child calls of a retried parent are first attempts",
         [run(f"r{n}", "c", "a1/0", f"p{n}", operation="map.read") for n in range(4)],
-        [told()],
+        [result()],
         [],
     ),
     (
         "each send without a key has its own budget",
         [run(f"r{n}", "", operation="map.read") for n in range(6)],
-        [told(key="", final=False), told(key="", attempt=1)],
+        [result(key="", final=False), result(key="", attempt=1)],
         [],
     ),
 ]
 
 
 @pytest.mark.parametrize(
-    "runs, answers, rules", [case[1:] for case in CASES], ids=[c[0] for c in CASES]
+    "runs, results, rules", [case[1:] for case in CASES], ids=[c[0] for c in CASES]
 )
-def test_check_finds_broken_rules(
-    runs: list[Entry], answers: list[Entry], rules: list[Rule]
+def test_check_finds_violations(
+    runs: list[Entry], results: list[Entry], rules: list[Rule]
 ) -> None:
-    # Guards against a checker that passes everything, or that reports legal repeats.
-    found = check([runs], [answers], ["pay.charge"], retries=2)
+    # Guards against a check that passes everything or that reports allowed retries.
+    found = find_violations([runs], [results], ["pay.charge"], retries=2)
     assert sorted({violation.rule for violation in found}) == sorted(rules)
 
 
-def test_torn_last_line_is_left_out(tmp_path: Path) -> None:
-    # A process killed while writing leaves half a line.
+def test_truncated_last_line_is_skipped(tmp_path: Path) -> None:
+    # A process that is killed while it writes leaves a truncated line.
     path = tmp_path / "ledger.jsonl"
     writer = LedgerWriter(path)
     writer.append(run("r1"))
-    writer.append(told())
+    writer.append(result())
     writer.close()
     path.write_bytes(path.read_bytes()[:-5])
     assert read_ledger(path) == [run("r1")]
