Align the names of downstream thresholds and clarify locals

Rename chain_thresholds to downstream_thresholds and MAX_LEVEL to MAX_PRIORITY_VALUE, so that the names match the class and the terms of admission. RunningCall.chain_threshold becomes child_threshold. Replace vague locals in the call path, correct comments that did not match the code, and name the deadline when a request is refused for lack of time. Behaviour is unchanged.

--- a/src/briardock/_catalog.py
+++ b/src/briardock/_catalog.py
@@ -144,8 +144,8 @@
         :param path: path below the service, with or without query
         """
         path = path.partition("?")[0]
-        if found := self._literal_paths.get(f"{service} {method} {path}"):
-            return found
+        if literal_match := self._literal_paths.get(f"{service} {method} {path}"):
+            return literal_match
         segment_key = f"{service} {method} {path.count('/')}"
         for operation in self._patterns_by_segments.get(segment_key, ()):
             if _matches(operation.pattern, path):
@@ -158,7 +158,7 @@
         # Imported here because _callgraph imports Operation from this module.
         from briardock._callgraph import check_deadlines
 
-        found = [
+        faults = [
             locate_fault(
                 self.files,
                 f"operation {problem.operation}",
@@ -168,7 +168,7 @@
             )
             for problem in check_deadlines(self.operations)
         ]
-        return sorted(found, key=fault_sort_key)
+        return sorted(faults, key=fault_sort_key)
 
     def operation(self, name: str) -> Operation | None:
         """Return an operation by its full name, ``service.name``."""
@@ -193,8 +193,8 @@
                 continue
             segment_key = f"{prefix} {operation.pattern.count('/')}"
             self._patterns_by_segments.setdefault(segment_key, []).append(operation)
-        for found in self._patterns_by_segments.values():
-            found.sort(key=_specificity)
+        for patterns in self._patterns_by_segments.values():
+            patterns.sort(key=_specificity)
 
 
 def find_location(files: Mapping[str, str], section: str, key: str) -> tuple[str, int]:
--- a/src/briardock/_http.py
+++ b/src/briardock/_http.py
@@ -61,19 +61,19 @@
     :param request: whether the message is a request
     """
     unforwarded = _UNFORWARDED_REQUEST_FIELDS if request else _UNFORWARDED_FIELDS
-    kept = []
+    forwarded = []
     connection_options: set[bytes] = set()
     for name, value in headers:
         lower = name.lower()
         if lower not in unforwarded:
-            kept.append((lower, value))
+            forwarded.append((lower, value))
         elif lower == b"connection":
             connection_options.update(
                 token.strip().lower() for token in value.split(b",")
             )
     if connection_options:
-        kept = [field for field in kept if field[0] not in connection_options]
-    return kept
+        forwarded = [field for field in forwarded if field[0] not in connection_options]
+    return forwarded
 
 
 async def accept_forever(
--- a/src/briardock/_instances.py
+++ b/src/briardock/_instances.py
@@ -105,7 +105,8 @@
     :param responded_at_ms: time of the last response in ms
     :param full_until_ms: end of the pause after a refusal in ms
     :param ejected_until_ms: end of the ejection in ms
-    :param ejections_count: exponent of the ejection time, reduced while it is healthy
+    :param ejections_count: recent ejections, which lengthen the next one; reduced while
+        the instance is healthy
     :param probes_left: successful probes needed before it gets concurrent calls again
     """
 
--- a/src/briardock/admin.py
+++ b/src/briardock/admin.py
@@ -23,7 +23,7 @@
 class LiftRequest(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Body of ``POST /quarantine/lift``.
 
-    :param fingerprint: entry to remove
+    :param fingerprint: fingerprint whose deaths are cleared
     """
 
     fingerprint: str
--- a/src/briardock/admission.py
+++ b/src/briardock/admission.py
@@ -25,9 +25,9 @@
 MIN_HISTORY_WINDOWS = 3
 MAX_HISTORY_WINDOWS = 10
 MIN_HISTORY_ADMISSIONS = 50
-# Raising the threshold steps over the priorities with arrivals in this many
-# windows. Callers that refuse early still send a share of the requests above the
-# threshold as probes, so these priorities have arrivals too.
+# Each raise of the threshold admits the next priorities that had arrivals within
+# this many windows. Callers that refuse early still send a share of the requests
+# above the threshold as probes, so these priorities have arrivals too.
 RECENT_ARRIVAL_WINDOWS = 20
 MIN_STEP_PRIORITIES = 4
 INITIAL_STEP_PRIORITIES = 16
@@ -179,7 +179,7 @@
         """Reset the concurrency limit for a new target process.
 
         :param cold_start_s: time until the limit may be used in full
-        :param slots_hint: initial limit; ``None`` for the one of the settings
+        :param slots_hint: initial limit; ``None`` for that of the settings
         """
         limiter = replace(self._settings.limiter, cold_start_s=cold_start_s)
         if slots_hint is not None:
@@ -193,7 +193,7 @@
         """Wait for a slot of the target.
 
         :param priority: priority of the request
-        :param deadline_at_ms: deadline of the request on the injected clock in ms
+        :param deadline_at_ms: deadline of the request on this node's clock in ms
         :param operation: full name of the operation, for the estimate of its service
             time; requests without it share one estimate
         :returns: a ticket that the caller releases, or why the request is refused
@@ -210,7 +210,9 @@
         if self._service_times.will_miss_deadline(
             operation, deadline_at_ms - now_ms, now_ms
         ):
-            return self._refuse(Reason.DEADLINE_EXCEEDED, "too little time left")
+            return self._refuse(
+                Reason.DEADLINE_EXCEEDED, "not enough time left before the deadline"
+            )
         if not self._queue and self._in_flight < self._limiter.limit:
             return self._issue_ticket(priority, operation, now_ms)
         return await self._wait_for_slot(priority, deadline_at_ms, operation, now_ms)
@@ -315,7 +317,9 @@
         latest_ms = now_ms + self._service_times.expected_ms(waiter.operation)
         if waiter.deadline_at_ms <= latest_ms:
             self._refuse_waiter(
-                waiter, "too little time left", Reason.DEADLINE_EXCEEDED
+                waiter,
+                "not enough time left before the deadline",
+                Reason.DEADLINE_EXCEEDED,
             )
         else:
             self._refuse_waiter(waiter, "waited too long for a slot")
@@ -394,8 +398,11 @@
         self._raise_step = INITIAL_STEP_PRIORITIES
         arrivals: dict[int, int] = {}
         capacity = 0.0
-        for count, window in enumerate(reversed(self._history)):
-            if count >= MIN_HISTORY_WINDOWS and capacity >= MIN_HISTORY_ADMISSIONS:
+        for window_count, window in enumerate(reversed(self._history)):
+            if (
+                window_count >= MIN_HISTORY_WINDOWS
+                and capacity >= MIN_HISTORY_ADMISSIONS
+            ):
                 break
             capacity += window.admitted_count * CAPACITY_MARGIN
             for priority, arrival_count in window.arrivals.items():
@@ -404,16 +411,16 @@
         for priority in sorted(arrivals):
             total += arrivals[priority]
             if total > capacity:
-                wanted = max(priority, most_important_dropped)
-                self._threshold = min(self._threshold, wanted)
+                new_threshold = max(priority, most_important_dropped)
+                self._threshold = min(self._threshold, new_threshold)
                 return
 
     def _raise_threshold(self, busy_share: float) -> None:
         oldest = self._windows_count - RECENT_ARRIVAL_WINDOWS
         above = [
             priority
-            for priority, window in self._last_arrival_window.items()
-            if priority > self._threshold and window > oldest
+            for priority, last_window in self._last_arrival_window.items()
+            if priority > self._threshold and last_window > oldest
         ]
         step = MIN_STEP_PRIORITIES
         if busy_share < BUSY_SLOT_SHARE:
--- a/src/briardock/announcements.py
+++ b/src/briardock/announcements.py
@@ -39,7 +39,7 @@
 
     A leaving target keeps running until nothing is in flight.
 
-    :param in_flight: calls of this target that the node has admitted
+    :param in_flight: calls of this target that the node has admitted or queued
     """
 
     in_flight: int
--- a/src/briardock/budget.py
+++ b/src/briardock/budget.py
@@ -4,7 +4,7 @@
 
 
 class RetryBudget:
-    """Retry tokens of one call at its issuer.
+    """Retry tokens of one call on one node.
 
     The root of an action starts with the tokens of the action. Tokens move to a
     child call when it is dispatched and return with its response. The tokens of a
--- a/src/briardock/dispatch.py
+++ b/src/briardock/dispatch.py
@@ -76,7 +76,7 @@
     :param links: links to other nodes
     :param local_handler: handles calls to the local target
     :param retry_ratio: limit on the retries of this node
-    :param chain_thresholds: admission thresholds learned from responses
+    :param downstream_thresholds: admission thresholds learned from responses
     :param quarantine: requests that crash their targets
     :param metrics: counters
     """
@@ -91,7 +91,7 @@
         links: PeerLinks,
         local_handler: LocalHandler,
         retry_ratio: RetryRatio,
-        chain_thresholds: DownstreamThresholds,
+        downstream_thresholds: DownstreamThresholds,
         quarantine: Quarantine,
         metrics: Metrics,
     ) -> None:
@@ -103,7 +103,7 @@
         self._links = links
         self._local_handler = local_handler
         self._retry_ratio = retry_ratio
-        self._chain_thresholds = chain_thresholds
+        self._downstream_thresholds = downstream_thresholds
         self._quarantine = quarantine
         self._metrics = metrics
 
@@ -205,7 +205,7 @@
         match response:
             case Answer(retries_left=left):
                 call.budget.refund(min(left, delegated))
-                self._chain_thresholds.learn(call.operation, response.chain_level)
+                self._downstream_thresholds.learn(call.operation, response.chain_level)
             case LinkFailure(sent=False):
                 call.budget.refund(delegated)
         return outcome
--- a/src/briardock/entry.py
+++ b/src/briardock/entry.py
@@ -58,7 +58,7 @@
     :param inbound: inbound side of this node, for child calls
     :param links: links to other nodes, for forwards
     :param find_issuer: returns the address of an issuer by id and incarnation
-    :param chain_thresholds: admission thresholds learned from responses
+    :param downstream_thresholds: admission thresholds learned from responses
     :param drain: drain state of this node
     :param metrics: counters
     """
@@ -73,7 +73,7 @@
         inbound: Inbound,
         links: PeerLinks,
         find_issuer: FindIssuer,
-        chain_thresholds: DownstreamThresholds,
+        downstream_thresholds: DownstreamThresholds,
         drain: Drain,
         metrics: Metrics,
     ) -> None:
@@ -87,7 +87,7 @@
         self._inbound = inbound
         self._links = links
         self._find_issuer = find_issuer
-        self._chain_thresholds = chain_thresholds
+        self._downstream_thresholds = downstream_thresholds
         self._drain = drain
         self._metrics = metrics
         self._child_numbers = itertools.count(1)
@@ -119,11 +119,13 @@
         key = parse_key(forward.key)
         if isinstance(key, NotRun):
             return answer_from_outcome(key, forward.call_id)
-        found = self._reader.find(forward.service, forward.method, forward.path)
-        if isinstance(found, NotRun):
-            return answer_from_outcome(self._refuse_keyed(found, key), forward.call_id)
+        operation = self._reader.find(forward.service, forward.method, forward.path)
+        if isinstance(operation, NotRun):
+            return answer_from_outcome(
+                self._refuse_keyed(operation, key), forward.call_id
+            )
         request = CallRequest(
-            found,
+            operation,
             forward.method,
             forward.path,
             tuple(forward.headers),
@@ -335,7 +337,7 @@
         self, request: CallRequest, key: str, priority: int, budget: RetryBudget
     ) -> Outcome:
         operation = request.operation
-        if not self._chain_thresholds.admits(operation.name, priority):
+        if not self._downstream_thresholds.admits(operation.name, priority):
             self._metrics.count("entry.refused_early")
             return NotRun(
                 Reason.OVERLOADED, f"{operation.name} refuses calls of this priority"
--- a/src/briardock/inbound.py
+++ b/src/briardock/inbound.py
@@ -13,7 +13,7 @@
 from briardock.dispatch import answer_from_outcome
 from briardock.drain import Drain
 from briardock.events import Event, emit
-from briardock.messages import MAX_LEVEL, Answer, Call
+from briardock.messages import MAX_PRIORITY_VALUE, Answer, Call
 from briardock.metrics import Metrics
 from briardock.outcomes import Completed, Headers, NotRun, Outcome, Reason, Unknown
 from briardock.quarantine import Quarantine, QuarantineEntry
@@ -51,7 +51,8 @@
     :param budget: retries delegated to this call
     :param started_ms: time at which the run started
     :param child_keys: action keys of its child calls, discarded when it ends
-    :param chain_threshold: lowest admission threshold that refused a child call
+    :param child_threshold: threshold reported if this call fails; it refuses every
+        priority after a child call without an instance
     """
 
     context: str
@@ -60,7 +61,7 @@
     budget: RetryBudget
     started_ms: float
     child_keys: set[str] = field(default_factory=set)
-    chain_threshold: int = MAX_LEVEL
+    child_threshold: int = MAX_PRIORITY_VALUE
     _children_running: int = 0
     _children_since_ms: float = 0.0
     _children_ms: float = 0.0
@@ -84,12 +85,12 @@
             self._children_ms += now_ms - self._children_since_ms
 
     def child_refused(self, refusal: NotRun) -> None:
-        """Record a refusal of a child call, which may make this call fail.
+        """Record a refused child call; only a missing instance has an effect.
 
         :param refusal: outcome of the child call
         """
         if refusal.reason is Reason.NO_INSTANCE:
-            self.chain_threshold = REFUSE_ALL_THRESHOLD
+            self.child_threshold = REFUSE_ALL_THRESHOLD
 
     def own_time_ms(self, now_ms: float) -> float:
         """Return the time in the target while no child call was in flight.
@@ -138,7 +139,7 @@
     :param target: HTTP client of the target
     :param drain: drain state of this node
     :param quarantine: requests that crash their targets
-    :param chain_threshold: returns the lowest admission threshold of the services
+    :param downstream_threshold: returns the lowest admission threshold of the services
         that an operation calls
     :param on_quarantine_change: called with changed quarantine entries
     :param on_call_end: called when a call has ended on the target
@@ -155,7 +156,7 @@
         target: TargetClient,
         drain: Drain,
         quarantine: Quarantine,
-        chain_threshold: Callable[[str], int],
+        downstream_threshold: Callable[[str], int],
         on_quarantine_change: Callable[[list[QuarantineEntry]], None],
         on_call_end: Callable[[RunningCall], None],
         on_target_lost: Callable[[], None],
@@ -170,7 +171,7 @@
         self._target = target
         self._drain = drain
         self._quarantine = quarantine
-        self._chain_threshold = chain_threshold
+        self._downstream_threshold = downstream_threshold
         self._on_quarantine_change = on_quarantine_change
         self._on_call_end = on_call_end
         self._on_target_lost = on_target_lost
@@ -324,12 +325,12 @@
         outcome: Outcome,
         retries_left: int,
         own_time_ms: float,
-        child_threshold: int = MAX_LEVEL,
+        child_threshold: int = MAX_PRIORITY_VALUE,
     ) -> Answer:
         self._metrics.count(f"inbound.{_outcome_name(outcome)}")
         threshold = self._admission.admission_threshold()
         if self._drain.refuses_new:
-            threshold = MAX_LEVEL
+            threshold = MAX_PRIORITY_VALUE
         base = answer_from_outcome(outcome, call.call_id)
         return Answer(
             base.call_id,
@@ -344,7 +345,7 @@
             threshold,
             self._admission.load(),
             own_time_ms,
-            min(threshold, child_threshold, self._chain_threshold(call.operation)),
+            min(threshold, child_threshold, self._downstream_threshold(call.operation)),
         )
 
 
@@ -355,9 +356,9 @@
     """
     match outcome:
         case Completed(status=status) if status >= STATUS_SERVER_ERROR:
-            return running.chain_threshold
+            return running.child_threshold
         case _:
-            return MAX_LEVEL
+            return MAX_PRIORITY_VALUE
 
 
 def _outcome_name(outcome: Outcome) -> str:
--- a/src/briardock/limiter.py
+++ b/src/briardock/limiter.py
@@ -272,8 +272,8 @@
 
     def _scale_limit(self, factor: float) -> None:
         settings = self._settings
-        wanted = self.high_limit * factor
-        self._unramped_limit = min(settings.max_limit, max(settings.min_limit, wanted))
+        scaled = self.high_limit * factor
+        self._unramped_limit = min(settings.max_limit, max(settings.min_limit, scaled))
 
 
 def make_limiter(settings: LimiterSettings, clock: Clock) -> Limiter:
--- a/src/briardock/messages.py
+++ b/src/briardock/messages.py
@@ -8,7 +8,7 @@
 PROTOCOL_VERSION = 1
 FRAME_HEADER_BYTES = 4
 MAX_FRAME_BYTES = 16 * 1024 * 1024
-MAX_LEVEL = 1023
+MAX_PRIORITY_VALUE = 1023
 
 HeaderList = list[tuple[bytes, bytes]]
 
@@ -116,10 +116,10 @@
     reason: str = ""
     detail: str = ""
     retries_left: int = 0
-    refusal_level: int = MAX_LEVEL
+    refusal_level: int = MAX_PRIORITY_VALUE
     load: float = 0.0
     own_time_ms: float = 0.0
-    chain_level: int = MAX_LEVEL
+    chain_level: int = MAX_PRIORITY_VALUE
 
 
 class Cancel(Message, frozen=True):
--- a/src/briardock/parts.py
+++ b/src/briardock/parts.py
@@ -26,7 +26,7 @@
 from briardock.inbound import Inbound, RunningCall
 from briardock.keys import make_incarnation, make_key_issuer
 from briardock.membership import MemberState
-from briardock.messages import MAX_LEVEL
+from briardock.messages import MAX_PRIORITY_VALUE
 from briardock.metrics import Metrics
 from briardock.peers import make_peer_links
 from briardock.publishing import NO_VERSION
@@ -105,7 +105,7 @@
             partial(self.announce, MemberState.LEAVING),
             settings.drain.timeout_s * 1_000.0,
         )
-        self.chain_thresholds = make_downstream_thresholds(clock, rng)
+        self.downstream_thresholds = make_downstream_thresholds(clock, rng)
         self._assemble_call_path()
 
     def _assemble_call_path(self) -> None:
@@ -118,7 +118,7 @@
             self.target,
             self.drain,
             self.quarantine,
-            self._chain_threshold,
+            self._downstream_threshold,
             self._send_quarantine,
             self._call_ended,
             self._target_changed,
@@ -133,7 +133,7 @@
             self.links,
             self.inbound.handle,
             make_retry_ratio(self.settings.routing.retry_ratio),
-            self.chain_thresholds,
+            self.downstream_thresholds,
             self.quarantine,
             metrics,
         )
@@ -153,7 +153,7 @@
             self.inbound,
             self.links,
             self.directory.find_issuer,
-            self.chain_thresholds,
+            self.downstream_thresholds,
             self.drain,
             metrics,
         )
@@ -179,12 +179,14 @@
         service = self._service(name)
         return service.domains if service is not None else ()
 
-    def _chain_threshold(self, operation: str) -> int:
+    def _downstream_threshold(self, operation_name: str) -> int:
         catalog = self._catalog()
-        found = catalog.operation(operation) if catalog is not None else None
-        if found is None or not found.calls:
-            return MAX_LEVEL
-        return min(self.chain_thresholds.threshold(name) for name in found.calls)
+        operation = catalog.operation(operation_name) if catalog is not None else None
+        if operation is None or not operation.calls:
+            return MAX_PRIORITY_VALUE
+        return min(
+            self.downstream_thresholds.threshold(name) for name in operation.calls
+        )
 
     def target_call_count(self) -> int:
         """Return the number of admitted and queued calls of the local target."""
--- a/src/briardock/peers.py
+++ b/src/briardock/peers.py
@@ -214,11 +214,13 @@
         self.metrics.count("peers.links_failed")
         emit(Event.PEER_LINK_FAILED, peer=link.peer.node_id, detail=detail)
         now_ms = self.clock.now_ms()
-        last = self._backoffs.get(link.peer)
+        backoff = self._backoffs.get(link.peer)
         if link.writer is not None and now_ms - link.started_at_ms >= STABLE_LINK_MS:
             self._backoffs.pop(link.peer, None)
             return
-        step_ms = min(last.step_ms * 2, BACKOFF_MAX_MS) if last else BACKOFF_FIRST_MS
+        step_ms = (
+            min(backoff.step_ms * 2, BACKOFF_MAX_MS) if backoff else BACKOFF_FIRST_MS
+        )
         self._backoffs[link.peer] = _Backoff(step_ms, now_ms + step_ms, detail)
 
     def _sweep(self) -> None:
--- a/src/briardock/quarantine.py
+++ b/src/briardock/quarantine.py
@@ -192,12 +192,12 @@
         :param fingerprints: fingerprints to return, ``None`` for all
         """
         names = list(self._entries) if fingerprints is None else fingerprints
-        found = []
+        wire_entries = []
         for name in names:
             entry = self._entries.get(name)
             if entry is not None and not self._drop_expired(name, entry):
-                found.append(self._to_wire(name, entry))
-        return found
+                wire_entries.append(self._to_wire(name, entry))
+        return wire_entries
 
     def merge(self, entries: Iterable[QuarantineEntry]) -> list[QuarantineEntry]:
         """Merge entries of another node.
--- a/src/briardock/refusals.py
+++ b/src/briardock/refusals.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from briardock.clock import Clock
-from briardock.messages import MAX_LEVEL
+from briardock.messages import MAX_PRIORITY_VALUE
 
 THRESHOLD_EXPIRY_MS = 1_000.0
 PROBE_SHARE = 0.02
@@ -46,10 +46,10 @@
 
         :param operation: full name of the operation
         """
-        known = self._thresholds.get(operation)
-        if known is None or known.expires_at_ms <= self._clock.now_ms():
-            return MAX_LEVEL
-        return known.threshold
+        learned = self._thresholds.get(operation)
+        if learned is None or learned.expires_at_ms <= self._clock.now_ms():
+            return MAX_PRIORITY_VALUE
+        return learned.threshold
 
     def admits(self, operation: str, priority: int) -> bool:
         """Return whether to send a call; a few refused ones pass as probes.
@@ -67,7 +67,7 @@
 def make_downstream_thresholds(
     clock: Clock, rng: random.Random
 ) -> DownstreamThresholds:
-    """Return an object without thresholds.
+    """Return downstream thresholds without entries.
 
     :param clock: monotonic clock
     :param rng: random source
--- a/src/briardock/report.py
+++ b/src/briardock/report.py
@@ -60,7 +60,7 @@
         "gossip": node.cluster.gossip.state(),
         "admission": node.admission.state(),
         "routing": node.router.state(),
-        "chain_levels": node.chain_thresholds.state(),
+        "chain_levels": node.downstream_thresholds.state(),
         "actions": node.actions.state(),
         "running": _running(node),
         "target": asdict(node.inbound.target_state),
@@ -86,7 +86,7 @@
 
 
 def _log_reachability(node: "Node") -> bool | None:
-    """Return whether the log service responds, or ``None`` if this cannot be told.
+    """Return whether the log service responds, or ``None`` if unknown.
 
     A node that is not a log reader reads the log too seldom to tell.
     """
--- a/src/briardock/routing.py
+++ b/src/briardock/routing.py
@@ -105,19 +105,19 @@
         :param service: name of the service
         :param exclude: ids of the nodes already tried
         """
-        known = self._services.get(service)
-        if known is None:
+        instances = self._services.get(service)
+        if instances is None:
             return NotRun(Reason.NO_INSTANCE, f"no instance of {service} is usable")
         now_ms = self._clock.now_ms()
-        best = self._choose_of_two(known.local, exclude, now_ms)
+        best = self._choose_of_two(instances.local, exclude, now_ms)
         if best is None or self._is_full(best, now_ms):
-            spill = self._choose_of_two(known.remote, exclude, now_ms)
+            spill = self._choose_of_two(instances.remote, exclude, now_ms)
             if spill is not None and (
                 best is None or self._has_headroom(spill, now_ms)
             ):
                 best = spill
         if best is None:
-            best = self._choose_least_used(known, exclude)
+            best = self._choose_least_used(instances, exclude)
         if best is None:
             return NotRun(
                 Reason.NO_INSTANCE, f"every usable instance of {service} was tried"
@@ -250,12 +250,12 @@
 
         :param service: name of the service
         """
-        known = self._services.get(service)
-        if known is None:
+        instances = self._services.get(service)
+        if instances is None:
             return LOWEST_PRIORITY
         now_ms = self._clock.now_ms()
         highest = -1
-        for entry in known.members:
+        for entry in instances.members:
             if entry.ejected_until_ms > now_ms:
                 continue
             highest = max(highest, self._current_threshold(entry, now_ms))
@@ -273,17 +273,17 @@
         """Return whether to send a call instead of refusing it early.
 
         A share of the calls that would be refused passes, and at least one per
-        interval, so that the known thresholds stay up to date.
+        interval, so that the stored thresholds stay up to date.
 
         :param service: name of the service
         :param priority: priority of the call
         """
         if priority <= self.admission_threshold(service):
             return True
-        known = self._services[service]
+        instances = self._services[service]
         now_ms = self._clock.now_ms()
-        if now_ms - known.probed_at_ms >= self._settings.probe_interval_ms:
-            known.probed_at_ms = now_ms
+        if now_ms - instances.probed_at_ms >= self._settings.probe_interval_ms:
+            instances.probed_at_ms = now_ms
             return True
         return self._rng.random() < self._settings.probe_share
 
--- a/src/briardock/settings.py
+++ b/src/briardock/settings.py
@@ -190,10 +190,12 @@
             )
     values = {}
     for field in fields(section_type):
-        found = given.get(field.name)
-        if found is not None and not _selects_empty_default(found.text, field):
+        given_value = given.get(field.name)
+        if given_value is not None and not _selects_empty_default(
+            given_value.text, field
+        ):
             values[field.name] = _convert(
-                file_name, section, field.name, found, annotations[field.name]
+                file_name, section, field.name, given_value, annotations[field.name]
             )
         elif field.default is MISSING:
             line = ini_section.line if ini_section else 0
--- a/tests/callpath_fakes.py
+++ b/tests/callpath_fakes.py
@@ -31,7 +31,10 @@
     QuarantineSettings,
     make_quarantine,
 )
-from briardock.refusals import DownstreamThresholds, make_downstream_thresholds
+from briardock.refusals import (
+    DownstreamThresholds,
+    make_downstream_thresholds,
+)
 from briardock.routing import Router, RoutingSettings, make_router
 from briardock.target import Lost, NotSent, TargetClient
 
@@ -175,7 +178,7 @@
     quarantine: Quarantine = field(init=False)
     admission: HookedAdmission = field(init=False)
     drain: Drain = field(init=False)
-    chain_thresholds: DownstreamThresholds = field(init=False)
+    downstream_thresholds: DownstreamThresholds = field(init=False)
     inbound: Inbound = field(init=False)
     dispatcher: Dispatcher = field(init=False)
     issuer: KeyIssuer = field(init=False)
@@ -195,7 +198,7 @@
         self.admission = HookedAdmission(AdmissionSettings(), clock, metrics)
         self.admission.released = []
         self.drain = make_drain(clock, lambda: self.in_flight, lambda: None, 100.0)
-        self.chain_thresholds = make_downstream_thresholds(clock, make_random(2))
+        self.downstream_thresholds = make_downstream_thresholds(clock, make_random(2))
         self.inbound = Inbound(
             LOCAL_ID,
             INCARNATION,
@@ -204,7 +207,7 @@
             self.target,
             self.drain,
             self.quarantine,
-            self.chain_thresholds.threshold,
+            self.downstream_thresholds.threshold,
             self.sent_quarantine.extend,
             lambda running: self.entry.discard_child_actions(running),
             self._count_death,
@@ -221,7 +224,7 @@
             self.links,
             self.inbound.handle,
             self.ratio,
-            self.chain_thresholds,
+            self.downstream_thresholds,
             self.quarantine,
             metrics,
         )
@@ -236,7 +239,7 @@
             self.inbound,
             self.links,
             self.directory.find_issuer,
-            self.chain_thresholds,
+            self.downstream_thresholds,
             self.drain,
             metrics,
         )
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -164,7 +164,7 @@
 
 def test_downstream_threshold_refuses_at_entry() -> None:
     path = make_call_path()
-    path.chain_thresholds.learn("wallet.show", -1)
+    path.downstream_thresholds.learn("wallet.show", -1)
     outcomes = [send_request(path, **SHOW) for _ in range(20)]
     assert outcomes.count("not-run overloaded") >= 15
     assert len(path.target.runs) == outcomes.count("completed")
--- a/tests/test_inbound.py
+++ b/tests/test_inbound.py
@@ -10,7 +10,7 @@
 from briardock.budget import make_budget
 from briardock.drain import DrainState
 from briardock.inbound import RunningCall
-from briardock.messages import MAX_LEVEL, Answer, Call
+from briardock.messages import MAX_PRIORITY_VALUE, Answer, Call
 from briardock.outcomes import Completed, Headers
 from briardock.target import Lost, NotSent
 from callpath_fakes import CallPath, make_call
@@ -225,14 +225,14 @@
     path.admission._threshold = 10
     assert handle(path).refusal_level == 10
     start_drain(path)
-    assert handle(path).refusal_level == MAX_LEVEL
+    assert handle(path).refusal_level == MAX_PRIORITY_VALUE
 
 
 def test_response_carries_the_lowest_threshold_of_the_chain() -> None:
     path = CallPath()
-    path.chain_thresholds.learn("wallet.pay", 20)
+    path.downstream_thresholds.learn("wallet.pay", 20)
     response = handle(path)
-    assert (response.refusal_level, response.chain_level) == (MAX_LEVEL, 20)
+    assert (response.refusal_level, response.chain_level) == (MAX_PRIORITY_VALUE, 20)
 
 
 @given(
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -4,22 +4,25 @@
 from hypothesis import strategies as st
 
 from briardock.clock import ManualClock, make_random
-from briardock.messages import MAX_LEVEL
-from briardock.refusals import THRESHOLD_EXPIRY_MS, make_downstream_thresholds
+from briardock.messages import MAX_PRIORITY_VALUE
+from briardock.refusals import (
+    THRESHOLD_EXPIRY_MS,
+    make_downstream_thresholds,
+)
 
 
-@given(st.integers(0, MAX_LEVEL), st.floats(0, 2 * THRESHOLD_EXPIRY_MS))
+@given(st.integers(0, MAX_PRIORITY_VALUE), st.floats(0, 2 * THRESHOLD_EXPIRY_MS))
 def test_threshold_is_kept_until_it_expires(threshold: int, age_ms: float) -> None:
     # Guards against refusals that outlive the overload.
     clock = ManualClock()
     thresholds = make_downstream_thresholds(clock, make_random(1))
-    thresholds.learn("a.b", MAX_LEVEL)
+    thresholds.learn("a.b", MAX_PRIORITY_VALUE)
     thresholds.learn("a.b", threshold)
     clock.advance(age_ms)
     assert thresholds.threshold("a.b") == (
-        threshold if age_ms < THRESHOLD_EXPIRY_MS else MAX_LEVEL
+        threshold if age_ms < THRESHOLD_EXPIRY_MS else MAX_PRIORITY_VALUE
     )
-    assert thresholds.threshold("a.c") == MAX_LEVEL
+    assert thresholds.threshold("a.c") == MAX_PRIORITY_VALUE
     assert thresholds.state() == {"a.b": thresholds.threshold("a.b")}
 
 
