Clarify names in gossip, membership, configuration and stand-ins

Vague locals such as found, target and owner get the name of what they hold; summarise becomes summarize and wait_for_end becomes wait_for_exit. A few comments are corrected. Behaviour is unchanged.

--- a/benchmarks/latency.py
+++ b/benchmarks/latency.py
@@ -76,10 +76,10 @@
         through.append(await time_call(client, issuer, f"/{CALLED}{path}"))
     await client.close()
     added = [b - a for a, b in zip(direct, through, strict=True)]
-    return summarise(direct[WARM_UP:], through[WARM_UP:], added[WARM_UP:])
+    return summarize(direct[WARM_UP:], through[WARM_UP:], added[WARM_UP:])
 
 
-def summarise(
+def summarize(
     direct: list[float], through: list[float], added: list[float]
 ) -> dict[str, float]:
     """Return the figures of the report in ms.
--- a/benchmarks/propagation.py
+++ b/benchmarks/propagation.py
@@ -138,7 +138,7 @@
         tasks.start_soon(load)
         await anyio.sleep(LEAVE_AFTER_S)
         deployment.terminate(target_name(leaving))
-    exit_code = deployment.wait_for_end(target_name(leaving))
+    exit_code = deployment.wait_for_exit(target_name(leaving))
     entries = read_ledger(deployment.instances[leaving].ledgers[-1])
     notice_ms = next(e.at_ms for e in entries if isinstance(e, Notice))
     starts = [e.at_ms for e in entries if isinstance(e, RunStarted)]
--- a/features/bench.py
+++ b/features/bench.py
@@ -273,7 +273,7 @@
         )
         return self.starts(probe.key, operation)[0][0]
 
-    def wait_for_end(self, probe: Probe) -> None:
+    def wait_for_exit(self, probe: Probe) -> None:
         """Wait until the run of the probe booking has ended."""
 
         def ended() -> bool:
--- a/features/steps/matrix.py
+++ b/features/steps/matrix.py
@@ -69,7 +69,7 @@
     # node carries the booking's own calls, the run itself waits for its end.
     bench.deployment.freeze(probe.issuer)
     if bench.starts(probe.key, BOOKING)[0][0] != probe.issuer:
-        bench.wait_for_end(probe)
+        bench.wait_for_exit(probe)
     strike(context, fault, runner)
     if bench.deployment.processes[probe.issuer].is_running():
         bench.deployment.resume(probe.issuer)
--- a/features/steps/whole_path.py
+++ b/features/steps/whole_path.py
@@ -181,7 +181,7 @@
             bench.deployment.terminate(target_name(name))
     if way != "SIGTERM of the target":
         context.left_ms = watch_left_notice(bench, name)
-        bench.deployment.wait_for_end(name)
+        bench.deployment.wait_for_exit(name)
     bench.join()
 
 
--- a/src/briardock/_logview.py
+++ b/src/briardock/_logview.py
@@ -90,13 +90,13 @@
                 f"change of {len(body)} bytes exceeds the limit of {MAX_PUBLISH_BYTES}",
                 "publish fewer files at a time",
             )
-        detail, uncertain = "no answer", False
+        detail, outcome_unknown = "no response", False
         with anyio.move_on_after(self._timeout_s):
             while True:
                 append_result = await self._client.append(STREAM, body)
                 if isinstance(append_result, LogFailure):
                     detail = append_result.detail
-                    uncertain = uncertain or append_result.outcome_unknown
+                    outcome_unknown = outcome_unknown or append_result.outcome_unknown
                 if (
                     not isinstance(append_result, LogFailure)
                     or append_result.outcome_unknown
@@ -107,7 +107,7 @@
                     if change_result:
                         return change_result
                 await anyio.sleep(RETRY_DELAY_S)
-        if uncertain:
+        if outcome_unknown:
             raise LogUnavailableError(
                 f"outcome of change {record.change_id} is unknown: {detail}",
                 "run publish again; it sends nothing if the change took effect",
--- a/src/briardock/_publisher.py
+++ b/src/briardock/_publisher.py
@@ -51,12 +51,13 @@
     :raises ConfigurationError: if local edits would be lost
     """
     folder.mkdir(parents=True, exist_ok=True)
-    local = load_folder(folder) if any(folder.glob("*.ini")) else {}
+    local_files = load_folder(folder) if any(folder.glob("*.ini")) else {}
     base = read_base(folder) or Base({})
     edited = [
         name
-        for name in sorted(local)
-        if local[name] != state.files.get(name) and _is_edited(name, local, base)
+        for name in sorted(local_files)
+        if local_files[name] != state.files.get(name)
+        and _is_edited(name, local_files, base)
     ]
     if edited and not overwrite:
         raise ConfigurationError(
@@ -64,9 +65,9 @@
             "publish or move them, or give --overwrite",
         )
     for name, text in state.files.items():
-        if local.get(name) != text:
+        if local_files.get(name) != text:
             write_atomically(folder / name, text.encode())
-    for name in local.keys() - state.files.keys():
+    for name in local_files.keys() - state.files.keys():
         (folder / name).unlink(missing_ok=True)
     write_base(folder, _base_of(state))
     return len(state.files)
@@ -84,15 +85,15 @@
     :raises ConfigurationError: if the files or their base are invalid
     :raises PublishConflictError: if another publish changed the same file
     """
-    local = load_folder(folder)
-    require_valid(local, str(folder))
+    local_files = load_folder(folder)
+    require_valid(local_files, str(folder))
     await view.read_to_end()
     view.require_complete()
     state = view.state
     base = _base_of(state) if base_current else _require_base(folder, state)
-    changes = _changed_files(local, base, state)
+    changes = _changed_files(local_files, base, state)
     if not changes:
-        _update_base(folder, base, local, state)
+        _update_base(folder, base, local_files, state)
         return PublishResult(state.version, ())
     _require_current_base(changes, base, view)
     merged = {**state.files, **changes}
@@ -105,7 +106,7 @@
     result = await view.send(record)
     if not result.accepted:
         raise _rejection_error(result, view)
-    _update_base(folder, base, local, state)
+    _update_base(folder, base, local_files, state)
     return PublishResult(result.offset, tuple(sorted(changes)))
 
 
@@ -117,13 +118,13 @@
     :raises ConfigurationError: if the log is complete, since a restore would discard
         published changes
     """
-    local = load_folder(folder)
-    require_valid(local, str(folder))
+    local_files = load_folder(folder)
+    require_valid(local_files, str(folder))
     await view.read_to_end()
     if not view.state.is_incomplete:
         raise ConfigurationError("the log is complete", "use 'briardock publish'")
-    version = await view.append_checkpoint(local)
-    if dict(view.state.files) != local:
+    version = await view.append_checkpoint(local_files)
+    if dict(view.state.files) != local_files:
         raise PublishConflictError(
             "another restore was applied first",
             "fetch its files into another folder",
@@ -132,16 +133,18 @@
     return version
 
 
-def require_valid(files: Mapping[str, str], what: str) -> None:
+def require_valid(files: Mapping[str, str], description: str) -> None:
     """Check merged files.
 
+    :param files: text by file name
+    :param description: names the files in the error message
     :raises ConfigurationError: with the first fault and the number of others
     """
     checked = merge_and_check(files)
     if isinstance(checked, list):
         more = f" (and {len(checked) - 1} more)" if len(checked) > 1 else ""
         raise ConfigurationError(
-            f"{what}: {checked[0]}{more}", "run 'briardock check' on the folder"
+            f"{description}: {checked[0]}{more}", "run 'briardock check' on the folder"
         )
 
 
@@ -168,15 +171,15 @@
 
 
 def _changed_files(
-    local: Mapping[str, str], base: Base, state: ConfigState
+    local_files: Mapping[str, str], base: Base, state: ConfigState
 ) -> dict[str, str | None]:
     """Return the files whose text differs from both the base and the published one."""
     changes: dict[str, str | None] = {}
     base_names = {
         name for name, entry in base.files.items() if entry.digest is not None
     }
-    for name in sorted(local.keys() | base_names):
-        text = local.get(name)
+    for name in sorted(local_files.keys() | base_names):
+        text = local_files.get(name)
         if digest_of_text(text) != base.digest_of(name) and text != state.files.get(
             name
         ):
@@ -228,19 +231,19 @@
 
 
 def _update_base(
-    folder: Path, base: Base, local: Mapping[str, str], state: ConfigState
+    folder: Path, base: Base, local_files: Mapping[str, str], state: ConfigState
 ) -> None:
     """Update the base of the files whose local text equals the published one."""
     entries = dict(base.files)
     for name, version in state.versions.items():
-        if local.get(name) == state.files.get(name):
-            entries[name] = BaseEntry(version, digest_of_text(local.get(name)))
+        if local_files.get(name) == state.files.get(name):
+            entries[name] = BaseEntry(version, digest_of_text(local_files.get(name)))
     write_base(folder, Base(entries))
 
 
-def _is_edited(name: str, local: Mapping[str, str], base: Base) -> bool:
+def _is_edited(name: str, local_files: Mapping[str, str], base: Base) -> bool:
     """Return whether a local file differs from its base."""
-    return digest_of_text(local[name]) != base.digest_of(name)
+    return digest_of_text(local_files[name]) != base.digest_of(name)
 
 
 def _user_name() -> str:
--- a/src/briardock/_records.py
+++ b/src/briardock/_records.py
@@ -67,7 +67,7 @@
     :param version: offset of the last accepted publish
     :param files: all files, including deleted ones
     :param results: recent changes, oldest first
-    :param digest: of version and files
+    :param digest: digest of version and files
     """
 
     as_of: int
--- a/src/briardock/cluster.py
+++ b/src/briardock/cluster.py
@@ -239,10 +239,12 @@
         float(settings.log.poll_ms),
         _make_read_check(directory, clock, rng),
     )
-    contact = Contact(local_record.node_id, local_record.host, local_record.gossip_port)
+    local_contact = Contact(
+        local_record.node_id, local_record.host, local_record.gossip_port
+    )
     contacts = make_contacts(
         log,
-        contact,
+        local_contact,
         table.is_alone,
         directory.is_log_reader,
         gossip.add_contacts,
--- a/src/briardock/configuration.py
+++ b/src/briardock/configuration.py
@@ -45,7 +45,7 @@
 MAX_INCREMENTAL_FILES = 16
 FILE_SUFFIX = ".ini"
 _FILE_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,99}\.ini\Z")
-_PARAMETER = re.compile(r"\{[^}]*\}")
+_PATH_PARAMETER = re.compile(r"\{[^}]*\}")
 
 # A short queue drains sooner after a surge; a long one leaves fewer slots idle.
 _POLICY_PRESETS = {
@@ -211,7 +211,7 @@
     if problem:
         faults.append(Fault(file, content.line, section, "", *problem))
         return
-    target = merged.setdefault(section, {})
+    merged_values = merged.setdefault(section, {})
     for key, value in content.values.items():
         if key not in KEYS[kind]:
             remedy = nearest(key, KEYS[kind])
@@ -225,7 +225,7 @@
             faults.append(Fault(file, value.line, section, key, message, remedy))
             continue
         if key != "description":
-            target[key] = typed_value
+            merged_values[key] = typed_value
 
 
 def _require_keys(
@@ -375,9 +375,9 @@
     for operation in operations:
         if not operation.pattern:
             continue
-        normalized = _PARAMETER.sub("{}", operation.pattern)
-        match = f"{operation.service} {operation.method} {normalized}"
-        owner = seen.setdefault(match, operation.name)
-        if owner != operation.name:
+        normalized = _PATH_PARAMETER.sub("{}", operation.pattern)
+        pattern_key = f"{operation.service} {operation.method} {normalized}"
+        first_name = seen.setdefault(pattern_key, operation.name)
+        if first_name != operation.name:
             text = f"{operation.method} {operation.pattern}"
-            yield operation.name, f"'{text}' is already matched by {owner}"
+            yield operation.name, f"'{text}' is already matched by {first_name}"
--- a/src/briardock/contacts.py
+++ b/src/briardock/contacts.py
@@ -11,8 +11,8 @@
 STREAM = "members"
 READ_RECORDS = 100
 RETRY_INTERVAL_S = 2.0
-# The log retains records for a limited time, so the readers of each domain publish
-# their addresses again.
+# The log retains records for a limited time, so the log readers of each failure
+# domain publish their addresses again.
 REPUBLISH_INTERVAL_S = 600.0
 
 
@@ -35,7 +35,7 @@
     :param log: client of the platform log
     :param local_contact: gossip address of this node
     :param is_alone: returns whether no other member is reachable
-    :param is_reader: returns whether this node reads the log for its failure domain
+    :param is_log_reader: returns whether this node reads the log for its failure domain
     :param add_contacts: receives (host, port) pairs
     :param rng: random source of jitter
     """
@@ -45,14 +45,14 @@
         log: LogClient,
         local_contact: Contact,
         is_alone: Callable[[], bool],
-        is_reader: Callable[[], bool],
+        is_log_reader: Callable[[], bool],
         add_contacts: Callable[[list[tuple[str, int]]], None],
         rng: random.Random,
     ) -> None:
         self._log = log
         self._local_contact = local_contact
         self._is_alone = is_alone
-        self._is_reader = is_reader
+        self._is_log_reader = is_log_reader
         self._add_contacts = add_contacts
         self._rng = rng
 
@@ -61,7 +61,7 @@
         await self._read()
         published = False
         while True:
-            if not published or self._is_reader():
+            if not published or self._is_log_reader():
                 published = await self._publish()
             pause_s = REPUBLISH_INTERVAL_S * self._rng.uniform(0.5, 1.0)
             with anyio.move_on_after(pause_s if published else RETRY_INTERVAL_S):
@@ -109,7 +109,7 @@
     log: LogClient,
     local_contact: Contact,
     is_alone: Callable[[], bool],
-    is_reader: Callable[[], bool],
+    is_log_reader: Callable[[], bool],
     add_contacts: Callable[[list[tuple[str, int]]], None],
     rng: random.Random,
 ) -> Contacts:
@@ -118,8 +118,8 @@
     :param log: client of the platform log
     :param local_contact: gossip address of this node
     :param is_alone: returns whether no other member is reachable
-    :param is_reader: returns whether this node reads the log for its failure domain
+    :param is_log_reader: returns whether this node reads the log for its failure domain
     :param add_contacts: receives (host, port) pairs
     :param rng: random source of jitter
     """
-    return Contacts(log, local_contact, is_alone, is_reader, add_contacts, rng)
+    return Contacts(log, local_contact, is_alone, is_log_reader, add_contacts, rng)
--- a/src/briardock/gossip_deltas.py
+++ b/src/briardock/gossip_deltas.py
@@ -72,7 +72,7 @@
 
 
 def send_limit(member_count: int) -> int:
-    """Return how often a node sends each change in a cluster of a given size."""
+    """Return how many times a node sends a change in a cluster of a given size."""
     return SENDS_PER_DOUBLING * math.ceil(math.log2(member_count + 1))
 
 
--- a/src/briardock/gossip_probe.py
+++ b/src/briardock/gossip_probe.py
@@ -68,8 +68,8 @@
             return
         target = self._table.get(request.target.node_id) or request.target
         if await self._ping(target):
-            found = self._table.get(target.node_id) or target
-            self._send_on_route(route, IndirectAck(request.sequence, found))
+            current = self._table.get(target.node_id) or target
+            self._send_on_route(route, IndirectAck(request.sequence, current))
 
     def on_ack(self, sequence: int, sender: MemberRecord) -> None:
         """Complete the ping that an ack belongs to.
--- a/src/briardock/gossip_push.py
+++ b/src/briardock/gossip_push.py
@@ -68,7 +68,7 @@
         self._queue.add(node_id)
 
     def take(
-        self, receiver_id: str, self_described: MemberRecord | None
+        self, receiver_id: str, reported: MemberRecord | None
     ) -> list[MemberRecord]:
         """Return the records for one message.
 
@@ -76,15 +76,15 @@
         as unreachable or with a later incarnation, the receiver's record is included.
 
         :param receiver_id: receiver of the message
-        :param self_described: record the receiver just sent of itself, if any
+        :param reported: record the receiver just sent of itself, if any
         """
         keys = self._queue.take(
             send_limit(len(self._table)), self._max_bytes, self._size_bytes
         )
-        found = [self._table.get(n) for n in keys if n != receiver_id]
-        members = [record for record in found if record is not None]
+        queued = [self._table.get(n) for n in keys if n != receiver_id]
+        members = [record for record in queued if record is not None]
         receiver = self._table.get(receiver_id)
-        if receiver is not None and receiver != self_described:
+        if receiver is not None and receiver != reported:
             members.append(receiver)
         return members
 
@@ -134,9 +134,9 @@
             self._flush()
 
     def _flush(self) -> None:
-        found = [self._table.get(node_id) for node_id in self._node_ids]
+        queued = [self._table.get(node_id) for node_id in self._node_ids]
         self._node_ids.clear()
-        records = fitting_records([r for r in found if r is not None], MAX_PUSH_BYTES)
+        records = fitting_records([r for r in queued if r is not None], MAX_PUSH_BYTES)
         size_bytes = sum(map(record_bytes, records)) * self._settings.fanout
         if records and self._budget.spend(size_bytes):
             self._send_to_random(Push(records))
@@ -219,8 +219,8 @@
         return self._hooks.quarantine_entries(keys)
 
     def _size_bytes(self, fingerprint: str, _: float) -> int:
-        found = self._hooks.quarantine_entries([fingerprint])
-        return entry_bytes(found[0]) if found else 0
+        entries = self._hooks.quarantine_entries([fingerprint])
+        return entry_bytes(entries[0]) if entries else 0
 
 
 def _uncleared_count(entry: QuarantineEntry) -> int:
@@ -229,8 +229,10 @@
 
 def entry_bytes(entry: QuarantineEntry) -> int:
     """Return the approximate encoded size of an entry in bytes."""
-    deaths = sum(len(death.death_id) + DEATH_OVERHEAD_BYTES for death in entry.deaths)
-    return len(entry.fingerprint) + deaths + ENTRY_OVERHEAD_BYTES
+    death_bytes = sum(
+        len(death.death_id) + DEATH_OVERHEAD_BYTES for death in entry.deaths
+    )
+    return len(entry.fingerprint) + death_bytes + ENTRY_OVERHEAD_BYTES
 
 
 def entry_chunks(
--- a/src/briardock/gossip_sync.py
+++ b/src/briardock/gossip_sync.py
@@ -87,14 +87,14 @@
     def on_request(self, request: SyncRequest, route: Route) -> None:
         """Respond with as many differing buckets as the byte budget allows."""
         if request.sender.node_id == self._table.local_record.node_id:
-            return  # A seed or contact may be another form of the local address.
+            return  # A seed or contact may be another address of this node.
         self._on_changed(self._table.merge([request.sender]))
         buckets = self._table.digest.differing(request.digests)
-        found = self._by_bucket(buckets, request.joining)
+        records_by_bucket = self._by_bucket(buckets, request.joining)
         left_bytes = min(MAX_RESPONSE_BYTES, self._budget.available_bytes())
         complete_buckets: list[int] = []
         members: list[MemberRecord] = []
-        for bucket, records in found.items():
+        for bucket, records in records_by_bucket.items():
             needed_bytes = sum(map(record_bytes, records))
             if needed_bytes > left_bytes:
                 break
@@ -124,19 +124,21 @@
         self, buckets: list[int], joining: bool
     ) -> dict[int, list[MemberRecord]]:
         """Return the records by bucket, empty buckets included."""
-        found: dict[int, list[MemberRecord]] = {bucket: [] for bucket in buckets}
+        records_by_bucket: dict[int, list[MemberRecord]] = {
+            bucket: [] for bucket in buckets
+        }
         for record in self._table.records_in(set(buckets)):
             shared = record if joining else self_reported(record)
-            found[bucket_of(record.node_id)].append(shared)
-        return found
+            records_by_bucket[bucket_of(record.node_id)].append(shared)
+        return records_by_bucket
 
     def _push_newer(self, response: SyncReply, route: Route) -> None:
         received = {record.node_id: record for record in response.members}
         newer = []
         for record in self._table.records_in(set(response.buckets)):
             shared = self_reported(record)
-            known = received.get(record.node_id)
-            if known is None or is_newer(shared, known):
+            peer_record = received.get(record.node_id)
+            if peer_record is None or is_newer(shared, peer_record):
                 newer.append(shared)
         newer = fitting_records(
             newer, min(MAX_RESPONSE_BYTES, self._budget.available_bytes())
--- a/src/briardock/membership.py
+++ b/src/briardock/membership.py
@@ -93,7 +93,7 @@
         """
         changed = []
         for record in records:
-            stored = self._merge_one(record)
+            stored = self._merge_record(record)
             if stored is not None:
                 changed.append(stored)
         return changed
@@ -142,10 +142,10 @@
         self._extend_after_pause(now_ms)
         changed: list[MemberRecord] = []
         for node_id, since_ms in list(self._state_since_ms.items()):
-            changed += self._expire_one(node_id, now_ms - since_ms)
+            changed += self._expire_record(node_id, now_ms - since_ms)
         keep_ms = self._settings.tombstone_ms
-        for node_id, (_, _, at_ms) in list(self._removed_versions.items()):
-            if now_ms - at_ms >= keep_ms:
+        for node_id, (_, _, removed_ms) in list(self._removed_versions.items()):
+            if now_ms - removed_ms >= keep_ms:
                 del self._removed_versions[node_id]
         return changed
 
@@ -213,7 +213,7 @@
             if bucket_of(node_id) in buckets and node_id not in unshared
         ]
 
-    def _merge_one(self, record: MemberRecord) -> MemberRecord | None:
+    def _merge_record(self, record: MemberRecord) -> MemberRecord | None:
         if record.node_id == self._local_record.node_id:
             return self._merge_local(record)
         known = self._records.get(record.node_id)
@@ -260,7 +260,7 @@
     def _track_state_time(
         self, record: MemberRecord, known: MemberRecord | None
     ) -> None:
-        """Record when a state began; unreachable after suspect keeps the first time."""
+        """Record when a state began; suspect and then unreachable count as one."""
         node_id = record.node_id
         if node_id == self._local_record.node_id:
             return
@@ -284,7 +284,7 @@
             if self.is_reachable(node_id):
                 self._state_since_ms[node_id] += pause_ms
 
-    def _expire_one(self, node_id: str, age_ms: float) -> list[MemberRecord]:
+    def _expire_record(self, node_id: str, age_ms: float) -> list[MemberRecord]:
         record = self._records[node_id]
         if record.state >= MemberState.UNREACHABLE:
             self._limit_sharing(record, age_ms)
@@ -349,12 +349,16 @@
         return RECOVERY_UNREACHABLE_EVERY if recovering else settings.unreachable_every
 
     def _pick_unreachable(self) -> MemberRecord | None:
-        found = [
+        unreachable_ids = [
             node_id
             for node_id in self._state_since_ms
             if self._records[node_id].state is MemberState.UNREACHABLE
         ]
-        return self._records[self._rng.choice(found)] if found else None
+        return (
+            self._records[self._rng.choice(unreachable_ids)]
+            if unreachable_ids
+            else None
+        )
 
 
 def _ends_suspicion(record: MemberRecord, known: MemberRecord) -> bool:
--- a/src/briardock/membership_ring.py
+++ b/src/briardock/membership_ring.py
@@ -52,15 +52,15 @@
         :param count: largest number of ids
         :param exclude: ids to leave out
         """
-        found: dict[str, None] = {}
+        sampled: dict[str, None] = {}
         if len(self._ids) > count * SAMPLE_TRIES_PER_ID:
             for _ in range(count * SAMPLE_TRIES_PER_ID):
                 node_id = self._ids[self._rng.randrange(len(self._ids))]
                 if node_id not in exclude and self._is_reachable(node_id):
-                    found[node_id] = None
-                if len(found) == count:
-                    return list(found)
-        return [*found, *self._sample_all(count - len(found), {*exclude, *found})]
+                    sampled[node_id] = None
+                if len(sampled) == count:
+                    return list(sampled)
+        return [*sampled, *self._sample_all(count - len(sampled), {*exclude, *sampled})]
 
     def _sample_all(self, count: int, exclude: set[str]) -> list[str]:
         ids = {i for i in self._ids if i not in exclude and self._is_reachable(i)}
--- a/src/briardock/membership_usable.py
+++ b/src/briardock/membership_usable.py
@@ -21,14 +21,14 @@
 
     def get(self, service: str) -> list[MemberRecord]:
         """Return the usable members of a service; the list is shared."""
-        found = self._lists_by_service.get(service)
-        if found is None:
-            found = [r for r in self._records.values() if self._is_usable(r, service)]
-            self._lists_by_service[service] = found
-        return found
+        members = self._lists_by_service.get(service)
+        if members is None:
+            members = [r for r in self._records.values() if self._is_usable(r, service)]
+            self._lists_by_service[service] = members
+        return members
 
     def on_change(self, record: MemberRecord, known: MemberRecord | None) -> None:
-        """Invalidate the lists after a record was stored or removed; end its grace."""
+        """Invalidate the lists of a changed record and end its grace period."""
         self._grace_until_ms.pop(record.node_id, None)
         self._lists_by_service.pop(record.service, None)
         if known is not None:
@@ -41,8 +41,12 @@
 
     def expire_grace(self, now_ms: float) -> list[MemberRecord]:
         """End elapsed grace periods and return their members."""
-        ended = [i for i, until in self._grace_until_ms.items() if until <= now_ms]
-        return [self._end_grace(node_id) for node_id in ended]
+        ended_ids = [
+            node_id
+            for node_id, until_ms in self._grace_until_ms.items()
+            if until_ms <= now_ms
+        ]
+        return [self._end_grace(node_id) for node_id in ended_ids]
 
     def _end_grace(self, node_id: str) -> MemberRecord:
         record = self._records[node_id]
--- a/src/briardock/platformlog.py
+++ b/src/briardock/platformlog.py
@@ -24,7 +24,7 @@
     anyio.EndOfStream,
 )
 # Statuses that the service sends before it writes anything.
-_REJECTED_STATUSES = range(400, 500)
+_REFUSED_STATUSES = range(400, 500)
 _UNAVAILABLE_STATUS = 503
 
 
@@ -326,7 +326,7 @@
 def _status_failure(response: _Response) -> LogFailure:
     """Return the failure for a response with a status other than 200."""
     is_refused = (
-        response.status in _REJECTED_STATUSES or response.status == _UNAVAILABLE_STATUS
+        response.status in _REFUSED_STATUSES or response.status == _UNAVAILABLE_STATUS
     )
     text = response.body[:200].decode("utf-8", "replace")
     kind = FailureKind.REFUSED if is_refused else FailureKind.BAD_ANSWER
--- a/src/briardock/publishing.py
+++ b/src/briardock/publishing.py
@@ -1,4 +1,4 @@
-"""Publishing of the configuration: the log reader, and the public names."""
+"""Reader of the configuration log, and the public names of publishing."""
 
 import random
 from collections.abc import Callable
@@ -175,7 +175,7 @@
         state.observe_log(result.first, result.next)
         if await self._skip_replay(result):
             return
-        checkpoint_before = state.checkpoint_offset
+        previous_checkpoint_offset = state.checkpoint_offset
         for record in result.records:
             was_incomplete = state.is_incomplete
             outcome = state.apply(record.offset, record.body)
@@ -185,7 +185,7 @@
                 # Read the records after the checkpoint again: they were skipped.
                 break
             await anyio.sleep(0)
-        if state.checkpoint_offset != checkpoint_before:
+        if state.checkpoint_offset != previous_checkpoint_offset:
             self._last_checkpoint_ms = self._clock.now_ms()
         self.caught_up = state.next_offset >= result.next
 
--- a/src/briardock_standins/_keystore.py
+++ b/src/briardock_standins/_keystore.py
@@ -77,9 +77,9 @@
         self._keys = [IssuedKey(text, entry, now_ms) for text in texts] + self._keys
 
     def _pop(self) -> IssuedKey | None:
-        oldest_ms = self._clock.now_ms() - KEY_MAX_AGE_MS
+        min_issued_ms = self._clock.now_ms() - KEY_MAX_AGE_MS
         while self._keys:
             key = self._keys.pop()
-            if key.issued_ms >= oldest_ms:
+            if key.issued_ms >= min_issued_ms:
                 return key
         return None
--- a/src/briardock_standins/catalogs.py
+++ b/src/briardock_standins/catalogs.py
@@ -96,7 +96,7 @@
 
 
 def single_operation(service_ms: float) -> tuple[OperationPlan, ...]:
-    """Return the operations of a template plan.
+    """Return one operation that matches every request, for a template plan.
 
     :param service_ms: mean processing time in ms, without child calls
     """
--- a/src/briardock_standins/harness.py
+++ b/src/briardock_standins/harness.py
@@ -240,7 +240,7 @@
         """Send SIGTERM to a process, without waiting for its exit."""
         self.processes[name].terminate()
 
-    def wait_for_end(self, name: str, timeout_s: float = READY_TIMEOUT_S) -> int:
+    def wait_for_exit(self, name: str, timeout_s: float = READY_TIMEOUT_S) -> int:
         """Wait until a process has exited and return its exit code."""
         process = self.processes[name]
         self.wait_until(
--- a/src/briardock_standins/ledger.py
+++ b/src/briardock_standins/ledger.py
@@ -308,11 +308,11 @@
     Retries are counted per parent run, so that the child calls of a retried parent
     count as first attempts. For entry calls, every run after the first is a retry.
     """
-    seen: dict[tuple[str, str, str], int] = defaultdict(int)
+    run_counts: dict[tuple[str, str, str], int] = defaultdict(int)
     for run in runs:
-        seen[(run.action, run.started.parent_run, run.started.nonce)] += 1
+        run_counts[(run.action, run.started.parent_run, run.started.nonce)] += 1
     retries: dict[str, int] = defaultdict(int)
-    for (action, _, _), count in seen.items():
+    for (action, _, _), count in run_counts.items():
         retries[action] += count - 1
     return retries
 
@@ -329,8 +329,8 @@
         if result.key:
             allowed[result.action] = retries
         else:
-            sends = result.attempt + 1
-            budget = sends * retries + result.attempt
+            send_count = result.attempt + 1
+            budget = send_count * retries + result.attempt
             allowed[result.action] = max(allowed.get(result.action, 0), budget)
     for action, count in count_retries(runs).items():
         limit = allowed.get(action)
--- a/src/briardock_standins/load.py
+++ b/src/briardock_standins/load.py
@@ -66,14 +66,14 @@
     return ordered[min(int(len(ordered) * share), len(ordered) - 1)]
 
 
-def summarise(entries: list[Told]) -> dict[str, ClassReport]:
+def summarize(entries: list[Told]) -> dict[str, ClassReport]:
     """Return the report of each operation class in a caller ledger."""
     reports: dict[str, ClassReport] = defaultdict(ClassReport)
-    first_ms: dict[str, float] = {}
+    first_send_ms: dict[str, float] = {}
     for entry in entries:
         report = reports[entry.class_name]
         report.sends += 1
-        first_ms.setdefault(entry.action, entry.start_ms)
+        first_send_ms.setdefault(entry.action, entry.start_ms)
         if not entry.final:
             continue
         report.sent += 1
@@ -82,7 +82,7 @@
         report.unknown += entry.outcome == "unknown"
         if entry.succeeded:
             report.succeeded += 1
-            report.latencies_ms.append(entry.end_ms - first_ms[entry.action])
+            report.latencies_ms.append(entry.end_ms - first_send_ms[entry.action])
     return dict(reports)
 
 
@@ -334,7 +334,7 @@
         changes["seed"] = seed
     settings = msgspec.structs.replace(settings, **changes)
     results = anyio.run(run_load, settings, backend_options={"use_uvloop": True})
-    reports = summarise(results)
+    reports = summarize(results)
     print(json.dumps({name: r.summary() for name, r in sorted(reports.items())}))
 
 
--- a/src/briardock_standins/plans.py
+++ b/src/briardock_standins/plans.py
@@ -69,7 +69,7 @@
         if len(pattern) != len(segments):
             return False
         pairs = zip(pattern, segments, strict=True)
-        return all(part == found or part.startswith("{") for part, found in pairs)
+        return all(part == segment or part.startswith("{") for part, segment in pairs)
 
 
 class TargetPlan(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/src/briardock_standins/target.py
+++ b/src/briardock_standins/target.py
@@ -1,4 +1,4 @@
-"""Stand-in for a target service: slots, service times, child calls and faults.
+"""Stand-in for a target service: slots, processing times, child calls and faults.
 
 It serves HTTP with h11 on anyio because overload measurements run many targets on
 few cores: at 1,000 requests/s for 5 s with this handler, a process used 1.0 s of CPU
@@ -298,7 +298,9 @@
         await self._client.request(node, request, ANNOUNCE_TIMEOUT_MS)
 
     async def drain(self, port: int) -> None:
-        """Announce that the target leaves and wait until no request is in flight.
+        """Announce that the target leaves and wait until it is idle.
+
+        It counts as idle once no request has been in flight for ``drain_idle_s``.
 
         :param port: port of the service
         """
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -16,7 +16,7 @@
     listen,
     serve_http,
 )
-from briardock_standins.load import LoadGenerator, arrivals, summarise
+from briardock_standins.load import LoadGenerator, arrivals, summarize
 from briardock_standins.plans import ActionPlan, LoadPlan, Phase
 
 
@@ -59,7 +59,7 @@
         assert (result.outcome, result.body_ok, result.attempt) == (outcome, body_ok, 2)
         assert keys_seen == ["k1"] * 3
         assert [entry.final for entry in generator.results] == [False, False, True]
-        assert summarise(generator.results)["money"].sent == 1
+        assert summarize(generator.results)["money"].sent == 1
 
     anyio.run(scenario)
 
