Reword the feature steps and rename vague names of the fault scenarios

Step texts say that a fault is injected and which outcome a caller receives. Names such as strike, told, starts and heal_later are replaced by inject_fault, results, started_runs and add_heal_action. Scenario names and behaviour are unchanged.

--- a/features/after_run.feature
+++ b/features/after_run.feature
@@ -1,16 +1,16 @@
 Feature: A fault after the run before the answer
-  A booking and its payment run at most once, nobody is told "not run" of a
-  booking that ran, every answer is whole and the caller's own, and bookings
-  succeed again once the fault is gone.
+  A booking and its payment run at most once, no caller receives "not-run" for a
+  booking that ran, every response is complete and belongs to its request, and
+  bookings succeed again once the fault is undone.
 
   Scenario Outline: <fault> after the run before the answer
     Given a running deployment with seed <seed> and background load
-    When "<fault>" strikes after the run before the answer
-    And the booking is sent again with its key to every node
+    When "<fault>" is injected after the run before the response
+    And the booking is resent with its key to every node
     And the fault is healed
     Then the ledgers of targets and callers agree
     And bookings and reads complete on every node
-    And the configuration has not gone back anywhere
+    And no node has an older configuration than before
 
     Examples:
       | fault                    | seed |
--- a/features/bench.py
+++ b/features/bench.py
@@ -1,4 +1,4 @@
-"""A small deployment, one probe booking, and the faults that strike it."""
+"""Test bench of a scenario: a small deployment, background load and a probe request."""
 
 import contextlib
 import subprocess
@@ -37,10 +37,10 @@
 DOMAINS = {"a": "127.0.1.1", "b": "127.0.2.1"}
 BOOKING = "bookings.create"
 PAYMENT = "wallet.pay"
-ONCE = (BOOKING, PAYMENT)
+AT_MOST_ONCE_OPERATIONS = (BOOKING, PAYMENT)
 RETRIES = 2
 DEADLINE_MS = 3_000
-RECOVERY_BOUND_S = 25.0
+RECOVERY_TIMEOUT_S = 25.0
 
 CONFIG = {
     "00-classes.ini": "[class critical]\nrank = 0\n[class view]\nrank = 3\n",
@@ -100,25 +100,25 @@
 
 @dataclass(slots=True)
 class Probe:
-    """One booking sent by the test itself.
+    """A booking that the scenario sends itself, under one idempotency key.
 
     :param key: issued key
     :param issuer: node that issued it
     :param body: request body
-    :param told: what the caller was told, one entry for each send
+    :param results: outcome that the caller received, one entry for each send
     """
 
     key: str
     issuer: str
     body: str
-    told: list[Told] = field(default_factory=list)
+    results: list[Told] = field(default_factory=list)
 
 
 class Bench:
     """Deployment, background load and probe of one scenario.
 
     :param seed: seed of all processes and of the load
-    :param booking_ms: own time of a booking and of its payment
+    :param booking_ms: service time of a booking and of its payment
     """
 
     def __init__(self, seed: int, booking_ms: float = 250.0) -> None:
@@ -133,11 +133,11 @@
         self.config = self.deployment.folder / "config"
         self._client = httpx.Client(timeout=10.0, trust_env=False)
         self._threads: list[threading.Thread] = []
-        self.load_told: list[Told] = []
+        self.load_results: list[Told] = []
         self._sent_count = 0
-        self._recovery: list[Probe] = []
-        self._heal: list[Callable[[], None]] = []
-        self.races: list[list[subprocess.CompletedProcess[str]]] = []
+        self._recovery_probes: list[Probe] = []
+        self._heal_actions: list[Callable[[], None]] = []
+        self.publish_races: list[list[subprocess.CompletedProcess[str]]] = []
 
     def start(self) -> None:
         """Start all processes and publish the configuration."""
@@ -148,11 +148,11 @@
         self.deployment.wait_for_members()
 
     def close(self) -> None:
-        """End all processes."""
-        for heal in self._heal:
+        """Undo all faults and stop all processes."""
+        for heal in self._heal_actions:
             heal()
         for thread in self._threads:
-            thread.join(RECOVERY_BOUND_S)
+            thread.join(RECOVERY_TIMEOUT_S)
         self._client.close()
         self.deployment.stop()
 
@@ -165,7 +165,7 @@
         return Probe(key, issuer, body)
 
     def send(self, probe: Probe, node: str, deadline_ms: int = DEADLINE_MS) -> Told:
-        """Send the probe to a node and record what the caller is told."""
+        """Send the probe to a node; record and return the outcome."""
         self._sent_count += 1
         name = f"probe{self._sent_count}"
         headers = {
@@ -177,19 +177,19 @@
         start_ms = time.monotonic() * 1000.0
         outcome, reason, status, body_ok = "unknown", "no-answer", 0, False
         try:
-            answer = self._client.post(url, headers=headers, content=probe.body)
+            response = self._client.post(url, headers=headers, content=probe.body)
         except httpx.HTTPError:
             pass
         else:
-            outcome = answer.headers.get("briardock-outcome", "unknown")
-            status = answer.status_code
-            found = answer.json()
-            reason = found.get("reason", "")
-            # A resend is answered with the answer to the first send.
-            body_ok = str(found.get("nonce", "")).startswith("probe")
-        told = Told(
+            outcome = response.headers.get("briardock-outcome", "unknown")
+            status = response.status_code
+            content = response.json()
+            reason = content.get("reason", "")
+            # A resend receives the response to the first send, whose nonce differs.
+            body_ok = str(content.get("nonce", "")).startswith("probe")
+        result = Told(
             name,
-            len(probe.told),
+            len(probe.results),
             True,
             probe.key,
             BOOKING,
@@ -201,14 +201,14 @@
             start_ms,
             time.monotonic() * 1000.0,
         )
-        probe.told.append(told)
-        return told
+        probe.results.append(result)
+        return result
 
-    def send_later(
+    def send_in_background(
         self, probe: Probe, node: str, deadline_ms: int = DEADLINE_MS
     ) -> None:
         """Send the probe in the background."""
-        self.in_background(lambda: self.send(probe, node, deadline_ms))
+        self.run_in_background(lambda: self.send(probe, node, deadline_ms))
 
     def start_load(self, duration_s: float, rate_per_s: float) -> None:
         """Send bookings with resends, and reads, in the background."""
@@ -227,38 +227,38 @@
         )
 
         async def run() -> None:
-            self.load_told += await LoadGenerator(plan, SystemClock()).run()
+            self.load_results += await LoadGenerator(plan, SystemClock()).run()
 
-        self.in_background(lambda: anyio.run(run))
+        self.run_in_background(lambda: anyio.run(run))
 
-    def in_background(self, action: Callable[[], object]) -> None:
-        """Run something while the scenario goes on."""
+    def run_in_background(self, action: Callable[[], object]) -> None:
+        """Run an action in a thread while the scenario continues."""
         thread = threading.Thread(target=action, daemon=True)
         thread.start()
         self._threads.append(thread)
 
     def join(self) -> None:
-        """Wait for everything sent in the background."""
+        """Wait until all background actions have ended."""
         for thread in self._threads:
-            thread.join(RECOVERY_BOUND_S + DEADLINE_MS / 1000.0)
-            assert not thread.is_alive(), "a background request got no answer"
+            thread.join(RECOVERY_TIMEOUT_S + DEADLINE_MS / 1000.0)
+            assert not thread.is_alive(), "a background request received no response"
         self._threads.clear()
 
     # Observation
 
-    def starts(self, key: str, operation: str) -> list[tuple[str, RunStarted]]:
+    def started_runs(self, key: str, operation: str) -> list[tuple[str, RunStarted]]:
         """Return the runs of an operation under a root key, with their node."""
-        found = []
+        runs = []
         for name, ledger in self.ledgers_by_node():
             for entry in ledger:
                 if not isinstance(entry, RunStarted) or entry.operation != operation:
                     continue
                 if entry.key.partition("/")[0] == key:
-                    found.append((name, entry))
-        return found
+                    runs.append((name, entry))
+        return runs
 
     def ledgers_by_node(self) -> list[tuple[str, list[Entry]]]:
-        """Return the entries of all targets by node."""
+        """Return the ledger entries of all targets with the name of their node."""
         return [
             (name, read_ledger(path))
             for name, instance in self.deployment.instances.items()
@@ -266,18 +266,18 @@
             if path.exists()
         ]
 
-    def wait_for_start(self, probe: Probe, operation: str) -> str:
+    def wait_for_run_start(self, probe: Probe, operation: str) -> str:
         """Wait until a target runs an operation of the probe; return its node."""
         self.deployment.wait_until(
-            f"{operation} to run", lambda: bool(self.starts(probe.key, operation))
+            f"{operation} to run", lambda: bool(self.started_runs(probe.key, operation))
         )
-        return self.starts(probe.key, operation)[0][0]
+        return self.started_runs(probe.key, operation)[0][0]
 
-    def wait_for_end(self, probe: Probe) -> None:
+    def wait_for_run_end(self, probe: Probe) -> None:
         """Wait until the run of the probe booking has ended."""
 
         def ended() -> bool:
-            runs = {start.run for _, start in self.starts(probe.key, BOOKING)}
+            runs = {start.run for _, start in self.started_runs(probe.key, BOOKING)}
             return any(
                 isinstance(entry, RunEnded) and entry.run in runs
                 for _, ledger in self.ledgers_by_node()
@@ -287,30 +287,38 @@
         self.deployment.wait_until("the booking to end", ended)
 
     def violations(self, probe: Probe | None) -> list[Violation]:
-        """Return the broken rules over all ledgers so far."""
-        probes = [*self._recovery, *([probe] if probe else [])]
-        told = [*self.load_told, *(one for each in probes for one in each.told)]
-        return check(self.deployment.target_ledgers(), [told], ONCE, RETRIES)
+        """Return the violations found in the ledgers of targets and callers so far."""
+        probes = [*self._recovery_probes, *([probe] if probe else [])]
+        results = [
+            *self.load_results,
+            *(one for each in probes for one in each.results),
+        ]
+        return check(
+            self.deployment.target_ledgers(),
+            [results],
+            AT_MOST_ONCE_OPERATIONS,
+            RETRIES,
+        )
 
     # Faults
 
-    def heal_later(self, heal: Callable[[], None]) -> None:
-        """Remember how to undo a fault."""
-        self._heal.append(heal)
+    def add_heal_action(self, heal: Callable[[], None]) -> None:
+        """Register an action that undoes a fault."""
+        self._heal_actions.append(heal)
 
     def heal(self) -> None:
-        """Undo all faults."""
-        while self._heal:
-            self._heal.pop()()
+        """Undo all faults, the last one first."""
+        while self._heal_actions:
+            self._heal_actions.pop()()
 
     def drain(self, name: str) -> None:
-        """Drain a node through its operator endpoint; a killed one cannot answer."""
+        """Drain a node through its operator endpoint; ignore a node that is down."""
         url = f"http://{self.deployment.instances[name].admin}/drain"
         with contextlib.suppress(httpx.HTTPError):
-            httpx.post(url, timeout=RECOVERY_BOUND_S, trust_env=False)
+            httpx.post(url, timeout=RECOVERY_TIMEOUT_S, trust_env=False)
 
     def restart_ended(self) -> None:
-        """Start every process that has ended, as the platform would."""
+        """Restart every process that has ended, as the platform does."""
         for name in self.deployment.instances:
             if not self.deployment.processes[name].is_running():
                 self.restart_node(name)
@@ -326,19 +334,21 @@
         ]
 
     def cut(self, source: str, destination: str) -> None:
-        """Refuse connections between two domains until healed."""
+        """Refuse connections between two failure domains until ``heal`` is called."""
         self.deployment.set_path(source, destination, "refuse")
-        self.heal_later(lambda: self.deployment.set_path(source, destination, "open"))
+        self.add_heal_action(
+            lambda: self.deployment.set_path(source, destination, "open")
+        )
 
     def versions(self) -> dict[str, int]:
-        """Return the configuration version of each running node."""
-        found = {}
+        """Return the configuration version of each running node, -1 for none."""
+        versions = {}
         for name in self.deployment.instances:
             if self.deployment.processes[name].is_running():
                 status = self.deployment.status(name)
                 version = status["configuration"]["version"]
-                found[name] = -1 if version is None else int(version)
-        return found
+                versions[name] = -1 if version is None else int(version)
+        return versions
 
     def wait_for_one_version(self) -> None:
         """Wait until every node has the newest version that any node has."""
@@ -349,53 +359,54 @@
         )
 
     def changed_config(self) -> Path:
-        """Return a folder with one changed file, made from what is published."""
+        """Return a copy of the published configuration with one changed file."""
         folder = self.config.with_name("config-changed")
         copy_folder(self.config, folder)
         text = CONFIG["20-wallet.ini"] + "max_body_kb = 64\n"
         write_config(folder, {"20-wallet.ini": text})
         return folder
 
-    def check_races(self) -> None:
-        """Check that of racing publishes of one file exactly one was accepted."""
-        for results in self.races:
+    def check_publish_races(self) -> None:
+        """Check that exactly one of concurrent publishes of one file was accepted."""
+        for results in self.publish_races:
             accepted = [one for one in results if one.returncode == 0]
             assert len(accepted) == 1, [one.stderr for one in results]
-            for lost in (one for one in results if one.returncode):
-                assert lost.stderr.strip(), "the loser was told nothing"
+            for rejected in (one for one in results if one.returncode):
+                assert rejected.stderr.strip(), "a rejected publish printed no error"
 
-    def completes(self, name: str) -> bool:
-        """Return whether a fresh booking and a read complete on a node.
+    def requests_complete(self, name: str) -> bool:
+        """Return whether a new booking and a read complete on a node.
 
-        A drain that a fault held up may end a node only now.
+        Restarts ended processes first: a drain that a fault delayed may end a node
+        after the fault was undone.
         """
         self.restart_ended()
         probe = self.make_probe(name, "after the fault")
         base = f"http://{self.deployment.instances[name].entry}/bookings/bookings"
-        self._recovery.append(probe)
+        self._recovery_probes.append(probe)
         booked = self.send(probe, name).succeeded
         return booked and self._client.get(f"{base}/7").status_code == 200
 
     def restart_node(self, name: str) -> None:
-        """Start a killed node again, as the platform would."""
+        """Restart a killed node, as the platform does."""
         self.deployment.spawn_node(name)
         self.deployment.wait_for_node(name)
 
     def restart_target(self, name: str) -> None:
-        """Start a killed target again, as the platform would."""
+        """Restart a killed target, as the platform does."""
         self.deployment.processes[target_name(name)].end(1.0)
         self.deployment.start_target(name)
 
 
 def write_config(folder: Path, files: dict[str, str]) -> None:
-    """Write a configuration folder."""
+    """Write files into a configuration folder."""
     folder.mkdir(exist_ok=True)
     for name, text in files.items():
         (folder / name).write_text(text)
 
 
 def copy_folder(source: Path, destination: Path) -> None:
-    """Copy the files of a folder, the record of its base version included."""
+    """Copy the files of a folder, including the file that records its base version."""
     destination.mkdir(exist_ok=True)
     for path in source.iterdir():
         if path.is_file():
--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -10,7 +10,7 @@
   Scenario: A node that reaches neither log nor peers says so
     Given a running deployment with seed 322
     When a node is replaced while it is cut from the log and all peers
-    Then its status says that neither can be reached
+    Then its status reports that neither can be reached
     And it joins without a restart once the cut is healed
 
   Scenario: Of two changes of one file one wins, changes of two files both win
@@ -25,5 +25,5 @@
     Given a running deployment with seed 324
     When the failure domains are cut for 12 seconds
     Then bookings and reads complete on every node during the cut
-    And a change published during the cut is in force everywhere after it
+    And a change published during the cut is in force on every node after it
     And the ledgers of targets and callers agree
--- a/features/environment.py
+++ b/features/environment.py
@@ -1,4 +1,4 @@
-"""Ends the processes of each scenario."""
+"""Behave hooks: stop the processes of each scenario."""
 
 import logging
 
--- a/features/faults.py
+++ b/features/faults.py
@@ -1,4 +1,4 @@
-"""Faults by name; each one says how it is undone."""
+"""Faults by name; each registers the action that undoes it."""
 
 import subprocess
 from collections.abc import Callable
@@ -9,53 +9,55 @@
 Fault = Callable[[Bench, Probe, str], None]
 
 
-def kill_issuer(bench: Bench, probe: Probe, runner: str) -> None:
+def kill_issuer(bench: Bench, probe: Probe, running_node: str) -> None:
     bench.deployment.kill(probe.issuer)
-    bench.heal_later(lambda: bench.restart_node(probe.issuer))
+    bench.add_heal_action(lambda: bench.restart_node(probe.issuer))
 
 
-def kill_running_node(bench: Bench, probe: Probe, runner: str) -> None:
-    bench.deployment.kill(runner)
-    bench.heal_later(lambda: bench.restart_node(runner))
+def kill_running_node(bench: Bench, probe: Probe, running_node: str) -> None:
+    bench.deployment.kill(running_node)
+    bench.add_heal_action(lambda: bench.restart_node(running_node))
 
 
-def kill_target(bench: Bench, probe: Probe, runner: str) -> None:
-    bench.deployment.kill(target_name(runner))
-    bench.heal_later(lambda: bench.restart_target(runner))
+def kill_target(bench: Bench, probe: Probe, running_node: str) -> None:
+    bench.deployment.kill(target_name(running_node))
+    bench.add_heal_action(lambda: bench.restart_target(running_node))
 
 
 def freeze(name_of: Callable[[Probe, str], str]) -> Fault:
-    def apply(bench: Bench, probe: Probe, runner: str) -> None:
-        name = name_of(probe, runner)
+    def inject(bench: Bench, probe: Probe, running_node: str) -> None:
+        name = name_of(probe, running_node)
         bench.deployment.freeze(name)
-        bench.heal_later(lambda: bench.deployment.resume(name))
+        bench.add_heal_action(lambda: bench.deployment.resume(name))
 
-    return apply
+    return inject
 
 
 def cut(source: str, destination: str, mode: str) -> Fault:
-    def apply(bench: Bench, probe: Probe, runner: str) -> None:
+    def inject(bench: Bench, probe: Probe, running_node: str) -> None:
         bench.deployment.set_path(source, destination, mode)
-        bench.heal_later(lambda: bench.deployment.set_path(source, destination, "open"))
+        bench.add_heal_action(
+            lambda: bench.deployment.set_path(source, destination, "open")
+        )
 
-    return apply
+    return inject
 
 
-def delay_answers(bench: Bench, probe: Probe, runner: str) -> None:
+def delay_responses(bench: Bench, probe: Probe, running_node: str) -> None:
     bench.deployment.set_path("a", "b", "open", 400.0)
-    bench.heal_later(lambda: bench.deployment.set_path("a", "b", "open"))
+    bench.add_heal_action(lambda: bench.deployment.set_path("a", "b", "open"))
 
 
 def log_fault(mode: str, delay_ms: int = 0) -> Fault:
-    def apply(bench: Bench, probe: Probe, runner: str) -> None:
+    def inject(bench: Bench, probe: Probe, running_node: str) -> None:
         bench.deployment.set_log_faults(mode, delay_ms)
-        bench.heal_later(lambda: bench.deployment.set_log_faults("none"))
+        bench.add_heal_action(lambda: bench.deployment.set_log_faults("none"))
 
-    return apply
+    return inject
 
 
 def target_fault(service: str, **faults: object) -> Fault:
-    def apply(bench: Bench, probe: Probe, runner: str) -> None:
+    def inject(bench: Bench, probe: Probe, running_node: str) -> None:
         names = [
             name for name in bench.deployment.instances if name.startswith(service)
         ]
@@ -66,13 +68,13 @@
             for name in names:
                 bench.deployment.set_target_faults(name)
 
-        bench.heal_later(heal)
+        bench.add_heal_action(heal)
 
-    return apply
+    return inject
 
 
-def race_operators(bench: Bench, probe: Probe, runner: str) -> None:
-    """Publish two changes of one file, made from the same version, at once."""
+def race_operators(bench: Bench, probe: Probe, running_node: str) -> None:
+    """Publish two changes of one file concurrently, both based on one version."""
     results: list[subprocess.CompletedProcess[str]] = []
     operators = bench.deployment.folder / "operators"
     for retries in (1, 2):
@@ -84,16 +86,16 @@
             "class = view\n", f"class = view\nmax_body_kb = {retries}\n"
         )
         write_config(folder, {"10-bookings.ini": changed})
-        bench.in_background(
+        bench.run_in_background(
             lambda folder=folder, operator=operator: results.append(
                 bench.deployment.try_publish(folder, operator)
             )
         )
-    bench.races.append(results)
+    bench.publish_races.append(results)
 
 
-def no_fault(bench: Bench, probe: Probe, runner: str) -> None:
-    """Leave everything as it is, to show that the row itself is sound."""
+def no_fault(bench: Bench, probe: Probe, running_node: str) -> None:
+    """Inject nothing; shows that the scenario passes without a fault."""
 
 
 FAULTS: dict[str, Fault] = {
@@ -101,13 +103,13 @@
     "issuer killed": kill_issuer,
     "running node killed": kill_running_node,
     "target killed": kill_target,
-    "issuer frozen": freeze(lambda probe, runner: probe.issuer),
-    "running node frozen": freeze(lambda probe, runner: runner),
-    "target frozen": freeze(lambda probe, runner: target_name(runner)),
+    "issuer frozen": freeze(lambda probe, running_node: probe.issuer),
+    "running node frozen": freeze(lambda probe, running_node: running_node),
+    "target frozen": freeze(lambda probe, running_node: target_name(running_node)),
     "domains cut": cut("a", "b", "refuse"),
     "domains silent": cut("a", "b", "black-hole"),
     "platform cut": cut("a", "platform", "refuse"),
-    "answers late": delay_answers,
+    "answers late": delay_responses,
     "log outage": log_fault("outage"),
     "log slow": log_fault("slow", 500),
     "log acknowledgement lost": log_fault("lose_ack"),
--- a/features/pairs.feature
+++ b/features/pairs.feature
@@ -1,14 +1,14 @@
 Feature: Two faults at once
-  Pairs of faults and their moments are drawn by seed.
+  The seed selects two faults and when each is injected.
 
   Scenario Outline: pair drawn by seed <seed>
     Given a running deployment with seed <seed> and background load
-    When two faults drawn by seed <seed> strike
-    And the booking is sent again with its key to every node
+    When two faults drawn by seed <seed> are injected
+    And the booking is resent with its key to every node
     And the fault is healed
     Then the ledgers of targets and callers agree
     And bookings and reads complete on every node
-    And the configuration has not gone back anywhere
+    And no node has an older configuration than before
 
     Examples:
       | seed |
--- a/features/raw_requests.py
+++ b/features/raw_requests.py
@@ -1,4 +1,4 @@
-"""Requests that a node must refuse, each returning status and body."""
+"""Requests that a node must refuse; each sender returns the status and the body."""
 
 import socket
 from collections.abc import Callable
@@ -11,24 +11,27 @@
 TIMEOUT_S = 5.0
 BOOKINGS = "/bookings/bookings"
 
-Refused = tuple[int, bytes]
+RefusalResponse = tuple[int, bytes]
 
 
 def send_raw(port: int, data: bytes) -> bytes:
-    """Send bytes and return all that comes back until the end or a pause."""
+    """Send bytes and return all received data.
+
+    :raises TimeoutError: if the connection is still open after a pause
+    """
     with socket.create_connection(("127.0.0.1", port), TIMEOUT_S) as stream:
         stream.settimeout(TIMEOUT_S)
         stream.sendall(data)
-        found = b""
+        received = b""
         while True:
             part = stream.recv(65_536)
             if not part:
-                return found
-            found += part
+                return received
+            received += part
 
 
-def closes_garbage(port: int, data: bytes) -> bool:
-    """Return whether a port closes a connection that sends garbage."""
+def closes_on_garbage(port: int, data: bytes) -> bool:
+    """Return whether a port closes a connection that sends invalid data."""
     try:
         send_raw(port, data)
     except ConnectionError:
@@ -38,19 +41,19 @@
     return True
 
 
-def malformed(bench: Bench, node: Instance) -> Refused:
-    answer = send_raw(node.ports["http"], b"NOT HTTP AT ALL\r\n\r\n")
-    head, _, body = answer.partition(b"\r\n\r\n")
+def send_malformed_http(bench: Bench, node: Instance) -> RefusalResponse:
+    response = send_raw(node.ports["http"], b"NOT HTTP AT ALL\r\n\r\n")
+    head, _, body = response.partition(b"\r\n\r\n")
     return int(head.split()[1]), body
 
 
 def request(
     method: str, path: str, headers: dict[str, str] | None = None, body: bytes = b""
-) -> Callable[[Bench, Instance], Refused]:
+) -> Callable[[Bench, Instance], RefusalResponse]:
     """Return a sender of a well-formed HTTP request."""
 
-    def send(bench: Bench, node: Instance) -> Refused:
-        answer = httpx.request(
+    def send(bench: Bench, node: Instance) -> RefusalResponse:
+        response = httpx.request(
             method,
             f"http://{node.entry}{path}",
             headers=headers,
@@ -58,15 +61,15 @@
             timeout=TIMEOUT_S,
             trust_env=False,
         )
-        return answer.status_code, answer.content
+        return response.status_code, response.content
 
     return send
 
 
-def with_key(change: Callable[[list[str]], None]) -> Callable[..., Refused]:
-    """Return a sender of a booking with a changed key of the node."""
+def with_key(change: Callable[[list[str]], None]) -> Callable[..., RefusalResponse]:
+    """Return a sender of a booking whose key, issued by the node, was altered."""
 
-    def send(bench: Bench, node: Instance) -> Refused:
+    def send(bench: Bench, node: Instance) -> RefusalResponse:
         parts = bench.make_probe(node.name).key.rsplit(".", 4)
         change(parts)
         headers = {"idempotency-key": ".".join(parts)}
@@ -82,7 +85,7 @@
     return change
 
 
-def expired_deadline(bench: Bench, node: Instance) -> Refused:
+def send_expired_deadline(bench: Bench, node: Instance) -> RefusalResponse:
     headers = {
         "idempotency-key": bench.make_probe(node.name).key,
         "briardock-deadline-ms": "0",
@@ -90,8 +93,8 @@
     return request("POST", BOOKINGS, headers, b"x")(bench, node)
 
 
-REQUESTS: dict[str, Callable[[Bench, Instance], Refused]] = {
-    "malformed HTTP": malformed,
+REQUESTS: dict[str, Callable[[Bench, Instance], RefusalResponse]] = {
+    "malformed HTTP": send_malformed_http,
     "unknown service": request("GET", "/nothing/here"),
     "unknown path": request("GET", "/bookings/none/such"),
     "wrong method": request("DELETE", BOOKINGS),
@@ -107,7 +110,7 @@
     "deadline that is no number": request(
         "GET", "/bookings/bookings/7", {"briardock-deadline-ms": "soon"}
     ),
-    "deadline that has passed": expired_deadline,
+    "deadline that has passed": send_expired_deadline,
     "unknown context": request("POST", BOOKINGS, {"briardock-context": "gone-1"}, b"x"),
     "too many keys": request("POST", "/_briardock/keys?count=1000000"),
     "bad announcement": request("POST", "/_briardock/target", body=b'{"service": 5}'),
--- a/features/requests.feature
+++ b/features/requests.feature
@@ -1,10 +1,10 @@
 Feature: Requests that a node cannot serve
-  Each one gets a typed answer that names the remedy, is counted, and the node
-  lives on.
+  Each request receives a typed response that names the remedy, and the node
+  counts it and keeps serving.
 
   Scenario: Bad requests get typed answers
     Given a running deployment with seed 301
-    Then these requests are answered
+    Then these requests receive these responses
       | request                      | status | reason              |
       | malformed HTTP               | 400    | bad-request         |
       | unknown service              | 404    | unknown-operation   |
@@ -22,7 +22,7 @@
       | unknown context              | 409    | unknown-context     |
       | too many keys                | 400    | bad-request         |
       | bad announcement             | 400    | bad-request         |
-    And strangers on the call port and the gossip port change nothing
+    And unknown protocols on the call and gossip ports leave the members unchanged
     And bookings and reads complete on every node
 
   Scenario: One key belongs to one request
@@ -33,7 +33,7 @@
 
   Scenario: A request that kills its targets is refused after two deaths
     Given a running deployment with seed 303
-    When a booking that kills its target is sent with fresh keys until it is refused
-    Then it has killed two targets and is refused as "quarantined" on every node
-    And the operator lists it and lifts it
+    When a booking that crashes its target is sent with new keys until it is refused
+    Then it has crashed two targets and is refused as "quarantined" on every node
+    And the operator lists the quarantine entry and lifts it
     And bookings and reads complete on every node
--- a/features/steps/matrix.py
+++ b/features/steps/matrix.py
@@ -1,4 +1,4 @@
-"""Steps of the fault matrix."""
+"""Steps of the fault scenarios: each fault at each point of a request."""
 
 import threading
 import time
@@ -6,12 +6,12 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from bench import BOOKING, DEADLINE_MS, PAYMENT, RECOVERY_BOUND_S, Bench, Probe
+from bench import BOOKING, DEADLINE_MS, PAYMENT, RECOVERY_TIMEOUT_S, Bench, Probe
 from briardock.clock import make_random
 from faults import FAULTS
 
 LOAD_S = 3.0
-LOAD_PER_S = 15.0
+LOAD_RATE_PER_S = 15.0
 SHORT_DEADLINE_MS = 600
 FAULT_S = 0.7
 
@@ -20,15 +20,15 @@
 def start_deployment(context: Context, seed: int) -> None:
     context.bench = Bench(seed)
     context.bench.start()
-    context.bench.start_load(LOAD_S, LOAD_PER_S)
+    context.bench.start_load(LOAD_S, LOAD_RATE_PER_S)
     names = list(context.bench.deployment.instances)
     context.issuer = names[seed % len(names)]
     context.probe = context.bench.make_probe(context.issuer)
     context.versions = context.bench.versions()
 
 
-def strike(context: Context, fault: str, runner: str) -> None:
-    FAULTS[fault](context.bench, context.probe, runner)
+def inject_fault(context: Context, fault: str, running_node: str) -> None:
+    FAULTS[fault](context.bench, context.probe, running_node)
     time.sleep(FAULT_S)
 
 
@@ -39,71 +39,77 @@
 
 
 def send_probe(context: Context, deadline_ms: int = DEADLINE_MS) -> None:
-    context.bench.send_later(context.probe, context.issuer, deadline_ms)
+    context.bench.send_in_background(context.probe, context.issuer, deadline_ms)
 
 
-@when('"{fault}" strikes before dispatch')
-def strike_before(context: Context, fault: str) -> None:
-    strike(context, fault, other_node(context))
+@when('"{fault}" is injected before dispatch')
+def inject_before_dispatch(context: Context, fault: str) -> None:
+    inject_fault(context, fault, other_node(context))
     send_probe(context)
 
 
-@when('"{fault}" strikes while the booking runs')
-def strike_during_run(context: Context, fault: str) -> None:
+@when('"{fault}" is injected while the booking runs')
+def inject_during_run(context: Context, fault: str) -> None:
     send_probe(context)
-    strike(context, fault, context.bench.wait_for_start(context.probe, BOOKING))
+    inject_fault(
+        context, fault, context.bench.wait_for_run_start(context.probe, BOOKING)
+    )
 
 
-@when('"{fault}" strikes while its payment runs')
-def strike_during_payment(context: Context, fault: str) -> None:
+@when('"{fault}" is injected while its payment runs')
+def inject_during_payment(context: Context, fault: str) -> None:
     send_probe(context)
-    strike(context, fault, context.bench.wait_for_start(context.probe, PAYMENT))
+    inject_fault(
+        context, fault, context.bench.wait_for_run_start(context.probe, PAYMENT)
+    )
 
 
-@when('"{fault}" strikes after the run before the answer')
-def strike_after_run(context: Context, fault: str) -> None:
+@when('"{fault}" is injected after the run before the response')
+def inject_after_run(context: Context, fault: str) -> None:
     bench, probe = context.bench, context.probe
     send_probe(context)
-    runner = bench.wait_for_start(probe, PAYMENT)
-    # The answer of the booking cannot get past the frozen issuer. Where the same
-    # node carries the booking's own calls, the run itself waits for its end.
+    running_node = bench.wait_for_run_start(probe, PAYMENT)
+    # Freezing the issuer holds back the response to the caller. If the issuer also
+    # forwards the calls of the booking, the run cannot end while it is frozen.
     bench.deployment.freeze(probe.issuer)
-    if bench.starts(probe.key, BOOKING)[0][0] != probe.issuer:
-        bench.wait_for_end(probe)
-    strike(context, fault, runner)
+    if bench.started_runs(probe.key, BOOKING)[0][0] != probe.issuer:
+        bench.wait_for_run_end(probe)
+    inject_fault(context, fault, running_node)
     if bench.deployment.processes[probe.issuer].is_running():
         bench.deployment.resume(probe.issuer)
 
 
-@when('"{fault}" strikes while the running instance drains')
-def strike_during_drain(context: Context, fault: str) -> None:
+@when('"{fault}" is injected while the running instance drains')
+def inject_during_drain(context: Context, fault: str) -> None:
     bench = context.bench
     send_probe(context)
-    runner = bench.wait_for_start(context.probe, BOOKING)
-    bench.in_background(lambda: bench.drain(runner))
-    strike(context, fault, runner)
+    running_node = bench.wait_for_run_start(context.probe, BOOKING)
+    bench.run_in_background(lambda: bench.drain(running_node))
+    inject_fault(context, fault, running_node)
 
 
-@when('"{fault}" strikes during a publish')
-def strike_during_publish(context: Context, fault: str) -> None:
+@when('"{fault}" is injected during a publish')
+def inject_during_publish(context: Context, fault: str) -> None:
     bench = context.bench
     send_probe(context)
-    runner = bench.wait_for_start(context.probe, BOOKING)
-    bench.in_background(lambda: bench.deployment.try_publish(bench.changed_config()))
-    strike(context, fault, runner)
+    running_node = bench.wait_for_run_start(context.probe, BOOKING)
+    bench.run_in_background(
+        lambda: bench.deployment.try_publish(bench.changed_config())
+    )
+    inject_fault(context, fault, running_node)
 
 
-@when('"{fault}" strikes when the issuer resumes after the deadline')
-def strike_on_resume(context: Context, fault: str) -> None:
+@when('"{fault}" is injected when the issuer resumes after the deadline')
+def inject_on_resume(context: Context, fault: str) -> None:
     bench, probe = context.bench, context.probe
     bench.deployment.freeze(probe.issuer)
     send_probe(context, SHORT_DEADLINE_MS)
     time.sleep(2 * SHORT_DEADLINE_MS / 1000.0)
     bench.deployment.resume(probe.issuer)
-    strike(context, fault, other_node(context))
+    inject_fault(context, fault, other_node(context))
 
 
-@when("the booking is sent again with its key to every node")
+@when("the booking is resent with its key to every node")
 def resend(context: Context) -> None:
     bench: Bench = context.bench
     probe: Probe = context.probe
@@ -122,7 +128,7 @@
     context.bench.join()
     context.bench.heal()
     context.bench.restart_ended()
-    context.bench.check_races()
+    context.bench.check_publish_races()
 
 
 @then("the ledgers of targets and callers agree")
@@ -137,15 +143,15 @@
     for name in bench.deployment.instances:
         bench.deployment.wait_until(
             f"a booking to complete on {name}",
-            lambda name=name: bench.completes(name),
+            lambda name=name: bench.requests_complete(name),
             "",
-            RECOVERY_BOUND_S,
+            RECOVERY_TIMEOUT_S,
         )
     violations = bench.violations(context.probe)
     assert not violations, violations
 
 
-@then("the configuration has not gone back anywhere")
+@then("no node has an older configuration than before")
 def check_versions(context: Context) -> None:
     bench: Bench = context.bench
     newest = max(bench.versions().values())
@@ -153,19 +159,21 @@
     bench.wait_for_one_version()
 
 
-@when("two faults drawn by seed {seed:d} strike")
-def strike_pair(context: Context, seed: int) -> None:
+@when("two faults drawn by seed {seed:d} are injected")
+def inject_pair(context: Context, seed: int) -> None:
     bench, probe = context.bench, context.probe
     rng = make_random(seed)
     first, second = rng.sample([name for name in FAULTS if name != "none"], 2)
-    early = rng.random() < 0.5
-    print(f"seed {seed}: {first} {'before' if early else 'during'}, then {second}")
-    if early:
+    before_send = rng.random() < 0.5
+    print(
+        f"seed {seed}: {first} {'before' if before_send else 'during'}, then {second}"
+    )
+    if before_send:
         FAULTS[first](bench, probe, other_node(context))
         send_probe(context)
     else:
         send_probe(context)
-        runner = bench.wait_for_start(probe, BOOKING)
-        FAULTS[first](bench, probe, runner)
+        running_node = bench.wait_for_run_start(probe, BOOKING)
+        FAULTS[first](bench, probe, running_node)
     time.sleep(rng.uniform(0.0, FAULT_S))
-    strike(context, second, rng.choice(list(bench.deployment.instances)))
+    inject_fault(context, second, rng.choice(list(bench.deployment.instances)))
--- a/features/steps/whole_path.py
+++ b/features/steps/whole_path.py
@@ -1,4 +1,4 @@
-"""Steps on requests, leaving and configuration through running processes."""
+"""Steps for requests, departures and configuration of a running deployment."""
 
 import json
 import math
@@ -11,7 +11,7 @@
 
 from bench import (
     CONFIG,
-    RECOVERY_BOUND_S,
+    RECOVERY_TIMEOUT_S,
     Bench,
     Probe,
     copy_folder,
@@ -19,7 +19,7 @@
 )
 from briardock_standins.harness import target_name
 from briardock_standins.ledger import RunStarted
-from raw_requests import REQUESTS, closes_garbage
+from raw_requests import REQUESTS, closes_on_garbage
 
 HTTP_BYTES = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
 CRASH_BODY = "crash-target"
@@ -27,34 +27,34 @@
 
 
 @given("a running deployment with seed {seed:d}")
-def start_quiet(context: Context, seed: int) -> None:
+def start_deployment_without_load(context: Context, seed: int) -> None:
     context.bench = Bench(seed, booking_ms=20.0)
     context.bench.start()
     context.probe = None
 
 
-@then("these requests are answered")
+@then("these requests receive these responses")
 def check_answers(context: Context) -> None:
     bench: Bench = context.bench
     node = next(iter(bench.deployment.instances.values()))
     for row in context.table:
         status, body = REQUESTS[row["request"]](bench, node)
-        found = (status, json.loads(body)["reason"])
-        assert found == (int(row["status"]), row["reason"]), (row["request"], body)
+        received = (status, json.loads(body)["reason"])
+        assert received == (int(row["status"]), row["reason"]), (row["request"], body)
         assert json.loads(body)["remedy"], row["request"]
 
 
-@then("strangers on the call port and the gossip port change nothing")
-def check_strangers(context: Context) -> None:
+@then("unknown protocols on the call and gossip ports leave the members unchanged")
+def check_unknown_protocols(context: Context) -> None:
     bench: Bench = context.bench
     node = next(iter(bench.deployment.instances.values()))
     before = bench.deployment.status(node.name)["members"]
-    assert closes_garbage(node.ports["call"], HTTP_BYTES)
-    assert closes_garbage(node.ports["call"], b"\xff" * 64)
-    # zmq keeps a connection of an unknown protocol open without reading from it
-    # more than its message limit.
-    closes_garbage(node.ports["gossip"], HTTP_BYTES)
-    closes_garbage(node.ports["gossip"], b"\x01\x00\x05\x00hello")
+    assert closes_on_garbage(node.ports["call"], HTTP_BYTES)
+    assert closes_on_garbage(node.ports["call"], b"\xff" * 64)
+    # zmq keeps a connection of an unknown protocol open, but reads no more from it
+    # than its message limit.
+    closes_on_garbage(node.ports["gossip"], HTTP_BYTES)
+    closes_on_garbage(node.ports["gossip"], b"\x01\x00\x05\x00hello")
     assert bench.deployment.status(node.name)["members"] == before
 
 
@@ -74,30 +74,30 @@
     assert context.refused.reason == reason
 
 
-@when("a booking that kills its target is sent with fresh keys until it is refused")
-def send_killer(context: Context) -> None:
+@when("a booking that crashes its target is sent with new keys until it is refused")
+def send_crashing_booking(context: Context) -> None:
     bench: Bench = context.bench
     names = list(bench.deployment.instances)
-    context.told = []
+    context.crash_results = []
     for turn in range(MAX_CRASHES):
         probe = bench.make_probe(names[turn % len(names)], CRASH_BODY)
-        told = bench.send(probe, probe.issuer)
-        context.told.append(told)
-        if told.reason == "quarantined":
+        result = bench.send(probe, probe.issuer)
+        context.crash_results.append(result)
+        if result.reason == "quarantined":
             return
         bench.deployment.wait_until(
-            "the killed target to end", lambda: bool(bench.ended_targets())
+            "the crashed target to end", lambda: bool(bench.ended_targets())
         )
         bench.restart_ended()
         bench.deployment.wait_for_members()
 
 
-@then('it has killed two targets and is refused as "{reason}" on every node')
+@then('it has crashed two targets and is refused as "{reason}" on every node')
 def check_quarantined(context: Context, reason: str) -> None:
     bench: Bench = context.bench
-    reasons = [told.reason for told in context.told]
+    reasons = [result.reason for result in context.crash_results]
     assert reasons == ["target-died", "target-died", reason], reasons
-    assert context.told[-1].outcome == "not-run"
+    assert context.crash_results[-1].outcome == "not-run"
 
     def refused(name: str) -> bool:
         probe = bench.make_probe(name, CRASH_BODY)
@@ -107,8 +107,8 @@
         assert refused(name), name
 
 
-@then("the operator lists it and lifts it")
-def lift(context: Context) -> None:
+@then("the operator lists the quarantine entry and lifts it")
+def lift_quarantine(context: Context) -> None:
     bench: Bench = context.bench
     node = next(iter(bench.deployment.instances.values()))
     listed = run_command("quarantine", "list", node.admin)
@@ -123,44 +123,47 @@
     lifted = run_command("quarantine", "lift", node.admin, fingerprints[0])
     assert lifted.returncode == 0, lifted.stderr
 
-    def gone_everywhere() -> bool:
+    def lifted_everywhere() -> bool:
         return not any(
             entry["refused"]
             for name in bench.deployment.instances
             for entry in bench.deployment.admin_get(name, "/quarantine")["entries"]
         )
 
-    bench.deployment.wait_until("the lift to reach every node", gone_everywhere)
+    bench.deployment.wait_until("the lift to reach every node", lifted_everywhere)
 
 
 def run_command(*arguments: str) -> subprocess.CompletedProcess[str]:
-    """Run the operator command."""
+    """Run the ``briardock`` command."""
     return subprocess.run(
         [sys.executable, "-m", "briardock.cli", *arguments],
         capture_output=True,
         text=True,
-        timeout=RECOVERY_BOUND_S,
+        timeout=RECOVERY_TIMEOUT_S,
         check=False,
     )
 
 
-def watch_left_notice(bench: Bench, name: str) -> float:
-    """Wait for the last notice of a node; return when it had not arrived yet."""
+def wait_for_left_notice(bench: Bench, name: str) -> float:
+    """Wait until a peer sees that a node has left.
+
+    Returns the monotonic time in ms of the last check that did not see it yet.
+    """
     other = next(n for n in bench.deployment.instances if n != name)
-    asked_ms = time.monotonic() * 1000.0
+    last_absent_ms = time.monotonic() * 1000.0
 
     def arrived() -> bool:
-        nonlocal asked_ms
+        nonlocal last_absent_ms
         now_ms = time.monotonic() * 1000.0
         members = bench.deployment.status(other)["members"]
         states = {member["node_id"]: member["state"] for member in members}
         if states.get(name) == "left":
             return True
-        asked_ms = now_ms
+        last_absent_ms = now_ms
         return False
 
     bench.deployment.wait_until(f"{name} to announce that it has left", arrived)
-    return asked_ms
+    return last_absent_ms
 
 
 @when("an instance of bookings leaves by {way}")
@@ -180,7 +183,7 @@
         case "SIGTERM of the target":
             bench.deployment.terminate(target_name(name))
     if way != "SIGTERM of the target":
-        context.left_ms = watch_left_notice(bench, name)
+        context.left_ms = wait_for_left_notice(bench, name)
         bench.deployment.wait_for_end(name)
     bench.join()
 
@@ -197,29 +200,33 @@
     assert not late, late
 
 
-@then("no caller was told unknown")
-def check_nothing_cut(context: Context) -> None:
-    told = [one for one in context.bench.load_told if one.outcome == "unknown"]
-    # Callers connected to a process that has ended find its port closed. Keys that
-    # it issued and that are first used after its last notice have no issuer left.
+@then("no caller received an unknown outcome")
+def check_no_unknown_outcome(context: Context) -> None:
+    unknown = [one for one in context.bench.load_results if one.outcome == "unknown"]
+    # Two kinds are expected: callers that connect to an ended process find its port
+    # closed, and a key first used after its issuer has left has no issuer.
     left_ms = getattr(context, "left_ms", math.inf)
-    # A resend that found no node is unknown only for an earlier attempt, which is in
-    # this list as well.
-    cut = [
+    # A resend that reached no node is unknown only because of an earlier attempt,
+    # which is in this list as well.
+    lost = [
         one
-        for one in told
+        for one in unknown
         if one.reason != "no-connection"
         and not one.reason.startswith("caller-connect")
         and not (one.reason == "issuer-gone" and one.start_ms >= left_ms)
     ]
-    attempts = {one.action for one in cut}
-    assert not cut, [one for one in context.bench.load_told if one.action in attempts]
+    actions = {one.action for one in lost}
+    assert not lost, [
+        one for one in context.bench.load_results if one.action in actions
+    ]
 
 
 @when("the log is out of service")
 def stop_log(context: Context) -> None:
     context.bench.deployment.set_log_faults("outage")
-    context.bench.heal_later(lambda: context.bench.deployment.set_log_faults("none"))
+    context.bench.add_heal_action(
+        lambda: context.bench.deployment.set_log_faults("none")
+    )
 
 
 @then("publishing fails with exit code {code:d} and names the log")
@@ -247,14 +254,14 @@
     name = next(n for n in bench.deployment.instances if n.startswith("bookings"))
     domain = bench.deployment.instances[name].domain
     context.name = name
-    # The only peer in the same domain is stopped, so that no path is left.
+    # The cut does not separate the only peer in the same domain, so it is frozen.
     peer = next(
         n
         for n, one in bench.deployment.instances.items()
         if one.domain == domain and n != name
     )
     bench.deployment.freeze(peer)
-    bench.heal_later(lambda: bench.deployment.resume(peer))
+    bench.add_heal_action(lambda: bench.deployment.resume(peer))
     for other in ("platform", *(d for d in bench.deployment.spec.domains)):
         if other != domain:
             bench.cut(domain, other)
@@ -262,13 +269,13 @@
     bench.restart_node(name)
 
 
-@then("its status says that neither can be reached")
-def check_alone(context: Context) -> None:
-    def says_so() -> bool:
+@then("its status reports that neither can be reached")
+def check_cut_off(context: Context) -> None:
+    def reports_cut_off() -> bool:
         state = context.bench.deployment.status(context.name)["configuration"]["state"]
         return state == "none: neither the log nor another node can be reached"
 
-    context.bench.deployment.wait_until("the status to say so", says_so)
+    context.bench.deployment.wait_until("the status to report it", reports_cut_off)
 
 
 @then("it joins without a restart once the cut is healed")
@@ -280,7 +287,7 @@
 
 @when("two operators change one file from the same version")
 def race_one_file(context: Context) -> None:
-    context.results = race(
+    context.exit_codes = race(
         context.bench,
         "one",
         [
@@ -292,7 +299,7 @@
 
 @when("two operators change different files from the same version")
 def race_two_files(context: Context) -> None:
-    context.results = race(
+    context.exit_codes = race(
         context.bench,
         "two",
         [
@@ -303,7 +310,7 @@
 
 
 def race(bench: Bench, label: str, changes: list[dict[str, str]]) -> list[int]:
-    """Publish changes made from the same version at once; return exit codes."""
+    """Publish changes based on one version concurrently; return sorted exit codes."""
     operators = bench.deployment.folder / "operators"
     codes: list[int] = []
     errors: list[str] = []
@@ -319,7 +326,7 @@
             codes.append(result.returncode)
             errors.append(result.stderr)
 
-        bench.in_background(publish)
+        bench.run_in_background(publish)
     bench.join()
     print(errors)
     return sorted(codes)
@@ -327,12 +334,12 @@
 
 @then("one publish is accepted and the other exits with code {code:d}")
 def check_one_winner(context: Context, code: int) -> None:
-    assert context.results == [0, code], context.results
+    assert context.exit_codes == [0, code], context.exit_codes
 
 
 @then("both publishes are accepted")
 def check_both(context: Context) -> None:
-    assert context.results == [0, 0], context.results
+    assert context.exit_codes == [0, 0], context.exit_codes
 
 
 @then("every node has the newest configuration")
@@ -353,12 +360,12 @@
         for name in bench.deployment.instances:
             bench.deployment.wait_until(
                 f"a booking to complete on {name}",
-                lambda name=name: bench.completes(name),
+                lambda name=name: bench.requests_complete(name),
             )
         time.sleep(0.5)
 
 
-@then("a change published during the cut is in force everywhere after it")
+@then("a change published during the cut is in force on every node after it")
 def check_published(context: Context) -> None:
     bench: Bench = context.bench
     result = bench.deployment.try_publish(bench.changed_config())
