Reword the admission, call path, demo and latency benchmarks

Comments use the terms of the field, such as admission threshold, response and latency, and local names follow. Printed keys and options are unchanged.

--- a/benchmarks/admission_policy.py
+++ b/benchmarks/admission_policy.py
@@ -1,8 +1,8 @@
-"""Measure admission in front of one model target in simulated time.
+"""Simulate admission control in front of one target.
 
-The real ``Admission`` runs in an asyncio loop whose time jumps to the next timer.
-Classes share the demand; a retrying caller resends a refused call once, and
-callers refuse by the remembered refusal level as nodes do. Demand is 1x, 2x or
+The real ``Admission`` runs in an asyncio loop whose clock skips to the next timer.
+Classes share the demand. Callers retry a refused call once and refuse calls
+themselves by the last known admission threshold, as nodes do. Demand is 1x, 2x or
 4x of the capacity; the surge and slowdown scenarios return to 0.9x after 8 s.
 Usage: ``python benchmarks/admission_policy.py [seeds]``; the last line is JSON.
 """
@@ -27,16 +27,16 @@
 from briardock.limiter import LimiterSettings
 from briardock.metrics import Metrics
 
-# Class rank, share of the demand at 1x. At 4x classes 0 and 1 take 88% of the
-# capacity, so that their own demand always fits.
+# Class rank and share of the demand at 1x. At 4x classes 0 and 1 take 88% of the
+# capacity, so that the target can always serve them.
 CLASSES = ((0, 0.12), (1, 0.10), (3, 0.38), (7, 0.40))
 OPERATIONS_MS = (5.0, 20.0, 60.0)
 OPERATION_WEIGHTS = (60, 30, 10)
 MEAN_SERVICE_MS = 15.0
 SIGMA = 0.5
 DEADLINE_MS = 1_000.0
-HOP_MS = 1.0
-MEMORY_MS = 500.0
+NETWORK_DELAY_MS = 1.0
+THRESHOLD_LIFETIME_MS = 500.0
 PROBE_SHARE = 0.02
 FAULT_FROM_MS = 4_000.0
 FAULT_UNTIL_MS = 8_000.0
@@ -44,13 +44,13 @@
 BUCKET_MS = 100.0
 
 
-class _JumpSelector(selectors.DefaultSelector):
+class _TimeSkippingSelector(selectors.DefaultSelector):
     """Selector that advances simulated time instead of waiting."""
 
     now_s = 0.0
 
     def select(self, timeout: float | None = None) -> list:
-        """Return at once after moving time to the next timer."""
+        """Advance time to the next timer and poll without waiting."""
         if timeout:
             self.now_s += timeout
         return super().select(0)
@@ -60,13 +60,13 @@
     """Event loop in simulated time."""
 
     def __init__(self) -> None:
-        self.jump = _JumpSelector()
-        super().__init__(self.jump)
+        self.time_selector = _TimeSkippingSelector()
+        super().__init__(self.time_selector)
         self._clock_resolution = 1e-9
 
     def time(self) -> float:
         """Return simulated time in s."""
-        return self.jump.now_s
+        return self.time_selector.now_s
 
 
 class LoopClock:
@@ -86,7 +86,7 @@
 
     :param name: shown in the result
     :param slots: slots of the target
-    :param base: demand by capacity outside of the fault
+    :param base: demand by capacity before and after the fault
     :param demand: demand by capacity during the fault
     :param slow_factor: factor of service times during the fault
     """
@@ -112,7 +112,7 @@
 
 @dataclass(slots=True)
 class Tally:
-    """Results of one run."""
+    """Counts of one run; by class rank in ``offered`` and ``done``."""
 
     offered: dict[int, int] = field(default_factory=dict)
     done: dict[int, int] = field(default_factory=dict)
@@ -131,7 +131,7 @@
         self.waiting: deque[asyncio.Future[None]] = deque()
 
     async def run(self, service_ms: float) -> None:
-        """Take a slot for a service time."""
+        """Hold a slot for a service time, after waiting in the queue for a free one."""
         if self.free:
             self.free -= 1
         else:
@@ -156,15 +156,15 @@
         self.admission = make_admission(settings, self.clock, Metrics())
         self.target = Target(scenario.slots)
         self.tally = Tally()
-        self.known_level = MAX_LEVEL
-        self.known_at_ms = -1e9
+        self.known_threshold = MAX_LEVEL
+        self.threshold_at_ms = -1e9
         self.sequence = 0
 
     def in_fault(self) -> bool:
-        """Return whether the surge or slowdown is on."""
+        """Return whether the surge or slowdown is active."""
         return FAULT_FROM_MS <= self.clock.now_ms() < FAULT_UNTIL_MS
 
-    async def drive(self) -> None:
+    async def run_load(self) -> None:
         """Start calls at random times until the end."""
         run_task = asyncio.create_task(self.admission.run())
         calls: set[asyncio.Task[None]] = set()
@@ -193,13 +193,13 @@
         if counted:
             self.tally.offered[rank] = self.tally.offered.get(rank, 0) + 1
         self.sequence += 1
-        level = admission_level(rank, f"n.{self.sequence}")
+        priority = admission_level(rank, f"n.{self.sequence}")
         deadline_ms = started_ms + DEADLINE_MS
         mean_ms = self.rng.choices(OPERATIONS_MS, OPERATION_WEIGHTS)[0]
-        done = await self.attempt(level, deadline_ms, mean_ms)
+        done = await self.attempt(priority, deadline_ms, mean_ms)
         if not done and self.in_fault():
             await asyncio.sleep(0.02)
-            done = await self.attempt(level, deadline_ms, mean_ms)
+            done = await self.attempt(priority, deadline_ms, mean_ms)
         if not done:
             return
         bucket = int(self.clock.now_ms() / BUCKET_MS)
@@ -207,22 +207,24 @@
         if counted:
             self.tally.done[rank] = self.tally.done.get(rank, 0) + 1
 
-    async def attempt(self, level: int, deadline_ms: float, mean_ms: float) -> bool:
-        """Send one call and return whether it completed in time."""
-        memory_holds = self.clock.now_ms() - self.known_at_ms < MEMORY_MS
-        refused = memory_holds and level > self.known_level
+    async def attempt(self, priority: int, deadline_ms: float, mean_ms: float) -> bool:
+        """Send one call and return whether it completed before its deadline."""
+        threshold_is_current = (
+            self.clock.now_ms() - self.threshold_at_ms < THRESHOLD_LIFETIME_MS
+        )
+        refused = threshold_is_current and priority > self.known_threshold
         if refused and self.rng.random() >= PROBE_SHARE:
             return False
         self.tally.sent += 1
-        await asyncio.sleep(HOP_MS / 1000.0)
-        result = await self.admission.admit(level, deadline_ms, f"op{mean_ms}")
+        await asyncio.sleep(NETWORK_DELAY_MS / 1000.0)
+        result = await self.admission.admit(priority, deadline_ms, f"op{mean_ms}")
         completed = False
         if isinstance(result, Ticket):
             completed = await self.serve(result, deadline_ms, mean_ms)
-        answered_level = self.admission.refusal_level()
-        await asyncio.sleep(HOP_MS / 1000.0)
-        self.known_level = answered_level
-        self.known_at_ms = self.clock.now_ms()
+        response_threshold = self.admission.refusal_level()
+        await asyncio.sleep(NETWORK_DELAY_MS / 1000.0)
+        self.known_threshold = response_threshold
+        self.threshold_at_ms = self.clock.now_ms()
         return completed
 
     async def serve(self, ticket: Ticket, deadline_ms: float, mean_ms: float) -> bool:
@@ -233,7 +235,7 @@
         admitted_ms = self.clock.now_ms()
         await self.target.run(service_ms)
         self.admission.release(ticket, self.clock.now_ms() - admitted_ms, True)
-        in_time = self.clock.now_ms() + HOP_MS <= deadline_ms
+        in_time = self.clock.now_ms() + NETWORK_DELAY_MS <= deadline_ms
         self.tally.work_ms += service_ms
         self.tally.wasted_ms += 0.0 if in_time else service_ms
         return in_time
@@ -244,8 +246,8 @@
     first = int(FAULT_UNTIL_MS / BUCKET_MS)
     last = int(END_MS / BUCKET_MS) - 5
     for bucket in range(first, last):
-        seen = mean(tally.buckets.get(bucket + i, 0) for i in range(5))
-        if seen >= 0.95 * normal:
+        mean_count = mean(tally.buckets.get(bucket + i, 0) for i in range(5))
+        if mean_count >= 0.95 * normal:
             return (bucket - first) * BUCKET_MS
     return -1.0
 
@@ -261,7 +263,7 @@
     loop = SimulatedLoop()
     run = Run(scenario, seed, loop)
     started_s = time.perf_counter()
-    loop.run_until_complete(run.drive())
+    loop.run_until_complete(run.run_load())
     loop.run_until_complete(asyncio.sleep(0))
     loop.close()
     tally = run.tally
@@ -284,7 +286,7 @@
 
 
 def main() -> None:
-    """Run all scenarios and print the worst figure of the seeds."""
+    """Run all scenarios and print the worst figures over the seeds."""
     seeds = range(int(sys.argv[1]) if len(sys.argv) > 1 else 3)
     only = sys.argv[2:]
     summary = {}
--- a/benchmarks/callpath_io.py
+++ b/benchmarks/callpath_io.py
@@ -1,7 +1,8 @@
-"""Round trips of the call path's legs, one at a time, over loopback.
+"""Measure the round-trip time of each stage of the call path over loopback.
 
-Run: python benchmarks/callpath_io.py [--count N]. The last line is JSON with
-the 50th and 99th percentile of each leg in us.
+Stages are measured one after another. Run: ``python benchmarks/callpath_io.py
+[--count N]``. The last line is JSON with the 50th and 99th percentile of each
+stage in us.
 """
 
 import argparse
@@ -32,7 +33,7 @@
     (b"user-agent", b"bench"),
     (b"briardock-deadline-ms", b"5000"),
 )
-RAW_ANSWER = (
+RAW_RESPONSE = (
     b"HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\ncontent-length: 200\r\n\r\n" + BODY
 )
 RAW_REQUEST = (
@@ -59,13 +60,13 @@
 
 
 async def measure(
-    count: int, trip: Callable[[], Awaitable[object]]
+    count: int, round_trip: Callable[[], Awaitable[object]]
 ) -> dict[str, float]:
     """Return percentiles of a round trip in us."""
     samples_us = []
     for _ in range(WARM_UP_COUNT + count):
         start_ns = time.perf_counter_ns()
-        await trip()
+        await round_trip()
         samples_us.append((time.perf_counter_ns() - start_ns) / 1000.0)
     ordered = sorted(samples_us[WARM_UP_COUNT:])
     return {
@@ -75,16 +76,16 @@
 
 
 async def raw_server(stream: anyio.abc.SocketStream) -> None:
-    """Answer each chunk with a fixed HTTP answer."""
+    """Send a fixed HTTP response for each received chunk."""
     try:
         while True:
             await stream.receive()
-            await stream.send(RAW_ANSWER)
+            await stream.send(RAW_RESPONSE)
     except (anyio.EndOfStream, anyio.BrokenResourceError):
         await stream.aclose()
 
 
-async def start(tasks: anyio.abc.TaskGroup, serve: Callable) -> int:
+async def start_server(tasks: anyio.abc.TaskGroup, serve: Callable) -> int:
     """Start a server on a free port; return the port."""
     listener = await anyio.create_tcp_listener(local_host=HOST)
     tasks.start_soon(serve, listener)
@@ -92,30 +93,30 @@
 
 
 async def bench_raw(tasks: anyio.abc.TaskGroup, count: int) -> dict[str, float]:
-    """Measure the floor: a byte exchange without any protocol."""
-    port = await start(tasks, lambda listener: listener.serve(raw_server))
+    """Measure the lower bound: an exchange of bytes without parsing."""
+    port = await start_server(tasks, lambda listener: listener.serve(raw_server))
     stream = await anyio.connect_tcp(HOST, port)
 
-    async def trip() -> None:
+    async def round_trip() -> None:
         await stream.send(RAW_REQUEST)
         await stream.receive()
 
-    return await measure(count, trip)
+    return await measure(count, round_trip)
 
 
 async def bench_target(tasks: anyio.abc.TaskGroup, count: int) -> dict[str, float]:
-    """Measure ``TargetClient`` against the fixed answer."""
-    port = await start(tasks, lambda listener: listener.serve(raw_server))
+    """Measure ``TargetClient`` against a server with a fixed response."""
+    port = await start_server(tasks, lambda listener: listener.serve(raw_server))
     clock = SystemClock()
     client = make_target_client(clock, Metrics(), 1_000.0, 4)
     client.set_address(HOST, port)
 
-    async def trip() -> None:
+    async def round_trip() -> None:
         deadline_at_ms = clock.now_ms() + DEADLINE_MS
         result = await client.run("POST", "/book", HEADERS, BODY, deadline_at_ms)
         assert type(result) is Completed, result
 
-    return await measure(count, trip)
+    return await measure(count, round_trip)
 
 
 async def bench_link(tasks: anyio.abc.TaskGroup, count: int) -> dict[str, float]:
@@ -125,7 +126,7 @@
     async def echo(call: Call | Forward, info: PeerInfo) -> Answer:
         return Answer(call.call_id, "completed", 200, [], call.body, len(call.body))
 
-    port = await start(
+    port = await start_server(
         tasks,
         lambda listener: serve_peers(listener, echo, "b", 2, clock, Metrics(), 10),
     )
@@ -134,39 +135,39 @@
     await anyio.sleep(0.01)
     peer = PeerAddress("b", 2, HOST, port)
 
-    async def trip() -> None:
+    async def round_trip() -> None:
         result = await links.call(peer, CALL, clock.now_ms() + DEADLINE_MS)
         assert type(result) is Answer, result
 
-    return await measure(count, trip)
+    return await measure(count, round_trip)
 
 
 async def bench_listener(tasks: anyio.abc.TaskGroup, count: int) -> dict[str, float]:
-    """Measure ``serve_http`` with an echo handler, called by a plain stream."""
+    """Measure ``serve_http`` with an echo handler and a raw stream as client."""
 
     async def echo(request: HttpRequest) -> HttpResponse:
         return HttpResponse(200, ((b"content-type", b"text/plain"),), request.body)
 
-    port = await start(
+    port = await start_server(
         tasks, lambda listener: serve_http(listener, echo, HttpLimits(), Metrics())
     )
     stream = await anyio.connect_tcp(HOST, port)
 
-    async def trip() -> None:
+    async def round_trip() -> None:
         await stream.send(RAW_REQUEST)
-        answer = await stream.receive()
-        assert answer.startswith(b"HTTP/1.1 200"), answer
+        response = await stream.receive()
+        assert response.startswith(b"HTTP/1.1 200"), response
 
-    return await measure(count, trip)
+    return await measure(count, round_trip)
 
 
 async def bench_path(tasks: anyio.abc.TaskGroup, count: int) -> dict[str, float]:
-    """Measure all legs in one process: listener, link, target."""
+    """Measure all stages in one process: listener, link, target."""
     clock = SystemClock()
     client = make_target_client(clock, Metrics(), 1_000.0, 4)
     links = make_peer_links("a", 1, clock, Metrics(), None, 10)
 
-    async def inbound(call: Call | Forward, info: PeerInfo) -> Answer:
+    async def handle_inbound(call: Call | Forward, info: PeerInfo) -> Answer:
         deadline_at_ms = clock.now_ms() + call.remaining_ms
         result = await client.run(
             call.method, call.path, tuple(call.headers), call.body, deadline_at_ms
@@ -176,55 +177,61 @@
         size_bytes = len(result.body)
         return Answer(call.call_id, "completed", 200, headers, result.body, size_bytes)
 
-    async def issue(request: HttpRequest) -> HttpResponse:
+    async def forward_call(request: HttpRequest) -> HttpResponse:
         call = msgspec.structs.replace(
             CALL, headers=list(request.headers), body=request.body
         )
-        answer = await links.call(peer, call, clock.now_ms() + DEADLINE_MS)
-        assert type(answer) is Answer, answer
-        return HttpResponse(answer.status, tuple(answer.headers), answer.body)
+        response = await links.call(peer, call, clock.now_ms() + DEADLINE_MS)
+        assert type(response) is Answer, response
+        return HttpResponse(response.status, tuple(response.headers), response.body)
 
     client.set_address(
-        HOST, await start(tasks, lambda listener: listener.serve(raw_server))
+        HOST, await start_server(tasks, lambda listener: listener.serve(raw_server))
     )
-    peer_port = await start(
+    peer_port = await start_server(
         tasks,
-        lambda listener: serve_peers(listener, inbound, "b", 2, clock, Metrics(), 10),
+        lambda listener: serve_peers(
+            listener, handle_inbound, "b", 2, clock, Metrics(), 10
+        ),
     )
     peer = PeerAddress("b", 2, HOST, peer_port)
     tasks.start_soon(links.run)
-    port = await start(
-        tasks, lambda listener: serve_http(listener, issue, HttpLimits(), Metrics())
+    port = await start_server(
+        tasks,
+        lambda listener: serve_http(listener, forward_call, HttpLimits(), Metrics()),
     )
     stream = await anyio.connect_tcp(HOST, port)
 
-    async def trip() -> None:
+    async def round_trip() -> None:
         await stream.send(RAW_REQUEST)
-        answer = await stream.receive()
-        assert answer.startswith(b"HTTP/1.1 200"), answer
+        response = await stream.receive()
+        assert response.startswith(b"HTTP/1.1 200"), response
 
-    return await measure(count, trip)
+    return await measure(count, round_trip)
 
 
 async def bench_h11(tasks: anyio.abc.TaskGroup, count: int) -> dict[str, float]:
-    """Measure h11 alone: one server-side request and answer, no I/O."""
+    """Measure h11 alone: one request and response on the server side, without I/O."""
     http = h11.Connection(h11.SERVER)
 
-    async def trip() -> None:
+    async def round_trip() -> None:
         http.receive_data(RAW_REQUEST)
         while type(http.next_event()) is not h11.EndOfMessage:
             pass
-        fields = [(b"content-type", b"text/plain"), (b"content-length", b"200")]
-        http.send(h11.Response(status_code=200, headers=fields))
+        response_headers = [
+            (b"content-type", b"text/plain"),
+            (b"content-length", b"200"),
+        ]
+        http.send(h11.Response(status_code=200, headers=response_headers))
         http.send(h11.Data(data=BODY))
         http.send(h11.EndOfMessage())
         http.start_next_cycle()
 
-    return await measure(count, trip)
+    return await measure(count, round_trip)
 
 
 async def run_all(count: int) -> dict[str, dict[str, float]]:
-    """Run each measurement after the other."""
+    """Run the measurements one after another."""
     results = {}
     for name, bench in (
         ("raw", bench_raw),
--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -57,7 +57,7 @@
 from briardock_standins.load import LoadGenerator
 from briardock_standins.plans import ActionPlan, LoadPlan, Phase, TargetPlan
 from gossip_cost import make_records
-from latency import CALLED, CONFIG, ISSUER, make_spec
+from latency import CALLED_SERVICE, CONFIG, ISSUER_SERVICE, make_spec
 
 MEMBER_COUNTS = (100, 1_000, 4_100)
 SERVICE_COUNTS = (36, 120, 360)
@@ -632,7 +632,9 @@
 def make_record_spec() -> DeploymentSpec:
     """Return independent instances of a service with a non-idempotent operation."""
     catalog = read_catalog(CONFIG)
-    plan = target_plan(catalog, TargetPlan(ISSUER, single_operation(0.0)), False)
+    plan = target_plan(
+        catalog, TargetPlan(ISSUER_SERVICE, single_operation(0.0)), False
+    )
     operations = tuple(
         msgspec.structs.replace(one, calls=()) for one in plan.operations
     )
@@ -710,9 +712,9 @@
 def measure_calls() -> dict[str, Any]:
     """Return CPU against calls per second on the entry and the inbound side."""
     rows: list[dict[str, Any]] = []
-    names = {"entry": f"{ISSUER}-0", "inbound": f"{CALLED}-0"}
+    names = {"entry": f"{ISSUER_SERVICE}-0", "inbound": f"{CALLED_SERVICE}-0"}
     with Deployment(make_spec()) as deployment:
-        action = ActionPlan(f"{CALLED}.map", "/map/{n}")
+        action = ActionPlan(f"{CALLED_SERVICE}.map", "/map/{n}")
         for rate in CALL_RATES:
             row: dict[str, Any] = {"target_rate": rate, "failed": 0, "calls_per_s": []}
             for _ in range(REPETITIONS):
@@ -754,7 +756,7 @@
 def measure_idle(size: int) -> dict[str, Any]:
     """Return the control traffic and CPU of a node in an idle deployment."""
     plan = target_plan(
-        read_catalog(CONFIG), TargetPlan(CALLED, single_operation(0.0)), False
+        read_catalog(CONFIG), TargetPlan(CALLED_SERVICE, single_operation(0.0)), False
     )
     domains = tuple(list(DOMAINS)[i % len(DOMAINS)] for i in range(size))
     spec = DeploymentSpec((ServiceSpec(plan, domains),), CONFIG, domains=DOMAINS)
--- a/benchmarks/demo.py
+++ b/benchmarks/demo.py
@@ -1,4 +1,4 @@
-"""Runs both example deployments, scaled down, and some actions of each class.
+"""Run both example deployments, scaled down, and send actions of each class.
 
 Run: ``python benchmarks/demo.py``. Exits with 1 if an action does not complete.
 """
@@ -27,7 +27,7 @@
 DEPLOYMENTS = ("guatemala", "kenya")
 INSTANCES = 2
 SERVICE_MS = 5.0
-REPEATS = 2
+SENDS_PER_ACTION = 2
 
 
 def make_spec(folder: Path) -> DeploymentSpec:
@@ -39,9 +39,9 @@
     for service in catalog.services.values():
         template = TargetPlan(service.name, single_operation(SERVICE_MS))
         plan = target_plan(catalog, template, parallel=False)
-        own_domains = (service.domains or tuple(domains))[:INSTANCES]
-        placed = (own_domains * INSTANCES)[:INSTANCES]
-        services.append(ServiceSpec(plan, placed))
+        service_domains = (service.domains or tuple(domains))[:INSTANCES]
+        instance_domains = (service_domains * INSTANCES)[:INSTANCES]
+        services.append(ServiceSpec(plan, instance_domains))
     return DeploymentSpec(tuple(services), folder, domains=domains)
 
 
@@ -50,24 +50,24 @@
     actions = entry_actions(read_catalog(folder))
     plan = LoadPlan(deployment.entries(), actions)
     generator = LoadGenerator(plan, SystemClock())
-    for _ in range(REPEATS):
+    for _ in range(SENDS_PER_ACTION):
         for action in sorted(actions, key=lambda one: one.class_name):
-            show(await generator.perform(action))
+            print_result(await generator.perform(action))
     await generator.close()
     return generator.told
 
 
-def show(told: Told) -> None:
+def print_result(result: Told) -> None:
     """Print the outcome of one action."""
-    took_ms = told.end_ms - told.start_ms
+    took_ms = result.end_ms - result.start_ms
     print(
-        f"  {told.class_name:14} {told.operation:28} {told.outcome:9} "
-        f"{told.status} {told.reason} {took_ms:.1f} ms"
+        f"  {result.class_name:14} {result.operation:28} {result.outcome:9} "
+        f"{result.status} {result.reason} {took_ms:.1f} ms"
     )
 
 
 def run_deployment(name: str) -> bool:
-    """Run one example and return whether all its actions completed correctly."""
+    """Run one example; return whether all actions succeeded without a violation."""
     folder = EXAMPLES / name
     spec = make_spec(folder)
     with Deployment(spec) as deployment:
@@ -76,18 +76,18 @@
             f"{name}: {len(deployment.instances)} nodes, "
             f"configuration version {version['version']}"
         )
-        told = anyio.run(
+        results = anyio.run(
             send_actions, deployment, folder, backend_options={"use_uvloop": True}
         )
-        once = once_operations(read_catalog(folder))
-        violations = check(deployment.target_ledgers(), [told], once)
+        at_most_once = once_operations(read_catalog(folder))
+        violations = check(deployment.target_ledgers(), [results], at_most_once)
     for violation in violations:
         print(f"  {violation.rule}: {violation.subject}: {violation.detail}")
-    return not violations and all(one.succeeded for one in told)
+    return not violations and all(one.succeeded for one in results)
 
 
 def main() -> int:
-    """Run both example deployments and some actions of each class."""
+    """Run both example deployments and send actions of each class."""
     results = [run_deployment(name) for name in DEPLOYMENTS]
     return 0 if all(results) else 1
 
--- a/benchmarks/latency.py
+++ b/benchmarks/latency.py
@@ -1,7 +1,7 @@
-"""Time that nodes add to a call, one request at a time.
+"""Measure the latency that nodes add to a call, one request at a time.
 
-Pairs a call straight to the target with a call through two nodes (caller, issuer,
-inbound node, target) in one run, alternating between them. Run:
+Alternates between a call sent directly to the target and a call through two nodes
+(caller, issuer, inbound node, target). Run:
 ``python benchmarks/latency.py [--count N]``; the last line is JSON.
 """
 
@@ -27,17 +27,17 @@
 from briardock_standins.plans import TargetPlan
 
 CONFIG = Path(__file__).parent / "overload_config"
-CALLED = "price"
-ISSUER = "app"
-WARM_UP = 300
+CALLED_SERVICE = "price"
+ISSUER_SERVICE = "app"
+WARM_UP_CALLS = 300
 TIMEOUT_MS = 5_000.0
 
 
 def make_spec() -> DeploymentSpec:
-    """Return one instance of the called service and one of another for the issuer."""
+    """Return one instance each of the called service and of the issuer's service."""
     catalog = read_catalog(CONFIG)
     services = []
-    for name in (CALLED, ISSUER):
+    for name in (CALLED_SERVICE, ISSUER_SERVICE):
         template = TargetPlan(name, single_operation(0.0))
         plan = target_plan(catalog, template, parallel=False)
         services.append(ServiceSpec(plan, ("a",)))
@@ -45,63 +45,65 @@
 
 
 async def time_call(client: HttpClient, address: Address, path: str) -> float:
-    """Return the time of one call in ms.
+    """Return the latency of one call in ms.
 
     :raises RuntimeError: if it does not succeed
     """
     clock = SystemClock()
     request = HttpRequest("GET", path, ((b"x-nonce", b"n"),))
     start_ms = clock.now_ms()
-    answer = await client.request(address, request, TIMEOUT_MS)
+    response = await client.request(address, request, TIMEOUT_MS)
     time_ms = clock.now_ms() - start_ms
-    if not isinstance(answer, HttpResponse) or answer.status != 200:
-        raise RuntimeError(f"{path} on {address} failed: {answer}")
+    if not isinstance(response, HttpResponse) or response.status != 200:
+        raise RuntimeError(f"{path} on {address} failed: {response}")
     return time_ms
 
 
 async def measure(deployment: Deployment, count: int) -> dict[str, float]:
-    """Return quantiles with and without nodes.
+    """Return latency quantiles with and without nodes.
 
     :param deployment: running deployment
     :param count: calls of each kind
     """
-    issuer = parse_address(deployment.entries(f"{ISSUER}-0")[0])
-    target = parse_address(deployment.instances[f"{CALLED}-0"].address)
+    issuer = parse_address(deployment.entries(f"{ISSUER_SERVICE}-0")[0])
+    target = parse_address(deployment.instances[f"{CALLED_SERVICE}-0"].address)
     client = HttpClient()
     direct: list[float] = []
-    through: list[float] = []
-    for number in range(WARM_UP + count):
+    via_nodes: list[float] = []
+    for number in range(WARM_UP_CALLS + count):
         path = f"/map/{number}"
         direct.append(await time_call(client, target, path))
-        through.append(await time_call(client, issuer, f"/{CALLED}{path}"))
+        via_nodes.append(await time_call(client, issuer, f"/{CALLED_SERVICE}{path}"))
     await client.close()
-    added = [b - a for a, b in zip(direct, through, strict=True)]
-    return summarise(direct[WARM_UP:], through[WARM_UP:], added[WARM_UP:])
+    added = [b - a for a, b in zip(direct, via_nodes, strict=True)]
+    return summarise(
+        direct[WARM_UP_CALLS:], via_nodes[WARM_UP_CALLS:], added[WARM_UP_CALLS:]
+    )
 
 
 def summarise(
-    direct: list[float], through: list[float], added: list[float]
+    direct: list[float], via_nodes: list[float], added: list[float]
 ) -> dict[str, float]:
     """Return the figures of the report in ms.
 
     ``added_p99_ms`` is the quantile of the paired differences;
     ``p99_difference_ms`` is the difference of the two quantiles.
     """
-    direct, through, added = sorted(direct), sorted(through), sorted(added)
+    direct, via_nodes, added = sorted(direct), sorted(via_nodes), sorted(added)
     result = {
         "direct_p50_ms": quantile(direct, 0.5),
         "direct_p99_ms": quantile(direct, 0.99),
-        "nodes_p50_ms": quantile(through, 0.5),
-        "nodes_p99_ms": quantile(through, 0.99),
+        "nodes_p50_ms": quantile(via_nodes, 0.5),
+        "nodes_p99_ms": quantile(via_nodes, 0.99),
         "added_p50_ms": quantile(added, 0.5),
         "added_p99_ms": quantile(added, 0.99),
-        "p99_difference_ms": quantile(through, 0.99) - quantile(direct, 0.99),
+        "p99_difference_ms": quantile(via_nodes, 0.99) - quantile(direct, 0.99),
     }
     return {name: round(value, 3) for name, value in result.items()}
 
 
 def main(*, count: int = 4_000) -> None:
-    """Measure the time that nodes add to a call.
+    """Measure the latency that nodes add to a call.
 
     :param count: calls of each kind
     """
--- a/benchmarks/propagation.py
+++ b/benchmarks/propagation.py
@@ -31,7 +31,7 @@
 DOMAINS = {"a": "127.0.1.1", "b": "127.0.2.1", "c": "127.0.3.1"}
 DOMAIN_DELAY_MS = 1.5
 PER_DOMAIN = 4
-CALLED = "price"
+CALLED_SERVICE = "price"
 POLL_S = 0.005
 TIMEOUT_MS = 10_000.0
 LEAVE_LOAD_PER_S = 200.0
@@ -41,7 +41,7 @@
 
 def make_spec(seed: int) -> DeploymentSpec:
     """Return 12 instances of one service over three failure domains."""
-    template = TargetPlan(CALLED, single_operation(10.0), slots=64)
+    template = TargetPlan(CALLED_SERVICE, single_operation(10.0), slots=64)
     plan = target_plan(read_catalog(CONFIG), template, parallel=False)
     service = ServiceSpec(plan, tuple(DOMAINS) * PER_DOMAIN)
     return DeploymentSpec(
