--- a/benchmarks/limiter_policy.py
+++ b/benchmarks/limiter_policy.py
@@ -1,7 +1,8 @@
-"""Compare concurrency limit algorithms against a model target in simulated time.
+"""Compare concurrency limit algorithms in a simulation of one target.
 
-The target has an unknown number of slots and an internal FIFO queue. Requests
-arrive at random; those beyond the limit wait in a short queue or are dropped.
+The algorithms do not know the number of slots of the target, which has an internal
+FIFO queue. Requests arrive at random; those beyond the limit wait in a bounded queue,
+and those that find it full are dropped.
 Usage: ``python benchmarks/limiter_policy.py [seeds]``; the last line is JSON.
 """
 
@@ -27,11 +28,11 @@
 
 
 class LimitPolicy(Protocol):
-    """What the model drives."""
+    """Interface of a concurrency limit algorithm."""
 
     @property
     def limit(self) -> int:
-        """Requests that may run now."""
+        """Current limit of requests in flight."""
         ...
 
     def observe(self, own_time_ms: float, in_flight: int, ok: bool) -> None:
@@ -40,7 +41,7 @@
 
 
 class FixedLimit:
-    """Constant limit; with the true slots it is the best that can be reached."""
+    """Constant limit; the optimum if it equals the slots of the target."""
 
     def __init__(self, limit: int) -> None:
         self.limit = limit
@@ -50,35 +51,35 @@
 
 
 class AimdLimit:
-    """Additive increase, decrease when own time exceeds twice its minimum."""
+    """Additive increase; multiplicative decrease above twice the minimum own time."""
 
     def __init__(self) -> None:
         self._value = 32.0
-        self._smallest_ms = 1e9
+        self._min_ms = 1e9
         self._recent_ms = 0.0
         self._count = 0
 
     @property
     def limit(self) -> int:
-        """Requests that may run now."""
+        """Current limit of requests in flight."""
         return int(self._value)
 
     def observe(self, own_time_ms: float, in_flight: int, ok: bool) -> None:
-        """Move the limit after each request."""
+        """Adjust the limit after each request."""
         self._count += 1
         weight = max(0.02, 1.0 / self._count)
         self._recent_ms += weight * (own_time_ms - self._recent_ms)
         if self._count < WARM_UP_REQUESTS:
             return
-        self._smallest_ms = min(self._smallest_ms * 1.00001, max(self._recent_ms, 0.1))
-        if self._recent_ms > 2.0 * self._smallest_ms:
+        self._min_ms = min(self._min_ms * 1.00001, max(self._recent_ms, 0.1))
+        if self._recent_ms > 2.0 * self._min_ms:
             self._value = max(8.0, self._value * 0.995)
         elif in_flight > 0.7 * self._value:
             self._value = min(400.0, self._value + 1.0 / self._value)
 
 
 class GradientLimit:
-    """Limit scaled by long-term over short-term own time, plus room for a queue."""
+    """Limit scaled by long-term over short-term own time, plus headroom for a queue."""
 
     def __init__(self) -> None:
         self._value = 32.0
@@ -88,11 +89,11 @@
 
     @property
     def limit(self) -> int:
-        """Requests that may run now."""
+        """Current limit of requests in flight."""
         return int(self._value)
 
     def observe(self, own_time_ms: float, in_flight: int, ok: bool) -> None:
-        """Move the limit after each request."""
+        """Adjust the limit after each request."""
         self._count += 1
         short_weight = max(0.02, 1.0 / self._count)
         long_weight = max(0.0005, 1.0 / self._count)
@@ -103,8 +104,8 @@
         if in_flight < 0.5 * self._value or self._short_ms <= 0.0:
             return
         gradient = min(1.0, max(0.5, 1.5 * self._long_ms / self._short_ms))
-        wanted = self._value * gradient + 4.0
-        self._value += 0.01 * (wanted - self._value)
+        desired_limit = self._value * gradient + 4.0
+        self._value += 0.01 * (desired_limit - self._value)
         self._value = min(400.0, max(8.0, self._value))
 
 
@@ -114,7 +115,7 @@
 
     :param name: shown in the result
     :param slots: slots of the target
-    :param demand: arrivals by capacity
+    :param demand: arrivals as a multiple of the capacity
     :param slow_factor: service time factor from 10 s to 20 s
     :param child_ms: time of child calls that hold the slot, from 10 s to 20 s
     :param operations: shares and mean service times in ms
@@ -170,7 +171,7 @@
 
 @dataclass(slots=True)
 class Phase:
-    """What was seen in one part of a run."""
+    """Measurements of one phase of a run."""
 
     work_ms: float = 0.0
     own_ms: float = 0.0
@@ -179,7 +180,7 @@
 
 
 class Model:
-    """Event-driven target with a policy in front."""
+    """Event-driven simulation of a target behind a limit algorithm."""
 
     def __init__(self, scenario: Scenario, policy: LimitPolicy, seed: int) -> None:
         self.scenario = scenario
@@ -188,14 +189,14 @@
         self.now_ms = 0.0
         self.events: list[tuple[float, int, Request | None]] = []
         self.sequence = 0
-        self.outer: deque[Request] = deque()
-        self.inner: deque[Request] = deque()
+        self.admission_queue: deque[Request] = deque()
+        self.target_queue: deque[Request] = deque()
         self.in_flight = 0
         self.running = 0
         self.phases = {name: Phase() for name in ("ramp", "before", "fault", "after")}
 
     def phase(self) -> Phase:
-        """Return the part of the run that now belongs to."""
+        """Return the phase of the current simulated time."""
         if self.now_ms < 5_000.0:
             return self.phases["ramp"]
         if self.now_ms < FAULT_FROM_MS:
@@ -204,8 +205,8 @@
             return self.phases["fault"]
         return self.phases["after"]
 
-    def push(self, delay_ms: float, request: Request | None) -> None:
-        """Schedule an arrival (``None``) or the end of a request."""
+    def schedule(self, delay_ms: float, request: Request | None) -> None:
+        """Schedule the next arrival (``None``) or the end of a request."""
         self.sequence += 1
         heapq.heappush(self.events, (self.now_ms + delay_ms, self.sequence, request))
 
@@ -231,7 +232,7 @@
         gap_ms = (
             self.scenario.mean_service_ms() / self.scenario.slots / self.scenario.demand
         )
-        self.push(0.0, None)
+        self.schedule(0.0, None)
         while self.events:
             at_ms, _, request = heapq.heappop(self.events)
             if at_ms > DURATION_MS:
@@ -239,29 +240,29 @@
             clock.advance(at_ms - self.now_ms)
             self.now_ms = at_ms
             if request is None:
-                self.push(self.rng.expovariate(1.0 / gap_ms), None)
-                if len(self.outer) < QUEUE_LENGTH:
-                    self.outer.append(self.new_request())
+                self.schedule(self.rng.expovariate(1.0 / gap_ms), None)
+                if len(self.admission_queue) < QUEUE_LENGTH:
+                    self.admission_queue.append(self.new_request())
                 self.phase().limits.append(self.policy.limit)
             else:
                 self.finish(request)
             self.admit()
 
     def admit(self) -> None:
-        """Pass waiting requests to the target while the limit allows it."""
+        """Admit queued requests up to the limit and start them in free slots."""
         limit = self.policy.limit
-        while self.outer and self.in_flight < limit:
-            request = self.outer.popleft()
+        while self.admission_queue and self.in_flight < limit:
+            request = self.admission_queue.popleft()
             self.in_flight += 1
             request.admitted_ms = self.now_ms
             request.in_flight = self.in_flight
-            self.inner.append(request)
-        while self.inner and self.running < self.scenario.slots:
+            self.target_queue.append(request)
+        while self.target_queue and self.running < self.scenario.slots:
             if self.scenario.random_order:
-                self.inner.rotate(self.rng.randrange(len(self.inner)))
-            request = self.inner.popleft()
+                self.target_queue.rotate(self.rng.randrange(len(self.target_queue)))
+            request = self.target_queue.popleft()
             self.running += 1
-            self.push(request.service_ms + request.child_ms, request)
+            self.schedule(request.service_ms + request.child_ms, request)
 
     def finish(self, request: Request) -> None:
         """Record a finished request."""
@@ -278,7 +279,7 @@
 def measure(
     scenario: Scenario, policy: LimitPolicy, clock: ManualClock, seed: int
 ) -> dict[str, dict[str, float]]:
-    """Return utilisation, own time by service time and limits of each phase."""
+    """Return utilization, own time by service time and limits of each phase."""
     model = Model(scenario, policy, seed)
     model.run(clock)
     spans_ms = {"ramp": 5e3, "before": 5e3, "fault": 10e3, "after": 10e3}
@@ -295,7 +296,7 @@
 
 
 def make_policies(slots: int) -> dict[str, Callable[[ManualClock], LimitPolicy]]:
-    """Return the compared policies for a target."""
+    """Return constructors of the compared algorithms for a number of slots."""
     return {
         "oracle": lambda clock: FixedLimit(slots),
         "fixed400": lambda clock: FixedLimit(400),
@@ -306,18 +307,18 @@
 
 
 def main() -> None:
-    """Run all scenarios and print one line per policy and scenario."""
+    """Run all scenarios and print one line per scenario and algorithm."""
     seeds = range(int(sys.argv[1]) if len(sys.argv) > 1 else 3)
     only = sys.argv[2:]
     summary: dict[str, dict[str, dict[str, float]]] = {}
     for scenario in SCENARIOS:
-        for name, make in make_policies(scenario.slots).items():
+        for name, make_policy in make_policies(scenario.slots).items():
             if only and name not in only:
                 continue
             runs = []
             for seed in seeds:
                 clock = ManualClock()
-                runs.append(measure(scenario, make(clock), clock, seed))
+                runs.append(measure(scenario, make_policy(clock), clock, seed))
             cells = []
             summary.setdefault(name, {})[scenario.name] = {}
             for phase in ("ramp", "before", "fault", "after"):
--- a/benchmarks/propagation.py
+++ b/benchmarks/propagation.py
@@ -1,8 +1,8 @@
-"""Time until a configuration is in force everywhere, and until work stops coming.
+"""Measure configuration propagation, and calls to a target after its leave notice.
 
-Runs 12 nodes over three failure domains that are 1.5 ms apart. Publishes a change
-several times and reads the version of every node; then lets a target leave under
-load and finds the last call that started on it after its notice. Run:
+Runs 12 nodes in three failure domains with a network delay of 1.5 ms between them.
+Publishes a series of changes and polls the version of every node; then terminates a
+target under load and finds the last call that started on it after its notice. Run:
 ``python benchmarks/propagation.py``; the last line is JSON.
 """
 
@@ -30,11 +30,11 @@
 CHANGED_FILE = "zz-change.ini"
 DOMAINS = {"a": "127.0.1.1", "b": "127.0.2.1", "c": "127.0.3.1"}
 DOMAIN_DELAY_MS = 1.5
-PER_DOMAIN = 4
+INSTANCES_PER_DOMAIN = 4
 CALLED_SERVICE = "price"
 POLL_S = 0.005
 TIMEOUT_MS = 10_000.0
-LEAVE_LOAD_PER_S = 200.0
+LEAVE_LOAD_RATE_PER_S = 200.0
 LEAVE_LOAD_S = 6.0
 LEAVE_AFTER_S = 1.5
 
@@ -43,7 +43,7 @@
     """Return 12 instances of one service over three failure domains."""
     template = TargetPlan(CALLED_SERVICE, single_operation(10.0), slots=64)
     plan = target_plan(read_catalog(CONFIG), template, parallel=False)
-    service = ServiceSpec(plan, tuple(DOMAINS) * PER_DOMAIN)
+    service = ServiceSpec(plan, tuple(DOMAINS) * INSTANCES_PER_DOMAIN)
     return DeploymentSpec(
         (service,),
         CONFIG,
@@ -55,31 +55,31 @@
 
 
 async def wait_for_version(client: HttpClient, admin: str, version: int) -> float:
-    """Return the monotonic time in ms at which a node was seen to have a version."""
+    """Wait for a version on a node; return the monotonic time in ms when seen."""
     request = HttpRequest("GET", "/status")
     clock = SystemClock()
     while True:
-        answer = await client.request(parse_address(admin), request, TIMEOUT_MS)
-        if isinstance(answer, HttpResponse) and answer.status == 200:
-            found = json.loads(answer.body)["configuration"]["version"]
-            if found is not None and found >= version:
+        response = await client.request(parse_address(admin), request, TIMEOUT_MS)
+        if isinstance(response, HttpResponse) and response.status == 200:
+            version_in_force = json.loads(response.body)["configuration"]["version"]
+            if version_in_force is not None and version_in_force >= version:
                 return clock.now_ms()
         await anyio.sleep(POLL_S)
 
 
 async def read_next_offset(client: HttpClient, deployment: Deployment) -> int:
-    """Return the offset that the next append to the configuration will get."""
+    """Return the offset of the next append to the configuration stream."""
     log = parse_address(f"127.0.0.1:{deployment.log_port}")
     request = HttpRequest("GET", "/streams/configuration?from=1000000000")
-    answer = await client.request(log, request, TIMEOUT_MS)
-    assert isinstance(answer, HttpResponse), answer
-    return int(json.loads(answer.body)["next"])
+    response = await client.request(log, request, TIMEOUT_MS)
+    assert isinstance(response, HttpResponse), response
+    return int(json.loads(response.body)["next"])
 
 
 async def wait_for_append(
     client: HttpClient, deployment: Deployment, next_offset: int
 ) -> float:
-    """Return the monotonic time in ms at which a new record was seen in the log."""
+    """Wait for a new record in the log; return the monotonic time in ms when seen."""
     while await read_next_offset(client, deployment) <= next_offset:
         await anyio.sleep(POLL_S)
     return SystemClock().now_ms()
@@ -90,49 +90,52 @@
 ) -> list[float]:
     """Publish one change and return the time to each node in ms, sorted.
 
-    Times count from the record's appearance in the log; readings are 5 ms apart.
+    Times are relative to when the record was seen in the log. The polling interval
+    is 5 ms.
     """
     text = f"[operation price.map]\ndeadline_ms = {2_000 + round_number}\n"
     (folder / CHANGED_FILE).write_text(text)
     names = list(deployment.instances)
-    before = max(deployment.status(name)["configuration"]["version"] for name in names)
+    version_before = max(
+        deployment.status(name)["configuration"]["version"] for name in names
+    )
     client = HttpClient()
     next_offset = await read_next_offset(client, deployment)
-    appended: list[float] = []
-    seen: list[float] = []
+    appended_at_ms: list[float] = []
+    seen_at_ms: list[float] = []
 
     async def watch_log() -> None:
-        appended.append(await wait_for_append(client, deployment, next_offset))
+        appended_at_ms.append(await wait_for_append(client, deployment, next_offset))
 
-    async def watch(name: str) -> None:
+    async def watch_node(name: str) -> None:
         admin = deployment.instances[name].admin
-        seen.append(await wait_for_version(client, admin, before + 1))
+        seen_at_ms.append(await wait_for_version(client, admin, version_before + 1))
 
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(watch_log)
         for name in names:
-            tasks.start_soon(watch, name)
+            tasks.start_soon(watch_node, name)
         await anyio.to_thread.run_sync(deployment.publish, folder)
     await client.close()
-    return sorted(max(at_ms - appended[0], 0.0) for at_ms in seen)
+    return sorted(max(at_ms - appended_at_ms[0], 0.0) for at_ms in seen_at_ms)
 
 
 async def measure_leaving(deployment: Deployment, seed: int) -> dict[str, float]:
-    """Let one target leave under load and return when its calls ended."""
+    """Terminate a target under load; return figures of calls after its notice."""
     leaving = next(iter(deployment.instances))
     action = ActionPlan("price.map", "/map/{n}")
     plan = LoadPlan(
         deployment.entries(),
         (action,),
         (Phase(LEAVE_LOAD_S),),
-        LEAVE_LOAD_PER_S,
+        LEAVE_LOAD_RATE_PER_S,
         seed=seed,
     )
     generator = LoadGenerator(plan, SystemClock())
-    told: list[Told] = []
+    results: list[Told] = []
 
     async def load() -> None:
-        told.extend(await generator.run())
+        results.extend(await generator.run())
 
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(load)
@@ -142,12 +145,14 @@
     entries = read_ledger(deployment.instances[leaving].ledgers[-1])
     notice_ms = next(e.at_ms for e in entries if isinstance(e, Notice))
     starts = [e.at_ms for e in entries if isinstance(e, RunStarted)]
-    late = [at_ms for at_ms in starts if at_ms > notice_ms]
+    starts_after_notice = [at_ms for at_ms in starts if at_ms > notice_ms]
     return {
-        "last_call_after_notice_ms": round(max(late, default=notice_ms) - notice_ms, 1),
-        "calls_after_notice": len(late),
-        "failed_actions": sum(not one.succeeded for one in told),
-        "actions": len(told),
+        "last_call_after_notice_ms": round(
+            max(starts_after_notice, default=notice_ms) - notice_ms, 1
+        ),
+        "calls_after_notice": len(starts_after_notice),
+        "failed_actions": sum(not one.succeeded for one in results),
+        "actions": len(results),
         "exit_code": exit_code,
     }
 
@@ -158,12 +163,12 @@
     try:
         for file in CONFIG.glob("*.ini"):
             shutil.copy(file, folder)
-        last: list[float] = []
-        first: list[float] = []
+        all_nodes_ms: list[float] = []
+        first_node_ms: list[float] = []
         for number in range(rounds):
             times = await measure_publish(deployment, folder, number)
-            first.append(times[0])
-            last.append(times[-1])
+            first_node_ms.append(times[0])
+            all_nodes_ms.append(times[-1])
             print(f"publish {number}: first {times[0]:.0f} ms, all {times[-1]:.0f} ms")
     finally:
         shutil.rmtree(folder)
@@ -171,15 +176,15 @@
     return {
         "nodes": len(deployment.instances),
         "publishes": rounds,
-        "first_node_p50_ms": round(quantile(sorted(first), 0.5)),
-        "all_nodes_p50_ms": round(quantile(sorted(last), 0.5)),
-        "all_nodes_max_ms": round(max(last)),
+        "first_node_p50_ms": round(quantile(sorted(first_node_ms), 0.5)),
+        "all_nodes_p50_ms": round(quantile(sorted(all_nodes_ms), 0.5)),
+        "all_nodes_max_ms": round(max(all_nodes_ms)),
         **leaving,
     }
 
 
 def main(*, rounds: int = 10, seed: int = 1) -> None:
-    """Measure propagation over 12 nodes.
+    """Measure configuration propagation to 12 nodes.
 
     :param rounds: changes published one after another
     :param seed: seed of all processes
--- a/benchmarks/retry_budget.py
+++ b/benchmarks/retry_budget.py
@@ -1,9 +1,9 @@
 """Compare retry limits over random call trees.
 
-Each action is a tree of calls up to 13 deep with 1 to 4 children per call. A
-failed call may be tried again by its caller. Kinds of failure: a lost answer, a
-dead deep service, and a burst of refusals. Attempts are counted per call that
-the action needs without failures.
+Each action is a tree of calls up to 13 deep with 1 to 4 children per call. The
+caller of a failed call may retry it. Kinds of failure: lost responses, a dead
+service deep in the tree, and bursts of refusals. Attempts are counted per call
+that the action needs without failures.
 Usage: ``python benchmarks/retry_budget.py [actions] [seeds]``; the last line is
 JSON.
 """
@@ -25,8 +25,8 @@
 SERVICES = 40
 RETRY_RATIO = 0.05
 LOSS_SHARE = 0.01
-BURST_REFUSALS = 0.3
-BURST_PERIOD = 20
+BURST_REFUSAL_SHARE = 0.3
+BURST_PERIOD_ACTIONS = 20
 
 
 @dataclass(slots=True)
@@ -35,7 +35,7 @@
 
     :param service: index of the called service
     :param depth: 0 for the entry call
-    :param children: calls that it makes, one after the other
+    :param children: calls that it makes, one after another
     """
 
     service: int
@@ -46,12 +46,12 @@
 def make_tree(rng: random.Random) -> Call:
     """Return a random tree with at least one long chain."""
     root = Call(rng.randrange(SERVICES), 0)
-    open_calls = [root]
-    wanted_depth = rng.randint(2, MAX_DEPTH)
+    unexpanded_calls = [root]
+    depth_limit = rng.randint(2, MAX_DEPTH)
     calls_count = 1
-    while open_calls:
-        parent = open_calls.pop(0)
-        if parent.depth >= wanted_depth:
+    while unexpanded_calls:
+        parent = unexpanded_calls.pop(0)
+        if parent.depth >= depth_limit:
             continue
         fan_out = rng.randint(1, 4) if parent.depth % 3 == 0 else 1
         for index in range(fan_out):
@@ -61,17 +61,17 @@
             parent.children.append(child)
             calls_count += 1
             if index == 0 or rng.random() < 0.3:
-                open_calls.append(child)
+                unexpanded_calls.append(child)
     return root
 
 
-def size(call: Call) -> int:
-    """Return the calls of a tree."""
-    return 1 + sum(size(child) for child in call.children)
+def count_calls(call: Call) -> int:
+    """Return the number of calls in a tree."""
+    return 1 + sum(count_calls(child) for child in call.children)
 
 
 class Faults:
-    """Failures of attempts.
+    """Injects failures into attempts.
 
     :param kind: ``loss``, ``dead`` or ``burst``
     """
@@ -86,142 +86,154 @@
         if self.kind == "dead":
             return call.service == 0 and call.depth >= 2
         if self.kind == "burst" and self.burst_on:
-            return call.service < 5 and self.rng.random() < BURST_REFUSALS
+            return call.service < 5 and self.rng.random() < BURST_REFUSAL_SHARE
         return False
 
-    def loses(self) -> bool:
-        """Return whether the answer is lost."""
+    def loses_response(self) -> bool:
+        """Return whether the response is lost."""
         return self.kind == "loss" and self.rng.random() < LOSS_SHARE
 
 
 class Policy(Protocol):
-    """Rule that gives budgets to children and allows retries.
+    """Rule that delegates retry tokens to children and permits retries.
 
-    :ivar retries_failed: whether a child that answered with a failure of its own
-        calls is tried again, not only one that refused or whose answer was lost
+    :ivar retries_child_failures: whether a call is also retried if it failed because
+        of its own child calls, not only if it was refused or its response was lost
     """
 
-    retries_failed: bool
+    retries_child_failures: bool
 
-    def share(self, budget: RetryBudget, call: Call, fan_out_left: int) -> int:
+    def delegated_tokens(
+        self, budget: RetryBudget, call: Call, fan_out_left: int
+    ) -> int:
         """Return the tokens delegated with a dispatch."""
         ...
 
-    def returned(self, left: int) -> int:
-        """Return the tokens that come back with an answer."""
+    def returned_tokens(self, left: int) -> int:
+        """Return the tokens that come back with a response."""
         ...
 
-    def retries(self, budget: RetryBudget, retries_count: int) -> bool:
-        """Return whether the caller may retry, and take a token."""
+    def may_retry(self, budget: RetryBudget, retries_count: int) -> bool:
+        """Return whether the caller may retry, and take a token if so."""
         ...
 
 
 class PerHop:
     """Each caller retries a fixed number of times."""
 
-    retries_failed = True
+    retries_child_failures = True
 
-    def share(self, budget: RetryBudget, call: Call, fan_out_left: int) -> int:
-        """Delegate nothing, as hops know nothing of each other."""
+    def delegated_tokens(
+        self, budget: RetryBudget, call: Call, fan_out_left: int
+    ) -> int:
+        """Delegate nothing, as callers act independently."""
         return 0
 
-    def returned(self, left: int) -> int:
+    def returned_tokens(self, left: int) -> int:
         """Return nothing."""
         return 0
 
-    def retries(self, budget: RetryBudget, retries_count: int) -> bool:
-        """Allow a fixed number."""
+    def may_retry(self, budget: RetryBudget, retries_count: int) -> bool:
+        """Allow a fixed number of retries per call."""
         return retries_count < RETRIES_PER_HOP
 
 
 class StaticSplit:
     """The budget is divided over the fan-out; unspent tokens do not come back."""
 
-    retries_failed = True
+    retries_child_failures = True
 
-    def share(self, budget: RetryBudget, call: Call, fan_out_left: int) -> int:
+    def delegated_tokens(
+        self, budget: RetryBudget, call: Call, fan_out_left: int
+    ) -> int:
         """Delegate an equal share."""
         return budget.delegate(fan_out_left)
 
-    def returned(self, left: int) -> int:
+    def returned_tokens(self, left: int) -> int:
         """Return nothing."""
         return 0
 
-    def retries(self, budget: RetryBudget, retries_count: int) -> bool:
-        """Take a token."""
+    def may_retry(self, budget: RetryBudget, retries_count: int) -> bool:
+        """Take a token, if one is left."""
         return budget.spend()
 
 
 class SplitAndReturn(StaticSplit):
-    """The unspent part of a share comes back with the answer."""
+    """The unspent part of a share comes back with the response."""
 
-    def returned(self, left: int) -> int:
-        """Return what is left."""
+    def returned_tokens(self, left: int) -> int:
+        """Return the unspent tokens."""
         return left
 
 
 class ReturnKeepOne(SplitAndReturn):
-    """Split and return, but each caller keeps one token for its own retry."""
+    """Split and return, but each caller keeps one token for a local retry."""
 
-    def share(self, budget: RetryBudget, call: Call, fan_out_left: int) -> int:
+    def delegated_tokens(
+        self, budget: RetryBudget, call: Call, fan_out_left: int
+    ) -> int:
         """Delegate a share of all but one token."""
         if not budget.spend():
             return 0
-        share = budget.delegate(fan_out_left)
+        tokens = budget.delegate(fan_out_left)
         budget.give_back(1)
-        return share
+        return tokens
 
 
 class ReturnNoneToLeaves(SplitAndReturn):
-    """Split and return, but calls without calls of their own get nothing."""
+    """Split and return, but calls without children get nothing."""
 
-    def share(self, budget: RetryBudget, call: Call, fan_out_left: int) -> int:
+    def delegated_tokens(
+        self, budget: RetryBudget, call: Call, fan_out_left: int
+    ) -> int:
         """Delegate a share to a call that makes calls."""
         return budget.delegate(fan_out_left) if call.children else 0
 
 
 class ReturnKeepOneNoneToLeaves(ReturnKeepOne):
-    """Keep one token, and give none to calls without calls of their own."""
+    """Keep one token, and give none to calls without children."""
 
-    def share(self, budget: RetryBudget, call: Call, fan_out_left: int) -> int:
+    def delegated_tokens(
+        self, budget: RetryBudget, call: Call, fan_out_left: int
+    ) -> int:
         """Delegate a share of all but one token to a call that makes calls."""
         if not call.children:
             return 0
-        return super().share(budget, call, fan_out_left)
+        return super().delegated_tokens(budget, call, fan_out_left)
 
 
-class OwnHopKeepOne(ReturnKeepOneNoneToLeaves):
-    """Keep one token, and retry only what this hop saw refused or lost."""
+class LocalFailuresKeepOne(ReturnKeepOneNoneToLeaves):
+    """Keep one token; retry only calls that were refused or whose response was lost."""
 
-    retries_failed = False
+    retries_child_failures = False
 
 
-class OwnHopNoneToLeaves(ReturnNoneToLeaves):
-    """None to leaves, and retry only what this hop saw refused or lost."""
+class LocalFailuresNoneToLeaves(ReturnNoneToLeaves):
+    """None to leaves; retry only refused calls and lost responses."""
 
-    retries_failed = False
+    retries_child_failures = False
 
 
 class Run:
-    """Actions under one policy."""
+    """Runs actions under one policy and counts attempts."""
 
     def __init__(self, policy: Policy, faults: Faults, ratio: RetryRatio | None):
         self.policy = policy
         self.faults = faults
         self.ratio = ratio
         self.attempts_count = 0
-        self.spent_here = 0
+        self.action_attempts_count = 0
 
     def attempt(self, call: Call, budget: RetryBudget) -> str:
         """Run one attempt with its children and return its outcome."""
         self.attempts_count += 1
-        self.spent_here += 1
-        if self.spent_here > MAX_ATTEMPTS or self.faults.refuses(call):
+        self.action_attempts_count += 1
+        if self.action_attempts_count > MAX_ATTEMPTS or self.faults.refuses(call):
             return "refused"
         for index, child in enumerate(call.children):
             if not self.run(child, budget, len(call.children) - index):
                 return "failed"
-        return "lost" if self.faults.loses() else "ok"
+        return "lost" if self.faults.loses_response() else "ok"
 
     def run(self, call: Call, budget: RetryBudget, fan_out_left: int) -> bool:
         """Dispatch a call until it succeeds or no retry is allowed."""
@@ -229,17 +241,19 @@
         if self.ratio:
             self.ratio.record_first()
         while True:
-            child = make_budget(self.policy.share(budget, call, fan_out_left))
+            child = make_budget(
+                self.policy.delegated_tokens(budget, call, fan_out_left)
+            )
             outcome = self.attempt(call, child)
             if outcome != "lost":
-                budget.give_back(self.policy.returned(child.left))
+                budget.give_back(self.policy.returned_tokens(child.left))
             if outcome == "ok":
                 return True
-            if outcome == "failed" and not self.policy.retries_failed:
+            if outcome == "failed" and not self.policy.retries_child_failures:
                 return False
             if self.ratio and not self.ratio.allow_retry():
                 return False
-            if not self.policy.retries(budget, retries_count):
+            if not self.policy.may_retry(budget, retries_count):
                 return False
             retries_count += 1
 
@@ -251,8 +265,8 @@
     "keep-one": ReturnKeepOne,
     "keep-one-no-leaf": ReturnKeepOneNoneToLeaves,
     "no-leaf": ReturnNoneToLeaves,
-    "own-hop-keep-one": OwnHopKeepOne,
-    "own-hop-no-leaf": OwnHopNoneToLeaves,
+    "own-hop-keep-one": LocalFailuresKeepOne,
+    "own-hop-no-leaf": LocalFailuresNoneToLeaves,
 }
 RATIO_SUFFIX = "+ratio"
 
@@ -269,11 +283,11 @@
     most = 0.0
     for index in range(actions_count):
         tree = make_tree(trees)
-        faults.burst_on = index % BURST_PERIOD < BURST_PERIOD // 4
-        run.spent_here = 0
+        faults.burst_on = index % BURST_PERIOD_ACTIONS < BURST_PERIOD_ACTIONS // 4
+        run.action_attempts_count = 0
         done_count += run.run(tree, make_budget(TOKENS), 1)
-        needed_count += size(tree)
-        most = max(most, run.spent_here / size(tree))
+        needed_count += count_calls(tree)
+        most = max(most, run.action_attempts_count / count_calls(tree))
     return run.attempts_count / needed_count, most, done_count / actions_count
 
 
