--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -1,10 +1,10 @@
-"""Memory, CPU and control traffic of one node process, as slopes over its load.
+"""Measure memory, CPU and control traffic of a node process as slopes over its load.
 
-Runs real node processes on loopback. Each part changes one quantity (members,
-configuration, held action records, caller connections, calls, deployment size) and
+Runs real node processes on loopback. Each part varies one quantity (members,
+configuration, stored action records, caller connections, calls, deployment size) and
 reads VmRSS, its anonymous share, and user and system time from ``/proc``. Slopes
-are least-squares lines, one for each repetition. Log traffic is the
-bytes that the log stand-in reads and writes. Run: ``python benchmarks/capacity.py``;
+are least-squares fits, one for each repetition. Log traffic is the number of bytes
+that the log stand-in reads and writes. Run: ``python benchmarks/capacity.py``;
 the last line is JSON. docs/CAPACITY.md uses the figures.
 """
 
@@ -67,22 +67,22 @@
 CALL_RATES = (50.0, 150.0, 300.0)
 DEPLOYMENT_SIZES = (4, 12, 36)
 REPETITIONS = 2
-IDLE_S = 20.0
-CALLS_S = 6.0
+IDLE_MEASUREMENT_S = 20.0
+CALLS_MEASUREMENT_S = 6.0
 SETTLE_S = 4.0
-BOUND_S = 60.0
+WAIT_TIMEOUT_S = 60.0
 CONFIG_CHANGES = 12
-CONFIG_PAUSE_S = 0.3
-# Up to a day's changes, with a checkpoint each 15 minutes.
-BACKLOGS = (300, 1_200, 4_200)
+CONFIG_CHANGE_INTERVAL_S = 0.3
+# Up to the changes of a day, with a checkpoint every 15 minutes.
+BACKLOG_SIZES = (300, 1_200, 4_200)
 CHANGES_PER_CHECKPOINT = 44
-FILL_WORKERS = 8
+KEYED_CALL_WORKERS = 8
 KEYS_PER_REQUEST = 1_000
-TIMEOUT_MS = 10_000.0
+REQUEST_TIMEOUT_MS = 10_000.0
 # About ten times the expected 291 failures and restarts a day with four changes
-# each, so that the cost of changes shows in a short run.
+# each, so that the cost of changes is visible in a short run.
 MEMBER_CHANGES_PER_S = 0.15
-PUSH_RECORDS = 100
+RECORDS_PER_PUSH = 100
 DOMAINS = {"a": "127.0.1.1", "b": "127.0.2.1", "c": "127.0.3.1"}
 IMPORT_STEPS = {
     "interpreter": "",
@@ -96,7 +96,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Usage:
-    """What a process uses: memory in KB, CPU time since its start in s."""
+    """Resource usage of a process: memory in KB, CPU time since its start in s."""
 
     rss_kb: int
     anonymous_kb: int
@@ -105,7 +105,7 @@
 
 
 def read_usage(pid: int) -> Usage:
-    """Return what a process uses now."""
+    """Return the current resource usage of a process."""
     text = Path(f"/proc/{pid}/status").read_text()
     lines = dict(line.split(":", 1) for line in text.splitlines())
     fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
@@ -117,28 +117,28 @@
 
 
 def read_transferred(pid: int) -> int:
-    """Return the bytes a process has read and written, sockets of libuv included."""
+    """Return the bytes read and written by a process, including sockets of libuv."""
     lines = Path(f"/proc/{pid}/io").read_text().splitlines()
     values = dict(line.split(": ") for line in lines)
     return int(values["rchar"]) + int(values["wchar"])
 
 
 def read_peak_kb(pid: int) -> int:
-    """Return the highest resident memory of a process so far."""
+    """Return the peak resident memory of a process in KB."""
     text = Path(f"/proc/{pid}/status").read_text()
     lines = dict(line.split(":", 1) for line in text.splitlines())
     return int(lines["VmHWM"].split()[0])
 
 
 def cpu_percent(before: Usage, after: Usage) -> float:
-    """Return the share of one core used between two readings, in percent."""
+    """Return the CPU use between two readings in percent of one core."""
     return 100.0 * (after.cpu_s - before.cpu_s) / (after.at_s - before.at_s)
 
 
-def slopes_of(points: Iterable[tuple[float, list[float]]]) -> dict[str, float]:
+def fit_slopes(points: Iterable[tuple[float, list[float]]]) -> dict[str, float]:
     """Return the mean, lowest and highest slope over the repetitions.
 
-    :param points: size and the values of the repetitions at that size
+    :param points: size, and the values of all repetitions at that size
     """
     sizes, values = zip(*points, strict=True)
     found = [
@@ -150,7 +150,7 @@
 
 
 class Bench:
-    """Processes started one by one; use it as a context manager."""
+    """Context manager that starts processes and stops them at exit."""
 
     def __init__(self) -> None:
         self.folder = Path(tempfile.mkdtemp(prefix="briardock-capacity-"))
@@ -174,14 +174,14 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
     def spawn(self, *arguments: str) -> ManagedProcess:
-        """Start an interpreter."""
+        """Start a Python interpreter with the given arguments."""
         name = f"process-{len(self._processes)}"
         process = ManagedProcess(name, [sys.executable, *arguments], self.folder)
         self._processes.append(process)
         return process
 
     def spawn_log(self) -> tuple[ManagedProcess, int]:
-        """Start a log stand-in and return it with its port."""
+        """Start a log stand-in; return its process and port."""
         port = self.ports.take()
         module = "briardock_standins.log"
         process = self.spawn("-m", module, "--host=127.0.0.1", f"--port={port}")
@@ -190,8 +190,8 @@
 
     def spawn_node(
         self, node_id: str, log_port: int, domain: str = "domain-0", seed: str = ""
-    ) -> "BenchNode":
-        """Start a node without waiting for it."""
+    ) -> "NodeProcess":
+        """Start a node without waiting until it is ready."""
         http, call, gossip, admin = (self.ports.take() for _ in range(4))
         path = self.folder / f"{node_id}-{http}.ini"
         path.write_text(
@@ -201,11 +201,11 @@
             f"[admin]\nport = {admin}\n[log]\nport = {log_port}\n"
         )
         process = self.spawn("-m", "briardock.node", "--settings", str(path))
-        return BenchNode(process, http, gossip, admin)
+        return NodeProcess(process, http, gossip, admin)
 
 
 @dataclass(frozen=True, slots=True)
-class BenchNode:
+class NodeProcess:
     """A node process and its ports."""
 
     process: ManagedProcess
@@ -214,17 +214,17 @@
     admin_port: int
 
     def usage(self) -> Usage:
-        """Return what the process uses now."""
+        """Return the current resource usage of the process."""
         return read_usage(self.process.pid)
 
     def get(self, path: str) -> dict[str, Any]:
-        """Return the JSON answer of the operator endpoint."""
+        """Return a JSON document from the operator endpoint."""
         url = f"http://127.0.0.1:{self.admin_port}{path}"
-        found: dict[str, Any] = httpx.get(url, timeout=30.0, trust_env=False).json()
-        return found
+        content: dict[str, Any] = httpx.get(url, timeout=30.0, trust_env=False).json()
+        return content
 
     def wait_ready(self) -> None:
-        """Wait until the operator endpoint answers."""
+        """Wait until the operator endpoint responds."""
         wait_for_http(f"http://127.0.0.1:{self.admin_port}/quarantine")
 
 
@@ -233,17 +233,17 @@
 
     :raises RuntimeError: if it does not hold in time
     """
-    limit_s = time.monotonic() + BOUND_S
-    while time.monotonic() < limit_s:
+    deadline_s = time.monotonic() + WAIT_TIMEOUT_S
+    while time.monotonic() < deadline_s:
         with suppress(httpx.HTTPError, KeyError, IndexError):
             if predicate():
                 return
         time.sleep(0.1)
-    raise RuntimeError(f"waited {BOUND_S} s for {what}")
+    raise RuntimeError(f"waited {WAIT_TIMEOUT_S} s for {what}")
 
 
 def wait_for_http(url: str) -> None:
-    """Wait until a server answers."""
+    """Wait until a server responds with a status below 500."""
     wait_until(lambda: httpx.get(url, trust_env=False).status_code < 500, url)
 
 
@@ -286,12 +286,12 @@
 # Members
 
 
-class PeerStandIn:
-    """Plays all other members of a node; its messages are those of real ones.
+class SimulatedMembers:
+    """Simulates all other members of a node with real gossip messages.
 
-    :param count: number of members with the node itself
+    :param count: number of members, including the node itself
     :param node_port: gossip port of the node
-    :param port: gossip port of all members played, each with its own address
+    :param port: gossip port of all simulated members, whose addresses differ
     """
 
     def __init__(self, count: int, node_port: int, port: int) -> None:
@@ -303,46 +303,46 @@
         self._digest = 0
 
     async def run(self) -> None:
-        """Play until the process ends."""
+        """Simulate the members until the process ends."""
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._answer)
-            await self._fill()
-            tasks.start_soon(self._change)
+            tasks.start_soon(self._respond)
+            await self._push_records()
+            tasks.start_soon(self._change_members)
             while True:
                 await anyio.sleep(self._rng.expovariate(1.0))
                 ping = Ping(1, self._summary(self._rng.choice(self._records)))
                 await self._send(ping)
 
     def _summary(self, sender: MemberRecord) -> Summary:
-        # The digest of the node itself, so that it has nothing to compare.
+        # Returns the digest of the node itself, so that it starts no anti-entropy sync.
         return Summary(sender, self._digest, 0, 0)
 
-    async def _fill(self) -> None:
+    async def _push_records(self) -> None:
         with self._context.socket(zmq.DEALER) as dealer:
             dealer.connect(self._address)
-            for start in range(0, len(self._records), PUSH_RECORDS):
-                part = self._records[start : start + PUSH_RECORDS]
+            for start in range(0, len(self._records), RECORDS_PER_PUSH):
+                part = self._records[start : start + RECORDS_PER_PUSH]
                 await dealer.send(encode(Push(part)))
                 await anyio.sleep(0.02)
             await anyio.sleep(1.0)
 
-    async def _answer(self) -> None:
+    async def _respond(self) -> None:
         with self._context.socket(zmq.ROUTER) as router:
             router.bind(f"tcp://0.0.0.0:{self._port}")
             while True:
                 identity, data = await router.recv_multipart()
                 message = decode_gossip(data)
-                answer: Message
+                response: Message
                 if isinstance(message, Ping):
                     self._digest = message.summary.table_digest
-                    answer = Ack(message.sequence, self._summary(message.members[-1]))
+                    response = Ack(message.sequence, self._summary(message.members[-1]))
                 elif isinstance(message, SyncRequest):
-                    answer = SyncReply(self._records[0], [], 0, [])
+                    response = SyncReply(self._records[0], [], 0, [])
                 else:
                     continue
-                await router.send_multipart([identity, encode(answer)])
+                await router.send_multipart([identity, encode(response)])
 
-    async def _change(self) -> None:
+    async def _change_members(self) -> None:
         while True:
             await anyio.sleep(self._rng.expovariate(MEMBER_CHANGES_PER_S))
             i = self._rng.randrange(len(self._records))
@@ -351,7 +351,7 @@
             await self._send(Push([self._records[i]]))
 
     async def _send(self, message: Message) -> None:
-        """Send from a fresh connection, as a random member would."""
+        """Send over a new connection, as a random member does."""
         with self._context.socket(zmq.DEALER) as dealer:
             dealer.linger = 500
             dealer.connect(self._address)
@@ -361,9 +361,9 @@
 
 
 def measure_members() -> dict[str, Any]:
-    """Return memory and CPU against the number of members."""
+    """Measure memory and CPU by the number of members."""
     with Bench() as bench:
-        nodes: dict[int, list[BenchNode]] = {}
+        nodes: dict[int, list[NodeProcess]] = {}
         for count in MEMBER_COUNTS:
             for i in range(REPETITIONS):
                 _, log_port = bench.spawn_log()
@@ -376,9 +376,9 @@
             for node in group:
                 ports = (str(node.gossip_port), str(bench.ports.take()))
                 bench.spawn(__file__, "--peers", str(count), *ports)
-        time.sleep(SETTLE_S + max(MEMBER_COUNTS) / PUSH_RECORDS * 0.04)
+        time.sleep(SETTLE_S + max(MEMBER_COUNTS) / RECORDS_PER_PUSH * 0.04)
         before = {c: [one.usage() for one in group] for c, group in nodes.items()}
-        time.sleep(2 * IDLE_S)
+        time.sleep(2 * IDLE_MEASUREMENT_S)
         rows = []
         for count, group in nodes.items():
             after = [one.usage() for one in group]
@@ -400,13 +400,18 @@
             }
             print(f"members {row}", flush=True)
             rows.append(row)
-    return {"rows": rows, **slopes("members", rows, "grown_kb", "cpu_percent")}
+    return {
+        "rows": rows,
+        **fit_named_slopes("members", rows, "grown_kb", "cpu_percent"),
+    }
 
 
-def slopes(size: str, rows: list[dict[str, Any]], *names: str) -> dict[str, Any]:
-    """Return the slopes of some figures over one size, and print them."""
+def fit_named_slopes(
+    size: str, rows: list[dict[str, Any]], *names: str
+) -> dict[str, Any]:
+    """Return and print the slopes of the named figures over one size."""
     found = {
-        f"{name}_per_{size}": slopes_of([(row[size], row[name]) for row in rows])
+        f"{name}_per_{size}": fit_slopes([(row[size], row[name]) for row in rows])
         for name in names
     }
     for name, slope in found.items():
@@ -418,7 +423,7 @@
 
 
 def service_text(number: int, deadline_ms: int) -> str:
-    """Return the file of one service."""
+    """Return the configuration file of one service."""
     name = f"service-{number}"
     lines = [f"[service {name}]", "domains = a, b, c", "slots_hint = 200"]
     for i in range(OPERATIONS_PER_SERVICE):
@@ -431,7 +436,7 @@
 
 
 async def append_change(port: int, base: dict[str, int], number: int) -> int:
-    """Append a change of the given files to the log and return its offset."""
+    """Append a change of the given files to the log; return its offset."""
     log = LogClient("127.0.0.1", port)
     changes: dict[str, str | None] = {}
     for name in base:
@@ -448,7 +453,7 @@
     return offset
 
 
-def has_version(nodes: list[BenchNode], version: int) -> bool:
+def has_version(nodes: list[NodeProcess], version: int) -> bool:
     """Return whether all nodes have a version in force."""
     return all(
         found is not None and int(found) >= version
@@ -457,7 +462,7 @@
 
 
 def measure_configuration() -> dict[str, Any]:
-    """Return memory and CPU of readers and another node against configuration."""
+    """Measure memory and CPU of log readers and another node by configuration size."""
     rows = []
     for count in SERVICE_COUNTS:
         with Bench() as bench:
@@ -472,11 +477,11 @@
             rows.append(measure_changes(nodes, port, count))
             print(f"configuration {rows[-1]}", flush=True)
     names = ("rss_kb_reader", "rss_kb_other", "change_ms_reader", "change_ms_other")
-    return {"rows": rows, **slopes("services", rows, *names)}
+    return {"rows": rows, **fit_named_slopes("services", rows, *names)}
 
 
-def measure_changes(nodes: list[BenchNode], port: int, count: int) -> dict[str, Any]:
-    """Publish a configuration and changes of it; return the figures of one size."""
+def measure_changes(nodes: list[NodeProcess], port: int, count: int) -> dict[str, Any]:
+    """Publish a configuration and then changes; return the figures of one size."""
     is_reader = [bool(one.get("/status")["log_reader"]) for one in nodes]
     empty = [one.usage() for one in nodes]
     base = {f"10-{i}.ini": ABSENT for i in range(count)}
@@ -492,7 +497,7 @@
         versions[name] = version = run_async(
             append_change, port, {name: versions[name]}, number
         )
-        time.sleep(CONFIG_PAUSE_S)
+        time.sleep(CONFIG_CHANGE_INTERVAL_S)
     time.sleep(2.0)
     after = [one.usage() for one in nodes]
     wait_until(partial(has_version, nodes, version), "the changes")
@@ -504,7 +509,7 @@
         chosen = [i for i in range(len(nodes)) if is_reader[i] is wanted]
         row[f"rss_kb_{role}"] = [quiet[i].rss_kb - empty[i].rss_kb for i in chosen]
         row[f"change_ms_{role}"] = [
-            round(change_ms(quiet[i], before[i], after[i]), 2) for i in chosen
+            round(cpu_ms_per_change(quiet[i], before[i], after[i]), 2) for i in chosen
         ]
         row[f"rss_kb_after_{role}"] = [
             after[i].rss_kb - empty[i].rss_kb for i in chosen
@@ -513,9 +518,10 @@
 
 
 async def append_backlog(port: int, count: int) -> None:
-    """Fill a log with a day's mix of changes and checkpoints at the full size.
+    """Fill a log with changes and checkpoints of the largest configuration.
 
-    The changes conflict, since only their number and size matter to a fresh node.
+    The changes conflict, which does not matter: the cost of a starting node depends
+    on their number and size only.
     """
     log = LogClient("127.0.0.1", port)
     state = make_config_state()
@@ -527,7 +533,7 @@
     for number in range(count):
         offset = await log.append(STREAM, body)
         while isinstance(offset, LogFailure):
-            await anyio.sleep(0.1)  # The log bounds its rate of appends.
+            await anyio.sleep(0.1)  # The log limits the rate of appends.
             offset = await log.append(STREAM, body)
         state.apply(offset, body)
         if number % CHANGES_PER_CHECKPOINT == 0:
@@ -540,9 +546,9 @@
 
 
 def measure_start() -> dict[str, Any]:
-    """Return what a fresh node without peers reads and uses until it is ready."""
+    """Measure log traffic, time and memory until a node without peers is ready."""
     rows = []
-    for count in BACKLOGS:
+    for count in BACKLOG_SIZES:
         with Bench() as bench:
             log, port = bench.spawn_log()
             run_async(append_backlog, port, count)
@@ -553,11 +559,11 @@
                 node = bench.spawn_node(f"fresh-{i}", port)
                 node.wait_ready()
                 wait_until(partial(has_version, [node], 0), "the configuration")
-                spent_s = time.monotonic() - started_s
+                elapsed_s = time.monotonic() - started_s
                 time.sleep(1.0)
                 log_bytes = read_transferred(log.pid) - log_bytes
                 figures = {
-                    "ready_s": round(spent_s, 2),
+                    "ready_s": round(elapsed_s, 2),
                     "log_mb": round(log_bytes / 1e6, 3),
                     "cpu_s": node.usage().cpu_s,
                     "peak_rss_mb": round(read_peak_kb(node.process.pid) / 1024, 1),
@@ -567,11 +573,11 @@
                 node.process.kill()
             rows.append(row)
             print(f"start {row}", flush=True)
-    return {"rows": rows, **slopes("backlog", rows, "log_mb", "cpu_s")}
+    return {"rows": rows, **fit_named_slopes("backlog", rows, "log_mb", "cpu_s")}
 
 
 def encoded_bytes(count: int) -> dict[str, int]:
-    """Return the sizes of a configuration as the log and gossip carry it."""
+    """Return the encoded sizes of a configuration in the log and in gossip."""
     state = make_config_state()
     changes: dict[str, str | None] = {"00-classes.ini": "[class reads]\nrank = 3\n"}
     changes.update((f"10-{i}.ini", service_text(i, 1_000)) for i in range(count))
@@ -591,18 +597,18 @@
     }
 
 
-def change_ms(quiet: Usage, before: Usage, after: Usage) -> float:
-    """Return the CPU time of one change in ms, without that of an idle node."""
+def cpu_ms_per_change(quiet: Usage, before: Usage, after: Usage) -> float:
+    """Return the CPU time per change in ms, less that of an idle node."""
     idle = (before.cpu_s - quiet.cpu_s) / (before.at_s - quiet.at_s)
-    spent_s = after.cpu_s - before.cpu_s - idle * (after.at_s - before.at_s)
-    return 1_000.0 * spent_s / CONFIG_CHANGES
+    changes_cpu_s = after.cpu_s - before.cpu_s - idle * (after.at_s - before.at_s)
+    return 1_000.0 * changes_cpu_s / CONFIG_CHANGES
 
 
 # Action records and caller connections
 
 
-async def fill_records(port: int, first: int, count: int) -> None:
-    """Run keyed calls one after another in a few workers."""
+async def run_keyed_calls(port: int, first: int, count: int) -> None:
+    """Run keyed calls in a few concurrent workers, to create action records."""
     address = parse_address(f"127.0.0.1:{port}")
     client = HttpClient()
     numbers = iter(range(first, first + count))
@@ -612,19 +618,19 @@
         for number in numbers:
             if not keys:
                 path = f"/_briardock/keys?count={KEYS_PER_REQUEST}"
-                answer = await client.request(
-                    address, HttpRequest("POST", path), TIMEOUT_MS
+                response = await client.request(
+                    address, HttpRequest("POST", path), REQUEST_TIMEOUT_MS
                 )
-                assert isinstance(answer, HttpResponse)
-                keys.extend(json.loads(answer.body)["keys"])
+                assert isinstance(response, HttpResponse)
+                keys.extend(json.loads(response.body)["keys"])
             headers = ((b"idempotency-key", keys.pop().encode()),)
             request = HttpRequest("POST", f"/app/book/{number}", headers, b"x")
-            answer = await client.request(address, request, TIMEOUT_MS)
-            if not isinstance(answer, HttpResponse) or answer.status != 200:
-                raise RuntimeError(f"keyed call failed: {answer}")
+            response = await client.request(address, request, REQUEST_TIMEOUT_MS)
+            if not isinstance(response, HttpResponse) or response.status != 200:
+                raise RuntimeError(f"keyed call failed: {response}")
 
     async with anyio.create_task_group() as tasks:
-        for _ in range(FILL_WORKERS):
+        for _ in range(KEYED_CALL_WORKERS):
             tasks.start_soon(work)
     await client.close()
 
@@ -644,7 +650,7 @@
 
 
 def measure_records() -> dict[str, Any]:
-    """Return memory against held action records and caller connections."""
+    """Measure memory by stored action records and by caller connections."""
     rows: list[dict[str, Any]] = []
     with Deployment(make_record_spec()) as deployment, Bench() as bench:
         names = list(deployment.instances)
@@ -663,7 +669,7 @@
             rows.append(
                 {
                     "records": count,
-                    "rss_kb": rss_of(deployment, names),
+                    "rss_kb": read_rss_kb(deployment, names),
                     "held": [one["records"] for one in states],
                     "held_bytes": [one["held_bytes"] for one in states],
                 }
@@ -672,13 +678,13 @@
         connections = measure_connections(deployment, names)
     return {
         "rows": rows,
-        **slopes("records", rows, "rss_kb"),
+        **fit_named_slopes("records", rows, "rss_kb"),
         "connections": connections,
-        **slopes("connections", connections, "rss_kb"),
+        **fit_named_slopes("connections", connections, "rss_kb"),
     }
 
 
-def rss_of(deployment: Deployment, names: list[str]) -> list[int]:
+def read_rss_kb(deployment: Deployment, names: list[str]) -> list[int]:
     """Return the resident memory of nodes in KB."""
     processes = [deployment.processes[name] for name in names]
     return [read_usage(one.pid).rss_kb for one in processes]
@@ -687,21 +693,21 @@
 def measure_connections(
     deployment: Deployment, names: list[str]
 ) -> list[dict[str, Any]]:
-    """Return the memory of nodes with open caller connections that made a call."""
+    """Measure memory by open caller connections that have each made a call."""
     rows = []
-    held: list[socket.socket] = []
+    sockets: list[socket.socket] = []
     for count in CONNECTION_COUNTS:
         for name in names:
             port = deployment.instances[name].ports["http"]
-            while sum(one.getpeername()[1] == port for one in held) < count:
+            while sum(one.getpeername()[1] == port for one in sockets) < count:
                 one = socket.create_connection(("127.0.0.1", port))
                 one.sendall(b"GET /app/map/1 HTTP/1.1\r\nhost: a\r\n\r\n")
                 one.recv(65_536)
-                held.append(one)
+                sockets.append(one)
         time.sleep(1.0)
-        rows.append({"connections": count, "rss_kb": rss_of(deployment, names)})
+        rows.append({"connections": count, "rss_kb": read_rss_kb(deployment, names)})
         print(f"connections {rows[-1]}", flush=True)
-    for one in held:
+    for one in sockets:
         one.close()
     return rows
 
@@ -710,7 +716,7 @@
 
 
 def measure_calls() -> dict[str, Any]:
-    """Return CPU against calls per second on the entry and the inbound side."""
+    """Measure CPU by calls per second at the entry node and at the inbound node."""
     rows: list[dict[str, Any]] = []
     names = {"entry": f"{ISSUER_SERVICE}-0", "inbound": f"{CALLED_SERVICE}-0"}
     with Deployment(make_spec()) as deployment:
@@ -719,14 +725,14 @@
             row: dict[str, Any] = {"target_rate": rate, "failed": 0, "calls_per_s": []}
             for _ in range(REPETITIONS):
                 entries = deployment.entries(names["entry"])
-                plan = LoadPlan(entries, (action,), (Phase(CALLS_S),), rate)
-                before = usages(deployment, names.values())
+                plan = LoadPlan(entries, (action,), (Phase(CALLS_MEASUREMENT_S),), rate)
+                before = read_usages(deployment, names.values())
                 generator = LoadGenerator(plan, SystemClock())
-                told = run_async(generator.run)
-                after = usages(deployment, names.values())
-                row["failed"] += sum(not one.succeeded for one in told)
-                spent_s = after[0].at_s - before[0].at_s
-                row["calls_per_s"].append(round(len(told) / spent_s, 1))
+                results = run_async(generator.run)
+                after = read_usages(deployment, names.values())
+                row["failed"] += sum(not one.succeeded for one in results)
+                elapsed_s = after[0].at_s - before[0].at_s
+                row["calls_per_s"].append(round(len(results) / elapsed_s, 1))
                 for side, a, b in zip(names, before, after, strict=True):
                     used = round(cpu_percent(a, b), 2)
                     row.setdefault(f"cpu_percent_{side}", []).append(used)
@@ -745,8 +751,8 @@
     return result
 
 
-def usages(deployment: Deployment, names: Iterable[str]) -> list[Usage]:
-    """Return what nodes use now."""
+def read_usages(deployment: Deployment, names: Iterable[str]) -> list[Usage]:
+    """Return the current resource usage of nodes."""
     return [read_usage(deployment.processes[name].pid) for name in names]
 
 
@@ -754,7 +760,7 @@
 
 
 def measure_idle(size: int) -> dict[str, Any]:
-    """Return the control traffic and CPU of a node in an idle deployment."""
+    """Measure the control traffic and CPU of the nodes of an idle deployment."""
     plan = target_plan(
         read_catalog(CONFIG), TargetPlan(CALLED_SERVICE, single_operation(0.0)), False
     )
@@ -763,15 +769,15 @@
     with Deployment(spec) as deployment:
         names = list(deployment.instances)
         time.sleep(SETTLE_S)
-        counted = [deployment.admin_get(n, "/dump")["counters"] for n in names]
+        counters_before = [deployment.admin_get(n, "/dump")["counters"] for n in names]
         log_pid = deployment.processes["log"].pid
         log_bytes = read_transferred(log_pid)
-        before = usages(deployment, names)
-        time.sleep(IDLE_S)
-        after = usages(deployment, names)
+        before = read_usages(deployment, names)
+        time.sleep(IDLE_MEASUREMENT_S)
+        after = read_usages(deployment, names)
         log_bytes = read_transferred(log_pid) - log_bytes
-        ended = [deployment.admin_get(n, "/dump") for n in names]
-    spent_s = after[0].at_s - before[0].at_s
+        dumps_after = [deployment.admin_get(n, "/dump") for n in names]
+    elapsed_s = after[0].at_s - before[0].at_s
     row: dict[str, Any] = {"nodes": size}
     for kind in ("bytes", "messages"):
         rates = [
@@ -779,29 +785,29 @@
                 end["counters"][f"gossip.{way}_{kind}"] - start[f"gossip.{way}_{kind}"]
                 for way in ("sent", "received")
             )
-            / spent_s
-            for start, end in zip(counted, ended, strict=True)
+            / elapsed_s
+            for start, end in zip(counters_before, dumps_after, strict=True)
         ]
-        row[f"gossip_{kind}_per_s"] = spread_of(rates)
-    readers = sum(bool(end["status"]["log_reader"]) for end in ended)
+        row[f"gossip_{kind}_per_s"] = summarize(rates)
+    readers = sum(bool(end["status"]["log_reader"]) for end in dumps_after)
     row["log_readers"] = readers
-    row["log_bytes_per_s_per_reader"] = round(log_bytes / spent_s / readers, 1)
+    row["log_bytes_per_s_per_reader"] = round(log_bytes / elapsed_s / readers, 1)
     used = list(map(cpu_percent, before, after))
     for role, wanted in (("reader", True), ("other", False)):
         chosen = [
             one
-            for one, end in zip(used, ended, strict=True)
+            for one, end in zip(used, dumps_after, strict=True)
             if bool(end["status"]["log_reader"]) is wanted
         ]
         if chosen:
-            row[f"cpu_percent_{role}"] = spread_of(chosen)
-    row["rss_mb"] = spread_of([one.rss_kb / 1024 for one in after])
+            row[f"cpu_percent_{role}"] = summarize(chosen)
+    row["rss_mb"] = summarize([one.rss_kb / 1024 for one in after])
     print(f"idle {row}", flush=True)
     return row
 
 
-def spread_of(values: list[float]) -> dict[str, float]:
-    """Return mean, lowest and highest value."""
+def summarize(values: list[float]) -> dict[str, float]:
+    """Return the mean, the lowest and the highest value."""
     figures = {
         "mean": statistics.mean(values),
         "low": min(values),
@@ -822,17 +828,17 @@
 
 
 def main() -> None:
-    """Run the parts and print the figures as JSON on the last line."""
+    """Run the selected parts and print the figures as JSON on the last line."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--parts", nargs="*", choices=PARTS, default=list(PARTS))
     parser.add_argument("--peers", type=int, nargs=3, help=argparse.SUPPRESS)
     parser.add_argument("--fill", type=int, nargs=3, help=argparse.SUPPRESS)
     options = parser.parse_args()
     if options.peers:
-        run_async(PeerStandIn(*options.peers).run)
+        run_async(SimulatedMembers(*options.peers).run)
         return
     if options.fill:
-        run_async(fill_records, *options.fill)
+        run_async(run_keyed_calls, *options.fill)
         return
     figures: dict[str, Any] = {}
     with tempfile.TemporaryDirectory(prefix="briardock-pyc-") as cache:
@@ -843,11 +849,12 @@
 
 
 def cache_bytecode(folder: str) -> None:
-    """Let all processes load compiled modules, as installed ones do.
+    """Compile all modules in advance, so that processes load them from a cache.
 
-    Compiling at the start leaves a few MB in the heap of a process.
+    Installed packages are compiled as well; compilation at the start of a process
+    would leave a few MB in its heap.
 
-    :param folder: where the compiled modules go
+    :param folder: folder of the compiled modules
     """
     os.environ["PYTHONPYCACHEPREFIX"] = folder
     os.environ["PYTHONDONTWRITEBYTECODE"] = ""
@@ -857,7 +864,7 @@
 
 
 def run_parts(names: list[str], figures: dict[str, Any]) -> None:
-    """Run parts and add their figures."""
+    """Run parts and add their figures to ``figures``."""
     for name in names:
         started_s = time.monotonic()
         figures[name] = PARTS[name]()
--- a/benchmarks/demo.py
+++ b/benchmarks/demo.py
@@ -76,14 +76,14 @@
             f"{name}: {len(deployment.instances)} nodes, "
             f"configuration version {version['version']}"
         )
-        results = anyio.run(
+        action_results = anyio.run(
             send_actions, deployment, folder, backend_options={"use_uvloop": True}
         )
         at_most_once = once_operations(read_catalog(folder))
-        violations = check(deployment.target_ledgers(), [results], at_most_once)
+        violations = check(deployment.target_ledgers(), [action_results], at_most_once)
     for violation in violations:
         print(f"  {violation.rule}: {violation.subject}: {violation.detail}")
-    return not violations and all(one.succeeded for one in results)
+    return not violations and all(one.succeeded for one in action_results)
 
 
 def main() -> int:
--- a/benchmarks/gossip_cost.py
+++ b/benchmarks/gossip_cost.py
@@ -1,16 +1,17 @@
-"""Cost of gossip against table size, and time to spread a configuration.
+"""Measure the cost of gossip by table size, and the time to spread a change.
 
-The cost part runs one gossiping node with a full table in a process of its own.
-A stand-in process plays all other members: it answers pings, pings the node as
-often as the members of a cluster of that size would, and sends member changes
-and configuration changes at the rates given below. Every member has an address
-of its own on loopback, so that connections are opened as often as in reality.
+The cost part runs gossip of one node with a full member table in a separate process.
+A second process simulates all other members: it responds to pings, pings the node as
+often as the members of a cluster of that size, and sends member changes and
+configuration changes at the rates given below. Every member has a separate loopback
+address, so that the node opens connections as often as in a real cluster.
 
-One more run has a third of the members lost from its start, while the others spread
-their verdicts in every message. Bytes are those of zmq messages; each new connection
-adds about 0.2 KB of zmq greeting, and TCP and IP headers come on top.
+One more run has a third of the members unresponsive from the start, while the others
+piggyback suspect and unreachable records on every message. Bytes are those of zmq
+messages; each new connection adds about 0.2 KB of zmq greeting, and TCP and IP
+headers are not counted.
 
-The spread part runs many complete instances in a few processes.
+The spread part runs many complete gossip instances in a few processes.
 """
 
 import argparse
@@ -53,37 +54,37 @@
 FAILURE_DOMAINS = 14
 REGIONS = 5
 # About ten times the expected 290 failures and restarts a day with four changes
-# each, so that the cost of changes shows in a short run.
+# each, so that the cost of changes is visible in a short run.
 MEMBER_CHANGES_PER_S = 0.15
 # Twice the expected 4,200 a day.
 CONFIG_CHANGES_PER_S = 0.1
 CONFIG_BYTES = 2_000
-CONFIG_COPIES = 4
-STANDIN_PORT = 27_900
+SENDERS_PER_CONFIG_CHANGE = 4
+MEMBERS_PORT = 27_900
 NODE_HOST = "127.1.0.1"
 NODE_PORT = 27_901
 SPREAD_PORT = 27_910
-SOCKETS_MAX = 8_192
+SOCKET_LIMIT = 8_192
 PAGE_BYTES = 4_096
-LOST_ONE_IN = 3
-VERDICTS_PER_MESSAGE = 12
+MEMBERS_PER_LOST = 3
+FAILURE_RECORDS_PER_MESSAGE = 12
 
 
-def rss_bytes() -> int:
+def read_rss_bytes() -> int:
     """Return the resident memory of this process."""
     with open("/proc/self/statm") as statm:
         return int(statm.read().split()[1]) * PAGE_BYTES
 
 
-def anonymous_kb() -> int:
-    """Return the part of the resident memory that is no mapped file."""
+def read_anonymous_kb() -> int:
+    """Return the anonymous resident memory of this process, without mapped files."""
     with open("/proc/self/smaps_rollup") as rollup:
         lines = dict(line.split(":") for line in rollup.readlines()[1:])
     return int(lines["Anonymous"].split()[0])
 
 
 def make_records(count: int, port: int) -> Iterator[MemberRecord]:
-    """Yield records with addresses of their own, decoded as from the wire."""
+    """Yield records with distinct addresses, decoded as if received."""
     rng = random.Random(count)
     decoder = msgspec.msgpack.Decoder(MemberRecord)
     for i in range(count):
@@ -103,8 +104,8 @@
 
 
 @dataclass
-class StandIn:
-    """Plays all members except the measured node."""
+class SimulatedMembers:
+    """Simulates all members except the measured node."""
 
     records: list[MemberRecord]
     context: zmq.asyncio.Context
@@ -114,29 +115,31 @@
     version: int = 1
 
     def is_lost(self, record: MemberRecord) -> bool:
-        """Return whether a member does not answer: one in three in an outage."""
-        return self.outage and int(record.node_id[-5:]) % LOST_ONE_IN == 0
+        """Return whether a member is unresponsive: one in three in an outage."""
+        return self.outage and int(record.node_id[-5:]) % MEMBERS_PER_LOST == 0
 
-    def verdicts(self) -> list[MemberRecord]:
-        """Return the verdicts that members would piggyback in an outage."""
+    def failure_records(self) -> list[MemberRecord]:
+        """Return the failure records that members piggyback during an outage."""
         if not self.outage:
             return []
-        found = self.rng.sample(self.records, VERDICTS_PER_MESSAGE * LOST_ONE_IN)
+        sampled = self.rng.sample(
+            self.records, FAILURE_RECORDS_PER_MESSAGE * MEMBERS_PER_LOST
+        )
         states = [MemberState.SUSPECT, MemberState.UNREACHABLE]
         return [
             msgspec.structs.replace(record, state=self.rng.choice(states))
-            for record in found
+            for record in sampled
             if self.is_lost(record)
         ]
 
     def summary(self, sender: MemberRecord) -> Summary:
-        """Return what an ack or ping of a member tells."""
+        """Return the summary that a member sends with an ack or ping."""
         return Summary(sender, self.digest, 0, self.version)
 
-    async def answer(self) -> None:
-        """Answer pings with the record they carry for their receiver."""
+    async def respond(self) -> None:
+        """Respond to pings as the member whose record they carry last."""
         with self.context.socket(zmq.ROUTER) as router:
-            router.bind(f"tcp://0.0.0.0:{STANDIN_PORT}")
+            router.bind(f"tcp://0.0.0.0:{MEMBERS_PORT}")
             while True:
                 identity, data = await router.recv_multipart()
                 message = decode_gossip(data)
@@ -146,35 +149,35 @@
                     if self.is_lost(target):
                         continue
                     summary = self.summary(target)
-                    ack = Ack(message.sequence, summary, self.verdicts())
+                    ack = Ack(message.sequence, summary, self.failure_records())
                     await router.send_multipart([identity, encode(ack)])
                 elif isinstance(message, SyncRequest):
-                    reply = SyncReply(self.records[0], [], 0, [])
-                    await router.send_multipart([identity, encode(reply)])
+                    response = SyncReply(self.records[0], [], 0, [])
+                    await router.send_multipart([identity, encode(response)])
 
-    async def send(self, message: Message, wait_answer: bool) -> None:
-        """Send from a fresh connection, as a random member would."""
+    async def send(self, message: Message, wait_for_response: bool) -> None:
+        """Send over a new connection, as a random member does."""
         with self.context.socket(zmq.DEALER) as dealer:
             dealer.linger = 0
             dealer.connect(f"tcp://{NODE_HOST}:{NODE_PORT}")
             await dealer.send(encode(message))
             with anyio.move_on_after(2.0):
-                if wait_answer:
+                if wait_for_response:
                     await dealer.recv()
                 else:
                     await anyio.sleep(2.0)
 
     async def ping_node(self) -> None:
-        """Ping the node once per second on average, as a cluster would."""
+        """Ping the node once per second on average, as the members of a cluster do."""
         while True:
             await anyio.sleep(self.rng.expovariate(1.0))
             sender = self.rng.choice(self.records)
             if not self.is_lost(sender):
-                ping = Ping(1, self.summary(sender), self.verdicts())
+                ping = Ping(1, self.summary(sender), self.failure_records())
                 await self.send(ping, True)
 
     async def change_members(self, tasks: Any) -> None:
-        """Tell the node of a changed member now and then."""
+        """Send changed member records at the configured rate."""
         while True:
             await anyio.sleep(self.rng.expovariate(MEMBER_CHANGES_PER_S))
             i = self.rng.randrange(len(self.records))
@@ -183,44 +186,48 @@
             tasks.start_soon(self.send, Push([self.records[i]]), False)
 
     async def change_config(self, tasks: Any) -> None:
-        """Send configuration changes from several members at once."""
+        """Send each configuration change from several members at once."""
         while True:
             await anyio.sleep(self.rng.expovariate(CONFIG_CHANGES_PER_S))
             payload = self.rng.randbytes(CONFIG_BYTES)
             delta = ConfigDelta(self.version, self.version + 1, payload)
             self.version += 1
-            for _ in range(CONFIG_COPIES):
+            for _ in range(SENDERS_PER_CONFIG_CHANGE):
                 tasks.start_soon(self.send, delta, False)
 
     async def run(self) -> None:
-        """Play until the process is ended."""
+        """Simulate the members until the process is terminated."""
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self.answer)
+            tasks.start_soon(self.respond)
             tasks.start_soon(self.ping_node)
             tasks.start_soon(self.change_members, tasks)
             tasks.start_soon(self.change_config, tasks)
 
 
-def run_standin(count: int, outage: bool) -> None:
-    """Entry point of the stand-in process."""
-    records = list(make_records(count - 1, STANDIN_PORT))
-    stand_in = StandIn(records, zmq.asyncio.Context(), random.Random(1), outage)
-    anyio.run(stand_in.run, backend_options={"use_uvloop": True})
+def run_simulated_members(count: int, outage: bool) -> None:
+    """Entry point of the process that simulates the other members."""
+    records = list(make_records(count - 1, MEMBERS_PORT))
+    simulated_members = SimulatedMembers(
+        records, zmq.asyncio.Context(), random.Random(1), outage
+    )
+    anyio.run(simulated_members.run, backend_options={"use_uvloop": True})
 
 
 def measure_cost(count: int, duration_s: float, result: Connection) -> None:
     """Entry point of the measured process."""
     gc.collect()
-    start_bytes = rss_bytes()
-    own = MemberRecord(
+    start_bytes = read_rss_bytes()
+    local_record = MemberRecord(
         "own", 1, 1, "service-1", "domain-1", "region-1", NODE_HOST, 1, NODE_PORT, "t"
     )
     clock = SystemClock()
-    table = make_member_table(own, clock, random.Random(2), MembershipSettings())
-    for record in make_records(count - 1, STANDIN_PORT):
+    table = make_member_table(
+        local_record, clock, random.Random(2), MembershipSettings()
+    )
+    for record in make_records(count - 1, MEMBERS_PORT):
         table.merge([record])
     gc.collect()
-    table_bytes = rss_bytes() - start_bytes
+    table_bytes = read_rss_bytes() - start_bytes
     figures = anyio.run(
         run_node, table, clock, duration_s, backend_options={"use_uvloop": True}
     )
@@ -251,13 +258,13 @@
         before = dict(metrics.counters)
         started_s, cpu_s = time.monotonic(), time.process_time()
         await anyio.sleep(duration_s)
-        spent_s = time.monotonic() - started_s
+        elapsed_time_s = time.monotonic() - started_s
         cpu_s = time.process_time() - cpu_s
         rates = {
-            name: (value - before.get(name, 0)) / spent_s
+            name: (value - before.get(name, 0)) / elapsed_time_s
             for name, value in metrics.counters.items()
         }
-        figures = cost_figures(rates, cpu_s / spent_s, gossip)
+        figures = cost_figures(rates, cpu_s / elapsed_time_s, gossip)
         tasks.cancel_scope.cancel()
     return figures
 
@@ -265,7 +272,7 @@
 def cost_figures(
     rates: dict[str, float], cpu_share: float, gossip: Gossip
 ) -> dict[str, Any]:
-    """Return the figures shown of one run."""
+    """Return the reported figures of one run."""
     sent = rates.get("gossip.sent_bytes", 0.0)
     received = rates.get("gossip.received_bytes", 0.0)
     return {
@@ -276,20 +283,20 @@
         "opened_sockets_per_s": round(rates.get("gossip.opened_sockets", 0.0), 2),
         "probe_failures_per_s": round(rates.get("gossip.probe_failures", 0.0), 3),
         "open_sockets": gossip.state()["open_sockets"],
-        "rss_mb": round(rss_bytes() / 2**20, 2),
-        "anonymous_mb": round(anonymous_kb() / 1024, 2),
+        "rss_mb": round(read_rss_bytes() / 2**20, 2),
+        "anonymous_mb": round(read_anonymous_kb() / 1024, 2),
     }
 
 
 @dataclass(frozen=True)
 class SpreadPlan:
-    """Instances of the spread part and what they do when.
+    """Instances of the spread part and the schedule of their changes.
 
     :param processes: number of processes
     :param per_process: instances in each
-    :param start_s: system's monotonic time at which all start
+    :param start_s: monotonic time at which all instances start
     :param pushes_s: times of configuration pushes after the start
-    :param leaves_s: times at which one instance announces to leave
+    :param leaves_s: times after the start at which one instance announces to leave
     :param end_s: end of the run after the start
     """
 
@@ -305,12 +312,12 @@
         """Number of instances."""
         return self.processes * self.per_process
 
-    def pusher(self, i: int) -> int:
-        """Return the instance that makes a push."""
+    def pushing_instance(self, i: int) -> int:
+        """Return the index of the instance that makes a push."""
         return (i * 37 + 5) % self.count
 
-    def leaver(self, i: int) -> int:
-        """Return the instance that leaves."""
+    def leaving_instance(self, i: int) -> int:
+        """Return the index of the instance that leaves."""
         return (i * 53 + 11) % self.count
 
 
@@ -332,7 +339,7 @@
         return time.monotonic() - self.plan.start_s
 
     def on_delta(self, payload: bytes, previous: int, version: int) -> bool:
-        """Apply a change to the version it builds on."""
+        """Apply a change if it is based on the current version."""
         if previous != self.version:
             return False
         self.version = version
@@ -340,12 +347,12 @@
         return True
 
     def on_snapshot(self, version: int, data: bytes) -> None:
-        """Apply a whole configuration."""
+        """Install a complete configuration."""
         self.version = version
         self.applied_s[version] = self.elapsed_s()
 
     def on_members(self, records: list[MemberRecord]) -> None:
-        """Note when the table is complete and who leaves."""
+        """Record when the table is complete and when members announce to leave."""
         if self.complete_s < 0 and len(self.table) == self.plan.count:
             self.complete_s = self.elapsed_s()
         for record in records:
@@ -364,13 +371,13 @@
     async def follow_plan(self) -> None:
         """Make the pushes and announcements of this instance."""
         for i, at_s in enumerate(self.plan.pushes_s):
-            if self.plan.pusher(i) == self.index:
+            if self.plan.pushing_instance(i) == self.index:
                 await self.sleep_until(at_s)
                 self.on_delta(b"", self.version, self.version + 1)
                 payload = random.randbytes(CONFIG_BYTES)
                 self.gossip.push_config(self.version - 1, self.version, payload)
         for i, at_s in enumerate(self.plan.leaves_s):
-            if self.plan.leaver(i) == self.index:
+            if self.plan.leaving_instance(i) == self.index:
                 await self.sleep_until(at_s)
                 self.table.update_own(state=MemberState.LEAVING)
                 self.gossip.push_now()
@@ -383,13 +390,13 @@
 def make_spread_node(
     index: int, plan: SpreadPlan, context: zmq.asyncio.Context
 ) -> SpreadNode:
-    """Return one instance with an address of its own."""
+    """Return one instance with a separate loopback address."""
     host = f"127.3.{index // 250}.{index % 250 + 1}"
-    own = MemberRecord(
+    local_record = MemberRecord(
         f"node-{index}", 1, 1, "s", "d", "r", host, 1, SPREAD_PORT, f"target-{index}"
     )
     rng, clock = random.Random(index), SystemClock()
-    table = make_member_table(own, clock, rng, MembershipSettings())
+    table = make_member_table(local_record, clock, rng, MembershipSettings())
     settings = GossipSettings(
         LinkSettings(host, SPREAD_PORT, host),
         seeds=tuple(Address(f"127.3.0.{i + 1}", SPREAD_PORT) for i in range(3)),
@@ -408,7 +415,7 @@
 def run_spread_process(process: int, plan: SpreadPlan, result: Connection) -> None:
     """Entry point of one process of the spread part."""
     context = zmq.asyncio.Context()
-    context.set(zmq.MAX_SOCKETS, SOCKETS_MAX)
+    context.set(zmq.MAX_SOCKETS, SOCKET_LIMIT)
     first = process * plan.per_process
     nodes = [
         make_spread_node(first + i, plan, context) for i in range(plan.per_process)
@@ -458,7 +465,7 @@
 def spread_figures(
     plan: SpreadPlan, shares: list[float], found: list[Any]
 ) -> dict[str, Any]:
-    """Return the figures shown of the spread part."""
+    """Return the reported figures of the spread part."""
     config_ms, config_missed = [], 0
     for i, at_s in enumerate(plan.pushes_s):
         times = [applied.get(i + 2) for applied, _, _ in found]
@@ -466,7 +473,7 @@
         config_ms += [1_000 * (t - at_s) for t in times if t is not None]
     leave_ms, leave_missed = [], 0
     for i, at_s in enumerate(plan.leaves_s):
-        name = f"node-{plan.leaver(i)}"
+        name = f"node-{plan.leaving_instance(i)}"
         times = [left.get(name) for _, left, _ in found]
         leave_missed += times.count(None) - 1
         leave_ms += [1_000 * (t - at_s) for t in times if t is not None]
@@ -497,23 +504,25 @@
 
 
 def run_cost(count: int, duration_s: float, outage: bool = False) -> dict[str, Any]:
-    """Measure one table size with a stand-in and a measured process.
+    """Measure one table size with a measured process and one of simulated members.
 
     :param count: number of members
     :param duration_s: length of the measurement
-    :param outage: whether one member in three is lost from the start
+    :param outage: whether one member in three is unresponsive from the start
     """
     spawn = multiprocessing.get_context("spawn")
     receiver, sender = spawn.Pipe(duplex=False)
-    stand_in = spawn.Process(target=run_standin, args=(count, outage), daemon=True)
-    stand_in.start()
+    simulated_members = spawn.Process(
+        target=run_simulated_members, args=(count, outage), daemon=True
+    )
+    simulated_members.start()
     node = spawn.Process(target=measure_cost, args=(count, duration_s, sender))
     node.start()
     figures: dict[str, Any] = receiver.recv()
     figures["outage"] = outage
     node.join()
-    stand_in.terminate()
-    stand_in.join()
+    simulated_members.terminate()
+    simulated_members.join()
     return figures
 
 
--- a/benchmarks/mutations.py
+++ b/benchmarks/mutations.py
@@ -1,8 +1,8 @@
-"""Break one rule of the code at a time and check that a named test goes red.
+"""Mutation tests: break one rule of the code at a time and check that a test fails.
 
-The table is ``mutations.toml`` beside this file. Each mutation is applied to a
-copy of the tree, and the tests it names run there. The run fails if a mutation
-survives or no longer applies, or if the tests fail without one.
+The mutations are listed in ``mutations.toml`` beside this file. Each is applied to a
+copy of the tree, where the tests that it names are run. The run fails if a mutation
+survives or no longer applies, or if the tests fail without a mutation.
 Usage: ``python benchmarks/mutations.py [--markdown] [module ...]``; the last line
 is JSON.
 """
@@ -25,19 +25,19 @@
 TABLE_FILE = Path(__file__).with_suffix(".toml")
 COPIED = ("src", "tests", "docs", "examples", "pyproject.toml")
 PARALLEL_RUNS = 4
-# A broken rule may let a test wait for ever; the slowest file takes about 10 s.
+# A mutation may make a test wait forever; the slowest test file takes about 10 s.
 TIMEOUT_S = 60.0
 PYTEST_FAILED_TESTS = 1
 SHOWN_CHARS = 100
-# Fixed, so that random tests decide the same way in each run.
+# Makes property-based tests draw the same examples in each run.
 SEED = 1
 
 
 @dataclass(frozen=True, slots=True)
 class Mutation:
-    """One broken rule.
+    """One change of the code that breaks a rule.
 
-    :param rule: what the code promises
+    :param rule: behaviour that the code guarantees
     :param module: module of ``src/briardock`` that is changed
     :param old: text that occurs exactly once in the module
     :param new: text that replaces it
@@ -58,7 +58,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Result:
-    """What the tests made of a mutation.
+    """Result of the tests on a mutated copy.
 
     :param verdict: ``red``, ``survived``, ``not-applicable`` or ``broken``, where
         pytest could not run the tests at all
@@ -71,9 +71,9 @@
 
 
 def load_mutations(modules: list[str]) -> list[Mutation]:
-    """Return the table.
+    """Return the listed mutations.
 
-    :param modules: modules wanted, all if empty
+    :param modules: modules to select, all if empty
     """
     table = tomllib.loads(TABLE_FILE.read_text())["mutation"]
     mutations = [Mutation(**entry) for entry in table]
@@ -81,7 +81,7 @@
 
 
 def copy_tree(folder: Path) -> None:
-    """Copy what the tests need."""
+    """Copy the files that the tests need."""
     for name in COPIED:
         source = ROOT / name
         if source.is_dir():
@@ -118,7 +118,7 @@
 
 
 def apply(mutation: Mutation, folder: Path) -> bool:
-    """Change the module of a copy; return whether the old text is there once."""
+    """Apply a mutation to a copy; return whether the old text occurs exactly once."""
     path = folder / mutation.file
     text = path.read_text()
     if text.count(mutation.old) != 1:
@@ -128,7 +128,7 @@
 
 
 def check(mutation: Mutation) -> Result:
-    """Apply one mutation to a fresh copy and run its tests."""
+    """Apply one mutation to a new copy and run its tests."""
     with tempfile.TemporaryDirectory() as name:
         folder = Path(name)
         copy_tree(folder)
@@ -164,7 +164,7 @@
 
 
 def print_result(result: Result, as_markdown: bool) -> None:
-    """Print one line."""
+    """Print the result of one mutation, as a table row if ``as_markdown``."""
     mutation = result.mutation
     if as_markdown:
         change = f"{shorten(mutation.old)} becomes {shorten(mutation.new)}"
@@ -177,7 +177,7 @@
 
 
 def main() -> int:
-    """Check all mutations; return whether all went red."""
+    """Check all mutations; return 0 if tests failed for each of them, else 1."""
     as_markdown = "--markdown" in sys.argv
     modules = [name for name in sys.argv[1:] if not name.startswith("--")]
     mutations = load_mutations(modules)
--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -1,9 +1,9 @@
-"""Goodput, wasted work, attempts and recovery under overload.
+"""Measure goodput, wasted work, attempts and recovery time under overload.
 
-Compares nodes with no control: targets that call each other directly and retry
-each hop. The deep service is the bottleneck and its capacity is known from its
-slots and service time. Run: ``python benchmarks/overload.py [--quick]``; the last
-line is JSON.
+Compares a deployment with nodes to one without overload control, where targets call
+each other directly and each caller retries. The deep service is the bottleneck; its
+capacity follows from its slots and service time. Run:
+``python benchmarks/overload.py [--quick]``; the last line is JSON.
 """
 
 import json
@@ -43,32 +43,32 @@
 
 CONFIG = Path(__file__).parent / "overload_config"
 INSTANCES = 2
-DEEP = "store"
+DEEP_SERVICE = "store"
 DEEP_SLOTS = 8
-DEEP_MS = 125.0
+DEEP_SERVICE_MS = 125.0
 UPPER_SLOTS = 256
-UPPER_MS = 4.0
-CAPACITY_PER_S = INSTANCES * DEEP_SLOTS * 1_000.0 / DEEP_MS
+UPPER_SERVICE_MS = 4.0
+CAPACITY_PER_S = INSTANCES * DEEP_SLOTS * 1_000.0 / DEEP_SERVICE_MS
 WEIGHTS = {"hazard": 0.1, "booking": 0.1, "browse": 0.4, "history": 0.4}
-PROTECTED = ("hazard", "booking")
+PROTECTED_CLASSES = ("hazard", "booking")
 SHOWN_FAILURES = 4
 
-# Targets of the two deployments take 7 to 10 connections per slot.
-QUEUE_PER_SLOT = 8
-# Without control each caller repeats a call that failed or took too long.
+# The targets of both example deployments accept 7 to 10 connections per slot.
+QUEUE_LENGTH_PER_SLOT = 8
+# Without overload control each caller retries a call that failed or timed out.
 DIRECT_ATTEMPTS = 3
 DIRECT_TIMEOUT_MS = 1_000.0
 
-# The targets have no cold start; its ramp ends within the warm-up.
+# The targets have no cold start; the ramp of the limit ends within the warm-up.
 TUNABLES = {"admission": {"cold_start_s": "2"}}
-WARM_UP = Phase(4.0, 0.5)
+WARM_UP_PHASE = Phase(4.0, 0.5)
 
-FAULT_LOAD = 0.8
+FAULT_LOAD_MULTIPLE = 0.8
 WARM_UP_S = 1.5
 WINDOW_MS = 500.0
 WINDOW_STEP_MS = 100.0
 RECOVERED_SHARE = 0.95
-SETTLE_BOUND_S = 20.0
+IDLE_TIMEOUT_S = 20.0
 RESENDS = 3
 SLOW_FACTOR = 5.0
 
@@ -79,7 +79,7 @@
 
     :param name: name in the report
     :param phases: arrival schedule
-    :param resends: resends by each caller of an action that failed
+    :param resends: resends by the caller of an action that failed
     :param slow: whether the deep service is slow in the second phase
     :param dead: whether the deep service dies at the start of the second phase
     """
@@ -92,7 +92,7 @@
 
     @property
     def fault_at_s(self) -> float:
-        """Return the end of the first phase, where faults and surges start."""
+        """Return the end of the first phase, when the fault or surge starts."""
         return self.phases[0].duration_s
 
     @property
@@ -110,14 +110,20 @@
     def schedule(*parts: tuple[float, float]) -> tuple[Phase, ...]:
         return tuple(Phase(length * scale, multiple) for length, multiple in parts)
 
-    before, after = (3.0, FAULT_LOAD), (4.0, FAULT_LOAD)
+    before, after = (3.0, FAULT_LOAD_MULTIPLE), (4.0, FAULT_LOAD_MULTIPLE)
     return [
         Scenario("1x", schedule((4.0, 1.0))),
         Scenario("2x", schedule((4.0, 2.0))),
         Scenario("4x", schedule((4.0, 4.0))),
         Scenario("surge", schedule(before, (3.0, 4.0), after), resends=RESENDS),
-        Scenario("slow", schedule(before, (3.0, FAULT_LOAD), after), slow=True),
-        Scenario("dead", schedule((2.0, FAULT_LOAD), (3.0, FAULT_LOAD)), dead=True),
+        Scenario(
+            "slow", schedule(before, (3.0, FAULT_LOAD_MULTIPLE), after), slow=True
+        ),
+        Scenario(
+            "dead",
+            schedule((2.0, FAULT_LOAD_MULTIPLE), (3.0, FAULT_LOAD_MULTIPLE)),
+            dead=True,
+        ),
     ]
 
 
@@ -127,13 +133,14 @@
 
     :param goodput_share: goodput as a share of capacity
     :param success: share of succeeded actions per class
-    :param wasted_share: own time of targets spent on actions that failed
-    :param attempts: first attempts and retries of nodes or targets, per action
+    :param wasted_share: share of the time of targets spent on actions that failed
+    :param attempts: first attempts and retries by nodes or targets, per action
     :param sends: sends by callers per action
     :param recovery_s: time from the end of the fault to 95% success, if any
-    :param cpu_cores: CPU of all processes over elapsed time
-    :param violations: broken rules
-    :param failures: most frequent reasons of failure in the protected classes
+    :param cpu_cores: CPU time of all processes by elapsed time
+    :param violations: number of violations found in the ledgers
+    :param failures: most frequent reasons of failure in the protected classes, with
+        their counts
     """
 
     goodput_share: float
@@ -152,12 +159,12 @@
     catalog = read_catalog(CONFIG)
     services = []
     for name in catalog.services:
-        deep = name == DEEP
+        deep = name == DEEP_SERVICE
         plan = TargetPlan(
             name,
-            single_operation(DEEP_MS if deep else UPPER_MS),
+            single_operation(DEEP_SERVICE_MS if deep else UPPER_SERVICE_MS),
             slots=DEEP_SLOTS if deep else UPPER_SLOTS,
-            queue_length=QUEUE_PER_SLOT * DEEP_SLOTS,
+            queue_length=QUEUE_LENGTH_PER_SLOT * DEEP_SLOTS,
             cancel_on_close=not direct,
             attempts=DIRECT_ATTEMPTS if direct else 1,
             call_timeout_ms=DIRECT_TIMEOUT_MS if direct else 30_000.0,
@@ -171,35 +178,35 @@
 
 @dataclass(slots=True)
 class Session:
-    """One running deployment.
+    """Runs scenarios against one deployment.
 
-    :param deployment: its processes
+    :param deployment: running deployment
     :param seed: seed of the run
-    :param scenario_count: scenarios run so far, which makes their seeds distinct
-    :param read_bytes: bytes of each target ledger that were read already
+    :param scenario_count: scenarios run so far; gives each a seed of its own
+    :param ledger_offsets: offset of the first unread byte of each target ledger
     """
 
     deployment: Deployment
     seed: int
     scenario_count: int = 0
-    read_bytes: dict[Path, int] = field(default_factory=dict)
+    ledger_offsets: dict[Path, int] = field(default_factory=dict)
 
     async def run(self, scenario: Scenario) -> Result:
-        """Run one scenario and wait until its work has ended."""
+        """Run one scenario and wait until all targets are idle."""
         self.scenario_count += 1
         generator = self._make_generator(scenario)
-        sends_before = self.count_sends()
+        retries_before = self.total_retries()
         cpu_before = self.cpu_s()
         start_ms = SystemClock().now_ms()
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._inject, scenario)
-            told = await generator.run()
+            tasks.start_soon(self._inject_fault, scenario)
+            caller_results = await generator.run()
             tasks.cancel_scope.cancel()
         cpu_cores = (self.cpu_s() - cpu_before) * 1_000.0
         cpu_cores /= SystemClock().now_ms() - start_ms
-        await anyio.to_thread.run_sync(self._settle)
-        extra = self.count_sends() - sends_before
-        return self._measure(scenario, told, start_ms, extra, cpu_cores)
+        await anyio.to_thread.run_sync(self._wait_until_idle)
+        extra = self.total_retries() - retries_before
+        return self._measure(scenario, caller_results, start_ms, extra, cpu_cores)
 
     def _make_generator(self, scenario: Scenario) -> LoadGenerator:
         deployment = self.deployment
@@ -223,26 +230,28 @@
         )
         return LoadGenerator(plan, SystemClock())
 
-    async def _inject(self, scenario: Scenario) -> None:
-        deep = [n for n in self.deployment.instances if n.startswith(f"{DEEP}-")]
+    async def _inject_fault(self, scenario: Scenario) -> None:
+        deep = [
+            n for n in self.deployment.instances if n.startswith(f"{DEEP_SERVICE}-")
+        ]
         if not (scenario.slow or scenario.dead):
             return
         await anyio.sleep(scenario.fault_at_s)
         for name in deep:
             if scenario.dead:
-                await in_thread(self.deployment.kill, target_name(name))
+                await run_in_thread(self.deployment.kill, target_name(name))
             else:
-                await in_thread(self._slow_down, name, SLOW_FACTOR)
+                await run_in_thread(self._set_slow_factor, name, SLOW_FACTOR)
         if scenario.slow:
             await anyio.sleep(scenario.fault_end_s - scenario.fault_at_s)
             for name in deep:
-                await in_thread(self._slow_down, name, 1.0)
+                await run_in_thread(self._set_slow_factor, name, 1.0)
 
-    def _slow_down(self, name: str, factor: float) -> None:
+    def _set_slow_factor(self, name: str, factor: float) -> None:
         self.deployment.set_target_faults(name, slow_factor=factor)
 
-    def _settle(self) -> None:
-        """Wait until no target works, so that scenarios do not mix."""
+    def _wait_until_idle(self) -> None:
+        """Wait until no target runs requests, so that scenarios do not overlap."""
         deployment = self.deployment
 
         def is_idle() -> bool:
@@ -252,19 +261,19 @@
                 if deployment.processes[target_name(name)].is_running()
             )
 
-        deployment.wait_until("idle targets", is_idle, "", SETTLE_BOUND_S)
+        deployment.wait_until("idle targets", is_idle, "", IDLE_TIMEOUT_S)
 
     def _read_new_ledgers(self) -> list[list[Entry]]:
-        """Return what targets wrote since the last scenario; none works meanwhile."""
+        """Return the entries since the last scenario; all targets must be idle."""
         found = []
         for instance in self.deployment.instances.values():
             for path in instance.ledgers:
-                found.append(read_ledger(path, self.read_bytes.get(path, 0)))
-                self.read_bytes[path] = path.stat().st_size
+                found.append(read_ledger(path, self.ledger_offsets.get(path, 0)))
+                self.ledger_offsets[path] = path.stat().st_size
         return found
 
-    def count_sends(self) -> int:
-        """Return repeated sends so far, by targets or by nodes."""
+    def total_retries(self) -> int:
+        """Return the retries made so far, by targets or by nodes."""
         deployment = self.deployment
         if deployment.spec.direct:
             found = [
@@ -276,91 +285,95 @@
         return sum(count_retries(deployment, name) for name in deployment.instances)
 
     def cpu_s(self) -> float:
-        """Return the CPU time of all processes, this one included."""
+        """Return the CPU time of all processes, including this one."""
         children = self.deployment.processes.values()
         return time.process_time() + sum(process.cpu_s() for process in children)
 
     def _measure(
         self,
         scenario: Scenario,
-        told: list[Told],
+        caller_results: list[Told],
         start_ms: float,
         extra_sends: int,
         cpu_cores: float,
     ) -> Result:
         ledgers = self._read_new_ledgers()
         runs = collect_runs(entry for ledger in ledgers for entry in ledger)
-        final = [entry for entry in told if entry.final]
-        once = once_operations(read_catalog(CONFIG))
+        final_results = [entry for entry in caller_results if entry.final]
+        at_most_once = once_operations(read_catalog(CONFIG))
         recovery_s = None
         if len(scenario.phases) > 2:
             end_ms = start_ms + scenario.fault_end_s * 1_000.0
-            recovery_s = measure_recovery(final, end_ms)
+            recovery_s = measure_recovery(final_results, end_ms)
         return Result(
-            goodput_share=measure_goodput(scenario, final, start_ms) / CAPACITY_PER_S,
-            success=measure_success(final),
-            wasted_share=measure_waste(runs, final),
-            attempts=1.0 + extra_sends / len(final),
-            sends=len(told) / len(final),
+            goodput_share=measure_goodput(scenario, final_results, start_ms)
+            / CAPACITY_PER_S,
+            success=measure_success(final_results),
+            wasted_share=measure_waste(runs, final_results),
+            attempts=1.0 + extra_sends / len(final_results),
+            sends=len(caller_results) / len(final_results),
             recovery_s=recovery_s,
             cpu_cores=cpu_cores,
-            violations=count_violations(ledgers, told, once),
-            failures=count_failures(final),
+            violations=count_violations(ledgers, caller_results, at_most_once),
+            failures=count_failures(final_results),
         )
 
 
-async def in_thread(function: Callable[..., None], *arguments: object) -> None:
-    """Run a blocking call of the harness beside the load generator."""
+async def run_in_thread(function: Callable[..., None], *arguments: object) -> None:
+    """Run a blocking call in a thread, so that the load generator continues."""
     await anyio.to_thread.run_sync(function, *arguments)
 
 
 def count_retries(deployment: Deployment, name: str) -> int:
-    """Return the retries that a node made."""
+    """Return the number of retries made by a node."""
     counters = deployment.admin_get(name, "/dump")["counters"]
     return int(counters.get("dispatch.retries", 0))
 
 
 def count_violations(
-    ledgers: list[list[Entry]], told: list[Told], once: Iterable[str]
+    ledgers: list[list[Entry]], caller_results: list[Told], at_most_once: Iterable[str]
 ) -> int:
-    """Return the number of broken rules.
+    """Return the number of violations found in the ledgers.
 
-    Without nodes there are no keys, so only repeated runs and foreign answers count.
+    Without nodes there are no keys, so only second runs of a call and responses to
+    another request are found.
     """
-    return len(check(ledgers, [told], frozenset(once)))
+    return len(check(ledgers, [caller_results], frozenset(at_most_once)))
 
 
-def measure_goodput(scenario: Scenario, final: list[Told], start_ms: float) -> float:
-    """Return succeeded actions per second, without the warm-up."""
+def measure_goodput(
+    scenario: Scenario, final_results: list[Told], start_ms: float
+) -> float:
+    """Return succeeded actions per second after the warm-up."""
     length_s = sum(phase.duration_s for phase in scenario.phases)
     warm_up_s = min(WARM_UP_S, length_s / 4.0)
     from_ms = start_ms + warm_up_s * 1_000.0
     to_ms = start_ms + length_s * 1_000.0
-    count = sum(e.succeeded and from_ms <= e.end_ms < to_ms for e in final)
+    count = sum(e.succeeded and from_ms <= e.end_ms < to_ms for e in final_results)
     return count / (length_s - warm_up_s)
 
 
-def measure_success(final: list[Told]) -> dict[str, float]:
+def measure_success(final_results: list[Told]) -> dict[str, float]:
     """Return the share of succeeded actions per class."""
     by_class: dict[str, list[bool]] = defaultdict(list)
-    for entry in final:
+    for entry in final_results:
         by_class[entry.class_name].append(entry.succeeded)
     return {name: sum(found) / len(found) for name, found in by_class.items()}
 
 
-def count_failures(final: list[Told]) -> dict[str, int]:
+def count_failures(final_results: list[Told]) -> dict[str, int]:
     """Return the most frequent reasons of failure in the protected classes."""
     found = Counter(
         f"{entry.outcome} {entry.reason}"
-        for entry in final
-        if entry.class_name in PROTECTED and not entry.succeeded
+        for entry in final_results
+        if entry.class_name in PROTECTED_CLASSES and not entry.succeeded
     )
     return dict(found.most_common(SHOWN_FAILURES))
 
 
-def measure_waste(runs: list[Run], final: list[Told]) -> float:
-    """Return the share of own time that targets spent on actions that failed."""
-    succeeded = {entry.action: entry.succeeded for entry in final}
+def measure_waste(runs: list[Run], final_results: list[Told]) -> float:
+    """Return the share of the time of targets that was spent on failed actions."""
+    succeeded = {entry.action: entry.succeeded for entry in final_results}
     total_ms = 0.0
     wasted_ms = 0.0
     for run in runs:
@@ -372,20 +385,24 @@
     return wasted_ms / total_ms if total_ms else 0.0
 
 
-def measure_recovery(final: list[Told], end_ms: float) -> float:
-    """Return s from a time until success stays at 95% of the share before the fault.
+def measure_recovery(final_results: list[Told], end_ms: float) -> float:
+    """Return the time in s from the end of the fault until success has recovered.
 
-    Actions are counted by the time they were sent. Success is measured in windows of
-    500 ms; the run's end counts where success never comes back.
+    Success has recovered after the last window of 500 ms in which less than 95% of
+    the actions sent succeeded. Without recovery the end of the run counts.
 
-    :param final: what callers were told last
+    :param final_results: last outcome of each action
     :param end_ms: end of the fault
     """
-    last_ms = max(entry.start_ms for entry in final)
+    last_ms = max(entry.start_ms for entry in final_results)
     recovered_ms = end_ms
     at_ms = end_ms
     while at_ms + WINDOW_MS <= last_ms:
-        window = [e.succeeded for e in final if at_ms <= e.start_ms < at_ms + WINDOW_MS]
+        window = [
+            e.succeeded
+            for e in final_results
+            if at_ms <= e.start_ms < at_ms + WINDOW_MS
+        ]
         if window and sum(window) / len(window) < RECOVERED_SHARE:
             recovered_ms = at_ms + WINDOW_MS
         at_ms += WINDOW_STEP_MS
@@ -399,7 +416,7 @@
     results: dict[str, dict[str, list[Result]]] = field(default_factory=dict)
 
     def add(self, variant: str, scenario: str, result: Result) -> None:
-        """Add the result of one seed and print it."""
+        """Add and print the result of one seed."""
         scenarios = self.results.setdefault(variant, {})
         scenarios.setdefault(scenario, []).append(result)
         recovery = "-" if result.recovery_s is None else f"{result.recovery_s:.1f}"
@@ -446,7 +463,7 @@
     """Run all scenarios against one deployment."""
     with Deployment(make_spec(direct, seed)) as deployment:
         session = Session(deployment, seed)
-        await session.run(Scenario("warm-up", (WARM_UP,)))
+        await session.run(Scenario("warm-up", (WARM_UP_PHASE,)))
         for scenario in scenarios:
             result = await session.run(scenario)
             report.add("no control" if direct else "nodes", scenario.name, result)
--- a/features/bench.py
+++ b/features/bench.py
@@ -368,10 +368,10 @@
 
     def check_publish_races(self) -> None:
         """Check that exactly one of concurrent publishes of one file was accepted."""
-        for results in self.publish_races:
-            accepted = [one for one in results if one.returncode == 0]
-            assert len(accepted) == 1, [one.stderr for one in results]
-            for rejected in (one for one in results if one.returncode):
+        for publishes in self.publish_races:
+            accepted = [one for one in publishes if one.returncode == 0]
+            assert len(accepted) == 1, [one.stderr for one in publishes]
+            for rejected in (one for one in publishes if one.returncode):
                 assert rejected.stderr.strip(), "a rejected publish printed no error"
 
     def requests_complete(self, name: str) -> bool:
