--- a/benchmarks/limiter_policy.py
+++ b/benchmarks/limiter_policy.py
@@ -2,7 +2,8 @@
 
 The algorithms do not know the number of slots of the target, which has an internal
 FIFO queue. Requests arrive at random; those beyond the limit wait in a bounded queue,
-and those that find it full are dropped.
+and those that find it full are dropped. Own time is the time of a request in the
+target without child calls.
 Usage: ``python benchmarks/limiter_policy.py [seeds]``; the last line is JSON.
 """
 
--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -133,7 +133,8 @@
 
     :param goodput_share: goodput as a share of capacity
     :param success: share of succeeded actions per class
-    :param wasted_share: share of the time of targets spent on actions that failed
+    :param wasted_share: share of the time of targets, without child calls, that was
+        spent on failed actions
     :param attempts: first attempts and retries by nodes or targets, per action
     :param sends: sends by callers per action
     :param recovery_s: time from the end of the fault to 95% success, if any
@@ -182,7 +183,7 @@
 
     :param deployment: running deployment
     :param seed: seed of the run
-    :param scenario_count: scenarios run so far; gives each a seed of its own
+    :param scenario_count: scenarios run so far; gives each a distinct seed
     :param ledger_offsets: offset of the first unread byte of each target ledger
     """
 
@@ -372,7 +373,10 @@
 
 
 def measure_waste(runs: list[Run], final_results: list[Told]) -> float:
-    """Return the share of the time of targets that was spent on failed actions."""
+    """Return the share of the time of targets that was spent on failed actions.
+
+    The time of child calls is not counted.
+    """
     succeeded = {entry.action: entry.succeeded for entry in final_results}
     total_ms = 0.0
     wasted_ms = 0.0
@@ -389,7 +393,8 @@
     """Return the time in s from the end of the fault until success has recovered.
 
     Success has recovered after the last window of 500 ms in which less than 95% of
-    the actions sent succeeded. Without recovery the end of the run counts.
+    the actions succeeded. Actions count for the window in which they were sent.
+    Without recovery the end of the run is used.
 
     :param final_results: last outcome of each action
     :param end_ms: end of the fault
