Unify terms of the mesh modules

Rename inflight to in_flight, the per-request Attempt of the forwarder to RequestState, and attributes that did not name the class they hold (entry_routes, called_services, crash_suspects). Reword comments on the idle limits of the connection pool and on the clock. Behaviour is unchanged.

--- a/src/briardock/mesh/balancer.py
+++ b/src/briardock/mesh/balancer.py
@@ -33,7 +33,7 @@
     """Observations of one instance.
 
     :param in_flight: requests in flight from this node
-    :param reported_inflight: requests running and queued there, from all nodes
+    :param reported_in_flight: requests running and queued there, from all nodes
     :param in_flight_at_report: requests in flight from this node at the report
     :param reported_s: time of the report
     :param last_response_s: time of the last response, or of the first request sent
@@ -45,7 +45,7 @@
     """
 
     in_flight: int = 0
-    reported_inflight: int = 0
+    reported_in_flight: int = 0
     in_flight_at_report: int = 0
     reported_s: float = 0.0
     last_response_s: float = 0.0
@@ -63,7 +63,7 @@
         total = self.in_flight
         if now - self.reported_s < LOAD_REPORT_LIFETIME_S:
             change = self.in_flight - self.in_flight_at_report
-            total = max(total, self.reported_inflight + change)
+            total = max(total, self.reported_in_flight + change)
         return (total + 1) / max(1, slots) + FAILURE_LOAD_PENALTY * self.failure_ratio
 
     def is_suspect(self, now: float) -> bool:
@@ -96,7 +96,7 @@
         self._failing: set[str] = set()
         # Instances of the local and of other domains by service, and the generation
         # of the member table that they were read from.
-        self._domains: dict[str, tuple[list[NodeRecord], list[NodeRecord]]] = {}
+        self._candidates: dict[str, tuple[list[NodeRecord], list[NodeRecord]]] = {}
         self._generation = -1
 
     def stats(self, node_id: str) -> InstanceStats:
@@ -104,10 +104,10 @@
 
         :param node_id: node beside it
         """
-        found = self._stats.get(node_id)
-        if found is None:
-            found = self._stats[node_id] = InstanceStats()
-        return found
+        instance_stats = self._stats.get(node_id)
+        if instance_stats is None:
+            instance_stats = self._stats[node_id] = InstanceStats()
+        return instance_stats
 
     def choose(
         self, service: str, excluded: set[str], idempotent: bool
@@ -167,17 +167,17 @@
         """Return the instances of the local domain and those of other domains."""
         if self._generation != self._members.generation:
             self._generation = self._members.generation
-            self._domains.clear()
-        found = self._domains.get(service)
-        if found is None:
-            found = ([], [])
+            self._candidates.clear()
+        candidates = self._candidates.get(service)
+        if candidates is None:
+            candidates = ([], [])
             local_id = self._members.local_record.node_id
             for record in self._members.candidates(service):
                 # Callers of a leaving node may use its local target until it stops.
                 if not record.leaving or record.node_id == local_id:
-                    found[record.domain != self._domain].append(record)
-            self._domains[service] = found
-        return found
+                    candidates[record.domain != self._domain].append(record)
+            self._candidates[service] = candidates
+        return candidates
 
     def _sample(self, records: list[NodeRecord]) -> list[NodeRecord]:
         """Return all records if they are few, or else two random ones."""
@@ -209,11 +209,11 @@
                 preference = int(record.domain != self._domain)
             by_preference[preference].append(record)
         for records in by_preference:
-            found = self._least_loaded(
+            least_loaded = self._least_loaded(
                 self._sample(records), set(), now, include_suspects=True
             )
-            if found is not None:
-                return found[1]
+            if least_loaded is not None:
+                return least_loaded[1]
         return None
 
     def _least_loaded(
@@ -253,13 +253,13 @@
         self.stats(node_id).in_flight -= 1
 
     def record_response(
-        self, node_id: str, response_time_s: float, inflight: int, failed: bool
+        self, node_id: str, response_time_s: float, total_in_flight: int, failed: bool
     ) -> None:
         """Record the observations of a response.
 
         :param node_id: node that responded
         :param response_time_s: response time
-        :param inflight: requests running and queued at its target
+        :param total_in_flight: requests running and queued at its target
         :param failed: whether the request failed
         """
         stats = self.stats(node_id)
@@ -268,7 +268,7 @@
             self._failing.discard(node_id)
             stats.failures = 0
             stats.ejected_until_s = 0.0
-        stats.reported_inflight = inflight
+        stats.reported_in_flight = total_in_flight
         stats.in_flight_at_report = stats.in_flight
         stats.mean_response_s += AVERAGE_WEIGHT * (
             response_time_s - stats.mean_response_s
--- a/src/briardock/mesh/callgraph.py
+++ b/src/briardock/mesh/callgraph.py
@@ -14,10 +14,10 @@
 
 # Idle time of the target after which calls of a cancelled request are excluded, s.
 MIN_TARGET_IDLE_S = 1.0
-# Weight of the newest control period in the rates of runs and calls.
+# Weight of the newest control period in the rates of requests and calls.
 RATE_WEIGHT = 0.1
 # Calls per request of the local target above which a service counts as called.
-MIN_CALLS_PER_RUN = 0.15
+MIN_CALLS_PER_REQUEST = 0.15
 # Largest number of entry routes that one node publishes; further ones stay unknown.
 MAX_PUBLISHED_ROUTES = 64
 
@@ -32,7 +32,7 @@
     def __init__(self) -> None:
         self._calls: dict[str, int] = {}
         self._rates: dict[str, float] = {}
-        self._run_rate = 0.0
+        self._request_rate = 0.0
         self.names: list[str] = []
 
     def record_call(self, service: str) -> None:
@@ -42,18 +42,18 @@
         """
         self._calls[service] = self._calls.get(service, 0) + 1
 
-    def update(self, runs: int) -> None:
+    def update(self, target_arrivals: int) -> None:
         """Update the rates after a control period.
 
-        :param runs: requests that arrived for the local target in the period
+        :param target_arrivals: requests that arrived for the local target in the period
         """
-        self._run_rate += RATE_WEIGHT * (runs - self._run_rate)
+        self._request_rate += RATE_WEIGHT * (target_arrivals - self._request_rate)
         calls, self._calls = self._calls, {}
         for service in self._rates.keys() | calls.keys():
             rate = self._rates.get(service, 0.0)
             rate += RATE_WEIGHT * (calls.get(service, 0) - rate)
             self._rates[service] = rate
-        min_rate = MIN_CALLS_PER_RUN * self._run_rate
+        min_rate = MIN_CALLS_PER_REQUEST * self._request_rate
         self.names = [s for s, rate in self._rates.items() if rate > min_rate > 0.0]
 
 
@@ -74,7 +74,9 @@
         self._started_s = now_s()
 
     def observe(self, route: Route, longest_timeout_s: float) -> bool:
-        """Return whether a request of a route comes from a caller.
+        """Return whether a route is known to be used by callers, and learn it if not.
+
+        A route is learned from a request that arrives while the target is idle.
 
         :param route: route of a request that has just arrived
         :param longest_timeout_s: longest time for which the target may run a request
--- a/src/briardock/mesh/calls.py
+++ b/src/briardock/mesh/calls.py
@@ -66,11 +66,11 @@
 class LoadReport:
     """Load of an instance at the time of a result.
 
-    :param inflight: requests running and queued
+    :param in_flight: requests running and queued
     :param thresholds: admission thresholds of the instance and its chain
     """
 
-    inflight: int
+    in_flight: int
     thresholds: InstanceThresholds
 
 
@@ -183,7 +183,7 @@
         f"{service}={reported.threshold:.3f}@{int(reported.age_s * 1000)}"
         for service, reported in load.thresholds.chain.items()
     )
-    load_fields = f"{load.inflight};{load.thresholds.instance:.3f};{chain}"
+    load_fields = f"{load.in_flight};{load.thresholds.instance:.3f};{chain}"
     match result:
         case Completed(response):
             info = f"completed;;{load_fields}"
@@ -215,9 +215,9 @@
     parts = info.decode("latin-1").split(";") if info is not None else []
     if len(parts) != 5:
         return Unknown("response of no node"), None
-    outcome, reason, inflight, instance, chain = parts
+    outcome, reason, in_flight, instance, chain = parts
     load = LoadReport(
-        int(inflight), InstanceThresholds(float(instance), _decode_chain(chain))
+        int(in_flight), InstanceThresholds(float(instance), _decode_chain(chain))
     )
     match outcome:
         case "completed":
--- a/src/briardock/mesh/chain.py
+++ b/src/briardock/mesh/chain.py
@@ -191,7 +191,11 @@
     The last response is used regardless of its age.
     """
     oldest_s = min(now - INSTANCE_THRESHOLD_LIFETIME_S, known.last_response_s)
-    return max(threshold for threshold, at in known.by_node.values() if at >= oldest_s)
+    return max(
+        threshold
+        for threshold, received_s in known.by_node.values()
+        if received_s >= oldest_s
+    )
 
 
 def _update_average(
--- a/src/briardock/mesh/forwarder.py
+++ b/src/briardock/mesh/forwarder.py
@@ -51,7 +51,7 @@
 
 
 @dataclass(slots=True)
-class Attempt:
+class RequestState:
     """State of one request while it is forwarded.
 
     :param head: decoded headers
@@ -82,7 +82,7 @@
     :param target: target beside the node
     :param peers: connections to other nodes
     :param thresholds: admission thresholds learned from responses
-    :param entries: distinguishes callers' requests from calls of the local target
+    :param entry_routes: distinguishes callers' requests from calls of the local target
     :param log: decision log
     :param telemetry: metrics
     :param rng: random source
@@ -97,13 +97,13 @@
         target: Target,
         peers: ConnectionPool,
         thresholds: LearnedThresholds,
-        entries: EntryRoutes,
+        entry_routes: EntryRoutes,
         log: DecisionLog,
         telemetry: Telemetry,
         rng: random.Random,
     ) -> None:
         self.routes: RouteTable | None = None
-        self.called = CalledServices()
+        self.called_services = CalledServices()
         self.settings = settings
         self._dialect = dialect
         self._members = members
@@ -111,7 +111,7 @@
         self._target = target
         self._peers = peers
         self._learned_thresholds = thresholds
-        self._entries = entries
+        self._entry_routes = entry_routes
         self._log = log
         self._telemetry = telemetry
         self._rng = rng
@@ -139,16 +139,16 @@
         if now - self._chain_updated_s > CHAIN_CACHE_S:
             self._chain_updated_s = now
             self._chain = self._learned_thresholds.along_chain(
-                self.called.names, self.settings.service, self.max_threshold
+                self.called_services.names, self.settings.service, self.max_threshold
             )
         return InstanceThresholds(self._target.threshold(from_caller), self._chain)
 
-    def update_rates(self, runs: int) -> None:
+    def update_rates(self, target_arrivals: int) -> None:
         """Update the rates of demand and of the local target's calls.
 
-        :param runs: requests that arrived for the local target in the control period
+        :param target_arrivals: requests for the local target in the control period
         """
-        self.called.update(runs)
+        self.called_services.update(target_arrivals)
         for meter in self._demand_meters.values():
             meter.update()
 
@@ -171,165 +171,169 @@
             return Response(404)
         deadline_s = DEFAULT_DEADLINE_S if head.deadline_s is None else head.deadline_s
         timeout_limit_s = min(deadline_s, route.timeout_s)
-        attempt = Attempt(
+        state = RequestState(
             head,
             route,
             self.routes.pick_service(route),
             request.received_s + timeout_limit_s,
-            not self._entries.observe(route, self.routes.longest_timeout_s),
+            not self._entry_routes.observe(route, self.routes.longest_timeout_s),
         )
-        response = await self._forward(request, attempt)
+        response = await self._forward(request, state)
         self._telemetry.latency.observe(now_s() - request.received_s)
         return response
 
-    async def _forward(self, request: Request, attempt: Attempt) -> Response:
-        refusal = self._admit(attempt)
+    async def _forward(self, request: Request, state: RequestState) -> Response:
+        refusal = self._admit(state)
         if refusal is not None:
             return refusal
         try:
-            with Deadline(self._loop, attempt.expires_s):
-                result = await self._try_instances(request, attempt)
+            with Deadline(self._loop, state.expires_s):
+                result = await self._try_instances(request, state)
         except TimeoutError:
-            return self._fail_request(attempt, 504, "timeout")
+            return self._fail_request(state, 504, "timeout")
         match result:
             case Completed(response):
                 self._telemetry.completed.inc()
                 return response
-            case NotRun(reason) if not attempt.may_have_run:
-                return self._refuse(attempt.head, reason, self._retry_after_s(attempt))
+            case NotRun(reason) if not state.may_have_run:
+                return self._refuse(state.head, reason, self._retry_after_s(state))
             case NotRun(reason) | Unknown(reason):
-                return self._fail_request(attempt, 502, reason)
+                return self._fail_request(state, 502, reason)
 
-    def _admit(self, attempt: Attempt) -> Response | None:
+    def _admit(self, state: RequestState) -> Response | None:
         """Return a refusal if the chain lacks headroom for a caller's request."""
-        if attempt.from_target:
-            self.called.record_call(attempt.service)
+        if state.from_target:
+            self.called_services.record_call(state.service)
             return None
-        threshold = self._service_threshold(attempt.service)
-        priority = attempt.route.priority
-        key = (attempt.service, priority)
+        threshold = self._service_threshold(state.service)
+        priority = state.route.priority
+        key = (state.service, priority)
         meter = self._demand_meters.get(key) or self._demand_meters.setdefault(
             key, DemandMeter()
         )
         meter.record()
         baseline_ratio = meter.baseline_ratio
-        if admits(priority, attempt.head.request_id, threshold, baseline_ratio):
+        if admits(priority, state.head.request_id, threshold, baseline_ratio):
             return None
         self._log.event(
             "refused-overload",
-            id=attempt.head.request_id.decode("latin-1"),
-            route=attempt.route.name,
-            service=attempt.service,
+            id=state.head.request_id.decode("latin-1"),
+            route=state.route.name,
+            service=state.service,
             priority=priority,
             level=round(threshold, 3),
             usual_share=round(baseline_ratio, 2),
         )
         self._telemetry.requests.labels("refused-overload").inc()
-        headers = self._dialect.refusal_headers(self._retry_after_s(attempt))
+        headers = self._dialect.refusal_headers(self._retry_after_s(state))
         return Response(503, headers)
 
     def _service_threshold(self, service: str) -> float:
         return self._learned_thresholds.of_service(service, self.max_threshold)
 
-    def _retry_after_s(self, attempt: Attempt) -> float:
+    def _retry_after_s(self, state: RequestState) -> float:
         share = self._rng.uniform(*RETRY_AFTER_RANGE)
-        return share * attempt.route.objective_s
+        return share * state.route.objective_s
 
     def _refuse(self, head: RequestHead, reason: str, retry_after_s: float) -> Response:
         self._log.event("refused", id=head.request_id.decode("latin-1"), reason=reason)
         self._telemetry.requests.labels("refused").inc()
         return Response(503, self._dialect.refusal_headers(retry_after_s))
 
-    def _fail_request(self, attempt: Attempt, status: int, reason: str) -> Response:
+    def _fail_request(self, state: RequestState, status: int, reason: str) -> Response:
         self._log.event(
             "failed",
-            id=attempt.head.request_id.decode("latin-1"),
-            route=attempt.route.name,
-            service=attempt.service,
+            id=state.head.request_id.decode("latin-1"),
+            route=state.route.name,
+            service=state.service,
             status=status,
             reason=reason,
-            arrivals=attempt.arrivals,
+            arrivals=state.arrivals,
         )
         self._telemetry.requests.labels("failed").inc()
         return Response(status)
 
-    async def _try_instances(self, request: Request, attempt: Attempt) -> Result:
-        budget = self._budget(attempt.service)
+    async def _try_instances(self, request: Request, state: RequestState) -> Result:
+        budget = self._budget(state.service)
         budget.record_request()
         excluded: set[str] = set()
         target_response: Completed | None = None
         result: Result = NotRun("no instance")
         for _ in range(MAX_TRIED_INSTANCES):
-            record = await self._choose_instance(attempt, excluded)
+            record = await self._choose_instance(state, excluded)
             if record is None:
                 break
             excluded.add(record.node_id)
-            result = await self._send(request, attempt, record)
+            result = await self._send(request, state, record)
             if isinstance(result, Completed):
                 target_response = result
-            if not self._should_retry(attempt, result, record, budget):
+            if not self._should_retry(state, result, record, budget):
                 break
         # A failed response of a target is passed on if no retry completed.
         return target_response or result
 
     async def _choose_instance(
-        self, attempt: Attempt, excluded: set[str]
+        self, state: RequestState, excluded: set[str]
     ) -> NodeRecord | None:
         """Return an instance; a call of the local target waits a while for one."""
-        idempotent = attempt.route.idempotent
+        idempotent = state.route.idempotent
         choose = self._balancer.choose
-        record = choose(attempt.service, excluded, idempotent)
-        if record is not None or not attempt.from_target:
+        record = choose(state.service, excluded, idempotent)
+        if record is not None or not state.from_target:
             return record
         now = now_s()
-        until_s = now + INSTANCE_SEARCH_SHARE * (attempt.expires_s - now)
+        until_s = now + INSTANCE_SEARCH_SHARE * (state.expires_s - now)
         while record is None and now_s() < until_s:
             await asyncio.sleep(INSTANCE_SEARCH_PERIOD_S)
-            record = choose(attempt.service, set(), idempotent)
+            record = choose(state.service, set(), idempotent)
         return record
 
     def _should_retry(
-        self, attempt: Attempt, result: Result, record: NodeRecord, budget: RetryBudget
+        self,
+        state: RequestState,
+        result: Result,
+        record: NodeRecord,
+        budget: RetryBudget,
     ) -> bool:
-        """Return whether to retry on another instance after a result."""
+        """Record a result; return whether to retry on another instance."""
         overloaded = False
         match result:
             case NotRun(reason, False):
-                self._log_retry(attempt, record, reason, True)
+                self._log_retry(state, record, reason, True)
                 return True
             case Completed(response) if response.status < 500:
-                attempt.arrivals += 1
+                state.arrivals += 1
                 return False
             case Completed(response):
                 reason = f"status {response.status}"
-                attempt.may_have_run = True
+                state.may_have_run = True
                 # Under overload the failure is caused further along the chain, and a
                 # retry would add load there.
-                overloaded = self._service_threshold(attempt.service) < OPEN_THRESHOLD
+                overloaded = self._service_threshold(state.service) < OPEN_THRESHOLD
             case NotRun(reason, True):
                 pass
             case Unknown(reason):
-                attempt.may_have_run = True
-        attempt.arrivals += 1
+                state.may_have_run = True
+        state.arrivals += 1
         allowed = (
             not overloaded
-            and (attempt.route.idempotent or not attempt.may_have_run)
-            and attempt.arrivals < attempt.route.max_attempts
+            and (state.route.idempotent or not state.may_have_run)
+            and state.arrivals < state.route.max_attempts
             and budget.spend(self._members.count)
         )
-        self._log_retry(attempt, record, reason, allowed)
+        self._log_retry(state, record, reason, allowed)
         return allowed
 
     def _log_retry(
-        self, attempt: Attempt, record: NodeRecord, reason: str, allowed: bool
+        self, state: RequestState, record: NodeRecord, reason: str, allowed: bool
     ) -> None:
         self._log.event(
             "repeated" if allowed else "not-repeated",
-            id=attempt.head.request_id.decode("latin-1"),
-            service=attempt.service,
+            id=state.head.request_id.decode("latin-1"),
+            service=state.service,
             instance=record.node_id,
             reason=reason,
-            arrivals=attempt.arrivals,
+            arrivals=state.arrivals,
         )
         if allowed:
             self._telemetry.retries.labels(reason.partition(":")[0]).inc()
@@ -344,21 +348,21 @@
         return budget
 
     async def _send(
-        self, request: Request, attempt: Attempt, record: NodeRecord
+        self, request: Request, state: RequestState, record: NodeRecord
     ) -> Result:
         call = Call(
             method=request.method,
             target=request.target,
-            headers=attempt.head.forwarded,
+            headers=state.head.forwarded,
             body=request.body,
-            request_id=attempt.head.request_id,
-            service=attempt.service,
+            request_id=state.head.request_id,
+            service=state.service,
             target_id=record.target_id,
             caller_service=self.settings.service,
-            idempotent=attempt.route.idempotent,
-            priority=attempt.route.priority,
-            from_caller=not attempt.from_target,
-            expires_s=attempt.expires_s,
+            idempotent=state.route.idempotent,
+            priority=state.route.priority,
+            from_caller=not state.from_target,
+            expires_s=state.expires_s,
         )
         started_s = now_s()
         self._balancer.record_start(record.node_id)
@@ -366,7 +370,7 @@
             if record.node_id == self.settings.node_id:
                 result = await self._target.run(call)
                 thresholds = self.thresholds(call.from_caller)
-                load: LoadReport | None = LoadReport(self._target.inflight, thresholds)
+                load: LoadReport | None = LoadReport(self._target.in_flight, thresholds)
             else:
                 result, load = await self._send_to_peer(call, record)
         finally:
@@ -374,12 +378,12 @@
         if load is not None:
             failed = not isinstance(result, Completed) or result.response.status >= 500
             response_time_s = now_s() - started_s
-            node_id, threshold_limit = record.node_id, self.max_threshold
+            node_id, max_threshold = record.node_id, self.max_threshold
             self._balancer.record_response(
-                node_id, response_time_s, load.inflight, failed
+                node_id, response_time_s, load.in_flight, failed
             )
             self._learned_thresholds.learn(
-                attempt.service, node_id, load.thresholds, threshold_limit
+                state.service, node_id, load.thresholds, max_threshold
             )
         return result
 
--- a/src/briardock/mesh/members.py
+++ b/src/briardock/mesh/members.py
@@ -176,11 +176,13 @@
         self._by_service = None
         self._digest = None
         self.entry_routes.update(record.entry_routes)
-        self._drop_previous_holders(record)
+        self._remove_superseded_nodes(record)
 
-    def _drop_previous_holders(self, record: NodeRecord) -> None:
+    def _remove_superseded_nodes(self, record: NodeRecord) -> None:
         """Remove older nodes whose address is now used by the node of a record."""
         for other in list(self._records.values()):
-            same = other.address == record.address and other.node_id != record.node_id
-            if same and other.incarnation_ms < record.incarnation_ms:
+            reuses_address = (
+                other.address == record.address and other.node_id != record.node_id
+            )
+            if reuses_address and other.incarnation_ms < record.incarnation_ms:
                 del self._records[other.node_id]
--- a/src/briardock/mesh/model.py
+++ b/src/briardock/mesh/model.py
@@ -9,9 +9,9 @@
 Headers = list[tuple[bytes, bytes]]
 
 
-# Returns the time since boot in s, including time in which the machine is suspended,
-# by which a deadline on the monotonic clock would be extended. A partial avoids the
-# call of a Python function, as each request reads the clock about ten times.
+# Returns the time since boot in s. Unlike the monotonic clock, it advances while the
+# machine is suspended, so that a suspension does not extend deadlines. A partial avoids
+# the call of a Python function, as each request reads the clock about ten times.
 now_s: Callable[[], float] = partial(time.clock_gettime, time.CLOCK_BOOTTIME)
 
 
--- a/src/briardock/mesh/node.py
+++ b/src/briardock/mesh/node.py
@@ -56,7 +56,7 @@
 DEPARTURE_WAIT_S = 0.6
 SETTINGS_CHECK_PERIOD_S = 3.0
 # Settings that take effect without a restart.
-RELOADABLE = frozenset(
+RELOADABLE_SETTINGS = frozenset(
     {
         "service",
         "target_address",
@@ -137,10 +137,10 @@
             self._target_pool,
             dialect,
             log,
-            self.replicator.crashes,
+            self.replicator.crash_suspects,
             self._target_changed,
         )
-        self._entries = EntryRoutes(
+        self._entry_routes = EntryRoutes(
             self.members, self.target, self._local_record_changed
         )
         self.forwarder = Forwarder(
@@ -151,7 +151,7 @@
             self.target,
             self._peer_pool,
             LearnedThresholds(),
-            self._entries,
+            self._entry_routes,
             log,
             self.telemetry,
             self._rng,
@@ -174,7 +174,7 @@
     def _install(self, config: RoutingConfig) -> None:
         self.forwarder.routes = RouteTable(config)
         self._caller_server.limits = config.limits
-        self._entries.retain({route.name for route in config.routes})
+        self._entry_routes.retain({route.name for route in config.routes})
         self.telemetry.config_version.set(config.version)
 
     def _target_changed(self) -> None:
@@ -192,7 +192,7 @@
 
         :param record: newest record of an earlier process
         """
-        self._entries.resume(record.entry_routes)
+        self._entry_routes.resume(record.entry_routes)
         if record.service != self.settings.service:
             return
         if record.state is TargetState.READY:
@@ -218,8 +218,8 @@
         finally:
             self._peer_calls_in_flight -= 1
         self.telemetry.target_latency.observe(now_s() - started_s)
-        levels = self.forwarder.thresholds(call.from_caller)
-        return encode_result(result, LoadReport(self.target.inflight, levels))
+        thresholds = self.forwarder.thresholds(call.from_caller)
+        return encode_result(result, LoadReport(self.target.in_flight, thresholds))
 
     async def _handle_ready(self, request: Request) -> Response:
         ready = self.forwarder.routes is not None and not self._stopping.is_set()
@@ -356,7 +356,7 @@
             for item in fields(MeshSettings)
             if getattr(loaded, item.name) != getattr(self.settings, item.name)
         ]
-        applied = [name for name in changed if name in RELOADABLE]
+        applied = [name for name in changed if name in RELOADABLE_SETTINGS]
         self.settings = replace(
             self.settings, **{name: getattr(loaded, name) for name in applied}
         )
--- a/src/briardock/mesh/pool.py
+++ b/src/briardock/mesh/pool.py
@@ -11,11 +11,11 @@
 
 # Margin before the peer's idle timeout within which a connection is not reused, s.
 IDLE_MARGIN_S = 1.0
-# An address that silently dropped an idle connection gets a reduced limit on the idle
-# time, s. It applies if the connection had been idle for at least the second time, s,
-# and expires after the third, s.
+# Reduced limit on the idle time for an address that silently drops idle connections, s.
 REDUCED_IDLE_TIME_S = 0.2
+# Idle time above which the loss of a reused connection reduces the limit, s.
 MIN_STALE_IDLE_S = 0.05
+# Time after which the reduced limit expires, s.
 REDUCED_IDLE_LIFETIME_S = 10.0
 # TCP keepalive probes detect connections whose peer vanished without a reset.
 KEEPALIVE_IDLE_S = 1
@@ -83,9 +83,9 @@
         :param connection: connection that was lost when it was reused
         """
         if connection.idle_duration_s > MIN_STALE_IDLE_S:
-            idle_s = min(REDUCED_IDLE_TIME_S, connection.idle_duration_s / 2)
+            reduced_limit_s = min(REDUCED_IDLE_TIME_S, connection.idle_duration_s / 2)
             self._reduced_idle_limits[address] = (
-                idle_s,
+                reduced_limit_s,
                 now_s() + REDUCED_IDLE_LIFETIME_S,
             )
 
--- a/src/briardock/mesh/replication.py
+++ b/src/briardock/mesh/replication.py
@@ -1,6 +1,6 @@
 """Replication of node records and configuration, through the store and by gossip.
 
-Nodes that start read both from the store. Between nodes, each change is pushed
+A node reads both from the store when it starts. Between nodes, each change is pushed
 immediately, and a periodic anti-entropy sync with a random node repairs missed
 updates, so that nodes converge while some or all of them cannot reach the store.
 """
@@ -106,8 +106,8 @@
         self._install = install
         self._on_joined = on_joined
         self._on_previous_record = on_previous_record
-        self.crashes = CrashSuspects(SystemClock(), self.suspects_changed)
-        self.quarantine = self.crashes.quarantine
+        self.crash_suspects = CrashSuspects(SystemClock(), self.suspects_changed)
+        self.quarantine = self.crash_suspects.quarantine
         self._publish_due = asyncio.Event()
         self._local_record_stored = asyncio.Event()
         self._nodes_read = asyncio.Event()
--- a/src/briardock/mesh/retries.py
+++ b/src/briardock/mesh/retries.py
@@ -5,7 +5,7 @@
 from briardock.mesh.model import now_s
 
 # A retry at one hop repeats the calls below it, which count at their services as well.
-# The ratio is divided by this number of hops so that all hops together keep it.
+# The ratio is divided by this number of hops so that all hops together stay within it.
 CHAIN_DEPTH = 4
 # Share of the slack that is used, as nodes may disagree on the number of nodes.
 USABLE_SLACK_SHARE = 0.5
--- a/src/briardock/mesh/target.py
+++ b/src/briardock/mesh/target.py
@@ -72,7 +72,7 @@
     :param pool: connections to it
     :param dialect: encodes requests and decodes responses
     :param log: decision log
-    :param crashes: requests suspected of crashing targets
+    :param crash_suspects: requests suspected of crashing targets
     :param on_change: called after a change of id, start, slots or state
     """
 
@@ -83,7 +83,7 @@
         pool: ConnectionPool,
         dialect: Dialect,
         log: DecisionLog,
-        crashes: CrashSuspects,
+        crash_suspects: CrashSuspects,
         on_change: Callable[[], None],
     ) -> None:
         self.address = address
@@ -100,7 +100,7 @@
         self._pool = pool
         self._dialect = dialect
         self._log = log
-        self._crashes = crashes
+        self._crash_suspects = crash_suspects
         self._on_change = on_change
         # Heap of queued calls. Abandoned ones stay in it until the next control period.
         self._queue: list[_QueuedCall] = []
@@ -126,7 +126,7 @@
         return max(1, int(self.slots * USABLE_SLOT_SHARE))
 
     @property
-    def inflight(self) -> int:
+    def in_flight(self) -> int:
         """Requests running and queued."""
         return self.running + self.queued
 
@@ -137,7 +137,7 @@
         :param service: its service
         """
         self.address, self.service = address, service
-        self._set("", 0, 1, TargetState.ABSENT)
+        self._change_state("", 0, 1, TargetState.ABSENT)
         self._sequence = -1
 
     def matches(self, announcement: Announcement) -> bool:
@@ -168,14 +168,14 @@
             self.target_id,
         )
         if restarted and self.born_ms:
-            self._crashes.record_death(f"{self.target_id}.{self.born_ms}")
+            self._crash_suspects.record_death(f"{self.target_id}.{self.born_ms}")
         self._sequence = announcement.sequence
         leaving = self.state is TargetState.LEAVING and not restarted
         if leaving or self._has_departed(announcement.target_id, announcement.born_ms):
             state = TargetState.LEAVING
         else:
             state = announcement.state
-        self._set(
+        self._change_state(
             announcement.target_id, announcement.born_ms, announcement.slots, state
         )
         return True
@@ -193,7 +193,7 @@
         if not self.target_id and target_id:
             departed = self._has_departed(target_id, born_ms)
             state = TargetState.LEAVING if departed else TargetState.READY
-            self._set(target_id, born_ms, slots, state)
+            self._change_state(target_id, born_ms, slots, state)
 
     def leave(self, target_id: str, born_ms: int) -> None:
         """Stop sending requests to a target that leaves.
@@ -207,14 +207,14 @@
         if not self.target_id:
             self._departed = (target_id, born_ms or int(time.time() * 1000))
         elif target_id == self.target_id and born_ms in (0, self.born_ms):
-            self._set(target_id, self.born_ms, self.slots, TargetState.LEAVING)
+            self._change_state(target_id, self.born_ms, self.slots, TargetState.LEAVING)
 
     def _has_departed(self, target_id: str, born_ms: int) -> bool:
         if self._departed is None or self._departed[0] != target_id:
             return False
         return born_ms <= self._departed[1]
 
-    def _set(
+    def _change_state(
         self, target_id: str, born_ms: int, slots: int, state: TargetState
     ) -> None:
         before = (self.target_id, self.born_ms, self.slots, self.state)
@@ -232,8 +232,10 @@
     def _mark_absent(self, reason: str) -> None:
         if self.state is TargetState.READY:
             self._log.event("target-lost", target=self.target_id, reason=reason)
-            self._crashes.record_death(f"{self.target_id}.{self.born_ms}")
-            self._set(self.target_id, self.born_ms, self.slots, TargetState.ABSENT)
+            self._crash_suspects.record_death(f"{self.target_id}.{self.born_ms}")
+            self._change_state(
+                self.target_id, self.born_ms, self.slots, TargetState.ABSENT
+            )
 
     def _release_queue(self) -> None:
         for queued_call in self._queue:
@@ -250,7 +252,7 @@
             return NotRun(f"target {self.state.value}")
         if call.target_id != self.target_id or call.service != self.service:
             return NotRun("another target")
-        if self._crashes.refuses(call):
+        if self._crash_suspects.refuses(call):
             return NotRun("crashed its targets")
         return None
 
@@ -277,22 +279,26 @@
         if self.running < self.concurrency_limit and not self.queued:
             self._adjust_counts(running=1)
             return None
-        waiter: asyncio.Future[bool] = self._loop.create_future()
+        slot_future: asyncio.Future[bool] = self._loop.create_future()
         arrival_number = next(self._arrival_numbers)
         queued_call = _QueuedCall(
-            call.queue_order, call.expires_s, arrival_number, waiter
+            call.queue_order, call.expires_s, arrival_number, slot_future
         )
         heapq.heappush(self._queue, queued_call)
         self._adjust_counts(queued=1)
         has_slot = False
         try:
             with Deadline(self._loop, self._latest_start_s(call)):
-                has_slot = await waiter
+                has_slot = await slot_future
         except TimeoutError:
             return NotRun("too late to run")
         finally:
             self._adjust_counts(queued=-1)
-            if waiter.done() and not waiter.cancelled() and waiter.result():
+            if (
+                slot_future.done()
+                and not slot_future.cancelled()
+                and slot_future.result()
+            ):
                 self._granted -= 1
             if not has_slot:
                 self._grant_slots()
@@ -353,14 +359,15 @@
         data = encode_request(call.method, call.target, headers, call.body)
         started_s = now_s()
         response = await connection.exchange(
-            data, lambda found: self._dialect.is_response_to(found, call.request_id)
+            data,
+            lambda candidate: self._dialect.is_response_to(candidate, call.request_id),
         )
         if isinstance(response, ExchangeFailure):
             if not response.sent:
                 return NotRun(response.reason)
             if now_s() - started_s < STALE_CONNECTION_RESET_S:
                 self._pool.reduce_idle_time(self.address, connection)
-            self._crashes.record_loss(call)
+            self._crash_suspects.record_loss(call)
             return Unknown(f"target: {response.reason}")
         decoded = self._dialect.decode_target_response(response)
         if not decoded.not_run:
@@ -373,7 +380,7 @@
             connection.idle_timeout_s = decoded.idle_timeout_s
         self._pool.release(self.address, connection)
         if decoded.wrong_target:
-            self._mark_absent("another target answers at the address")
+            self._mark_absent("another target responds at the address")
             return NotRun("another target", arrived=False)
         if decoded.not_run:
             return NotRun(f"target rejected it with {response.status}", arrived=True)
@@ -392,7 +399,7 @@
 
         :param now: current time in s since boot
         """
-        return 0.0 if self.inflight else now - self._counts_changed_s
+        return 0.0 if self.in_flight else now - self._counts_changed_s
 
     def threshold(self, from_caller: bool) -> float:
         """Return the admission threshold of this target.
--- a/src/briardock/platform/_dialect.py
+++ b/src/briardock/platform/_dialect.py
@@ -26,7 +26,7 @@
 NOT_RUN = b"not-executed"
 CALLER = b"caller-service"
 RETRY_AFTER = b"retry-after"
-SET_BY_NODES = frozenset({DEADLINE, EXPECTED_TARGET, CALLER})
+HEADERS_SET_BY_NODES = frozenset({DEADLINE, EXPECTED_TARGET, CALLER})
 
 _ANNOUNCEMENT = re.compile(rb"^/instances/([^/?]+)/(heartbeat|deregister)$")
 _DURATION = re.compile(r"^(\d+(?:\.\d+)?)(ms|s)$")
@@ -116,7 +116,7 @@
         forwarded: Headers = []
         for header in end_to_end(request.headers):
             name, value = header
-            if name in SET_BY_NODES:
+            if name in HEADERS_SET_BY_NODES:
                 if name == DEADLINE and value.isdigit():
                     deadline_s = int(value) / 1000
             elif not name.startswith(b"briardock-"):
--- a/tests/mesh_builders.py
+++ b/tests/mesh_builders.py
@@ -59,9 +59,11 @@
 
 def make_target(address: str = "127.0.0.1:1") -> Target:
     pool = ConnectionPool(PoolSettings(0.2, 5.0, 1.0))
-    crashes = CrashSuspects(SystemClock(), lambda entries: None)
+    crash_suspects = CrashSuspects(SystemClock(), lambda entries: None)
     log = quiet_log()
-    return Target(address, "jobs", pool, PlatformDialect(), log, crashes, lambda: None)
+    return Target(
+        address, "jobs", pool, PlatformDialect(), log, crash_suspects, lambda: None
+    )
 
 
 def make_call(**changes: object) -> Call:
--- a/tests/test_mesh_balancer.py
+++ b/tests/test_mesh_balancer.py
@@ -25,7 +25,7 @@
 def test_local_domain_is_preferred_until_it_is_loaded(clock: FakeClock) -> None:
     balancer = make_balancer(record("near"), record("faraway", domain="d2"))
     assert choose(balancer) == "near"
-    balancer.record_response("near", 0.01, inflight=8, failed=False)
+    balancer.record_response("near", 0.01, total_in_flight=8, failed=False)
     assert choose(balancer) == "faraway"
 
 
--- a/tests/test_mesh_callgraph.py
+++ b/tests/test_mesh_callgraph.py
@@ -8,17 +8,17 @@
 def test_request_at_an_idle_target_marks_an_entry_route(clock: FakeClock) -> None:
     members, local_target = MemberTable(record("own")), make_target()
     published: list[str] = []
-    entries = EntryRoutes(members, local_target, lambda: published.append("x"))
+    entry_routes = EntryRoutes(members, local_target, lambda: published.append("x"))
     route = make_route("r", "/a/")
     clock.now += 10
     local_target._adjust_counts(running=1)
-    assert not entries.observe(route, 5.0)
+    assert not entry_routes.observe(route, 5.0)
     local_target._adjust_counts(running=-1)
     clock.now += 0.5
-    assert not entries.observe(route, 5.0) and not published
+    assert not entry_routes.observe(route, 5.0) and not published
     clock.now += 1.0
-    entries.observe(route, 5.0)
-    assert entries.observe(route, 5.0) and published == ["x"]
+    entry_routes.observe(route, 5.0)
+    assert entry_routes.observe(route, 5.0) and published == ["x"]
 
 
 def test_no_route_is_learned_while_requests_of_an_earlier_process_may_run(
@@ -26,9 +26,9 @@
 ) -> None:
     """Calls of requests that began before a restart look like callers' requests."""
     members = MemberTable(record("own"))
-    entries = EntryRoutes(members, make_target(), lambda: None)
+    entry_routes = EntryRoutes(members, make_target(), lambda: None)
     clock.now += 3.0
-    entries.observe(make_route("r", "/a/"), 5.0)
+    entry_routes.observe(make_route("r", "/a/"), 5.0)
     assert not members.entry_routes
 
 
@@ -42,5 +42,5 @@
             called.record_call("maps")
         if period % 4 == 0:
             called.record_call("jobs")
-        called.update(runs=10)
+        called.update(target_arrivals=10)
     assert called.names == ["maps"]
--- a/tests/test_mesh_crashes.py
+++ b/tests/test_mesh_crashes.py
@@ -60,5 +60,5 @@
     local_target = make_target()
     for start in range(4):
         local_target.announce(announcement(born_ms=start + 1))
-        local_target._crashes.record_loss(make_call())
-    assert local_target._crashes.refuses(make_call())
+        local_target._crash_suspects.record_loss(make_call())
+    assert local_target._crash_suspects.refuses(make_call())
--- a/tests/test_mesh_departure.py
+++ b/tests/test_mesh_departure.py
@@ -104,7 +104,7 @@
         names = [f"n{number}" for number in range(1, count + 1)]
         first = [await system.add(name, "jobs") for name in names][0]
         await system.settle()
-        first.node._entries._learn("r")
+        first.node._entry_routes._learn("r")
         assert await first.node.replicator.wait_until_stored(2.0)
         system.store.down = True
         for name in names:
