--- a/tests/mesh_soak.py
+++ b/tests/mesh_soak.py
@@ -119,8 +119,8 @@
                 max(1, self.fleet.version - 2), self.fleet.version + 1
             ):
                 start = machine.start_count
-                found = await _status(machine.caller_address, f"/v{version}/x")
-                if found in (0, 404, 503):
+                status = await _status(machine.caller_address, f"/v{version}/x")
+                if status in (0, 404, 503):
                     continue
                 if start == machine.start_count == highest[0] and version < highest[1]:
                     self.results.violations.append(
@@ -233,7 +233,7 @@
     """
     with tempfile.TemporaryDirectory(prefix="briardock-soak-") as temporary:
         folder = keep_folder or Path(temporary)
-        # Removes old ledgers: new lines would be appended, and a seed repeats its ids.
+        # Removes old ledgers: targets append to them, and a seed reuses its ids.
         for path in folder.glob("*.ledger"):
             path.unlink()
         soak = Soak(seed, folder)
--- a/tests/soak_machines.py
+++ b/tests/soak_machines.py
@@ -70,7 +70,7 @@
 
     def may_be_affected_at(self, at: float) -> bool:
         """Return whether a fault may delay a request at a time."""
-        return any(-1.0 < at - when < 8.0 for when in self.fault_times)
+        return any(-1.0 < at - fault_at < 8.0 for fault_at in self.fault_times)
 
 
 class SoakFleet:
@@ -170,12 +170,12 @@
         self._ports.release()
 
     def _all_processes(self) -> list[ManagedProcess]:
-        found = [p for m in self.machines for p in m.processes.values()]
-        return [*found, *self.programs.values()]
+        processes = [p for m in self.machines for p in m.processes.values()]
+        return [*processes, *self.programs.values()]
 
     def restart_ended(self) -> list[str]:
         """Restart exited processes, as the platform does; return node failures."""
-        found = []
+        failures = []
         for machine in self.machines:
             for kind, process in list(machine.processes.items()):
                 code = process.poll()
@@ -186,9 +186,9 @@
                     continue
                 if code not in (0, -signal.SIGKILL):
                     text = f"{machine.name}: node exited with code {code}"
-                    found.append(f"{text}: {process.tail()[-300:]}")
+                    failures.append(f"{text}: {process.tail()[-300:]}")
                 self.start_node(machine)
-        return found
+        return failures
 
     async def publish(self) -> None:
         """Publish a configuration with a route that only this version has."""
--- a/tests/test_mesh_balancer.py
+++ b/tests/test_mesh_balancer.py
@@ -11,8 +11,8 @@
 
 
 def choose(balancer: Balancer, idempotent: bool = True) -> str | None:
-    found = balancer.choose("jobs", set(), idempotent)
-    return found.node_id if found else None
+    chosen = balancer.choose("jobs", set(), idempotent)
+    return chosen.node_id if chosen else None
 
 
 def make_balancer(*records: NodeRecord) -> Balancer:
--- a/tests/test_mesh_members.py
+++ b/tests/test_mesh_members.py
@@ -22,8 +22,8 @@
     members = MemberTable(record("a"))
     for item in records:
         members.merge(item)
-    found = members.get("b")
-    assert found is not None and found.order == max(orders)
+    merged = members.get("b")
+    assert merged is not None and merged.order == max(orders)
 
 
 def test_local_incarnation_rises_above_that_of_an_earlier_process() -> None:
--- a/tests/test_mesh_operations.py
+++ b/tests/test_mesh_operations.py
@@ -16,7 +16,7 @@
 
 def logged_fields() -> dict[str, set[str]]:
     """Return the fields that the code logs with each event."""
-    found: dict[str, set[str]] = {}
+    fields_by_event: dict[str, set[str]] = {}
     for path in (ROOT / "src/briardock/mesh").glob("*.py"):
         for node in ast.walk(ast.parse(path.read_text())):
             if not isinstance(node, ast.Call):
@@ -26,8 +26,8 @@
             names = {str(k.arg) for k in node.keywords}
             for value in ast.walk(node.args[0]):
                 if isinstance(value, ast.Constant):
-                    found.setdefault(str(value.value), set()).update(names)
-    return found
+                    fields_by_event.setdefault(str(value.value), set()).update(names)
+    return fields_by_event
 
 
 def test_page_lists_every_event_with_its_fields() -> None:
@@ -50,7 +50,7 @@
 
 def test_explanation_is_sorted_by_time_and_names_missing_logs() -> None:
     """The logs of several nodes may be given in any order, and one may be missing."""
-    found = explain(
+    trace = explain(
         "r1",
         [
             line(12.0, "a", "failed", id="r1", status=502),
@@ -60,12 +60,12 @@
             "no json",
         ],
     )
-    assert [text.split(" s ")[1].split()[1] for text in found[:3]] == [
+    assert [text.split(" s ")[1].split()[1] for text in trace[:3]] == [
         "store-lost",
         "not-repeated",
         "failed",
     ]
-    assert found[3:] == ["the log of b is missing"]
+    assert trace[3:] == ["the log of b is missing"]
 
 
 @pytest.mark.parametrize("lines", [[], [line(1.0, "a", "started")]])
--- a/tests/test_mesh_path.py
+++ b/tests/test_mesh_path.py
@@ -243,14 +243,14 @@
 async def test_configuration_reaches_nodes_that_cannot_read_the_store() -> None:
     """A node partitioned from the store learns new versions from its peers."""
     async with fleet() as system:
-        one = await system.add("n1", "jobs")
-        two = await system.add("n2", "jobs")
+        first = await system.add("n1", "jobs")
+        second = await system.add("n2", "jobs")
         await system.settle()
-        two.node.replicator._store._address = free_address()  # type: ignore[attr-defined]
+        second.node.replicator._store._address = free_address()  # type: ignore[attr-defined]
         system.store.put("keyed.op", "config", config(9, route("r", "/new/")))
 
         async def installed() -> bool:
-            versions = {m.node.replicator.config_version for m in (one, two)}
+            versions = {m.node.replicator.config_version for m in (first, second)}
             return versions == {9}
 
         await eventually(installed, timeout_s=4.0)
@@ -261,14 +261,14 @@
 
 async def test_restarted_node_learns_everything_from_peers_without_the_store() -> None:
     async with fleet() as system:
-        one = await system.add("n1", "portal")
-        two = await system.add("n2", "jobs")
+        entry = await system.add("n1", "portal")
+        owner = await system.add("n2", "jobs")
         await system.settle()
         system.store.down = True
-        restarted = await system.restart(one.settings.node_id)
+        restarted = await system.restart(entry.settings.node_id)
         await system.settle()
         assert (await restarted.call("/jobs/7")).status == 200
-        assert len(two.target.requests) == 1
+        assert len(owner.target.requests) == 1
 
 
 async def test_ready_only_with_a_configuration_and_until_the_stop() -> None:
@@ -340,6 +340,6 @@
         taken = replace(machine.settings, node_id="n2")
         store = PlatformStore(taken.store_address)
         node = Node(taken, PlatformDialect(), store, quiet_log(), lambda: taken)
-        with pytest.raises(SettingsError, match="cannot listen on") as found:
+        with pytest.raises(SettingsError, match="cannot listen on") as raised:
             await node.run()
-        assert "end the process" in str(found.value)
+        assert "end the process" in str(raised.value)
--- a/tests/test_mesh_routes.py
+++ b/tests/test_mesh_routes.py
@@ -25,10 +25,10 @@
     ],
 )
 def test_longest_prefix_of_the_path_wins(path: bytes, expected: str | None) -> None:
-    found = make_route_table(
+    matched = make_route_table(
         make_route("short", "/a/"), make_route("long", "/a/b/")
     ).match("h", path)
-    assert (found.name if found else None) == expected
+    assert (matched.name if matched else None) == expected
 
 
 @given(st.lists(st.integers(1, 20), min_size=2, max_size=4), st.integers(50, 300))
--- a/tests/test_mesh_target.py
+++ b/tests/test_mesh_target.py
@@ -258,7 +258,7 @@
                 asyncio.create_task(run_serial_calls(local_target, now_s(), rng))
             )
             await asyncio.sleep(1.0 / rate_per_s)
-    completed = [found[0] for found in await asyncio.gather(*chains)]
+    completed = [outcome[0] for outcome in await asyncio.gather(*chains)]
     assert sum(completed) / len(completed) > 0.9
 
 
