--- a/src/briardock/mesh/explain.py
+++ b/src/briardock/mesh/explain.py
@@ -58,7 +58,7 @@
             f"no line of request {request_id} in the logs of {len(nodes)} nodes; "
             "it completed, its line was omitted, or its node's log is missing"
         ]
-    first, last = float(request_events[0]["at"]), float(request_events[-1]["at"])
+    first_s, last_s = float(request_events[0]["at"]), float(request_events[-1]["at"])
     node_names = {str(event.get("node")) for event in request_events}
     node_names |= {
         str(event["instance"]) for event in request_events if "instance" in event
@@ -70,20 +70,20 @@
         or (
             event["event"] in CONTEXT_EVENTS
             and event.get("node") in node_names
-            and first - CONTEXT_S <= float(event["at"]) <= last + CONTEXT_S
+            and first_s - CONTEXT_S <= float(event["at"]) <= last_s + CONTEXT_S
         )
     ]
     missing = node_names - {str(event.get("node")) for event in events}
-    output = [_format(event, first, request_id) for event in shown]
+    output = [_format(event, first_s, request_id) for event in shown]
     output += [f"the log of {name} is missing" for name in sorted(missing)]
     return output
 
 
-def _format(event: dict[str, Any], first: float, request_id: str) -> str:
+def _format(event: dict[str, Any], first_s: float, request_id: str) -> str:
     rest = {k: v for k, v in event.items() if k not in ("at", "node", "event", "id")}
     values = " ".join(f"{key}={value}" for key, value in rest.items())
     mark = "*" if event.get("id") == request_id else " "
-    offset_s = float(event["at"]) - first
+    offset_s = float(event["at"]) - first_s
     return f"{mark} {offset_s:+8.3f} s {event['node']} {event['event']} {values}"
 
 
