Log the requests that a stopping node leaves unanswered

Cause: the log of a node that ends named its open connections only. It did not tell a request that was accepted late from one that was in flight at the signal, nor a request whose caller had left. Change: `stopped` counts requests and calls in flight, `unanswered` names each request that the process leaves without an answer and when it was accepted, and `caller-left` names requests whose callers closed their connections. Before and after: no decision changes; the tests of the mesh pass.

--- a/src/briardock/mesh/forwarder.py
+++ b/src/briardock/mesh/forwarder.py
@@ -65,13 +65,14 @@
 T = TypeVar("T")
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class RequestState:
     """State of one request while it is forwarded.
 
     :param head: decoded headers
     :param route: its route
     :param service: service chosen for it
+    :param accepted_s: time at which it was read completely
     :param expires_s: latest time of the final response
     :param from_target: whether the local target may have sent it
     :param caller_waits_until_s: time until which its caller waits
@@ -83,6 +84,7 @@
     head: RequestHead
     route: Route
     service: str
+    accepted_s: float
     expires_s: float
     from_target: bool
     caller_waits_until_s: float
@@ -90,6 +92,11 @@
     age_s: float = 0.0
     unresolved: bool = False
 
+    @property
+    def passed_on(self) -> bool:
+        """Whether a target may have received it."""
+        return self.unresolved or self.attempts.may_have_run
+
     @property
     def entry_request(self) -> EntryRequest:
         """What decides whether it is admitted."""
@@ -138,6 +145,7 @@
     ) -> None:
         self.routes: RouteTable | None = None
         self.called_services = CalledServices()
+        self.requests_in_flight: set[RequestState] = set()
         self.settings = settings
         self._dialect = dialect
         self._members = members
@@ -216,6 +224,7 @@
             head,
             route,
             service,
+            now_s(),
             request.received_s + timeout_limit_s,
             not self._entry_routes.observe(route, self.routes.longest_timeout_s),
             request.received_s + deadline_s,
@@ -229,7 +238,14 @@
         )
         if not state.from_target and head.deadline_s is not None:
             state.age_s = self._entry.age_s(route.name, deadline_s, request.received_s)
-        response = await self._forward(request, state)
+        self.requests_in_flight.add(state)
+        try:
+            response = await self._forward(request, state)
+        except asyncio.CancelledError:
+            self._record_abandoned(state)
+            raise
+        finally:
+            self.requests_in_flight.discard(state)
         response_time_s = now_s() - request.received_s
         self._telemetry.latency.observe(response_time_s)
         if response.status < 300:
@@ -244,7 +260,7 @@
             with Deadline(self._loop, state.expires_s):
                 result = await self._try_instances(request, state)
         except TimeoutError:
-            if state.unresolved or state.attempts.may_have_run:
+            if state.passed_on:
                 return self._fail_request(state, 504, "timeout")
             result = NotRun("timeout before an instance took it")
         match result:
@@ -311,6 +327,30 @@
         self._telemetry.requests.labels("failed").inc()
         return Response(status)
 
+    def _record_abandoned(self, state: RequestState) -> None:
+        self._log.event(
+            "caller-left",
+            id=state.head.request_id.decode("latin-1"),
+            route=state.route.name,
+            passed_on=state.passed_on,
+            age_s=round(now_s() - state.accepted_s, 3),
+        )
+        self._telemetry.requests.labels("caller-left").inc()
+
+    def record_unanswered(self, stopping_since_s: float) -> None:
+        """Log the requests that the process leaves without an answer as it exits.
+
+        :param stopping_since_s: time of the stop signal in s since boot
+        """
+        for state in self.requests_in_flight:
+            self._log.event(
+                "unanswered",
+                id=state.head.request_id.decode("latin-1"),
+                route=state.route.name,
+                passed_on=state.passed_on,
+                accepted_after_stop_s=round(state.accepted_s - stopping_since_s, 3),
+            )
+
     async def _try_instances(self, request: Request, state: RequestState) -> Result:
         self._budget(state.service).record_request(now_s())
         attempts = state.attempts
--- a/src/briardock/mesh/node.py
+++ b/src/briardock/mesh/node.py
@@ -448,5 +448,12 @@
             self._caller_server.close_idle()
             if not self._caller_server.connections and not self._peer_calls_in_flight:
                 break
-        self.log.event("stopped", connections=len(self._caller_server.connections))
+        self.forwarder.record_unanswered(started_s)
+        self.log.event(
+            "stopped",
+            connections=len(self._caller_server.connections),
+            requests=len(self.forwarder.requests_in_flight),
+            calls=self._peer_calls_in_flight,
+            duration_s=round(now_s() - started_s, 3),
+        )
         self.log.flush()
