Answer the requests read before a malformed one

Callers saw a connection closed without an answer although a target ran their request. Cause: a refusal at the level of the connection (malformed request, head or body too large) closed it at once, which cancelled the request in flight before it. Change: the refusal is sent, and the connection closed, after the answers to the requests before it; what is received in between is discarded. Evidence: the new test got no bytes before the change, and gets both answers after it.

--- a/src/briardock/mesh/http_server.py
+++ b/src/briardock/mesh/http_server.py
@@ -109,7 +109,9 @@
         self._waiter: asyncio.Future[None] | None = None
         self._responding = False
         self._reading = False
-        self._refused = False
+        # Status for the message that ends the connection; it is sent after the responses
+        # to the requests before it.
+        self._refusal_status: int | None = None
         self._buffered_bytes = 0
         self._last_active_s = now_s()
         self._reset_message()
@@ -153,7 +155,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse what the caller sent."""
-        if self._refused:
+        if self._refusal_status is not None:
             return
         limits = self._server.limits
         if self._in_head:
@@ -251,13 +253,20 @@
             if response.close and not self._pending_requests:
                 self._transport.close()
                 return
+            if self._refusal_status is not None and not self._pending_requests:
+                self._end_with_refusal(self._refusal_status)
+                return
 
     def _refuse(self, status: int) -> None:
-        if self._refused or self._transport is None:
+        if self._refusal_status is not None:
             return
-        self._refused = True
+        self._refusal_status = status
         if not self._responding and not self._pending_requests:
-            self._transport.write(encode_response(Response(status, close=True)))
+            self._end_with_refusal(status)
+
+    def _end_with_refusal(self, status: int) -> None:
+        assert self._transport is not None
+        self._transport.write(encode_response(Response(status, close=True)))
         self._transport.close()
 
     def enforce_timeouts(self, now: float) -> None:
--- a/tests/test_mesh_path.py
+++ b/tests/test_mesh_path.py
@@ -363,3 +363,25 @@
         response = await entry.call("/jobs/7", body=b"x", deadline_ms="3000")
         assert response.status == 503
         assert 0.0 < float(dict(response.headers)[b"retry-after"]) <= 1.0
+
+
+async def test_malformed_request_does_not_cut_the_one_before_it() -> None:
+    """The connection was closed while its first request was in flight."""
+
+    async def respond_late(request: Request) -> Response:
+        await asyncio.sleep(0.3)
+        return await respond_normally(request)
+
+    async with fleet() as created:
+        machine = await created.add("n1", "jobs")
+        await created.settle()
+        machine.target.behaviour = respond_late
+        host, port = machine.settings.caller_address.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        head = b"GET /jobs/1 HTTP/1.1\r\nhost: a.example\r\nrequest-id: m\r\n\r\n"
+        writer.write(head + b"\0 no request\r\n\r\n")
+        async with asyncio.timeout(2.0):
+            received = await reader.read()
+        assert b"response to m" in received
+        assert received.count(b"HTTP/1.1 400") == 1
+        writer.close()
