Announce the close of a stopping node in the last of several answers

Cause: while the node stops, each answer announced the close, also with further requests of the same connection read already. Change: only the answer to the last request that was read announces it. Evidence: the new row for a stopping node had the announcement in all three answers before, and has it in the last one after.

--- a/src/briardock/mesh/http_server.py
+++ b/src/briardock/mesh/http_server.py
@@ -109,8 +109,8 @@
         self._waiter: asyncio.Future[None] | None = None
         self._responding = False
         self._reading = False
-        # Status for the message that ends the connection; it is sent after the responses
-        # to the requests before it.
+        # Status of the refusal that ends the connection, sent after the responses to
+        # the requests before it.
         self._refusal_status: int | None = None
         self._buffered_bytes = 0
         self._last_active_s = now_s()
@@ -241,7 +241,9 @@
                 self._transport.resume_reading()
             self._responding = True
             response = await self._server.respond(request)
-            if self._server.closing or request.ends_connection:
+            # After an announced close, the caller reads no further responses.
+            is_last = not self._pending_requests
+            if request.ends_connection or (self._server.closing and is_last):
                 response.close = True
             if self._transport.is_closing():
                 return
--- /dev/null
+++ b/tests/test_mesh_stop.py
@@ -0,0 +1,77 @@
+"""Requests and calls that reach a node after its stop signal."""
+
+import asyncio
+from dataclasses import replace
+
+import pytest
+
+from briardock.mesh.http1 import Request, Response
+from mesh_fakes import Fleet, Machine, fleet, respond_normally, route
+
+pytestmark = pytest.mark.anyio
+
+# Short, so that tests are fast; all requests are accepted for half of it.
+GRACE_S = 2.0
+LONG = route("long", "/jobs/", timeout="5s")
+LONG_ONCE = route("long-once", "/once/", kind="non_idempotent", timeout="5s")
+SHORT = route("short", "/jobs/short/", timeout="300ms")
+
+
+@pytest.fixture
+def anyio_backend() -> tuple[str, dict[str, bool]]:
+    return "asyncio", {"use_uvloop": True}
+
+
+async def run_slowly(request: Request) -> Response:
+    await asyncio.sleep(4.0)
+    return await respond_normally(request)
+
+
+async def start(
+    created: Fleet, node_id: str = "n1", grace_s: float = GRACE_S
+) -> Machine:
+    machine = await created.add(node_id, "jobs")
+    machine.settings = replace(machine.settings, grace_s=grace_s)
+    machine.node._load_settings = lambda: machine.settings
+    machine.node.reload()
+    return machine
+
+
+async def stop_after(machine: Machine, delay_s: float) -> None:
+    machine.node._stopping.set()
+    await asyncio.sleep(delay_s)
+
+
+async def hold(machine: Machine, run_time_s: float) -> Response:
+    """Keep the node busy with one request, so that it does not end early."""
+
+    async def run(request: Request) -> Response:
+        if request.target == b"/jobs/held":
+            await asyncio.sleep(run_time_s)
+        return await respond_normally(request)
+
+    machine.target.behaviour = run
+    return await machine.call("/jobs/held")
+
+
+@pytest.mark.parametrize("stopping", [False, True])
+async def test_pipelined_requests_are_all_answered(stopping: bool) -> None:
+    """A node that was stopping announced the close in the first answer of several."""
+    async with fleet(LONG) as created:
+        machine = await start(created)
+        await created.settle()
+        if stopping:
+            await stop_after(machine, 0.1)
+        host, port = machine.settings.caller_address.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        for number in range(3):
+            head = f"GET /jobs/{number} HTTP/1.1\r\nhost: a.example\r\n"
+            writer.write(f"{head}request-id: p{number}\r\n\r\n".encode())
+        received = b""
+        async with asyncio.timeout(1.0):
+            while received.count(b"response to p") < 3:
+                received += await reader.read(4096)
+        answers = received.split(b"HTTP/1.1 ")[1:]
+        closes = [b"connection: close" in answer.lower() for answer in answers]
+        assert closes == [False, False, stopping]
+        writer.close()
