Refuse late requests that a stopping node may not be able to answer

Cause: the listener stayed open until the exit, and whether a request could be answered by then was not asked. Change: `overload/shutdown.py` decides. For 2.8 s, or half of a shorter grace period, every request is accepted; after that those that expire before the end, because they are answered by then in any case. Others are refused as not run, with a time to return. The node ends as soon as no request is being read, waiting or in flight.

--- a/src/briardock/mesh/forwarder.py
+++ b/src/briardock/mesh/forwarder.py
@@ -48,6 +48,7 @@
 from briardock.overload.entry import Admitted, EntryAdmission, EntryRequest, TurnedAway
 from briardock.overload.placement import Balancer
 from briardock.overload.retries import RetryBudget
+from briardock.overload.shutdown import Shutdown
 
 # Deadline of a request whose caller names none, s.
 DEFAULT_DEADLINE_S = 30.0
@@ -145,6 +146,8 @@
     ) -> None:
         self.routes: RouteTable | None = None
         self.called_services = CalledServices()
+        # Set at the stop signal.
+        self.shutdown: Shutdown | None = None
         self.requests_in_flight: set[RequestState] = set()
         self.settings = settings
         self._dialect = dialect
@@ -253,6 +256,9 @@
         return response
 
     async def _forward(self, request: Request, state: RequestState) -> Response:
+        shutdown = self.shutdown
+        if shutdown and not shutdown.accepts(state.expires_s, state.accepted_s):
+            return self._refuse_without_run(state, "node is stopping")
         refusal = self._admit(state)
         if refusal is not None:
             return refusal
@@ -268,8 +274,7 @@
                 self._telemetry.completed.inc()
                 return response
             case NotRun(reason) if not state.attempts.may_have_run:
-                retry_after_s = self._entry.retry_after_s(state.entry_request, 0.0)
-                return self._refuse(state.head, reason, retry_after_s)
+                return self._refuse_without_run(state, reason)
             case NotRun(reason) | Unknown(reason):
                 return self._fail_request(state, 502, reason)
 
@@ -309,6 +314,10 @@
 
         return _cached(self._room_elsewhere, service, determine)
 
+    def _refuse_without_run(self, state: RequestState, reason: str) -> Response:
+        retry_after_s = self._entry.retry_after_s(state.entry_request, 0.0)
+        return self._refuse(state.head, reason, retry_after_s)
+
     def _refuse(self, head: RequestHead, reason: str, retry_after_s: float) -> Response:
         self._log.event("refused", id=head.request_id.decode("latin-1"), reason=reason)
         self._telemetry.requests.labels("refused").inc()
--- a/src/briardock/mesh/http_server.py
+++ b/src/briardock/mesh/http_server.py
@@ -51,6 +51,11 @@
         """Whether the buffered bodies exceed their limit."""
         return self.buffered_bytes > self.max_buffered_bytes
 
+    @property
+    def busy_count(self) -> int:
+        """Number of connections with a request being read, pending or in flight."""
+        return sum(not connection.idle for connection in self.connections)
+
     async def start(self, host: str, port: int) -> None:
         """Listen on an address.
 
--- a/src/briardock/mesh/node.py
+++ b/src/briardock/mesh/node.py
@@ -40,6 +40,7 @@
 )
 from briardock.overload.chain import LearnedThresholds
 from briardock.overload.placement import Balancer
+from briardock.overload.shutdown import Shutdown
 
 PEER_POOL = PoolSettings(
     connect_timeout_s=0.5, idle_timeout_s=20.0, unacknowledged_timeout_s=1.0
@@ -52,11 +53,8 @@
 # Share of the memory limit for request bodies of callers. A body is held in up to three
 # copies while it is forwarded.
 BODY_MEMORY_SHARE = 0.15
-# Time after a stop signal during which the node still accepts requests, s. Callers are
-# directed elsewhere after two failed readiness checks, one second apart.
-SHUTDOWN_DELAY_S = 2.8
-# Time before the end of the grace period at which the node exits, s.
-SHUTDOWN_MARGIN_S = 0.2
+# Period at which a stopping node checks whether it can end, s.
+STOP_CHECK_PERIOD_S = 0.05
 POOL_SWEEP_PERIOD_S = 2.0
 # Longest time for which the acknowledgement of a departure waits for the store, s. A
 # target treats an acknowledgement that takes more than 1 s as missing.
@@ -183,7 +181,7 @@
         )
         self._metrics_server = HttpServer(self._handle_metrics, CallerLimits(), log)
         self._stopping = asyncio.Event()
-        self._peer_calls_in_flight = 0
+        self._shutdown: Shutdown | None = None
 
     def _install(self, config: RoutingConfig) -> None:
         self.forwarder.routes = RouteTable(config)
@@ -248,11 +246,7 @@
         if call is None:
             return Response(400)
         started_s = now_s()
-        self._peer_calls_in_flight += 1
-        try:
-            result: Result = await self.target.run(call)
-        finally:
-            self._peer_calls_in_flight -= 1
+        result: Result = await self.target.run(call)
         self.telemetry.target_latency.observe(now_s() - started_s)
         thresholds = self.forwarder.thresholds(call.from_caller)
         return encode_result(result, LoadReport(self.target.in_flight, thresholds))
@@ -440,20 +434,31 @@
         self._caller_server.closing = True
         self.members.update_local(leaving=True)
         self.replicator.local_record_changed()
-        end_s = started_s + self.settings.grace_s - SHUTDOWN_MARGIN_S
-        while now_s() < end_s:
-            await asyncio.sleep(0.05)
-            if now_s() - started_s < SHUTDOWN_DELAY_S:
-                continue
-            self._caller_server.close_idle()
-            if not self._caller_server.connections and not self._peer_calls_in_flight:
-                break
+        self._set_shutdown(Shutdown(started_s, self.settings.grace_s))
+        while self._must_serve(now_s()):
+            await asyncio.sleep(STOP_CHECK_PERIOD_S)
         self.forwarder.record_unanswered(started_s)
         self.log.event(
             "stopped",
             connections=len(self._caller_server.connections),
             requests=len(self.forwarder.requests_in_flight),
-            calls=self._peer_calls_in_flight,
+            calls=self._peer_server.busy_count,
             duration_s=round(now_s() - started_s, 3),
         )
         self.log.flush()
+
+    def _set_shutdown(self, shutdown: Shutdown) -> None:
+        self._shutdown = self.forwarder.shutdown = shutdown
+
+    def _must_serve(self, now: float) -> bool:
+        """Return whether a stopping node has to go on, and close idle connections."""
+        assert self._shutdown is not None
+        if now < self._shutdown.accepts_all_until_s:
+            return True
+        self._caller_server.close_idle()
+        is_busy = (
+            self._caller_server.busy_count
+            or self._peer_server.busy_count
+            or self.target.running
+        )
+        return bool(is_busy) and now < self._shutdown.ends_s
--- /dev/null
+++ b/src/briardock/overload/shutdown.py
@@ -0,0 +1,52 @@
+"""Which requests a node that is shutting down still accepts.
+
+Load pattern: callers go on sending to a node after its stop signal, because their load
+balancer follows the readiness checks late or has too few other nodes
+(``tests/test_overload_shutdown.py``). A request that is accepted must be answered
+before the process exits, or its caller cannot know whether it has run.
+"""
+
+from dataclasses import dataclass
+
+# Longest time after the stop signal for which every request is accepted, s. Callers are
+# directed elsewhere after two failed readiness checks, one second apart.
+MAX_ACCEPT_ALL_S = 2.8
+# Largest part of the grace period for which every request is accepted.
+ACCEPT_ALL_SHARE = 0.5
+# Time before the end of the grace period at which the requests still in flight are
+# answered, s, so that the answers are written before the process is killed.
+ANSWER_MARGIN_S = 0.3
+
+
+@dataclass(frozen=True, slots=True)
+class Shutdown:
+    """Time limits of a shutdown.
+
+    :param started_s: time of the stop signal, in s since boot
+    :param grace_s: time from the signal until the process is killed
+    """
+
+    started_s: float
+    grace_s: float
+
+    @property
+    def accepts_all_until_s(self) -> float:
+        """Time until which every request is accepted, in s since boot."""
+        accept_all_s = min(MAX_ACCEPT_ALL_S, ACCEPT_ALL_SHARE * self.grace_s)
+        return self.started_s + accept_all_s
+
+    @property
+    def ends_s(self) -> float:
+        """Time at which the remaining requests are answered, in s since boot."""
+        return self.started_s + max(0.0, self.grace_s - ANSWER_MARGIN_S)
+
+    def accepts(self, expires_s: float, now: float) -> bool:
+        """Return whether a caller's request is accepted.
+
+        Later requests are accepted if they expire before the end: they are answered in
+        any case by then.
+
+        :param expires_s: latest time of the final response, in s since boot
+        :param now: current time in s since boot
+        """
+        return now < self.accepts_all_until_s or expires_s <= self.ends_s
--- /dev/null
+++ b/tests/test_overload_shutdown.py
@@ -0,0 +1,43 @@
+"""Requests and calls that a node accepts while it shuts down."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from briardock.overload.shutdown import ANSWER_MARGIN_S, Shutdown
+
+START_S = 100.0
+
+
+@pytest.mark.parametrize(
+    ("grace_s", "after_stop_s", "remaining_s", "accepted"),
+    [
+        (6.0, 0.0, 30.0, True),
+        (6.0, 2.7, 30.0, True),
+        (6.0, 2.9, 30.0, False),
+        (6.0, 2.9, 2.0, True),
+        (6.0, 5.0, 0.6, True),
+        (6.0, 5.0, 0.8, False),
+        (4.0, 1.9, 30.0, True),
+        (4.0, 2.1, 30.0, False),
+        (30.0, 2.9, 28.0, False),
+        (0.0, 0.1, 1.0, False),
+    ],
+)
+def test_late_request_is_accepted_only_if_it_expires_before_the_end(
+    grace_s: float, after_stop_s: float, remaining_s: float, accepted: bool
+) -> None:
+    """A request that outlasts the process ends without an answer."""
+    now = START_S + after_stop_s
+    assert Shutdown(START_S, grace_s).accepts(now + remaining_s, now) is accepted
+
+
+@given(st.floats(0.5, 60.0), st.floats(0.0, 60.0), st.floats(0.0, 60.0))
+def test_accepted_request_has_half_of_the_grace_period_or_expires_in_it(
+    grace_s: float, after_stop_s: float, remaining_s: float
+) -> None:
+    shutdown = Shutdown(START_S, grace_s)
+    now = START_S + after_stop_s
+    if shutdown.accepts(now + remaining_s, now):
+        end_s = START_S + grace_s - ANSWER_MARGIN_S
+        assert now + remaining_s <= end_s or now < START_S + grace_s / 2
