Answer the requests in flight when a stopping node has to end

Cause: the process exited with requests in flight, neither answered nor withdrawn. Evidence: the two tests of requests in flight and queued at the end got no answer before, and pass after.

--- a/src/briardock/mesh/deadlines.py
+++ b/src/briardock/mesh/deadlines.py
@@ -31,9 +31,10 @@
         self._task = asyncio.current_task(self._loop)
         assert self._task is not None
         self._cancelling = self._task.cancelling()
-        self._handle = self._loop.call_later(self._timeout_s, self._expire)
+        self._handle = self._loop.call_later(self._timeout_s, self.expire)
 
-    def _expire(self) -> None:
+    def expire(self) -> None:
+        """Cancel the body now; it raises ``TimeoutError``."""
         assert self._task is not None
         self._expired = True
         self._task.cancel()
--- a/src/briardock/mesh/forwarder.py
+++ b/src/briardock/mesh/forwarder.py
@@ -148,7 +148,8 @@
         self.called_services = CalledServices()
         # Set at the stop signal.
         self.shutdown: Shutdown | None = None
-        self.requests_in_flight: set[RequestState] = set()
+        self._requests_in_flight: dict[RequestState, Deadline] = {}
+        self._has_ended = False
         self.settings = settings
         self._dialect = dialect
         self._members = members
@@ -241,14 +242,7 @@
         )
         if not state.from_target and head.deadline_s is not None:
             state.age_s = self._entry.age_s(route.name, deadline_s, request.received_s)
-        self.requests_in_flight.add(state)
-        try:
-            response = await self._forward(request, state)
-        except asyncio.CancelledError:
-            self._record_abandoned(state)
-            raise
-        finally:
-            self.requests_in_flight.discard(state)
+        response = await self._forward(request, state)
         response_time_s = now_s() - request.received_s
         self._telemetry.latency.observe(response_time_s)
         if response.status < 300:
@@ -262,13 +256,21 @@
         refusal = self._admit(state)
         if refusal is not None:
             return refusal
+        deadline = Deadline(self._loop, state.expires_s)
+        self._requests_in_flight[state] = deadline
         try:
-            with Deadline(self._loop, state.expires_s):
+            with deadline:
                 result = await self._try_instances(request, state)
         except TimeoutError:
+            reason = "node stopped" if self._has_ended else "timeout"
             if state.passed_on:
-                return self._fail_request(state, 504, "timeout")
-            result = NotRun("timeout before an instance took it")
+                return self._fail_request(state, 504, reason)
+            result = NotRun(f"{reason} before an instance took it")
+        except asyncio.CancelledError:
+            self._record_abandoned(state)
+            raise
+        finally:
+            del self._requests_in_flight[state]
         match result:
             case Completed(response):
                 self._telemetry.completed.inc()
@@ -346,26 +348,38 @@
         )
         self._telemetry.requests.labels("caller-left").inc()
 
-    def record_unanswered(self, stopping_since_s: float) -> None:
-        """Log the requests that the process leaves without an answer as it exits.
+    def end_attempts(self) -> None:
+        """Make no further attempts for the requests in flight."""
+        self._has_ended = True
 
-        :param stopping_since_s: time of the stop signal in s since boot
+    def end_requests(self) -> int:
+        """Answer the requests in flight: not run, or 504 if a target may run them.
+
+        :return: their number
         """
-        for state in self.requests_in_flight:
+        assert self.shutdown is not None
+        for state, deadline in self._requests_in_flight.items():
             self._log.event(
-                "unanswered",
+                "cut-off",
                 id=state.head.request_id.decode("latin-1"),
                 route=state.route.name,
                 passed_on=state.passed_on,
-                accepted_after_stop_s=round(state.accepted_s - stopping_since_s, 3),
+                accepted_after_stop_s=round(
+                    state.accepted_s - self.shutdown.started_s, 3
+                ),
             )
+            deadline.expire()
+        return len(self._requests_in_flight)
 
     async def _try_instances(self, request: Request, state: RequestState) -> Result:
         self._budget(state.service).record_request(now_s())
         attempts = state.attempts
         target_response: Completed | None = None
         result: Result = NotRun("no instance")
-        while (record := await self._choose_instance(state)) is not None:
+        while not self._has_ended:
+            record = await self._choose_instance(state)
+            if record is None:
+                break
             may_hand_on = attempts.may_hand_on and self._has_room_elsewhere(
                 state.service
             )
--- a/src/briardock/mesh/node.py
+++ b/src/briardock/mesh/node.py
@@ -53,8 +53,10 @@
 # Share of the memory limit for request bodies of callers. A body is held in up to three
 # copies while it is forwarded.
 BODY_MEMORY_SHARE = 0.15
-# Period at which a stopping node checks whether it can end, s.
+# Period at which a stopping node checks whether it can end, s, and the longest time for
+# which it waits until its last answers are written.
 STOP_CHECK_PERIOD_S = 0.05
+LAST_ANSWERS_S = 0.1
 POOL_SWEEP_PERIOD_S = 2.0
 # Longest time for which the acknowledgement of a departure waits for the store, s. A
 # target treats an acknowledgement that takes more than 1 s as missing.
@@ -437,11 +439,11 @@
         self._set_shutdown(Shutdown(started_s, self.settings.grace_s))
         while self._must_serve(now_s()):
             await asyncio.sleep(STOP_CHECK_PERIOD_S)
-        self.forwarder.record_unanswered(started_s)
+        cut_off_count = await self._end_requests()
         self.log.event(
             "stopped",
             connections=len(self._caller_server.connections),
-            requests=len(self.forwarder.requests_in_flight),
+            cut_off=cut_off_count,
             calls=self._peer_server.busy_count,
             duration_s=round(now_s() - started_s, 3),
         )
@@ -462,3 +464,20 @@
             or self.target.running
         )
         return bool(is_busy) and now < self._shutdown.ends_s
+
+    async def _end_requests(self) -> int:
+        """Refuse new connections and answer the requests in flight.
+
+        :return: number of the callers' requests that did not complete
+        """
+        self._caller_server.stop_listening()
+        self._peer_server.stop_listening()
+        self.forwarder.end_attempts()
+        self.target.end_queue()
+        # Queued requests are refused as not run before the others are cut off.
+        await asyncio.sleep(LAST_ANSWERS_S / 10)
+        cut_off_count = self.forwarder.end_requests()
+        until_s = now_s() + LAST_ANSWERS_S
+        while self._caller_server.busy_count and now_s() < until_s:
+            await asyncio.sleep(LAST_ANSWERS_S / 10)
+        return cut_off_count
--- a/src/briardock/mesh/target.py
+++ b/src/briardock/mesh/target.py
@@ -223,6 +223,10 @@
                 slot.set_result(False)
         self._queue.clear()
 
+    def end_queue(self) -> None:
+        """Refuse the queued calls as not run."""
+        self._release_queue()
+
     def refusal(self, call: Call) -> NotRun | None:
         """Return why a call cannot run now, or ``None``.
 
--- a/tests/test_mesh_stop.py
+++ b/tests/test_mesh_stop.py
@@ -82,6 +82,42 @@
     return await machine.call("/jobs/held")
 
 
+@pytest.mark.parametrize("path", ["/jobs/1", "/once/1"])
+async def test_request_in_flight_at_the_end_of_the_grace_period_is_answered(
+    path: str,
+) -> None:
+    """Its connection was closed without an answer when the process exited."""
+    async with fleet(LONG, LONG_ONCE) as created:
+        machine = await start(created)
+        await created.settle()
+        machine.target.behaviour = run_slowly
+        in_flight = asyncio.create_task(machine.call(path))
+        await asyncio.sleep(0.1)
+        machine.node._stopping.set()
+        async with asyncio.timeout(GRACE_S):
+            await machine.task
+        assert (await in_flight).status == 504
+
+
+async def test_queued_request_is_refused_at_the_end_of_the_grace_period() -> None:
+    async with fleet(LONG) as created:
+        machine = await start(created)
+        await created.settle()
+        machine.target.behaviour = run_slowly
+        tasks = [
+            asyncio.create_task(machine.call(f"/jobs/{i}", f"r{i}")) for i in range(8)
+        ]
+        await asyncio.sleep(0.1)
+        machine.node._stopping.set()
+        async with asyncio.timeout(GRACE_S):
+            await machine.task
+        run_ids = {dict(r.headers)[b"request-id"] for r in machine.target.requests}
+        for number, task in enumerate(tasks):
+            was_run = f"r{number}".encode() in run_ids
+            assert (await task).status == (504 if was_run else 503)
+        assert 0 < len(run_ids) < len(tasks)
+
+
 @pytest.mark.parametrize("stopping", [False, True])
 async def test_pipelined_requests_are_all_answered(stopping: bool) -> None:
     """A node that was stopping announced the close in the first answer of several."""
