Refuse late calls of other nodes that a stopping node may lose

Cause: the listener for peers accepted everything until the exit. Change: the rule for callers' requests also holds for calls. A call that may be repeated is accepted as long as four mean run times are left, because the node may be beside the last instance of its service. Evidence: a late call that must not repeat was run in the test before, and is refused as not run after; one that may be repeated is served in both.

--- a/src/briardock/mesh/node.py
+++ b/src/briardock/mesh/node.py
@@ -10,7 +10,7 @@
 
 from briardock.exceptions import SettingsError
 from briardock.mesh.callgraph import EntryRoutes
-from briardock.mesh.calls import LoadReport, Result, decode_call, encode_result
+from briardock.mesh.calls import LoadReport, NotRun, Result, decode_call, encode_result
 from briardock.mesh.decisions import FLUSH_PERIOD_S, DecisionLog
 from briardock.mesh.dialect import Departure, Dialect, Store, Undecodable
 from briardock.mesh.forwarder import Forwarder
@@ -248,7 +248,13 @@
         if call is None:
             return Response(400)
         started_s = now_s()
-        result: Result = await self.target.run(call)
+        shutdown = self._shutdown
+        if shutdown is None or shutdown.accepts_call(
+            call.expires_s, call.idempotent, self.target.run_time_s, started_s
+        ):
+            result: Result = await self.target.run(call)
+        else:
+            result = NotRun("node is stopping")
         self.telemetry.target_latency.observe(now_s() - started_s)
         thresholds = self.forwarder.thresholds(call.from_caller)
         return encode_result(result, LoadReport(self.target.in_flight, thresholds))
--- a/src/briardock/overload/shutdown.py
+++ b/src/briardock/overload/shutdown.py
@@ -16,6 +16,8 @@
 # Time before the end of the grace period at which the requests still in flight are
 # answered, s, so that the answers are written before the process is killed.
 ANSWER_MARGIN_S = 0.3
+# Multiple of the mean run time that a call is assumed to take.
+RUN_TIME_FACTOR = 4.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,3 +52,24 @@
         :param now: current time in s since boot
         """
         return now < self.accepts_all_until_s or expires_s <= self.ends_s
+
+    def accepts_call(
+        self, expires_s: float, idempotent: bool, run_time_s: float, now: float
+    ) -> bool:
+        """Return whether a call of another node is accepted.
+
+        A call that may be repeated is accepted as long as it is likely to complete,
+        because this node may be beside the last instance of its service.
+
+        :param expires_s: time at which its result is no longer wanted
+        :param idempotent: whether it may run more than once
+        :param run_time_s: mean run time of requests at the target, 0 if unknown
+        :param now: current time in s since boot
+        """
+        if (
+            idempotent
+            and run_time_s
+            and now + RUN_TIME_FACTOR * run_time_s <= self.ends_s
+        ):
+            return True
+        return self.accepts(expires_s, now)
--- a/tests/test_mesh_stop.py
+++ b/tests/test_mesh_stop.py
@@ -118,6 +118,27 @@
         assert 0 < len(run_ids) < len(tasks)
 
 
+@pytest.mark.parametrize(("path", "status"), [("/once/1", 503), ("/jobs/1", 200)])
+async def test_late_call_of_another_node_is_not_lost(path: str, status: int) -> None:
+    """The node beside the last instance took calls until its process exited.
+
+    It still takes calls that may be repeated while they are likely to complete.
+    """
+    async with fleet(LONG, LONG_ONCE) as created:
+        last = await start(created)
+        other = await created.add("n2", "maps")
+        await created.settle()
+        for number in range(5):
+            assert (await other.call("/jobs/1", f"w{number}")).status == 200
+        last.node.target.update_run_time()
+        in_flight = asyncio.create_task(hold(last, 1.6))
+        await asyncio.sleep(0.1)
+        await stop_after(last, 1.2)
+        response = await other.call(path, "late")
+        assert response.status == status
+        assert (await in_flight).status == 200
+
+
 @pytest.mark.parametrize("stopping", [False, True])
 async def test_pipelined_requests_are_all_answered(stopping: bool) -> None:
     """A node that was stopping announced the close in the first answer of several."""
