Apply a grace period that is shortened while a node stops

Cause: the end of the stop was computed once, at the signal. Change: a reload during a stop replaces the grace period of the shutdown. Evidence: the test ran into its timeout before, and passes after.

--- a/src/briardock/mesh/node.py
+++ b/src/briardock/mesh/node.py
@@ -417,6 +417,8 @@
             self.settings, **{name: getattr(loaded, name) for name in applied}
         )
         self.forwarder.settings = self.settings
+        if self._shutdown is not None:
+            self._set_shutdown(replace(self._shutdown, grace_s=self.settings.grace_s))
         needs_restart = sorted(set(changed) - set(applied))
         self.log.event("reloaded", applied=applied, needs_restart=needs_restart)
         if "service" in applied or "target_address" in applied:
--- a/tests/test_mesh_stop.py
+++ b/tests/test_mesh_stop.py
@@ -139,6 +139,22 @@
         assert (await in_flight).status == 200
 
 
+async def test_grace_period_shortened_during_a_stop_takes_effect() -> None:
+    """The node exited at the end of the former grace period, after it was killed."""
+    async with fleet(LONG) as created:
+        machine = await start(created, grace_s=6.0)
+        await created.settle()
+        machine.target.behaviour = run_slowly
+        in_flight = asyncio.create_task(machine.call("/jobs/1"))
+        await asyncio.sleep(0.1)
+        await stop_after(machine, 0.2)
+        machine.settings = replace(machine.settings, grace_s=GRACE_S)
+        machine.node.reload()
+        async with asyncio.timeout(GRACE_S - 0.2):
+            await machine.task
+        assert (await in_flight).status == 504
+
+
 @pytest.mark.parametrize("stopping", [False, True])
 async def test_pipelined_requests_are_all_answered(stopping: bool) -> None:
     """A node that was stopping announced the close in the first answer of several."""
