Reproduce requests lost with a node that ends, with real processes

Callers of a node that received SIGTERM lost requests that a target had started.

The soak's machines take their services, routes and run times from a plan. Its targets cancel a run whose connection is closed, and write that and the result of their calls to their ledgers.

--- a/tests/soak_checks.py
+++ b/tests/soak_checks.py
@@ -3,14 +3,28 @@
 import json
 from dataclasses import dataclass, field
 from pathlib import Path
+from typing import Any
 
 from soak_machines import Machine
-from soak_programs import DRAIN_S
+from soak_programs import CALL_DEADLINE_MS, DRAIN_S
 
 # Statuses that guarantee that a request was not run and will not be.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 # Body of a non-idempotent request, which must run at most once.
 ONCE_BODY = b"x" * 100
+# Begin of a body that a target wrote.
+TARGET_BODY = b"ran "
+# Time after SIGTERM until which new requests cannot be avoided, s: the readiness checks
+# that fail are a second apart.
+LATE_AFTER_S = 3.0
+# Share of the grace period after which a target still at work may be broken off.
+WORK_SHARE = 5 / 6
+# Time after which no target works for a caller that has left, s.
+LEFT_ALLOWANCE_S = 0.5
+# Longest time for which a process is frozen, s.
+MAX_FREEZE_S = 3.0
+# Difference between a timeout and the time at which a caller sees its effect, s.
+TIMEOUT_MARGIN_S = 0.1
 
 
 @dataclass(slots=True)
@@ -23,6 +37,10 @@
     :param status: status of the response, 0 for none
     :param body: body of the response
     :param elapsed_s: time until the response or the failure
+    :param sent_s: time at which it was sent
+    :param timeout_s: deadline of the caller or timeout of the route
+    :param closed_s: time at which the connection was closed without a response
+    :param left: whether the caller closed it
     """
 
     request_id: str
@@ -31,6 +49,149 @@
     status: int
     body: bytes
     elapsed_s: float
+    sent_s: float = 0.0
+    timeout_s: float = 0.0
+    closed_s: float | None = None
+    left: bool = False
+
+
+@dataclass(slots=True)
+class Run:
+    """One run of a request at a target.
+
+    :param machine: machine of the target
+    :param started_s: time at which it started
+    :param ended_s: time at which it ended or was cancelled, ``None`` if it did neither
+    :param broken_off: whether the target ended it by itself or with its process
+    """
+
+    machine: Machine
+    started_s: float
+    ended_s: float | None = None
+    broken_off: bool = True
+
+    def is_at_work_after(self, at: float) -> bool:
+        return self.ended_s is None or self.ended_s > at
+
+
+def read_runs(folder: Path, machines: list[Machine]) -> dict[str, list[Run]]:
+    """Return the runs of each request from the ledgers.
+
+    :param folder: folder of the ledgers
+    :param machines: machines of the targets
+    """
+    runs: dict[str, list[Run]] = {}
+    for machine in machines:
+        by_number: dict[tuple[str, int], Run] = {}
+        for line in _read_ledger(folder / f"{machine.name}.ledger"):
+            match line["event"]:
+                case "run":
+                    run = Run(machine, line["at"])
+                    by_number[line["target"], line["run"]] = run
+                    runs.setdefault(line["id"], []).append(run)
+                case "end" | "cancelled" | "broken off" as event:
+                    run = by_number[line["target"], line["run"]]
+                    run.ended_s = line["at"]
+                    run.broken_off = event == "broken off"
+    return runs
+
+
+def read_calls(folder: Path, machines: list[Machine]) -> list[RequestOutcome]:
+    """Return what became of the calls that targets made through their nodes.
+
+    :param folder: folder of the ledgers
+    :param machines: machines of the targets
+    """
+    return [
+        RequestOutcome(
+            line["id"],
+            False,
+            machine.name,
+            line["status"],
+            line["body"].encode("latin-1"),
+            line["at"] - line["sent_s"],
+            line["sent_s"],
+            CALL_DEADLINE_MS / 1000,
+            None if line["status"] else line["at"],
+            line["left"],
+        )
+        for machine in machines
+        for line in _read_ledger(folder / f"{machine.name}.ledger")
+        if line["event"] == "called"
+    ]
+
+
+def describe_loss(
+    outcome: RequestOutcome, runs: list[Run], machines: dict[str, Machine]
+) -> str | None:
+    """Return how a request that a target started was lost, or ``None``.
+
+    It needs the response of a target, unless its caller left, its time was over, a
+    process or link on its way failed, or its target was still at work at the end of a
+    grace period on a request that could not have been avoided.
+
+    :param outcome: what its caller saw
+    :param runs: its runs
+    :param machines: machines by name
+    """
+    path = [machines[outcome.node], *(run.machine for run in runs)]
+    end_s = outcome.sent_s + outcome.elapsed_s
+    if (
+        not runs
+        or outcome.left
+        or outcome.body.startswith(TARGET_BODY)
+        or outcome.elapsed_s > outcome.timeout_s - TIMEOUT_MARGIN_S
+        or any(run.broken_off for run in runs)
+        or any(m.may_be_harmed_between(outcome.sent_s, end_s) for m in path)
+        or any(
+            outcome.sent_s <= stop_s + LATE_AFTER_S
+            and any(r.is_at_work_after(stop_s + grace_s * WORK_SHARE) for r in runs)
+            for machine in path
+            for stop_s, grace_s in machine.stops
+        )
+    ):
+        return None
+    run = runs[-1]
+    ended_s = 0.0 if run.ended_s is None else run.ended_s - outcome.sent_s
+    return (
+        f"{outcome.request_id}: accepted by {outcome.node} and lost: status "
+        f"{outcome.status} after {outcome.elapsed_s:.2f} s, run at {run.machine.name} "
+        f"from {run.started_s - outcome.sent_s:.2f} to {ended_s:.2f} s"
+    )
+
+
+def describe_vain_work(
+    outcome: RequestOutcome,
+    runs: list[Run],
+    machines: dict[str, Machine],
+    stalled_s: float = 0.0,
+) -> str | None:
+    """Return how targets worked for a caller whose connection was closed, or ``None``.
+
+    A frozen node learns of the close once it continues.
+
+    :param outcome: what its caller saw
+    :param runs: its runs
+    :param machines: machines by name
+    :param stalled_s: time for which the observer was stalled
+    """
+    if outcome.closed_s is None:
+        return None
+    path = [machines[outcome.node], *(run.machine for run in runs)]
+    resume_times = [t for machine in path for t in machine.resume_times]
+    latest_s = outcome.closed_s + MAX_FREEZE_S
+    known_s = max([outcome.closed_s, *(t for t in resume_times if t < latest_s)])
+    limit_s = known_s + LEFT_ALLOWANCE_S + stalled_s
+    for run in runs:
+        started = run.started_s > limit_s
+        at_work = not outcome.once and (run.ended_s or 0.0) > limit_s
+        if started or at_work:
+            after_s = (run.ended_s or run.started_s) - outcome.closed_s
+            return (
+                f"{outcome.request_id}: {'started' if started else 'at work'} at "
+                f"{run.machine.name} {after_s:.2f} s after its connection was closed"
+            )
+    return None
 
 
 @dataclass(slots=True)
@@ -64,7 +225,7 @@
             self._check_outcome(outcome, runs.get(outcome.request_id, []))
 
     def _check_run(
-        self, machine: Machine, line: dict[str, str], departed_s: dict[str, float]
+        self, machine: Machine, line: dict[str, Any], departed_s: dict[str, float]
     ) -> None:
         if line["path"].startswith("/maps/") != (machine.service == "maps"):
             self.violations.append(
@@ -99,7 +260,7 @@
             )
 
 
-def _read_ledger(path: Path) -> list[dict[str, str]]:
+def _read_ledger(path: Path) -> list[dict[str, Any]]:
     if not path.exists():
         return []
     return [json.loads(line) for line in path.read_text().splitlines()]
--- a/tests/soak_faults.py
+++ b/tests/soak_faults.py
@@ -92,8 +92,7 @@
                 target.terminate()
             case "settings changed":
                 machine.grace_s = self._rng.choice([5.0, 6.0])
-                path = self._fleet.folder / f"{machine.name}.toml"
-                path.write_text(machine.settings(self._fleet.store_link))
+                self._fleet.write_settings(machine)
                 if node.is_running():
                     os.kill(node.pid, signal.SIGHUP)
             case "target link":
--- a/tests/soak_machines.py
+++ b/tests/soak_machines.py
@@ -4,8 +4,11 @@
 import os
 import signal
 import sys
+import time
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
+from typing import Any
 
 import msgspec
 
@@ -17,6 +20,28 @@
 ROOT = Path(__file__).resolve().parent.parent
 HOST = "127.0.0.1"
 SERVICES = {"jobs": 3, "maps": 3}
+ROUTES = (
+    route("jobs", "/jobs/", timeout="1200ms"),
+    route("once", "/once/", kind="non_idempotent", timeout="1200ms"),
+    route("maps", "/maps/", service="maps", timeout="1000ms"),
+)
+
+
+@dataclass(frozen=True)
+class FleetPlan:
+    """What a fleet consists of.
+
+    :param services: number of machines by service
+    :param routes: routes of all versions of the configuration
+    :param run_ranges_s: shortest and longest run of the targets by path prefix
+    :param first_network: third part of the address of the first machine; fleets that
+        run at the same time need distinct ones
+    """
+
+    services: Mapping[str, int] = field(default_factory=lambda: SERVICES)
+    routes: Sequence[dict[str, Any]] = ROUTES
+    run_ranges_s: Mapping[str, tuple[float, float]] = field(default_factory=dict)
+    first_network: int = 0
 
 
 @dataclass
@@ -33,6 +58,13 @@
     start_count: int = 0
     # Times of faults that may delay its requests.
     fault_times: list[float] = field(default_factory=list)
+    # Times of those that may break off its requests: a process is killed or frozen, or
+    # the link to the target fails.
+    harm_times: list[float] = field(default_factory=list)
+    # Times at which its frozen node continued.
+    resume_times: list[float] = field(default_factory=list)
+    # Times of SIGTERM to its node, each with the grace period, s.
+    stops: list[tuple[float, float]] = field(default_factory=list)
 
     @property
     def caller_address(self) -> str:
@@ -72,15 +104,28 @@
         """Return whether a fault may delay a request at a time."""
         return any(-1.0 < at - fault_at < 8.0 for fault_at in self.fault_times)
 
+    def may_be_harmed_between(self, start_s: float, end_s: float) -> bool:
+        """Return whether a fault may break off a request in a period."""
+        return any(
+            start_s - 8.0 < harmed_s < end_s + 1.0 for harmed_s in self.harm_times
+        )
+
+    def terminate_node(self) -> None:
+        """Send SIGTERM to the node."""
+        self.stops.append((time.time(), self.grace_s))
+        self.processes["node"].terminate()
+
 
 class SoakFleet:
     """Store, relay, nodes and targets as processes.
 
     :param folder: settings, logs and ledgers
+    :param plan: machines, routes and run times
     """
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, folder: Path, plan: FleetPlan | None = None) -> None:
         self.folder = folder
+        self.plan = plan or FleetPlan()
         self.version = 0
         self.programs: dict[str, ManagedProcess] = {}
         self._ports = PortPool()
@@ -89,13 +134,14 @@
         self.relay_control = self._new_address()
         network = 64 + os.getpid() % 128
         self.machines: list[Machine] = []
-        for service, count in SERVICES.items():
+        for service, count in self.plan.services.items():
             for number in range(count):
+                part = self.plan.first_network + len(self.machines)
                 self.machines.append(
                     Machine(
                         f"{service}-{number}",
                         service,
-                        f"127.{network}.{len(self.machines)}.1",
+                        f"127.{network}.{part}.1",
                         self._new_address(),
                         self._new_address(),
                     )
@@ -109,8 +155,7 @@
 
     def start_node(self, machine: Machine) -> None:
         """Start the node of a machine."""
-        path = self.folder / f"{machine.name}.toml"
-        path.write_text(machine.settings(self.store_link))
+        path = self.write_settings(machine)
         machine.start_count += 1
         machine.processes["node"] = self._start(
             f"{machine.name}-node{machine.start_count}",
@@ -118,6 +163,12 @@
             f"--settings={path}",
         )
 
+    def write_settings(self, machine: Machine) -> Path:
+        """Write the settings file of a machine and return its path."""
+        path = self.folder / f"{machine.name}.toml"
+        path.write_text(machine.settings(self.store_link))
+        return path
+
     def start_target(self, machine: Machine) -> None:
         """Start the target of a machine."""
         plan = TargetPlan(
@@ -128,6 +179,7 @@
             f"{machine.ip}:8002",
             machine.caller_address,
             str(self.folder / f"{machine.name}.ledger"),
+            dict(self.plan.run_ranges_s),
         )
         path = self.folder / f"{machine.name}.json"
         path.write_bytes(msgspec.json.encode(plan))
@@ -193,12 +245,7 @@
     async def publish(self) -> None:
         """Publish a configuration with a route that only this version has."""
         self.version += 1
-        routes = [
-            route("jobs", "/jobs/", timeout="1200ms"),
-            route("once", "/once/", kind="non_idempotent", timeout="1200ms"),
-            route("maps", "/maps/", service="maps", timeout="1000ms"),
-            route("version", f"/v{self.version}/"),
-        ]
+        routes = [*self.plan.routes, route("version", f"/v{self.version}/")]
         document = config(self.version, *routes)
         record = b"\x06config" + document
         body = len(record).to_bytes(4, "big") + record
--- a/tests/soak_programs.py
+++ b/tests/soak_programs.py
@@ -3,8 +3,9 @@
     soak_programs.py store HOST:PORT
     soak_programs.py target PLAN.json
 
-A target appends a JSON line to its ledger when a run starts or ends, and when its
-departure is acknowledged.
+A target appends a JSON line to its ledger when a run starts or ends, when a call that
+it makes through its node ends, and when its departure is acknowledged. It cancels a run
+whose connection is closed.
 """
 
 import asyncio
@@ -33,6 +34,7 @@
 SLOTS = 16
 CHAIN_PATH = "/jobs/chain/"
 CALLED_PATH = "/maps/called/1"
+CALL_DEADLINE_MS = 1_000
 
 
 class TargetPlan(msgspec.Struct):
@@ -45,6 +47,7 @@
     :param announce_address: announcement address of its node
     :param call_address: caller address of its node
     :param ledger: path of its ledger
+    :param run_ranges_s: shortest and longest run by path prefix
     """
 
     name: str
@@ -54,6 +57,7 @@
     announce_address: str
     call_address: str
     ledger: str
+    run_ranges_s: dict[str, tuple[float, float]] = {}
 
 
 class SoakTarget:
@@ -65,6 +69,8 @@
         self._target_id = f"i-{plan.name}-{self._born_ms}"
         self._ledger = os.open(plan.ledger, os.O_WRONLY | os.O_APPEND | os.O_CREAT)
         self._running = 0
+        self._run_count = 0
+        self._exiting = False
         self._sequence = 0
         self._leaving = asyncio.Event()
 
@@ -82,29 +88,58 @@
             return Response(503, [*response_headers, (b"not-executed", b"1")])
         caller = headers.get(b"caller-service", b"").decode()
         path = request.target.decode()
-        self._append_to_ledger("run", id=request_id, path=path, caller=caller)
+        self._run_count += 1
+        run = self._run_count
+        self._append_to_ledger("run", run=run, id=request_id, path=path, caller=caller)
         self._running += 1
+        event = "end"
         try:
-            await asyncio.sleep(random.uniform(*RUN_RANGE_S))
+            await asyncio.sleep(random.uniform(*self._run_range_s(path)))
             status = (
-                await self._call(request_id) if path.startswith(CHAIN_PATH) else 200
+                await self._call(f"{request_id}.call-{self._plan.name}-{run}")
+                if path.startswith(CHAIN_PATH)
+                else 200
             )
+        except asyncio.CancelledError:
+            event = "broken off" if self._exiting else "cancelled"
+            raise
         finally:
             self._running -= 1
-        self._append_to_ledger("end", id=request_id)
+            self._append_to_ledger(event, run=run, id=request_id)
         signed_headers = [*response_headers, (b"response-signature", b"s")]
         return Response(
             status, signed_headers, f"ran {request_id} {len(request.body)}".encode()
         )
 
-    async def _call(self, parent: str) -> int:
-        headers = [(b"host", b"a.example"), (b"deadline-ms", b"1000")]
-        headers.append((b"request-id", f"{parent}.call".encode()))
+    def _run_range_s(self, path: str) -> tuple[float, float]:
+        for prefix, range_s in self._plan.run_ranges_s.items():
+            if path.startswith(prefix):
+                return range_s
+        return RUN_RANGE_S
+
+    async def _call(self, request_id: str) -> int:
+        sent_s = time.time()
+        headers = [(b"host", b"a.example"), (b"deadline-ms", b"%d" % CALL_DEADLINE_MS)]
+        headers.append((b"request-id", request_id.encode()))
+        status, body, left = 0, b"", False
         try:
             response = await send(self._plan.call_address, CALLED_PATH, b"", headers)
+            status, body = response.status, response.body
         except OSError:
-            return 500
-        return 200 if response.status == 200 else 500
+            pass
+        except asyncio.CancelledError:
+            left = True
+            raise
+        finally:
+            self._append_to_ledger(
+                "called",
+                id=request_id,
+                sent_s=sent_s,
+                status=status,
+                body=body.decode("latin-1"),
+                left=left,
+            )
+        return 200 if status == 200 else 500
 
     async def _announce(self, call: str) -> bool:
         state = "draining" if self._leaving.is_set() else "ready"
@@ -142,6 +177,10 @@
                     await self._leaving.wait()
             except TimeoutError:
                 continue
+        await self._depart()
+        self._exiting = True
+
+    async def _depart(self) -> None:
         deadline_s = time.monotonic() + UNACKNOWLEDGED_EXIT_S
         while not await self._announce("heartbeat"):
             if time.monotonic() > deadline_s:
