Notice that a caller has left behind many pipelined requests

Cause: with four requests pending the node paused reading, and a transport that does not read does not notice the end of its connection. Change: further bytes are kept unparsed, and reading is paused only at 64 KiB of them. Evidence: the new test saw a second run start after the caller had left, and sees none now.

--- a/src/briardock/mesh/http_server.py
+++ b/src/briardock/mesh/http_server.py
@@ -11,8 +11,11 @@
 from briardock.mesh.http1 import Request, Response, encode_response
 from briardock.mesh.model import CallerLimits, Headers, now_s
 
-# Pipelined requests on one connection at which reading is paused.
+# Pipelined requests on one connection at which further bytes are kept unparsed, and
+# the number of these bytes at which reading is paused. While it is paused, the node
+# does not learn that the caller has left.
 MAX_PIPELINED_REQUESTS = 4
+MAX_UNPARSED_BYTES = 64 * 1024
 # Default limit on the request bodies buffered by one server, bytes.
 DEFAULT_BUFFERED_BYTES = 64 * 1024 * 1024
 # Period of the check for idle and slow connections, s.
@@ -117,6 +120,7 @@
         # Status of the refusal that ends the connection, sent after the responses to
         # the requests before it.
         self._refusal_status: int | None = None
+        self._unparsed = bytearray()
         self._buffered_bytes = 0
         self._last_active_s = now_s()
         self._reset_message()
@@ -162,6 +166,14 @@
         """Parse what the caller sent."""
         if self._refusal_status is not None:
             return
+        if len(self._pending_requests) >= MAX_PIPELINED_REQUESTS:
+            self._unparsed += data
+            if len(self._unparsed) >= MAX_UNPARSED_BYTES and self._transport:
+                self._transport.pause_reading()
+            return
+        self._parse(data)
+
+    def _parse(self, data: bytes) -> None:
         limits = self._server.limits
         if self._in_head:
             self._head_bytes += len(data)
@@ -229,8 +241,6 @@
         # Bytes of the next head are counted before on_message_begin is called.
         self._in_head = True
         self._body_bytes = 0
-        if len(self._pending_requests) >= MAX_PIPELINED_REQUESTS and self._transport:
-            self._transport.pause_reading()
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
 
@@ -242,8 +252,8 @@
                 self._waiter = loop.create_future()
                 await self._waiter
             request = self._pending_requests.popleft()
-            if len(self._pending_requests) == MAX_PIPELINED_REQUESTS - 1:
-                self._transport.resume_reading()
+            if self._unparsed and len(self._pending_requests) < MAX_PIPELINED_REQUESTS:
+                self._parse_kept()
             self._responding = True
             response = await self._server.respond(request)
             # After an announced close, the caller reads no further responses.
@@ -264,6 +274,13 @@
                 self._end_with_refusal(self._refusal_status)
                 return
 
+    def _parse_kept(self) -> None:
+        assert self._transport is not None
+        kept, self._unparsed = bytes(self._unparsed), bytearray()
+        self._parse(kept)
+        if len(kept) >= MAX_UNPARSED_BYTES:
+            self._transport.resume_reading()
+
     def _refuse(self, status: int) -> None:
         if self._refusal_status is not None:
             return
--- a/tests/test_mesh_path.py
+++ b/tests/test_mesh_path.py
@@ -385,3 +385,45 @@
         assert b"response to m" in received
         assert received.count(b"HTTP/1.1 400") == 1
         writer.close()
+
+
+async def test_caller_that_leaves_after_pipelined_requests_frees_the_node() -> None:
+    """The node did not read on, and ran them all for a caller that had left."""
+
+    async def respond_late(request: Request) -> Response:
+        await asyncio.sleep(0.3)
+        return await respond_normally(request)
+
+    async with fleet() as created:
+        machine = await created.add("n1", "jobs")
+        await created.settle()
+        machine.target.behaviour = respond_late
+        host, port = machine.settings.caller_address.split(":")
+        _, writer = await asyncio.open_connection(host, int(port))
+        head = b"GET /jobs/%d HTTP/1.1\r\nhost: a.example\r\nrequest-id: p%d\r\n\r\n"
+        for number in range(6):
+            writer.write(head % (number, number))
+            await asyncio.sleep(0.01)
+        writer.close()
+        await asyncio.sleep(0.6)
+        assert [request.target for request in machine.target.requests] == [b"/jobs/0"]
+
+
+async def test_many_pipelined_requests_are_answered_in_order() -> None:
+    async with fleet() as created:
+        machine = await created.add("n1", "jobs")
+        await created.settle()
+        host, port = machine.settings.caller_address.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        filler = b"x-filler: " + b"f" * 4000 + b"\r\n"
+        head = b"GET /jobs/%d HTTP/1.1\r\nhost: a.example\r\n%srequest-id: p%d\r\n\r\n"
+        for number in range(60):
+            writer.write(head % (number, filler, number))
+        received = b""
+        async with asyncio.timeout(5.0):
+            while received.count(b"response to p") < 60:
+                received += await reader.read(65_536)
+        assert received.count(b"200 OK") == 60
+        parts = received.split(b"response to p")[1:]
+        assert [int(p.split(b"HTTP")[0]) for p in parts] == list(range(60))
+        writer.close()
