Count the grace period of a frozen node from the stop signal

Cause: the stop was timed from the moment at which the signal was handled. Change: after a stall of more than 0.5 s, the signal counts as sent at its start, the earliest time at which it can have been sent. Evidence: the test with a process that stands still for 1 s of a grace period of 2 s ran into its timeout before, and its request is answered in time after.

--- a/src/briardock/mesh/node.py
+++ b/src/briardock/mesh/node.py
@@ -40,7 +40,7 @@
 )
 from briardock.overload.chain import LearnedThresholds
 from briardock.overload.placement import Balancer
-from briardock.overload.shutdown import Shutdown
+from briardock.overload.shutdown import Shutdown, StallMeter
 
 PEER_POOL = PoolSettings(
     connect_timeout_s=0.5, idle_timeout_s=20.0, unacknowledged_timeout_s=1.0
@@ -184,6 +184,7 @@
         self._metrics_server = HttpServer(self._handle_metrics, CallerLimits(), log)
         self._stopping = asyncio.Event()
         self._shutdown: Shutdown | None = None
+        self._stalls = StallMeter(now_s())
 
     def _install(self, config: RoutingConfig) -> None:
         self.forwarder.routes = RouteTable(config)
@@ -332,6 +333,7 @@
     async def _flush_log(self) -> None:
         while True:
             await asyncio.sleep(FLUSH_PERIOD_S)
+            self._stalls.record_run(now_s())
             self.log.flush()
 
     async def _supervise(self, work: Callable[[], Coroutine[Any, Any, None]]) -> None:
@@ -439,8 +441,14 @@
                 self.reload()
 
     async def _stop(self) -> None:
-        started_s = now_s()
-        self.log.event("stopping", running=self.target.running)
+        # A signal to a frozen process is handled once that runs again, but the grace
+        # period begins when it is sent.
+        started_s = self._stalls.signal_time_s(now_s())
+        self.log.event(
+            "stopping",
+            running=self.target.running,
+            handled_after_s=round(now_s() - started_s, 3),
+        )
         self._caller_server.closing = True
         self.members.update_local(leaving=True)
         self.replicator.local_record_changed()
--- a/src/briardock/overload/shutdown.py
+++ b/src/briardock/overload/shutdown.py
@@ -1,4 +1,4 @@
-"""Which requests a node that is shutting down still accepts.
+"""When a node that is shutting down has to end, and which requests it still accepts.
 
 Load pattern: callers go on sending to a node after its stop signal, because their load
 balancer follows the readiness checks late or has too few other nodes
@@ -18,6 +18,38 @@
 ANSWER_MARGIN_S = 0.3
 # Multiple of the mean run time that a call is assumed to take.
 RUN_TIME_FACTOR = 4.0
+# Time between two runs of a periodic task above which the process was stalled, s.
+MIN_STALL_S = 0.5
+# Time after a stall in which a signal that was sent during it is handled, s.
+SIGNAL_DELAY_S = 0.1
+
+
+class StallMeter:
+    """Estimates when a signal was sent, of which a frozen process learns later.
+
+    :param now: current time in s since boot
+    """
+
+    def __init__(self, now: float) -> None:
+        self._last_run_s = now
+        self._stall_start_s = self._stall_end_s = 0.0
+
+    def record_run(self, now: float) -> None:
+        """Record that a task which runs several times a second has run.
+
+        :param now: current time in s since boot
+        """
+        if now - self._last_run_s > MIN_STALL_S:
+            self._stall_start_s, self._stall_end_s = self._last_run_s, now
+        self._last_run_s = now
+
+    def signal_time_s(self, now: float) -> float:
+        """Return the earliest time at which a signal that is handled now was sent.
+
+        :param now: current time in s since boot
+        """
+        self.record_run(now)
+        return self._stall_start_s if now < self._stall_end_s + SIGNAL_DELAY_S else now
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_mesh_stop.py
+++ b/tests/test_mesh_stop.py
@@ -1,6 +1,9 @@
 """Requests and calls that reach a node after its stop signal."""
 
 import asyncio
+import os
+import signal
+import time
 from dataclasses import replace
 
 import pytest
@@ -155,6 +158,22 @@
         assert (await in_flight).status == 504
 
 
+async def test_grace_period_begins_while_the_process_is_frozen() -> None:
+    """The node ended a whole grace period after it ran again, too late."""
+    async with fleet(LONG) as created:
+        machine = await start(created)
+        await created.settle()
+        machine.target.behaviour = run_slowly
+        in_flight = asyncio.create_task(machine.call("/jobs/1"))
+        await asyncio.sleep(0.3)
+        os.kill(os.getpid(), signal.SIGTERM)
+        # Stands for a frozen process: neither the node nor its signal handler runs.
+        time.sleep(1.0)
+        async with asyncio.timeout(GRACE_S - 1.0):
+            await machine.task
+        assert (await in_flight).status == 504
+
+
 @pytest.mark.parametrize("stopping", [False, True])
 async def test_pipelined_requests_are_all_answered(stopping: bool) -> None:
     """A node that was stopping announced the close in the first answer of several."""
--- a/tests/test_overload_shutdown.py
+++ b/tests/test_overload_shutdown.py
@@ -4,7 +4,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from briardock.overload.shutdown import ANSWER_MARGIN_S, Shutdown
+from briardock.overload.shutdown import ANSWER_MARGIN_S, Shutdown, StallMeter
 
 START_S = 100.0
 
@@ -61,3 +61,23 @@
     shutdown, now = Shutdown(START_S, 6.0), START_S + after_stop_s
     is_accepted = shutdown.accepts_call(now + 5.0, idempotent, run_time_s, now)
     assert is_accepted is accepted
+
+
+@pytest.mark.parametrize(
+    ("runs_s", "handled_s", "sent_s"),
+    [
+        ((0.2, 0.4), 0.5, 0.5),
+        ((0.2, 0.4), 2.0, 0.4),
+        ((0.2, 0.4, 2.0), 2.0, 0.4),
+        ((0.2, 0.4, 2.0, 2.2), 2.2, 2.2),
+        ((), 1.0, 0.0),
+    ],
+)
+def test_signal_after_a_stall_may_have_been_sent_at_its_start(
+    runs_s: tuple[float, ...], handled_s: float, sent_s: float
+) -> None:
+    """The grace period of a frozen process begins before it learns of the signal."""
+    meter = StallMeter(START_S)
+    for run_s in runs_s:
+        meter.record_run(START_S + run_s)
+    assert meter.signal_time_s(START_S + handled_s) == START_S + sent_s
