Treat a deadline that expires early and in time as a timeout

A request whose deadline was ended by the stop of the node, and whose timer fired before its task had resumed, got no answer: the second cancellation was taken for that of a caller that had disconnected. Change: a deadline cancels its task once. Evidence: the new test saw CancelledError before, and sees TimeoutError now.

--- a/src/briardock/mesh/deadlines.py
+++ b/src/briardock/mesh/deadlines.py
@@ -34,8 +34,10 @@
         self._handle = self._loop.call_later(self._timeout_s, self.expire)
 
     def expire(self) -> None:
-        """Cancel the body now; it raises ``TimeoutError``."""
+        """Cancel the body now, unless that was done; it raises ``TimeoutError``."""
         assert self._task is not None
+        if self._expired:
+            return
         self._expired = True
         self._task.cancel()
 
--- a/tests/test_mesh_deadlines.py
+++ b/tests/test_mesh_deadlines.py
@@ -70,3 +70,13 @@
         assert await wait_with_deadline(0.01, 5.0) == "timeout"
     with pytest.raises(TimeoutError), Deadline(loop, now_s() + 0.01):
         await wait_with_deadline(5.0, 5.0)
+
+
+async def test_deadline_that_expires_early_and_in_time_is_a_timeout() -> None:
+    """Its second cancellation was taken for that of a disconnected caller."""
+    loop = asyncio.get_running_loop()
+    deadline = Deadline(loop, now_s() + 5.0)
+    for delay_s in (0.01, 0.01):
+        loop.call_later(delay_s, deadline.expire)
+    with pytest.raises(TimeoutError), deadline:
+        await asyncio.sleep(5.0)
