End requests only in the last sixth of a short grace period

With a grace period below 1.8 s, such as one shortened during the stop, requests were answered with 504 up to 0.2 s before the last sixth, while their targets were at work. Cause: the margin of 0.3 s was the same for every grace period. Change: the margin is at most a sixth.

--- a/src/briardock/overload/shutdown.py
+++ b/src/briardock/overload/shutdown.py
@@ -14,8 +14,10 @@
 # Largest part of the grace period for which every request is accepted.
 ACCEPT_ALL_SHARE = 0.5
 # Time before the end of the grace period at which the requests still in flight are
-# answered, s, so that the answers are written before the process is killed.
+# answered, s, so that the answers are written before the process is killed, and the
+# largest part of the grace period for it: a target may use all but the last sixth.
 ANSWER_MARGIN_S = 0.3
+MAX_ANSWER_MARGIN_SHARE = 1 / 6
 # Multiple of the mean run time that a call is assumed to take.
 RUN_TIME_FACTOR = 4.0
 
@@ -40,7 +42,8 @@
     @property
     def ends_s(self) -> float:
         """Time at which the remaining requests are answered, in s since boot."""
-        return self.started_s + max(0.0, self.grace_s - ANSWER_MARGIN_S)
+        margin_s = min(ANSWER_MARGIN_S, MAX_ANSWER_MARGIN_SHARE * self.grace_s)
+        return self.started_s + self.grace_s - margin_s
 
     def accepts(self, expires_s: float, now: float) -> bool:
         """Return whether a caller's request is accepted.
