Send answers that are read slowly before a stopping node ends

A caller that read a long answer slowly lost its rest: the node ended as soon as the request was done, although most of the answer was still in its write buffer. Cause: a connection counted as busy only until its response had been written to the transport; before the early end was introduced, open connections were counted. Change: unsent bytes make a connection busy. Evidence: in the new test the node had ended with an answer of 15 MB unread; now the caller reads it whole and the node ends then.

--- a/src/briardock/mesh/http_server.py
+++ b/src/briardock/mesh/http_server.py
@@ -56,8 +56,11 @@
 
     @property
     def busy_count(self) -> int:
-        """Number of connections with a request being read, pending or in flight."""
-        return sum(not connection.idle for connection in self.connections)
+        """Number of connections with a request or with unsent bytes of a response."""
+        return sum(
+            not connection.idle or connection.has_unsent_bytes
+            for connection in self.connections
+        )
 
     async def start(self, host: str, port: int) -> None:
         """Listen on an address.
@@ -140,6 +143,11 @@
         """Whether no request is being read, pending or in flight."""
         return not (self._responding or self._reading or self._pending_requests)
 
+    @property
+    def has_unsent_bytes(self) -> bool:
+        """Whether bytes of a response have not been handed to the kernel yet."""
+        return bool(self._transport and self._transport.get_write_buffer_size())
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the task that serves this connection."""
         # uvloop's transports do not derive from those of asyncio.
--- a/tests/test_mesh_stop.py
+++ b/tests/test_mesh_stop.py
@@ -1,11 +1,13 @@
 """Requests and calls that reach a node after its stop signal."""
 
 import asyncio
+import socket
 from dataclasses import replace
 
 import pytest
 
 from briardock.mesh.http1 import Request, Response
+from briardock.mesh.model import split_address
 from mesh_fakes import Fleet, Machine, fleet, respond_normally, route
 
 pytestmark = pytest.mark.anyio
@@ -176,3 +178,29 @@
         closes = [b"connection: close" in answer.lower() for answer in answers]
         assert closes == [False, False, stopping]
         writer.close()
+
+
+async def test_answer_that_is_read_slowly_is_sent_before_the_node_ends() -> None:
+    """The node ended with most of an answer unsent, because its request was done."""
+    size = 15_000_000
+
+    async def respond_at_length(request: Request) -> Response:
+        response = await respond_normally(request)
+        return replace(response, body=b"x" * size)
+
+    async with fleet(LONG) as created:
+        machine = await start(created)
+        await created.settle()
+        machine.target.behaviour = respond_at_length
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536)
+        sock.connect(split_address(machine.settings.caller_address))
+        reader, writer = await asyncio.open_connection(sock=sock)
+        writer.write(b"GET /jobs/1 HTTP/1.1\r\nhost: a.example\r\n\r\n")
+        await stop_after(machine, GRACE_S * 0.7)
+        assert not machine.task.done()
+        async with asyncio.timeout(GRACE_S * 0.2):
+            await reader.readuntil(b"\r\n\r\n")
+            await reader.readexactly(size)
+            await machine.task
+        writer.close()
