Refuse calls that arrive once a stopping node has decided to end

A call of another node that arrived in the last 10 to 110 ms of the process was passed on to the target and lost; a call that must not repeat then ended with 502. Cause: only the calls queued at that time were refused, not later ones, whose callers use connections that they have already. Change: the target takes no calls after the end, and the node waits until the refusals of calls are sent, as it does for callers' requests.

--- a/src/briardock/mesh/node.py
+++ b/src/briardock/mesh/node.py
@@ -481,11 +481,13 @@
         self._caller_server.stop_listening()
         self._peer_server.stop_listening()
         self.forwarder.end_attempts()
-        self.target.end_queue()
+        self.target.end_calls()
         # Queued requests are refused as not run before the others are cut off.
         await asyncio.sleep(LAST_ANSWERS_S / 10)
         cut_off_count = self.forwarder.end_requests()
         until_s = now_s() + LAST_ANSWERS_S
-        while self._caller_server.busy_count and now_s() < until_s:
+        while now_s() < until_s and (
+            self._caller_server.busy_count or self._peer_server.busy_count
+        ):
             await asyncio.sleep(LAST_ANSWERS_S / 10)
         return cut_off_count
--- a/src/briardock/mesh/target.py
+++ b/src/briardock/mesh/target.py
@@ -94,6 +94,7 @@
         self._run_starts_s: dict[int, float] = {}
         self._counts_changed_s = self._usage_updated_s = now_s()
         self._tasks: set[asyncio.Task[Result]] = set()
+        self._has_ended = False
 
     @cached_property
     def _loop(self) -> asyncio.AbstractEventLoop:
@@ -223,8 +224,9 @@
                 slot.set_result(False)
         self._queue.clear()
 
-    def end_queue(self) -> None:
-        """Refuse the queued calls as not run."""
+    def end_calls(self) -> None:
+        """Refuse the queued calls, and all later ones, as not run."""
+        self._has_ended = True
         self._release_queue()
 
     def refusal(self, call: Call) -> NotRun | None:
@@ -232,6 +234,8 @@
 
         :param call: call for the target
         """
+        if self._has_ended:
+            return NotRun("node stopped")
         if self.state is not TargetState.READY:
             return NotRun(f"target {self.state.value}")
         if call.target_id != self.target_id or call.service != self.service:
--- a/tests/test_mesh_stop.py
+++ b/tests/test_mesh_stop.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from briardock.mesh import node as node_module
 from briardock.mesh.http1 import Request, Response
 from briardock.mesh.model import split_address
 from mesh_fakes import Fleet, Machine, fleet, respond_normally, route
@@ -204,3 +205,21 @@
             await reader.readexactly(size)
             await machine.task
         writer.close()
+
+
+async def test_call_that_arrives_while_the_node_ends_is_refused(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """It was passed on to the target and lost as the process exited."""
+    async with fleet(LONG) as created:
+        last = await start(created)
+        other = await created.add("n2", "maps")
+        await created.settle()
+        for number in range(5):
+            assert (await other.call("/jobs/1", f"w{number}")).status == 200
+        last.node.target.update_run_time()
+        monkeypatch.setattr(node_module, "LAST_ANSWERS_S", 4.0)
+        await stop_after(last, GRACE_S / 2 + 0.2)
+        assert not last.task.done()
+        assert (await other.call("/jobs/2", "late")).status == 503
+        assert len(last.target.requests) == 5
