Start no attempt after the end of a stopping node's attempts

A request that waited for an instance or for a connection to one while the node ended was still passed on, and answered with 504 milliseconds later. Cause: the end was checked before these waits only. Change: it is checked after them as well; the request is refused as not run. Evidence: the request in the new test was run before, and is refused now.

--- a/src/briardock/mesh/forwarder.py
+++ b/src/briardock/mesh/forwarder.py
@@ -378,7 +378,7 @@
         result: Result = NotRun("no instance")
         while not self._has_ended:
             record = await self._choose_instance(state)
-            if record is None:
+            if record is None or self._has_ended:
                 break
             may_hand_on = attempts.may_hand_on and self._has_room_elsewhere(
                 state.service
@@ -519,6 +519,9 @@
         if isinstance(connection, ExchangeFailure):
             self._eject(record, connection.reason)
             return NotRun(f"node unreachable: {connection.reason}"), None
+        if self._has_ended:
+            self._peers.release(record.address, connection)
+            return NotRun("node stopped"), None
         state.unresolved = True
         response = await connection.exchange(encode_call(call, now_s()))
         state.unresolved = False
--- a/tests/test_mesh_stop.py
+++ b/tests/test_mesh_stop.py
@@ -7,7 +7,8 @@
 import pytest
 
 from briardock.mesh import node as node_module
-from briardock.mesh.http1 import Request, Response
+from briardock.mesh.http1 import ExchangeFailure, Request, Response
+from briardock.mesh.http_client import ClientConnection
 from briardock.mesh.model import split_address
 from mesh_fakes import Fleet, Machine, fleet, respond_normally, route
 
@@ -223,3 +224,24 @@
         assert not last.task.done()
         assert (await other.call("/jobs/2", "late")).status == 503
         assert len(last.target.requests) == 5
+
+
+async def test_no_attempt_starts_after_the_end_of_attempts() -> None:
+    """A request that waited for a connection was passed on as the node ended."""
+    async with fleet(LONG) as created:
+        machine = await created.add("n1", "maps")
+        owner = await created.add("n2", "jobs")
+        await created.settle()
+        pool = machine.node._peer_pool
+        acquire = pool.acquire
+
+        async def acquire_late(address: str) -> ClientConnection | ExchangeFailure:
+            await asyncio.sleep(0.2)
+            return await acquire(address)
+
+        pool.acquire = acquire_late  # type: ignore[method-assign, assignment]
+        in_flight = asyncio.create_task(machine.call("/jobs/1"))
+        await asyncio.sleep(0.1)
+        machine.node.forwarder.end_attempts()
+        assert (await in_flight).status == 503
+        assert not owner.target.requests
