Acknowledge a departure before a stopping node ends

A target that announced its departure beside a stopping node got no acknowledgement if the node ended while it waited for the store, for up to 0.6 s. Cause: the node did not ask whether announcements were being handled. Change: an announcement in progress keeps the node from ending early. Evidence: in the new test the node had ended before; now it acknowledges, then ends.

--- a/src/briardock/mesh/node.py
+++ b/src/briardock/mesh/node.py
@@ -469,6 +469,7 @@
         is_busy = (
             self._caller_server.busy_count
             or self._peer_server.busy_count
+            or self._announcement_server.busy_count
             or self.target.running
         )
         return bool(is_busy) and now < self._shutdown.ends_s
--- a/tests/test_mesh_stop.py
+++ b/tests/test_mesh_stop.py
@@ -245,3 +245,18 @@
         machine.node.forwarder.end_attempts()
         assert (await in_flight).status == 503
         assert not owner.target.requests
+
+
+async def test_departure_is_acknowledged_before_the_node_ends() -> None:
+    """The node ended while a departure waited for the store."""
+    async with fleet(LONG) as created:
+        machine = await start(created)
+        await created.settle()
+        await stop_after(machine, GRACE_S / 2 - 0.2)
+        created.store.down = True
+        departure = asyncio.create_task(machine.announce("draining"))
+        await asyncio.sleep(0.4)
+        assert not machine.task.done()
+        assert await departure == 200
+        async with asyncio.timeout(1.0):
+            await machine.task
