Refuse a request that is too large before others of the same bytes

A caller that pipelined a request behind one with too large a body got the answer to the second as that to the first, and no 413. Cause: the limit was checked after all of the bytes had been parsed, when the next request had already reset the size of the body. Change: the request is refused as it is complete; those behind it are discarded. Evidence: in two new rows the request behind was run before; now 413 is the last answer.

--- a/src/briardock/mesh/http_server.py
+++ b/src/briardock/mesh/http_server.py
@@ -235,6 +235,9 @@
     def on_message_complete(self) -> None:
         """Queue a complete request for the task of the connection."""
         if self._body_bytes > self._server.limits.body_bytes:
+            self._refuse(413)
+        if self._refusal_status is not None:
+            # Requests after the refused one are discarded.
             return
         request = Request(
             self._parser.get_method(),
--- a/tests/test_mesh_http_server.py
+++ b/tests/test_mesh_http_server.py
@@ -88,8 +88,17 @@
         ([POST % (1, 8, b"a" * 8) + POST % (2, 4, b"bbbb")], [b"/1", b"/2"], b"200"),
         ([POST % (1, 8, b"a" * 4), b"a" * 4, GET % (2, b"")], [b"/1", b"/2"], b"200"),
         ([POST % (1, 8, b"a" * 8), POST % (2, 9, b"b" * 9)], [b"/1"], b"413"),
+        ([POST % (1, 9, b"a" * 9) + GET % (2, b"")], [], b"413"),
+        ([GET % (1, b"") + POST % (2, 9, b"b" * 9) + GET % (3, b"")], [b"/1"], b"413"),
+    ],
+    ids=[
+        "within limit",
+        "pipelined",
+        "body in parts",
+        "second too large",
+        "first too large",
+        "middle too large",
     ],
-    ids=["within limit", "pipelined", "body in parts", "second too large"],
 )
 async def test_body_limit_applies_to_each_request_separately(
     pieces: list[bytes], targets: list[bytes], status: bytes
