Release the buffered bytes of each answered request

A caller that always had another request pipelined made a node refuse the bodies of all callers with 503 in the end. Cause: the bytes of a connection were released only once it had no request at all. Change: they are released with each answer.

--- a/src/briardock/mesh/http_server.py
+++ b/src/briardock/mesh/http_server.py
@@ -158,13 +158,13 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the requests of a caller that has disconnected."""
         self._server.connections.discard(self)
-        self._release_buffered()
+        self._count_buffered(-self._buffered_bytes)
         if self._task is not None:
             self._task.cancel()
 
-    def _release_buffered(self) -> None:
-        self._server.buffered_bytes -= self._buffered_bytes
-        self._buffered_bytes = 0
+    def _count_buffered(self, size_bytes: int) -> None:
+        self._buffered_bytes += size_bytes
+        self._server.buffered_bytes += size_bytes
 
     def eof_received(self) -> bool:
         """Treat a half-close by the caller as a disconnect."""
@@ -229,8 +229,7 @@
         """Add a part of the body."""
         self._body.append(body)
         self._body_bytes += len(body)
-        self._buffered_bytes += len(body)
-        self._server.buffered_bytes += len(body)
+        self._count_buffered(len(body))
 
     def on_message_complete(self) -> None:
         """Queue a complete request for the task of the connection."""
@@ -275,8 +274,7 @@
                 return
             self._transport.write(encode_response(response, request.method == b"HEAD"))
             self._responding = False
-            if not self._reading and not self._pending_requests:
-                self._release_buffered()
+            self._count_buffered(-len(request.body))
             self._last_active_s = now_s()
             if response.close and not self._pending_requests:
                 self._transport.close()
--- a/tests/test_mesh_http_server.py
+++ b/tests/test_mesh_http_server.py
@@ -107,3 +107,22 @@
     read_targets, received = await send_pieces(*pieces)
     assert read_targets == targets
     assert received.split(b"HTTP/1.1 ")[-1].startswith(status)
+
+
+async def test_bodies_of_answered_requests_are_not_counted_as_buffered() -> None:
+    """A caller that always pipelined another request used up the limit of all."""
+    server = HttpServer(
+        lambda request: asyncio.sleep(0.01, Response(200)), CallerLimits(), quiet_log()
+    )
+    address = free_address()
+    await server.start(*split_address(address))
+    reader, writer = await asyncio.open_connection(*split_address(address))
+    buffered_bytes = []
+    writer.write(POST % (0, 100, b"a" * 100))
+    for number in range(20):
+        writer.write(POST % (number, 100, b"a" * 100))
+        await reader.readuntil(b"\r\n\r\n")
+        buffered_bytes.append(server.buffered_bytes)
+    assert max(buffered_bytes) <= 300
+    writer.close()
+    server.stop_listening()
