--- a/tests/test_mesh_stop.py
+++ b/tests/test_mesh_stop.py
@@ -3,12 +3,16 @@
 import asyncio
 import os
 import signal
+import socket
 import time
 from dataclasses import replace
 
 import pytest
 
-from briardock.mesh.http1 import Request, Response
+from briardock.mesh import node as node_module
+from briardock.mesh.http1 import ExchangeFailure, Request, Response
+from briardock.mesh.http_client import ClientConnection
+from briardock.mesh.model import split_address
 from mesh_fakes import Fleet, Machine, fleet, respond_normally, route
 
 pytestmark = pytest.mark.anyio
@@ -195,3 +199,83 @@
         closes = [b"connection: close" in answer.lower() for answer in answers]
         assert closes == [False, False, stopping]
         writer.close()
+
+
+async def test_answer_that_is_read_slowly_is_sent_before_the_node_ends() -> None:
+    """The node ended with most of an answer unsent, because its request was done."""
+    size = 15_000_000
+
+    async def respond_at_length(request: Request) -> Response:
+        response = await respond_normally(request)
+        return replace(response, body=b"x" * size)
+
+    async with fleet(LONG) as created:
+        machine = await start(created)
+        await created.settle()
+        machine.target.behaviour = respond_at_length
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536)
+        sock.connect(split_address(machine.settings.caller_address))
+        reader, writer = await asyncio.open_connection(sock=sock)
+        writer.write(b"GET /jobs/1 HTTP/1.1\r\nhost: a.example\r\n\r\n")
+        await stop_after(machine, GRACE_S * 0.7)
+        assert not machine.task.done()
+        async with asyncio.timeout(GRACE_S * 0.2):
+            await reader.readuntil(b"\r\n\r\n")
+            await reader.readexactly(size)
+            await machine.task
+        writer.close()
+
+
+async def test_call_that_arrives_while_the_node_ends_is_refused(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """It was passed on to the target and lost as the process exited."""
+    async with fleet(LONG) as created:
+        last = await start(created)
+        other = await created.add("n2", "maps")
+        await created.settle()
+        for number in range(5):
+            assert (await other.call("/jobs/1", f"w{number}")).status == 200
+        last.node.target.update_run_time()
+        monkeypatch.setattr(node_module, "LAST_ANSWERS_S", 4.0)
+        await stop_after(last, GRACE_S / 2 + 0.2)
+        assert not last.task.done()
+        assert (await other.call("/jobs/2", "late")).status == 503
+        assert len(last.target.requests) == 5
+
+
+async def test_no_attempt_starts_after_the_end_of_attempts() -> None:
+    """A request that waited for a connection was passed on as the node ended."""
+    async with fleet(LONG) as created:
+        machine = await created.add("n1", "maps")
+        owner = await created.add("n2", "jobs")
+        await created.settle()
+        pool = machine.node._peer_pool
+        acquire = pool.acquire
+
+        async def acquire_late(address: str) -> ClientConnection | ExchangeFailure:
+            await asyncio.sleep(0.2)
+            return await acquire(address)
+
+        pool.acquire = acquire_late  # type: ignore[method-assign, assignment]
+        in_flight = asyncio.create_task(machine.call("/jobs/1"))
+        await asyncio.sleep(0.1)
+        machine.node.forwarder.end_attempts()
+        assert (await in_flight).status == 503
+        assert not owner.target.requests
+
+
+async def test_departure_is_acknowledged_before_the_node_ends() -> None:
+    """The node ended while a departure waited for the store."""
+    async with fleet(LONG) as created:
+        machine = await start(created)
+        await created.settle()
+        await stop_after(machine, GRACE_S / 2 - 0.2)
+        created.store.down = True
+        departure = asyncio.create_task(machine.announce("draining"))
+        await asyncio.sleep(0.4)
+        assert not machine.task.done()
+        assert await departure == 200
+        async with asyncio.timeout(1.0):
+            await machine.task
