Keep new connections to a stopping node open until their request can arrive

Cause: idle connections were closed each 50 ms, also one accepted a moment before. Change: a stopping server closes a connection once it has been idle for 0.1 s, and waits for such connections at its end; their requests are refused as not run. Evidence: the two rows of the new test read no byte before, and get 503 now.

--- a/src/briardock/mesh/http_server.py
+++ b/src/briardock/mesh/http_server.py
@@ -18,6 +18,9 @@
 MAX_UNPARSED_BYTES = 64 * 1024
 # Default limit on the request bodies buffered by one server, bytes.
 DEFAULT_BUFFERED_BYTES = 64 * 1024 * 1024
+# Idle time before which a stopping server does not close a connection, s: a request may
+# be on its way, above all on a connection that was just accepted.
+MIN_CLOSED_IDLE_S = 0.1
 # Period of the check for idle and slow connections, s.
 SWEEP_PERIOD_S = 1.0
 
@@ -97,9 +100,10 @@
                 connection.enforce_timeouts(now)
 
     def close_idle(self) -> None:
-        """Close the connections without a request being read, pending or in flight."""
+        """Close the connections that have been without a request for a moment."""
+        latest_active_s = now_s() - MIN_CLOSED_IDLE_S
         for connection in list(self.connections):
-            if connection.idle:
+            if connection.idle and connection.last_active_s < latest_active_s:
                 connection.close_gracefully()
 
     def stop_listening(self) -> None:
@@ -125,7 +129,7 @@
         self._refusal_status: int | None = None
         self._unparsed = bytearray()
         self._buffered_bytes = 0
-        self._last_active_s = now_s()
+        self.last_active_s = now_s()
         self._reset_message()
 
     def _reset_message(self) -> None:
@@ -275,7 +279,7 @@
             self._transport.write(encode_response(response, request.method == b"HEAD"))
             self._responding = False
             self._count_buffered(-len(request.body))
-            self._last_active_s = now_s()
+            self.last_active_s = now_s()
             if response.close and not self._pending_requests:
                 self._transport.close()
                 return
@@ -313,7 +317,7 @@
         if self._reading:
             if self._in_head and now - self._received_s > limits.header_timeout_s:
                 self._refuse(408)
-        elif now - self._last_active_s > limits.idle_timeout_s:
+        elif now - self.last_active_s > limits.idle_timeout_s:
             self.close_gracefully()
 
     def close_gracefully(self) -> None:
--- a/src/briardock/mesh/node.py
+++ b/src/briardock/mesh/node.py
@@ -496,7 +496,9 @@
         cut_off_count = self.forwarder.end_requests()
         until_s = now_s() + LAST_ANSWERS_S
         while now_s() < until_s and (
-            self._caller_server.busy_count or self._peer_server.busy_count
+            self._caller_server.connections or self._peer_server.busy_count
         ):
+            # Requests on new connections are still read, and refused as not run.
+            self._caller_server.close_idle()
             await asyncio.sleep(LAST_ANSWERS_S / 10)
         return cut_off_count
--- a/tests/test_mesh_stop.py
+++ b/tests/test_mesh_stop.py
@@ -245,6 +245,26 @@
         assert len(last.target.requests) == 5
 
 
+@pytest.mark.parametrize("after_stop_s", [1.0, 1.2])
+async def test_request_on_a_connection_that_was_just_accepted_is_answered(
+    after_stop_s: float,
+) -> None:
+    """The connection was closed while the request was on its way."""
+    async with fleet(LONG) as created:
+        machine = await start(created)
+        await created.settle()
+        in_flight = asyncio.create_task(hold(machine, 1.5))
+        await asyncio.sleep(0.1)
+        await stop_after(machine, after_stop_s)
+        host, port = machine.settings.caller_address.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        await asyncio.sleep(0.08)
+        writer.write(b"GET /jobs/1 HTTP/1.1\r\nhost: a.example\r\n\r\n")
+        assert b" 503 " in await reader.readuntil(b"\r\n")
+        writer.close()
+        assert (await in_flight).status == 200
+
+
 async def test_no_attempt_starts_after_the_end_of_attempts() -> None:
     """A request that waited for a connection was passed on as the node ended."""
     async with fleet(LONG) as created:
