Pass on no request whose caller left while its node was frozen

Targets got requests of callers that had closed their connections more than half a second before, while the node was frozen or slow; those that must not repeat ran to their end. Cause: a request and the end of its connection are read in two iterations of the event loop, and the request was passed on in between. Change: before a request is handled, the socket is asked whether the other side has closed it (POLLRDHUP).

--- a/src/briardock/mesh/http_server.py
+++ b/src/briardock/mesh/http_server.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 server that runs one task per connection."""
 
 import asyncio
+import select
 from collections import deque
 from collections.abc import Awaitable, Callable
 from typing import cast
@@ -116,6 +117,7 @@
         self._parser = httptools.HttpRequestParser(self)
         self._transport: asyncio.Transport | None = None
         self._task: asyncio.Task[None] | None = None
+        self._disconnect_poll = select.poll()
         self._pending_requests: deque[Request] = deque()
         self._waiter: asyncio.Future[None] | None = None
         self._responding = False
@@ -152,6 +154,8 @@
         """Start the task that serves this connection."""
         # uvloop's transports do not derive from those of asyncio.
         self._transport = cast(asyncio.Transport, transport)
+        socket = transport.get_extra_info("socket")
+        self._disconnect_poll.register(socket.fileno(), select.POLLRDHUP)
         self._server.connections.add(self)
         self._task = asyncio.get_running_loop().create_task(self._serve())
 
@@ -264,6 +268,11 @@
             request = self._pending_requests.popleft()
             if self._unparsed and len(self._pending_requests) < MAX_PIPELINED_REQUESTS:
                 self._parse_kept()
+            if self._disconnect_poll.poll(0):
+                # The end of the connection is read only after what came before it, so a
+                # node that was frozen would pass on requests of callers that have left.
+                self._transport.close()
+                return
             self._responding = True
             response = await self._server.respond(request)
             # After an announced close, the caller reads no further responses.
--- a/tests/test_mesh_path.py
+++ b/tests/test_mesh_path.py
@@ -1,6 +1,8 @@
 """Request path of the mesh over real sockets, with nodes, targets and the store."""
 
 import asyncio
+import socket
+import time
 from dataclasses import replace
 from typing import NoReturn
 
@@ -8,6 +10,7 @@
 
 from briardock.exceptions import SettingsError
 from briardock.mesh.http1 import Request, Response
+from briardock.mesh.model import split_address
 from briardock.mesh.node import Node
 from briardock.overload.admission import OPEN_THRESHOLD
 from briardock.platform._dialect import PlatformDialect
@@ -427,3 +430,23 @@
         parts = received.split(b"response to p")[1:]
         assert [int(p.split(b"HTTP")[0]) for p in parts] == list(range(60))
         writer.close()
+
+
+@pytest.mark.parametrize("kind", ["idempotent", "non_idempotent"])
+async def test_request_of_a_caller_that_left_a_frozen_node_is_not_passed_on(
+    kind: str,
+) -> None:
+    """It was read and passed on before the end of its connection was."""
+    async with fleet(route("r", "/jobs/", kind=kind)) as created:
+        machine = await created.add("n1", "jobs")
+        await created.settle()
+        assert (await machine.call("/jobs/1")).status == 200
+        address = split_address(machine.settings.caller_address)
+        callers = [socket.create_connection(address) for _ in range(5)]
+        await asyncio.sleep(0.1)
+        for caller in callers:
+            caller.send(b"GET /jobs/2 HTTP/1.1\r\nhost: a.example\r\n\r\n")
+            caller.close()
+        time.sleep(0.7)  # noqa: ASYNC251
+        await asyncio.sleep(0.2)
+        assert [request.target for request in machine.target.requests] == [b"/jobs/1"]
