Close idle connections at once unless a node asks for a minimum idle time

Restarted nodes of tests went on to answer peers on connections that were just used: close_idle had begun to spare these for every user. A stopping node now names the idle time itself. test_restarted_node_learns_everything_from_peers_without_the_store failed before and passes now.

--- a/src/briardock/mesh/http_server.py
+++ b/src/briardock/mesh/http_server.py
@@ -19,9 +19,6 @@
 MAX_UNPARSED_BYTES = 64 * 1024
 # Default limit on the request bodies buffered by one server, bytes.
 DEFAULT_BUFFERED_BYTES = 64 * 1024 * 1024
-# Idle time before which a stopping server does not close a connection, s: a request may
-# be on its way, above all on a connection that was just accepted.
-MIN_CLOSED_IDLE_S = 0.1
 # Period of the check for idle and slow connections, s.
 SWEEP_PERIOD_S = 1.0
 
@@ -100,11 +97,14 @@
             for connection in list(self.connections):
                 connection.enforce_timeouts(now)
 
-    def close_idle(self) -> None:
-        """Close the connections that have been without a request for a moment."""
-        latest_active_s = now_s() - MIN_CLOSED_IDLE_S
+    def close_idle(self, min_idle_s: float = 0.0) -> None:
+        """Close the connections without a request being read, pending or in flight.
+
+        :param min_idle_s: time for which they must have been idle
+        """
+        latest_active_s = now_s() - min_idle_s
         for connection in list(self.connections):
-            if connection.idle and connection.last_active_s < latest_active_s:
+            if connection.idle and connection.last_active_s <= latest_active_s:
                 connection.close_gracefully()
 
     def stop_listening(self) -> None:
--- a/src/briardock/mesh/node.py
+++ b/src/briardock/mesh/node.py
@@ -57,6 +57,9 @@
 # which it waits until its last answers are written.
 STOP_CHECK_PERIOD_S = 0.05
 LAST_ANSWERS_S = 0.1
+# Idle time before which a stopping node does not close a connection, s: a request may be
+# on its way, above all on a connection that was just accepted.
+MIN_CLOSED_IDLE_S = 0.1
 POOL_SWEEP_PERIOD_S = 2.0
 # Longest time for which the acknowledgement of a departure waits for the store, s. A
 # target treats an acknowledgement that takes more than 1 s as missing.
@@ -473,7 +476,7 @@
         assert self._shutdown is not None
         if now < self._shutdown.accepts_all_until_s:
             return True
-        self._caller_server.close_idle()
+        self._caller_server.close_idle(MIN_CLOSED_IDLE_S)
         is_busy = (
             self._caller_server.busy_count
             or self._peer_server.busy_count
@@ -499,6 +502,6 @@
             self._caller_server.connections or self._peer_server.busy_count
         ):
             # Requests on new connections are still read, and refused as not run.
-            self._caller_server.close_idle()
+            self._caller_server.close_idle(MIN_CLOSED_IDLE_S)
             await asyncio.sleep(LAST_ANSWERS_S / 10)
         return cut_off_count
