--- a/src/briardock/mesh/node.py
+++ b/src/briardock/mesh/node.py
@@ -57,8 +57,8 @@
 # which it waits until its last answers are written.
 STOP_CHECK_PERIOD_S = 0.05
 LAST_ANSWERS_S = 0.1
-# Idle time before which a stopping node does not close a connection, s: a request may be
-# on its way, above all on a connection that was just accepted.
+# Idle time before which a stopping node does not close a connection, s: a request may
+# be on its way, above all on a connection that was just accepted.
 MIN_CLOSED_IDLE_S = 0.1
 POOL_SWEEP_PERIOD_S = 2.0
 # Longest time for which the acknowledgement of a departure waits for the store, s. A
