Play long runs, pipelined requests and callers that leave in the soak

The soak did not find the requests that were lost with a node that ended: its runs took 0.25 s at most, and a close without an answer counted as an answer. Of the six callers of each node one now sends requests whose runs take 0.5 to 2 s on routes with a timeout of 4 s, one pipelines up to six requests, and one also leaves after 0.05 to 0.8 s. About half of the SIGTERMs are followed by another one.

Two new checks compare the ledgers of the targets with what callers saw: a request that a target started gets a response of a target, and nobody works for a caller whose connection was closed 0.5 s before. A refusal as not run is checked for requests that may repeat as well, and a node must not outlive its grace period.

--- a/tests/mesh_soak.py
+++ b/tests/mesh_soak.py
@@ -10,39 +10,62 @@
 
 import argparse
 import asyncio
-import contextlib
 import random
 import sys
 import tempfile
 import time
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from pathlib import Path
 
 import uvloop
 
-from briardock.mesh.http1 import ExchangeFailure, Response, encode_request
-from briardock.mesh.http_client import ClientConnection
-from briardock.mesh.model import split_address
 from mesh_fakes import send
-from soak_checks import ONCE_BODY, RequestOutcome, SoakResults
+from soak_callers import CallerConnection, CallerRequest, connect
+from soak_checks import SoakResults
 from soak_faults import Faults
-from soak_machines import Machine, SoakFleet
+from soak_machines import LONG_PATHS, TIMEOUTS_S, Machine, SoakFleet
 from soak_programs import CHAIN_PATH
 
 # Limit on the start of all processes, sufficient on a busy machine, s.
 START_TIMEOUT_S = 60.0
 # Time after the last fault within which every node must serve every route, s.
 RECOVERY_TIMEOUT_S = 15.0
-CLIENTS_PER_NODE = 4
 CLIENT_PERIOD_S = 0.03
-DEADLINE_MS = 1_500
+# Time for which a caller waits beyond the timeout of the route, s.
+DEADLINE_ALLOWANCE_S = 0.3
+SHORT_PATHS = ("/jobs/read/", "/once/", "/maps/read/", CHAIN_PATH)
 # Period at which exited processes are restarted, s.
 RESTART_PERIOD_S = 0.5
 # Period at which stalls of the soak itself are measured, s. On an overcommitted machine
 # all processes stall at times; the limits exclude the time of these stalls.
 STALL_PERIOD_S = 0.1
-# Time within which a running node must respond or close the connection, s.
-RESPONSE_TIMEOUT_S = 3.0
+# Time after the timeout of a route within which a running node must respond or close
+# the connection, s.
+RESPONSE_ALLOWANCE_S = 1.8
+
+
+@dataclass(frozen=True)
+class Role:
+    """How one caller of each node behaves.
+
+    :param paths: paths that it chooses from
+    :param pipelined: largest number of requests that it sends at once
+    :param leaves_s: range of the time after which it closes its connection, s
+    """
+
+    paths: tuple[str, ...] = SHORT_PATHS
+    pipelined: int = 1
+    leaves_s: tuple[float, float] | None = None
+
+
+# Six pipelined requests are more than a node reads ahead.
+ROLES = (
+    *(Role(),) * 3,
+    Role(LONG_PATHS),
+    Role(SHORT_PATHS + LONG_PATHS, pipelined=6),
+    Role(SHORT_PATHS + LONG_PATHS, pipelined=6, leaves_s=(0.05, 0.8)),
+)
 
 
 class Soak:
@@ -62,53 +85,68 @@
 
     async def _client(self, machine: Machine, number: int) -> None:
         """Send requests until the run ends, reusing a connection while it is open."""
-        connection: ClientConnection | None = None
+        connection: CallerConnection | None = None
+        role = ROLES[number]
         rng = random.Random(f"{self.seed} {machine.name} {number}")
         while not self._stopping:
             await asyncio.sleep(CLIENT_PERIOD_S * rng.uniform(0.5, 1.5))
             if connection is None or not connection.usable:
-                connection = await _connect(machine.caller_address)
+                connection = await connect(machine, rng.random() < 0.5)
                 if connection is None:
                     continue
-            prefix = rng.choice(["/jobs/read/", "/once/", "/maps/read/", CHAIN_PATH])
-            await self._send_request(machine, connection, prefix)
+            paths = rng.choices(role.paths, k=rng.randint(1, role.pipelined))
+            leaves_after_s = rng.uniform(*role.leaves_s) if role.leaves_s else None
+            await asyncio.gather(
+                *(
+                    self._send_request(machine, connection, path, place, leaves_after_s)
+                    for place, path in enumerate(paths)
+                )
+            )
 
     async def _send_request(
-        self, machine: Machine, connection: ClientConnection, prefix: str
+        self,
+        machine: Machine,
+        connection: CallerConnection,
+        path: str,
+        place: int,
+        leaves_after_s: float | None,
     ) -> None:
+        """Send one request.
+
+        :param machine: machine at which it enters
+        :param connection: connection to its node
+        :param path: path before the id
+        :param place: number of requests before it in the pipeline
+        :param leaves_after_s: time after which the caller leaves, if it does
+        """
         self._request_count += 1
-        request_id = f"s{self.seed}-{self._request_count}"
-        once = prefix == "/once/"
-        headers = [
-            (b"host", b"a.example"),
-            (b"request-id", request_id.encode()),
-            (b"deadline-ms", b"%d" % DEADLINE_MS),
-        ]
-        method, body = (b"POST", ONCE_BODY) if once else (b"GET", b"")
-        data = encode_request(method, f"{prefix}{request_id}".encode(), headers, body)
-        started, stalled_before_s = time.time(), self._stalled_s
-        response: Response | ExchangeFailure = ExchangeFailure("no response", sent=True)
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(RESPONSE_TIMEOUT_S):
-                response = await connection.exchange(data)
-        elapsed_s = time.time() - started - (self._stalled_s - stalled_before_s)
-        match response:
-            case Response(status, _, content):
-                request_outcome = RequestOutcome(
-                    request_id, once, machine.name, status, content, elapsed_s
-                )
-            case ExchangeFailure():
-                request_outcome = RequestOutcome(
-                    request_id, once, machine.name, 0, b"", elapsed_s
-                )
-                if elapsed_s >= RESPONSE_TIMEOUT_S and not machine.may_be_affected_at(
-                    started
-                ):
-                    self.results.violations.append(
-                        f"{request_id}: no response from {machine.name} "
-                        f"in {elapsed_s:.1f} s"
-                    )
-        self.results.outcomes.append(request_outcome)
+        timeout_s = next(
+            t for prefix, t in TIMEOUTS_S.items() if path.startswith(prefix)
+        )
+        # Those before it in the pipeline may take their time as well.
+        limit_s = timeout_s + RESPONSE_ALLOWANCE_S + place * max(TIMEOUTS_S.values())
+        request = CallerRequest(
+            f"s{self.seed}-{self._request_count}",
+            path,
+            path.startswith("/once/"),
+            timeout_s + DEADLINE_ALLOWANCE_S,
+            leaves_after_s or limit_s,
+        )
+        stalled_before_s = self._stalled_s
+        outcome = await connection.exchange(machine, request)
+        outcome.timeout_s = timeout_s
+        elapsed_s = outcome.elapsed_s - (self._stalled_s - stalled_before_s)
+        if (
+            leaves_after_s is None
+            and not outcome.status
+            and elapsed_s >= limit_s
+            and not machine.may_be_affected_at(outcome.sent_s)
+        ):
+            self.results.violations.append(
+                f"{outcome.request_id}: no response from {machine.name} "
+                f"in {elapsed_s:.1f} s"
+            )
+        self.results.outcomes.append(outcome)
 
     async def _watch_versions(self, machine: Machine) -> None:
         """Check that the configuration version of a node process never decreases."""
@@ -138,6 +176,7 @@
             excess_s = time.monotonic() - started - STALL_PERIOD_S
             if excess_s > STALL_PERIOD_S:
                 self._stalled_s += excess_s
+                self.results.stalls.append((time.time(), excess_s))
 
     async def _restart_ended(self) -> None:
         while not self._stopping:
@@ -159,7 +198,7 @@
             tasks = [
                 asyncio.create_task(self._client(machine, number))
                 for machine in self.fleet.machines
-                for number in range(CLIENTS_PER_NODE)
+                for number in range(len(ROLES))
             ]
             tasks += [
                 asyncio.create_task(self._watch_versions(m))
@@ -204,17 +243,6 @@
         return True
 
 
-async def _connect(address: str) -> ClientConnection | None:
-    host, port = split_address(address)
-    loop = asyncio.get_running_loop()
-    try:
-        async with asyncio.timeout(1.0):
-            _, connection = await loop.create_connection(ClientConnection, host, port)
-    except (OSError, TimeoutError):
-        return None
-    return connection
-
-
 async def _status(address: str, path: str) -> int:
     """Return the status of a request on a new connection, 0 without a response."""
     headers = [(b"host", b"a.example"), (b"request-id", b"probe")]
--- a/tests/soak_checks.py
+++ b/tests/soak_checks.py
@@ -168,7 +168,8 @@
 ) -> str | None:
     """Return how targets worked for a caller whose connection was closed, or ``None``.
 
-    A frozen node learns of the close once it continues.
+    A frozen node learns of the close once it continues. Requests whose way a fault may
+    have harmed are left out.
 
     :param outcome: what its caller saw
     :param runs: its runs
@@ -178,6 +179,9 @@
     if outcome.closed_s is None:
         return None
     path = [machines[outcome.node], *(run.machine for run in runs)]
+    latest_run_s = max((run.ended_s or run.started_s for run in runs), default=0.0)
+    if any(m.may_be_harmed_between(outcome.sent_s, latest_run_s) for m in path):
+        return None
     resume_times = [t for machine in path for t in machine.resume_times]
     latest_s = outcome.closed_s + MAX_FREEZE_S
     known_s = max([outcome.closed_s, *(t for t in resume_times if t < latest_s)])
@@ -200,6 +204,8 @@
 
     outcomes: list[RequestOutcome] = field(default_factory=list)
     violations: list[str] = field(default_factory=list)
+    # Ends and durations of stalls of the soak itself, s.
+    stalls: list[tuple[float, float]] = field(default_factory=list)
 
     def check_ledgers(self, folder: Path, machines: list[Machine]) -> None:
         """Compare the ledgers of the targets with the outcomes seen by clients.
@@ -223,6 +229,24 @@
                 self.violations.append(f"{request_id}: run, but not sent by any client")
         for outcome in self.outcomes:
             self._check_outcome(outcome, runs.get(outcome.request_id, []))
+        self._check_answers(folder, machines)
+
+    def _check_answers(self, folder: Path, machines: list[Machine]) -> None:
+        """Check that what was accepted is answered, and nothing is done in vain."""
+        by_name = {machine.name: machine for machine in machines}
+        runs = read_runs(folder, machines)
+        for outcome in [*self.outcomes, *read_calls(folder, machines)]:
+            own_runs = runs.get(outcome.request_id, [])
+            stalled_s = self._stalled_s_near(outcome.closed_s or 0.0)
+            for text in (
+                describe_loss(outcome, own_runs, by_name),
+                describe_vain_work(outcome, own_runs, by_name, stalled_s),
+            ):
+                if text is not None:
+                    self.violations.append(text)
+
+    def _stalled_s_near(self, at: float) -> float:
+        return sum(stall_s for end_s, stall_s in self.stalls if abs(end_s - at) < 3.0)
 
     def _check_run(
         self, machine: Machine, line: dict[str, Any], departed_s: dict[str, float]
@@ -242,7 +266,7 @@
     def _check_outcome(self, outcome: RequestOutcome, runs: list[str]) -> None:
         if outcome.once and len(runs) > 1:
             self.violations.append(f"{outcome.request_id}: run {len(runs)} times")
-        if outcome.once and runs and outcome.status in NOT_RUN_STATUSES:
+        if runs and outcome.status in NOT_RUN_STATUSES:
             self.violations.append(
                 f"{outcome.request_id}: status {outcome.status}, but it was run"
             )
--- a/tests/soak_faults.py
+++ b/tests/soak_faults.py
@@ -29,6 +29,16 @@
 )
 # Kinds that do not delay requests to a machine beyond the limits.
 KINDS_WITHOUT_DELAYS = ("store link", "store frozen", "publish", "target drained")
+# Kinds that may break off requests.
+HARMFUL_KINDS = (
+    "node killed",
+    "node frozen",
+    "target frozen",
+    "target killed",
+    "target link",
+)
+# Time between two SIGTERMs to one node, s.
+SECOND_SIGTERM_S = 1.0
 # Faults of a link: relay mode and delay, ms.
 LINK_FAULTS = (("open", 300), ("refuse", 0), ("black-hole", 0))
 
@@ -57,7 +67,9 @@
         }
         await send(self._fleet.relay_control, "/paths", json.dumps(body).encode())
 
-    async def _inject_link_fault(self, name: str) -> None:
+    async def _inject_link_fault(
+        self, name: str, harmed: Machine | None = None
+    ) -> None:
         mode, delay_ms = self._rng.choice(LINK_FAULTS)
         pairs = self._rng.choice(
             [[("nodes", name)], [(name, "nodes")], [("nodes", name), (name, "nodes")]]
@@ -68,6 +80,8 @@
         async def restore() -> None:
             for source, destination in pairs:
                 await self._set_path(source, destination, "open", 0)
+            if harmed is not None:
+                harmed.harm_times.append(time.time())
 
         self._restore_actions.append(restore)
 
@@ -77,26 +91,31 @@
         self.fault_log.append(f"{time.time():.2f} {kind} {machine.name}")
         if kind not in KINDS_WITHOUT_DELAYS:
             machine.fault_times.append(time.time())
+        if kind in HARMFUL_KINDS:
+            machine.harm_times.append(time.time())
         match kind:
             case "node killed":
                 node.kill()
             case "node terminated":
-                node.terminate()
+                machine.terminate_node()
+                # Drawing this would change the other faults of a seed.
+                if len(self.fault_log) % 2:
+                    await self._schedule(SECOND_SIGTERM_S, _terminating(node))
             case "node frozen":
-                await self._freeze(node)
+                await self._freeze(node, machine)
             case "target frozen":
-                await self._freeze(target)
+                await self._freeze(target, machine)
             case "target killed":
                 target.kill()
             case "target drained":
                 target.terminate()
             case "settings changed":
-                machine.grace_s = self._rng.choice([5.0, 6.0])
+                machine.change_grace(self._rng.choice([5.0, 6.0]))
                 self._fleet.write_settings(machine)
                 if node.is_running():
                     os.kill(node.pid, signal.SIGHUP)
             case "target link":
-                await self._inject_link_fault(machine.name)
+                await self._inject_link_fault(machine.name, machine)
             case "store link":
                 await self._inject_link_fault("store")
             case "store frozen":
@@ -104,11 +123,15 @@
             case "publish":
                 await self._fleet.publish()
 
-    async def _freeze(self, process: ManagedProcess) -> None:
+    async def _freeze(
+        self, process: ManagedProcess, harmed: Machine | None = None
+    ) -> None:
         process.freeze()
 
         async def resume() -> None:
             process.resume()
+            if harmed is not None:
+                harmed.harm_times.append(time.time())
 
         await self._schedule(self._rng.uniform(0.5, 3.0), resume)
 
@@ -136,3 +159,10 @@
         for restore in self._restore_actions:
             await restore()
         self.fault_log.append(f"{time.time():.2f} faults undone")
+
+
+def _terminating(process: ManagedProcess) -> Callable[[], Awaitable[None]]:
+    async def terminate() -> None:
+        process.terminate()
+
+    return terminate
--- a/tests/soak_machines.py
+++ b/tests/soak_machines.py
@@ -19,12 +19,27 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 HOST = "127.0.0.1"
+# Time by which busy processors may delay an exit, s.
+EXIT_ALLOWANCE_S = 0.5
 SERVICES = {"jobs": 3, "maps": 3}
+LONG_PATHS = ("/jobs/long/", "/once/long/", "/maps/long/")
+LONG_TIMEOUT_S = 4.0
+LONG_RUN_RANGE_S = (0.5, 2.0)
 ROUTES = (
     route("jobs", "/jobs/", timeout="1200ms"),
     route("once", "/once/", kind="non_idempotent", timeout="1200ms"),
     route("maps", "/maps/", service="maps", timeout="1000ms"),
+    route("jobs-long", "/jobs/long/", timeout="4s"),
+    route("once-long", "/once/long/", kind="non_idempotent", timeout="4s"),
+    route("maps-long", "/maps/long/", service="maps", timeout="4s"),
 )
+# Timeouts of these routes by path prefix, s.
+TIMEOUTS_S = {
+    **dict.fromkeys(LONG_PATHS, LONG_TIMEOUT_S),
+    "/maps/": 1.0,
+    "/jobs/": 1.2,
+    "/once/": 1.2,
+}
 
 
 @dataclass(frozen=True)
@@ -40,7 +55,9 @@
 
     services: Mapping[str, int] = field(default_factory=lambda: SERVICES)
     routes: Sequence[dict[str, Any]] = ROUTES
-    run_ranges_s: Mapping[str, tuple[float, float]] = field(default_factory=dict)
+    run_ranges_s: Mapping[str, tuple[float, float]] = field(
+        default_factory=lambda: dict.fromkeys(LONG_PATHS, LONG_RUN_RANGE_S)
+    )
     first_network: int = 0
 
 
@@ -63,8 +80,10 @@
     harm_times: list[float] = field(default_factory=list)
     # Times at which its frozen node continued.
     resume_times: list[float] = field(default_factory=list)
-    # Times of SIGTERM to its node, each with the grace period, s.
+    # Times of SIGTERM to its node, each with the shortest grace period from then on, s.
     stops: list[tuple[float, float]] = field(default_factory=list)
+    # Latest time at which the node that was told to stop must have exited.
+    exit_before_s: float | None = None
 
     @property
     def caller_address(self) -> str:
@@ -112,9 +131,30 @@
 
     def terminate_node(self) -> None:
         """Send SIGTERM to the node."""
-        self.stops.append((time.time(), self.grace_s))
+        at = time.time()
+        if self.exit_before_s is None and self.processes["node"].is_running():
+            self.stops.append((at, self.grace_s))
+            self.exit_before_s = at + self.grace_s
         self.processes["node"].terminate()
 
+    def has_overrun(self) -> bool:
+        """Return whether the node should have exited, unless it was held up."""
+        now = time.time()
+        if self.exit_before_s is None or now < self.exit_before_s + EXIT_ALLOWANCE_S:
+            return False
+        return not self.may_be_harmed_between(self.stops[-1][0], now)
+
+    def change_grace(self, grace_s: float) -> None:
+        """Change the grace period, also of a node that is stopping.
+
+        :param grace_s: new grace period, s
+        """
+        self.grace_s = grace_s
+        if self.exit_before_s is not None:
+            stop_s, shortest_s = self.stops[-1]
+            self.stops[-1] = (stop_s, min(grace_s, shortest_s))
+            self.exit_before_s = max(self.exit_before_s, stop_s + grace_s)
+
 
 class SoakFleet:
     """Store, relay, nodes and targets as processes.
@@ -157,6 +197,7 @@
         """Start the node of a machine."""
         path = self.write_settings(machine)
         machine.start_count += 1
+        machine.exit_before_s = None
         machine.processes["node"] = self._start(
             f"{machine.name}-node{machine.start_count}",
             str(ROOT / "deploy/run_node.py"),
@@ -232,6 +273,11 @@
             for kind, process in list(machine.processes.items()):
                 code = process.poll()
                 if code is None:
+                    if kind == "node" and machine.has_overrun():
+                        failures.append(
+                            f"{machine.name}: node outlived its grace period"
+                        )
+                        process.kill()
                     continue
                 if kind == "target":
                     self.start_target(machine)
--- a/tests/soak_programs.py
+++ b/tests/soak_programs.py
@@ -31,7 +31,7 @@
 # Time after which a target exits without an acknowledgement of its departure, s.
 UNACKNOWLEDGED_EXIT_S = 4.0
 RUN_RANGE_S = (0.05, 0.25)
-SLOTS = 16
+SLOTS = 32
 CHAIN_PATH = "/jobs/chain/"
 CALLED_PATH = "/maps/called/1"
 CALL_DEADLINE_MS = 1_000
--- a/tests/test_mesh_shutdown.py
+++ b/tests/test_mesh_shutdown.py
@@ -94,10 +94,9 @@
 async def _terminate_shortened(fleet: SoakFleet, machine: Machine) -> None:
     machine.terminate_node()
     await asyncio.sleep(1.0)
-    machine.grace_s = 4.0
+    machine.change_grace(4.0)
     fleet.write_settings(machine)
     os.kill(machine.processes["node"].pid, signal.SIGHUP)
-    machine.stops[:] = [(stop_s, machine.grace_s) for stop_s, _ in machine.stops]
 
 
 async def _terminate_last(fleet: SoakFleet, machine: Machine) -> None:
