--- a/src/briardock/mesh/forwarder.py
+++ b/src/briardock/mesh/forwarder.py
@@ -48,6 +48,7 @@
 from briardock.overload.entry import Admitted, EntryAdmission, EntryRequest, TurnedAway
 from briardock.overload.placement import Balancer
 from briardock.overload.retries import RetryBudget
+from briardock.overload.shutdown import Shutdown
 
 # Deadline of a request whose caller names none, s.
 DEFAULT_DEADLINE_S = 30.0
@@ -65,13 +66,14 @@
 T = TypeVar("T")
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class RequestState:
     """State of one request while it is forwarded.
 
     :param head: decoded headers
     :param route: its route
     :param service: service chosen for it
+    :param accepted_s: time at which it was read completely
     :param expires_s: latest time of the final response
     :param from_target: whether the local target may have sent it
     :param caller_waits_until_s: time until which its caller waits
@@ -83,6 +85,7 @@
     head: RequestHead
     route: Route
     service: str
+    accepted_s: float
     expires_s: float
     from_target: bool
     caller_waits_until_s: float
@@ -90,6 +93,11 @@
     age_s: float = 0.0
     unresolved: bool = False
 
+    @property
+    def passed_on(self) -> bool:
+        """Whether a target may have received it."""
+        return self.unresolved or self.attempts.may_have_run
+
     @property
     def entry_request(self) -> EntryRequest:
         """What decides whether it is admitted."""
@@ -138,6 +146,10 @@
     ) -> None:
         self.routes: RouteTable | None = None
         self.called_services = CalledServices()
+        # Set at the stop signal.
+        self.shutdown: Shutdown | None = None
+        self._requests_in_flight: dict[RequestState, Deadline] = {}
+        self._has_ended = False
         self.settings = settings
         self._dialect = dialect
         self._members = members
@@ -216,6 +228,7 @@
             head,
             route,
             service,
+            now_s(),
             request.received_s + timeout_limit_s,
             not self._entry_routes.observe(route, self.routes.longest_timeout_s),
             request.received_s + deadline_s,
@@ -237,23 +250,33 @@
         return response
 
     async def _forward(self, request: Request, state: RequestState) -> Response:
+        shutdown = self.shutdown
+        if shutdown and not shutdown.accepts(state.expires_s, state.accepted_s):
+            return self._refuse_without_run(state, "node is stopping")
         refusal = self._admit(state)
         if refusal is not None:
             return refusal
+        deadline = Deadline(self._loop, state.expires_s)
+        self._requests_in_flight[state] = deadline
         try:
-            with Deadline(self._loop, state.expires_s):
+            with deadline:
                 result = await self._try_instances(request, state)
         except TimeoutError:
-            if state.unresolved or state.attempts.may_have_run:
-                return self._fail_request(state, 504, "timeout")
-            result = NotRun("timeout before an instance took it")
+            reason = "node stopped" if self._has_ended else "timeout"
+            if state.passed_on:
+                return self._fail_request(state, 504, reason)
+            result = NotRun(f"{reason} before an instance took it")
+        except asyncio.CancelledError:
+            self._record_abandoned(state)
+            raise
+        finally:
+            del self._requests_in_flight[state]
         match result:
             case Completed(response):
                 self._telemetry.completed.inc()
                 return response
             case NotRun(reason) if not state.attempts.may_have_run:
-                retry_after_s = self._entry.retry_after_s(state.entry_request, 0.0)
-                return self._refuse(state.head, reason, retry_after_s)
+                return self._refuse_without_run(state, reason)
             case NotRun(reason) | Unknown(reason):
                 return self._fail_request(state, 502, reason)
 
@@ -293,6 +316,10 @@
 
         return _cached(self._room_elsewhere, service, determine)
 
+    def _refuse_without_run(self, state: RequestState, reason: str) -> Response:
+        retry_after_s = self._entry.retry_after_s(state.entry_request, 0.0)
+        return self._refuse(state.head, reason, retry_after_s)
+
     def _refuse(self, head: RequestHead, reason: str, retry_after_s: float) -> Response:
         self._log.event("refused", id=head.request_id.decode("latin-1"), reason=reason)
         self._telemetry.requests.labels("refused").inc()
@@ -311,12 +338,48 @@
         self._telemetry.requests.labels("failed").inc()
         return Response(status)
 
+    def _record_abandoned(self, state: RequestState) -> None:
+        self._log.event(
+            "caller-left",
+            id=state.head.request_id.decode("latin-1"),
+            route=state.route.name,
+            passed_on=state.passed_on,
+            age_s=round(now_s() - state.accepted_s, 3),
+        )
+        self._telemetry.requests.labels("caller-left").inc()
+
+    def end_attempts(self) -> None:
+        """Make no further attempts for the requests in flight."""
+        self._has_ended = True
+
+    def end_requests(self) -> int:
+        """Answer the requests in flight: not run, or 504 if a target may run them.
+
+        :return: their number
+        """
+        assert self.shutdown is not None
+        for state, deadline in self._requests_in_flight.items():
+            self._log.event(
+                "cut-off",
+                id=state.head.request_id.decode("latin-1"),
+                route=state.route.name,
+                passed_on=state.passed_on,
+                accepted_after_stop_s=round(
+                    state.accepted_s - self.shutdown.started_s, 3
+                ),
+            )
+            deadline.expire()
+        return len(self._requests_in_flight)
+
     async def _try_instances(self, request: Request, state: RequestState) -> Result:
         self._budget(state.service).record_request(now_s())
         attempts = state.attempts
         target_response: Completed | None = None
         result: Result = NotRun("no instance")
-        while (record := await self._choose_instance(state)) is not None:
+        while not self._has_ended:
+            record = await self._choose_instance(state)
+            if record is None:
+                break
             may_hand_on = attempts.may_hand_on and self._has_room_elsewhere(
                 state.service
             )
--- a/src/briardock/mesh/node.py
+++ b/src/briardock/mesh/node.py
@@ -10,7 +10,7 @@
 
 from briardock.exceptions import SettingsError
 from briardock.mesh.callgraph import EntryRoutes
-from briardock.mesh.calls import LoadReport, Result, decode_call, encode_result
+from briardock.mesh.calls import LoadReport, NotRun, Result, decode_call, encode_result
 from briardock.mesh.decisions import FLUSH_PERIOD_S, DecisionLog
 from briardock.mesh.dialect import Departure, Dialect, Store, Undecodable
 from briardock.mesh.forwarder import Forwarder
@@ -40,6 +40,7 @@
 )
 from briardock.overload.chain import LearnedThresholds
 from briardock.overload.placement import Balancer
+from briardock.overload.shutdown import Shutdown
 
 PEER_POOL = PoolSettings(
     connect_timeout_s=0.5, idle_timeout_s=20.0, unacknowledged_timeout_s=1.0
@@ -52,11 +53,10 @@
 # Share of the memory limit for request bodies of callers. A body is held in up to three
 # copies while it is forwarded.
 BODY_MEMORY_SHARE = 0.15
-# Time after a stop signal during which the node still accepts requests, s. Callers are
-# directed elsewhere after two failed readiness checks, one second apart.
-SHUTDOWN_DELAY_S = 2.8
-# Time before the end of the grace period at which the node exits, s.
-SHUTDOWN_MARGIN_S = 0.2
+# Period at which a stopping node checks whether it can end, s, and the longest time for
+# which it waits until its last answers are written.
+STOP_CHECK_PERIOD_S = 0.05
+LAST_ANSWERS_S = 0.1
 POOL_SWEEP_PERIOD_S = 2.0
 # Longest time for which the acknowledgement of a departure waits for the store, s. A
 # target treats an acknowledgement that takes more than 1 s as missing.
@@ -183,7 +183,7 @@
         )
         self._metrics_server = HttpServer(self._handle_metrics, CallerLimits(), log)
         self._stopping = asyncio.Event()
-        self._peer_calls_in_flight = 0
+        self._shutdown: Shutdown | None = None
 
     def _install(self, config: RoutingConfig) -> None:
         self.forwarder.routes = RouteTable(config)
@@ -248,11 +248,13 @@
         if call is None:
             return Response(400)
         started_s = now_s()
-        self._peer_calls_in_flight += 1
-        try:
+        shutdown = self._shutdown
+        if shutdown is None or shutdown.accepts_call(
+            call.expires_s, call.idempotent, self.target.run_time_s, started_s
+        ):
             result: Result = await self.target.run(call)
-        finally:
-            self._peer_calls_in_flight -= 1
+        else:
+            result = NotRun("node is stopping")
         self.telemetry.target_latency.observe(now_s() - started_s)
         thresholds = self.forwarder.thresholds(call.from_caller)
         return encode_result(result, LoadReport(self.target.in_flight, thresholds))
@@ -415,6 +417,8 @@
             self.settings, **{name: getattr(loaded, name) for name in applied}
         )
         self.forwarder.settings = self.settings
+        if self._shutdown is not None:
+            self._set_shutdown(replace(self._shutdown, grace_s=self.settings.grace_s))
         needs_restart = sorted(set(changed) - set(applied))
         self.log.event("reloaded", applied=applied, needs_restart=needs_restart)
         if "service" in applied or "target_address" in applied:
@@ -440,13 +444,48 @@
         self._caller_server.closing = True
         self.members.update_local(leaving=True)
         self.replicator.local_record_changed()
-        end_s = started_s + self.settings.grace_s - SHUTDOWN_MARGIN_S
-        while now_s() < end_s:
-            await asyncio.sleep(0.05)
-            if now_s() - started_s < SHUTDOWN_DELAY_S:
-                continue
-            self._caller_server.close_idle()
-            if not self._caller_server.connections and not self._peer_calls_in_flight:
-                break
-        self.log.event("stopped", connections=len(self._caller_server.connections))
+        self._set_shutdown(Shutdown(started_s, self.settings.grace_s))
+        while self._must_serve(now_s()):
+            await asyncio.sleep(STOP_CHECK_PERIOD_S)
+        cut_off_count = await self._end_requests()
+        self.log.event(
+            "stopped",
+            connections=len(self._caller_server.connections),
+            cut_off=cut_off_count,
+            calls=self._peer_server.busy_count,
+            duration_s=round(now_s() - started_s, 3),
+        )
         self.log.flush()
+
+    def _set_shutdown(self, shutdown: Shutdown) -> None:
+        self._shutdown = self.forwarder.shutdown = shutdown
+
+    def _must_serve(self, now: float) -> bool:
+        """Return whether a stopping node has to go on, and close idle connections."""
+        assert self._shutdown is not None
+        if now < self._shutdown.accepts_all_until_s:
+            return True
+        self._caller_server.close_idle()
+        is_busy = (
+            self._caller_server.busy_count
+            or self._peer_server.busy_count
+            or self.target.running
+        )
+        return bool(is_busy) and now < self._shutdown.ends_s
+
+    async def _end_requests(self) -> int:
+        """Refuse new connections and answer the requests in flight.
+
+        :return: number of the callers' requests that did not complete
+        """
+        self._caller_server.stop_listening()
+        self._peer_server.stop_listening()
+        self.forwarder.end_attempts()
+        self.target.end_queue()
+        # Queued requests are refused as not run before the others are cut off.
+        await asyncio.sleep(LAST_ANSWERS_S / 10)
+        cut_off_count = self.forwarder.end_requests()
+        until_s = now_s() + LAST_ANSWERS_S
+        while self._caller_server.busy_count and now_s() < until_s:
+            await asyncio.sleep(LAST_ANSWERS_S / 10)
+        return cut_off_count
--- /dev/null
+++ b/tests/test_mesh_stop.py
@@ -0,0 +1,178 @@
+"""Requests and calls that reach a node after its stop signal."""
+
+import asyncio
+from dataclasses import replace
+
+import pytest
+
+from briardock.mesh.http1 import Request, Response
+from mesh_fakes import Fleet, Machine, fleet, respond_normally, route
+
+pytestmark = pytest.mark.anyio
+
+# Short, so that tests are fast; all requests are accepted for half of it.
+GRACE_S = 2.0
+LONG = route("long", "/jobs/", timeout="5s")
+LONG_ONCE = route("long-once", "/once/", kind="non_idempotent", timeout="5s")
+SHORT = route("short", "/jobs/short/", timeout="350ms")
+
+
+@pytest.fixture
+def anyio_backend() -> tuple[str, dict[str, bool]]:
+    return "asyncio", {"use_uvloop": True}
+
+
+async def run_slowly(request: Request) -> Response:
+    await asyncio.sleep(4.0)
+    return await respond_normally(request)
+
+
+async def start(
+    created: Fleet, node_id: str = "n1", grace_s: float = GRACE_S
+) -> Machine:
+    machine = await created.add(node_id, "jobs")
+    machine.settings = replace(machine.settings, grace_s=grace_s)
+    machine.node._load_settings = lambda: machine.settings
+    machine.node.reload()
+    return machine
+
+
+async def stop_after(machine: Machine, delay_s: float) -> None:
+    machine.node._stopping.set()
+    await asyncio.sleep(delay_s)
+
+
+@pytest.mark.parametrize(
+    ("path", "after_stop_s", "status"),
+    [
+        ("/jobs/1", 0.3, 200),
+        ("/jobs/1", 1.3, 503),
+        ("/once/1", 1.3, 503),
+        ("/jobs/short/1", 1.2, 200),
+        ("/jobs/short/1", 1.45, 503),
+    ],
+)
+async def test_request_that_may_outlast_a_stopping_node_is_refused_as_not_run(
+    path: str, after_stop_s: float, status: int
+) -> None:
+    """It was accepted until the process exited, and lost with it."""
+    async with fleet(LONG, LONG_ONCE, SHORT) as created:
+        machine = await start(created)
+        await created.settle()
+        in_flight = asyncio.create_task(hold(machine, 1.6))
+        await asyncio.sleep(0.1)
+        await stop_after(machine, after_stop_s)
+        response = await machine.call(path)
+        assert response.status == status
+        is_run = [r for r in machine.target.requests if r.target == path.encode()]
+        assert len(is_run) == (status == 200)
+        assert status == 200 or b"retry-after" in dict(response.headers)
+        assert (await in_flight).status == 200
+
+
+async def hold(machine: Machine, run_time_s: float) -> Response:
+    """Keep the node busy with one request, so that it does not end early."""
+
+    async def run(request: Request) -> Response:
+        if request.target == b"/jobs/held":
+            await asyncio.sleep(run_time_s)
+        return await respond_normally(request)
+
+    machine.target.behaviour = run
+    return await machine.call("/jobs/held")
+
+
+@pytest.mark.parametrize("path", ["/jobs/1", "/once/1"])
+async def test_request_in_flight_at_the_end_of_the_grace_period_is_answered(
+    path: str,
+) -> None:
+    """Its connection was closed without an answer when the process exited."""
+    async with fleet(LONG, LONG_ONCE) as created:
+        machine = await start(created)
+        await created.settle()
+        machine.target.behaviour = run_slowly
+        in_flight = asyncio.create_task(machine.call(path))
+        await asyncio.sleep(0.1)
+        machine.node._stopping.set()
+        async with asyncio.timeout(GRACE_S):
+            await machine.task
+        assert (await in_flight).status == 504
+
+
+async def test_queued_request_is_refused_at_the_end_of_the_grace_period() -> None:
+    async with fleet(LONG) as created:
+        machine = await start(created)
+        await created.settle()
+        machine.target.behaviour = run_slowly
+        tasks = [
+            asyncio.create_task(machine.call(f"/jobs/{i}", f"r{i}")) for i in range(8)
+        ]
+        await asyncio.sleep(0.1)
+        machine.node._stopping.set()
+        async with asyncio.timeout(GRACE_S):
+            await machine.task
+        run_ids = {dict(r.headers)[b"request-id"] for r in machine.target.requests}
+        for number, task in enumerate(tasks):
+            was_run = f"r{number}".encode() in run_ids
+            assert (await task).status == (504 if was_run else 503)
+        assert 0 < len(run_ids) < len(tasks)
+
+
+@pytest.mark.parametrize(("path", "status"), [("/once/1", 503), ("/jobs/1", 200)])
+async def test_late_call_of_another_node_is_not_lost(path: str, status: int) -> None:
+    """The node beside the last instance took calls until its process exited.
+
+    It still takes calls that may be repeated while they are likely to complete.
+    """
+    async with fleet(LONG, LONG_ONCE) as created:
+        last = await start(created)
+        other = await created.add("n2", "maps")
+        await created.settle()
+        for number in range(5):
+            assert (await other.call("/jobs/1", f"w{number}")).status == 200
+        last.node.target.update_run_time()
+        in_flight = asyncio.create_task(hold(last, 1.6))
+        await asyncio.sleep(0.1)
+        await stop_after(last, 1.2)
+        response = await other.call(path, "late")
+        assert response.status == status
+        assert (await in_flight).status == 200
+
+
+async def test_grace_period_shortened_during_a_stop_takes_effect() -> None:
+    """The node exited at the end of the former grace period, after it was killed."""
+    async with fleet(LONG) as created:
+        machine = await start(created, grace_s=6.0)
+        await created.settle()
+        machine.target.behaviour = run_slowly
+        in_flight = asyncio.create_task(machine.call("/jobs/1"))
+        await asyncio.sleep(0.1)
+        await stop_after(machine, 0.2)
+        machine.settings = replace(machine.settings, grace_s=GRACE_S)
+        machine.node.reload()
+        async with asyncio.timeout(GRACE_S - 0.2):
+            await machine.task
+        assert (await in_flight).status == 504
+
+
+@pytest.mark.parametrize("stopping", [False, True])
+async def test_pipelined_requests_are_all_answered(stopping: bool) -> None:
+    """A node that was stopping announced the close in the first answer of several."""
+    async with fleet(LONG) as created:
+        machine = await start(created)
+        await created.settle()
+        if stopping:
+            await stop_after(machine, 0.1)
+        host, port = machine.settings.caller_address.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        for number in range(3):
+            head = f"GET /jobs/{number} HTTP/1.1\r\nhost: a.example\r\n"
+            writer.write(f"{head}request-id: p{number}\r\n\r\n".encode())
+        received = b""
+        async with asyncio.timeout(1.0):
+            while received.count(b"response to p") < 3:
+                received += await reader.read(4096)
+        answers = received.split(b"HTTP/1.1 ")[1:]
+        closes = [b"connection: close" in answer.lower() for answer in answers]
+        assert closes == [False, False, stopping]
+        writer.close()
