--- a/tests/mesh_soak.py
+++ b/tests/mesh_soak.py
@@ -40,6 +40,9 @@
 # Period at which stalls of the soak itself are measured, s. On an overcommitted machine
 # all processes stall at times; the limits exclude the time of these stalls.
 STALL_PERIOD_S = 0.1
+# Period of the probes of targets, and the duration from which a probe is slow, s.
+PROBE_PERIOD_S = 0.2
+SLOW_PROBE_S = 0.05
 # Time after the timeout of a route within which a running node must respond or close
 # the connection, s.
 RESPONSE_ALLOWANCE_S = 1.8
@@ -178,6 +181,17 @@
                 self._stalled_s += excess_s
                 self.results.stalls.append((time.time(), excess_s))
 
+    async def _probe_target(self, machine: Machine) -> None:
+        """Record slow exchanges with a target through its link."""
+        while not self._stopping:
+            await asyncio.sleep(PROBE_PERIOD_S)
+            started_s = time.time()
+            # Names no target, so that it is rejected.
+            await _status(machine.link_address, "/probe")
+            ended_s = time.time()
+            if ended_s - started_s > SLOW_PROBE_S:
+                machine.slow_probes.append((started_s, ended_s))
+
     async def _restart_ended(self) -> None:
         while not self._stopping:
             await asyncio.sleep(RESTART_PERIOD_S)
@@ -204,6 +218,9 @@
                 asyncio.create_task(self._watch_versions(m))
                 for m in self.fleet.machines
             ]
+            tasks += [
+                asyncio.create_task(self._probe_target(m)) for m in self.fleet.machines
+            ]
             tasks.append(asyncio.create_task(self._measure_stalls()))
             restart_task = asyncio.create_task(self._restart_ended())
             await self.faults.inject()
--- a/tests/soak_machines.py
+++ b/tests/soak_machines.py
@@ -78,6 +78,8 @@
     # Times of those that may break off its requests: a process is killed or frozen, or
     # the link to the target fails.
     harm_times: list[float] = field(default_factory=list)
+    # Begin and end of slow exchanges with its target, without a node between.
+    slow_probes: list[tuple[float, float]] = field(default_factory=list)
     # Times at which its frozen node continued.
     resume_times: list[float] = field(default_factory=list)
     # Times of SIGTERM to its node, each with the shortest grace period from then on, s.
@@ -137,6 +139,20 @@
             self.exit_before_s = at + self.grace_s
         self.processes["node"].terminate()
 
+    def target_delay_s(self, start_s: float, end_s: float) -> float:
+        """Return how late the link and the target were in a period, s.
+
+        On busy processors both stall at times, whatever the node does.
+        """
+        return max(
+            (
+                probe_end_s - probe_start_s
+                for probe_start_s, probe_end_s in self.slow_probes
+                if probe_start_s < end_s and probe_end_s > start_s
+            ),
+            default=0.0,
+        )
+
     def has_overrun(self) -> bool:
         """Return whether the node should have exited, unless it was held up."""
         now = time.time()
