Reproduce calls lost by a node that ends as soon as it is idle

A node beside the last instance of a service that ends in the moment when no call is in flight takes calls of other nodes until its process exits: _end_requests waits 10 ms, and _handle_peer still accepts what expires before the end of the grace period. Their callers get 502 although a target has started them.

--- a/tests/test_mesh_shutdown.py
+++ b/tests/test_mesh_shutdown.py
@@ -1,4 +1,4 @@
-"""Nodes that end beside long requests, as real processes on loopback.
+"""Nodes that end beside requests, as real processes on loopback.
 
 Guards against requests that were taken late in the grace period, passed on to a target
 and lost with the node, and against work for callers that had left.
@@ -9,7 +9,7 @@
 import os
 import signal
 import time
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable, Coroutine, Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -37,8 +37,13 @@
 LAST_RUNS_S = 1.5
 RUN_RANGE_S = (0.9, 1.0)
 ROUTE_TIMEOUT_S = 4.0
+# Runs, timeout and callers of the row in which the node is idle at times.
+SHORT_RUN_RANGE_S = (0.02, 0.03)
+SHORT_TIMEOUT_S = 1.0
+SHORT_CALLERS = 12
 READ, ONCE, CHAIN = "/jobs/long/", "/once/long/", "/jobs/chain/"
 MAPS, MAPS_ONCE = "/maps/long/", "/once/maps/"
+SHORT, SHORT_ONCE = "/maps/short/", "/once/short/"
 ROUTES = (
     route("probe", "/jobs/"),
     route("probe-maps", "/maps/", service="maps"),
@@ -46,6 +51,10 @@
     route("once", ONCE, kind="non_idempotent", timeout="4s"),
     route("maps", MAPS, service="maps", timeout="4s"),
     route("maps-once", MAPS_ONCE, service="maps", kind="non_idempotent", timeout="4s"),
+    route("short", SHORT, service="maps", timeout="1s"),
+    route(
+        "short-once", SHORT_ONCE, service="maps", kind="non_idempotent", timeout="1s"
+    ),
     route("called", "/maps/called/", service="maps", timeout="4s"),
     route("chain", CHAIN, timeout="4s"),
 )
@@ -57,6 +66,8 @@
     ONCE: RUN_RANGE_S,
     MAPS: RUN_RANGE_S,
     MAPS_ONCE: RUN_RANGE_S,
+    SHORT: SHORT_RUN_RANGE_S,
+    SHORT_ONCE: SHORT_RUN_RANGE_S,
 }
 LEAVES_AFTER_S = 0.4
 
@@ -123,6 +134,7 @@
     :param read: path of requests that may be repeated
     :param once: path of those that may not
     :param services: machines by service
+    :param timeout_s: deadline that the callers name, s
     :param least_run_count: runs that must start in the first 2 s after SIGTERM
     """
 
@@ -133,6 +145,7 @@
     read: str = READ
     once: str = ONCE
     services: Mapping[str, int] = field(default_factory=lambda: {"jobs": 2, "maps": 1})
+    timeout_s: float = ROUTE_TIMEOUT_S
     least_run_count: int = 15
 
 
@@ -151,6 +164,17 @@
         MAPS_ONCE,
         {"jobs": 1, "maps": 2},
     ),
+    # The node ends as soon as it is idle, and calls that come then must not be lost.
+    Stop(
+        "last instance idle",
+        _terminate_last,
+        "maps-0",
+        ("jobs-0",),
+        SHORT,
+        SHORT_ONCE,
+        {"jobs": 1, "maps": 2},
+        SHORT_TIMEOUT_S,
+    ),
     Stop("target makes calls", entries=("jobs-0", "maps-0"), read=CHAIN),
 )
 
@@ -180,7 +204,7 @@
         self._request_count += 1
         once = path.startswith("/once/")
         return CallerRequest(
-            f"s{self._request_count}", path, once, ROUTE_TIMEOUT_S, leaves_after_s
+            f"s{self._request_count}", path, once, self._stop.timeout_s, leaves_after_s
         )
 
     async def _callers(
@@ -282,25 +306,37 @@
         """Kill all processes."""
         self._fleet.stop()
 
+    def _work(self, entry: Machine) -> list[Coroutine[None, None, None]]:
+        """Return the callers of one node.
+
+        :param entry: machine of the node
+        """
+        stop = self._stop
+        if stop.read == SHORT:
+            paths = [stop.read, stop.once] * (SHORT_CALLERS // 2)
+            return [
+                self._callers(entry, path, 0.08 + 0.004 * number)
+                for number, path in enumerate(paths)
+            ]
+        return [
+            self._overlapping_callers(entry, stop.read),
+            self._callers(entry, stop.once, 0.1, keeps=False),
+            self._callers(entry, stop.read, 0.0),
+            self._callers(entry, stop.once, 0.2),
+            self._callers(entry, stop.read, 0.1, pipelined=3),
+            self._callers(entry, stop.read, 0.1, pipelined=3, obeys_close=False),
+            self._callers(entry, stop.read, 0.1, leaves_after_s=LEAVES_AFTER_S),
+            # More than a node reads ahead.
+            self._callers(
+                entry, stop.read, 0.1, pipelined=6, leaves_after_s=LEAVES_AFTER_S
+            ),
+        ]
+
     async def _stop_beside_callers(self) -> None:
         stop = self._stop
         tasks = [asyncio.create_task(self._watch())]
         for name in stop.entries:
-            entry = self._machines[name]
-            for work in (
-                self._overlapping_callers(entry, stop.read),
-                self._callers(entry, stop.once, 0.1, keeps=False),
-                self._callers(entry, stop.read, 0.0),
-                self._callers(entry, stop.once, 0.2),
-                self._callers(entry, stop.read, 0.1, pipelined=3),
-                self._callers(entry, stop.read, 0.1, pipelined=3, obeys_close=False),
-                self._callers(entry, stop.read, 0.1, leaves_after_s=LEAVES_AFTER_S),
-                # More than a node reads ahead.
-                self._callers(
-                    entry, stop.read, 0.1, pipelined=6, leaves_after_s=LEAVES_AFTER_S
-                ),
-            ):
-                tasks.append(asyncio.create_task(work))
+            tasks += map(asyncio.create_task, self._work(self._machines[name]))
         await asyncio.sleep(TRAFFIC_BEFORE_STOP_S)
         await stop.act(self._fleet, self._machine)
         rest_s = self._machine.stops[0][0] + TRAFFIC_AFTER_STOP_S - time.time()
