--- a/src/briardock/mesh/http_server.py
+++ b/src/briardock/mesh/http_server.py
@@ -56,8 +56,11 @@
 
     @property
     def busy_count(self) -> int:
-        """Number of connections with a request being read, pending or in flight."""
-        return sum(not connection.idle for connection in self.connections)
+        """Number of connections with a request or with unsent bytes of a response."""
+        return sum(
+            not connection.idle or connection.has_unsent_bytes
+            for connection in self.connections
+        )
 
     async def start(self, host: str, port: int) -> None:
         """Listen on an address.
@@ -140,6 +143,11 @@
         """Whether no request is being read, pending or in flight."""
         return not (self._responding or self._reading or self._pending_requests)
 
+    @property
+    def has_unsent_bytes(self) -> bool:
+        """Whether bytes of a response have not been handed to the kernel yet."""
+        return bool(self._transport and self._transport.get_write_buffer_size())
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the task that serves this connection."""
         # uvloop's transports do not derive from those of asyncio.
@@ -150,13 +158,13 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the requests of a caller that has disconnected."""
         self._server.connections.discard(self)
-        self._release_buffered()
+        self._count_buffered(-self._buffered_bytes)
         if self._task is not None:
             self._task.cancel()
 
-    def _release_buffered(self) -> None:
-        self._server.buffered_bytes -= self._buffered_bytes
-        self._buffered_bytes = 0
+    def _count_buffered(self, size_bytes: int) -> None:
+        self._buffered_bytes += size_bytes
+        self._server.buffered_bytes += size_bytes
 
     def eof_received(self) -> bool:
         """Treat a half-close by the caller as a disconnect."""
@@ -221,12 +229,14 @@
         """Add a part of the body."""
         self._body.append(body)
         self._body_bytes += len(body)
-        self._buffered_bytes += len(body)
-        self._server.buffered_bytes += len(body)
+        self._count_buffered(len(body))
 
     def on_message_complete(self) -> None:
         """Queue a complete request for the task of the connection."""
         if self._body_bytes > self._server.limits.body_bytes:
+            self._refuse(413)
+        if self._refusal_status is not None:
+            # Requests after the refused one are discarded.
             return
         request = Request(
             self._parser.get_method(),
@@ -264,8 +274,7 @@
                 return
             self._transport.write(encode_response(response, request.method == b"HEAD"))
             self._responding = False
-            if not self._reading and not self._pending_requests:
-                self._release_buffered()
+            self._count_buffered(-len(request.body))
             self._last_active_s = now_s()
             if response.close and not self._pending_requests:
                 self._transport.close()
