--- a/tests/test_mesh_shutdown.py
+++ b/tests/test_mesh_shutdown.py
@@ -134,7 +134,7 @@
     :param read: path of requests that may be repeated
     :param once: path of those that may not
     :param services: machines by service
-    :param timeout_s: deadline that the callers name, s
+    :param long: path of additional long requests beside short ones
     :param least_run_count: runs that must start in the first 2 s after SIGTERM
     """
 
@@ -145,7 +145,7 @@
     read: str = READ
     once: str = ONCE
     services: Mapping[str, int] = field(default_factory=lambda: {"jobs": 2, "maps": 1})
-    timeout_s: float = ROUTE_TIMEOUT_S
+    long: str = ""
     least_run_count: int = 15
 
 
@@ -173,7 +173,17 @@
         SHORT,
         SHORT_ONCE,
         {"jobs": 1, "maps": 2},
-        SHORT_TIMEOUT_S,
+    ),
+    # The mean run time of the target says little about its long runs.
+    Stop(
+        "last instance with mixed runs",
+        _terminate_last,
+        "maps-0",
+        ("jobs-0",),
+        SHORT,
+        SHORT_ONCE,
+        {"jobs": 1, "maps": 2},
+        MAPS,
     ),
     Stop("target makes calls", entries=("jobs-0", "maps-0"), read=CHAIN),
 )
@@ -203,8 +213,9 @@
     def _request(self, path: str, leaves_after_s: float = 8.0) -> CallerRequest:
         self._request_count += 1
         once = path.startswith("/once/")
+        timeout_s = SHORT_TIMEOUT_S if path in (SHORT, SHORT_ONCE) else ROUTE_TIMEOUT_S
         return CallerRequest(
-            f"s{self._request_count}", path, once, self._stop.timeout_s, leaves_after_s
+            f"s{self._request_count}", path, once, timeout_s, leaves_after_s
         )
 
     async def _callers(
@@ -314,10 +325,13 @@
         stop = self._stop
         if stop.read == SHORT:
             paths = [stop.read, stop.once] * (SHORT_CALLERS // 2)
-            return [
+            work = [
                 self._callers(entry, path, 0.08 + 0.004 * number)
                 for number, path in enumerate(paths)
             ]
+            if stop.long:
+                work += [self._callers(entry, stop.long, 0.05) for _ in range(3)]
+            return work
         return [
             self._overlapping_callers(entry, stop.read),
             self._callers(entry, stop.once, 0.1, keeps=False),
