--- a/src/briardock/mesh/http_server.py
+++ b/src/briardock/mesh/http_server.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 server that runs one task per connection."""
 
 import asyncio
+import select
 from collections import deque
 from collections.abc import Awaitable, Callable
 from typing import cast
@@ -18,6 +19,9 @@
 MAX_UNPARSED_BYTES = 64 * 1024
 # Default limit on the request bodies buffered by one server, bytes.
 DEFAULT_BUFFERED_BYTES = 64 * 1024 * 1024
+# Idle time before which a stopping server does not close a connection, s: a request may
+# be on its way, above all on a connection that was just accepted.
+MIN_CLOSED_IDLE_S = 0.1
 # Period of the check for idle and slow connections, s.
 SWEEP_PERIOD_S = 1.0
 
@@ -97,9 +101,10 @@
                 connection.enforce_timeouts(now)
 
     def close_idle(self) -> None:
-        """Close the connections without a request being read, pending or in flight."""
+        """Close the connections that have been without a request for a moment."""
+        latest_active_s = now_s() - MIN_CLOSED_IDLE_S
         for connection in list(self.connections):
-            if connection.idle:
+            if connection.idle and connection.last_active_s < latest_active_s:
                 connection.close_gracefully()
 
     def stop_listening(self) -> None:
@@ -116,6 +121,7 @@
         self._parser = httptools.HttpRequestParser(self)
         self._transport: asyncio.Transport | None = None
         self._task: asyncio.Task[None] | None = None
+        self._disconnect_poll = select.poll()
         self._pending_requests: deque[Request] = deque()
         self._waiter: asyncio.Future[None] | None = None
         self._responding = False
@@ -125,7 +131,7 @@
         self._refusal_status: int | None = None
         self._unparsed = bytearray()
         self._buffered_bytes = 0
-        self._last_active_s = now_s()
+        self.last_active_s = now_s()
         self._reset_message()
 
     def _reset_message(self) -> None:
@@ -152,6 +158,8 @@
         """Start the task that serves this connection."""
         # uvloop's transports do not derive from those of asyncio.
         self._transport = cast(asyncio.Transport, transport)
+        socket = transport.get_extra_info("socket")
+        self._disconnect_poll.register(socket.fileno(), select.POLLRDHUP)
         self._server.connections.add(self)
         self._task = asyncio.get_running_loop().create_task(self._serve())
 
@@ -264,6 +272,11 @@
             request = self._pending_requests.popleft()
             if self._unparsed and len(self._pending_requests) < MAX_PIPELINED_REQUESTS:
                 self._parse_kept()
+            if self._disconnect_poll.poll(0):
+                # The end of the connection is read only after what came before it, so a
+                # node that was frozen would pass on requests of callers that have left.
+                self._transport.close()
+                return
             self._responding = True
             response = await self._server.respond(request)
             # After an announced close, the caller reads no further responses.
@@ -275,7 +288,7 @@
             self._transport.write(encode_response(response, request.method == b"HEAD"))
             self._responding = False
             self._count_buffered(-len(request.body))
-            self._last_active_s = now_s()
+            self.last_active_s = now_s()
             if response.close and not self._pending_requests:
                 self._transport.close()
                 return
@@ -313,7 +326,7 @@
         if self._reading:
             if self._in_head and now - self._received_s > limits.header_timeout_s:
                 self._refuse(408)
-        elif now - self._last_active_s > limits.idle_timeout_s:
+        elif now - self.last_active_s > limits.idle_timeout_s:
             self.close_gracefully()
 
     def close_gracefully(self) -> None:
