Judge by the longest recent run whether a late call can complete

Cause: four mean run times say little where few requests run much longer than the others. Change: a late call that may be repeated is accepted if 1.5 times the longest run of the last 10 to 20 s is left.

--- a/src/briardock/mesh/node.py
+++ b/src/briardock/mesh/node.py
@@ -254,7 +254,7 @@
         started_s = now_s()
         shutdown = self._shutdown
         if shutdown is None or shutdown.accepts_call(
-            call.expires_s, call.idempotent, self.target.run_time_s, started_s
+            call.expires_s, call.idempotent, self.target.longest_run_s, started_s
         ):
             result: Result = await self.target.run(call)
         else:
--- a/src/briardock/mesh/target.py
+++ b/src/briardock/mesh/target.py
@@ -18,7 +18,7 @@
 from briardock.mesh.model import Announcement, TargetState, now_s
 from briardock.mesh.pool import ConnectionPool
 from briardock.overload.admission import TargetThreshold, Usage
-from briardock.overload.speed import SpeedMeter
+from briardock.overload.speed import LongestRun, SpeedMeter
 from briardock.overload.waiting import (
     WaitingQueue,
     latest_start_s,
@@ -91,6 +91,7 @@
         self._caller_threshold = TargetThreshold()
         self._service_time_s = INITIAL_SERVICE_TIME_S
         self._speed = SpeedMeter()
+        self._longest_run = LongestRun()
         self._run_starts_s: dict[int, float] = {}
         self._counts_changed_s = self._usage_updated_s = now_s()
         self._tasks: set[asyncio.Task[Result]] = set()
@@ -366,6 +367,7 @@
             )
             if response.status < 500:
                 self._speed.record_run(now_s() - started_s, now_s())
+                self._longest_run.record_run(now_s() - started_s, now_s())
         if decoded.idle_timeout_s is not None:
             connection.idle_timeout_s = decoded.idle_timeout_s
         self._pool.release(self.address, connection)
@@ -396,11 +398,18 @@
         """Mean run time of requests, as it is published."""
         return self._speed.published_s
 
+    @property
+    def longest_run_s(self) -> float:
+        """Longest run time of the last seconds, 0 if it is not known."""
+        return self._longest_run.value_s(self._running_ages_s(now_s()))
+
     def update_run_time(self) -> bool:
         """Update the published run time; return whether it has changed."""
         now = now_s()
-        ages_s = [now - started_s for started_s in self._run_starts_s.values()]
-        return self._speed.update(ages_s, now)
+        return self._speed.update(self._running_ages_s(now), now)
+
+    def _running_ages_s(self, now: float) -> list[float]:
+        return [now - started_s for started_s in self._run_starts_s.values()]
 
     def threshold(self, from_caller: bool) -> float:
         """Return the admission threshold of this target.
--- a/src/briardock/overload/shutdown.py
+++ b/src/briardock/overload/shutdown.py
@@ -18,8 +18,8 @@
 # largest part of the grace period for it: a target may use all but the last sixth.
 ANSWER_MARGIN_S = 0.3
 MAX_ANSWER_MARGIN_SHARE = 1 / 6
-# Multiple of the mean run time that a call is assumed to take.
-RUN_TIME_FACTOR = 4.0
+# Multiple of the longest recent run time that a call is assumed to take at most.
+RUN_TIME_FACTOR = 1.5
 # Time between two runs of a periodic task above which the process was stalled, s.
 MIN_STALL_S = 0.5
 # Time after a stall in which a signal that was sent during it is handled, s.
@@ -89,7 +89,7 @@
         return now < self.accepts_all_until_s or expires_s <= self.ends_s
 
     def accepts_call(
-        self, expires_s: float, idempotent: bool, run_time_s: float, now: float
+        self, expires_s: float, idempotent: bool, longest_run_s: float, now: float
     ) -> bool:
         """Return whether a call of another node is accepted.
 
@@ -98,13 +98,13 @@
 
         :param expires_s: time at which its result is no longer wanted
         :param idempotent: whether it may run more than once
-        :param run_time_s: mean run time of requests at the target, 0 if unknown
+        :param longest_run_s: longest recent run at the target, 0 if unknown
         :param now: current time in s since boot
         """
         if (
             idempotent
-            and run_time_s
-            and now + RUN_TIME_FACTOR * run_time_s <= self.ends_s
+            and longest_run_s
+            and now + RUN_TIME_FACTOR * longest_run_s <= self.ends_s
         ):
             return True
         return self.accepts(expires_s, now)
--- a/src/briardock/overload/speed.py
+++ b/src/briardock/overload/speed.py
@@ -21,6 +21,8 @@
 # Time without a run after which the published time is withdrawn, s: an instance that
 # is avoided for its speed has to be tried again.
 IDLE_TIME_S = 8.0
+# Time for which the longest run counts at least, s.
+LONGEST_RUN_WINDOW_S = 10.0
 
 
 class SpeedMeter:
@@ -86,3 +88,32 @@
         self.published_s = run_time_s
         self._published_at_s = now
         return True
+
+
+class LongestRun:
+    """Longest run time of the last seconds.
+
+    A few requests may run much longer than the mean.
+    """
+
+    def __init__(self) -> None:
+        self._window_started_s = -math.inf
+        self._window_s = self._previous_window_s = 0.0
+
+    def record_run(self, run_time_s: float, now: float) -> None:
+        """Record a run that has ended.
+
+        :param run_time_s: how long it took
+        :param now: current time in s since boot
+        """
+        if now - self._window_started_s > LONGEST_RUN_WINDOW_S:
+            self._window_started_s = now
+            self._previous_window_s, self._window_s = self._window_s, 0.0
+        self._window_s = max(self._window_s, run_time_s)
+
+    def value_s(self, running_ages_s: list[float]) -> float:
+        """Return the longest run time, 0 if it is not known.
+
+        :param running_ages_s: times since the start of the current runs
+        """
+        return max(self._window_s, self._previous_window_s, *running_ages_s, 0.0)
--- a/tests/test_overload_speed.py
+++ b/tests/test_overload_speed.py
@@ -7,7 +7,7 @@
 
 from briardock.mesh.members import MemberTable
 from briardock.overload.placement import Balancer
-from briardock.overload.speed import IDLE_TIME_S, SpeedMeter
+from briardock.overload.speed import IDLE_TIME_S, LongestRun, SpeedMeter
 from mesh_builders import record
 
 CONTROL_PERIOD_S = 0.15
@@ -107,3 +107,23 @@
         balancer = Balancer(members, "d1", random.Random(1))
         balancer.choose("jobs", set(), True, 100.0)
         assert balancer._slowness == {}
+
+
+@pytest.mark.parametrize(
+    ("runs", "running_ages_s", "longest_s"),
+    [
+        ([], [], 0.0),
+        ([], [0.7], 0.7),
+        ([(0.0, 0.1), (1.0, 2.0), (2.0, 0.1)], [0.3], 2.0),
+        ([(0.0, 2.0), (11.0, 0.1)], [], 2.0),
+        ([(0.0, 2.0), (11.0, 0.1), (22.0, 0.2)], [], 0.2),
+    ],
+)
+def test_few_long_runs_beside_many_short_ones_count(
+    runs: list[tuple[float, float]], running_ages_s: list[float], longest_s: float
+) -> None:
+    """By their mean, calls were accepted that outlasted the node."""
+    longest_run = LongestRun()
+    for ended_s, run_time_s in runs:
+        longest_run.record_run(run_time_s, 1_000.0 + ended_s)
+    assert longest_run.value_s(running_ages_s) == longest_s
