Let the store of the tests be restored from a copy

The stand-in carries the era in all of its responses, answers 410 to reads beyond its end, creates topics on first use, and loses with `restore` what was appended after a time.

--- a/tests/mesh_fakes.py
+++ b/tests/mesh_fakes.py
@@ -4,6 +4,8 @@
 import base64
 import json
 import struct
+import time
+from collections import defaultdict
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field, replace
@@ -28,7 +30,6 @@
 from briardock_standins._processes import PortPool
 
 HOST = "127.0.0.1"
-KEYED_TOPICS = ("keyed.op", "keyed.briardock-nodes")
 _PORTS = PortPool()
 
 Behaviour = Callable[[Request], Awaitable[Response]]
@@ -77,68 +78,92 @@
 
 
 class FakeStore:
-    """Keyed topics of the platform's store; ``down`` makes it respond with 503."""
+    """Keyed topics of the platform's store.
+
+    ``down`` makes it respond with 503. ``restore`` takes it back to an earlier state,
+    as if it came back from a copy; each response carries the era, which then rises.
+    """
 
     def __init__(self, address: str) -> None:
         self.address = address
         self.down = False
+        self.era = 1
         self.appends = 0
         self.calls = 0
-        self._topics: dict[str, list[tuple[str, bytes]]] = {t: [] for t in KEYED_TOPICS}
-        self._added = asyncio.Event()
+        # Records of each topic as time of the append, key and value.
+        self._topics: dict[str, list[tuple[float, str, bytes]]] = defaultdict(list)
+        self._changed = asyncio.Event()
         self.server = HttpServer(self._handle, CallerLimits(), quiet_log())
 
     def put(self, topic: str, key: str, value: bytes) -> None:
-        self._topics[topic].append((key, value))
-        self._added.set()
-        self._added = asyncio.Event()
+        self._topics[topic].append((time.monotonic(), key, value))
+        self._wake_readers()
+
+    def restore(self, copied_s: float) -> None:
+        """Lose all records that were appended after a time, and begin a new era.
+
+        :param copied_s: time of the copy on the monotonic clock, s
+        """
+        for records in self._topics.values():
+            records[:] = [record for record in records if record[0] <= copied_s]
+        self.era += 1
+        self._wake_readers()
+
+    def _wake_readers(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
 
     def newest(self, topic: str) -> dict[str, bytes]:
         """Return the newest record of each key."""
-        return dict(self._topics[topic])
+        return {key: value for _, key, value in self._topics[topic]}
 
     async def _handle(self, request: Request) -> Response:
         self.calls += 1
-        if self.down:
-            return Response(503)
+        response = Response(503) if self.down else await self._respond(request)
+        response.headers.append((b"store-era", b"%d" % self.era))
+        return response
+
+    async def _respond(self, request: Request) -> Response:
         url = urlsplit(request.target.decode())
         query = {k: v[0] for k, v in parse_qs(url.query).items()}
-        records = self._topics[query["topic"]]
+        topic = query["topic"]
         match url.path:
             case "/log-append":
                 self.appends += 1
                 (size,) = struct.unpack_from(">I", request.body)
                 record = request.body[4 : 4 + size]
                 key = record[1 : 1 + record[0]].decode()
-                self.put(query["topic"], key, record[1 + record[0] :])
+                self.put(topic, key, record[1 + record[0] :])
                 return Response(200, body=b"{}")
             case "/log-newest":
                 items = [
                     {"key": k, "value": base64.b64encode(v).decode(), "offset": 0}
-                    for k, v in self.newest(query["topic"]).items()
+                    for k, v in self.newest(topic).items()
                 ]
-                body = {"items": items, "has-more": False, "end": len(records)}
+                end = len(self._topics[topic])
+                body = {"items": items, "has-more": False, "end": end}
                 return Response(200, body=json.dumps(body).encode())
             case "/log-read":
-                return await self._read(records, query)
+                return await self._read(topic, query)
         return Response(404)
 
-    async def _read(
-        self, records: list[tuple[str, bytes]], query: dict[str, str]
-    ) -> Response:
+    async def _read(self, topic: str, query: dict[str, str]) -> Response:
         offset = int(query["from"])
         wait_s = int(query.get("wait-ms", "0")) / 1000
+        records = self._topics[topic]
         loop = asyncio.get_running_loop()
         deadline = loop.time() + wait_s
-        while len(records) <= offset and loop.time() < deadline:
-            added = self._added
+        while len(records) == offset and loop.time() < deadline:
+            changed = self._changed
             try:
                 async with asyncio.timeout_at(deadline):
-                    await added.wait()
+                    await changed.wait()
             except TimeoutError:
                 break
+        if offset > len(records):
+            return Response(410)
         body = struct.pack(">QQ", len(records), 0)
-        for key, value in records[offset:]:
+        for _, key, value in records[offset:]:
             record = bytes([len(key)]) + key.encode() + value
             body += struct.pack(">I", len(record)) + record
         return Response(200, body=body)
