Read streams anew after the store was restored from a copy

After a restore the store gives out offsets again. A node went on at its former offset: if the stream had grown past that again, no status told it, and it never read the configuration or the node records written before it. The adapter now decodes the era of each response, and a read position is valid in its own era only. A position is also given up after a failure: a status other than 410 made a node ask with the same offset for good.

The tests of the restore timed out before, after 2 s for the configuration and 3 s for the records (end past the position; the case with the end below it passed, by 410); the one of a failing read after 2 s.

--- a/src/briardock/mesh/dialect.py
+++ b/src/briardock/mesh/dialect.py
@@ -87,14 +87,21 @@
     """A call to the store failed or had no usable response.
 
     :param reason: why it failed
+    :param era: era of the store, 0 if it is not known
     """
 
     reason: str
+    era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class Trimmed:
-    """The store no longer keeps the records from the requested offset on."""
+    """The store does not have the records from the requested offset on.
+
+    :param era: era of the store, 0 if it is not known
+    """
+
+    era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,14 +110,31 @@
 
     :param items: pairs of key and value, oldest first
     :param next_offset: offset at which to continue reading
+    :param era: era of the store, 0 if it is not known
     """
 
     items: list[tuple[str, bytes]]
     next_offset: int
+    era: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Appended:
+    """The store has acknowledged a record.
+
+    :param era: era of the store, 0 if it is not known
+    """
+
+    era: int = 0
 
 
 class Store(Protocol):
-    """Durable streams of keyed records."""
+    """Streams of keyed records.
+
+    They are durable, except that the store may be restored from a copy that is some
+    seconds old. That begins a new era: what was appended since the copy is lost, and
+    offsets are given out again. Each response tells the era, which only rises.
+    """
 
     async def read_newest(self, stream: str) -> Records | StoreFailure:
         """Return the newest record of each key."""
@@ -122,7 +146,9 @@
         """Return the records from an offset on, waiting for the first up to a time."""
         ...
 
-    async def append(self, stream: str, key: str, value: bytes) -> None | StoreFailure:
+    async def append(
+        self, stream: str, key: str, value: bytes
+    ) -> Appended | StoreFailure:
         """Append a record."""
         ...
 
--- a/src/briardock/mesh/replication.py
+++ b/src/briardock/mesh/replication.py
@@ -15,6 +15,7 @@
 from briardock.mesh.dialect import (
     CONFIG_STREAM,
     NODES_STREAM,
+    Appended,
     Dialect,
     Records,
     Store,
@@ -25,6 +26,7 @@
 from briardock.mesh.members import MemberTable, NodeRecord
 from briardock.mesh.model import RoutingConfig, now_s
 from briardock.mesh.pool import ConnectionPool
+from briardock.mesh.positions import ReadPosition, next_position
 from briardock.mesh.readers import ReaderElection
 from briardock.mesh.replica import Replica
 from briardock.mesh.sync import PeerSync
@@ -151,6 +153,14 @@
         """Sync with a random node once per period."""
         await self._sync.sync_periodically()
 
+    async def _read(
+        self, stream: str, position: ReadPosition | None, wait_s: float
+    ) -> Records | Trimmed | StoreFailure:
+        """Read a stream from a position on, or the newest records without one."""
+        if position is None:
+            return await self._store.read_newest(stream)
+        return await self._store.read_from(stream, position.offset, wait_s)
+
     # Configuration
 
     def _read_age_s(self) -> float | None:
@@ -191,28 +201,20 @@
     async def watch_config(self) -> None:
         """Long-poll the store for new versions of the operator's configuration."""
         await self._discovered.wait()
-        offset = -1
+        position: ReadPosition | None = None
         backoff_s = INITIAL_BACKOFF_S
         while True:
             if not self._election.should_read(now_s()):
                 await asyncio.sleep(READER_SEARCH_PERIOD_S)
                 continue
-            result: Records | Trimmed | StoreFailure
-            if offset < 0:
-                result = await self._store.read_newest(CONFIG_STREAM)
-            else:
-                result = await self._store.read_from(
-                    CONFIG_STREAM, offset, CONFIG_WAIT_S
-                )
+            result = await self._read(CONFIG_STREAM, position, CONFIG_WAIT_S)
+            position = next_position(position, result)
             match result:
                 case Records():
                     self._apply_config_records(result)
-                    offset = result.next_offset
                     backoff_s = INITIAL_BACKOFF_S
                     self._record_read(now_s())
                     self._record_store_success(CONFIG_STREAM)
-                case Trimmed():
-                    offset = -1
                 case StoreFailure(reason):
                     self._record_store_failure(CONFIG_STREAM, reason)
                     await asyncio.sleep(backoff_s * self._rng.uniform(0.7, 1.3))
@@ -238,25 +240,20 @@
         """Read node records until other nodes are known, then if this node reads."""
         delays = list(INITIAL_READ_DELAYS_S)
         reads = 0
-        offset = -1
+        position: ReadPosition | None = None
         while True:
-            result: Records | Trimmed | StoreFailure
-            if offset < 0:
-                result = await self._store.read_newest(NODES_STREAM)
-            else:
-                result = await self._store.read_from(NODES_STREAM, offset, 0.0)
+            result = await self._read(NODES_STREAM, position, 0.0)
+            position = next_position(position, result)
             match result:
                 case Records():
                     self._merge_node_records(result)
-                    offset = result.next_offset
                     self._nodes_read.set()
                     self._record_store_success("nodes")
-                case Trimmed():
-                    offset = -1
-                    continue
                 case StoreFailure(reason):
                     self._record_store_failure("nodes", reason)
                     delays.insert(0, MAX_BACKOFF_S / 2)
+            if position is None and not isinstance(result, StoreFailure):
+                continue
             reads += 1
             if self._members.count > 1 or reads > 1:
                 self._discovered.set()
@@ -288,20 +285,19 @@
             self._publish_urgent.clear()
             local_record = self._members.local_record
             value = msgspec.msgpack.encode(local_record)
-            failure = await self._store.append(
-                NODES_STREAM, local_record.node_id, value
-            )
-            if failure is None:
-                backoff_s = INITIAL_BACKOFF_S
-                self._record_store_success("publish")
-                if not self._publish_due.is_set():
-                    self._local_record_stored.set()
-                continue
-            self._record_store_failure("publish", failure.reason)
-            self._publish_due.set()
-            self._publish_urgent.set()
-            await asyncio.sleep(backoff_s * self._rng.uniform(0.7, 1.3))
-            backoff_s = min(MAX_BACKOFF_S, 2 * backoff_s)
+            result = await self._store.append(NODES_STREAM, local_record.node_id, value)
+            match result:
+                case Appended():
+                    backoff_s = INITIAL_BACKOFF_S
+                    self._record_store_success("publish")
+                    if not self._publish_due.is_set():
+                        self._local_record_stored.set()
+                case StoreFailure(reason):
+                    self._record_store_failure("publish", reason)
+                    self._publish_due.set()
+                    self._publish_urgent.set()
+                    await asyncio.sleep(backoff_s * self._rng.uniform(0.7, 1.3))
+                    backoff_s = min(MAX_BACKOFF_S, 2 * backoff_s)
 
     async def _wait_before_write(self) -> None:
         try:
--- a/src/briardock/platform/_store.py
+++ b/src/briardock/platform/_store.py
@@ -9,11 +9,13 @@
 from briardock.mesh.dialect import (
     CONFIG_STREAM,
     NODES_STREAM,
+    Appended,
     Records,
     StoreFailure,
     Trimmed,
 )
 from briardock.mesh.http1 import ExchangeFailure, Response, encode_request
+from briardock.mesh.model import Headers
 from briardock.mesh.pool import ConnectionPool, PoolSettings
 
 TOPICS = {CONFIG_STREAM: "keyed.op", NODES_STREAM: "keyed.briardock-nodes"}
@@ -22,6 +24,9 @@
 )
 # Timeout of a call, in addition to the time that a read waits for a record, s.
 RESPONSE_TIMEOUT_S = 1.5
+ERA_HEADER = b"store-era"
+# Largest number of digits of an era, so that it fits the integers of messages.
+MAX_ERA_DIGITS = 18
 
 
 class _NewestItem(msgspec.Struct):
@@ -48,26 +53,27 @@
     async def read_newest(self, stream: str) -> Records | StoreFailure:
         """Return the newest record of each key."""
         items: list[tuple[str, bytes]] = []
-        first_end = None
+        first: Records | None = None
         after = ""
         while True:
             path = f"/log-newest?topic={TOPICS[stream]}&part=0{after}"
             response = await self._call("GET", path)
             if isinstance(response, StoreFailure):
                 return response
+            era = decode_era(response.headers)
             if response.status != 200:
-                return StoreFailure(f"status {response.status}")
+                return StoreFailure(f"status {response.status}", era)
             try:
                 page = msgspec.json.decode(response.body, type=_NewestPage)
                 rows = [(i.key, base64.b64decode(i.value)) for i in page.items]
             except (msgspec.DecodeError, ValueError) as error:
-                return StoreFailure(f"undecodable: {error}")
+                return StoreFailure(f"undecodable: {error}", era)
             items += rows
             # The pages together are no snapshot, so later reads start at the end offset
-            # of the first page.
-            first_end = page.end if first_end is None else first_end
+            # of the first page, in the era of that page.
+            first = first or Records(items, page.end, era)
             if not page.has_more or not rows:
-                return Records(items, first_end)
+                return first
             after = f"&after={rows[-1][0]}"
 
     async def read_from(
@@ -80,13 +86,16 @@
         response = await self._call("GET", path, wait_s)
         if isinstance(response, StoreFailure):
             return response
+        era = decode_era(response.headers)
         if response.status == 410:
-            return Trimmed()
+            return Trimmed(era)
         if response.status != 200 or len(response.body) < 16:
-            return StoreFailure(f"status {response.status}")
-        return _decode_records(response.body, offset)
+            return StoreFailure(f"status {response.status}", era)
+        return _decode_records(response.body, offset, era)
 
-    async def append(self, stream: str, key: str, value: bytes) -> None | StoreFailure:
+    async def append(
+        self, stream: str, key: str, value: bytes
+    ) -> Appended | StoreFailure:
         """Append a record."""
         record = bytes([len(key)]) + key.encode() + value
         body = struct.pack(">I", len(record)) + record
@@ -94,9 +103,10 @@
         response = await self._call("POST", path, body=body)
         if isinstance(response, StoreFailure):
             return response
+        era = decode_era(response.headers)
         if response.status != 200:
-            return StoreFailure(f"status {response.status}")
-        return None
+            return StoreFailure(f"status {response.status}", era)
+        return Appended(era)
 
     async def _call(
         self, method: str, path: str, wait_s: float = 0.0, body: bytes = b""
@@ -117,7 +127,16 @@
         return response
 
 
-def _decode_records(body: bytes, offset: int) -> Records | StoreFailure:
+def decode_era(headers: Headers) -> int:
+    """Return the era of the store in a response, 0 without a valid one.
+
+    :param headers: headers of the response
+    """
+    text = dict(headers).get(ERA_HEADER, b"").strip()
+    return int(text) if text.isdigit() and len(text) <= MAX_ERA_DIGITS else 0
+
+
+def _decode_records(body: bytes, offset: int, era: int) -> Records | StoreFailure:
     """Decode the body of a read: end and first offset, 8 bytes each, then records."""
     items = []
     position = 16
@@ -125,8 +144,8 @@
         (size,) = struct.unpack_from(">I", body, position)
         record = body[position + 4 : position + 4 + size]
         if len(record) != size or not record:
-            return StoreFailure("truncated record")
+            return StoreFailure("truncated record", era)
         key = record[1 : 1 + record[0]].decode("utf-8", "replace")
         items.append((key, record[1 + record[0] :]))
         position += 4 + size
-    return Records(items, offset + len(items))
+    return Records(items, offset + len(items), era)
--- a/tests/test_mesh_platform.py
+++ b/tests/test_mesh_platform.py
@@ -12,6 +12,7 @@
 from briardock.mesh.model import Announcement, RoutingConfig, TargetState
 from briardock.platform._dialect import PlatformDialect, parse_duration_s
 from briardock.platform._settings import METRICS_PORT, load_settings
+from briardock.platform._store import decode_era
 from mesh_fakes import config, route
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -124,6 +125,16 @@
     assert isinstance(DIALECT.decode_announcement(request(path, body)), Undecodable)
 
 
+@pytest.mark.parametrize(
+    ("value", "era"),
+    [(b"7", 7), (b" 12 ", 12), (b"", 0), (b"-1", 0), (b"x", 0), (b"9" * 40, 0)],
+)
+def test_era_of_the_store(value: bytes, era: int) -> None:
+    """A value that no message between nodes can hold must not end a task."""
+    assert decode_era([(b"store-era", value)]) == era
+    assert decode_era([]) == 0
+
+
 @pytest.mark.parametrize(("body", "born_ms"), [(b"", 0), (b'{"born":7}', 7)])
 def test_departure(body: bytes, born_ms: int) -> None:
     decoded = DIALECT.decode_announcement(request("/instances/i-1/deregister", body))
@@ -227,6 +238,7 @@
 
 def test_platform_names_do_not_occur_in_the_mesh_package() -> None:
     names = ("deadline-ms", "not-executed", "caller-service", "log-append", "keyed.op")
+    names += ("store-era",)
     for path in (ROOT / "src/briardock/mesh").rglob("*.py"):
         text = path.read_text().lower()
         assert not [name for name in names if name in text], path
--- /dev/null
+++ b/tests/test_mesh_store_restore.py
@@ -0,0 +1,161 @@
+"""Restores of the store from a copy, which lose what it had acknowledged since."""
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+
+import msgspec
+import pytest
+
+from briardock.mesh import replication
+from briardock.mesh.http1 import Request, Response
+from briardock.mesh.members import NodeRecord
+from mesh_builders import record
+from mesh_fakes import Fleet, config, eventually, fleet, route
+
+pytestmark = pytest.mark.anyio
+
+CONFIG = "keyed.op"
+NODES = "keyed.briardock-nodes"
+# Bound on the time until an acknowledged configuration is in force, s.
+CONFIG_BOUND_S = 2.0
+# Time within which a node writes its record again, s: the longest write delay, and
+# the time until it learns of the restore.
+REWRITE_BOUND_S = 3.0
+
+
+@pytest.fixture
+def anyio_backend() -> tuple[str, dict[str, bool]]:
+    return "asyncio", {"use_uvloop": True}
+
+
+def put_config(system: Fleet, version: int, prefix: str = "/jobs/") -> None:
+    system.store.put(CONFIG, "config", config(version, route("r", prefix)))
+
+
+async def in_force(system: Fleet, version: int, timeout_s: float) -> None:
+    """Wait until all machines have a version."""
+
+    async def all_have_it() -> bool:
+        nodes = [machine.node for machine in system.machines.values()]
+        return {node.replicator.config_version for node in nodes} == {version}
+
+    await eventually(all_have_it, timeout_s)
+
+
+def stored_records(system: Fleet) -> dict[str, NodeRecord]:
+    return {
+        key: msgspec.msgpack.decode(value, type=NodeRecord)
+        for key, value in system.store.newest(NODES).items()
+    }
+
+
+async def all_stored(system: Fleet, timeout_s: float = 10.0) -> None:
+    """Wait until the store has a current record of all machines."""
+
+    async def stored() -> bool:
+        records = stored_records(system)
+        return all(
+            name in records
+            and records[name].order == machine.node.members.local_record.order
+            for name, machine in system.machines.items()
+        )
+
+    await eventually(stored, timeout_s)
+
+
+def intercept(
+    system: Fleet,
+    path: bytes,
+    topic: str,
+    respond: Callable[[Callable[[], Awaitable[Response]]], Awaitable[Response]],
+) -> None:
+    """Replace the store's response to one kind of call.
+
+    :param path: path of the calls
+    :param topic: their topic
+    :param respond: called with a function that executes the call
+    """
+    handle = system.store.server._handler
+
+    async def handle_intercepted(request: Request) -> Response:
+        if request.target.startswith(path) and topic.encode() in request.target:
+            return await respond(lambda: handle(request))
+        return await handle(request)
+
+    system.store.server._handler = handle_intercepted
+
+
+@pytest.mark.parametrize(
+    ("lost", "later"),
+    [
+        pytest.param(3, 0, id="end-below-the-position"),
+        pytest.param(1, 2, id="end-past-the-position"),
+    ],
+)
+async def test_configuration_written_before_the_former_read_position_is_read(
+    lost: int, later: int
+) -> None:
+    """A node kept its read position; nothing told it that the records before that had
+    been replaced.
+    """
+    async with fleet() as system:
+        await system.add("n1", "jobs")
+        await system.settle()
+        copied_s = time.monotonic()
+        for version in range(2, 2 + lost):
+            put_config(system, version)
+        await in_force(system, 1 + lost, CONFIG_BOUND_S)
+        system.store.restore(copied_s)
+        put_config(system, 9)
+        for number in range(later):
+            system.store.put(CONFIG, f"other-{number}", b"x")
+        await in_force(system, 9, CONFIG_BOUND_S)
+
+
+async def test_node_records_written_before_the_former_read_position_are_read(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A reader never saw a node that started just after the restore."""
+    monkeypatch.setattr(replication, "NODES_READ_PERIOD_RANGE_S", (0.3, 0.4))
+    async with fleet() as system:
+        machine = await system.add("n1", "jobs")
+        await system.settle()
+        await all_stored(system)
+        copied_s = time.monotonic()
+
+        async def known(*names: str) -> None:
+            async def all_known() -> bool:
+                return all(machine.node.members.get(name) for name in names)
+
+            await eventually(all_known, timeout_s=REWRITE_BOUND_S)
+
+        def put(name: str) -> None:
+            other = record(name, address=f"127.0.0.1:{ord(name)}", domain="d2")
+            system.store.put(NODES, name, msgspec.msgpack.encode(other))
+
+        put("a")
+        put("b")
+        await known("a", "b")
+        system.store.restore(copied_s)
+        for name in "cde":
+            put(name)
+        await known("c", "d", "e")
+
+
+async def test_read_position_is_given_up_if_reading_from_it_fails() -> None:
+    """A node asked for good with an offset that the store refused."""
+    async with fleet() as system:
+        await system.add("n1", "jobs")
+        await system.settle()
+
+        async def refuse(execute: Callable[[], Awaitable[Response]]) -> Response:
+            await asyncio.sleep(0.1)
+            return Response(404)
+
+        intercept(system, b"/log-read", CONFIG, refuse)
+        # Ends the read in progress.
+        system.store.put(CONFIG, "other", b"x")
+        await asyncio.sleep(0.5)
+        put_config(system, 2)
+        await in_force(system, 2, CONFIG_BOUND_S)
