Write node records again that a restore of the store has lost

A node wrote its record only when that changed. After the store came back from a copy, a node that started found no peers, and the next process of a node whose acknowledged departure was lost took its target for ready. A departure could also be acknowledged by an append that the store had executed before the restore and lost.

Nodes keep the highest era of the store that they know, and tell it to each other, as most of them do not read from the store. When it rises, a node writes its record again after the usual delay, so that a fleet does not write at one moment; departures are written at once, and a record counts as stored only after that write. The event era-changed and the metric briardock_store_era show it. The store of the tests answers reads that wait when it is restored.

--- a/src/briardock/mesh/node.py
+++ b/src/briardock/mesh/node.py
@@ -296,6 +296,7 @@
     async def _handle_metrics(self, request: Request) -> Response:
         self.telemetry.queued.set(self.target.queued)
         self.telemetry.admission_threshold.set(self.target.threshold(False))
+        self.telemetry.store_era.set(self.replicator.store_era)
         return Response(
             200, [(b"content-type", b"text/plain")], self.telemetry.render()
         )
--- a/src/briardock/mesh/replica.py
+++ b/src/briardock/mesh/replica.py
@@ -20,7 +20,8 @@
 
     ``on_record`` is called with each newer record of another node, ``on_config`` with
     the source of a newer configuration, ``on_local_record`` after a merge changed the
-    record of this node, and ``on_suspects`` with entries that this node added.
+    record of this node, ``on_suspects`` with entries that this node added, and
+    ``on_store_era`` with the source of a later era of the store.
 
     :param members: records of all nodes
     :param dialect: decodes the configuration
@@ -46,6 +47,9 @@
         self.on_config: Callable[[str], None] = lambda source: None
         self.on_local_record: Callable[[], None] = lambda: None
         self.on_suspects: Callable[[list[QuarantineEntry]], None] = lambda added: None
+        self.on_store_era: Callable[[str], None] = lambda source: None
+        # Highest era of the store that is known, 0 for none.
+        self.store_era = 0
         self._local_incarnations = {members.local_record.incarnation_ms}
         self._previous_record: NodeRecord | None = None
         self._dialect = dialect
@@ -106,6 +110,18 @@
         if self.members.local_record is not local_record:
             self.on_local_record()
 
+    def observe_era(self, era: int, source: str) -> None:
+        """Keep an era of the store if it is later than the one known.
+
+        :param era: era in a response of the store or a message of a peer, 0 for none
+        :param source: ``store`` or ``peer``
+        """
+        if era <= self.store_era:
+            return
+        self._log.event("era-changed", source=source, era=era, before=self.store_era)
+        self.store_era = era
+        self.on_store_era(source)
+
     def apply_document(self, document: bytes, source: str) -> None:
         """Put a configuration into force if it is newer.
 
--- a/src/briardock/mesh/replication.py
+++ b/src/briardock/mesh/replication.py
@@ -1,8 +1,9 @@
 """Replication of node records and configuration through the store.
 
 A node reads the records of all nodes when it starts, and writes its own record when
-that changes. A few nodes of each failure domain read the operator's configuration;
-the others learn it from them, and read it themselves if nobody does.
+that changes, and when the store has come back from a copy that may lack it. A few nodes
+of each failure domain read the operator's configuration; the others learn it from them,
+and read it themselves if nobody does.
 """
 
 import asyncio
@@ -24,7 +25,7 @@
 )
 from briardock.mesh.http1 import Request, Response
 from briardock.mesh.members import MemberTable, NodeRecord
-from briardock.mesh.model import RoutingConfig, now_s
+from briardock.mesh.model import RoutingConfig, TargetState, now_s
 from briardock.mesh.pool import ConnectionPool
 from briardock.mesh.positions import ReadPosition, next_position
 from briardock.mesh.readers import ReaderElection
@@ -90,6 +91,7 @@
             members, dialect, log, install, on_joined, on_previous_record
         )
         self._replica.on_local_record = self.local_record_changed
+        self._replica.on_store_era = self._store_era_changed
         self.crash_suspects = self._replica.crash_suspects
         self._sync = PeerSync(self._replica, peers, board, log, rng, self._read_age_s)
         self._election = ReaderElection(members)
@@ -108,11 +110,30 @@
         """Version in force, -1 for none."""
         return self._replica.config_version
 
+    @property
+    def store_era(self) -> int:
+        """Highest era of the store that is known, 0 for none."""
+        return self._replica.store_era
+
     def local_record_changed(self) -> None:
         """Push the record of this node to peers and schedule its write to the store."""
+        self._schedule_write()
+        self._sync.push_local_record()
+
+    def _schedule_write(self) -> None:
         self._publish_due.set()
         self._local_record_stored.clear()
-        self._sync.push_local_record()
+
+    def _store_era_changed(self, source: str) -> None:
+        """Write the record of this node again, as the store may have lost it.
+
+        Only departures are urgent: the nodes of a fleet learn of the era at about the
+        same time, and the usual delay spreads their writes.
+        """
+        self._schedule_write()
+        if self._members.local_record.state is TargetState.LEAVING:
+            self._publish_urgent.set()
+        self._sync.push_store_era(source)
 
     def tell_thresholds(self, news: ThresholdNews) -> None:
         """Tell all nodes the admission thresholds of the local instance.
@@ -129,7 +150,7 @@
         self._sync.push_local_record()
 
     async def wait_until_stored(self, timeout_s: float) -> bool:
-        """Wait until the store has the current record of this node.
+        """Wait until the store has the current record of this node, in its latest era.
 
         :param timeout_s: longest time to wait
         :return: whether it was stored in time
@@ -157,9 +178,13 @@
         self, stream: str, position: ReadPosition | None, wait_s: float
     ) -> Records | Trimmed | StoreFailure:
         """Read a stream from a position on, or the newest records without one."""
+        result: Records | Trimmed | StoreFailure
         if position is None:
-            return await self._store.read_newest(stream)
-        return await self._store.read_from(stream, position.offset, wait_s)
+            result = await self._store.read_newest(stream)
+        else:
+            result = await self._store.read_from(stream, position.offset, wait_s)
+        self._replica.observe_era(result.era, "store")
+        return result
 
     # Configuration
 
@@ -286,6 +311,9 @@
             local_record = self._members.local_record
             value = msgspec.msgpack.encode(local_record)
             result = await self._store.append(NODES_STREAM, local_record.node_id, value)
+            # A later era schedules the write again, also if it became known during the
+            # call: the store may then have lost this record.
+            self._replica.observe_era(result.era, "store")
             match result:
                 case Appended():
                     backoff_s = INITIAL_BACKOFF_S
--- a/src/briardock/mesh/sync.py
+++ b/src/briardock/mesh/sync.py
@@ -49,6 +49,7 @@
     :param read_age_ms: time since the store was last read, by the sender or by the
         node that reads for it; -1 if that is not known
     :param thresholds: admission thresholds that instances tell all nodes
+    :param store_era: highest era of the store that the sender knows, 0 for none
     """
 
     digest: str
@@ -59,6 +60,7 @@
     bucket_digests: list[int] = []
     read_age_ms: int = -1
     thresholds: list[ThresholdNews] = []
+    store_era: int = 0
 
 
 class PeerSync:
@@ -117,6 +119,13 @@
         self._thresholds_due[news.node_id] = news
         self._schedule_push(to_all_domains=True, delay_s=THRESHOLDS_DELAY_S)
 
+    def push_store_era(self, source: str) -> None:
+        """Push the era of the store, which most nodes do not read from.
+
+        :param source: ``store`` or ``peer``
+        """
+        self._schedule_push(to_all_domains=source == "store")
+
     def _record_learned(self, record: NodeRecord) -> None:
         self._records_due[record.node_id] = record
         self._schedule_push(to_all_domains=False)
@@ -263,6 +272,7 @@
             suspects=suspects or [],
             bucket_digests=bucket_digests or [],
             read_age_ms=-1 if age_s is None else int(age_s * 1000),
+            store_era=self._replica.store_era,
         )
 
     def _digest(self) -> str:
@@ -270,6 +280,7 @@
 
     def _apply(self, message: SyncMessage) -> list[NodeRecord]:
         """Merge what a message carries; return the records of earlier processes."""
+        self._replica.observe_era(message.store_era, "peer")
         replaced = [self._replica.merge_record(record) for record in message.records]
         self._replica.quarantine.merge(message.suspects)
         now = now_s()
--- a/src/briardock/mesh/telemetry.py
+++ b/src/briardock/mesh/telemetry.py
@@ -57,6 +57,11 @@
             "Version of the configuration in force",
             registry=self.registry,
         )
+        self.store_era = Gauge(
+            "briardock_store_era",
+            "Highest era of the store that is known",
+            registry=self.registry,
+        )
 
     def render(self) -> bytes:
         """Return the metrics page."""
--- a/tests/mesh_fakes.py
+++ b/tests/mesh_fakes.py
@@ -102,6 +102,8 @@
     def restore(self, copied_s: float) -> None:
         """Lose all records that were appended after a time, and begin a new era.
 
+        Reads that wait are answered.
+
         :param copied_s: time of the copy on the monotonic clock, s
         """
         for records in self._topics.values():
@@ -150,10 +152,10 @@
     async def _read(self, topic: str, query: dict[str, str]) -> Response:
         offset = int(query["from"])
         wait_s = int(query.get("wait-ms", "0")) / 1000
-        records = self._topics[topic]
+        records, era = self._topics[topic], self.era
         loop = asyncio.get_running_loop()
         deadline = loop.time() + wait_s
-        while len(records) == offset and loop.time() < deadline:
+        while len(records) == offset and self.era == era and loop.time() < deadline:
             changed = self._changed
             try:
                 async with asyncio.timeout_at(deadline):
--- a/tests/test_mesh_store_restore.py
+++ b/tests/test_mesh_store_restore.py
@@ -10,8 +10,10 @@
 from briardock.mesh import replication
 from briardock.mesh.http1 import Request, Response
 from briardock.mesh.members import NodeRecord
+from briardock.mesh.model import TargetState
+from briardock.mesh.readers import MIN_READERS
 from mesh_builders import record
-from mesh_fakes import Fleet, config, eventually, fleet, route
+from mesh_fakes import Fleet, Machine, config, eventually, fleet, route
 
 pytestmark = pytest.mark.anyio
 
@@ -90,6 +92,7 @@
     ("lost", "later"),
     [
         pytest.param(3, 0, id="end-below-the-position"),
+        pytest.param(1, 0, id="end-at-the-position"),
         pytest.param(1, 2, id="end-past-the-position"),
     ],
 )
@@ -159,3 +162,95 @@
         await asyncio.sleep(0.5)
         put_config(system, 2)
         await in_force(system, 2, CONFIG_BOUND_S)
+
+
+async def test_records_of_all_nodes_are_written_again_over_a_second() -> None:
+    """A record that the copy lost stayed lost until its node changed. Most nodes do
+    not read from the store, and must not all write at the same moment.
+    """
+    async with fleet() as system:
+        copied_s = time.monotonic()
+        for number in range(MIN_READERS + 3):
+            await system.add(f"n{number}", "jobs")
+        await system.settle()
+        await all_stored(system)
+        system.store.restore(copied_s)
+        appends = system.store.appends
+        await asyncio.sleep(0.4 * replication.WRITE_DELAY_S)
+        assert system.store.appends == appends
+        await all_stored(system, REWRITE_BOUND_S)
+        assert system.store.appends <= appends + 2 * len(system.machines)
+
+
+async def depart_and_lose_it(system: Fleet) -> Machine:
+    """Acknowledge a departure that the store then loses."""
+    machine = await system.add("n1", "jobs")
+    await system.settle()
+    await all_stored(system)
+    copied_s = time.monotonic()
+    assert await machine.announce("draining") == 200
+    assert stored_records(system)["n1"].state is TargetState.LEAVING
+    system.store.restore(copied_s)
+    return machine
+
+
+async def test_acknowledged_departure_is_written_again_at_once() -> None:
+    """The next process of the node took the target for ready."""
+    async with fleet() as system:
+        await depart_and_lose_it(system)
+        await asyncio.sleep(0.4 * replication.WRITE_DELAY_S)
+        assert stored_records(system)["n1"].state is TargetState.LEAVING
+        restarted = await system.restart("n1")
+        await restarted.node.replicator._discovered.wait()
+        assert restarted.node.target.state is not TargetState.READY
+
+
+async def test_record_stored_before_the_restore_does_not_count_as_stored() -> None:
+    """An append that the store had executed before the restore was answered after it,
+    and a departure was acknowledged that the store had lost.
+    """
+    async with fleet() as system:
+        machine = await system.add("n1", "jobs")
+        await system.settle()
+        await all_stored(system)
+        copied_s = time.monotonic()
+        executed, released = asyncio.Event(), asyncio.Event()
+
+        async def hold(execute: Callable[[], Awaitable[Response]]) -> Response:
+            response = await execute()
+            executed.set()
+            await released.wait()
+            return response
+
+        intercept(system, b"/log-append", NODES, hold)
+        machine.node.target.leave("i-n1", 0)
+        stored = asyncio.create_task(machine.node.replicator.wait_until_stored(3.0))
+        await executed.wait()
+        system.store.restore(copied_s)
+        await asyncio.sleep(0.2)
+        assert not stored.done()
+        released.set()
+        assert await stored
+        assert stored_records(system)["n1"].state is TargetState.LEAVING
+
+
+@pytest.mark.parametrize("lost", ["configuration", "configuration and node records"])
+async def test_starting_node_gets_a_configuration_that_the_store_lost(
+    lost: str,
+) -> None:
+    """It must not use the older version from the store for longer than an exchange."""
+    async with fleet() as system:
+        if lost == "configuration and node records":
+            copied_s = time.monotonic()
+        for number in range(MIN_READERS):
+            await system.add(f"n{number}", "jobs")
+        await system.settle()
+        await all_stored(system)
+        if lost == "configuration":
+            copied_s = time.monotonic()
+        put_config(system, 5)
+        await in_force(system, 5, CONFIG_BOUND_S)
+        system.store.restore(copied_s)
+        started = await system.add("n9", "jobs")
+        await in_force(system, 5, 4.0)
+        assert started.node.members.count == MIN_READERS + 1
