Give up reads from before a restore of the store

A long poll that was open during the restore and answered late set the position again, past records of the new history; one that got no answer delayed them until its timeout. A read is now given up when a later era becomes known, and the result of an earlier era sets no position.

Before, the tests timed out for both: the new configuration was not in force after 2 s, with the eras of positions and the writes after a restore already in place.

--- a/src/briardock/mesh/positions.py
+++ b/src/briardock/mesh/positions.py
@@ -17,8 +17,19 @@
     offset: int
 
 
+def is_outdated(result: Records | Trimmed, store_era: int) -> bool:
+    """Return whether a read was executed before a restore that is already known.
+
+    :param result: result of the read
+    :param store_era: highest era of the store that is known
+    """
+    return result.era < store_era
+
+
 def next_position(
-    position: ReadPosition | None, result: Records | Trimmed | StoreFailure
+    position: ReadPosition | None,
+    result: Records | Trimmed | StoreFailure,
+    store_era: int,
 ) -> ReadPosition | None:
     """Return where to continue after a read, ``None`` to read the newest records.
 
@@ -27,8 +38,10 @@
 
     :param position: where the read started, ``None`` if it read the newest records
     :param result: result of the read
+    :param store_era: highest era of the store that is known
     """
-    match result:
-        case Records() if position is None or position.era == result.era:
-            return ReadPosition(result.era, result.next_offset)
-    return None
+    if not isinstance(result, Records) or is_outdated(result, store_era):
+        return None
+    if position is not None and position.era != result.era:
+        return None
+    return ReadPosition(result.era, result.next_offset)
--- a/src/briardock/mesh/replication.py
+++ b/src/briardock/mesh/replication.py
@@ -27,7 +27,7 @@
 from briardock.mesh.members import MemberTable, NodeRecord
 from briardock.mesh.model import RoutingConfig, TargetState, now_s
 from briardock.mesh.pool import ConnectionPool
-from briardock.mesh.positions import ReadPosition, next_position
+from briardock.mesh.positions import ReadPosition, is_outdated, next_position
 from briardock.mesh.readers import ReaderElection
 from briardock.mesh.replica import Replica
 from briardock.mesh.sync import PeerSync
@@ -104,6 +104,7 @@
         # Set once other nodes are known, or after two reads have found none.
         self._discovered = asyncio.Event()
         self._failing_uses: set[str] = set()
+        self._open_reads: set[asyncio.Timeout] = set()
 
     @property
     def config_version(self) -> int:
@@ -125,7 +126,7 @@
         self._local_record_stored.clear()
 
     def _store_era_changed(self, source: str) -> None:
-        """Write the record of this node again, as the store may have lost it.
+        """Write the record of this node again, and give up reads of an earlier era.
 
         Only departures are urgent: the nodes of a fleet learn of the era at about the
         same time, and the usual delay spreads their writes.
@@ -133,6 +134,10 @@
         self._schedule_write()
         if self._members.local_record.state is TargetState.LEAVING:
             self._publish_urgent.set()
+        now = asyncio.get_running_loop().time()
+        for scope in self._open_reads:
+            scope.reschedule(now)
+        self._open_reads.clear()
         self._sync.push_store_era(source)
 
     def tell_thresholds(self, news: ThresholdNews) -> None:
@@ -177,15 +182,33 @@
     async def _read(
         self, stream: str, position: ReadPosition | None, wait_s: float
     ) -> Records | Trimmed | StoreFailure:
-        """Read a stream from a position on, or the newest records without one."""
+        """Read a stream from a position on, or the newest records without one.
+
+        A read is given up once a later era of the store is known: its response may
+        be from before the restore, or not come at all.
+        """
         result: Records | Trimmed | StoreFailure
-        if position is None:
-            result = await self._store.read_newest(stream)
-        else:
-            result = await self._store.read_from(stream, position.offset, wait_s)
+        scope = asyncio.timeout(None)
+        self._open_reads.add(scope)
+        try:
+            async with scope:
+                if position is None:
+                    result = await self._store.read_newest(stream)
+                else:
+                    result = await self._store.read_from(
+                        stream, position.offset, wait_s
+                    )
+        except TimeoutError:
+            result = Trimmed(self._replica.store_era)
+        finally:
+            self._open_reads.discard(scope)
         self._replica.observe_era(result.era, "store")
         return result
 
+    def _must_retry(self, result: Records | Trimmed | StoreFailure) -> bool:
+        """Return whether a read has to be repeated after a delay."""
+        return isinstance(result, StoreFailure) or is_outdated(result, self.store_era)
+
     # Configuration
 
     def _read_age_s(self) -> float | None:
@@ -233,17 +256,19 @@
                 await asyncio.sleep(READER_SEARCH_PERIOD_S)
                 continue
             result = await self._read(CONFIG_STREAM, position, CONFIG_WAIT_S)
-            position = next_position(position, result)
+            position = next_position(position, result, self.store_era)
             match result:
                 case Records():
                     self._apply_config_records(result)
-                    backoff_s = INITIAL_BACKOFF_S
                     self._record_read(now_s())
                     self._record_store_success(CONFIG_STREAM)
                 case StoreFailure(reason):
                     self._record_store_failure(CONFIG_STREAM, reason)
-                    await asyncio.sleep(backoff_s * self._rng.uniform(0.7, 1.3))
-                    backoff_s = min(MAX_BACKOFF_S, 2 * backoff_s)
+            if self._must_retry(result):
+                await asyncio.sleep(backoff_s * self._rng.uniform(0.7, 1.3))
+                backoff_s = min(MAX_BACKOFF_S, 2 * backoff_s)
+            else:
+                backoff_s = INITIAL_BACKOFF_S
 
     def _apply_config_records(self, records: Records) -> None:
         for key, value in records.items:
@@ -268,7 +293,8 @@
         position: ReadPosition | None = None
         while True:
             result = await self._read(NODES_STREAM, position, 0.0)
-            position = next_position(position, result)
+            position = next_position(position, result, self.store_era)
+            must_retry = self._must_retry(result)
             match result:
                 case Records():
                     self._merge_node_records(result)
@@ -276,8 +302,9 @@
                     self._record_store_success("nodes")
                 case StoreFailure(reason):
                     self._record_store_failure("nodes", reason)
-                    delays.insert(0, MAX_BACKOFF_S / 2)
-            if position is None and not isinstance(result, StoreFailure):
+            if must_retry:
+                delays.insert(0, MAX_BACKOFF_S / 2)
+            elif position is None:
                 continue
             reads += 1
             if self._members.count > 1 or reads > 1:
@@ -285,11 +312,10 @@
             while True:
                 is_alone = self._members.count == 1
                 period_s = self._rng.uniform(*NODES_READ_PERIOD_RANGE_S)
-                if delays and (is_alone or isinstance(result, StoreFailure)):
+                if delays and (is_alone or must_retry):
                     period_s = delays.pop(0) * self._rng.uniform(0.7, 1.3)
                 await asyncio.sleep(period_s)
-                must_read = is_alone or isinstance(result, StoreFailure)
-                if must_read or self._election.should_read(now_s()):
+                if is_alone or must_retry or self._election.should_read(now_s()):
                     break
 
     async def publish(self) -> None:
--- a/tests/test_mesh_store_restore.py
+++ b/tests/test_mesh_store_restore.py
@@ -8,9 +8,11 @@
 import pytest
 
 from briardock.mesh import replication
+from briardock.mesh.dialect import Records, StoreFailure, Trimmed
 from briardock.mesh.http1 import Request, Response
 from briardock.mesh.members import NodeRecord
 from briardock.mesh.model import TargetState
+from briardock.mesh.positions import ReadPosition, next_position
 from briardock.mesh.readers import MIN_READERS
 from mesh_builders import record
 from mesh_fakes import Fleet, Machine, config, eventually, fleet, route
@@ -234,6 +236,64 @@
         assert stored_records(system)["n1"].state is TargetState.LEAVING
 
 
+@pytest.mark.parametrize("answer", ["late", "none"])
+async def test_read_that_began_before_the_restore_sets_no_position(answer: str) -> None:
+    """The late answer to a long poll moved the node past the records that were written
+    since, and a long poll without an answer delayed them.
+    """
+    async with fleet() as system:
+        machine = await system.add("n1", "jobs")
+        await system.settle()
+        copied_s = time.monotonic()
+        put_config(system, 2)
+        await in_force(system, 2, CONFIG_BOUND_S)
+        held = asyncio.Event()
+
+        async def hold(execute: Callable[[], Awaitable[Response]]) -> Response:
+            response = await execute()
+            if not held.is_set():
+                held.set()
+                await asyncio.sleep(0.5 if answer == "late" else 60.0)
+            return response
+
+        # The read in progress is answered by this record and the next one is held.
+        intercept(system, b"/log-read", CONFIG, hold)
+        system.store.put(CONFIG, "other", b"x")
+        await asyncio.sleep(0.1)
+        system.store.put(CONFIG, "other", b"y")
+        await held.wait()
+        system.store.restore(copied_s)
+        put_config(system, 9)
+        for _ in range(2):
+            system.store.put(CONFIG, "other", b"z")
+        machine.node.replicator.local_record_changed()
+        await machine.node.replicator.wait_until_stored(0.4)
+        await in_force(system, 9, CONFIG_BOUND_S)
+
+
+@pytest.mark.parametrize(
+    ("started", "result", "store_era", "expected"),
+    [
+        (None, Records([], 4, 2), 2, ReadPosition(2, 4)),
+        (ReadPosition(2, 3), Records([], 4, 2), 2, ReadPosition(2, 4)),
+        (ReadPosition(0, 3), Records([], 4, 0), 0, ReadPosition(0, 4)),
+        (ReadPosition(1, 3), Records([], 4, 2), 2, None),
+        (ReadPosition(1, 3), Records([], 4, 1), 2, None),
+        (None, Records([], 4, 1), 2, None),
+        (ReadPosition(2, 3), Trimmed(2), 2, None),
+        (ReadPosition(2, 3), StoreFailure("timeout"), 2, None),
+    ],
+)
+def test_read_position_is_valid_in_its_own_era_only(
+    started: ReadPosition | None,
+    result: Records | Trimmed | StoreFailure,
+    store_era: int,
+    expected: ReadPosition | None,
+) -> None:
+    """Offsets are given out again after a restore."""
+    assert next_position(started, result, store_era) == expected
+
+
 @pytest.mark.parametrize("lost", ["configuration", "configuration and node records"])
 async def test_starting_node_gets_a_configuration_that_the_store_lost(
     lost: str,
