Agree on the content of a version that was written again

If a restore lost a version that nodes had and the operator wrote other content under the same version, nodes kept the content that they had read first: those that ran served the lost one, and a node that started then the other one, for good. Now the content that was read in the later era is in force on all nodes; messages between nodes carry era and digest of the configuration. A document that is equal is neither sent nor put into force again, whichever era it was read in. Versions never go back.

--- a/src/briardock/mesh/replica.py
+++ b/src/briardock/mesh/replica.py
@@ -4,7 +4,9 @@
 store and any number of peers may bring the same news.
 """
 
+import hashlib
 from collections.abc import Callable
+from typing import NamedTuple
 
 from briardock.clock import SystemClock
 from briardock.mesh.crashes import CrashSuspects
@@ -15,6 +17,27 @@
 from briardock.quarantine import QuarantineEntry
 
 
+class ConfigId(NamedTuple):
+    """Names the content of a configuration; the highest id is in force.
+
+    The version decides. If a restore of the store lost a version that nodes have, and
+    the operator wrote other content under the same version, the era decides: the later
+    one is what the operator wrote last. The digest lets all nodes agree otherwise.
+
+    :param version: version given by the operator, -1 for none
+    :param era: latest era of the store in which it is known to have been read
+    :param digest: digest of the document
+    """
+
+    version: int = -1
+    era: int = 0
+    digest: str = ""
+
+    def has_content_of(self, other: "ConfigId") -> bool:
+        """Return whether both name the same content."""
+        return (self.version, self.digest) == (other.version, other.digest)
+
+
 class Replica:
     """Replicated state and its merge rules.
 
@@ -42,6 +65,7 @@
         on_previous_record: Callable[[NodeRecord], None],
     ) -> None:
         self.config: RoutingConfig | None = None
+        self.config_id = ConfigId()
         self.members = members
         self.on_record: Callable[[NodeRecord], None] = lambda record: None
         self.on_config: Callable[[str], None] = lambda source: None
@@ -63,7 +87,7 @@
     @property
     def config_version(self) -> int:
         """Version in force, -1 for none."""
-        return self.config.version if self.config is not None else -1
+        return self.config_id.version
 
     def _suspects_added(self, suspects: list[QuarantineEntry]) -> None:
         self._log.event("requests-suspected", count=len(suspects))
@@ -122,17 +146,38 @@
         self.store_era = era
         self.on_store_era(source)
 
-    def apply_document(self, document: bytes, source: str) -> None:
+    def has_newer_config(self, other: ConfigId) -> bool:
+        """Return whether a node has to replace its configuration by the one in force.
+
+        :param other: configuration of that node
+        """
+        return self.config_id > other and not self.config_id.has_content_of(other)
+
+    def confirm_config(self, other: ConfigId) -> None:
+        """Keep the later era if a node has the content in force from a later one.
+
+        :param other: configuration of that node
+        """
+        if self.config_id.has_content_of(other):
+            self.config_id = max(self.config_id, other)
+
+    def apply_document(self, document: bytes, source: str, era: int) -> None:
         """Put a configuration into force if it is newer.
 
         :param document: encoded configuration
         :param source: ``store`` or ``peer``
+        :param era: era of the store in which it was read, 0 if it is not known
         """
+        if self.config is not None and document == self.config.document:
+            self.confirm_config(self.config_id._replace(era=era))
+            return
         config = self._dialect.decode_config(document)
         if isinstance(config, Undecodable):
             self._log.event("config-undecodable", source=source, reason=config.reason)
             return
-        if config.version <= self.config_version:
+        digest = hashlib.blake2b(document, digest_size=8).hexdigest()
+        config_id = ConfigId(config.version, era, digest)
+        if config_id <= self.config_id:
             return
         self._log.event(
             "config-installed",
@@ -141,6 +186,6 @@
             before=self.config_version,
             routes=len(config.routes),
         )
-        self.config = config
+        self.config, self.config_id = config, config_id
         self._install(config)
         self.on_config(source)
--- a/src/briardock/mesh/replication.py
+++ b/src/briardock/mesh/replication.py
@@ -276,7 +276,7 @@
     def _apply_config_records(self, records: Records) -> None:
         for key, value in records.items:
             if key == "config" and value:
-                self._replica.apply_document(value, "store")
+                self._replica.apply_document(value, "store", records.era)
 
     # Node records
 
--- a/src/briardock/mesh/sync.py
+++ b/src/briardock/mesh/sync.py
@@ -19,7 +19,7 @@
 from briardock.mesh.members import NodeRecord
 from briardock.mesh.model import now_s
 from briardock.mesh.pool import ConnectionPool
-from briardock.mesh.replica import Replica
+from briardock.mesh.replica import ConfigId, Replica
 from briardock.overload.board import ThresholdBoard, ThresholdNews
 from briardock.quarantine import QuarantineEntry
 
@@ -50,6 +50,8 @@
         node that reads for it; -1 if that is not known
     :param thresholds: admission thresholds that instances tell all nodes
     :param store_era: highest era of the store that the sender knows, 0 for none
+    :param config_era: latest era in which the configuration of the sender was read
+    :param config_digest: digest of its document
     """
 
     digest: str
@@ -61,6 +63,13 @@
     read_age_ms: int = -1
     thresholds: list[ThresholdNews] = []
     store_era: int = 0
+    config_era: int = 0
+    config_digest: str = ""
+
+    @property
+    def config_id(self) -> ConfigId:
+        """Configuration of the sender."""
+        return ConfigId(self.config_version, self.config_era, self.config_digest)
 
 
 class PeerSync:
@@ -224,7 +233,7 @@
         self, record: NodeRecord, response: SyncMessage
     ) -> None:
         config = self._replica.config
-        if config is not None and response.config_version < config.version:
+        if config is not None and self._replica.has_newer_config(response.config_id):
             message = self._message()
             message.document = config.document
             await self._exchange(record, message)
@@ -253,7 +262,7 @@
             response.bucket_digests = self._members.bucket_digests
             response.suspects = self._replica.quarantine.entries()
         config = self._replica.config
-        if config is not None and message.config_version < config.version:
+        if config is not None and self._replica.has_newer_config(message.config_id):
             response.document = config.document
         return response
 
@@ -273,6 +282,8 @@
             bucket_digests=bucket_digests or [],
             read_age_ms=-1 if age_s is None else int(age_s * 1000),
             store_era=self._replica.store_era,
+            config_era=self._replica.config_id.era,
+            config_digest=self._replica.config_id.digest,
         )
 
     def _digest(self) -> str:
@@ -288,8 +299,9 @@
             if self._board.record(news, now):
                 self._thresholds_due[news.node_id] = news
                 self._schedule_push(False, THRESHOLDS_DELAY_S)
+        self._replica.confirm_config(message.config_id)
         if message.document:
-            self._replica.apply_document(message.document, "peer")
+            self._replica.apply_document(message.document, "peer", message.config_era)
         return [record for record in replaced if record is not None]
 
     async def _exchange(
--- a/tests/test_mesh_store_restore.py
+++ b/tests/test_mesh_store_restore.py
@@ -1,21 +1,35 @@
 """Restores of the store from a copy, which lose what it had acknowledged since."""
 
 import asyncio
+import random
 import time
 from collections.abc import Awaitable, Callable
 
 import msgspec
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from briardock.mesh import replication
 from briardock.mesh.dialect import Records, StoreFailure, Trimmed
 from briardock.mesh.http1 import Request, Response
-from briardock.mesh.members import NodeRecord
-from briardock.mesh.model import TargetState
+from briardock.mesh.members import MemberTable, NodeRecord
+from briardock.mesh.model import RoutingConfig, TargetState
 from briardock.mesh.positions import ReadPosition, next_position
 from briardock.mesh.readers import MIN_READERS
+from briardock.mesh.replica import ConfigId, Replica
+from briardock.mesh.sync import PeerSync
+from briardock.platform._dialect import PlatformDialect
 from mesh_builders import record
-from mesh_fakes import Fleet, Machine, config, eventually, fleet, route
+from mesh_fakes import (
+    Fleet,
+    Machine,
+    config,
+    eventually,
+    fleet,
+    quiet_log,
+    route,
+)
 
 pytestmark = pytest.mark.anyio
 
@@ -300,6 +314,66 @@
     assert next_position(started, result, store_era) == expected
 
 
+def count_config_traffic(
+    system: Fleet, monkeypatch: pytest.MonkeyPatch
+) -> Callable[[], int]:
+    """Return a function that counts installs and messages with a document."""
+    counts = {"installs": 0, "documents": 0}
+    apply = PeerSync._apply
+
+    def apply_counted(self, message):  # type: ignore[no-untyped-def]
+        counts["documents"] += bool(message.document)
+        return apply(self, message)
+
+    monkeypatch.setattr(PeerSync, "_apply", apply_counted)
+    for machine in system.machines.values():
+        replica = machine.node.replicator._replica
+        install = replica._install
+
+        def install_counted(installed, install=install):  # type: ignore[no-untyped-def]
+            counts["installs"] += 1
+            install(installed)
+
+        replica._install = install_counted
+    return lambda: sum(counts.values())
+
+
+@pytest.mark.parametrize("content", ["other", "same"])
+async def test_one_version_with_two_contents_ends_as_one_on_all_nodes(
+    content: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The nodes kept the content that the store had lost, and a node that started then
+    the other one.
+    """
+    async with fleet() as system:
+        for number in range(MIN_READERS + 2):
+            await system.add(f"n{number}", "jobs")
+        await system.settle()
+        copied_s = time.monotonic()
+        put_config(system, 5, "/jobs/lost/")
+        await in_force(system, 5, CONFIG_BOUND_S)
+        count = count_config_traffic(system, monkeypatch)
+        system.store.restore(copied_s)
+        prefix = "/jobs/kept/" if content == "other" else "/jobs/lost/"
+        put_config(system, 5, prefix)
+
+        async def all_serve_it() -> bool:
+            for machine in system.machines.values():
+                assert machine.node.replicator.config_version == 5
+                if (await machine.call(f"{prefix}1")).status != 200:
+                    return False
+            return True
+
+        await eventually(all_serve_it, CONFIG_BOUND_S)
+        await asyncio.sleep(0.5)
+        settled = count()
+        if content == "same":
+            assert settled == 0
+        await asyncio.sleep(1.0)
+        assert count() == settled
+        assert await all_serve_it()
+
+
 @pytest.mark.parametrize("lost", ["configuration", "configuration and node records"])
 async def test_starting_node_gets_a_configuration_that_the_store_lost(
     lost: str,
@@ -320,3 +394,74 @@
         started = await system.add("n9", "jobs")
         await in_force(system, 5, 4.0)
         assert started.node.members.count == MIN_READERS + 1
+
+
+CONTENTS = [
+    (config(version, route("r", prefix)), era)
+    for version in (4, 5)
+    for prefix in ("/a/", "/b/")
+    for era in (0, 1, 2)
+]
+
+
+def make_replica(
+    installed: list[RoutingConfig],
+) -> Replica:
+    members = MemberTable(record("a"))
+
+    def ignore(_: object) -> None:
+        return None
+
+    log = quiet_log()
+    return Replica(members, PlatformDialect(), log, installed.append, ignore, ignore)
+
+
+@given(st.lists(st.sampled_from(CONTENTS), min_size=1), st.randoms())
+def test_configuration_in_force_does_not_depend_on_the_order_of_news(
+    news: list[tuple[bytes, int]], rng: random.Random
+) -> None:
+    """Two nodes with one version and two contents kept a content each."""
+    ids = set()
+    for _ in range(2):
+        installed: list[RoutingConfig] = []
+        replica = make_replica(installed)
+        for document, era in news:
+            replica.apply_document(document, "store", era)
+            replica.apply_document(b"{", "store", 9)
+        versions = [item.version for item in installed]
+        assert versions == sorted(versions)
+        newest = max(item.version for item in installed)
+        expected = max(
+            (era, document)
+            for document, era in news
+            if b'"version": %d' % newest in document
+        )
+        assert replica.config_id.era == expected[0]
+        ids.add(replica.config_id)
+        rng.shuffle(news)
+    assert len(ids) == 1
+
+
+@pytest.mark.parametrize(
+    ("own", "other", "sends", "own_after"),
+    [
+        pytest.param((5, 2, "x"), (4, 3, "y"), True, (5, 2, "x"), id="newer version"),
+        pytest.param((5, 2, "x"), (5, 1, "y"), True, (5, 2, "x"), id="later era"),
+        pytest.param((5, 1, "x"), (5, 2, "y"), False, (5, 1, "x"), id="earlier era"),
+        pytest.param((5, 2, "x"), (5, 1, "x"), False, (5, 2, "x"), id="same, later"),
+        pytest.param((5, 1, "x"), (5, 2, "x"), False, (5, 2, "x"), id="same, earlier"),
+        pytest.param((5, 1, "x"), (-1, 0, ""), True, (5, 1, "x"), id="none"),
+    ],
+)
+def test_documents_are_sent_only_to_nodes_that_lack_the_content(
+    own: tuple[int, int, str],
+    other: tuple[int, int, str],
+    sends: bool,
+    own_after: tuple[int, int, str],
+) -> None:
+    """Nodes that read one document in two eras would send it to each other for good."""
+    replica = make_replica([])
+    replica.config_id = ConfigId(*own)
+    assert replica.has_newer_config(ConfigId(*other)) is sends
+    replica.confirm_config(ConfigId(*other))
+    assert replica.config_id == own_after
