Restore the store once in each run of the soak

Nodes under overlapping faults had not met a restore. Each run now restores the store once from a copy of 1 to 5 s before, and the configuration is written again up to 1.5 s later. The restore has a random source of its own, so the other faults of the listed seeds stay the same.

--- a/tests/mesh_fakes.py
+++ b/tests/mesh_fakes.py
@@ -30,6 +30,8 @@
 from briardock_standins._processes import PortPool
 
 HOST = "127.0.0.1"
+# Path at which the soak restores the store, with the age of the copy.
+RESTORE_PATH = "/restore"
 _PORTS = PortPool()
 
 Behaviour = Callable[[Request], Awaitable[Response]]
@@ -128,6 +130,9 @@
     async def _respond(self, request: Request) -> Response:
         url = urlsplit(request.target.decode())
         query = {k: v[0] for k, v in parse_qs(url.query).items()}
+        if url.path == RESTORE_PATH:
+            self.restore(time.monotonic() - int(query["age-ms"]) / 1000)
+            return Response(200)
         topic = query["topic"]
         match url.path:
             case "/log-append":
--- a/tests/mesh_soak.py
+++ b/tests/mesh_soak.py
@@ -51,7 +51,8 @@
     def __init__(self, seed: int, folder: Path) -> None:
         self.seed = seed
         self.fleet = SoakFleet(folder)
-        self.faults = Faults(self.fleet, random.Random(seed))
+        restore_rng = random.Random(f"{seed} restore")
+        self.faults = Faults(self.fleet, random.Random(seed), restore_rng)
         self.results = SoakResults()
         self._request_count = 0
         # Time for which this process itself was stalled, s.
--- a/tests/soak_faults.py
+++ b/tests/soak_faults.py
@@ -9,7 +9,7 @@
 from collections.abc import Awaitable, Callable
 
 from briardock_standins._processes import ManagedProcess
-from mesh_fakes import send
+from mesh_fakes import RESTORE_PATH, send
 from soak_machines import Machine, SoakFleet
 
 FAULT_PHASE_S = 8.0
@@ -31,6 +31,10 @@
 KINDS_WITHOUT_DELAYS = ("store link", "store frozen", "publish", "target drained")
 # Faults of a link: relay mode and delay, ms.
 LINK_FAULTS = (("open", 300), ("refuse", 0), ("black-hole", 0))
+# Range of the age of the copy from which the store is restored, s, and of the time
+# after which the operator writes the configuration again, s.
+COPY_AGE_RANGE_S = (1.0, 5.0)
+REWRITE_DELAY_RANGE_S = (0.2, 1.5)
 
 
 class Faults:
@@ -38,11 +42,16 @@
 
     :param fleet: processes
     :param rng: random source of kinds, times and machines
+    :param restore_rng: random source of the restore of the store, of its own so that
+        the other faults of a seed stay the same
     """
 
-    def __init__(self, fleet: SoakFleet, rng: random.Random) -> None:
+    def __init__(
+        self, fleet: SoakFleet, rng: random.Random, restore_rng: random.Random
+    ) -> None:
         self._fleet = fleet
         self._rng = rng
+        self._restore_rng = restore_rng
         self._restore_actions: list[Callable[[], Awaitable[None]]] = []
         self._tasks: list[asyncio.Task[None]] = []
         self.fault_log: list[str] = []
@@ -105,6 +114,14 @@
             case "publish":
                 await self._fleet.publish()
 
+    async def _restore_store(self) -> None:
+        """Restore the store from a copy; the operator writes again a moment later."""
+        age_ms = int(self._restore_rng.uniform(*COPY_AGE_RANGE_S) * 1000)
+        self.fault_log.append(f"{time.time():.2f} store restored, {age_ms} ms lost")
+        await send(self._fleet.store_address, f"{RESTORE_PATH}?age-ms={age_ms}")
+        await asyncio.sleep(self._restore_rng.uniform(*REWRITE_DELAY_RANGE_S))
+        await self._fleet.write_config()
+
     async def _freeze(self, process: ManagedProcess) -> None:
         process.freeze()
 
@@ -127,6 +144,8 @@
         times = sorted(
             self._rng.uniform(0.0, FAULT_PHASE_S) for _ in range(FAULT_COUNT)
         )
+        restore_s = self._restore_rng.uniform(0.0, FAULT_PHASE_S)
+        await self._schedule(restore_s, self._restore_store)
         started = time.monotonic()
         for at_s in times:
             await asyncio.sleep(max(0.0, started + at_s - time.monotonic()))
--- a/tests/soak_machines.py
+++ b/tests/soak_machines.py
@@ -193,6 +193,10 @@
     async def publish(self) -> None:
         """Publish a configuration with a route that only this version has."""
         self.version += 1
+        await self.write_config()
+
+    async def write_config(self) -> None:
+        """Write the newest configuration, also if it was written before."""
         routes = [
             route("jobs", "/jobs/", timeout="1200ms"),
             route("once", "/once/", kind="non_idempotent", timeout="1200ms"),
