--- a/src/briardock/mesh/replication.py
+++ b/src/briardock/mesh/replication.py
@@ -1,8 +1,9 @@
 """Replication of node records and configuration through the store.
 
 A node reads the records of all nodes when it starts, and writes its own record when
-that changes. A few nodes of each failure domain read the operator's configuration;
-the others learn it from them, and read it themselves if nobody does.
+that changes, and when the store has come back from a copy that may lack it. A few nodes
+of each failure domain read the operator's configuration; the others learn it from them,
+and read it themselves if nobody does.
 """
 
 import asyncio
@@ -15,6 +16,7 @@
 from briardock.mesh.dialect import (
     CONFIG_STREAM,
     NODES_STREAM,
+    Appended,
     Dialect,
     Records,
     Store,
@@ -23,16 +25,19 @@
 )
 from briardock.mesh.http1 import Request, Response
 from briardock.mesh.members import MemberTable, NodeRecord
-from briardock.mesh.model import RoutingConfig, now_s
+from briardock.mesh.model import RoutingConfig, TargetState, now_s
 from briardock.mesh.pool import ConnectionPool
+from briardock.mesh.positions import ReadPosition, is_outdated, next_position
 from briardock.mesh.readers import ReaderElection
 from briardock.mesh.replica import Replica
 from briardock.mesh.sync import PeerSync
 from briardock.overload.board import ThresholdBoard, ThresholdNews
 
-# Time for which a read waits for a newer configuration, s. It bounds the time until a
-# read on a connection that has gone silent is noticed.
-CONFIG_WAIT_S = 3.0
+# Range of the time for which a read waits for a newer configuration, s. It bounds the
+# time until a read on a connection that has gone silent is noticed, and until a node
+# learns of a restore from a store that leaves reads open: a configuration written then
+# must be in force within 2 s. A range, as otherwise all readers wait in step.
+CONFIG_WAIT_RANGE_S = (1.4, 1.8)
 # Period at which a node asks the one that reads for it, s, and the period while none
 # has responded.
 READER_CHECK_PERIOD_S = 0.7
@@ -88,6 +93,7 @@
             members, dialect, log, install, on_joined, on_previous_record
         )
         self._replica.on_local_record = self.local_record_changed
+        self._replica.on_store_era = self._store_era_changed
         self.crash_suspects = self._replica.crash_suspects
         self._sync = PeerSync(self._replica, peers, board, log, rng, self._read_age_s)
         self._election = ReaderElection(members)
@@ -100,17 +106,41 @@
         # Set once other nodes are known, or after two reads have found none.
         self._discovered = asyncio.Event()
         self._failing_uses: set[str] = set()
+        self._open_reads: set[asyncio.Timeout] = set()
 
     @property
     def config_version(self) -> int:
         """Version in force, -1 for none."""
         return self._replica.config_version
 
+    @property
+    def store_era(self) -> int:
+        """Highest era of the store that is known, 0 for none."""
+        return self._replica.store_era
+
     def local_record_changed(self) -> None:
         """Push the record of this node to peers and schedule its write to the store."""
+        self._schedule_write()
+        self._sync.push_local_record()
+
+    def _schedule_write(self) -> None:
         self._publish_due.set()
         self._local_record_stored.clear()
-        self._sync.push_local_record()
+
+    def _store_era_changed(self, source: str) -> None:
+        """Write the record of this node again, and give up reads of an earlier era.
+
+        Only departures are urgent: the nodes of a fleet learn of the era at about the
+        same time, and the usual delay spreads their writes.
+        """
+        self._schedule_write()
+        if self._members.local_record.state is TargetState.LEAVING:
+            self._publish_urgent.set()
+        now = asyncio.get_running_loop().time()
+        for scope in self._open_reads:
+            scope.reschedule(now)
+        self._open_reads.clear()
+        self._sync.push_store_era(source)
 
     def tell_thresholds(self, news: ThresholdNews) -> None:
         """Tell all nodes the admission thresholds of the local instance.
@@ -127,7 +157,7 @@
         self._sync.push_local_record()
 
     async def wait_until_stored(self, timeout_s: float) -> bool:
-        """Wait until the store has the current record of this node.
+        """Wait until the store has the current record of this node, in its latest era.
 
         :param timeout_s: longest time to wait
         :return: whether it was stored in time
@@ -151,6 +181,36 @@
         """Sync with a random node once per period."""
         await self._sync.sync_periodically()
 
+    async def _read(
+        self, stream: str, position: ReadPosition | None, wait_s: float
+    ) -> Records | Trimmed | StoreFailure:
+        """Read a stream from a position on, or the newest records without one.
+
+        A read is given up once a later era of the store is known: its response may
+        be from before the restore, or not come at all.
+        """
+        result: Records | Trimmed | StoreFailure
+        scope = asyncio.timeout(None)
+        self._open_reads.add(scope)
+        try:
+            async with scope:
+                if position is None:
+                    result = await self._store.read_newest(stream)
+                else:
+                    result = await self._store.read_from(
+                        stream, position.offset, wait_s
+                    )
+        except TimeoutError:
+            result = Trimmed(self._replica.store_era)
+        finally:
+            self._open_reads.discard(scope)
+        self._replica.observe_era(result.era, "store")
+        return result
+
+    def _must_retry(self, result: Records | Trimmed | StoreFailure) -> bool:
+        """Return whether a read has to be repeated after a delay."""
+        return isinstance(result, StoreFailure) or is_outdated(result, self.store_era)
+
     # Configuration
 
     def _read_age_s(self) -> float | None:
@@ -191,37 +251,32 @@
     async def watch_config(self) -> None:
         """Long-poll the store for new versions of the operator's configuration."""
         await self._discovered.wait()
-        offset = -1
+        position: ReadPosition | None = None
         backoff_s = INITIAL_BACKOFF_S
         while True:
             if not self._election.should_read(now_s()):
                 await asyncio.sleep(READER_SEARCH_PERIOD_S)
                 continue
-            result: Records | Trimmed | StoreFailure
-            if offset < 0:
-                result = await self._store.read_newest(CONFIG_STREAM)
-            else:
-                result = await self._store.read_from(
-                    CONFIG_STREAM, offset, CONFIG_WAIT_S
-                )
+            wait_s = self._rng.uniform(*CONFIG_WAIT_RANGE_S)
+            result = await self._read(CONFIG_STREAM, position, wait_s)
+            position = next_position(position, result, self.store_era)
             match result:
                 case Records():
                     self._apply_config_records(result)
-                    offset = result.next_offset
-                    backoff_s = INITIAL_BACKOFF_S
                     self._record_read(now_s())
                     self._record_store_success(CONFIG_STREAM)
-                case Trimmed():
-                    offset = -1
                 case StoreFailure(reason):
                     self._record_store_failure(CONFIG_STREAM, reason)
-                    await asyncio.sleep(backoff_s * self._rng.uniform(0.7, 1.3))
-                    backoff_s = min(MAX_BACKOFF_S, 2 * backoff_s)
+            if self._must_retry(result):
+                await asyncio.sleep(backoff_s * self._rng.uniform(0.7, 1.3))
+                backoff_s = min(MAX_BACKOFF_S, 2 * backoff_s)
+            else:
+                backoff_s = INITIAL_BACKOFF_S
 
     def _apply_config_records(self, records: Records) -> None:
         for key, value in records.items:
             if key == "config" and value:
-                self._replica.apply_document(value, "store")
+                self._replica.apply_document(value, "store", records.era)
 
     # Node records
 
@@ -238,36 +293,32 @@
         """Read node records until other nodes are known, then if this node reads."""
         delays = list(INITIAL_READ_DELAYS_S)
         reads = 0
-        offset = -1
+        position: ReadPosition | None = None
         while True:
-            result: Records | Trimmed | StoreFailure
-            if offset < 0:
-                result = await self._store.read_newest(NODES_STREAM)
-            else:
-                result = await self._store.read_from(NODES_STREAM, offset, 0.0)
+            result = await self._read(NODES_STREAM, position, 0.0)
+            position = next_position(position, result, self.store_era)
+            must_retry = self._must_retry(result)
             match result:
                 case Records():
                     self._merge_node_records(result)
-                    offset = result.next_offset
                     self._nodes_read.set()
                     self._record_store_success("nodes")
-                case Trimmed():
-                    offset = -1
-                    continue
                 case StoreFailure(reason):
                     self._record_store_failure("nodes", reason)
-                    delays.insert(0, MAX_BACKOFF_S / 2)
+            if must_retry:
+                delays.insert(0, MAX_BACKOFF_S / 2)
+            elif position is None:
+                continue
             reads += 1
             if self._members.count > 1 or reads > 1:
                 self._discovered.set()
             while True:
                 is_alone = self._members.count == 1
                 period_s = self._rng.uniform(*NODES_READ_PERIOD_RANGE_S)
-                if delays and (is_alone or isinstance(result, StoreFailure)):
+                if delays and (is_alone or must_retry):
                     period_s = delays.pop(0) * self._rng.uniform(0.7, 1.3)
                 await asyncio.sleep(period_s)
-                must_read = is_alone or isinstance(result, StoreFailure)
-                if must_read or self._election.should_read(now_s()):
+                if is_alone or must_retry or self._election.should_read(now_s()):
                     break
 
     async def publish(self) -> None:
@@ -288,20 +339,22 @@
             self._publish_urgent.clear()
             local_record = self._members.local_record
             value = msgspec.msgpack.encode(local_record)
-            failure = await self._store.append(
-                NODES_STREAM, local_record.node_id, value
-            )
-            if failure is None:
-                backoff_s = INITIAL_BACKOFF_S
-                self._record_store_success("publish")
-                if not self._publish_due.is_set():
-                    self._local_record_stored.set()
-                continue
-            self._record_store_failure("publish", failure.reason)
-            self._publish_due.set()
-            self._publish_urgent.set()
-            await asyncio.sleep(backoff_s * self._rng.uniform(0.7, 1.3))
-            backoff_s = min(MAX_BACKOFF_S, 2 * backoff_s)
+            result = await self._store.append(NODES_STREAM, local_record.node_id, value)
+            # A later era schedules the write again, also if it became known during the
+            # call: the store may then have lost this record.
+            self._replica.observe_era(result.era, "store")
+            match result:
+                case Appended():
+                    backoff_s = INITIAL_BACKOFF_S
+                    self._record_store_success("publish")
+                    if not self._publish_due.is_set():
+                        self._local_record_stored.set()
+                case StoreFailure(reason):
+                    self._record_store_failure("publish", reason)
+                    self._publish_due.set()
+                    self._publish_urgent.set()
+                    await asyncio.sleep(backoff_s * self._rng.uniform(0.7, 1.3))
+                    backoff_s = min(MAX_BACKOFF_S, 2 * backoff_s)
 
     async def _wait_before_write(self) -> None:
         try:
