Notice that a caller has left behind pipelined bodies

Cause: reading was paused at 64 KiB of unparsed bytes, which two bodies exceed; a connection that is not read does not end. Change: it is paused at 1 MiB, and unparsed bytes count as buffered. The test of a pause sets the limit that it was written for. More than 1 MiB sent ahead still hides the end.

--- a/src/briardock/mesh/http_server.py
+++ b/src/briardock/mesh/http_server.py
@@ -14,9 +14,10 @@
 
 # Pipelined requests on one connection at which further bytes are kept unparsed, and
 # the number of these bytes at which reading is paused. While it is paused, the node
-# does not learn that the caller has left.
+# does not learn that the caller has left, so the number exceeds what most callers send
+# ahead.
 MAX_PIPELINED_REQUESTS = 4
-MAX_UNPARSED_BYTES = 64 * 1024
+MAX_UNPARSED_BYTES = 1024 * 1024
 # Default limit on the request bodies buffered by one server, bytes.
 DEFAULT_BUFFERED_BYTES = 64 * 1024 * 1024
 # Period of the check for idle and slow connections, s.
@@ -180,6 +181,7 @@
             return
         if len(self._pending_requests) >= MAX_PIPELINED_REQUESTS:
             self._unparsed += data
+            self._count_buffered(len(data))
             if len(self._unparsed) >= MAX_UNPARSED_BYTES and self._transport:
                 self._transport.pause_reading()
             return
@@ -295,6 +297,7 @@
     def _parse_kept(self) -> None:
         assert self._transport is not None
         kept, self._unparsed = bytes(self._unparsed), bytearray()
+        self._count_buffered(-len(kept))
         self._parse(kept)
         if len(kept) >= MAX_UNPARSED_BYTES:
             self._transport.resume_reading()
--- a/tests/test_mesh_path.py
+++ b/tests/test_mesh_path.py
@@ -9,6 +9,7 @@
 import pytest
 
 from briardock.exceptions import SettingsError
+from briardock.mesh import http_server
 from briardock.mesh.http1 import Request, Response
 from briardock.mesh.model import split_address
 from briardock.mesh.node import Node
@@ -412,7 +413,11 @@
         assert [request.target for request in machine.target.requests] == [b"/jobs/0"]
 
 
-async def test_many_pipelined_requests_are_answered_in_order() -> None:
+async def test_many_pipelined_requests_are_answered_in_order(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """They must outlast a pause of reading."""
+    monkeypatch.setattr(http_server, "MAX_UNPARSED_BYTES", 64 * 1024)
     async with fleet() as created:
         machine = await created.add("n1", "jobs")
         await created.settle()
@@ -450,3 +455,30 @@
         time.sleep(0.7)  # noqa: ASYNC251
         await asyncio.sleep(0.2)
         assert [request.target for request in machine.target.requests] == [b"/jobs/1"]
+
+
+async def test_caller_that_leaves_after_pipelined_bodies_frees_the_node() -> None:
+    """The end of its connection was not read behind 64 KiB of unread bodies."""
+
+    async def respond_late(request: Request) -> Response:
+        await asyncio.sleep(1.0)
+        return await respond_normally(request)
+
+    async with fleet() as created:
+        machine = await created.add("n1", "jobs")
+        await created.settle()
+        machine.target.behaviour = respond_late
+        host, port = machine.settings.caller_address.split(":")
+        _, writer = await asyncio.open_connection(host, int(port))
+        head = (
+            b"PUT /jobs/%d HTTP/1.1\r\nhost: a.example\r\ncontent-length: 50000\r\n\r\n"
+        )
+        for number in range(9):
+            writer.write(head % number + b"b" * 50_000)
+            await writer.drain()
+            await asyncio.sleep(0.01)
+        writer.close()
+        await asyncio.sleep(0.4)
+        assert not machine.node.target.running
+        await asyncio.sleep(1.0)
+        assert [request.target for request in machine.target.requests] == [b"/jobs/0"]
