Count the grace period from a signal received while the node was frozen

A node that was frozen or slowed as it received SIGTERM counted the grace period from the time at which it handled the signal. It accepted requests and went on past the true end, and was killed with requests in flight. Cause: a signal tells no time, and the node took the time of its handler. Change: the node records every 0.1 s that it runs. After more than 0.3 s without a record the period counts from the last one, and at most half of it is counted as passed.

--- a/src/briardock/mesh/node.py
+++ b/src/briardock/mesh/node.py
@@ -57,6 +57,13 @@
 # which it waits until its last answers are written.
 STOP_CHECK_PERIOD_S = 0.05
 LAST_ANSWERS_S = 0.1
+# Period at which the node records that it runs, s, and the time without such a record
+# from which it counts as frozen. A stop signal received while it was frozen is handled
+# afterwards, but the grace period counts from the signal.
+RUNNING_CHECK_PERIOD_S = 0.1
+MIN_FROZEN_S = 0.3
+# Largest part of the grace period that is counted as passed for that reason.
+MAX_UNNOTICED_SHARE = 0.5
 POOL_SWEEP_PERIOD_S = 2.0
 # Longest time for which the acknowledgement of a departure waits for the store, s. A
 # target treats an acknowledgement that takes more than 1 s as missing.
@@ -183,6 +190,10 @@
         )
         self._metrics_server = HttpServer(self._handle_metrics, CallerLimits(), log)
         self._stopping = asyncio.Event()
+        # The last two times at which the node is known to have run, and the earliest
+        # time of the stop signal.
+        self._ran_s = (now_s(), now_s())
+        self._stop_signal_s: float | None = None
         self._shutdown: Shutdown | None = None
 
     def _install(self, config: RoutingConfig) -> None:
@@ -329,6 +340,11 @@
             self._peer_pool.sweep()
             self._target_pool.sweep()
 
+    async def _record_running(self) -> None:
+        while True:
+            await asyncio.sleep(RUNNING_CHECK_PERIOD_S)
+            self._ran_s = (self._ran_s[1], now_s())
+
     async def _flush_log(self) -> None:
         while True:
             await asyncio.sleep(FLUSH_PERIOD_S)
@@ -356,8 +372,8 @@
         :raises SettingsError: if an address cannot be bound
         """
         loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
-        loop.add_signal_handler(signal.SIGINT, self._stopping.set)
+        loop.add_signal_handler(signal.SIGTERM, self._request_stop)
+        loop.add_signal_handler(signal.SIGINT, self._request_stop)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
         settings = self.settings
         await _listen(self._peer_server, settings.peer_address)
@@ -380,6 +396,7 @@
                 self._update_thresholds,
                 self._sweep_pools,
                 self._flush_log,
+                self._record_running,
                 self._watch_settings,
                 *(server.sweep for server in self._servers),
             )
@@ -438,8 +455,17 @@
             if not unchanged:
                 self.reload()
 
+    def _request_stop(self) -> None:
+        if self._stop_signal_s is None:
+            now = self._stop_signal_s = now_s()
+            # After a freeze, the newer time may have been recorded since its end.
+            if now - self._ran_s[0] > MIN_FROZEN_S:
+                unnoticed_s = MAX_UNNOTICED_SHARE * self.settings.grace_s
+                self._stop_signal_s = max(self._ran_s[0], now - unnoticed_s)
+        self._stopping.set()
+
     async def _stop(self) -> None:
-        started_s = now_s()
+        started_s = now_s() if self._stop_signal_s is None else self._stop_signal_s
         self.log.event("stopping", running=self.target.running)
         self._caller_server.closing = True
         self.members.update_local(leaving=True)
--- a/tests/test_mesh_stop.py
+++ b/tests/test_mesh_stop.py
@@ -1,7 +1,10 @@
 """Requests and calls that reach a node after its stop signal."""
 
 import asyncio
+import os
+import signal
 import socket
+import time
 from dataclasses import replace
 
 import pytest
@@ -9,7 +12,7 @@
 from briardock.mesh import node as node_module
 from briardock.mesh.http1 import ExchangeFailure, Request, Response
 from briardock.mesh.http_client import ClientConnection
-from briardock.mesh.model import split_address
+from briardock.mesh.model import now_s, split_address
 from mesh_fakes import Fleet, Machine, fleet, respond_normally, route
 
 pytestmark = pytest.mark.anyio
@@ -260,3 +263,22 @@
         assert await departure == 200
         async with asyncio.timeout(1.0):
             await machine.task
+
+
+@pytest.mark.parametrize("frozen_s", [0.0, 0.8])
+async def test_grace_period_counts_from_a_signal_received_while_frozen(
+    frozen_s: float,
+) -> None:
+    """The node counted from its continuation and was killed before its end."""
+    async with fleet(LONG) as created:
+        machine = await start(created)
+        await created.settle()
+        await asyncio.sleep(0.2)
+        signalled_s = now_s()
+        os.kill(os.getpid(), signal.SIGTERM)
+        time.sleep(frozen_s)  # noqa: ASYNC251
+        await asyncio.sleep(0.1)
+        shutdown = machine.node._shutdown
+        assert shutdown is not None
+        earliest_s = signalled_s - (0.3 if frozen_s else 0.0)
+        assert earliest_s <= shutdown.started_s <= signalled_s + 0.05
