Keep a connection from discarding the rest of its last answer

A caller that sent another request while it still read a long last answer got that answer cut off with a reset, for instance from a node that was stopping. Cause: the socket was closed with unread bytes, and the kernel then discards what it has not delivered. Change: after the last response the node sends the end of the stream, and discards what it receives until the caller closes, for at most 1 s after the response was sent. The test of an answer that is read slowly now closes its connection before it waits for the node.

--- a/src/briardock/mesh/http_server.py
+++ b/src/briardock/mesh/http_server.py
@@ -20,6 +20,10 @@
 MAX_UNPARSED_BYTES = 1024 * 1024
 # Default limit on the request bodies buffered by one server, bytes.
 DEFAULT_BUFFERED_BYTES = 64 * 1024 * 1024
+# Longest time for which a connection is read on after its last response was sent, s.
+# The kernel discards what it still holds of a response if the socket is closed with
+# unread bytes.
+LINGER_S = 1.0
 # Period of the check for idle and slow connections, s.
 SWEEP_PERIOD_S = 1.0
 
@@ -126,6 +130,8 @@
         # Status of the refusal that ends the connection, sent after the responses to
         # the requests before it.
         self._refusal_status: int | None = None
+        # Whether the last response was written; what is received then is discarded.
+        self._has_ended = False
         self._unparsed = bytearray()
         self._buffered_bytes = 0
         self._last_active_s = now_s()
@@ -143,8 +149,13 @@
 
     @property
     def idle(self) -> bool:
-        """Whether no request is being read, pending or in flight."""
-        return not (self._responding or self._reading or self._pending_requests)
+        """Whether no request is read, pending or in flight, and none was the last."""
+        return not (
+            self._responding
+            or self._reading
+            or self._pending_requests
+            or self._has_ended
+        )
 
     @property
     def has_unsent_bytes(self) -> bool:
@@ -177,7 +188,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse what the caller sent."""
-        if self._refusal_status is not None:
+        if self._refusal_status is not None or self._has_ended:
             return
         if len(self._pending_requests) >= MAX_PIPELINED_REQUESTS:
             self._unparsed += data
@@ -288,7 +299,7 @@
             self._count_buffered(-len(request.body))
             self._last_active_s = now_s()
             if response.close and not self._pending_requests:
-                self._transport.close()
+                self._end_responses()
                 return
             if self._refusal_status is not None and not self._pending_requests:
                 self._end_with_refusal(self._refusal_status)
@@ -312,7 +323,20 @@
     def _end_with_refusal(self, status: int) -> None:
         assert self._transport is not None
         self._transport.write(encode_response(Response(status, close=True)))
-        self._transport.close()
+        self._end_responses()
+
+    def _end_responses(self) -> None:
+        """Send the end of the stream; close the connection when the caller does."""
+        assert self._transport is not None
+        self._has_ended = True
+        self._transport.write_eof()
+        asyncio.get_running_loop().call_later(LINGER_S, self._close_once_sent)
+
+    def _close_once_sent(self) -> None:
+        if self.has_unsent_bytes:
+            asyncio.get_running_loop().call_later(LINGER_S, self._close_once_sent)
+        else:
+            self.close_gracefully()
 
     def enforce_timeouts(self, now: float) -> None:
         """Close the connection if it is idle or its request head is late.
@@ -320,7 +344,7 @@
         :param now: current time in s since boot
         """
         limits = self._server.limits
-        if self._responding or self._pending_requests:
+        if self._responding or self._pending_requests or self._has_ended:
             return
         if self._reading:
             if self._in_head and now - self._received_s > limits.header_timeout_s:
--- a/tests/test_mesh_stop.py
+++ b/tests/test_mesh_stop.py
@@ -207,8 +207,8 @@
         async with asyncio.timeout(GRACE_S * 0.2):
             await reader.readuntil(b"\r\n\r\n")
             await reader.readexactly(size)
+            writer.close()
             await machine.task
-        writer.close()
 
 
 async def test_call_that_arrives_while_the_node_ends_is_refused(
@@ -282,3 +282,31 @@
         assert shutdown is not None
         earliest_s = signalled_s - (0.3 if frozen_s else 0.0)
         assert earliest_s <= shutdown.started_s <= signalled_s + 0.05
+
+
+async def test_request_behind_the_last_answer_does_not_cut_it() -> None:
+    """The kernel discarded the rest of an answer, as bytes had not been read."""
+    size = 6_000_000
+
+    async def respond_at_length(request: Request) -> Response:
+        response = await respond_normally(request)
+        return replace(response, body=b"x" * size)
+
+    async with fleet(LONG) as created:
+        machine = await start(created, grace_s=6.0)
+        await created.settle()
+        machine.target.behaviour = respond_at_length
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536)
+        sock.connect(split_address(machine.settings.caller_address))
+        reader, writer = await asyncio.open_connection(sock=sock)
+        await stop_after(machine, 0.1)
+        head = b"GET /jobs/1 HTTP/1.1\r\nhost: a.example\r\n\r\n"
+        writer.write(head)
+        await asyncio.sleep(0.4)
+        writer.write(head)
+        async with asyncio.timeout(2.0):
+            answer = await reader.readuntil(b"\r\n\r\n")
+            assert b"connection: close" in answer
+            await reader.readexactly(size)
+        writer.close()
