Announce no close in the answer to a failed request before others

A caller that had pipelined further requests behind one on which the handler failed was told of the close with the 500, although the further ones were passed on and answered. Cause: that answer announced a close whether or not it was the last one. Change: only the last answer announces a close. Evidence: the first answer of the new test announced it before; neither does now.

--- a/src/briardock/mesh/http_server.py
+++ b/src/briardock/mesh/http_server.py
@@ -290,15 +290,16 @@
             response = await self._server.respond(request)
             # After an announced close, the caller reads no further responses.
             is_last = not self._pending_requests
-            if request.ends_connection or (self._server.closing and is_last):
-                response.close = True
+            response.close = is_last and (
+                response.close or request.ends_connection or self._server.closing
+            )
             if self._transport.is_closing():
                 return
             self._transport.write(encode_response(response, request.method == b"HEAD"))
             self._responding = False
             self._count_buffered(-len(request.body))
             self._last_active_s = now_s()
-            if response.close and not self._pending_requests:
+            if response.close:
                 self._end_responses()
                 return
             if self._refusal_status is not None and not self._pending_requests:
--- a/tests/test_mesh_http_server.py
+++ b/tests/test_mesh_http_server.py
@@ -126,3 +126,23 @@
     assert max(buffered_bytes) <= 300
     writer.close()
     server.stop_listening()
+
+
+async def test_failed_request_does_not_end_those_behind_it() -> None:
+    """The close was announced with the first answer, but the next request was run."""
+
+    async def fail_first(request: Request) -> Response:
+        if request.target == b"/1":
+            raise ValueError
+        return Response(200)
+
+    server = HttpServer(fail_first, LIMITS, quiet_log())
+    address = free_address()
+    await server.start(*split_address(address))
+    reader, writer = await asyncio.open_connection(*split_address(address))
+    writer.write(GET % (1, b"") + GET % (2, b""))
+    answers = [await reader.readuntil(b"\r\n\r\n") for _ in range(2)]
+    assert [answer[9:12] for answer in answers] == [b"500", b"200"]
+    assert not any(b"connection: close" in answer for answer in answers)
+    writer.close()
+    server.stop_listening()
