--- a/src/briardock/mesh/http_server.py
+++ b/src/briardock/mesh/http_server.py
@@ -14,11 +14,16 @@
 
 # Pipelined requests on one connection at which further bytes are kept unparsed, and
 # the number of these bytes at which reading is paused. While it is paused, the node
-# does not learn that the caller has left.
+# does not learn that the caller has left, so the number exceeds what most callers send
+# ahead.
 MAX_PIPELINED_REQUESTS = 4
-MAX_UNPARSED_BYTES = 64 * 1024
+MAX_UNPARSED_BYTES = 1024 * 1024
 # Default limit on the request bodies buffered by one server, bytes.
 DEFAULT_BUFFERED_BYTES = 64 * 1024 * 1024
+# Longest time for which a connection is read on after its last response was sent, s.
+# The kernel discards what it still holds of a response if the socket is closed with
+# unread bytes.
+LINGER_S = 1.0
 # Period of the check for idle and slow connections, s.
 SWEEP_PERIOD_S = 1.0
 
@@ -129,6 +134,8 @@
         # Status of the refusal that ends the connection, sent after the responses to
         # the requests before it.
         self._refusal_status: int | None = None
+        # Whether the last response was written; what is received then is discarded.
+        self._has_ended = False
         self._unparsed = bytearray()
         self._buffered_bytes = 0
         self.last_active_s = now_s()
@@ -146,8 +153,13 @@
 
     @property
     def idle(self) -> bool:
-        """Whether no request is being read, pending or in flight."""
-        return not (self._responding or self._reading or self._pending_requests)
+        """Whether no request is read, pending or in flight, and none was the last."""
+        return not (
+            self._responding
+            or self._reading
+            or self._pending_requests
+            or self._has_ended
+        )
 
     @property
     def has_unsent_bytes(self) -> bool:
@@ -180,10 +192,11 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse what the caller sent."""
-        if self._refusal_status is not None:
+        if self._refusal_status is not None or self._has_ended:
             return
         if len(self._pending_requests) >= MAX_PIPELINED_REQUESTS:
             self._unparsed += data
+            self._count_buffered(len(data))
             if len(self._unparsed) >= MAX_UNPARSED_BYTES and self._transport:
                 self._transport.pause_reading()
             return
@@ -281,16 +294,17 @@
             response = await self._server.respond(request)
             # After an announced close, the caller reads no further responses.
             is_last = not self._pending_requests
-            if request.ends_connection or (self._server.closing and is_last):
-                response.close = True
+            response.close = is_last and (
+                response.close or request.ends_connection or self._server.closing
+            )
             if self._transport.is_closing():
                 return
             self._transport.write(encode_response(response, request.method == b"HEAD"))
             self._responding = False
             self._count_buffered(-len(request.body))
             self.last_active_s = now_s()
-            if response.close and not self._pending_requests:
-                self._transport.close()
+            if response.close:
+                self._end_responses()
                 return
             if self._refusal_status is not None and not self._pending_requests:
                 self._end_with_refusal(self._refusal_status)
@@ -299,6 +313,7 @@
     def _parse_kept(self) -> None:
         assert self._transport is not None
         kept, self._unparsed = bytes(self._unparsed), bytearray()
+        self._count_buffered(-len(kept))
         self._parse(kept)
         if len(kept) >= MAX_UNPARSED_BYTES:
             self._transport.resume_reading()
@@ -313,7 +328,20 @@
     def _end_with_refusal(self, status: int) -> None:
         assert self._transport is not None
         self._transport.write(encode_response(Response(status, close=True)))
-        self._transport.close()
+        self._end_responses()
+
+    def _end_responses(self) -> None:
+        """Send the end of the stream; close the connection when the caller does."""
+        assert self._transport is not None
+        self._has_ended = True
+        self._transport.write_eof()
+        asyncio.get_running_loop().call_later(LINGER_S, self._close_once_sent)
+
+    def _close_once_sent(self) -> None:
+        if self.has_unsent_bytes:
+            asyncio.get_running_loop().call_later(LINGER_S, self._close_once_sent)
+        else:
+            self.close_gracefully()
 
     def enforce_timeouts(self, now: float) -> None:
         """Close the connection if it is idle or its request head is late.
@@ -321,7 +349,7 @@
         :param now: current time in s since boot
         """
         limits = self._server.limits
-        if self._responding or self._pending_requests:
+        if self._responding or self._pending_requests or self._has_ended:
             return
         if self._reading:
             if self._in_head and now - self._received_s > limits.header_timeout_s:
--- a/src/briardock/overload/shutdown.py
+++ b/src/briardock/overload/shutdown.py
@@ -24,6 +24,8 @@
 MIN_STALL_S = 0.5
 # Time after a stall in which a signal that was sent during it is handled, s.
 SIGNAL_DELAY_S = 0.1
+# Largest part of the grace period that counts as passed because of a stall.
+MAX_UNNOTICED_SHARE = 0.5
 
 
 class StallMeter:
@@ -45,13 +47,16 @@
             self._stall_start_s, self._stall_end_s = self._last_run_s, now
         self._last_run_s = now
 
-    def signal_time_s(self, now: float) -> float:
+    def signal_time_s(self, now: float, grace_s: float) -> float:
         """Return the earliest time at which a signal that is handled now was sent.
 
         :param now: current time in s since boot
+        :param grace_s: time from the signal until the process is killed
         """
         self.record_run(now)
-        return self._stall_start_s if now < self._stall_end_s + SIGNAL_DELAY_S else now
+        if now >= self._stall_end_s + SIGNAL_DELAY_S:
+            return now
+        return max(self._stall_start_s, now - MAX_UNNOTICED_SHARE * grace_s)
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_overload_shutdown.py
+++ b/tests/test_overload_shutdown.py
@@ -72,6 +72,7 @@
         ((0.2, 0.4, 2.0), 2.0, 0.4),
         ((0.2, 0.4, 2.0, 2.2), 2.2, 2.2),
         ((), 1.0, 0.0),
+        ((0.2, 0.4), 9.0, 6.0),
     ],
 )
 def test_signal_after_a_stall_may_have_been_sent_at_its_start(
@@ -81,7 +82,7 @@
     meter = StallMeter(START_S)
     for run_s in runs_s:
         meter.record_run(START_S + run_s)
-    assert meter.signal_time_s(START_S + handled_s) == START_S + sent_s
+    assert meter.signal_time_s(START_S + handled_s, 6.0) == START_S + sent_s
 
 
 @pytest.mark.parametrize("grace_s", [0.6, 1.0, 1.7, 6.0])
