--- a/tests/test_mesh_shutdown.py
+++ b/tests/test_mesh_shutdown.py
@@ -408,7 +408,9 @@
     selected = [
         item.callspec.params["stop"]
         for item in request.session.items
-        if isinstance(item, pytest.Function) and item.path == request.path
+        if isinstance(item, pytest.Function)
+        and item.path == request.path
+        and hasattr(item, "callspec")
     ]
     runs = {
         stop.name: StopRun(stop, tmp_path_factory.mktemp("fleet"), 8 * number)
@@ -424,3 +426,27 @@
 ) -> None:
     violations = results[stop.name]
     assert not violations, "\n".join(violations)
+
+
+async def _signal_while_starting(fleet: SoakFleet) -> int | None:
+    machine = fleet.machines[0]
+    fleet.start_node(machine)
+    node = machine.processes["node"]
+    async with asyncio.timeout(START_TIMEOUT_S):
+        # Libraries are loaded after the first lines of the program and long before it
+        # listens.
+        while "uvloop" not in Path(f"/proc/{node.pid}/maps").read_text():
+            await asyncio.sleep(0.001)
+        os.kill(node.pid, signal.SIGHUP)
+        while node.is_running() and await connect(machine) is None:
+            await asyncio.sleep(0.05)
+    return node.poll()
+
+
+def test_reload_signal_during_the_start_does_not_end_a_node(tmp_path: Path) -> None:
+    """The platform may change the settings while the libraries are loaded."""
+    fleet = SoakFleet(tmp_path, FleetPlan({"jobs": 1}, first_network=8 * len(STOPS)))
+    try:
+        assert uvloop.run(_signal_while_starting(fleet)) is None
+    finally:
+        fleet.stop()
