--- a/src/briardock/mesh/node.py
+++ b/src/briardock/mesh/node.py
@@ -254,7 +254,7 @@
         started_s = now_s()
         shutdown = self._shutdown
         if shutdown is None or shutdown.accepts_call(
-            call.expires_s, call.idempotent, self.target.run_time_s, started_s
+            call.expires_s, call.idempotent, self.target.longest_run_s, started_s
         ):
             result: Result = await self.target.run(call)
         else:
@@ -302,6 +302,7 @@
     async def _handle_metrics(self, request: Request) -> Response:
         self.telemetry.queued.set(self.target.queued)
         self.telemetry.admission_threshold.set(self.target.threshold(False))
+        self.telemetry.store_era.set(self.replicator.store_era)
         return Response(
             200, [(b"content-type", b"text/plain")], self.telemetry.render()
         )
--- a/src/briardock/mesh/sync.py
+++ b/src/briardock/mesh/sync.py
@@ -19,7 +19,7 @@
 from briardock.mesh.members import NodeRecord
 from briardock.mesh.model import now_s
 from briardock.mesh.pool import ConnectionPool
-from briardock.mesh.replica import Replica
+from briardock.mesh.replica import ConfigId, Replica
 from briardock.overload.board import ThresholdBoard, ThresholdNews
 from briardock.quarantine import QuarantineEntry
 
@@ -49,6 +49,9 @@
     :param read_age_ms: time since the store was last read, by the sender or by the
         node that reads for it; -1 if that is not known
     :param thresholds: admission thresholds that instances tell all nodes
+    :param store_era: highest era of the store that the sender knows, 0 for none
+    :param config_era: latest era in which the configuration of the sender was read
+    :param config_digest: digest of its document
     """
 
     digest: str
@@ -59,6 +62,14 @@
     bucket_digests: list[int] = []
     read_age_ms: int = -1
     thresholds: list[ThresholdNews] = []
+    store_era: int = 0
+    config_era: int = 0
+    config_digest: str = ""
+
+    @property
+    def config_id(self) -> ConfigId:
+        """Configuration of the sender."""
+        return ConfigId(self.config_version, self.config_era, self.config_digest)
 
 
 class PeerSync:
@@ -117,6 +128,13 @@
         self._thresholds_due[news.node_id] = news
         self._schedule_push(to_all_domains=True, delay_s=THRESHOLDS_DELAY_S)
 
+    def push_store_era(self, source: str) -> None:
+        """Push the era of the store, which most nodes do not read from.
+
+        :param source: ``store`` or ``peer``
+        """
+        self._schedule_push(to_all_domains=source == "store")
+
     def _record_learned(self, record: NodeRecord) -> None:
         self._records_due[record.node_id] = record
         self._schedule_push(to_all_domains=False)
@@ -215,7 +233,7 @@
         self, record: NodeRecord, response: SyncMessage
     ) -> None:
         config = self._replica.config
-        if config is not None and response.config_version < config.version:
+        if config is not None and self._replica.has_newer_config(response.config_id):
             message = self._message()
             message.document = config.document
             await self._exchange(record, message)
@@ -244,7 +262,7 @@
             response.bucket_digests = self._members.bucket_digests
             response.suspects = self._replica.quarantine.entries()
         config = self._replica.config
-        if config is not None and message.config_version < config.version:
+        if config is not None and self._replica.has_newer_config(message.config_id):
             response.document = config.document
         return response
 
@@ -263,6 +281,9 @@
             suspects=suspects or [],
             bucket_digests=bucket_digests or [],
             read_age_ms=-1 if age_s is None else int(age_s * 1000),
+            store_era=self._replica.store_era,
+            config_era=self._replica.config_id.era,
+            config_digest=self._replica.config_id.digest,
         )
 
     def _digest(self) -> str:
@@ -270,6 +291,7 @@
 
     def _apply(self, message: SyncMessage) -> list[NodeRecord]:
         """Merge what a message carries; return the records of earlier processes."""
+        self._replica.observe_era(message.store_era, "peer")
         replaced = [self._replica.merge_record(record) for record in message.records]
         self._replica.quarantine.merge(message.suspects)
         now = now_s()
@@ -277,8 +299,9 @@
             if self._board.record(news, now):
                 self._thresholds_due[news.node_id] = news
                 self._schedule_push(False, THRESHOLDS_DELAY_S)
+        self._replica.confirm_config(message.config_id)
         if message.document:
-            self._replica.apply_document(message.document, "peer")
+            self._replica.apply_document(message.document, "peer", message.config_era)
         return [record for record in replaced if record is not None]
 
     async def _exchange(
--- a/tests/soak_machines.py
+++ b/tests/soak_machines.py
@@ -307,6 +307,10 @@
     async def publish(self) -> None:
         """Publish a configuration with a route that only this version has."""
         self.version += 1
+        await self.write_config()
+
+    async def write_config(self) -> None:
+        """Write the newest configuration, also if it was written before."""
         routes = [*self.plan.routes, route("version", f"/v{self.version}/")]
         document = config(self.version, *routes)
         record = b"\x06config" + document
