--- a/tests/mesh_soak.py
+++ b/tests/mesh_soak.py
@@ -227,6 +227,8 @@
             await self.faults.inject()
             await self.fleet.publish()
             await self._until(self._serves_all, RECOVERY_TIMEOUT_S, "recovery")
+            await self.faults.stop_undisturbed(random.Random(f"{self.seed} stop"))
+            await self._until(self._serves_all, RECOVERY_TIMEOUT_S, "recovery")
             self._stopping = True
             await asyncio.gather(*tasks, restart_task)
             self.results.check_ledgers(self.fleet.folder, self.fleet.machines)
--- a/tests/soak_faults.py
+++ b/tests/soak_faults.py
@@ -39,6 +39,11 @@
 )
 # Time between two SIGTERMs to one node, s.
 SECOND_SIGTERM_S = 1.0
+# Time without other faults before the last stop of a node, s: requests that are sent
+# later than 3 s after it are judged, whatever happened 8 s before.
+QUIET_BEFORE_STOP_S = 5.0
+# Time after the end of the grace period within which a node is started again, s.
+RESTART_ALLOWANCE_S = 15.0
 # Faults of a link: relay mode and delay, ms.
 LINK_FAULTS = (("open", 300), ("refuse", 0), ("black-hole", 0))
 # Range of the age of the copy from which the store is restored, s, and of the time
@@ -108,7 +113,7 @@
                 node.kill()
             case "node terminated":
                 machine.terminate_node()
-                # Every other time; drawing this would change the other faults of a seed.
+                # Every other time; drawing it would change the other faults of a seed.
                 self._stop_count += 1
                 if self._stop_count % 2:
                     await self._schedule(SECOND_SIGTERM_S, _terminating(node))
@@ -181,6 +186,22 @@
             await restore()
         self.fault_log.append(f"{time.time():.2f} faults undone")
 
+    async def stop_undisturbed(self, rng: random.Random) -> None:
+        """Terminate one node once the other faults have no effect, until it has exited.
+
+        :param rng: random source of the machine
+        """
+        machine = rng.choice(self._fleet.machines)
+        harm_times = [t for m in self._fleet.machines for t in m.harm_times]
+        quiet_s = max(harm_times, default=0.0) + QUIET_BEFORE_STOP_S - time.time()
+        await asyncio.sleep(max(0.0, quiet_s))
+        self.fault_log.append(f"{time.time():.2f} node terminated {machine.name}")
+        start_count = machine.start_count
+        machine.terminate_node()
+        async with asyncio.timeout(machine.grace_s + RESTART_ALLOWANCE_S):
+            while machine.start_count == start_count:
+                await asyncio.sleep(0.1)
+
 
 def _terminating(process: ManagedProcess) -> Callable[[], Awaitable[None]]:
     async def terminate() -> None:
