Pass on a response that was read just as a stopping node ends

A request whose target had completed it was answered with 504 if its response was read in the iteration of the event loop in which the node ended its requests. Cause: the task of the request was cancelled before it had resumed with the response. Change: a call names its connection, and requests whose response has been read are left to complete; no attempt follows.

--- a/src/briardock/mesh/calls.py
+++ b/src/briardock/mesh/calls.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 from briardock.mesh.http1 import Request, Response, encode_request
+from briardock.mesh.http_client import ClientConnection
 from briardock.mesh.model import Headers
 from briardock.overload.chain import ChainThreshold, InstanceThresholds
 from briardock.overload.waiting import Waiting
@@ -43,6 +44,7 @@
     :param expires_s: time at which its result is no longer wanted
     :param may_hand_on: whether the sender would rather choose another instance than
         let it wait for a slot
+    :param connection: connection on which it was sent from this node
     """
 
     method: bytes
@@ -58,6 +60,12 @@
     from_caller: bool
     expires_s: float
     may_hand_on: bool = False
+    connection: ClientConnection | None = None
+
+    @property
+    def has_response(self) -> bool:
+        """Whether its response was read, although its task may not have resumed."""
+        return self.connection is not None and self.connection.has_response
 
     @property
     def waiting(self) -> Waiting:
--- a/src/briardock/mesh/forwarder.py
+++ b/src/briardock/mesh/forwarder.py
@@ -73,13 +73,14 @@
     :param head: decoded headers
     :param route: its route
     :param service: service chosen for it
-    :param accepted_s: time at which it was read completely
+    :param accepted_s: time at which its handling started
     :param expires_s: latest time of the final response
     :param from_target: whether the local target may have sent it
     :param caller_waits_until_s: time until which its caller waits
     :param attempts: attempts at instances
     :param age_s: time since the first attempt of its caller, 0 for that one
     :param unresolved: whether it was sent to an instance that has not responded yet
+    :param call: call of the attempt under way
     """
 
     head: RequestHead
@@ -92,6 +93,7 @@
     attempts: Attempts
     age_s: float = 0.0
     unresolved: bool = False
+    call: Call | None = None
 
     @property
     def passed_on(self) -> bool:
@@ -355,10 +357,16 @@
     def end_requests(self) -> int:
         """Answer the requests in flight: not run, or 504 if a target may run them.
 
-        :return: their number
+        Those whose response was read just now are left to complete.
+
+        :return: number of those that were ended
         """
         assert self.shutdown is not None
+        ended_count = 0
         for state, deadline in self._requests_in_flight.items():
+            if state.call is not None and state.call.has_response:
+                continue
+            ended_count += 1
             self._log.event(
                 "cut-off",
                 id=state.head.request_id.decode("latin-1"),
@@ -369,7 +377,7 @@
                 ),
             )
             deadline.expire()
-        return len(self._requests_in_flight)
+        return ended_count
 
     async def _try_instances(self, request: Request, state: RequestState) -> Result:
         self._budget(state.service).record_request(now_s())
@@ -473,6 +481,7 @@
             expires_s=state.expires_s,
             may_hand_on=may_hand_on,
         )
+        state.call = call
         started_s = now_s()
         self._balancer.record_start(record.node_id, started_s)
         try:
@@ -485,6 +494,7 @@
             else:
                 result, load = await self._send_to_peer(call, record, state)
         finally:
+            state.call = None
             self._balancer.record_end(record.node_id)
         if load is not None:
             self._record_load(state, record, result, load, started_s)
@@ -523,6 +533,7 @@
             self._peers.release(record.address, connection)
             return NotRun("node stopped"), None
         state.unresolved = True
+        call.connection = connection
         response = await connection.exchange(encode_call(call, now_s()))
         state.unresolved = False
         if isinstance(response, ExchangeFailure):
--- a/src/briardock/mesh/http_client.py
+++ b/src/briardock/mesh/http_client.py
@@ -79,6 +79,11 @@
         transport = self._transport
         return self._reusable and transport is not None and not transport.is_closing()
 
+    @property
+    def has_response(self) -> bool:
+        """Whether the result of the latest exchange is known."""
+        return self._waiter is not None and self._waiter.done()
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and the loop, whose lookup costs a system call."""
         self._loop = asyncio.get_running_loop()
--- a/src/briardock/mesh/target.py
+++ b/src/briardock/mesh/target.py
@@ -341,6 +341,7 @@
         data = encode_request(call.method, call.target, headers, call.body)
         started_s = now_s()
         self._run_starts_s[id(call)] = started_s
+        call.connection = connection
         try:
             response = await connection.exchange(
                 data,
--- a/tests/test_mesh_stop.py
+++ b/tests/test_mesh_stop.py
@@ -13,6 +13,7 @@
 from briardock.mesh.http1 import ExchangeFailure, Request, Response
 from briardock.mesh.http_client import ClientConnection
 from briardock.mesh.model import now_s, split_address
+from briardock.overload.shutdown import Shutdown
 from mesh_fakes import Fleet, Machine, fleet, respond_normally, route
 
 pytestmark = pytest.mark.anyio
@@ -310,3 +311,29 @@
             assert b"connection: close" in answer
             await reader.readexactly(size)
         writer.close()
+
+
+@pytest.mark.parametrize("path", ["/jobs/1", "/once/1"])
+@pytest.mark.parametrize("entry", ["n1", "n2"])
+async def test_response_that_was_read_as_the_node_ends_is_not_discarded(
+    path: str, entry: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The task of the request was cancelled before it had resumed, and answered 504."""
+    async with fleet(LONG, LONG_ONCE) as created:
+        await created.add("n1", "jobs")
+        await created.add("n2", "maps")
+        await created.settle()
+        forwarder = created.machines[entry].node.forwarder
+        finish = ClientConnection._finish
+
+        def finish_and_end(connection: ClientConnection) -> None:
+            finish(connection)
+            calls = [state.call for state in forwarder._requests_in_flight]
+            if any(call and call.connection is connection for call in calls):
+                forwarder.shutdown = Shutdown(now_s(), GRACE_S)
+                forwarder.end_attempts()
+                assert forwarder.end_requests() == 0
+
+        monkeypatch.setattr(ClientConnection, "_finish", finish_and_end)
+        assert (await created.machines[entry].call(path)).status == 200
+        assert forwarder.shutdown is not None
