--- a/tests/test_mesh_shutdown.py
+++ b/tests/test_mesh_shutdown.py
@@ -388,6 +388,10 @@
 Results = dict[str, list[str]]
 
 
+def _row_id(stop: Stop) -> str:
+    return stop.name.replace(" ", "-")
+
+
 async def _play(runs: list[StopRun]) -> None:
     # Processes start before the first play: their start stalls this process.
     try:
@@ -405,13 +409,8 @@
     request: pytest.FixtureRequest, tmp_path_factory: pytest.TempPathFactory
 ) -> Results:
     """Play all selected ways at the same time; return their violations by name."""
-    selected = [
-        item.callspec.params["stop"]
-        for item in request.session.items
-        if isinstance(item, pytest.Function)
-        and item.path == request.path
-        and hasattr(item, "callspec")
-    ]
+    names = " ".join(item.name for item in request.session.items)
+    selected = [stop for stop in STOPS if f"[{_row_id(stop)}]" in names]
     runs = {
         stop.name: StopRun(stop, tmp_path_factory.mktemp("fleet"), 8 * number)
         for number, stop in enumerate(selected)
@@ -420,7 +419,7 @@
     return {name: run.violations for name, run in runs.items()}
 
 
-@pytest.mark.parametrize("stop", STOPS, ids=lambda stop: stop.name.replace(" ", "-"))
+@pytest.mark.parametrize("stop", STOPS, ids=_row_id)
 def test_accepted_requests_are_answered_as_their_node_ends(
     stop: Stop, results: Results
 ) -> None:
