--- a/src/briardock/mesh/node.py
+++ b/src/briardock/mesh/node.py
@@ -186,6 +186,8 @@
         )
         self._metrics_server = HttpServer(self._handle_metrics, CallerLimits(), log)
         self._stopping = asyncio.Event()
+        # Earliest time at which the stop signal can have been sent.
+        self._stop_signal_s: float | None = None
         self._shutdown: Shutdown | None = None
         self._stalls = StallMeter(now_s())
 
@@ -362,8 +364,8 @@
         :raises SettingsError: if an address cannot be bound
         """
         loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
-        loop.add_signal_handler(signal.SIGINT, self._stopping.set)
+        loop.add_signal_handler(signal.SIGTERM, self._request_stop)
+        loop.add_signal_handler(signal.SIGINT, self._request_stop)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
         settings = self.settings
         await _listen(self._peer_server, settings.peer_address)
@@ -444,10 +446,17 @@
             if not unchanged:
                 self.reload()
 
+    def _request_stop(self) -> None:
+        if self._stop_signal_s is None:
+            self._stop_signal_s = self._stalls.signal_time_s(
+                now_s(), self.settings.grace_s
+            )
+        self._stopping.set()
+
     async def _stop(self) -> None:
         # A signal to a frozen process is handled once that runs again, but the grace
         # period begins when it is sent.
-        started_s = self._stalls.signal_time_s(now_s())
+        started_s = now_s() if self._stop_signal_s is None else self._stop_signal_s
         self.log.event(
             "stopping",
             running=self.target.running,
--- a/tests/test_mesh_stop.py
+++ b/tests/test_mesh_stop.py
@@ -12,7 +12,7 @@
 from briardock.mesh import node as node_module
 from briardock.mesh.http1 import ExchangeFailure, Request, Response
 from briardock.mesh.http_client import ClientConnection
-from briardock.mesh.model import split_address
+from briardock.mesh.model import now_s, split_address
 from mesh_fakes import Fleet, Machine, fleet, respond_normally, route
 
 pytestmark = pytest.mark.anyio
@@ -224,8 +224,8 @@
         async with asyncio.timeout(GRACE_S * 0.2):
             await reader.readuntil(b"\r\n\r\n")
             await reader.readexactly(size)
+            writer.close()
             await machine.task
-        writer.close()
 
 
 async def test_call_that_arrives_while_the_node_ends_is_refused(
@@ -299,3 +299,50 @@
         assert await departure == 200
         async with asyncio.timeout(1.0):
             await machine.task
+
+
+@pytest.mark.parametrize("frozen_s", [0.0, 0.8])
+async def test_grace_period_counts_from_a_signal_received_while_frozen(
+    frozen_s: float,
+) -> None:
+    """The node counted from its continuation and was killed before its end."""
+    async with fleet(LONG) as created:
+        machine = await start(created)
+        await created.settle()
+        await asyncio.sleep(0.2)
+        signalled_s = now_s()
+        os.kill(os.getpid(), signal.SIGTERM)
+        time.sleep(frozen_s)  # noqa: ASYNC251
+        await asyncio.sleep(0.1)
+        shutdown = machine.node._shutdown
+        assert shutdown is not None
+        earliest_s = signalled_s - (0.3 if frozen_s else 0.0)
+        assert earliest_s <= shutdown.started_s <= signalled_s + 0.05
+
+
+async def test_request_behind_the_last_answer_does_not_cut_it() -> None:
+    """The kernel discarded the rest of an answer, as bytes had not been read."""
+    size = 6_000_000
+
+    async def respond_at_length(request: Request) -> Response:
+        response = await respond_normally(request)
+        return replace(response, body=b"x" * size)
+
+    async with fleet(LONG) as created:
+        machine = await start(created, grace_s=6.0)
+        await created.settle()
+        machine.target.behaviour = respond_at_length
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536)
+        sock.connect(split_address(machine.settings.caller_address))
+        reader, writer = await asyncio.open_connection(sock=sock)
+        await stop_after(machine, 0.1)
+        head = b"GET /jobs/1 HTTP/1.1\r\nhost: a.example\r\n\r\n"
+        writer.write(head)
+        await asyncio.sleep(0.4)
+        writer.write(head)
+        async with asyncio.timeout(2.0):
+            answer = await reader.readuntil(b"\r\n\r\n")
+            assert b"connection: close" in answer
+            await reader.readexactly(size)
+        writer.close()
