Send no equal configuration to nodes that tell no digest

While nodes of this and of the former release ran side by side, each message of a former one was answered with the whole configuration, as were the pushes to it: it tells version only, and an empty digest counted as other content. It decodes the document each time and ignores it, as the version is not newer. A node that tells no digest now gets only a newer version.

Before, the case of the test without a digest failed.

--- a/src/briardock/mesh/replica.py
+++ b/src/briardock/mesh/replica.py
@@ -149,8 +149,12 @@
     def has_newer_config(self, other: ConfigId) -> bool:
         """Return whether a node has to replace its configuration by the one in force.
 
+        A node of the release that sends no digest goes by the version only.
+
         :param other: configuration of that node
         """
+        if not other.digest:
+            return self.config_id.version > other.version
         return self.config_id > other and not self.config_id.has_content_of(other)
 
     def confirm_config(self, other: ConfigId) -> None:
--- a/tests/test_mesh_store_restore.py
+++ b/tests/test_mesh_store_restore.py
@@ -451,6 +451,8 @@
         pytest.param((5, 2, "x"), (5, 1, "x"), False, (5, 2, "x"), id="same, later"),
         pytest.param((5, 1, "x"), (5, 2, "x"), False, (5, 2, "x"), id="same, earlier"),
         pytest.param((5, 1, "x"), (-1, 0, ""), True, (5, 1, "x"), id="none"),
+        pytest.param((5, 1, "x"), (5, 0, ""), False, (5, 1, "x"), id="same, no digest"),
+        pytest.param((5, 1, "x"), (4, 0, ""), True, (5, 1, "x"), id="older, no digest"),
     ],
 )
 def test_documents_are_sent_only_to_nodes_that_lack_the_content(
@@ -459,7 +461,9 @@
     sends: bool,
     own_after: tuple[int, int, str],
 ) -> None:
-    """Nodes that read one document in two eras would send it to each other for good."""
+    """Nodes that read one document in two eras would send it to each other for good,
+    and send it to nodes of the release without digests at each exchange.
+    """
     replica = make_replica([])
     replica.config_id = ConfigId(*own)
     assert replica.has_newer_config(ConfigId(*other)) is sends
