Read the newest records anew if the store is restored between two pages

The pages of both eras were joined, under the era of the first: records that the store had lost counted as newest, a configuration of the later era was filed under the earlier one, and the restore went unnoticed until the next call. The read now fails with the later era and is repeated after the usual delay.

--- a/src/briardock/platform/_store.py
+++ b/src/briardock/platform/_store.py
@@ -51,7 +51,10 @@
         self._pool = ConnectionPool(POOL)
 
     async def read_newest(self, stream: str) -> Records | StoreFailure:
-        """Return the newest record of each key."""
+        """Return the newest record of each key.
+
+        Pages of different eras are refused: the earlier ones may be lost.
+        """
         items: list[tuple[str, bytes]] = []
         first: Records | None = None
         after = ""
@@ -63,6 +66,8 @@
             era = decode_era(response.headers)
             if response.status != 200:
                 return StoreFailure(f"status {response.status}", era)
+            if first is not None and era != first.era:
+                return StoreFailure("restored between two pages", era)
             try:
                 page = msgspec.json.decode(response.body, type=_NewestPage)
                 rows = [(i.key, base64.b64decode(i.value)) for i in page.items]
--- a/tests/test_mesh_store_restore.py
+++ b/tests/test_mesh_store_restore.py
@@ -1,6 +1,7 @@
 """Restores of the store from a copy, which lose what it had acknowledged since."""
 
 import asyncio
+import json
 import random
 import time
 from collections.abc import Awaitable, Callable
@@ -11,7 +12,7 @@
 from hypothesis import strategies as st
 
 from briardock.mesh import replication
-from briardock.mesh.dialect import Records, StoreFailure, Trimmed
+from briardock.mesh.dialect import CONFIG_STREAM, Records, StoreFailure, Trimmed
 from briardock.mesh.http1 import Request, Response
 from briardock.mesh.members import MemberTable, NodeRecord
 from briardock.mesh.model import RoutingConfig, TargetState
@@ -20,6 +21,7 @@
 from briardock.mesh.replica import ConfigId, Replica
 from briardock.mesh.sync import PeerSync
 from briardock.platform._dialect import PlatformDialect
+from briardock.platform._store import PlatformStore
 from mesh_builders import record
 from mesh_fakes import (
     Fleet,
@@ -291,6 +293,26 @@
         await in_force(system, 9, CONFIG_BOUND_S)
 
 
+async def test_pages_of_different_eras_are_not_joined() -> None:
+    """Records of the lost history were kept as newest ones, and the later era was not
+    noticed.
+    """
+    async with fleet() as system:
+
+        async def respond(execute: Callable[[], Awaitable[Response]]) -> Response:
+            response = await execute()
+            page = json.loads(response.body) | {"has-more": system.store.era == 1}
+            response.body = json.dumps(page).encode()
+            system.store.restore(time.monotonic())
+            return response
+
+        intercept(system, b"/log-newest", CONFIG, respond)
+        store = PlatformStore(system.store.address)
+        result = await store.read_newest(CONFIG_STREAM)
+        assert isinstance(result, StoreFailure)
+        assert result.era == 2
+
+
 @pytest.mark.parametrize(
     ("started", "result", "store_era", "expected"),
     [
