Don't start a read at a position of an earlier era

A node that had stopped reading kept its position. If it had to read again after a restore, it waited there for up to 1.8 s although the later era was known, past a configuration that was written before that offset.

Before, the test timed out: the configuration was not in force after 1 s.

--- a/src/briardock/mesh/positions.py
+++ b/src/briardock/mesh/positions.py
@@ -26,6 +26,19 @@
     return result.era < store_era
 
 
+def valid_position(
+    position: ReadPosition | None, store_era: int
+) -> ReadPosition | None:
+    """Return a position, or ``None`` if a later era than its own is known.
+
+    :param position: where a read would start
+    :param store_era: highest era of the store that is known
+    """
+    if position is None or position.era < store_era:
+        return None
+    return position
+
+
 def next_position(
     position: ReadPosition | None,
     result: Records | Trimmed | StoreFailure,
--- a/src/briardock/mesh/replication.py
+++ b/src/briardock/mesh/replication.py
@@ -27,7 +27,12 @@
 from briardock.mesh.members import MemberTable, NodeRecord
 from briardock.mesh.model import RoutingConfig, TargetState, now_s
 from briardock.mesh.pool import ConnectionPool
-from briardock.mesh.positions import ReadPosition, is_outdated, next_position
+from briardock.mesh.positions import (
+    ReadPosition,
+    is_outdated,
+    next_position,
+    valid_position,
+)
 from briardock.mesh.readers import ReaderElection
 from briardock.mesh.replica import Replica
 from briardock.mesh.sync import PeerSync
@@ -258,6 +263,7 @@
                 await asyncio.sleep(READER_SEARCH_PERIOD_S)
                 continue
             wait_s = self._rng.uniform(*CONFIG_WAIT_RANGE_S)
+            position = valid_position(position, self.store_era)
             result = await self._read(CONFIG_STREAM, position, wait_s)
             position = next_position(position, result, self.store_era)
             match result:
@@ -295,6 +301,7 @@
         reads = 0
         position: ReadPosition | None = None
         while True:
+            position = valid_position(position, self.store_era)
             result = await self._read(NODES_STREAM, position, 0.0)
             position = next_position(position, result, self.store_era)
             must_retry = self._must_retry(result)
--- a/tests/test_mesh_store_restore.py
+++ b/tests/test_mesh_store_restore.py
@@ -313,6 +313,28 @@
         assert result.era == 2
 
 
+async def test_position_of_an_earlier_era_is_not_read_from() -> None:
+    """A node that read again after a restore waited at its former position, past a
+    configuration that was written before that.
+    """
+    async with fleet() as system:
+        machine = await system.add("n1", "jobs")
+        await system.settle()
+        await all_stored(system)
+        election = machine.node.replicator._election
+        copied_s = time.monotonic()
+        put_config(system, 2)
+        await in_force(system, 2, CONFIG_BOUND_S)
+        should_read, election.should_read = election.should_read, lambda now: False
+        await asyncio.sleep(replication.CONFIG_WAIT_RANGE_S[1] + 0.1)
+        system.store.restore(copied_s)
+        put_config(system, 9)
+        machine.node.replicator.local_record_changed()
+        assert await machine.node.replicator.wait_until_stored(1.0)
+        election.should_read = should_read
+        await in_force(system, 9, 1.0)
+
+
 @pytest.mark.parametrize(
     ("started", "result", "store_era", "expected"),
     [
