Bound the rate at which a fleet writes its records again

After a restore all nodes wrote within the 0.6 s over which the usual delay varies: for 4,100 nodes some 6,800 writes a second, where the store takes a few hundred, and the refused ones were repeated. The delay after a restore now grows with the number of known nodes, to 200 writes a second; departures are still written at once. A change of the record during that delay is written with it.

--- a/src/briardock/mesh/replication.py
+++ b/src/briardock/mesh/replication.py
@@ -56,11 +56,25 @@
 NODES_READ_PERIOD_RANGE_S = (12.0, 18.0)
 # Time for which changes of the local record are collected before they are written, s.
 WRITE_DELAY_S = 1.0
+# Rate at which all nodes together write their records again after a restore, 1/s. The
+# store takes a few hundred writes a second from all nodes.
+REWRITES_PER_S = 200.0
 # First and longest delay before a failed store call is retried, s.
 INITIAL_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 1.5
 
 
+def write_delay_s(rng: random.Random, rewriting_nodes: int) -> float:
+    """Return the delay before a write of the local record, s.
+
+    :param rng: random source
+    :param rewriting_nodes: number of nodes that write at this time because the store
+        was restored, 0 if it was not
+    """
+    spread_s = rewriting_nodes / REWRITES_PER_S
+    return WRITE_DELAY_S * rng.uniform(0.7, 1.3) + rng.uniform(0.0, spread_s)
+
+
 class Replicator:
     """Keeps node records and configuration of one node up to date.
 
@@ -106,6 +120,9 @@
         self._last_read_s: float | None = None
         self._publish_due = asyncio.Event()
         self._publish_urgent = asyncio.Event()
+        # Whether a write is due because the store was restored.
+        self._rewrite_due = False
+        self._knows_era = False
         self._local_record_stored = asyncio.Event()
         self._nodes_read = asyncio.Event()
         # Set once other nodes are known, or after two reads have found none.
@@ -136,8 +153,11 @@
         """Write the record of this node again, and give up reads of an earlier era.
 
         Only departures are urgent: the nodes of a fleet learn of the era at about the
-        same time, and the usual delay spreads their writes.
+        same time, and the delay spreads their writes.
         """
+        # The first era that a node learns tells no restore.
+        self._rewrite_due = self._knows_era
+        self._knows_era = True
         self._schedule_write()
         if self._members.local_record.state is TargetState.LEAVING:
             self._publish_urgent.set()
@@ -344,6 +364,7 @@
             await self._wait_before_write()
             self._publish_due.clear()
             self._publish_urgent.clear()
+            self._rewrite_due = False
             local_record = self._members.local_record
             value = msgspec.msgpack.encode(local_record)
             result = await self._store.append(NODES_STREAM, local_record.node_id, value)
@@ -364,8 +385,9 @@
                     backoff_s = min(MAX_BACKOFF_S, 2 * backoff_s)
 
     async def _wait_before_write(self) -> None:
+        rewriting_nodes = self._members.count if self._rewrite_due else 0
         try:
-            async with asyncio.timeout(WRITE_DELAY_S * self._rng.uniform(0.7, 1.3)):
+            async with asyncio.timeout(write_delay_s(self._rng, rewriting_nodes)):
                 await self._publish_urgent.wait()
         except TimeoutError:
             return
--- a/tests/test_mesh_store_restore.py
+++ b/tests/test_mesh_store_restore.py
@@ -206,6 +206,21 @@
         assert system.store.appends <= appends + 2 * len(system.machines)
 
 
+@pytest.mark.parametrize("nodes", [20, 300, 4100])
+def test_records_of_a_large_fleet_are_written_again_at_a_bounded_rate(
+    nodes: int,
+) -> None:
+    """All nodes wrote within 0.6 s, whatever their number."""
+    rng = random.Random(1)
+    delays = sorted(replication.write_delay_s(rng, nodes) for _ in range(nodes))
+    busiest = max(
+        sum(start <= delay < start + 1.0 for delay in delays) for start in delays
+    )
+    assert busiest <= 1.5 * replication.REWRITES_PER_S
+    assert delays[0] >= 0.5 * replication.WRITE_DELAY_S
+    assert delays[-1] <= 1.5 * replication.WRITE_DELAY_S + nodes / 200
+
+
 async def depart_and_lose_it(system: Fleet) -> Machine:
     """Acknowledge a departure that the store then loses."""
     machine = await system.add("n1", "jobs")
