--- a/src/briardock/mesh/replication.py
+++ b/src/briardock/mesh/replication.py
@@ -27,7 +27,12 @@
 from briardock.mesh.members import MemberTable, NodeRecord
 from briardock.mesh.model import RoutingConfig, TargetState, now_s
 from briardock.mesh.pool import ConnectionPool
-from briardock.mesh.positions import ReadPosition, is_outdated, next_position
+from briardock.mesh.positions import (
+    ReadPosition,
+    is_outdated,
+    next_position,
+    valid_position,
+)
 from briardock.mesh.readers import ReaderElection
 from briardock.mesh.replica import Replica
 from briardock.mesh.sync import PeerSync
@@ -51,11 +56,25 @@
 NODES_READ_PERIOD_RANGE_S = (12.0, 18.0)
 # Time for which changes of the local record are collected before they are written, s.
 WRITE_DELAY_S = 1.0
+# Rate at which all nodes together write their records again after a restore, 1/s. The
+# store takes a few hundred writes a second from all nodes.
+REWRITES_PER_S = 200.0
 # First and longest delay before a failed store call is retried, s.
 INITIAL_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 1.5
 
 
+def write_delay_s(rng: random.Random, rewriting_nodes: int) -> float:
+    """Return the delay before a write of the local record, s.
+
+    :param rng: random source
+    :param rewriting_nodes: number of nodes that write at this time because the store
+        was restored, 0 if it was not
+    """
+    spread_s = rewriting_nodes / REWRITES_PER_S
+    return WRITE_DELAY_S * rng.uniform(0.7, 1.3) + rng.uniform(0.0, spread_s)
+
+
 class Replicator:
     """Keeps node records and configuration of one node up to date.
 
@@ -101,7 +120,12 @@
         self._last_read_s: float | None = None
         self._publish_due = asyncio.Event()
         self._publish_urgent = asyncio.Event()
+        # Whether a write is due because the store was restored.
+        self._rewrite_due = False
+        self._knows_era = False
         self._local_record_stored = asyncio.Event()
+        # Order of the local record that the store has, or had until a restore.
+        self._stored_order = (0, 0)
         self._nodes_read = asyncio.Event()
         # Set once other nodes are known, or after two reads have found none.
         self._discovered = asyncio.Event()
@@ -127,15 +151,22 @@
         self._publish_due.set()
         self._local_record_stored.clear()
 
+    def _schedule_rewrite(self) -> None:
+        """Schedule a write of a record that the store lost, a departure at once."""
+        self._schedule_write()
+        if self._members.local_record.state is TargetState.LEAVING:
+            self._publish_urgent.set()
+
     def _store_era_changed(self, source: str) -> None:
         """Write the record of this node again, and give up reads of an earlier era.
 
         Only departures are urgent: the nodes of a fleet learn of the era at about the
-        same time, and the usual delay spreads their writes.
+        same time, and the delay spreads their writes.
         """
-        self._schedule_write()
-        if self._members.local_record.state is TargetState.LEAVING:
-            self._publish_urgent.set()
+        # The first era that a node learns tells no restore.
+        self._rewrite_due = self._knows_era
+        self._knows_era = True
+        self._schedule_rewrite()
         now = asyncio.get_running_loop().time()
         for scope in self._open_reads:
             scope.reschedule(now)
@@ -258,6 +289,7 @@
                 await asyncio.sleep(READER_SEARCH_PERIOD_S)
                 continue
             wait_s = self._rng.uniform(*CONFIG_WAIT_RANGE_S)
+            position = valid_position(position, self.store_era)
             result = await self._read(CONFIG_STREAM, position, wait_s)
             position = next_position(position, result, self.store_era)
             match result:
@@ -281,6 +313,7 @@
     # Node records
 
     def _merge_node_records(self, records: Records) -> None:
+        own_record: NodeRecord | None = None
         for key, value in records.items:
             try:
                 record = msgspec.msgpack.decode(value, type=NodeRecord)
@@ -288,6 +321,12 @@
                 self._log.event("record-undecodable", key=key, reason=str(error))
                 continue
             self._replica.merge_record(record)
+            if record.node_id == self._members.local_record.node_id:
+                own_record = record
+        if own_record is not None and own_record.order < self._stored_order:
+            # The store executed an earlier append late, over the newest record.
+            self._log.event("record-outdated", version=own_record.version)
+            self._schedule_rewrite()
 
     async def watch_nodes(self) -> None:
         """Read node records until other nodes are known, then if this node reads."""
@@ -295,6 +334,7 @@
         reads = 0
         position: ReadPosition | None = None
         while True:
+            position = valid_position(position, self.store_era)
             result = await self._read(NODES_STREAM, position, 0.0)
             position = next_position(position, result, self.store_era)
             must_retry = self._must_retry(result)
@@ -337,6 +377,7 @@
             await self._wait_before_write()
             self._publish_due.clear()
             self._publish_urgent.clear()
+            self._rewrite_due = False
             local_record = self._members.local_record
             value = msgspec.msgpack.encode(local_record)
             result = await self._store.append(NODES_STREAM, local_record.node_id, value)
@@ -347,6 +388,7 @@
                 case Appended():
                     backoff_s = INITIAL_BACKOFF_S
                     self._record_store_success("publish")
+                    self._stored_order = local_record.order
                     if not self._publish_due.is_set():
                         self._local_record_stored.set()
                 case StoreFailure(reason):
@@ -357,8 +399,9 @@
                     backoff_s = min(MAX_BACKOFF_S, 2 * backoff_s)
 
     async def _wait_before_write(self) -> None:
+        rewriting_nodes = self._members.count if self._rewrite_due else 0
         try:
-            async with asyncio.timeout(WRITE_DELAY_S * self._rng.uniform(0.7, 1.3)):
+            async with asyncio.timeout(write_delay_s(self._rng, rewriting_nodes)):
                 await self._publish_urgent.wait()
         except TimeoutError:
             return
--- a/tests/test_mesh_store_restore.py
+++ b/tests/test_mesh_store_restore.py
@@ -1,6 +1,7 @@
 """Restores of the store from a copy, which lose what it had acknowledged since."""
 
 import asyncio
+import json
 import random
 import time
 from collections.abc import Awaitable, Callable
@@ -11,7 +12,7 @@
 from hypothesis import strategies as st
 
 from briardock.mesh import replication
-from briardock.mesh.dialect import Records, StoreFailure, Trimmed
+from briardock.mesh.dialect import CONFIG_STREAM, Records, StoreFailure, Trimmed
 from briardock.mesh.http1 import Request, Response
 from briardock.mesh.members import MemberTable, NodeRecord
 from briardock.mesh.model import RoutingConfig, TargetState
@@ -20,6 +21,7 @@
 from briardock.mesh.replica import ConfigId, Replica
 from briardock.mesh.sync import PeerSync
 from briardock.platform._dialect import PlatformDialect
+from briardock.platform._store import PlatformStore
 from mesh_builders import record
 from mesh_fakes import (
     Fleet,
@@ -204,6 +206,21 @@
         assert system.store.appends <= appends + 2 * len(system.machines)
 
 
+@pytest.mark.parametrize("nodes", [20, 300, 4100])
+def test_records_of_a_large_fleet_are_written_again_at_a_bounded_rate(
+    nodes: int,
+) -> None:
+    """All nodes wrote within 0.6 s, whatever their number."""
+    rng = random.Random(1)
+    delays = sorted(replication.write_delay_s(rng, nodes) for _ in range(nodes))
+    busiest = max(
+        sum(start <= delay < start + 1.0 for delay in delays) for start in delays
+    )
+    assert busiest <= 1.5 * replication.REWRITES_PER_S
+    assert delays[0] >= 0.5 * replication.WRITE_DELAY_S
+    assert delays[-1] <= 1.5 * replication.WRITE_DELAY_S + nodes / 200
+
+
 async def depart_and_lose_it(system: Fleet) -> Machine:
     """Acknowledge a departure that the store then loses."""
     machine = await system.add("n1", "jobs")
@@ -291,6 +308,48 @@
         await in_force(system, 9, CONFIG_BOUND_S)
 
 
+async def test_pages_of_different_eras_are_not_joined() -> None:
+    """Records of the lost history were kept as newest ones, and the later era was not
+    noticed.
+    """
+    async with fleet() as system:
+
+        async def respond(execute: Callable[[], Awaitable[Response]]) -> Response:
+            response = await execute()
+            page = json.loads(response.body) | {"has-more": system.store.era == 1}
+            response.body = json.dumps(page).encode()
+            system.store.restore(time.monotonic())
+            return response
+
+        intercept(system, b"/log-newest", CONFIG, respond)
+        store = PlatformStore(system.store.address)
+        result = await store.read_newest(CONFIG_STREAM)
+        assert isinstance(result, StoreFailure)
+        assert result.era == 2
+
+
+async def test_position_of_an_earlier_era_is_not_read_from() -> None:
+    """A node that read again after a restore waited at its former position, past a
+    configuration that was written before that.
+    """
+    async with fleet() as system:
+        machine = await system.add("n1", "jobs")
+        await system.settle()
+        await all_stored(system)
+        election = machine.node.replicator._election
+        copied_s = time.monotonic()
+        put_config(system, 2)
+        await in_force(system, 2, CONFIG_BOUND_S)
+        should_read, election.should_read = election.should_read, lambda now: False
+        await asyncio.sleep(replication.CONFIG_WAIT_RANGE_S[1] + 0.1)
+        system.store.restore(copied_s)
+        put_config(system, 9)
+        machine.node.replicator.local_record_changed()
+        assert await machine.node.replicator.wait_until_stored(1.0)
+        election.should_read = should_read
+        await in_force(system, 9, 1.0)
+
+
 @pytest.mark.parametrize(
     ("started", "result", "store_era", "expected"),
     [
@@ -396,6 +455,24 @@
         assert started.node.members.count == MIN_READERS + 1
 
 
+async def test_own_record_that_an_older_one_replaced_is_written_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The store executed an append seconds late, over the newer record."""
+    monkeypatch.setattr(replication, "NODES_READ_PERIOD_RANGE_S", (0.3, 0.4))
+    async with fleet() as system:
+        machine = await system.add("n1", "jobs")
+        await system.settle()
+        await all_stored(system)
+        older = system.store.newest(NODES)["n1"]
+        assert await machine.announce("draining") == 200
+        system.store.put(NODES, "n1", older)
+        await all_stored(system, REWRITE_BOUND_S)
+        appends = system.store.appends
+        await asyncio.sleep(2.0)
+        assert system.store.appends == appends
+
+
 CONTENTS = [
     (config(version, route("r", prefix)), era)
     for version in (4, 5)
@@ -451,6 +528,8 @@
         pytest.param((5, 2, "x"), (5, 1, "x"), False, (5, 2, "x"), id="same, later"),
         pytest.param((5, 1, "x"), (5, 2, "x"), False, (5, 2, "x"), id="same, earlier"),
         pytest.param((5, 1, "x"), (-1, 0, ""), True, (5, 1, "x"), id="none"),
+        pytest.param((5, 1, "x"), (5, 0, ""), False, (5, 1, "x"), id="same, no digest"),
+        pytest.param((5, 1, "x"), (4, 0, ""), True, (5, 1, "x"), id="older, no digest"),
     ],
 )
 def test_documents_are_sent_only_to_nodes_that_lack_the_content(
@@ -459,7 +538,9 @@
     sends: bool,
     own_after: tuple[int, int, str],
 ) -> None:
-    """Nodes that read one document in two eras would send it to each other for good."""
+    """Nodes that read one document in two eras would send it to each other for good,
+    and send it to nodes of the release without digests at each exchange.
+    """
     replica = make_replica([])
     replica.config_id = ConfigId(*own)
     assert replica.has_newer_config(ConfigId(*other)) is sends
