--- a/deploy/run_node.py
+++ b/deploy/run_node.py
@@ -1,8 +1,12 @@
 """Run a node from the source tree; the build installs only its dependencies."""
 
+import signal
 import sys
 from pathlib import Path
 
+# A reload signal must not end a process that starts; settings are read after it.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "src"))
 
 from briardock.platform.main import main  # noqa: E402
