Write a record again that an older one has replaced in the store

An append that the store executed seconds late left an older record of the node there, for good if the record did not change any more: a departure was READY again for nodes that start. A node that reads node records now compares its own with what it has stored last, and writes it again, a departure at once. Nodes that don't read do not notice it.

--- a/src/briardock/mesh/replication.py
+++ b/src/briardock/mesh/replication.py
@@ -124,6 +124,8 @@
         self._rewrite_due = False
         self._knows_era = False
         self._local_record_stored = asyncio.Event()
+        # Order of the local record that the store has, or had until a restore.
+        self._stored_order = (0, 0)
         self._nodes_read = asyncio.Event()
         # Set once other nodes are known, or after two reads have found none.
         self._discovered = asyncio.Event()
@@ -149,6 +151,12 @@
         self._publish_due.set()
         self._local_record_stored.clear()
 
+    def _schedule_rewrite(self) -> None:
+        """Schedule a write of a record that the store lost, a departure at once."""
+        self._schedule_write()
+        if self._members.local_record.state is TargetState.LEAVING:
+            self._publish_urgent.set()
+
     def _store_era_changed(self, source: str) -> None:
         """Write the record of this node again, and give up reads of an earlier era.
 
@@ -158,9 +166,7 @@
         # The first era that a node learns tells no restore.
         self._rewrite_due = self._knows_era
         self._knows_era = True
-        self._schedule_write()
-        if self._members.local_record.state is TargetState.LEAVING:
-            self._publish_urgent.set()
+        self._schedule_rewrite()
         now = asyncio.get_running_loop().time()
         for scope in self._open_reads:
             scope.reschedule(now)
@@ -307,6 +313,7 @@
     # Node records
 
     def _merge_node_records(self, records: Records) -> None:
+        own_record: NodeRecord | None = None
         for key, value in records.items:
             try:
                 record = msgspec.msgpack.decode(value, type=NodeRecord)
@@ -314,6 +321,12 @@
                 self._log.event("record-undecodable", key=key, reason=str(error))
                 continue
             self._replica.merge_record(record)
+            if record.node_id == self._members.local_record.node_id:
+                own_record = record
+        if own_record is not None and own_record.order < self._stored_order:
+            # The store executed an earlier append late, over the newest record.
+            self._log.event("record-outdated", version=own_record.version)
+            self._schedule_rewrite()
 
     async def watch_nodes(self) -> None:
         """Read node records until other nodes are known, then if this node reads."""
@@ -375,6 +388,7 @@
                 case Appended():
                     backoff_s = INITIAL_BACKOFF_S
                     self._record_store_success("publish")
+                    self._stored_order = local_record.order
                     if not self._publish_due.is_set():
                         self._local_record_stored.set()
                 case StoreFailure(reason):
--- a/tests/test_mesh_store_restore.py
+++ b/tests/test_mesh_store_restore.py
@@ -455,6 +455,24 @@
         assert started.node.members.count == MIN_READERS + 1
 
 
+async def test_own_record_that_an_older_one_replaced_is_written_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The store executed an append seconds late, over the newer record."""
+    monkeypatch.setattr(replication, "NODES_READ_PERIOD_RANGE_S", (0.3, 0.4))
+    async with fleet() as system:
+        machine = await system.add("n1", "jobs")
+        await system.settle()
+        await all_stored(system)
+        older = system.store.newest(NODES)["n1"]
+        assert await machine.announce("draining") == 200
+        system.store.put(NODES, "n1", older)
+        await all_stored(system, REWRITE_BOUND_S)
+        appends = system.store.appends
+        await asyncio.sleep(2.0)
+        assert system.store.appends == appends
+
+
 CONTENTS = [
     (config(version, route("r", prefix)), era)
     for version in (4, 5)
