Give up a silent read of the configuration within 1.9 s

A read waited for up to 1.8 s and was given up 1.5 s after that. If the connections of all readers had gone silent, a configuration was found after up to 3.3 s, where 2 s are allowed; no other call tells of a restore if no node has to write. Readers now wait for 1.35 to 1.5 s, and 0.35 s more for the response. A store that responds later than that is read by the newest records, which may take 1.5 s as before. The wait stays above 4/3 s for the bound on the calls of readers in test_mesh_readers.py.

--- a/src/briardock/mesh/replication.py
+++ b/src/briardock/mesh/replication.py
@@ -42,7 +42,7 @@
 # time until a read on a connection that has gone silent is noticed, and until a node
 # learns of a restore from a store that leaves reads open: a configuration written then
 # must be in force within 2 s. A range, as otherwise all readers wait in step.
-CONFIG_WAIT_RANGE_S = (1.4, 1.8)
+CONFIG_WAIT_RANGE_S = (1.35, 1.5)
 # Period at which a node asks the one that reads for it, s, and the period while none
 # has responded.
 READER_CHECK_PERIOD_S = 0.7
--- a/src/briardock/platform/_store.py
+++ b/src/briardock/platform/_store.py
@@ -22,8 +22,11 @@
 POOL = PoolSettings(
     connect_timeout_s=1.0, idle_timeout_s=15.0, unacknowledged_timeout_s=2.0
 )
-# Timeout of a call, in addition to the time that a read waits for a record, s.
+# Timeout of a call, s, and of a read that waits for a record, in addition to that time,
+# s. The sum of the latter is the delay until a reader notices a silent connection, and
+# a configuration must be in force within 2 s.
 RESPONSE_TIMEOUT_S = 1.5
+WAITING_RESPONSE_TIMEOUT_S = 0.35
 ERA_HEADER = b"store-era"
 # Largest number of digits of an era, so that it fits the integers of messages.
 MAX_ERA_DIGITS = 18
@@ -116,10 +119,13 @@
     async def _call(
         self, method: str, path: str, wait_s: float = 0.0, body: bytes = b""
     ) -> Response | StoreFailure:
+        timeout_s = RESPONSE_TIMEOUT_S
+        if wait_s > 0:
+            timeout_s = wait_s + WAITING_RESPONSE_TIMEOUT_S
         headers = [(b"host", self._address.encode())]
         data = encode_request(method.encode(), path.encode(), headers, body)
         try:
-            async with asyncio.timeout(wait_s + RESPONSE_TIMEOUT_S):
+            async with asyncio.timeout(timeout_s):
                 connection = await self._pool.acquire(self._address)
                 if isinstance(connection, ExchangeFailure):
                     return StoreFailure(connection.reason)
