--- a/review/1/case.py
+++ b/review/1/case.py
@@ -18,6 +18,7 @@
 
 
 async def play(fleet):
+    """Let a server leave during an outage; return the requests that reach it later."""
     record = fleet.record
     leaving = fleet.add("jobs-1", "zone-a", "jobs")
     fleet.add("jobs-2", "zone-b", "jobs")
--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -188,9 +188,9 @@
     returns True if it has answered by itself.
     """
 
-    def __init__(self, fleet, machine, work_s=0.02, slots=16):
-        self._fleet, self._machine = fleet, machine
-        self._work_s, self.slots = work_s, slots
+    def __init__(self, fleet, machine, work_s=0.02, slots=146):
+        self._fleet, self.machine = fleet, machine
+        self.work_s, self.slots = work_s, slots
         self.state = "absent"
         self.arrivals = []
         self.starts = 0
@@ -205,9 +205,9 @@
         """Begin a new incarnation with a new id."""
         self.starts += 1
         self.born = int(time.time() * 1000)
-        self.id = f"i-{self._machine.name}-{self.starts}"
+        self.id = f"i-{self.machine.name}-{self.starts}"
         self.sequence = 0
-        host, port = self._machine.app_address.split(":")
+        host, port = self.machine.app_address.split(":")
         self._listener = await asyncio.start_server(self._serve, host, int(port))
         self.state = "ready"
         self._fleet.record.line(f"server {self.id} starts")
@@ -236,9 +236,9 @@
         body = {"born": self.born}
         if call == "heartbeat":
             body |= {
-                "service": self._machine.service,
-                "address": self._machine.app_address,
-                "zone": self._machine.zone,
+                "service": self.machine.service,
+                "address": self.machine.app_address,
+                "zone": self.machine.zone,
                 "version": "v1",
                 "slots": self.slots,
                 "state": self.state,
@@ -248,7 +248,7 @@
         try:
             answer = await asyncio.wait_for(
                 exchange(
-                    self._machine.control_address,
+                    self.machine.control_address,
                     "POST",
                     f"/instances/{self.id}/{call}",
                     {"Content-Type": "application/json"},
@@ -295,7 +295,7 @@
             return
         record.line(f"server {self.id} runs {request_id}")
         self._fleet.runs[request_id].append((record.now(), self.id))
-        await asyncio.sleep(self._work_s)
+        await asyncio.sleep(self.work_s)
         answer = f"{self.id} ran {request_id}".encode()
         headers = {"Request-Id": request_id, "Response-Signature": f"s.{request_id}"}
         writer.write(encode(200, headers, answer))
@@ -490,7 +490,7 @@
     def publish(self, routes, version):
         limits = {
             "max-header-bytes": 16384,
-            "max-body-bytes": 1048576,
+            "max-body-bytes": 67108864,
             "header-timeout": "3s",
             "idle-timeout": "15s",
         }
