--- a/review/1/case.py
+++ b/review/1/case.py
@@ -9,12 +9,12 @@
 
 from harness import CONTACT_S, DRAIN_S, TROUBLE, CannotRun, route, run  # noqa: E402
 
-OUTAGE_S = 8.0
-LEAVES_AFTER_S = 1.0
-KILL_AFTER_S = 4.0
+OUTAGE_S = 4.5
+LEAVES_AFTER_S = 0.5
+KILL_AFTER_S = 2.0
 RESTART_S = 1.0
 # Time for which the leaving server serves on after the acknowledgement.
-STAYS_S = 15.0
+STAYS_S = 10.0
 
 
 async def play(fleet):
