--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""A request that crashes its servers is never refused while their service is calm."""
+"""A departure that was acknowledged without the store is lost with all nodes."""
 
 import asyncio
 import sys
@@ -7,88 +7,72 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "lib"))
 
-from harness import CONTACT_S, TROUBLE, route, run  # noqa: E402
+from harness import CONTACT_S, DRAIN_S, TROUBLE, CannotRun, route, run  # noqa: E402
 
-BACK_AFTER_S = 4.0
-PERIOD_S = 8.0
-RETRIES = 9
-# Time between two ordinary requests for the service.
-ORDINARY_PERIOD_S = 0.05
-POISON = "/jobs/report"
+OUTAGE_S = 4.5
+LEAVES_AFTER_S = 0.5
+KILL_AFTER_S = 2.0
+RESTART_S = 1.0
+# Time for which the leaving server serves on after the acknowledgement.
+STAYS_S = 10.0
 
 
 async def play(fleet):
-    """Send the request that crashes servers; return the retries that reach one late."""
+    """Let a server leave during an outage; return the requests that reach it later."""
     record = fleet.record
-    crashes = []
-    reached = {}
-    tasks = set()
-
-    async def come_back(server):
-        await asyncio.sleep(BACK_AFTER_S)
-        await server.start()
-
-    async def behave(server, method, path, headers, body, writer):
-        if path != POISON:
-            return False
-        reached.setdefault(headers["request-id"], record.now())
-        if not TROUBLE:
-            return False
-        crashes.append(record.now())
-        server.end(f"it crashes as it runs {headers['request-id']}")
-        tasks.add(asyncio.create_task(come_back(server)))
-        return True
-
-    for number in range(9):
-        fleet.add(f"jobs-{number + 1}", fleet.zones[number % 3], "jobs")
-    callers = [fleet.add(f"app-{zone[-1]}", zone, "app") for zone in fleet.zones]
-    await fleet.start(
-        [
-            route("jobs", "/jobs/", "jobs", kind="non_idempotent"),
-            route("app", "/app/", "app"),
-        ]
-    )
-    for machine in fleet.machines.values():
-        machine.server.behave = behave
-    sent = []
-    ordinary = []
+    leaving = fleet.add("jobs-1", "zone-a", "jobs")
+    fleet.add("jobs-2", "zone-b", "jobs")
+    fleet.add("app-1", "zone-c", "app")
+    await fleet.start([route("jobs", "/jobs/", "jobs")])
+    server = leaving.server
+    tasks = []
 
     async def clients():
         while True:
-            for caller in callers:
-                request = fleet.request(caller, "/jobs/ordinary")
-                ordinary.append(asyncio.create_task(request))
-                await asyncio.sleep(ORDINARY_PERIOD_S)
+            for machine in fleet.machines.values():
+                tasks.append(asyncio.create_task(fleet.request(machine, "/jobs/x")))
+            await asyncio.sleep(0.2)
 
     client_task = asyncio.create_task(clients())
     await asyncio.sleep(2.0)
-    for retry in range(RETRIES):
-        caller = callers[retry % len(callers)]
-        request_id, _ = await fleet.request(caller, POISON, "POST", b"year")
-        sent.append(request_id)
-        await asyncio.sleep(PERIOD_S)
+    if not server.arrivals:
+        raise CannotRun("no request reached the server before it left")
+    if TROUBLE:
+        fleet.store.set_down(True)
+    outage_s = record.now()
+    await asyncio.sleep(LEAVES_AFTER_S)
+    server.beats = False
+    if not await server.tell("deregister"):
+        raise CannotRun("the departure was not acknowledged")
+    acked_s = record.now()
+    record.line(f"deregistration of {server.id} is acknowledged")
+    await asyncio.sleep(outage_s + KILL_AFTER_S - record.now())
+    if TROUBLE:
+        for machine in fleet.machines.values():
+            machine.kill_node()
+    await asyncio.sleep(RESTART_S)
+    if TROUBLE:
+        for machine in fleet.machines.values():
+            machine.start_node()
+    await asyncio.sleep(outage_s + OUTAGE_S - record.now())
+    if TROUBLE:
+        fleet.store.set_down(False)
+    in_touch_s = record.now() + CONTACT_S
+    await asyncio.sleep(acked_s + STAYS_S - record.now())
     client_task.cancel()
-    answers = await asyncio.gather(*ordinary)
-    for task in tasks:
-        task.cancel()
-    served = sum(status == 200 for _, status in answers)
-    record.line(f"ordinary requests: {served} of {len(answers)} served")
-    if not TROUBLE:
-        return []
-    if len(crashes) < 3:
-        return []
-    binding_s = crashes[2] + CONTACT_S
-    record.line(f"servers crashed {len(crashes)} times; binding from {binding_s:.2f} s")
-    late = [i for i in sent if fleet.answers[i][0] > binding_s and i in reached]
-    print(
-        f"{len(crashes)} crashes, {served} of {len(answers)} ordinary requests served"
-    )
-    if len(late) <= 3:
-        return []
+    await asyncio.gather(*tasks)
+    server.end("it has left")
+    served = [a for a in fleet.answers.values() if a[0] > in_touch_s and a[2] == 200]
+    if not served:
+        raise CannotRun("no request was served after the recovery")
     return [
-        f"{request_id}, sent at {fleet.answers[request_id][0]:.2f} s, reaches one; "
-        f"the third crash was at {crashes[2]:.2f} s"
-        for request_id in late
+        f"{request_id}, sent at {fleet.answers[request_id][0]:.2f} s to "
+        f"{fleet.answers[request_id][1]}, reaches {server.id} "
+        f"{at_s - acked_s:.2f} s after its departure was acknowledged"
+        for at_s, request_id, _ in server.arrivals
+        if at_s > acked_s + DRAIN_S
+        and request_id in fleet.answers
+        and fleet.answers[request_id][0] > in_touch_s
     ]
 
 
--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -43,9 +43,11 @@
         self._start_s = time.monotonic()
 
     def now(self):
+        """Return the time since the start, in s."""
         return time.monotonic() - self._start_s
 
     def line(self, text):
+        """Write a line with the time."""
         self._file.write(f"{self.now():8.3f} s  {text}\n")
 
 
@@ -83,18 +85,39 @@
         self.down = False
         self.topics = defaultdict(list)
         self._changed = asyncio.Event()
-        self._writers = set()
+        self._writers = {}
         self.address = ""
+        # Names of machines that it turns away, and when each last read a topic; only
+        # for machines with an address of their own at the store.
+        self.turned_away = set()
+        self.last_reads = {}
         # Called with each append; returns after how many seconds it is executed and
         # whether it is answered.
         self.on_append = lambda topic, key, value: (0.0, True)
 
     async def start(self, host):
+        """Listen on a free port of an address."""
         self._server = await asyncio.start_server(self._serve, host, 0)
         port = self._server.sockets[0].getsockname()[1]
         self.address = f"{host}:{port}"
 
+    async def add_address(self, host, name):
+        """Return an address that only one machine uses."""
+        server = await asyncio.start_server(
+            lambda reader, writer: self._serve(reader, writer, name), host, 0
+        )
+        return f"{host}:{server.sockets[0].getsockname()[1]}"
+
+    def turn_away(self, names):
+        """Reset the connections of some machines from now on."""
+        self.turned_away = set(names)
+        self._record.line(f"the platform's store turns away {sorted(names) or 'none'}")
+        for writer, name in list(self._writers.items()):
+            if name in self.turned_away:
+                writer.transport.abort()
+
     def put(self, topic, key, value):
+        """Append a record."""
         self.topics[topic].append((key, value))
         self._changed.set()
         self._changed = asyncio.Event()
@@ -107,15 +130,17 @@
             for writer in list(self._writers):
                 writer.transport.abort()
 
-    async def _serve(self, reader, writer):
-        if self.down:
+    async def _serve(self, reader, writer, name=""):
+        if self.down or name in self.turned_away:
             writer.transport.abort()
             return
-        self._writers.add(writer)
+        self._writers[writer] = name
         try:
             while (message := await read_message(reader)) is not None:
+                if "/log-read?topic=keyed.op" in message[0]:
+                    self.last_reads[name] = time.monotonic()
                 answer = await self._respond(*message)
-                if self.down or answer is None:
+                if self.down or name in self.turned_away or answer is None:
                     writer.transport.abort()
                     return
                 writer.write(answer)
@@ -123,7 +148,7 @@
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
         finally:
-            self._writers.discard(writer)
+            self._writers.pop(writer, None)
             writer.close()
 
     async def _respond(self, start, headers, body):
@@ -330,10 +355,12 @@
         self.ready_address, self.control_address = f"{ip}:8302", f"{ip}:8306"
         self.app_address = f"{ip}:8301"
         self.server = Server(fleet, self)
+        self.store_address = ""
         self.node = None
         self.node_started_s = 0.0
 
     def settings(self):
+        """Return the settings file, as DEPLOY.md shows it."""
         zones = "\n".join(f'{z} = "region-a"' for z in self.fleet.zones)
         return f"""[self]
 node = "{self.name}"
@@ -369,7 +396,7 @@
 entry = "static"
 heartbeat-interval = "1500ms"
 [platform.platform]
-address = "{self.fleet.store.address}"
+address = "{self.store_address or self.fleet.store.address}"
 form = "log"
 writes-per-s = 400
 reads-per-s = 2000
@@ -407,6 +434,7 @@
 """
 
     def start_node(self):
+        """Start the node as the deploy file says."""
         path = self.fleet.folder / f"{self.name}.toml"
         path.write_text(self.settings())
         deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
@@ -427,11 +455,13 @@
         self.fleet.record.line(f"node of {self.name} starts")
 
     def kill_node(self):
+        """Kill the node, without a signal before."""
         self.node.send_signal(signal.SIGKILL)
         self.node.wait()
         self.fleet.record.line(f"node of {self.name} is killed")
 
     async def is_ready(self):
+        """Return whether the node answers that it is ready."""
         try:
             answer = await exchange(
                 self.ready_address, "GET", "/ready", {}, timeout_s=1.0
@@ -468,14 +498,21 @@
         raise CannotRun("no free loopback addresses")
 
     def add(self, name, zone, service):
+        """Add a machine with addresses of its own."""
         ip = f"{self._network}.{len(self.machines) + 1}"
         machine = self.machines[name] = Machine(self, name, zone, service, ip)
         return machine
 
-    async def start(self, routes, version=1):
+    async def start(self, routes, version=1, own_store_addresses=False):
         """Start all parts and wait until requests are served."""
         await self.store.start(f"{self._network}.200")
         self.publish(routes, version)
+        if own_store_addresses:
+            for machine in self.machines.values():
+                address = await self.store.add_address(
+                    f"{self._network}.200", machine.name
+                )
+                machine.store_address = address
         for machine in self.machines.values():
             machine.start_node()
         for machine in self.machines.values():
@@ -488,6 +525,7 @@
         await asyncio.sleep(4.0)
 
     def publish(self, routes, version):
+        """Write a configuration to the store, as the operator does."""
         limits = {
             "max-header-bytes": 16384,
             "max-body-bytes": 67108864,
@@ -530,6 +568,7 @@
         return request_id, status
 
     def stop(self):
+        """End all processes and remove the temporary folder."""
         for machine in self.machines.values():
             if machine.node is not None and machine.node.poll() is None:
                 machine.node.kill()
