--- a/review/5/case.py
+++ b/review/5/case.py
@@ -59,9 +59,8 @@
         raise CannotRun("the added route was never served")
     late = [p for p in probes if p[0] > acked_s + CONFIG_APPLY_S and p[3] == 404]
     if late:
-        print(
-            f"the last one is {max(p[0] for p in late) - acked_s:.2f} s after the acknowledgement"
-        )
+        last_s = max(p[0] for p in late) - acked_s
+        print(f"the last one is sent {last_s:.2f} s after the acknowledgement")
     return [
         f"{request_id}, sent to {name} {sent_s - acked_s:.2f} s after the "
         "acknowledgement, gets 404"
