Ask a restored target whether it accepts requests before using it

The departure was acknowledged while the store was down, and all nodes were killed before it was back.

Cause: a node that had restarted took the record of its earlier process for the present state of the target. A departure that is acknowledged without the store is held in memory only, so the record may be from before it.

Change: a node that finds a ready target in that record sends it one health check, which a leaving target answers with 503, and otherwise waits for its next announcement. The configuration's health paths are decoded for it. A node that is cancelled now cancels its background tasks; in tests it went on writing its record.

Why it works: the state comes from the target, which is the only one that outlives all nodes.

--- a/src/briardock/mesh/dialect.py
+++ b/src/briardock/mesh/dialect.py
@@ -67,6 +67,13 @@
         """Decode the headers of a target's response."""
         ...
 
+    def decode_health(self, response: Response) -> str:
+        """Return the id of the target that accepts requests, or an empty string.
+
+        :param response: response of a target to a health check
+        """
+        ...
+
     def refusal_headers(self, retry_after_s: float) -> Headers:
         """Return the headers that tell a caller when to retry."""
         ...
--- a/src/briardock/mesh/model.py
+++ b/src/briardock/mesh/model.py
@@ -3,7 +3,7 @@
 import enum
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from functools import partial
 
 Headers = list[tuple[bytes, bytes]]
@@ -85,12 +85,14 @@
     :param routes: all routes
     :param limits: limits on callers
     :param document: encoded form that is sent to other nodes
+    :param health_paths: path of the health check by service
     """
 
     version: int
     routes: tuple[Route, ...]
     limits: CallerLimits
     document: bytes
+    health_paths: dict[str, str] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/briardock/mesh/node.py
+++ b/src/briardock/mesh/node.py
@@ -190,12 +190,18 @@
         self._stop_signal_s: float | None = None
         self._shutdown: Shutdown | None = None
         self._stalls = StallMeter(now_s())
+        self._health_paths: dict[str, str] = {}
+        # Newest record of an earlier process whose target is not known to be ready.
+        self._unconfirmed_record: NodeRecord | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
 
     def _install(self, config: RoutingConfig) -> None:
         self.forwarder.routes = RouteTable(config)
         self._caller_server.limits = config.limits
         self._entry_routes.retain({route.name for route in config.routes})
         self.telemetry.config_version.set(config.version)
+        self._health_paths = config.health_paths
+        self._check_restored_target()
 
     def _target_changed(self) -> None:
         target = self.target
@@ -238,9 +244,36 @@
         if record.service != self.settings.service:
             return
         if record.state is TargetState.READY:
-            self.target.adopt(record.target_id, record.target_born_ms, record.slots)
+            self._unconfirmed_record = record
+            self._check_restored_target()
         elif record.state is TargetState.LEAVING:
+            self._unconfirmed_record = None
             self.target.leave(record.target_id, record.target_born_ms)
+            self.target.adopt(record.target_id, record.target_born_ms, record.slots)
+
+    def _check_restored_target(self) -> None:
+        """Start the check of the restored target once its health path is known."""
+        record = self._unconfirmed_record
+        health_path = self._health_paths.get(self.settings.service)
+        if record is None or not health_path:
+            return
+        self._unconfirmed_record = None
+        task = asyncio.get_running_loop().create_task(
+            self._adopt_if_ready(record, health_path)
+        )
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _adopt_if_ready(self, record: NodeRecord, health_path: str) -> None:
+        """Use the restored target if it states that it accepts requests.
+
+        Otherwise the node waits for its next announcement: the departure that an
+        earlier process acknowledged may have been lost with the memory of all nodes.
+        """
+        if await self.target.accepts_requests(record.target_id, health_path):
+            self.target.adopt(record.target_id, record.target_born_ms, record.slots)
+        elif not self.target.target_id:
+            self.log.event("target-not-restored", target=record.target_id)
 
     def _local_record_changed(self) -> None:
         self.replicator.local_record_changed()
@@ -294,9 +327,9 @@
     async def _store_departure(self, target_id: str) -> None:
         """Wait until the store has a departure, before it is acknowledged.
 
-        If this process exits right after the acknowledgement, its successor must not
-        adopt the target as ready. While the store is unreachable, the successor learns
-        the state from the next announcement instead.
+        If this process exits right after the acknowledgement, its successor must know
+        of the departure. While the store is unreachable, it may not, and learns from
+        the target's health check that the target is leaving.
         """
         if not await self.replicator.wait_until_stored(DEPARTURE_WAIT_S):
             self.log.event("departure-not-stored", target=target_id)
@@ -392,10 +425,12 @@
                 *(server.sweep for server in self._servers),
             )
         ]
-        await self._stopping.wait()
-        await self._stop()
-        for task in background:
-            task.cancel()
+        try:
+            await self._stopping.wait()
+            await self._stop()
+        finally:
+            for task in background:
+                task.cancel()
 
     @property
     def _servers(self) -> list[HttpServer]:
--- a/src/briardock/mesh/target.py
+++ b/src/briardock/mesh/target.py
@@ -1,7 +1,7 @@
 """The target beside the node: its state, its slots and the queue for them.
 
 Only this node sends requests to the target, so its local count of running requests
-is exact and no health checks are needed.
+is exact. A health check is needed only after a restart of the node.
 """
 
 import asyncio
@@ -36,6 +36,9 @@
 # reset interrupts a request that was running.
 STALE_CONNECTION_RESET_S = 0.02
 
+# Timeout of a health check, s.
+HEALTH_CHECK_TIMEOUT_S = 0.5
+
 # Assumed service time before the first request, s, and the weight of the newest request
 # in the moving average.
 INITIAL_SERVICE_TIME_S = 0.02
@@ -162,11 +165,33 @@
         )
         return True
 
+    async def accepts_requests(self, target_id: str, health_path: str) -> bool:
+        """Return whether a target states in a health check that it is not leaving.
+
+        :param target_id: id of the target
+        :param health_path: path of the health check
+        """
+        connection = await self._pool.acquire(self.address)
+        if isinstance(connection, ExchangeFailure):
+            return False
+        headers = [(b"host", self.address.encode())]
+        data = encode_request(b"GET", health_path.encode(), headers, b"")
+        try:
+            async with asyncio.timeout(HEALTH_CHECK_TIMEOUT_S):
+                response = await connection.exchange(data)
+        except TimeoutError:
+            return False
+        if isinstance(response, ExchangeFailure):
+            return False
+        self._pool.release(self.address, connection)
+        return self._dialect.decode_health(response) == target_id
+
     def adopt(self, target_id: str, born_ms: int, slots: int) -> None:
         """Use the target that an earlier process of this node published.
 
-        Requests name the target's id, so that another target at the address rejects
-        them.
+        That process may have acknowledged a departure that nobody else knows, so the
+        target must have stated since that it accepts requests. Requests name the
+        target's id, so that another target at the address rejects them.
 
         :param target_id: id of the target
         :param born_ms: start of the target, Unix time in ms
--- a/src/briardock/platform/_dialect.py
+++ b/src/briardock/platform/_dialect.py
@@ -26,6 +26,7 @@
 NOT_RUN = b"not-executed"
 CALLER = b"caller-service"
 RETRY_AFTER = b"retry-after"
+INSTANCE_ID = b"instance-id"
 HEADERS_SET_BY_NODES = frozenset({DEADLINE, EXPECTED_TARGET, CALLER})
 
 _ANNOUNCEMENT = re.compile(rb"^/instances/([^/?]+)/(heartbeat|deregister)$")
@@ -94,6 +95,10 @@
     idle_timeout: str
 
 
+class _ServiceSpec(msgspec.Struct, rename="kebab"):
+    health_path: str = ""
+
+
 class _Resource(msgspec.Struct, rename="kebab"):
     # Kind of the resource; despite its name, not a URL.
     type_url: str
@@ -170,6 +175,12 @@
             idle_timeout_s=float(keep_alive[1]) if keep_alive else None,
         )
 
+    def decode_health(self, response: Response) -> str:
+        """Return the id of the target that accepts requests, or an empty string."""
+        if response.status != 200:
+            return ""
+        return (_find_header(response.headers, INSTANCE_ID) or b"").decode("latin-1")
+
     def refusal_headers(self, retry_after_s: float) -> Headers:
         """Return the headers that tell a caller when to retry."""
         return [(RETRY_AFTER, b"%.3f" % retry_after_s)]
@@ -208,14 +219,21 @@
             decoded = msgspec.json.decode(document, type=_Document)
             routes = []
             limits = CallerLimits()
+            health_paths = {}
             for resource in decoded.resources:
                 if resource.type_url == "routes":
                     routes.append(_decode_route(resource))
                 elif resource.type_url == "limits":
                     limits = _decode_limits(resource)
+                elif resource.type_url == "services":
+                    service = msgspec.json.decode(resource.spec, type=_ServiceSpec)
+                    name = str(resource.metadata.get("name", ""))
+                    health_paths[name] = service.health_path
         except (msgspec.DecodeError, ValueError) as error:
             return Undecodable(f"configuration: {error}")
-        return RoutingConfig(decoded.version, tuple(routes), limits, document)
+        return RoutingConfig(
+            decoded.version, tuple(routes), limits, document, health_paths
+        )
 
 
 def _decode_route(resource: _Resource) -> Route:
--- a/tests/mesh_fakes.py
+++ b/tests/mesh_fakes.py
@@ -32,6 +32,8 @@
 HOST = "127.0.0.1"
 # Path at which the soak restores the store, with the age of the copy.
 RESTORE_PATH = "/restore"
+# Path of the targets' health check.
+HEALTH_PATH = "/health"
 _PORTS = PortPool()
 
 Behaviour = Callable[[Request], Awaitable[Response]]
@@ -75,8 +77,16 @@
 
 
 def config(version: int, *routes: dict[str, Any]) -> bytes:
-    """Return a configuration as the operator writes it."""
-    return json.dumps({"version": version, "resources": list(routes)}).encode()
+    """Return a configuration as the operator writes it, with the services of routes."""
+    services = [
+        {
+            "type-url": "services",
+            "metadata": {"name": name},
+            "spec": {"health-path": HEALTH_PATH, "max-connections": 500},
+        }
+        for name in sorted({item["spec"]["service"] for item in routes} - {""})
+    ]
+    return json.dumps({"version": version, "resources": [*routes, *services]}).encode()
 
 
 class FakeStore:
@@ -189,17 +199,22 @@
 
 @dataclass
 class FakeTarget:
-    """A target that records its requests."""
+    """A target that records its requests, and tells by health checks if it leaves."""
 
     address: str
     behaviour: Behaviour = respond_normally
     requests: list[Request] = field(default_factory=list)
+    target_id: str = "i-1"
+    leaving: bool = False
 
     async def start(self) -> None:
         self.server = HttpServer(self._handle, CallerLimits(), quiet_log())
         await self.server.start(*split_address(self.address))
 
     async def _handle(self, request: Request) -> Response:
+        if request.target == HEALTH_PATH.encode():
+            status = 503 if self.leaving else 200
+            return Response(status, [(b"instance-id", self.target_id.encode())])
         self.requests.append(request)
         return await self.behaviour(request)
 
@@ -303,7 +318,7 @@
     async def add(self, node_id: str, service: str) -> Machine:
         """Start a node and its target, and announce the target."""
         settings = make_settings(node_id, service, self.store.address)
-        target = FakeTarget(settings.target_address)
+        target = FakeTarget(settings.target_address, target_id=f"i-{node_id}")
         await target.start()
         machine = self.machines[node_id] = await self.start_node(settings, target)
         await machine.announce()
@@ -326,15 +341,22 @@
 
     async def restart(self, node_id: str) -> Machine:
         """Stop a node abruptly and start it again beside the same target."""
-        stopped = self.machines[node_id]
-        stopped.task.cancel()
-        await asyncio.gather(stopped.task, return_exceptions=True)
-        for server in stopped.node._servers:
-            server.stop_listening()
-            server.close_idle()
-        machine = await self.start_node(stopped.settings, stopped.target)
-        self.machines[node_id] = machine
-        return machine
+        await self.restart_together([node_id])
+        return self.machines[node_id]
+
+    async def restart_together(self, node_ids: list[str]) -> None:
+        """Stop nodes abruptly, and start them again once none of them runs."""
+        stopped = {node_id: self.machines[node_id] for node_id in node_ids}
+        for machine in stopped.values():
+            machine.task.cancel()
+            await asyncio.gather(machine.task, return_exceptions=True)
+            for server in machine.node._servers:
+                server.stop_listening()
+                server.close_idle()
+        for node_id, machine in stopped.items():
+            self.machines[node_id] = await self.start_node(
+                machine.settings, machine.target
+            )
 
     async def settle(self) -> None:
         """Wait until all nodes have the same records and a configuration, and admit
--- a/tests/soak_programs.py
+++ b/tests/soak_programs.py
@@ -23,7 +23,7 @@
 from briardock.mesh.http1 import Request, Response
 from briardock.mesh.http_server import HttpServer
 from briardock.mesh.model import CallerLimits, split_address
-from mesh_fakes import FakeStore, quiet_log, send
+from mesh_fakes import HEALTH_PATH, FakeStore, quiet_log, send
 
 HEARTBEAT_PERIOD_S = 0.5
 # Time for which a leaving target keeps serving after the acknowledgement, s.
@@ -80,6 +80,9 @@
 
     async def handle(self, request: Request) -> Response:
         headers = dict(request.headers)
+        if request.target == HEALTH_PATH.encode():
+            status = 503 if self._leaving.is_set() else 200
+            return Response(status, [(b"instance-id", self._target_id.encode())])
         request_id = headers.get(b"request-id", b"").decode()
         response_headers = [(b"request-id", request_id.encode())]
         if headers.get(b"expected-instance", b"").decode() != self._target_id:
--- a/tests/test_mesh_departure.py
+++ b/tests/test_mesh_departure.py
@@ -32,6 +32,7 @@
 
 
 async def announce_departure(machine: Machine, call: str) -> int:
+    machine.target.leaving = True
     if call == "heartbeat":
         return await machine.announce("draining")
     path = f"/instances/i-{machine.settings.node_id}/deregister"
@@ -79,6 +80,83 @@
         await eventually(adopted, timeout_s=3.0)
 
 
+@pytest.mark.parametrize(
+    ("call", "names"),
+    [
+        ("heartbeat", ["n1"]),
+        ("deregister", ["n1"]),
+        ("heartbeat", ["n1", "n2", "n3"]),
+        ("deregister", ["n1", "n2", "n3"]),
+    ],
+)
+async def test_departure_acknowledged_without_the_store_outlives_all_nodes(
+    call: str, names: list[str]
+) -> None:
+    """Requests reached a departed target: its node and all others were killed while
+    the store was down, and the store still had the target as ready (DRAIN).
+    """
+    async with fleet() as system:
+        for name in names:
+            await system.add(name, "jobs")
+        await system.settle()
+        owner = system.machines["n1"]
+        assert await owner.node.replicator.wait_until_stored(2.0)
+        system.store.down = True
+        assert await announce_departure(owner, call) == 200
+        await system.restart_together(names)
+        system.store.down = False
+        nodes = [machine.node for machine in system.machines.values()]
+
+        async def resumed() -> bool:
+            return all(
+                node.forwarder.routes is not None and node.members.count == len(names)
+                for node in nodes
+            )
+
+        await eventually(resumed, timeout_s=5.0)
+        until_s = asyncio.get_running_loop().time() + 2.0
+        while asyncio.get_running_loop().time() < until_s:
+            assert nodes[0].target.state is not TargetState.READY
+            await asyncio.sleep(0.05)
+
+
+async def hang(request: Request) -> Response:
+    await asyncio.sleep(60.0)
+    return Response(200)
+
+
+@pytest.mark.parametrize(
+    ("answer", "state"),
+    [
+        (Response(200, [(b"instance-id", b"i-n1")]), TargetState.READY),
+        (Response(200, [(b"instance-id", b"i-other")]), TargetState.ABSENT),
+        (Response(200), TargetState.ABSENT),
+        (Response(503, [(b"instance-id", b"i-n1")]), TargetState.ABSENT),
+        (Response(400, [(b"not-executed", b"1")]), TargetState.ABSENT),
+        (None, TargetState.ABSENT),
+    ],
+)
+async def test_restarted_node_uses_only_a_target_that_states_that_it_is_ready(
+    answer: Response | None, state: TargetState
+) -> None:
+    """The record of the earlier process may be from before a departure (DRAIN)."""
+    async with fleet() as system:
+        machine = await system.add("n1", "jobs")
+        await system.settle()
+        assert await machine.node.replicator.wait_until_stored(2.0)
+
+        async def answer_check(request: Request) -> Response:
+            return answer or await hang(request)
+
+        machine.target.server._handler = answer_check
+        restarted = await system.restart("n1")
+        await system.settle()
+        await asyncio.sleep(0.7)
+        assert restarted.node.target.state is state
+        await restarted.announce()
+        assert restarted.node.target.state is TargetState.READY
+
+
 async def test_restarted_node_learns_the_departure_from_its_peers() -> None:
     """The store may still hold a record from before the departure."""
     async with fleet() as system:
