Let other nodes read at once when the store turns the readers away

The store turned away the three nodes that read the configuration for the six others, which it served.

Cause: a reader whose reads failed went on telling the age of its last read, and only an age above 4.2 s made another node read.

Change: a reader whose read fails tells no age from then on, and asks the next two nodes of its domain to read; these do the same if they fail. A node that is asked vouches only for its own reads.

Why it works: the one who knows of the failure says so, so nobody waits for news from a node that cannot give it.

--- a/src/briardock/mesh/readers.py
+++ b/src/briardock/mesh/readers.py
@@ -2,9 +2,9 @@
 
 All nodes of a domain rank its nodes by a hash of their names, so that they agree on
 the order without exchanging messages. A node reads from the store while it has not
-heard for a while from one ahead of it that reads successfully. Two nodes that read
-at the same time are harmless: reads change nothing, and each node keeps the newest
-version that it has seen.
+heard for a while from one ahead of it that reads successfully, or once a reader whose
+reads fail asks it to. Two nodes that read at the same time are harmless: reads change
+nothing, and each node keeps the newest version that it has seen.
 """
 
 import math
@@ -38,6 +38,21 @@
         self._reader_count = 1
         self._generation = -1
 
+    def successors(self) -> list[NodeRecord]:
+        """Return the nodes that may read in place of this one, the next one first."""
+        self._update_ranking()
+        return self._ranking[self._own_rank + 1 :]
+
+    def read_instead(self) -> bool:
+        """Read from the store until a node ahead is found to read.
+
+        :return: whether this node did not read before
+        """
+        self._update_ranking()
+        did_read = self._reads_instead or self._own_rank < self._reader_count
+        self._reads_instead = True
+        return not did_read
+
     def candidates(self, now: float) -> list[NodeRecord]:
         """Return the nodes to ask whether they read, the first one ahead.
 
--- a/src/briardock/mesh/replication.py
+++ b/src/briardock/mesh/replication.py
@@ -50,6 +50,9 @@
 # Timeout of this question, s, and the number of nodes asked next after it.
 READER_TIMEOUT_S = 0.4
 NEXT_READERS_ASKED = 2
+# Number of nodes that a reader whose reads fail asks at once to read. The store may
+# turn one of them away too, and a read that it leaves open takes long to fail.
+SUBSTITUTE_READERS = 2
 # Delays between the first reads of the node records while no other node is known, s,
 # and the range of the period of later reads, s.
 INITIAL_READ_DELAYS_S = (0.6, 1.0, 3.0)
@@ -114,10 +117,21 @@
         self._replica.on_local_record = self.local_record_changed
         self._replica.on_store_era = self._store_era_changed
         self.crash_suspects = self._replica.crash_suspects
-        self._sync = PeerSync(self._replica, peers, board, log, rng, self._read_age_s)
+        self._sync = PeerSync(
+            self._replica,
+            peers,
+            board,
+            log,
+            rng,
+            self._read_age_s,
+            self._read_instead,
+        )
         self._election = ReaderElection(members)
         # Latest time at which the store is known to have been read, by whichever node.
         self._last_read_s: float | None = None
+        # Whether this node reads the configuration and its latest read failed.
+        self._config_read_failed = False
+        self._handover: asyncio.Task[None] | None = None
         self._publish_due = asyncio.Event()
         self._publish_urgent = asyncio.Event()
         # Whether a write is due because the store was restored.
@@ -245,7 +259,27 @@
     # Configuration
 
     def _read_age_s(self) -> float | None:
-        return None if self._last_read_s is None else now_s() - self._last_read_s
+        """Return the time since the last read that others may rely on.
+
+        A reader whose reads fail must not wait until its last one is too old: the store
+        may turn away all readers and serve the nodes that rely on them.
+        """
+        if self._last_read_s is None or self._config_read_failed:
+            return None
+        return now_s() - self._last_read_s
+
+    def _read_instead(self) -> None:
+        """Read from the store, and vouch only for the reads of this node."""
+        if self._election.read_instead():
+            self._last_read_s = None
+
+    async def _hand_over_reads(self) -> None:
+        """Ask the next nodes of the domain to read, until one of them responds."""
+        successors = self._election.successors()
+        for start in range(0, len(successors), SUBSTITUTE_READERS):
+            asked = successors[start : start + SUBSTITUTE_READERS]
+            if any(await asyncio.gather(*map(self._sync.ask_to_read, asked))):
+                return
 
     def _record_read(self, read_s: float) -> None:
         self._last_read_s = max(read_s, self._last_read_s or read_s)
@@ -286,6 +320,7 @@
         backoff_s = INITIAL_BACKOFF_S
         while True:
             if not self._election.should_read(now_s()):
+                self._config_read_failed = False
                 await asyncio.sleep(READER_SEARCH_PERIOD_S)
                 continue
             wait_s = self._rng.uniform(*CONFIG_WAIT_RANGE_S)
@@ -296,9 +331,15 @@
                 case Records():
                     self._apply_config_records(result)
                     self._record_read(now_s())
+                    self._config_read_failed = False
                     self._record_store_success(CONFIG_STREAM)
                 case StoreFailure(reason):
                     self._record_store_failure(CONFIG_STREAM, reason)
+                    if not self._config_read_failed:
+                        self._config_read_failed = True
+                        self._handover = asyncio.get_running_loop().create_task(
+                            self._hand_over_reads()
+                        )
             if self._must_retry(result):
                 await asyncio.sleep(backoff_s * self._rng.uniform(0.7, 1.3))
                 backoff_s = min(MAX_BACKOFF_S, 2 * backoff_s)
--- a/src/briardock/mesh/sync.py
+++ b/src/briardock/mesh/sync.py
@@ -52,6 +52,8 @@
     :param store_era: highest era of the store that the sender knows, 0 for none
     :param config_era: latest era in which the configuration of the sender was read
     :param config_digest: digest of its document
+    :param asks_to_read: whether the receiver has to read from the store, because the
+        reads of the sender fail
     """
 
     digest: str
@@ -65,6 +67,7 @@
     store_era: int = 0
     config_era: int = 0
     config_digest: str = ""
+    asks_to_read: bool = False
 
     @property
     def config_id(self) -> ConfigId:
@@ -81,6 +84,7 @@
     :param log: decision log
     :param rng: random source
     :param read_age_s: returns the time since the last read of the store, or ``None``
+    :param on_asked_to_read: called when another node asks this one to read
     """
 
     def __init__(
@@ -91,6 +95,7 @@
         log: DecisionLog,
         rng: random.Random,
         read_age_s: Callable[[], float | None],
+        on_asked_to_read: Callable[[], None],
     ) -> None:
         self._replica = replica
         self._members = replica.members
@@ -99,6 +104,7 @@
         self._log = log
         self._rng = rng
         self._read_age_s = read_age_s
+        self._on_asked_to_read = on_asked_to_read
         self._tasks: set[asyncio.Task[None]] = set()
         # News that is due to be pushed, by node id, and whether it also goes to other
         # domains.
@@ -229,6 +235,16 @@
             return None
         return response.read_age_ms / 1000 + now_s() - started_s
 
+    async def ask_to_read(self, record: NodeRecord) -> bool:
+        """Ask a node to read from the store; return whether it has responded.
+
+        :param record: the other node
+        """
+        message = self._message()
+        message.asks_to_read = True
+        response = await self._exchange(record, message)
+        return response is not None
+
     async def _send_config_if_older(
         self, record: NodeRecord, response: SyncMessage
     ) -> None:
@@ -249,6 +265,8 @@
             self._log.event("sync-undecodable", reason=str(error))
             return Response(400)
         replaced = self._apply(message)
+        if message.asks_to_read:
+            self._on_asked_to_read()
         response = self._response_to(message)
         # A node that has restarted learns here what its earlier process published.
         response.records += replaced
--- a/tests/mesh_fakes.py
+++ b/tests/mesh_fakes.py
@@ -94,6 +94,7 @@
 
     ``down`` makes it respond with 503. ``restore`` takes it back to an earlier state,
     as if it came back from a copy; each response carries the era, which then rises.
+    ``turn_away`` makes it fail for those that use an address from ``open_address``.
     """
 
     def __init__(self, address: str) -> None:
@@ -108,6 +109,42 @@
         self._topics: dict[str, list[tuple[float, str, bytes]]] = defaultdict(list)
         self._changed = asyncio.Event()
         self.server = HttpServer(self._handle, CallerLimits(), quiet_log())
+        self._servers: dict[str, HttpServer] = {}
+        # How it fails, by address: ``reset``, ``503`` or ``silent``.
+        self._failures: dict[str, str] = {}
+
+    async def open_address(self) -> str:
+        """Listen on an address that only one node uses."""
+        address = free_address()
+
+        async def handle(request: Request) -> Response:
+            response = await self._handle(request)
+            match self._failures.get(address):
+                case "503":
+                    return Response(503)
+                case "silent":
+                    await asyncio.sleep(60.0)
+            return response
+
+        server = HttpServer(handle, CallerLimits(), quiet_log())
+        self._servers[address] = server
+        await server.start(*split_address(address))
+        return address
+
+    def turn_away(self, address: str, how: str) -> None:
+        """Fail for the node that uses an address, also for its reads that wait.
+
+        :param address: address from ``open_address``
+        :param how: ``reset``, ``503`` or ``silent``
+        """
+        self._failures[address] = how
+        if how == "reset":
+            server = self._servers[address]
+            server.stop_listening()
+            for connection in list(server.connections):
+                connection._transport.abort()
+        else:
+            self._wake_readers()
 
     def put(self, topic: str, key: str, value: bytes) -> None:
         self._topics[topic].append((time.monotonic(), key, value))
@@ -315,9 +352,14 @@
     store: FakeStore
     machines: dict[str, Machine] = field(default_factory=dict)
 
-    async def add(self, node_id: str, service: str) -> Machine:
+    async def add(
+        self, node_id: str, service: str, domain: str = "d1", store_address: str = ""
+    ) -> Machine:
         """Start a node and its target, and announce the target."""
-        settings = make_settings(node_id, service, self.store.address)
+        store_address = store_address or self.store.address
+        settings = replace(
+            make_settings(node_id, service, store_address), domain=domain
+        )
         target = FakeTarget(settings.target_address, target_id=f"i-{node_id}")
         await target.start()
         machine = self.machines[node_id] = await self.start_node(settings, target)
--- a/tests/test_mesh_readers.py
+++ b/tests/test_mesh_readers.py
@@ -217,6 +217,32 @@
         await publish_and_wait(system, 3)
 
 
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    ("how", "served_count"),
+    [("reset", 6), ("503", 6), ("silent", 6), ("reset", 1), ("503", 1)],
+)
+async def test_a_new_configuration_is_in_force_while_the_store_turns_the_readers_away(
+    how: str, served_count: int
+) -> None:
+    """Requests got 404 by an older configuration up to 1.4 s after the bound: nodes
+    that the store served relied on reads of nodes that it turned away (CONFIG).
+    """
+    async with fleet() as system:
+        for number in range(9):
+            address = await system.store.open_address()
+            await system.add(f"n{number}", "jobs", f"d{number % 3}", address)
+        await system.settle()
+        await publish_and_wait(system, 2)
+        ahead = readers(system)
+        assert len(ahead) == MIN_READERS
+        others = [name for name in system.machines if name not in ahead]
+        for name in [*ahead, *others][: 9 - served_count]:
+            system.store.turn_away(system.machines[name].settings.store_address, how)
+        await asyncio.sleep(0.1)
+        await publish_and_wait(system, 3)
+
+
 @pytest.mark.anyio
 async def test_calls_to_the_store_do_not_grow_with_the_number_of_nodes() -> None:
     """Reads by all nodes were the dearest part of running the fleet."""
