Keep a reload signal from ending a node that is ending

Cause, shown by a test of its own: the loop restores the default action of SIGHUP when it closes, so the signal ends the process while that exits.

Change: the entry point installs a handler that outlives the loop, and ignores the signal once the loop is closed. Blocking the signal was tried and was not enough, as uvloop's worker thread doesn't block it.

--- a/src/briardock/mesh/node.py
+++ b/src/briardock/mesh/node.py
@@ -399,7 +399,6 @@
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self._request_stop)
         loop.add_signal_handler(signal.SIGINT, self._request_stop)
-        loop.add_signal_handler(signal.SIGHUP, self.reload)
         settings = self.settings
         await _listen(self._peer_server, settings.peer_address)
         await _listen(self._announcement_server, settings.announce_address)
--- a/src/briardock/platform/main.py
+++ b/src/briardock/platform/main.py
@@ -1,9 +1,12 @@
 """Entry point of a node on the users' platform."""
 
 import argparse
+import asyncio
 import os
+import signal
 import sys
 from pathlib import Path
+from types import FrameType
 
 import uvloop
 
@@ -24,9 +27,25 @@
         DecisionLog(settings.node_id),
         lambda: load_settings(path),
     )
+    _reload_on_signal(node)
     await node.run()
 
 
+def _reload_on_signal(node: Node) -> None:
+    """Reload the settings on SIGHUP.
+
+    A handler of the loop would be removed as the loop is closed, and the signal would
+    then end the process.
+    """
+    loop = asyncio.get_running_loop()
+
+    def handle(signum: int, frame: FrameType | None) -> None:
+        if not loop.is_closed():
+            loop.call_soon_threadsafe(node.reload)
+
+    signal.signal(signal.SIGHUP, handle)
+
+
 def main() -> int:
     """Run a node until a signal stops it; return the exit code."""
     parser = argparse.ArgumentParser(
@@ -42,6 +61,9 @@
     except SettingsError as error:
         print(error, file=sys.stderr)
         return error.exit_code
+    finally:
+        # The interpreter removes other handlers before it exits.
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
     return 0
 
 
--- a/tests/test_mesh_shutdown.py
+++ b/tests/test_mesh_shutdown.py
@@ -442,6 +442,29 @@
     return node.poll()
 
 
+async def _signal_while_ending(fleet: SoakFleet) -> int | None:
+    machine = fleet.machines[0]
+    fleet.start_node(machine)
+    node = machine.processes["node"]
+    async with asyncio.timeout(START_TIMEOUT_S):
+        while await connect(machine) is None:
+            await asyncio.sleep(0.05)
+        node.terminate()
+        while node.is_running():
+            os.kill(node.pid, signal.SIGHUP)
+            await asyncio.sleep(0.001)
+    return node.poll()
+
+
+def test_reload_signal_does_not_end_a_node_that_is_ending(tmp_path: Path) -> None:
+    """It exited with code -1: a loop that closes restores the default action."""
+    fleet = SoakFleet(tmp_path, FleetPlan({"jobs": 1}, first_network=8 * len(STOPS)))
+    try:
+        assert uvloop.run(_signal_while_ending(fleet)) == 0
+    finally:
+        fleet.stop()
+
+
 def test_reload_signal_during_the_start_does_not_end_a_node(tmp_path: Path) -> None:
     """The platform may change the settings while the libraries are loaded."""
     fleet = SoakFleet(tmp_path, FleetPlan({"jobs": 1}, first_network=8 * len(STOPS)))
