Send a call again to the same target on a new connection

Cause: a target rejected a call, and the node sent it to that target again on the same connection. A late copy of the rejection bears the same request id, so it was taken for the answer to the second attempt.

Change: an attempt at a target that may have received the request before is marked in the call between nodes, and the node beside the target sends it on a new connection.

Why it works: copies follow on the connection of the original, so a connection distinguishes attempts that the id does not. Nothing has to be remembered.

--- a/src/briardock/mesh/pool.py
+++ b/src/briardock/mesh/pool.py
@@ -74,7 +74,7 @@
                 connection.idle_duration_s = idle_duration_s
                 return connection
             connection.close()
-        return await self._connect(address)
+        return await self.connect(address)
 
     def reduce_idle_time(self, address: str, connection: ClientConnection) -> None:
         """Reduce the limit on the idle time of an address for a while.
@@ -118,7 +118,11 @@
             limit_s = min(limit_s, connection.idle_timeout_s - IDLE_MARGIN_S)
         return connection.usable and now - connection.idle_since_s < limit_s
 
-    async def _connect(self, address: str) -> ClientConnection | ExchangeFailure:
+    async def connect(self, address: str) -> ClientConnection | ExchangeFailure:
+        """Return a new connection.
+
+        :param address: ``host:port``
+        """
         host, port = split_address(address)
         loop = asyncio.get_running_loop()
         try:
--- a/src/briardock/mesh/target.py
+++ b/src/briardock/mesh/target.py
@@ -351,8 +351,13 @@
             self._release_slot()
 
     async def _exchange(self, call: Call) -> Result:
-        max_idle_s = None if call.idempotent else MAX_IDLE_NON_IDEMPOTENT_S
-        connection = await self._pool.acquire(self.address, max_idle_s)
+        if call.sent_before:
+            # A late copy of the earlier response may follow on its connection, and has
+            # the same request id.
+            connection = await self._pool.connect(self.address)
+        else:
+            max_idle_s = None if call.idempotent else MAX_IDLE_NON_IDEMPOTENT_S
+            connection = await self._pool.acquire(self.address, max_idle_s)
         if isinstance(connection, ExchangeFailure):
             self._mark_absent(connection.reason)
             return NotRun(f"target unreachable: {connection.reason}")
--- a/tests/test_mesh_client_limits.py
+++ b/tests/test_mesh_client_limits.py
@@ -6,8 +6,14 @@
 
 import pytest
 
-from briardock.mesh import http_client
-from briardock.mesh.http1 import ExchangeFailure, Request, Response, encode_request
+from briardock.mesh import http_client, http_server
+from briardock.mesh.http1 import (
+    ExchangeFailure,
+    Request,
+    Response,
+    encode_request,
+    encode_response,
+)
 from briardock.mesh.http_client import (
     MAX_BODY_BYTES,
     MAX_BUFFERED_BYTES,
@@ -16,7 +22,7 @@
     ClientConnection,
 )
 from briardock.mesh.model import split_address
-from mesh_fakes import fleet, free_address, respond_normally
+from mesh_fakes import fleet, free_address, respond_normally, route
 
 pytestmark = pytest.mark.anyio
 REQUEST = encode_request(b"GET", b"/", [], b"")
@@ -172,6 +178,43 @@
         assert (response.status, response.body) == (200, b"response to second")
 
 
+@pytest.mark.parametrize("max_attempts", [2, 3])
+@pytest.mark.parametrize("entry_service", ["jobs", "portal"])
+async def test_a_late_copy_of_a_rejection_is_not_taken_for_the_next_answer(
+    entry_service: str, max_attempts: int
+) -> None:
+    """A call was sent again to the target that had rejected it, on the same connection.
+    A copy of the rejection was read as the answer, so that the call ran twice or was
+    answered as not run (TWICE, REFUSED).
+    """
+    once = {"kind": "non_idempotent", "max-attempts": max_attempts}
+    async with fleet(route("r", "/jobs/", **once)) as system:
+        entry = await system.add("n1", entry_service)
+        owner = entry if entry_service == "jobs" else await system.add("n2", "jobs")
+        await system.settle()
+        # Only a call of the local target is sent to the same target again.
+        entry.node._entry_routes.observe = lambda *args: False  # type: ignore[method-assign]
+        rejection = Response(503, [(b"request-id", b"once"), (b"not-executed", b"1")])
+        rejected_on: list[http_server.ServerConnection] = []
+        runs = []
+
+        async def reject_first(request: Request) -> Response:
+            connections = owner.target.server.connections
+            if not rejected_on:
+                rejected_on.extend(connections)
+                return rejection
+            if connections == set(rejected_on):
+                (connection,) = connections
+                assert connection._transport is not None
+                connection._transport.write(encode_response(rejection))
+            runs.append(request)
+            return await respond_normally(request)
+
+        owner.target.behaviour = reject_first
+        response = await entry.call("/jobs/1", "once", b"amount")
+        assert (response.status, len(runs)) == (200, 1)
+
+
 async def test_a_node_serves_on_beside_a_target_that_sends_without_end() -> None:
     async with fleet() as system:
         entry = await system.add("n1", "portal")
