Do not reuse a connection that carried a request without an id

Cause: a target rejects a request without an id, and the rejection names none. A late copy of it was taken for the answer to the next request, which was sent again.

Change: the connection of a request without an id, and that of a health check, is closed after its response. The platform's callers always send an id, so this costs nothing there.

--- a/src/briardock/mesh/target.py
+++ b/src/briardock/mesh/target.py
@@ -181,9 +181,10 @@
                 response = await connection.exchange(data)
         except TimeoutError:
             return False
+        # The check bears no request id, so its connection is not reused.
+        connection.close()
         if isinstance(response, ExchangeFailure):
             return False
-        self._pool.release(self.address, connection)
         return self._dialect.decode_health(response) == target_id
 
     def adopt(self, target_id: str, born_ms: int, slots: int) -> None:
@@ -401,7 +402,11 @@
                 self._longest_run.record_run(now_s() - started_s, now_s())
         if decoded.idle_timeout_s is not None:
             connection.idle_timeout_s = decoded.idle_timeout_s
-        self._pool.release(self.address, connection)
+        if call.request_id:
+            self._pool.release(self.address, connection)
+        else:
+            # A late copy of this response could be taken for any other one.
+            connection.close()
         if decoded.wrong_target:
             self._mark_absent("another target responds at the address")
             return NotRun("another target", arrived=False)
--- a/tests/test_mesh_client_limits.py
+++ b/tests/test_mesh_client_limits.py
@@ -215,6 +215,40 @@
         assert (response.status, len(runs)) == (200, 1)
 
 
+async def test_a_late_rejection_without_an_id_is_not_taken_for_the_next_answer() -> (
+    None
+):
+    """A target rejects a request without an id, and its answer names none. A copy of it
+    was read as the answer to the next request, which was sent again and ran twice.
+    """
+    once = route("r", "/jobs/", kind="non_idempotent")
+    async with fleet(once) as system:
+        entry = await system.add("n1", "portal")
+        targets = [(await system.add(f"n{n}", "jobs")).target for n in (2, 3)]
+        await system.settle()
+        rejection = Response(400, [(b"not-executed", b"1")])
+        rejected_on: list[http_server.ServerConnection] = []
+        runs = []
+
+        async def reject_without_id(request: Request) -> Response:
+            if not dict(request.headers)[b"request-id"]:
+                for target in targets:
+                    rejected_on.extend(target.server.connections)
+                return rejection
+            for target in targets:
+                for connection in target.server.connections & set(rejected_on):
+                    assert connection._transport is not None
+                    connection._transport.write(encode_response(rejection))
+            runs.append(request)
+            return await respond_normally(request)
+
+        for target in targets:
+            target.behaviour = reject_without_id
+        await entry.call("/jobs/1", "", b"amount")
+        response = await entry.call("/jobs/2", "once", b"amount")
+        assert (response.status, len(runs)) == (200, 1)
+
+
 async def test_a_node_serves_on_beside_a_target_that_sends_without_end() -> None:
     async with fleet() as system:
         entry = await system.add("n1", "portal")
