Bound the request to read, and log it

`reads-handed-over` tells who reads. A health check takes a new connection, and a service without a health path does not make the configuration undecodable.

--- a/src/briardock/mesh/replication.py
+++ b/src/briardock/mesh/replication.py
@@ -131,6 +131,7 @@
         self._last_read_s: float | None = None
         # Whether this node reads the configuration and its latest read failed.
         self._config_read_failed = False
+        # Asks others to read, while that is under way.
         self._handover: asyncio.Task[None] | None = None
         self._publish_due = asyncio.Event()
         self._publish_urgent = asyncio.Event()
@@ -273,14 +274,39 @@
         if self._election.read_instead():
             self._last_read_s = None
 
+    def _config_read_has_failed(self) -> None:
+        """Hand over the reads after the first failure in a row."""
+        if self._config_read_failed:
+            return
+        self._config_read_failed = True
+        if self._handover is None or self._handover.done():
+            self._handover = asyncio.get_running_loop().create_task(
+                self._hand_over_reads()
+            )
+
     async def _hand_over_reads(self) -> None:
         """Ask the next nodes of the domain to read, until one of them responds."""
         successors = self._election.successors()
         for start in range(0, len(successors), SUBSTITUTE_READERS):
             asked = successors[start : start + SUBSTITUTE_READERS]
-            if any(await asyncio.gather(*map(self._sync.ask_to_read, asked))):
+            answers = await asyncio.gather(*(self._ask_to_read(r) for r in asked))
+            if any(answers):
+                names = [
+                    r.node_id
+                    for r, agreed in zip(asked, answers, strict=True)
+                    if agreed
+                ]
+                self._log.event("reads-handed-over", peers=names)
                 return
 
+    async def _ask_to_read(self, record: NodeRecord) -> bool:
+        try:
+            async with asyncio.timeout(READER_TIMEOUT_S):
+                return await self._sync.ask_to_read(record)
+        except TimeoutError:
+            self._log.event("sync-timeout", peer=record.node_id)
+            return False
+
     def _record_read(self, read_s: float) -> None:
         self._last_read_s = max(read_s, self._last_read_s or read_s)
 
@@ -335,11 +361,7 @@
                     self._record_store_success(CONFIG_STREAM)
                 case StoreFailure(reason):
                     self._record_store_failure(CONFIG_STREAM, reason)
-                    if not self._config_read_failed:
-                        self._config_read_failed = True
-                        self._handover = asyncio.get_running_loop().create_task(
-                            self._hand_over_reads()
-                        )
+                    self._config_read_has_failed()
             if self._must_retry(result):
                 await asyncio.sleep(backoff_s * self._rng.uniform(0.7, 1.3))
                 backoff_s = min(MAX_BACKOFF_S, 2 * backoff_s)
--- a/src/briardock/mesh/target.py
+++ b/src/briardock/mesh/target.py
@@ -171,7 +171,7 @@
         :param target_id: id of the target
         :param health_path: path of the health check
         """
-        connection = await self._pool.acquire(self.address)
+        connection = await self._pool.connect(self.address)
         if isinstance(connection, ExchangeFailure):
             return False
         headers = [(b"host", self.address.encode())]
--- a/src/briardock/platform/_dialect.py
+++ b/src/briardock/platform/_dialect.py
@@ -96,7 +96,7 @@
 
 
 class _ServiceSpec(msgspec.Struct, rename="kebab"):
-    health_path: str = ""
+    health_path: str | None = None
 
 
 class _Resource(msgspec.Struct, rename="kebab"):
@@ -228,7 +228,7 @@
                 elif resource.type_url == "services":
                     service = msgspec.json.decode(resource.spec, type=_ServiceSpec)
                     name = str(resource.metadata.get("name", ""))
-                    health_paths[name] = service.health_path
+                    health_paths[name] = service.health_path or ""
         except (msgspec.DecodeError, ValueError) as error:
             return Undecodable(f"configuration: {error}")
         return RoutingConfig(
