Replace the harness's copy of a configuration file by file

Cause, by the traceback: the scenario publishes in the background, which removed and copied the files of the operator's folder, while the fault copies that folder for a second operator. Only the harness is concerned.

Change: each file is replaced at once. What the scenario checks is unchanged.

--- a/src/briardock_standins/harness.py
+++ b/src/briardock_standins/harness.py
@@ -293,11 +293,7 @@
         for one operator of this deployment.
         """
         copy = self.folder / "operators" / operator
-        copy.mkdir(parents=True, exist_ok=True)
-        for file in copy.glob("*.ini"):
-            file.unlink()
-        for file in folder.glob("*.ini"):
-            shutil.copy(file, copy)
+        replace_configuration(folder, copy)
         log = f"127.0.0.1:{self.log_port}"
         arguments = ["briardock.cli", "publish", str(copy), "--log", log]
         command = [sys.executable, "-m", *arguments]
@@ -382,6 +378,25 @@
             time.sleep(POLL_INTERVAL_S)
 
 
+def replace_configuration(source: Path, destination: Path) -> None:
+    """Replace the files of a configuration folder, each of them at once.
+
+    Another thread may read the destination meanwhile.
+
+    :param source: folder with the new files
+    :param destination: folder whose other files, such as base versions, are kept
+    """
+    destination.mkdir(parents=True, exist_ok=True)
+    names = {file.name for file in source.glob("*.ini")}
+    with tempfile.TemporaryDirectory(dir=destination.parent) as staging:
+        for name in names:
+            staged = shutil.copy(source / name, staging)
+            Path(staged).replace(destination / name)
+    for file in destination.glob("*.ini"):
+        if file.name not in names:
+            file.unlink()
+
+
 def target_name(node: str) -> str:
     """Return the process name of the target beside a node."""
     return f"{node}.target"
