--- a/tests/mesh_fakes.py
+++ b/tests/mesh_fakes.py
@@ -84,7 +84,7 @@
             "metadata": {"name": name},
             "spec": {"health-path": HEALTH_PATH, "max-connections": 500},
         }
-        for name in sorted({item["spec"]["service"] for item in routes} - {""})
+        for name in sorted({item["spec"].get("service", "") for item in routes} - {""})
     ]
     return json.dumps({"version": version, "resources": [*routes, *services]}).encode()
 
--- a/tests/test_mesh_platform.py
+++ b/tests/test_mesh_platform.py
@@ -154,6 +154,38 @@
     assert [(p.service, p.weight) for p in second.services] == [("x", 9), ("y", 1)]
 
 
+@pytest.mark.parametrize(
+    ("spec", "health_path"),
+    [
+        ({"health-path": "/healthz", "max-connections": 5}, "/healthz"),
+        ({"health-path": None}, ""),
+        ({"max-connections": 5}, ""),
+    ],
+)
+def test_health_path_of_a_service(spec: dict[str, object], health_path: str) -> None:
+    """A service without one must not make the configuration undecodable."""
+    service = {"type-url": "services", "metadata": {"name": "jobs"}, "spec": spec}
+    decoded = DIALECT.decode_config(config(7, service))
+    assert isinstance(decoded, RoutingConfig)
+    assert decoded.health_paths == {"jobs": health_path}
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "target_id"),
+    [
+        (200, [(b"instance-id", b"i-1")], "i-1"),
+        (200, [], ""),
+        (204, [(b"instance-id", b"i-1")], ""),
+        (503, [(b"instance-id", b"i-1")], ""),
+    ],
+)
+def test_health_check(
+    status: int, headers: list[tuple[bytes, bytes]], target_id: str
+) -> None:
+    """Only a target that accepts requests responds with 200 and its id."""
+    assert DIALECT.decode_health(Response(status, headers)) == target_id
+
+
 @pytest.mark.parametrize(
     "document",
     [b"", b"{}", b'{"version":"x"}', config(1, route("a", "/a/", timeout="soon"))],
