Bound the connections that clients may hold open at each listener

Seen: a node with a limit of 400 descriptors and 500 idle connections of clients answered 808 of 900 kept requests with 503 and announced its living target lost.

Cause: the limit on descriptors in the settings was not read, and no listener had a bound, so that clients took the descriptors that the node needs for its target, the store and other nodes.

Change: each listener may hold a share of max-fds. A full one closes connections without a request first, then those idle longest, then those with half a head, and never one whose request is in flight.

Before: 10 of 10 rows of test_open_connections_stay_within_the_descriptors red, 221 or 222 descriptors with a bound of 100. After: 10 of 10 green.

--- a/src/briardock/mesh/http_server.py
+++ b/src/briardock/mesh/http_server.py
@@ -4,9 +4,11 @@
 import select
 from collections import deque
 from collections.abc import Awaitable, Callable
+from heapq import nsmallest
 from typing import cast
 
 from briardock.mesh.decisions import DecisionLog
+from briardock.mesh.descriptors import DEFAULT_MAX_DESCRIPTORS
 from briardock.mesh.http1 import Request, Response, encode_response
 from briardock.mesh.memory import MemoryAccount
 from briardock.mesh.model import CallerLimits, now_s
@@ -24,6 +26,9 @@
 BODY_SLICE_BYTES = 64 * 1024
 # Memory that counts for each request beyond the number above.
 PIPELINED_REQUEST_BYTES = 1024
+# Share of its connections that a full listener closes at once, so that the search for
+# those that are idle is rare.
+CLOSED_SHARE = 1 / 32
 # Time after which a caller refused for lack of memory may come back, s.
 MEMORY_RETRY_AFTER = b"1"
 # Longest time for which a connection is read on after its last response was sent, s.
@@ -43,6 +48,7 @@
     :param limits: limits on callers; may be replaced while the server runs
     :param log: decision log
     :param memory: account of what all connections of the process hold
+    :param max_connections: largest number of connections
     """
 
     def __init__(
@@ -51,8 +57,10 @@
         limits: CallerLimits,
         log: DecisionLog,
         memory: MemoryAccount | None = None,
+        max_connections: int = DEFAULT_MAX_DESCRIPTORS,
     ) -> None:
         self._handler = handler
+        self._max_connections = max_connections
         self.log = log
         self.memory = memory or MemoryAccount()
         self.limits = limits
@@ -102,6 +110,27 @@
             for connection in list(self.connections):
                 connection.enforce_timeouts(now)
 
+    def add_connection(self, connection: "ServerConnection") -> None:
+        """Add a connection; close others, or the new one, beyond the limit.
+
+        :param connection: connection that was just accepted
+        """
+        self.connections.add(connection)
+        if len(self.connections) <= self._max_connections:
+            return
+        order = {other: other.closing_order for other in self.connections}
+        closable = [other for other in order if order[other] and other != connection]
+        count = max(1, int(self._max_connections * CLOSED_SHARE))
+        closed = nsmallest(count, closable, key=order.__getitem__) or [connection]
+        self.log.event(
+            "connections-closed",
+            count=len(closed),
+            new=closed == [connection],
+            open=len(self.connections),
+        )
+        for other in closed:
+            other.close_to_make_room()
+
     def close_idle(self, min_idle_s: float = 0.0) -> None:
         """Close the connections without a request being read, pending or in flight.
 
@@ -134,6 +163,7 @@
         self._pending_requests: deque[Request] = deque()
         self._waiter: asyncio.Future[None] | None = None
         self._responding = False
+        self._has_responded = False
         # Status of the refusal that ends the connection, sent after the responses to
         # the requests before it.
         self._refusal_status: int | None = None
@@ -157,6 +187,20 @@
             or self._has_ended
         )
 
+    @property
+    def closing_order(self) -> tuple[int, float] | tuple[()]:
+        """Sort key by which connections are closed for others, empty if it is not.
+
+        Those without a request so far are closed first, then idle ones, then those
+        whose head is not complete.
+        """
+        if self.idle:
+            return (int(self._has_responded), self.last_active_s)
+        is_busy = self._responding or self._pending_requests or self._has_ended
+        if is_busy or not self._reader.in_head:
+            return ()
+        return (2, self._reader.received_s)
+
     @property
     def has_unsent_bytes(self) -> bool:
         """Whether bytes of a response have not been handed to the kernel yet."""
@@ -168,7 +212,7 @@
         self._transport = cast(asyncio.Transport, transport)
         socket = transport.get_extra_info("socket")
         self._disconnect_poll.register(socket.fileno(), select.POLLRDHUP)
-        self._server.connections.add(self)
+        self._server.add_connection(self)
         self._task = asyncio.get_running_loop().create_task(self._serve())
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -287,6 +331,7 @@
                 return
             self._transport.write(encode_response(response, request.method == b"HEAD"))
             self._responding = False
+            self._has_responded = True
             self._in_flight_bytes = 0
             if request.held_bytes:
                 self._requests_bytes -= request.held_bytes
@@ -361,6 +406,12 @@
         elif now - self.last_active_s > limits.idle_timeout_s:
             self.close_gracefully()
 
+    def close_to_make_room(self) -> None:
+        """Close the connection at once; its request, if any, was not passed on."""
+        if self._transport is not None:
+            self._transport.abort()
+        self._server.connections.discard(self)
+
     def close_gracefully(self) -> None:
         """Close the connection after sending buffered data."""
         if self._transport is not None:
--- a/src/briardock/mesh/model.py
+++ b/src/briardock/mesh/model.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass, field
 from functools import partial
 
+from briardock.mesh.descriptors import DEFAULT_MAX_DESCRIPTORS
+
 Headers = list[tuple[bytes, bytes]]
 
 
@@ -168,6 +170,7 @@
     :param retry_ratio: retries per request that all nodes may send to a service
     :param retry_slack: additional retries in a window that all nodes may send
     :param retry_window_s: length of the window for ratio and slack
+    :param max_descriptors: limit on the open descriptors of the process
     """
 
     node_id: str
@@ -185,6 +188,7 @@
     retry_ratio: float
     retry_slack: float
     retry_window_s: float
+    max_descriptors: int = DEFAULT_MAX_DESCRIPTORS
 
 
 def split_address(address: str) -> tuple[str, int]:
--- a/src/briardock/mesh/node.py
+++ b/src/briardock/mesh/node.py
@@ -12,6 +12,7 @@
 from briardock.mesh.callgraph import EntryRoutes
 from briardock.mesh.calls import LoadReport, NotRun, Result, decode_call, encode_result
 from briardock.mesh.decisions import FLUSH_PERIOD_S, DecisionLog
+from briardock.mesh.descriptors import connection_limits
 from briardock.mesh.dialect import Departure, Dialect, Store, Undecodable
 from briardock.mesh.forwarder import Forwarder
 from briardock.mesh.http1 import Request, Response
@@ -172,16 +173,20 @@
             self._rng,
         )
         memory = self.memory = account_for_process(settings.memory_bytes)
+        limits = connection_limits(settings.max_descriptors)
         self._caller_server = HttpServer(
-            self.forwarder.handle, CallerLimits(), log, memory
+            self.forwarder.handle, CallerLimits(), log, memory, limits.callers
         )
-        self._peer_server = HttpServer(self._handle_peer, PEER_LIMITS, log, memory)
-        self._ready_server = HttpServer(self._handle_ready, CallerLimits(), log, memory)
-        self._announcement_server = HttpServer(
-            self._handle_announcement, CallerLimits(), log, memory
+        self._peer_server = HttpServer(
+            self._handle_peer, PEER_LIMITS, log, memory, limits.peers
         )
-        self._metrics_server = HttpServer(
-            self._handle_metrics, CallerLimits(), log, memory
+        self._ready_server, self._announcement_server, self._metrics_server = (
+            HttpServer(handler, CallerLimits(), log, memory, limits.others)
+            for handler in (
+                self._handle_ready,
+                self._handle_announcement,
+                self._handle_metrics,
+            )
         )
         self._stopping = asyncio.Event()
         # Earliest time at which the stop signal can have been sent.
--- a/src/briardock/platform/_settings.py
+++ b/src/briardock/platform/_settings.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from briardock.exceptions import SettingsError
+from briardock.mesh.descriptors import DEFAULT_MAX_DESCRIPTORS
 from briardock.mesh.model import MeshSettings
 from briardock.platform._dialect import parse_duration_s
 
@@ -38,6 +39,7 @@
 def _decode(tables: dict[str, Any]) -> MeshSettings:
     self_table = tables["self"]
     listen = tables["network"]["listen-addresses"]
+    limits = self_table["limits"]
     bounds = tables["terms"]["bounds"]
     return MeshSettings(
         node_id=self_table["node"],
@@ -53,9 +55,10 @@
         announce_address=listen["control-plane"],
         metrics_port=METRICS_PORT,
         store_address=tables["platform"]["platform"]["address"],
-        memory_bytes=int(self_table["limits"]["memory-mb"]) * 1024 * 1024,
+        memory_bytes=int(limits["memory-mb"]) * 1024 * 1024,
         grace_s=parse_duration_s(bounds["grace"]),
         retry_ratio=float(bounds["budget-ratio"]),
         retry_slack=float(bounds["budget-slack"]),
         retry_window_s=parse_duration_s(bounds["budget-window"]),
+        max_descriptors=int(limits.get("max-fds", DEFAULT_MAX_DESCRIPTORS)),
     )
--- a/tests/test_mesh_hostile_clients.py
+++ b/tests/test_mesh_hostile_clients.py
@@ -193,3 +193,31 @@
         writer.write(LEGAL_HEAD)
         assert (await reader.readline()).startswith(b"HTTP/1.1 200 ")
         writer.close()
+
+
+IDLE_CONNECTIONS = 200
+
+
+@pytest.mark.parametrize("sent", [b"", HEAD], ids=["nothing", "half a head"])
+@pytest.mark.parametrize("address_name", ["callers", *ADDRESSES])
+async def test_open_connections_stay_within_the_descriptors(
+    sent: bytes, address_name: str, tmp_path: Path
+) -> None:
+    """Connections of clients had no bound, and took the descriptors that the node needs
+    for its target, the store and other nodes.
+    """
+    async with running_machine(tmp_path) as machine:
+        node = machine.processes["node"]
+        address = ADDRESSES.get(address_name, lambda m: m.caller_address)(machine)
+        writers = []
+        for _ in range(IDLE_CONNECTIONS):
+            _, writer = await asyncio.open_connection(*split_address(address))
+            writer.write(sent)
+            writers.append(writer)
+        served_beside = await is_served(machine)
+        descriptor_count = count_descriptors(node.pid)
+        assert node.poll() is None
+        assert descriptor_count < MAX_FDS - RESERVED_FDS
+        assert served_beside
+        for writer in writers:
+            writer.transport.abort()
