Send a request that comes again under its id on a new connection

A request that came again under its id as a request of its own, at the same node or at another one, was still answered as not run by a late copy of its rejection, and ran.

Cause: the mark of a second attempt was set by the node that makes the attempts. It does not know what others sent to the target before.

The mark in the calls between nodes is gone.

Before: the 3 rows of test_a_late_copy_is_not_taken_for_the_answer_to_an_id_that_comes_again failed (503 for a request that ran).

--- a/src/briardock/mesh/calls.py
+++ b/src/briardock/mesh/calls.py
@@ -24,7 +24,6 @@
 # Flags of a call.
 FROM_CALLER = 1
 MAY_HAND_ON = 2
-SENT_BEFORE = 4
 
 
 @dataclass(slots=True)
@@ -45,8 +44,6 @@
     :param expires_s: time at which its result is no longer wanted
     :param may_hand_on: whether the sender would rather choose another instance than
         let it wait for a slot
-    :param sent_before: whether an earlier attempt may have reached the target, so
-        that the request id does not distinguish the responses
     :param connection: connection on which it was sent from this node
     """
 
@@ -63,7 +60,6 @@
     from_caller: bool
     expires_s: float
     may_hand_on: bool = False
-    sent_before: bool = False
     connection: ClientConnection | None = None
 
     @property
@@ -135,11 +131,7 @@
     :param now: current time in s since boot
     """
     remaining_ms = int((call.expires_s - now - HOP_ALLOWANCE_S) * 1000)
-    flags = (
-        FROM_CALLER * call.from_caller
-        + MAY_HAND_ON * call.may_hand_on
-        + SENT_BEFORE * call.sent_before
-    )
+    flags = FROM_CALLER * call.from_caller + MAY_HAND_ON * call.may_hand_on
     info = ";".join(
         (
             call.service,
@@ -201,7 +193,6 @@
         from_caller=bool(flags & FROM_CALLER),
         expires_s=request.received_s + remaining_ms / 1000,
         may_hand_on=bool(flags & MAY_HAND_ON),
-        sent_before=bool(flags & SENT_BEFORE),
     )
 
 
--- a/src/briardock/mesh/forwarder.py
+++ b/src/briardock/mesh/forwarder.py
@@ -480,7 +480,6 @@
             from_caller=not state.from_target,
             expires_s=state.expires_s,
             may_hand_on=may_hand_on,
-            sent_before=state.attempts.has_tried(record),
         )
         state.call = call
         started_s = now_s()
--- a/src/briardock/mesh/target.py
+++ b/src/briardock/mesh/target.py
@@ -15,8 +15,10 @@
 from briardock.mesh.decisions import DecisionLog
 from briardock.mesh.dialect import Dialect
 from briardock.mesh.http1 import ExchangeFailure, Response, encode_request, end_to_end
+from briardock.mesh.http_client import ClientConnection
 from briardock.mesh.model import Announcement, TargetState, now_s
 from briardock.mesh.pool import ConnectionPool
+from briardock.mesh.recent_ids import RecentIds
 from briardock.overload.admission import TargetThreshold, Usage
 from briardock.overload.speed import LongestRun, SpeedMeter
 from briardock.overload.waiting import (
@@ -97,6 +99,7 @@
         self._longest_run = LongestRun()
         self._run_starts_s: dict[int, float] = {}
         self._counts_changed_s = self._usage_updated_s = now_s()
+        self._sent_ids = RecentIds()
         self._tasks: set[asyncio.Task[Result]] = set()
         self._has_ended = False
 
@@ -352,13 +355,7 @@
             self._release_slot()
 
     async def _exchange(self, call: Call) -> Result:
-        if call.sent_before:
-            # A late copy of the earlier response may follow on its connection, and has
-            # the same request id.
-            connection = await self._pool.connect(self.address)
-        else:
-            max_idle_s = None if call.idempotent else MAX_IDLE_NON_IDEMPOTENT_S
-            connection = await self._pool.acquire(self.address, max_idle_s)
+        connection = await self._acquire_connection(call)
         if isinstance(connection, ExchangeFailure):
             self._mark_absent(connection.reason)
             return NotRun(f"target unreachable: {connection.reason}")
@@ -417,6 +414,16 @@
         headers = end_to_end(response.headers)
         return Completed(Response(response.status, headers, response.body))
 
+    async def _acquire_connection(
+        self, call: Call
+    ) -> ClientConnection | ExchangeFailure:
+        if self._sent_ids.add(call.request_id):
+            # A late copy of the earlier response may follow on its connection, and has
+            # the same request id.
+            return await self._pool.connect(self.address)
+        max_idle_s = None if call.idempotent else MAX_IDLE_NON_IDEMPOTENT_S
+        return await self._pool.acquire(self.address, max_idle_s)
+
     def _adjust_counts(self, running: int = 0, queued: int = 0) -> None:
         self._counts_changed_s = now_s()
         self.running += running
--- a/src/briardock/overload/attempts.py
+++ b/src/briardock/overload/attempts.py
@@ -121,13 +121,6 @@
         """
         return self._balancer.choose(self._service, set(), self._idempotent, now)
 
-    def has_tried(self, record: NodeRecord) -> bool:
-        """Return whether the target of an instance may have received the request.
-
-        :param record: the instance
-        """
-        return record.node_id in self._excluded
-
     @property
     def may_hand_on(self) -> bool:
         """Whether the next instance may leave the request to another one."""
--- a/tests/test_mesh_client_limits.py
+++ b/tests/test_mesh_client_limits.py
@@ -215,6 +215,41 @@
         assert (response.status, len(runs)) == (200, 1)
 
 
+@pytest.mark.parametrize("second_entry", ["n1", "n2", "n3"])
+async def test_a_late_copy_is_not_taken_for_the_answer_to_an_id_that_comes_again(
+    second_entry: str,
+) -> None:
+    """A request came again under its id, at the same or at another node, after its
+    target had rejected it. A copy of the rejection was read as its answer, so that it
+    was answered as not run, and ran (REFUSED).
+    """
+    once = route("r", "/jobs/", **{"kind": "non_idempotent", "max-attempts": 1})
+    async with fleet(once) as system:
+        for number in (1, 2):
+            await system.add(f"n{number}", "portal")
+        owner = await system.add("n3", "jobs")
+        await system.settle()
+        rejection = Response(503, [(b"request-id", b"once"), (b"not-executed", b"1")])
+        rejected_on: list[http_server.ServerConnection] = []
+        runs = []
+
+        async def reject_first(request: Request) -> Response:
+            connections = owner.target.server.connections
+            if not rejected_on:
+                rejected_on.extend(connections)
+                return rejection
+            for connection in connections & set(rejected_on):
+                assert connection._transport is not None
+                connection._transport.write(encode_response(rejection))
+            runs.append(request)
+            return await respond_normally(request)
+
+        owner.target.behaviour = reject_first
+        first = await system.machines["n1"].call("/jobs/1", "once", b"amount")
+        second = await system.machines[second_entry].call("/jobs/1", "once", b"amount")
+        assert (first.status, second.status, len(runs)) == (503, 200, 1)
+
+
 async def test_a_late_rejection_without_an_id_is_not_taken_for_the_next_answer() -> (
     None
 ):
