Name the remedy if a node starts without its dependencies

Cause: target/deps is made by the build command of the deploy file, and nothing told so.

Change: the node names the missing package and the command, and exits with 2.

Before: test_node_without_its_dependencies_names_the_remedy failed with a traceback. After: green.

--- a/deploy/run_node.py
+++ b/deploy/run_node.py
@@ -9,7 +9,15 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "src"))
 
-from briardock.platform.main import main  # noqa: E402
+try:
+    from briardock.platform.main import main  # noqa: E402
+except ModuleNotFoundError as error:
+    print(
+        f"cannot start: the package {error.name} is not installed; run the command "
+        "`build` of deploy/system.toml at the root of the repository first",
+        file=sys.stderr,
+    )
+    sys.exit(2)
 
 if __name__ == "__main__":
     sys.exit(main())
