Give each request of the pool's tests an id of its own

Cause: since a request that comes again under its id is sent on a new connection. The tests sent all their requests under one id, so that none reused a connection: one failed and one no longer tested anything.

--- a/tests/test_mesh_pool.py
+++ b/tests/test_mesh_pool.py
@@ -1,6 +1,7 @@
 """Reuse of connections to targets that silently drop idle ones."""
 
 import asyncio
+import itertools
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
@@ -34,9 +35,10 @@
             writer.transport.abort()
             return
         assert data.startswith(b"GET")
+        request_id = data.partition(b"request-id: ")[2].partition(b"\r\n")[0]
         writer.write(
             b"HTTP/1.1 200 OK\r\nresponse-signature: s\r\n"
-            b"request-id: r;1\r\ncontent-length: 0\r\n\r\n"
+            b"request-id: %s\r\ncontent-length: 0\r\n\r\n" % request_id
         )
         used_s = loop.time()
 
@@ -51,9 +53,18 @@
         yield target
 
 
+REQUEST_NUMBERS = itertools.count()
+
+
 async def run_after(target: Target, pause_s: float, idempotent: bool = True) -> Result:
+    """Run a call with an id of its own; one that comes again is not sent on a reused
+    connection.
+    """
     await asyncio.sleep(pause_s)
-    return await target.run(make_call(idempotent=idempotent))
+    request_id = b"r%d" % next(REQUEST_NUMBERS)
+    headers = [(b"host", b"h"), (b"request-id", request_id)]
+    call = make_call(request_id=request_id, headers=headers, idempotent=idempotent)
+    return await target.run(call)
 
 
 async def test_idle_connections_are_not_reused_after_one_was_dropped() -> None:
