Hold a forwarded body once, and only while it is needed

Uploads of 16 MB, one at a time, took a node beyond its 300 MB; its requests ended without an answer. A single body of 64 MB, within the limits, was refused in calm. A client that asked 3,000 times and read nothing held 305 MB of responses.

Cause: closed connections and their parsers referred to each other and waited for the garbage collector; idle connections kept the last request or response; bodies were copied when they were joined and encoded; writes had no bound.

ServerConnection has a module of its own.

--- a/src/briardock/mesh/calls.py
+++ b/src/briardock/mesh/calls.py
@@ -6,7 +6,7 @@
 
 from dataclasses import dataclass
 
-from briardock.mesh.http1 import Request, Response, encode_request
+from briardock.mesh.http1 import Request, Response, encode_request_head
 from briardock.mesh.http_client import ClientConnection
 from briardock.mesh.model import Headers
 from briardock.overload.chain import ChainThreshold, InstanceThresholds
@@ -124,8 +124,8 @@
 Result = Completed | NotRun | Unknown
 
 
-def encode_call(call: Call, now: float) -> bytes:
-    """Return the encoded request to the other node.
+def encode_call_head(call: Call, now: float) -> bytes:
+    """Return the encoded head of the request to the other node.
 
     :param call: call to forward
     :param now: current time in s since boot
@@ -145,7 +145,7 @@
         )
     )
     headers = [*call.headers, (CALL_HEADER, info.encode("latin-1"))]
-    return encode_request(call.method, call.target, headers, call.body)
+    return encode_request_head(call.method, call.target, headers, len(call.body))
 
 
 def _split_headers(headers: Headers, name: bytes) -> tuple[bytes | None, Headers]:
--- a/src/briardock/mesh/forwarder.py
+++ b/src/briardock/mesh/forwarder.py
@@ -16,7 +16,7 @@
     Result,
     Unknown,
     decode_result,
-    encode_call,
+    encode_call_head,
 )
 from briardock.mesh.deadlines import Deadline
 from briardock.mesh.decisions import DecisionLog
@@ -534,7 +534,9 @@
             return NotRun("node stopped"), None
         state.unresolved = True
         call.connection = connection
-        response = await connection.exchange(encode_call(call, now_s()))
+        response = await connection.exchange(
+            encode_call_head(call, now_s()), body=call.body
+        )
         state.unresolved = False
         if isinstance(response, ExchangeFailure):
             self._balancer.record_lost_connection(record.node_id)
--- a/src/briardock/mesh/http1.py
+++ b/src/briardock/mesh/http1.py
@@ -4,8 +4,10 @@
 path because each read through them costs more CPU time than the whole exchange.
 """
 
+from asyncio import WriteTransport
 from dataclasses import dataclass, field
 from http import HTTPStatus
+from typing import cast
 
 from briardock.mesh.model import Headers
 
@@ -23,6 +25,8 @@
         b"expect",
     }
 )
+# Size from which a body is neither copied nor joined with its head.
+LARGE_BODY_BYTES = 64 * 1024
 REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
 
 
@@ -98,30 +102,42 @@
     )
 
 
-def encode_request(
-    method: bytes, target: bytes, headers: Headers, body: bytes
+def encode_request_head(
+    method: bytes, target: bytes, headers: Headers, body_bytes: int
 ) -> bytes:
-    """Return a request encoded with a content length.
+    """Return the head of a request with a content length.
 
     :param method: method
     :param target: path and query
     :param headers: end-to-end headers
-    :param body: whole body
+    :param body_bytes: length of the body
     """
     parts = [method, b" ", target, b" HTTP/1.1\r\n"]
     for name, value in headers:
         parts += (name, b": ", value, b"\r\n")
-    if body or method not in (b"GET", b"HEAD", b"DELETE", b"OPTIONS"):
-        parts.append(b"content-length: %d\r\n" % len(body))
-    parts += (b"\r\n", body)
+    if body_bytes or method not in (b"GET", b"HEAD", b"DELETE", b"OPTIONS"):
+        parts.append(b"content-length: %d\r\n" % body_bytes)
+    parts.append(b"\r\n")
     return b"".join(parts)
 
 
-def encode_response(response: Response, head_only: bool = False) -> bytes:
-    """Return a response encoded with a content length.
+def encode_request(
+    method: bytes, target: bytes, headers: Headers, body: bytes
+) -> bytes:
+    """Return a request encoded with a content length.
+
+    :param method: method
+    :param target: path and query
+    :param headers: end-to-end headers
+    :param body: whole body
+    """
+    return encode_request_head(method, target, headers, len(body)) + body
+
+
+def encode_response_head(response: Response) -> bytes:
+    """Return the head of a response with a content length.
 
     :param response: response to write
-    :param head_only: omits the body, for a response to HEAD
     """
     status = response.status
     parts = [b"HTTP/1.1 %d %s\r\n" % (status, REASONS.get(status, b"Unknown"))]
@@ -132,6 +148,35 @@
     if response.close:
         parts.append(b"connection: close\r\n")
     parts.append(b"\r\n")
-    if not head_only:
-        parts.append(response.body)
     return b"".join(parts)
+
+
+def encode_response(response: Response) -> bytes:
+    """Return a response encoded with a content length.
+
+    :param response: response to write
+    """
+    return encode_response_head(response) + response.body
+
+
+def write_message(transport: WriteTransport, head: bytes, body: bytes) -> None:
+    """Write a message without copying a large body.
+
+    :param transport: transport of the connection
+    :param head: encoded head
+    :param body: whole body
+    """
+    if len(body) < LARGE_BODY_BYTES:
+        transport.write(head + body)
+    else:
+        transport.writelines((head, body))
+
+
+def without_copy(body: bytearray) -> bytes:
+    """Return a body as it is if it is large, or else as bytes.
+
+    :param body: body that nothing changes any more
+    """
+    if len(body) < LARGE_BODY_BYTES:
+        return bytes(body)
+    return cast(bytes, body)
--- a/src/briardock/mesh/http_client.py
+++ b/src/briardock/mesh/http_client.py
@@ -6,7 +6,12 @@
 
 import httptools
 
-from briardock.mesh.http1 import ExchangeFailure, Response
+from briardock.mesh.http1 import (
+    ExchangeFailure,
+    Response,
+    without_copy,
+    write_message,
+)
 from briardock.mesh.model import Headers
 
 # Largest body of one response, bytes.
@@ -175,7 +180,7 @@
         self._in_body = False
         if self._waiter is None or self._waiter.done():
             return
-        response = Response(self._status, self._headers, bytes(self._body))
+        response = Response(self._status, self._headers, without_copy(self._body))
         self._discard_body()
         if self._accept is not None and not self._accept(response):
             # A response to an earlier request. Waits for the next one, but does not
@@ -192,12 +197,16 @@
             self._waiter.set_result(ExchangeFailure(reason, sent=True))
 
     async def exchange(
-        self, data: bytes, accept: Callable[[Response], bool] | None = None
+        self,
+        data: bytes,
+        accept: Callable[[Response], bool] | None = None,
+        body: bytes = b"",
     ) -> Response | ExchangeFailure:
         """Send a request and return its response.
 
-        :param data: the encoded request
+        :param data: the encoded request, or its head
         :param accept: returns whether a response belongs to the request
+        :param body: body that is sent after its head
         """
         if not self.usable:
             return ExchangeFailure("connection closed", sent=False)
@@ -206,7 +215,7 @@
         self._waiter = self._loop.create_future()
         self.requests_sent += 1
         self._received_bytes = self._exchange_body_bytes = self._skipped = 0
-        self._transport.write(data)
+        write_message(self._transport, data, body)
         try:
             return await self._waiter
         except asyncio.CancelledError:
@@ -214,6 +223,8 @@
             self._transport.abort()
             raise
         finally:
+            # An idle connection keeps neither the last request nor its response.
+            self._accept = self._waiter = None
             if not self._transport.is_closing():
                 # After an early response, part of the request may be unsent. The next
                 # request on this connection would be read as its remainder.
--- a/src/briardock/mesh/memory.py
+++ b/src/briardock/mesh/memory.py
@@ -7,6 +7,11 @@
 # hold less, so that they are served beside clients that use up the account.
 CONNECTION_FLOOR_BYTES = 32 * 1024
 DEFAULT_LIMIT_BYTES = 64 * 1024 * 1024
+# A connection that holds most of what is held may use up to this multiple of the limit
+# while all others hold less than this share of it. A single body of the largest size
+# that the configuration allows is thus accepted while nothing else is.
+SINGLE_LIMIT_FACTOR = 8 / 3
+MAX_OTHERS_SHARE = 0.25
 
 
 class MemoryAccount:
@@ -26,8 +31,12 @@
 
         :param held_bytes: what the connection holds, included in the account
         """
+        if self.used_bytes <= self.limit_bytes or held_bytes <= CONNECTION_FLOOR_BYTES:
+            return False
+        other_bytes = self.used_bytes - held_bytes
         return (
-            self.used_bytes > self.limit_bytes and held_bytes > CONNECTION_FLOOR_BYTES
+            other_bytes > MAX_OTHERS_SHARE * self.limit_bytes
+            or held_bytes > SINGLE_LIMIT_FACTOR * self.limit_bytes
         )
 
 
--- a/src/briardock/mesh/request_reader.py
+++ b/src/briardock/mesh/request_reader.py
@@ -2,7 +2,7 @@
 
 import httptools
 
-from briardock.mesh.http1 import Request
+from briardock.mesh.http1 import Request, without_copy
 from briardock.mesh.model import CallerLimits, Headers, now_s
 
 # Memory of one parsed header line beside its bytes: the objects of name, value and
@@ -156,7 +156,7 @@
                 self._parser.get_method(),
                 self._target,
                 self._headers,
-                bytes(self._body),
+                without_copy(self._body),
                 self.received_s,
                 self._ends_connection,
                 self.held_bytes,
--- /dev/null
+++ b/src/briardock/mesh/server_connection.py
@@ -0,0 +1,364 @@
+"""One connection of a client to a listener, served by one task."""
+
+import asyncio
+import select
+from collections import deque
+from typing import Protocol, cast
+
+from briardock.mesh.decisions import DecisionLog
+from briardock.mesh.http1 import (
+    Request,
+    Response,
+    encode_response,
+    encode_response_head,
+    write_message,
+)
+from briardock.mesh.memory import MemoryAccount
+from briardock.mesh.model import CallerLimits, now_s
+from briardock.mesh.request_reader import RequestReader
+
+# Pipelined requests on one connection at which further bytes are kept unparsed, and
+# the number of these bytes at which reading is paused. While it is paused, the node
+# does not learn that the caller has left, so the number exceeds what most callers send
+# ahead.
+MAX_PIPELINED_REQUESTS = 4
+MAX_UNPARSED_BYTES = 1024 * 1024
+# Bytes parsed at a time, inside a head and inside a body. The limits are checked in
+# between: 250 header lines, or 50 requests, fit into the first.
+HEAD_SLICE_BYTES = 1024
+BODY_SLICE_BYTES = 64 * 1024
+# Memory that counts for each request beyond the number above.
+PIPELINED_REQUEST_BYTES = 1024
+# Time after which a caller refused for lack of memory may come back, s.
+MEMORY_RETRY_AFTER = b"1"
+# Longest time for which a connection is read on after its last response was sent, s.
+# The kernel discards what it still holds of a response if the socket is closed with
+# unread bytes.
+LINGER_S = 1.0
+
+
+class Server(Protocol):
+    """Listener of a connection."""
+
+    limits: CallerLimits
+    memory: MemoryAccount
+    log: DecisionLog
+    closing: bool
+    connections: "set[ServerConnection]"
+
+    def add_connection(self, connection: "ServerConnection") -> None:
+        """Add a connection that was just accepted."""
+        ...
+
+    async def respond(self, request: Request) -> Response:
+        """Return the response to a request."""
+        ...
+
+
+class ServerConnection(asyncio.Protocol):
+    """One connection to the server.
+
+    What it holds is counted in the account of the process. A connection that holds more
+    than its floor while the account is used up is refused and gives it up.
+    """
+
+    def __init__(self, server: Server) -> None:
+        self._server = server
+        self._reader = RequestReader(server.limits)
+        self._transport: asyncio.Transport | None = None
+        self._task: asyncio.Task[None] | None = None
+        self._disconnect_poll = select.poll()
+        self._pending_requests: deque[Request] = deque()
+        self._waiter: asyncio.Future[None] | None = None
+        self._responding = False
+        self._has_responded = False
+        # Status of the refusal that ends the connection, sent after the responses to
+        # the requests before it.
+        self._refusal_status: int | None = None
+        # Whether the last response was written; what is received then is discarded.
+        self._has_ended = False
+        self._unparsed = bytearray()
+        self._is_paused = False
+        # Time since which no unsent byte was taken, while too many are unsent.
+        self._blocked_since_s: float | None = None
+        self._unsent_bytes = 0
+        self._drained: asyncio.Future[None] | None = None
+        # Bytes of the request in flight, and of it and the pending ones.
+        self._in_flight_bytes = 0
+        self._requests_bytes = 0
+        self._counted_bytes = 0
+        self.last_active_s = now_s()
+
+    @property
+    def idle(self) -> bool:
+        """Whether no request is read, pending or in flight, and none was the last."""
+        return not (
+            self._responding
+            or self._reader.is_reading
+            or self._pending_requests
+            or self._has_ended
+        )
+
+    @property
+    def closing_order(self) -> tuple[int, float] | tuple[()]:
+        """Sort key by which connections are closed for others, empty if it is not.
+
+        Those without a request so far are closed first, then idle ones, then those
+        whose head is not complete.
+        """
+        if self.idle:
+            return (int(self._has_responded), self.last_active_s)
+        is_busy = self._responding or self._pending_requests or self._has_ended
+        if is_busy or not self._reader.in_head:
+            return ()
+        return (2, self._reader.received_s)
+
+    @property
+    def has_unsent_bytes(self) -> bool:
+        """Whether bytes of a response have not been handed to the kernel yet."""
+        return bool(self._transport and self._transport.get_write_buffer_size())
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Start the task that serves this connection."""
+        # uvloop's transports do not derive from those of asyncio.
+        self._transport = cast(asyncio.Transport, transport)
+        socket = transport.get_extra_info("socket")
+        self._disconnect_poll.register(socket.fileno(), select.POLLRDHUP)
+        self._server.add_connection(self)
+        self._task = asyncio.get_running_loop().create_task(self._serve())
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Cancel the requests of a caller that has disconnected."""
+        self._server.connections.discard(self)
+        self._pending_requests.clear()
+        self._unparsed.clear()
+        self._requests_bytes = 0
+        # The parser and its reader refer to each other.
+        self._reader.close()
+        self._update_account()
+        if self._task is not None:
+            self._task.cancel()
+
+    def _update_account(self) -> None:
+        held_bytes = (
+            self._requests_bytes + len(self._unparsed) + self._reader.held_bytes
+        )
+        self._server.memory.used_bytes += held_bytes - self._counted_bytes
+        self._counted_bytes = held_bytes
+
+    def _check_memory(self) -> None:
+        """Count what the connection holds; give it up if the account is used up."""
+        self._update_account()
+        if self._server.memory.refuses(self._counted_bytes):
+            self._pending_requests.clear()
+            self._requests_bytes = self._in_flight_bytes
+            self._refuse(503)
+
+    def eof_received(self) -> bool:
+        """Treat a half-close by the caller as a disconnect."""
+        return False
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what the caller sent, or keep it while enough requests wait."""
+        if self._refusal_status is not None or self._has_ended:
+            return
+        if self._unparsed:
+            self._unparsed += data
+        else:
+            parsed_bytes = self._parse(data)
+            if parsed_bytes < len(data):
+                self._unparsed += data[parsed_bytes:]
+        if self._unparsed:
+            self._check_memory()
+        if len(self._unparsed) >= MAX_UNPARSED_BYTES and self._transport:
+            self._is_paused = True
+            self._transport.pause_reading()
+
+    def _parse(self, data: bytes | bytearray) -> int:
+        """Parse bytes until enough requests wait; return the number of bytes."""
+        reader = self._reader
+        reader.limits = self._server.limits
+        if len(data) <= HEAD_SLICE_BYTES and not self._pending_requests:
+            reader.feed(bytes(data))
+            self._take_requests()
+            return len(data)
+        start = 0
+        while (
+            start < len(data)
+            and len(self._pending_requests) < MAX_PIPELINED_REQUESTS
+            and self._refusal_status is None
+        ):
+            slice_bytes = HEAD_SLICE_BYTES if reader.in_head else BODY_SLICE_BYTES
+            end = min(len(data), start + slice_bytes)
+            reader.feed(bytes(data[start:end]))
+            start = end
+            self._take_requests()
+        return start
+
+    def _take_requests(self) -> None:
+        """Queue the requests that were read for the task of the connection."""
+        reader = self._reader
+        if reader.expects_continue:
+            reader.expects_continue = False
+            if self._transport:
+                self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        if reader.requests:
+            for request in reader.requests:
+                if len(self._pending_requests) >= MAX_PIPELINED_REQUESTS:
+                    request.held_bytes += PIPELINED_REQUEST_BYTES
+                self._requests_bytes += request.held_bytes
+                self._pending_requests.append(request)
+            reader.requests.clear()
+            if self._waiter is not None and not self._waiter.done():
+                self._waiter.set_result(None)
+        if reader.refusal_status:
+            self._refuse(reader.refusal_status)
+        elif reader.held_bytes or self._requests_bytes:
+            self._check_memory()
+
+    async def _serve(self) -> None:
+        assert self._transport is not None
+        loop = asyncio.get_running_loop()
+        while not self._transport.is_closing():
+            while not self._pending_requests:
+                self._waiter = loop.create_future()
+                await self._waiter
+            if not await self._serve_request(self._pending_requests.popleft()):
+                return
+            if self._blocked_since_s is not None:
+                # The next response is not produced while the last one is not read.
+                self._drained = loop.create_future()
+                await self._drained
+
+    async def _serve_request(self, request: Request) -> bool:
+        """Respond to a request; return whether the connection goes on."""
+        assert self._transport is not None
+        self._responding = True
+        self._in_flight_bytes = request.held_bytes
+        if self._unparsed and len(self._pending_requests) < MAX_PIPELINED_REQUESTS:
+            self._parse_kept()
+        if self._disconnect_poll.poll(0):
+            # The end of the connection is read only after what came before it, so a
+            # node that was frozen would pass on requests of callers that have left.
+            self._transport.close()
+            return False
+        response = await self._server.respond(request)
+        # After an announced close, the caller reads no further responses.
+        is_last = not self._pending_requests
+        response.close = is_last and (
+            response.close or request.ends_connection or self._server.closing
+        )
+        if self._transport.is_closing():
+            return False
+        body = b"" if request.method == b"HEAD" else response.body
+        write_message(self._transport, encode_response_head(response), body)
+        self._responding = False
+        self._has_responded = True
+        self._in_flight_bytes = 0
+        if request.held_bytes:
+            self._requests_bytes -= request.held_bytes
+            self._update_account()
+        self.last_active_s = now_s()
+        if response.close:
+            self._end_responses()
+            return False
+        if self._refusal_status is not None and not self._pending_requests:
+            self._end_with_refusal(self._refusal_status)
+            return False
+        return True
+
+    def pause_writing(self) -> None:
+        """Note that the client does not read its responses."""
+        self._blocked_since_s = now_s()
+
+    def resume_writing(self) -> None:
+        """Go on with the next request."""
+        self._blocked_since_s = None
+        if self._drained is not None and not self._drained.done():
+            self._drained.set_result(None)
+
+    def _parse_kept(self) -> None:
+        """Parse bytes that were kept while enough requests waited."""
+        parsed_bytes = self._parse(self._unparsed)
+        del self._unparsed[:parsed_bytes]
+        self._check_memory()
+        if self._is_paused and len(self._unparsed) < MAX_UNPARSED_BYTES:
+            assert self._transport is not None
+            self._is_paused = False
+            self._transport.resume_reading()
+
+    def _refuse(self, status: int) -> None:
+        """Refuse the request that is read, and discard what follows it."""
+        if self._refusal_status is not None:
+            return
+        self._refusal_status = status
+        self._server.log.event(
+            "client-refused",
+            status=status,
+            held_bytes=self._counted_bytes,
+            all_held_bytes=self._server.memory.used_bytes,
+        )
+        self._unparsed.clear()
+        self._reader.close()
+        self._update_account()
+        if not self._responding and not self._pending_requests:
+            self._end_with_refusal(status)
+
+    def _end_with_refusal(self, status: int) -> None:
+        assert self._transport is not None
+        headers = [(b"retry-after", MEMORY_RETRY_AFTER)] if status == 503 else []
+        response = Response(status, headers, close=True)
+        self._transport.write(encode_response(response))
+        self._end_responses()
+
+    def _end_responses(self) -> None:
+        """Send the end of the stream; close the connection when the caller does."""
+        assert self._transport is not None
+        self._has_ended = True
+        self._transport.write_eof()
+        asyncio.get_running_loop().call_later(LINGER_S, self._close_once_sent)
+
+    def _close_once_sent(self) -> None:
+        if self.has_unsent_bytes:
+            asyncio.get_running_loop().call_later(LINGER_S, self._close_once_sent)
+        else:
+            self.close_gracefully()
+
+    def enforce_timeouts(self, now: float) -> None:
+        """Close the connection if it is idle, not read or its request head is late.
+
+        :param now: current time in s since boot
+        """
+        limits = self._server.limits
+        if self._is_blocked(now, limits.idle_timeout_s):
+            self.close_to_make_room()
+            return
+        if self._responding or self._pending_requests or self._has_ended:
+            return
+        if self._reader.is_reading:
+            late_s = now - self._reader.received_s - limits.header_timeout_s
+            if self._reader.in_head and late_s > 0:
+                self._refuse(408)
+        elif now - self.last_active_s > limits.idle_timeout_s:
+            self.close_gracefully()
+
+    def _is_blocked(self, now: float, timeout_s: float) -> bool:
+        """Return whether the client has read nothing of its responses for a time."""
+        if self._blocked_since_s is None or self._transport is None:
+            return False
+        unsent_bytes = self._transport.get_write_buffer_size()
+        if unsent_bytes != self._unsent_bytes:
+            self._unsent_bytes = unsent_bytes
+            self._blocked_since_s = now
+        return now - self._blocked_since_s > timeout_s
+
+    def close_to_make_room(self) -> None:
+        """Close the connection at once; its request, if any, was not passed on."""
+        if self._transport is not None:
+            self._transport.abort()
+        self._server.connections.discard(self)
+
+    def close_gracefully(self) -> None:
+        """Close the connection after sending buffered data."""
+        if self._transport is not None:
+            self._transport.close()
--- a/src/briardock/mesh/target.py
+++ b/src/briardock/mesh/target.py
@@ -14,7 +14,13 @@
 from briardock.mesh.deadlines import Deadline
 from briardock.mesh.decisions import DecisionLog
 from briardock.mesh.dialect import Dialect
-from briardock.mesh.http1 import ExchangeFailure, Response, encode_request, end_to_end
+from briardock.mesh.http1 import (
+    ExchangeFailure,
+    Response,
+    encode_request,
+    encode_request_head,
+    end_to_end,
+)
 from briardock.mesh.http_client import ClientConnection
 from briardock.mesh.model import Announcement, TargetState, now_s
 from briardock.mesh.pool import ConnectionPool
@@ -367,16 +373,17 @@
         headers = self._dialect.target_headers(
             call.headers, remaining_s, call.caller_service, call.target_id
         )
-        data = encode_request(call.method, call.target, headers, call.body)
+        head = encode_request_head(call.method, call.target, headers, len(call.body))
         started_s = now_s()
         self._run_starts_s[id(call)] = started_s
         call.connection = connection
         try:
             response = await connection.exchange(
-                data,
+                head,
                 lambda candidate: self._dialect.is_response_to(
                     candidate, call.request_id, connection.requests_sent > 1
                 ),
+                call.body,
             )
         finally:
             del self._run_starts_s[id(call)]
--- a/tests/test_mesh_http_server.py
+++ b/tests/test_mesh_http_server.py
@@ -6,7 +6,7 @@
 
 from briardock.mesh.http1 import Request, Response
 from briardock.mesh.http_server import HttpServer
-from briardock.mesh.model import CallerLimits, split_address
+from briardock.mesh.model import CallerLimits, now_s, split_address
 from mesh_fakes import free_address, quiet_log
 
 pytestmark = pytest.mark.anyio
@@ -146,3 +146,37 @@
     assert not any(b"connection: close" in answer for answer in answers)
     writer.close()
     server.stop_listening()
+
+
+async def test_client_that_does_not_read_holds_one_response_and_is_closed() -> None:
+    """Responses to a client that asked 3,000 times and read nothing had no bound and
+    took 305 MB.
+    """
+    targets = []
+
+    async def handle(request: Request) -> Response:
+        targets.append(request.target)
+        return Response(200, body=b"x" * 1_000_000)
+
+    server = HttpServer(handle, LIMITS, quiet_log())
+    address = free_address()
+    await server.start(*split_address(address))
+    reader, writer = await asyncio.open_connection(*split_address(address), limit=1)
+    for number in range(100):
+        writer.write(GET % (number, b""))
+    await asyncio.sleep(0.5)
+    (connection,) = server.connections
+    # What the sockets of both ends take, and one response in the process.
+    assert len(targets) < 20
+    assert connection.has_unsent_bytes
+    read_count = len(targets)
+    async with asyncio.timeout(10.0):
+        while len(targets) == read_count:
+            await reader.read(100_000)
+    late_s = now_s() + LIMITS.idle_timeout_s + 1.0
+    while connection in server.connections:
+        connection.enforce_timeouts(late_s)
+        late_s += LIMITS.idle_timeout_s + 1.0
+        assert late_s < now_s() + 10 * LIMITS.idle_timeout_s
+    writer.close()
+    server.stop_listening()
