Take no evidence about others from a node's own shortage

Cause: a connect that failed with EMFILE, ENFILE, ENOBUFS, ENOMEM or EADDRNOTAVAIL was handled like a refused connection. The node beside the target declared the target lost, counted that as a death for the requests whose responses had just been lost, and refused all calls until the next announcement; an entry ejected healthy nodes for seconds.

Change: a failed connect carries its cause. With an own shortage the call is answered as not run, the target keeps its state and no node is ejected.

Seen before: all 12 rows of tests/test_mesh_shortage.py fail (descriptor limit of the process, and each of the five errors, at the target and between nodes). After: the 12 rows pass, with tests/test_mesh_target.py, test_mesh_path.py and test_mesh_crashes.py (65 passed in one run).

--- a/src/briardock/mesh/forwarder.py
+++ b/src/briardock/mesh/forwarder.py
@@ -21,7 +21,7 @@
 from briardock.mesh.deadlines import Deadline
 from briardock.mesh.decisions import DecisionLog
 from briardock.mesh.dialect import Dialect
-from briardock.mesh.http1 import ExchangeFailure, Request, Response
+from briardock.mesh.http1 import ExchangeFailure, FailureCause, Request, Response
 from briardock.mesh.members import MemberTable, NodeRecord
 from briardock.mesh.model import MeshSettings, RequestHead, Route, now_s
 from briardock.mesh.pool import ConnectionPool
@@ -528,6 +528,8 @@
         """Return the result, and the load if the other node reported it."""
         connection = await self._peers.acquire(record.address)
         if isinstance(connection, ExchangeFailure):
+            if connection.cause is FailureCause.OWN_SHORTAGE:
+                return NotRun(connection.reason), None
             self._eject(record, connection.reason)
             return NotRun(f"node unreachable: {connection.reason}"), None
         if self._has_ended:
--- a/src/briardock/mesh/http1.py
+++ b/src/briardock/mesh/http1.py
@@ -4,6 +4,7 @@
 path because each read through them costs more CPU time than the whole exchange.
 """
 
+import enum
 from dataclasses import dataclass, field
 from http import HTTPStatus
 
@@ -62,16 +63,28 @@
     close: bool = False
 
 
+class FailureCause(enum.Enum):
+    """What a failed exchange tells about the peer.
+
+    ``OWN_SHORTAGE``: nothing, because this process lacked resources for a connection.
+    """
+
+    OWN_SHORTAGE = enum.auto()
+    OTHER = enum.auto()
+
+
 @dataclass(frozen=True, slots=True)
 class ExchangeFailure:
     """An exchange without a complete response.
 
     :param reason: why it failed
     :param sent: whether the peer may have read the request
+    :param cause: what it tells about the peer
     """
 
     reason: str
     sent: bool
+    cause: FailureCause = FailureCause.OTHER
 
 
 def end_to_end(headers: Headers) -> Headers:
--- a/src/briardock/mesh/pool.py
+++ b/src/briardock/mesh/pool.py
@@ -1,11 +1,12 @@
 """Pool of idle client connections by address."""
 
 import asyncio
+import errno
 import socket
 from collections import defaultdict
 from dataclasses import dataclass
 
-from briardock.mesh.http1 import ExchangeFailure
+from briardock.mesh.http1 import ExchangeFailure, FailureCause
 from briardock.mesh.http_client import ClientConnection
 from briardock.mesh.model import now_s, split_address
 
@@ -21,6 +22,11 @@
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_PERIOD_S = 1
 KEEPALIVE_PROBES = 2
+# Errors of a connect that tell of a shortage in this process or on its machine: no file
+# descriptor, memory or local port. They tell nothing about the peer.
+OWN_SHORTAGES = frozenset(
+    {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL}
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -133,7 +139,7 @@
         except TimeoutError:
             return ExchangeFailure("connect timeout", sent=False)
         except OSError as error:
-            return ExchangeFailure(f"connect: {type(error).__name__}", sent=False)
+            return _connect_failure(error)
         self.connections_opened += 1
         self._set_options(transport.get_extra_info("socket"))
         return connection
@@ -160,3 +166,10 @@
                 self._idle[address] = kept
             else:
                 del self._idle[address]
+
+
+def _connect_failure(error: OSError) -> ExchangeFailure:
+    if error.errno in OWN_SHORTAGES:
+        reason = f"own shortage: {errno.errorcode[error.errno]}"
+        return ExchangeFailure(reason, sent=False, cause=FailureCause.OWN_SHORTAGE)
+    return ExchangeFailure(f"connect: {type(error).__name__}", sent=False)
--- a/src/briardock/mesh/target.py
+++ b/src/briardock/mesh/target.py
@@ -14,7 +14,13 @@
 from briardock.mesh.deadlines import Deadline
 from briardock.mesh.decisions import DecisionLog
 from briardock.mesh.dialect import Dialect
-from briardock.mesh.http1 import ExchangeFailure, Response, encode_request, end_to_end
+from briardock.mesh.http1 import (
+    ExchangeFailure,
+    FailureCause,
+    Response,
+    encode_request,
+    end_to_end,
+)
 from briardock.mesh.model import Announcement, TargetState, now_s
 from briardock.mesh.pool import ConnectionPool
 from briardock.overload.admission import TargetThreshold, Usage
@@ -360,6 +366,8 @@
             max_idle_s = None if call.idempotent else MAX_IDLE_NON_IDEMPOTENT_S
             connection = await self._pool.acquire(self.address, max_idle_s)
         if isinstance(connection, ExchangeFailure):
+            if connection.cause is FailureCause.OWN_SHORTAGE:
+                return NotRun(connection.reason)
             self._mark_absent(connection.reason)
             return NotRun(f"target unreachable: {connection.reason}")
         remaining_s = call.expires_s - now_s()
