Look for the death of a target after a lost response

Cause: a death was noticed only if another request went to the closed port, or the target announced its restart, within 3 s of the lost response. At low load neither happens, and a request that crashes each target that runs it was never refused.

Only a refused connect, a response of another target or an announced restart is a death; a time-out no longer is. A restart without a gap counts however late it is announced, if the loss came after the last announcement before it. Log events: target-died, suspects-cleared.

--- a/src/briardock/mesh/http1.py
+++ b/src/briardock/mesh/http1.py
@@ -66,9 +66,11 @@
 class FailureCause(enum.Enum):
     """What a failed exchange tells about the peer.
 
+    ``REFUSED``: nothing listens at its port.
     ``OWN_SHORTAGE``: nothing, because this process lacked resources for a connection.
     """
 
+    REFUSED = enum.auto()
     OWN_SHORTAGE = enum.auto()
     OTHER = enum.auto()
 
--- a/src/briardock/mesh/node.py
+++ b/src/briardock/mesh/node.py
@@ -417,6 +417,7 @@
                 self.replicator.watch_nodes,
                 self.replicator.publish,
                 self.replicator.sync_periodically,
+                self.target.loss_watch.watch_losses,
                 self._update_thresholds,
                 self._sweep_pools,
                 self._flush_log,
--- a/src/briardock/mesh/pool.py
+++ b/src/briardock/mesh/pool.py
@@ -172,4 +172,6 @@
     if error.errno in OWN_SHORTAGES:
         reason = f"own shortage: {errno.errorcode[error.errno]}"
         return ExchangeFailure(reason, sent=False, cause=FailureCause.OWN_SHORTAGE)
-    return ExchangeFailure(f"connect: {type(error).__name__}", sent=False)
+    refused = isinstance(error, ConnectionRefusedError)
+    cause = FailureCause.REFUSED if refused else FailureCause.OTHER
+    return ExchangeFailure(f"connect: {type(error).__name__}", sent=False, cause=cause)
--- a/src/briardock/mesh/replica.py
+++ b/src/briardock/mesh/replica.py
@@ -81,7 +81,7 @@
         self._install = install
         self._on_joined = on_joined
         self._on_previous_record = on_previous_record
-        self.crash_suspects = CrashSuspects(SystemClock(), self._suspects_added)
+        self.crash_suspects = CrashSuspects(SystemClock(), self._suspects_changed)
         self.quarantine = self.crash_suspects.quarantine
 
     @property
@@ -89,8 +89,15 @@
         """Version in force, -1 for none."""
         return self.config_id.version
 
-    def _suspects_added(self, suspects: list[QuarantineEntry]) -> None:
-        self._log.event("requests-suspected", count=len(suspects))
+    def _suspects_changed(self, suspects: list[QuarantineEntry]) -> None:
+        cleared_count = sum(
+            all(death.cleared for death in entry.deaths) for entry in suspects
+        )
+        if cleared_count:
+            self._log.event("suspects-cleared", count=cleared_count)
+        if cleared_count < len(suspects):
+            count = len(suspects) - cleared_count
+            self._log.event("requests-suspected", count=count)
         self.on_suspects(suspects)
 
     def merge_record(self, record: NodeRecord) -> NodeRecord | None:
--- a/src/briardock/mesh/target.py
+++ b/src/briardock/mesh/target.py
@@ -21,6 +21,7 @@
     encode_request,
     end_to_end,
 )
+from briardock.mesh.losses import LossWatch
 from briardock.mesh.model import Announcement, TargetState, now_s
 from briardock.mesh.pool import ConnectionPool
 from briardock.overload.admission import TargetThreshold, Usage
@@ -88,6 +89,11 @@
         self._dialect = dialect
         self._log = log
         self._crash_suspects = crash_suspects
+        # Incarnation that lost a response last, and the one that died last.
+        self._lost_by = self._died = ""
+        # Time of the latest sign that the incarnation was running, s.
+        self._alive_s = 0.0
+        self.loss_watch = LossWatch(self._check_after_loss)
         self._on_change = on_change
         # Each queued call waits for a future that tells whether it was granted a slot.
         # Abandoned ones stay in the queue until the next control period.
@@ -121,6 +127,11 @@
         """Requests running and queued."""
         return self.running + self.queued
 
+    @property
+    def incarnation(self) -> str:
+        """Id of the target together with its start."""
+        return f"{self.target_id}.{self.born_ms}"
+
     def reconfigure(self, address: str, service: str) -> None:
         """Serve another target; calls are refused until it has announced itself.
 
@@ -159,7 +170,8 @@
             self.target_id,
         )
         if restarted and self.born_ms:
-            self._crash_suspects.record_death(f"{self.target_id}.{self.born_ms}")
+            self._record_restart()
+        self._alive_s = now_s()
         self._sequence = announcement.sequence
         leaving = self.state is TargetState.LEAVING and not restarted
         if leaving or self._has_departed(announcement.target_id, announcement.born_ms):
@@ -207,6 +219,7 @@
         if not self.target_id and target_id:
             departed = self._has_departed(target_id, born_ms)
             state = TargetState.LEAVING if departed else TargetState.READY
+            self._alive_s = now_s()
             self._change_state(target_id, born_ms, slots, state)
 
     def leave(self, target_id: str, born_ms: int) -> None:
@@ -243,10 +256,52 @@
             self._release_queue()
         self._on_change()
 
-    def _mark_absent(self, reason: str) -> None:
+    def _record_death(self, evidence: str, since_s: float | None = None) -> None:
+        if self._died != self.incarnation:
+            self._died = self.incarnation
+            self._log.event("target-died", target=self.target_id, evidence=evidence)
+        self._crash_suspects.record_death(self.incarnation, since_s)
+
+    def _record_restart(self) -> None:
+        """Record the end of an incarnation whose successor has announced itself.
+
+        It ended after it was last seen running, however late its successor announces
+        itself. One that was leaving may have ended some time after its last requests.
+        """
+        if self.state is TargetState.LEAVING:
+            self._crash_suspects.record_death(self.incarnation)
+        else:
+            self._record_death("restart", self._alive_s)
+
+    async def _check_after_loss(self) -> bool:
+        """Record a death if the port is closed; return whether the check is final."""
+        lost_by = self._lost_by
+        if lost_by != self.incarnation:
+            return True
+        connection = await self._pool.connect(self.address)
+        if not isinstance(connection, ExchangeFailure):
+            connection.close()
+            return False
+        if connection.cause is not FailureCause.REFUSED:
+            return False
+        if lost_by == self.incarnation:
+            self._mark_absent(connection.reason, died=True)
+        return True
+
+    def _mark_absent(self, reason: str, died: bool) -> None:
+        """Use the target again only after its next announcement.
+
+        A leaving target may close its port while it still runs requests.
+
+        :param reason: why
+        :param died: whether it has certainly died
+        """
+        if self.state is TargetState.LEAVING or not self.target_id:
+            return
+        if died:
+            self._record_death(reason)
         if self.state is TargetState.READY:
             self._log.event("target-lost", target=self.target_id, reason=reason)
-            self._crash_suspects.record_death(f"{self.target_id}.{self.born_ms}")
             self._change_state(
                 self.target_id, self.born_ms, self.slots, TargetState.ABSENT
             )
@@ -368,7 +423,8 @@
         if isinstance(connection, ExchangeFailure):
             if connection.cause is FailureCause.OWN_SHORTAGE:
                 return NotRun(connection.reason)
-            self._mark_absent(connection.reason)
+            died = connection.cause is FailureCause.REFUSED
+            self._mark_absent(connection.reason, died)
             return NotRun(f"target unreachable: {connection.reason}")
         remaining_s = call.expires_s - now_s()
         refusal = self.refusal(call)
@@ -380,6 +436,7 @@
         )
         data = encode_request(call.method, call.target, headers, call.body)
         started_s = now_s()
+        incarnation = self.incarnation
         self._run_starts_s[id(call)] = started_s
         call.connection = connection
         try:
@@ -396,7 +453,9 @@
                 return NotRun(response.reason)
             if now_s() - started_s < STALE_CONNECTION_RESET_S:
                 self._pool.reduce_idle_time(self.address, connection)
-            self._crash_suspects.record_loss(call)
+            self._crash_suspects.record_loss(call, incarnation)
+            self._lost_by = incarnation
+            self.loss_watch.record_loss()
             return Unknown(f"target: {response.reason}")
         decoded = self._dialect.decode_target_response(response)
         if not decoded.not_run:
@@ -416,12 +475,14 @@
             # A late copy of this response could be taken for any other one.
             connection.close()
         if decoded.wrong_target:
-            self._mark_absent("another target responds at the address")
+            self._mark_absent("another target responds at the address", died=True)
             return NotRun("another target", arrived=False)
         if decoded.not_run:
             return NotRun(f"target rejected it with {response.status}", arrived=True)
         if response.status < 300 and not decoded.complete_success:
             return Unknown("target: invalid success")
+        if response.status < 500:
+            self._crash_suspects.record_success(call)
         headers = end_to_end(response.headers)
         return Completed(Response(response.status, headers, response.body))
 
--- a/src/briardock/quarantine.py
+++ b/src/briardock/quarantine.py
@@ -110,6 +110,7 @@
         self._successes: OrderedDict[str, float] = OrderedDict()
         self._digest: int | None = None
         self._may_refuse: bool | None = None
+        self._may_clear: bool | None = None
 
     def record_death(
         self, fingerprints: Iterable[str], death_id: str
@@ -144,6 +145,19 @@
     def _invalidate_cached(self) -> None:
         self._digest = None
         self._may_refuse = None
+        self._may_clear = None
+
+    def may_clear(self) -> bool:
+        """Return whether a success may clear any fingerprint.
+
+        The result is cached, as that of ``may_refuse``.
+        """
+        if self._may_clear is None:
+            self._may_clear = any(
+                0 < len(entry.active_deaths()) < self._settings.deaths
+                for entry in self._entries.values()
+            )
+        return self._may_clear
 
     def may_refuse(self) -> bool:
         """Return whether any fingerprint may have to be refused.
--- a/tests/mesh_fakes.py
+++ b/tests/mesh_fakes.py
@@ -248,6 +248,11 @@
         self.server = HttpServer(self._handle, CallerLimits(), quiet_log())
         await self.server.start(*split_address(self.address))
 
+    def reset_connections(self) -> None:
+        for connection in list(self.server.connections):
+            assert connection._transport is not None
+            connection._transport.abort()
+
     async def _handle(self, request: Request) -> Response:
         if request.target == HEALTH_PATH.encode():
             status = 503 if self.leaving else 200
@@ -266,7 +271,9 @@
     settings: MeshSettings
     sequence: int = 0
 
-    async def announce(self, state: str = "ready", born_ms: int = 1_000) -> int:
+    async def announce(
+        self, state: str = "ready", born_ms: int = 1_000, target_id: str = ""
+    ) -> int:
         """Send the target's heartbeat to its node; return the status."""
         self.sequence += 1
         body = {
@@ -280,7 +287,8 @@
             "sequence": self.sequence,
             "born": born_ms,
         }
-        path = f"/instances/i-{self.settings.node_id}/heartbeat"
+        target_id = target_id or f"i-{self.settings.node_id}"
+        path = f"/instances/{target_id}/heartbeat"
         response = await send(
             self.settings.announce_address, path, json.dumps(body).encode()
         )
