Repeat downloads as idempotent requests

Cause: a route of the kind download (a read with a large response) was decoded as one whose requests may run only once, so a download whose response was lost was answered 502 instead of sent to another instance. Change: the adapter treats the kinds idempotent and download alike. Before: the row download of the new table in tests/test_mesh_platform.py failed; after: all rows pass (pytest tests/test_mesh_platform.py).

--- a/src/briardock/platform/_dialect.py
+++ b/src/briardock/platform/_dialect.py
@@ -28,6 +28,8 @@
 RETRY_AFTER = b"retry-after"
 INSTANCE_ID = b"instance-id"
 HEADERS_SET_BY_NODES = frozenset({DEADLINE, EXPECTED_TARGET, CALLER})
+# Kinds of routes whose requests may run more than once.
+IDEMPOTENT_KINDS = frozenset({"idempotent", "download"})
 
 _ANNOUNCEMENT = re.compile(rb"^/instances/([^/?]+)/(heartbeat|deregister)$")
 _DURATION = re.compile(r"^(\d+(?:\.\d+)?)(ms|s)$")
@@ -243,7 +245,7 @@
         name=str(resource.metadata.get("name", "")),
         host=spec.host.lower(),
         path_prefix=spec.path_prefix,
-        idempotent=spec.kind == "idempotent",
+        idempotent=spec.kind in IDEMPOTENT_KINDS,
         timeout_s=parse_duration_s(spec.timeout),
         objective_s=parse_duration_s(spec.target_latency),
         priority=spec.priority,
--- a/tests/test_mesh_platform.py
+++ b/tests/test_mesh_platform.py
@@ -154,6 +154,19 @@
     assert [(p.service, p.weight) for p in second.services] == [("x", 9), ("y", 1)]
 
 
+@pytest.mark.parametrize(
+    ("kind", "idempotent"),
+    [("idempotent", True), ("download", True), ("upload", False), ("booking", False)],
+)
+def test_kinds_whose_requests_may_run_more_than_once(
+    kind: str, idempotent: bool
+) -> None:
+    """A download whose response was lost was answered 502 instead of repeated."""
+    decoded = DIALECT.decode_config(config(7, route("a", "/a/", kind=kind)))
+    assert isinstance(decoded, RoutingConfig)
+    assert decoded.routes[0].idempotent is idempotent
+
+
 @pytest.mark.parametrize(
     ("spec", "health_path"),
     [
