Decode client accounts, keys and the account header

Cause: the adapter knew neither accounts in the configuration nor keys of clients; Authorization and Tenant-Id were forwarded whatever they held. Change: the adapter decodes tenants, public routes and the settings of revocation, takes a Bearer key out of a request and drops account headers if it is told that the configuration has accounts, and adds the account to the headers for a target. Keys are left out of representations. An account that cannot be decoded is left out alone: as a whole the configuration would not come into force, and a key that it withdraws would stay valid. Without accounts decoding is unchanged. No node uses this yet.

--- a/src/briardock/mesh/dialect.py
+++ b/src/briardock/mesh/dialect.py
@@ -38,8 +38,19 @@
 class Dialect(Protocol):
     """Headers and documents of one platform."""
 
-    def decode_request(self, request: Request) -> RequestHead:
-        """Decode the headers of a caller's request."""
+    def decode_request(
+        self, request: Request, with_accounts: bool = False
+    ) -> RequestHead:
+        """Decode the headers of a caller's request.
+
+        :param request: the request
+        :param with_accounts: whether the configuration has accounts; the key and any
+            account header are then not forwarded
+        """
+        ...
+
+    def without_identity(self, headers: Headers) -> Headers:
+        """Return headers without the key of a client and any account header."""
         ...
 
     def target_headers(
@@ -48,8 +59,16 @@
         remaining_s: float,
         caller_service: str,
         target_id: str,
+        account: str | None = None,
     ) -> Headers:
-        """Return the headers of a request to a target."""
+        """Return the headers of a request to a target.
+
+        :param forwarded: end-to-end headers of the caller
+        :param remaining_s: time until the deadline
+        :param caller_service: service of the node at which it entered
+        :param target_id: target that has to run it
+        :param account: name of the client's account, empty or ``None`` without one
+        """
         ...
 
     def is_response_to(
@@ -78,6 +97,10 @@
         """Return the headers that tell a caller when to retry."""
         ...
 
+    def challenge_headers(self) -> Headers:
+        """Return the headers that tell a client to send a key."""
+        ...
+
     def decode_announcement(
         self, request: Request
     ) -> Announcement | Departure | Undecodable:
--- a/src/briardock/mesh/model.py
+++ b/src/briardock/mesh/model.py
@@ -50,6 +50,7 @@
     :param priority: importance of its requests, 0 being the most important
     :param max_attempts: largest number of targets that receive one request
     :param services: services that share the traffic
+    :param public: whether its requests need no key
     """
 
     name: str
@@ -61,6 +62,36 @@
     priority: int
     max_attempts: int
     services: tuple[WeightedService, ...]
+    public: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Account:
+    """Account of a client.
+
+    :param name: name given by the operator
+    :param priority: importance of its requests, 0 being the most important; ``None``
+        if the operator gave none
+    :param rate_per_s: limit on its requests, 0 for none
+    :param burst: requests that it may send at once beyond the rate
+    """
+
+    name: str
+    priority: int | None = None
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class AccountEntry:
+    """An account and its keys, which no representation shows.
+
+    :param account: the account
+    :param keys: keys with which its clients authenticate
+    """
+
+    account: Account
+    keys: tuple[str, ...] = field(repr=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,13 +119,17 @@
     :param limits: limits on callers
     :param document: encoded form that is sent to other nodes
     :param health_paths: path of the health check by service
+    :param has_accounts: whether clients need keys, also if no account can be decoded
+    :param accounts: accounts that can be decoded
     """
 
     version: int
     routes: tuple[Route, ...]
     limits: CallerLimits
-    document: bytes
+    document: bytes = field(repr=False)
     health_paths: dict[str, str] = field(default_factory=dict)
+    has_accounts: bool = False
+    accounts: tuple[AccountEntry, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -127,12 +162,14 @@
     :param host: lower-case host without port
     :param deadline_s: time for which the caller waits, or ``None``
     :param forwarded: headers to forward, without those set by nodes
+    :param credential: key of the client, empty if it is malformed; ``None`` without one
     """
 
     request_id: bytes
     host: str
     deadline_s: float | None
     forwarded: Headers
+    credential: bytes | None = field(default=None, repr=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -171,6 +208,10 @@
     :param retry_slack: additional retries in a window that all nodes may send
     :param retry_window_s: length of the window for ratio and slack
     :param max_descriptors: limit on the open descriptors of the process
+    :param config_apply_s: longest time until an acknowledged configuration is in force
+    :param strict_revocation: whether requests with keys need a configuration that is
+        known to be current
+    :param revoke_s: longest time until a withdrawn key is refused if so
     """
 
     node_id: str
@@ -189,6 +230,9 @@
     retry_slack: float
     retry_window_s: float
     max_descriptors: int = DEFAULT_MAX_DESCRIPTORS
+    config_apply_s: float = 2.0
+    strict_revocation: bool = False
+    revoke_s: float = 5.0
 
 
 def split_address(address: str) -> tuple[str, int]:
--- a/src/briardock/platform/_dialect.py
+++ b/src/briardock/platform/_dialect.py
@@ -8,6 +8,8 @@
 from briardock.mesh.dialect import Departure, Undecodable
 from briardock.mesh.http1 import Request, Response, end_to_end
 from briardock.mesh.model import (
+    Account,
+    AccountEntry,
     Announcement,
     CallerLimits,
     Headers,
@@ -27,12 +29,15 @@
 CALLER = b"caller-service"
 RETRY_AFTER = b"retry-after"
 INSTANCE_ID = b"instance-id"
+AUTHORIZATION = b"authorization"
+ACCOUNT = b"tenant-id"
 HEADERS_SET_BY_NODES = frozenset({DEADLINE, EXPECTED_TARGET, CALLER})
 # Kinds of routes whose requests may run more than once.
 IDEMPOTENT_KINDS = frozenset({"idempotent", "download"})
 
 _ANNOUNCEMENT = re.compile(rb"^/instances/([^/?]+)/(heartbeat|deregister)$")
 _DURATION = re.compile(r"^(\d+(?:\.\d+)?)(ms|s)$")
+_CONTROL_CHARACTER = re.compile(r"[\x00-\x1f\x7f]")
 _KEEP_ALIVE = re.compile(rb"timeout=(\d+)")
 
 
@@ -88,6 +93,7 @@
     priority: int = 0
     service: str = ""
     weighted_services: list[_Part] = []
+    public: bool = False
 
 
 class _LimitsSpec(msgspec.Struct, rename="kebab"):
@@ -101,6 +107,13 @@
     health_path: str | None = None
 
 
+class _AccountSpec(msgspec.Struct, rename="kebab"):
+    api_keys: list[str] = []
+    priority: int | None = None
+    rate_per_s: float | None = None
+    burst: float | None = None
+
+
 class _Resource(msgspec.Struct, rename="kebab"):
     # Kind of the resource; despite its name, not a URL.
     type_url: str
@@ -113,15 +126,24 @@
     resources: list[_Resource]
 
 
+_ACCOUNT_DECODER = msgspec.json.Decoder(_AccountSpec)
+
+
 class PlatformDialect:
     """Implements ``briardock.mesh.dialect.Dialect``."""
 
-    def decode_request(self, request: Request) -> RequestHead:
+    def decode_request(
+        self, request: Request, with_accounts: bool = False
+    ) -> RequestHead:
         """Decode the headers of a caller's request."""
         request_id = host = b""
         deadline_s = None
+        credential = None
+        headers = end_to_end(request.headers)
+        if with_accounts:
+            headers, credential = _split_identity(headers)
         forwarded: Headers = []
-        for header in end_to_end(request.headers):
+        for header in headers:
             name, value = header
             if name in HEADERS_SET_BY_NODES:
                 if name == DEADLINE and value.isdigit():
@@ -133,7 +155,11 @@
                 elif name == b"host":
                     host = value
         host_name = host.decode("latin-1").partition(":")[0].lower()
-        return RequestHead(request_id, host_name, deadline_s, forwarded)
+        return RequestHead(request_id, host_name, deadline_s, forwarded, credential)
+
+    def without_identity(self, headers: Headers) -> Headers:
+        """Return headers without the key of a client and any account header."""
+        return _split_identity(headers)[0]
 
     def target_headers(
         self,
@@ -141,14 +167,18 @@
         remaining_s: float,
         caller_service: str,
         target_id: str,
+        account: str | None = None,
     ) -> Headers:
         """Return the headers of a request to a target."""
-        return [
+        headers = [
             *forwarded,
             (DEADLINE, b"%d" % max(1, int(remaining_s * 1000))),
             (EXPECTED_TARGET, target_id.encode()),
             (CALLER, caller_service.encode()),
         ]
+        if account:
+            headers.append((ACCOUNT, account.encode()))
+        return headers
 
     def is_response_to(
         self, response: Response, request_id: bytes, reused: bool
@@ -187,6 +217,10 @@
         """Return the headers that tell a caller when to retry."""
         return [(RETRY_AFTER, b"%.3f" % retry_after_s)]
 
+    def challenge_headers(self) -> Headers:
+        """Return the headers that tell a client to send a key."""
+        return [(b"www-authenticate", b"Bearer")]
+
     def decode_announcement(
         self, request: Request
     ) -> Announcement | Departure | Undecodable:
@@ -222,6 +256,8 @@
             routes = []
             limits = CallerLimits()
             health_paths = {}
+            has_accounts = False
+            accounts = []
             for resource in decoded.resources:
                 if resource.type_url == "routes":
                     routes.append(_decode_route(resource))
@@ -231,10 +267,20 @@
                     service = msgspec.json.decode(resource.spec, type=_ServiceSpec)
                     name = str(resource.metadata.get("name", ""))
                     health_paths[name] = service.health_path or ""
+                elif resource.type_url == "tenants":
+                    has_accounts = True
+                    if (entry := _decode_account(resource)) is not None:
+                        accounts.append(entry)
         except (msgspec.DecodeError, ValueError) as error:
             return Undecodable(f"configuration: {error}")
         return RoutingConfig(
-            decoded.version, tuple(routes), limits, document, health_paths
+            decoded.version,
+            tuple(routes),
+            limits,
+            document,
+            health_paths,
+            has_accounts,
+            tuple(accounts),
         )
 
 
@@ -251,9 +297,35 @@
         priority=spec.priority,
         max_attempts=spec.max_attempts,
         services=parts or (WeightedService(spec.service, 1.0),),
+        public=spec.public,
     )
 
 
+def _decode_account(resource: _Resource) -> AccountEntry | None:
+    """Return an account, or ``None`` if it cannot be decoded.
+
+    The others stay in force, because one malformed account must not keep a key of
+    another from being withdrawn.
+    """
+    name = resource.metadata.get("name")
+    try:
+        spec = _ACCOUNT_DECODER.decode(resource.spec)
+    except msgspec.DecodeError:
+        return None
+    if (
+        not isinstance(name, str)
+        or not name
+        or name != name.strip()
+        or _CONTROL_CHARACTER.search(name)
+    ):
+        return None
+    rate_per_s, burst = spec.rate_per_s or 0.0, spec.burst or 0.0
+    if min(rate_per_s, burst) < 0.0:
+        return None
+    account = Account(name, spec.priority, rate_per_s, burst)
+    return AccountEntry(account, tuple(spec.api_keys))
+
+
 def _decode_limits(resource: _Resource) -> CallerLimits:
     spec = msgspec.json.decode(resource.spec, type=_LimitsSpec)
     return CallerLimits(
@@ -264,6 +336,29 @@
     )
 
 
+def _split_identity(headers: Headers) -> tuple[Headers, bytes | None]:
+    """Return headers without key and account, and the key.
+
+    A request with several keys has none that is valid, as it is not defined which one
+    would count.
+    """
+    kept: Headers = []
+    credential: bytes | None = None
+    for header in headers:
+        name, value = header
+        if name == AUTHORIZATION:
+            parts = value.split(None, 1)
+            if parts and parts[0].lower() == b"bearer":
+                is_only = credential is None
+                key = parts[1].strip() if len(parts) == 2 else b""
+                credential = key if is_only else b""
+                continue
+        elif name == ACCOUNT:
+            continue
+        kept.append(header)
+    return kept, credential
+
+
 def _find_header(headers: Headers, name: bytes) -> bytes | None:
     for key, value in headers:
         if key == name:
--- a/src/briardock/platform/_settings.py
+++ b/src/briardock/platform/_settings.py
@@ -36,6 +36,13 @@
         raise SettingsError(f"{path}: {error}", "correct the value") from error
 
 
+def _boolean(table: dict[str, Any], key: str) -> bool:
+    value = table.get(key, False)
+    if not isinstance(value, bool):
+        raise ValueError(f"{key} is not a boolean")
+    return value
+
+
 def _decode(tables: dict[str, Any]) -> MeshSettings:
     self_table = tables["self"]
     listen = tables["network"]["listen-addresses"]
@@ -61,4 +68,7 @@
         retry_slack=float(bounds["budget-slack"]),
         retry_window_s=parse_duration_s(bounds["budget-window"]),
         max_descriptors=int(limits.get("max-fds", DEFAULT_MAX_DESCRIPTORS)),
+        config_apply_s=parse_duration_s(bounds.get("config-apply", "2s")),
+        strict_revocation=_boolean(bounds, "strict-revocation"),
+        revoke_s=parse_duration_s(bounds.get("revoke", "5s")),
     )
--- a/tests/mesh_fakes.py
+++ b/tests/mesh_fakes.py
@@ -76,7 +76,16 @@
     return {"type-url": "routes", "metadata": {"name": name}, "spec": base | spec}
 
 
-def config(version: int, *routes: dict[str, Any]) -> bytes:
+def tenant(name: str, *keys: str, **spec: Any) -> dict[str, Any]:
+    """Return an account of the operator's configuration."""
+    return {
+        "type-url": "tenants",
+        "metadata": {"name": name},
+        "spec": {"api-keys": list(keys)} | spec,
+    }
+
+
+def config(version: int, *resources: dict[str, Any]) -> bytes:
     """Return a configuration as the operator writes it, with the services of routes."""
     services = [
         {
@@ -84,9 +93,13 @@
             "metadata": {"name": name},
             "spec": {"health-path": HEALTH_PATH, "max-connections": 500},
         }
-        for name in sorted({item["spec"].get("service", "") for item in routes} - {""})
+        for name in sorted(
+            {item["spec"].get("service", "") for item in resources} - {""}
+        )
     ]
-    return json.dumps({"version": version, "resources": [*routes, *services]}).encode()
+    return json.dumps(
+        {"version": version, "resources": [*resources, *services]}
+    ).encode()
 
 
 class FakeStore:
--- a/tests/test_mesh_platform.py
+++ b/tests/test_mesh_platform.py
@@ -9,11 +9,11 @@
 from briardock.exceptions import SettingsError
 from briardock.mesh.dialect import Departure, Undecodable
 from briardock.mesh.http1 import Request, Response
-from briardock.mesh.model import Announcement, RoutingConfig, TargetState
+from briardock.mesh.model import Account, Announcement, RoutingConfig, TargetState
 from briardock.platform._dialect import PlatformDialect, parse_duration_s
 from briardock.platform._settings import METRICS_PORT, load_settings
 from briardock.platform._store import decode_era
-from mesh_fakes import config, route
+from mesh_fakes import config, route, tenant
 
 ROOT = Path(__file__).resolve().parent.parent
 DIALECT = PlatformDialect()
@@ -82,6 +82,87 @@
     assert [n for n, _ in request_head.forwarded] == [b"host", b"request-id", b"x-end"]
 
 
+@pytest.mark.parametrize(
+    ("headers", "credential", "forwarded"),
+    [
+        ([], None, []),
+        ([(b"authorization", b"Bearer k 1")], b"k 1", []),
+        ([(b"authorization", b"bEARER \t k1 ")], b"k1", []),
+        ([(b"authorization", b"Bearer")], b"", []),
+        ([(b"authorization", b"Basic YTpi")], None, [b"authorization"]),
+        ([(b"authorization", b"")], None, [b"authorization"]),
+        ([(b"authorization", b"Bearer k1"), (b"authorization", b"Bearer k2")], b"", []),
+        ([(b"tenant-id", b"forged"), (b"x-end", b"1")], None, [b"x-end"]),
+        ([(b"tenant-id", b"a"), (b"tenant-id", b"b")], None, []),
+    ],
+)
+def test_key_and_account_header_are_not_forwarded(
+    headers: list[tuple[bytes, bytes]], credential: bytes | None, forwarded: list[bytes]
+) -> None:
+    """A target must not learn a key, nor take a name that a client sent as its account.
+
+    Without accounts in the configuration the headers have no meaning to nodes.
+    """
+    message = request("/a/", b"", *headers)
+    head = DIALECT.decode_request(message, with_accounts=True)
+    assert head.credential == credential
+    assert [name for name, _ in head.forwarded] == forwarded
+    assert [name for name, _ in DIALECT.without_identity(headers)] == forwarded
+    unchanged = DIALECT.decode_request(message)
+    assert (unchanged.credential, unchanged.forwarded) == (None, headers)
+    assert "k1" not in repr(head)
+
+
+@pytest.mark.parametrize(
+    ("account", "added"),
+    [(None, []), ("", []), ("a;b,c=\u00e9", [(b"tenant-id", "a;b,c=\u00e9".encode())])],
+)
+def test_target_receives_the_account(
+    account: str | None, added: list[tuple[bytes, bytes]]
+) -> None:
+    headers = DIALECT.target_headers([(b"x-end", b"1")], 1.5, "portal", "i-1", account)
+    assert headers[4:] == added
+    assert [name for name, _ in headers[:4]] == [
+        b"x-end",
+        b"deadline-ms",
+        b"expected-instance",
+        b"caller-service",
+    ]
+
+
+@pytest.mark.parametrize(
+    ("resource", "account"),
+    [
+        (tenant("a", "k1"), Account("a")),
+        (tenant("a", "k1", priority=None, burst=None), Account("a")),
+        (
+            tenant("a", "k1", priority=2, burst=5, **{"rate-per-s": 2.5}),
+            Account("a", 2, 2.5, 5.0),
+        ),
+        (tenant("", "k1"), None),
+        (tenant(" a", "k1"), None),
+        (tenant("a\r\nx: 1", "k1"), None),
+        (tenant("a", "k1", burst=-1), None),
+        (tenant("a", "k1", priority="high"), None),
+        (tenant("a", **{"api-keys": "k1"}), None),
+    ],
+)
+def test_account(resource: dict[str, object], account: Account | None) -> None:
+    """A malformed account must neither open the routes to clients without keys, nor
+    keep the key of another account from being withdrawn.
+    """
+    decoded = DIALECT.decode_config(config(7, resource, tenant("z", "k9")))
+    assert isinstance(decoded, RoutingConfig)
+    assert decoded.has_accounts
+    *first, last = decoded.accounts
+    assert [entry.account for entry in first] == ([account] if account else [])
+    assert (last.account, last.keys) == (Account("z"), ("k9",))
+    only = DIALECT.decode_config(config(7, resource))
+    assert isinstance(only, RoutingConfig)
+    assert only.has_accounts
+    assert "k1" not in repr(decoded) and "k9" not in repr(decoded)
+
+
 def heartbeat_body(**changes: object) -> bytes:
     body: dict[str, object] = {
         "service": "jobs",
@@ -144,12 +225,19 @@
 def test_configuration() -> None:
     parts = [{"service": "x", "weight": 9}, {"service": "y", "weight": 1}]
     upload = route(
-        "b", "/b/", kind="upload", service="", **{"weighted-services": parts}
+        "b",
+        "/b/",
+        kind="upload",
+        service="",
+        public=True,
+        **{"weighted-services": parts},
     )
     decoded = DIALECT.decode_config(config(7, route("a", "/a/"), upload))
     assert isinstance(decoded, RoutingConfig)
     first, second = decoded.routes
     assert (decoded.version, first.idempotent, second.idempotent) == (7, True, False)
+    assert (first.public, second.public) == (False, True)
+    assert not (decoded.has_accounts or decoded.accounts)
     assert (first.timeout_s, first.objective_s) == (2.0, 0.2)
     assert [(p.service, p.weight) for p in second.services] == [("x", 9), ("y", 1)]
 
@@ -251,9 +339,33 @@
     assert (decoded.grace_s, decoded.retry_slack) == (6.0, 49.0)
 
 
+@pytest.mark.parametrize(
+    ("lines", "expected"),
+    [
+        ("", (2.0, False, 5.0)),
+        (
+            'config-apply = "2500ms"\nstrict-revocation = true\nrevoke = "4s"\n',
+            (2.5, True, 4.0),
+        ),
+    ],
+)
+def test_settings_of_accounts_are_optional(
+    tmp_path: Path, lines: str, expected: tuple[float, bool, float]
+) -> None:
+    path = tmp_path / "node.toml"
+    path.write_text(SETTINGS + lines)
+    decoded = load_settings(path)
+    assert (
+        decoded.config_apply_s,
+        decoded.strict_revocation,
+        decoded.revoke_s,
+    ) == expected
+
+
 @pytest.mark.parametrize(
     ("old", "new", "message"),
     [
+        ('grace = "6s"', 'grace = "6s"\nstrict-revocation = "no"', "not a boolean"),
         ('service = "jobs"\n', "", "'service' is missing"),
         ('grace = "6s"', 'grace = "soon"', "not a duration"),
         ("[self]", "[self", "node.toml"),
@@ -283,7 +395,7 @@
 
 def test_platform_names_do_not_occur_in_the_mesh_package() -> None:
     names = ("deadline-ms", "not-executed", "caller-service", "log-append", "keyed.op")
-    names += ("store-era",)
+    names += ("store-era", "tenant", "bearer", "authorization", "api-keys")
     for path in (ROOT / "src/briardock/mesh").rglob("*.py"):
         text = path.read_text().lower()
         assert not [name for name in names if name in text], path
