Know up to which time a configuration was current

Cause: a node knew when the store was last read for it, but that time is the one at which a response came, and it is forgotten once a read fails, so that it proves nothing about the configuration. Change: ConfigFreshness keeps the time up to which the configuration was current: the start of a read that reached the end of the configurations, or the end of its wait if it waited in vain. Nodes pass it on as an age in responses, with the duration of the exchange added; pushes carry no proof. While a configuration with accounts is in force, a node whose age exceeds 1.8 s asks three nodes of its domain. The election of readers is unchanged. The keys of a configuration are not kept beyond its document. A read tells whether it reached the end of the stream.

--- a/src/briardock/mesh/dialect.py
+++ b/src/briardock/mesh/dialect.py
@@ -141,11 +141,13 @@
     :param items: pairs of key and value, oldest first
     :param next_offset: offset at which to continue reading
     :param era: era of the store, 0 if it is not known
+    :param is_complete: whether the stream had no later records when it was read
     """
 
     items: list[tuple[str, bytes]]
     next_offset: int
     era: int = 0
+    is_complete: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/briardock/mesh/node.py
+++ b/src/briardock/mesh/node.py
@@ -417,6 +417,7 @@
             for work in (
                 self.replicator.check_readers,
                 self.replicator.watch_config,
+                self.replicator.watch_config_age,
                 self.replicator.watch_nodes,
                 self.replicator.publish,
                 self.replicator.sync_periodically,
--- a/src/briardock/mesh/replica.py
+++ b/src/briardock/mesh/replica.py
@@ -6,6 +6,7 @@
 
 import hashlib
 from collections.abc import Callable
+from dataclasses import replace
 from typing import NamedTuple
 
 from briardock.clock import SystemClock
@@ -84,6 +85,11 @@
         self.crash_suspects = CrashSuspects(SystemClock(), self._suspects_added)
         self.quarantine = self.crash_suspects.quarantine
 
+    @property
+    def has_accounts(self) -> bool:
+        """Whether the configuration in force has accounts."""
+        return self.config is not None and self.config.has_accounts
+
     @property
     def config_version(self) -> int:
         """Version in force, -1 for none."""
@@ -190,6 +196,7 @@
             before=self.config_version,
             routes=len(config.routes),
         )
-        self.config, self.config_id = config, config_id
+        # The keys of accounts are not kept beyond the document.
+        self.config, self.config_id = replace(config, accounts=()), config_id
         self._install(config)
         self.on_config(source)
--- a/src/briardock/mesh/replication.py
+++ b/src/briardock/mesh/replication.py
@@ -23,6 +23,7 @@
     StoreFailure,
     Trimmed,
 )
+from briardock.mesh.freshness import ConfigFreshness
 from briardock.mesh.http1 import Request, Response
 from briardock.mesh.members import MemberTable, NodeRecord
 from briardock.mesh.model import RoutingConfig, TargetState, now_s
@@ -50,6 +51,11 @@
 # Timeout of this question, s, and the number of nodes asked next after it.
 READER_TIMEOUT_S = 0.4
 NEXT_READERS_ASKED = 2
+# Age of a configuration with accounts above which nodes of the domain are asked for
+# theirs, s, the period at which they are asked, s, and their number.
+NEIGHBOURS_ASKED_AGE_S = 1.8
+NEIGHBOURS_ASKED_PERIOD_S = 0.4
+NEIGHBOURS_ASKED = 3
 # Number of nodes that a reader whose reads fail asks at once to read. The store may
 # turn one of them away too, and a read that it leaves open takes long to fail.
 SUBSTITUTE_READERS = 2
@@ -117,12 +123,14 @@
         self._replica.on_local_record = self.local_record_changed
         self._replica.on_store_era = self._store_era_changed
         self.crash_suspects = self._replica.crash_suspects
+        self._freshness = ConfigFreshness()
         self._sync = PeerSync(
             self._replica,
             peers,
             board,
             log,
             rng,
+            self._freshness,
             self._read_age_s,
             self._read_instead,
         )
@@ -157,6 +165,10 @@
         """Highest era of the store that is known, 0 for none."""
         return self._replica.store_era
 
+    def config_age_s(self) -> float | None:
+        """Return the time since the configuration was known to be current, in s."""
+        return self._freshness.age_s(now_s())
+
     def local_record_changed(self) -> None:
         """Push the record of this node to peers and schedule its write to the store."""
         self._schedule_write()
@@ -318,6 +330,31 @@
             period_s = READER_CHECK_PERIOD_S if found else READER_SEARCH_PERIOD_S
             await asyncio.sleep(period_s * self._rng.uniform(0.7, 1.3))
 
+    async def watch_config_age(self) -> None:
+        """Ask nodes of the domain for the age of their configuration if this one's is
+        high: the store may turn this node away, or the node that reads for it.
+        """
+        while True:
+            await asyncio.sleep(NEIGHBOURS_ASKED_PERIOD_S * self._rng.uniform(0.7, 1.3))
+            age_s = self.config_age_s()
+            if self._replica.has_accounts and (
+                age_s is None or age_s > NEIGHBOURS_ASKED_AGE_S
+            ):
+                await self._ask_neighbours()
+
+    async def _ask_neighbours(self) -> None:
+        domain = self._members.local_record.domain
+        peers = [r for r in self._members.peers() if r.domain == domain]
+        asked = self._rng.sample(peers, min(NEIGHBOURS_ASKED, len(peers)))
+        await asyncio.gather(*(self._ask_age(record) for record in asked))
+
+    async def _ask_age(self, record: NodeRecord) -> None:
+        try:
+            async with asyncio.timeout(READER_TIMEOUT_S):
+                await self._sync.sync_with(record)
+        except TimeoutError:
+            self._log.event("sync-timeout", peer=record.node_id)
+
     async def _find_reader(self) -> bool:
         """Return whether this node or one ahead of it reads from the store."""
         candidates = self._election.candidates(now_s())
@@ -349,14 +386,22 @@
                 self._config_read_failed = False
                 await asyncio.sleep(READER_SEARCH_PERIOD_S)
                 continue
-            wait_s = self._rng.uniform(*CONFIG_WAIT_RANGE_S)
+            # Whole ms, as the store is told no more of the wait.
+            wait_s = round(self._rng.uniform(*CONFIG_WAIT_RANGE_S), 3)
             position = valid_position(position, self.store_era)
+            if position is None:
+                wait_s = 0.0
+            started_s = now_s()
             result = await self._read(CONFIG_STREAM, position, wait_s)
             position = next_position(position, result, self.store_era)
             match result:
                 case Records():
                     self._apply_config_records(result)
                     self._record_read(now_s())
+                    if position is not None and result.is_complete:
+                        self._freshness.record_read(
+                            started_s, now_s(), wait_s, not result.items
+                        )
                     self._config_read_failed = False
                     self._record_store_success(CONFIG_STREAM)
                 case StoreFailure(reason):
--- a/src/briardock/mesh/sync.py
+++ b/src/briardock/mesh/sync.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import math
 import random
 from collections import defaultdict
 from collections.abc import Callable, Coroutine
@@ -15,6 +16,7 @@
 import msgspec
 
 from briardock.mesh.decisions import DecisionLog
+from briardock.mesh.freshness import ConfigFreshness
 from briardock.mesh.http1 import ExchangeFailure, Request, Response, encode_request
 from briardock.mesh.members import NodeRecord
 from briardock.mesh.model import now_s
@@ -54,6 +56,9 @@
     :param config_digest: digest of its document
     :param asks_to_read: whether the receiver has to read from the store, because the
         reads of the sender fail
+    :param current_age_ms: time since the configuration of the sender was known to be
+        current, rounded up; -1 if that is not known. Unlike the age of the read, it
+        only grows while reads fail
     """
 
     digest: str
@@ -68,6 +73,7 @@
     config_era: int = 0
     config_digest: str = ""
     asks_to_read: bool = False
+    current_age_ms: int = -1
 
     @property
     def config_id(self) -> ConfigId:
@@ -83,6 +89,7 @@
     :param board: thresholds that instances have told
     :param log: decision log
     :param rng: random source
+    :param freshness: time up to which the configuration is known to have been current
     :param read_age_s: returns the time since the last read of the store, or ``None``
     :param on_asked_to_read: called when another node asks this one to read
     """
@@ -94,6 +101,7 @@
         board: ThresholdBoard,
         log: DecisionLog,
         rng: random.Random,
+        freshness: ConfigFreshness,
         read_age_s: Callable[[], float | None],
         on_asked_to_read: Callable[[], None],
     ) -> None:
@@ -103,6 +111,7 @@
         self._board = board
         self._log = log
         self._rng = rng
+        self._freshness = freshness
         self._read_age_s = read_age_s
         self._on_asked_to_read = on_asked_to_read
         self._tasks: set[asyncio.Task[None]] = set()
@@ -292,6 +301,7 @@
         digest: str = "",
     ) -> SyncMessage:
         age_s = self._read_age_s()
+        current_age_s = self._freshness.age_s(now_s())
         return SyncMessage(
             digest,
             self._replica.config_version,
@@ -302,6 +312,9 @@
             store_era=self._replica.store_era,
             config_era=self._replica.config_id.era,
             config_digest=self._replica.config_id.digest,
+            current_age_ms=-1
+            if current_age_s is None
+            else math.ceil(current_age_s * 1000),
         )
 
     def _digest(self) -> str:
@@ -326,6 +339,7 @@
         self, record: NodeRecord, message: SyncMessage
     ) -> SyncMessage | None:
         """Send a message and apply its response; return ``None`` without one."""
+        started_s = now_s()
         try:
             async with asyncio.timeout(SYNC_TIMEOUT_S):
                 response = await self._send(record.address, message)
@@ -336,8 +350,16 @@
             return None
         if response is not None:
             self._apply(response)
+            self._confirm_freshness(response, started_s)
         return response
 
+    def _confirm_freshness(self, response: SyncMessage, started_s: float) -> None:
+        """Take over the age of a configuration if it is the one in force here too."""
+        if response.current_age_ms >= 0 and self._replica.config_id.has_content_of(
+            response.config_id
+        ):
+            self._freshness.record_response(started_s, response.current_age_ms / 1000)
+
     async def _send(self, address: str, message: SyncMessage) -> SyncMessage | None:
         connection = await self._peers.acquire(address)
         if isinstance(connection, ExchangeFailure):
--- a/src/briardock/platform/_store.py
+++ b/src/briardock/platform/_store.py
@@ -90,7 +90,7 @@
         """Return the records from an offset on, waiting for the first up to a time."""
         path = f"/log-read?topic={TOPICS[stream]}&part=0&from={offset}"
         if wait_s > 0:
-            path += f"&wait-ms={int(wait_s * 1000)}"
+            path += f"&wait-ms={round(wait_s * 1000)}"
         response = await self._call("GET", path, wait_s)
         if isinstance(response, StoreFailure):
             return response
@@ -159,4 +159,6 @@
         key = record[1 : 1 + record[0]].decode("utf-8", "replace")
         items.append((key, record[1 + record[0] :]))
         position += 4 + size
-    return Records(items, offset + len(items), era)
+    next_offset = offset + len(items)
+    (end,) = struct.unpack_from(">Q", body)
+    return Records(items, next_offset, era, next_offset >= end)
--- /dev/null
+++ b/tests/test_mesh_freshness.py
@@ -0,0 +1,252 @@
+"""Age of the configuration of a node: arithmetic, exchange between nodes, faults."""
+
+import asyncio
+import struct
+import time
+
+import msgspec
+import pytest
+
+from briardock.mesh import replication, sync
+from briardock.mesh.dialect import Records
+from briardock.mesh.freshness import ConfigFreshness
+from briardock.mesh.http1 import Request
+from briardock.mesh.replication import CONFIG_WAIT_RANGE_S
+from briardock.mesh.sync import SyncMessage
+from briardock.platform._store import _decode_records
+from mesh_fakes import (
+    Fleet,
+    config,
+    eventually,
+    fleet,
+    route,
+    tenant,
+)
+
+# Bound on the age in normal operation, s.
+AGE_BOUND_S = 4.0
+ROUTE = route("r", "/jobs/")
+
+
+@pytest.fixture
+def anyio_backend() -> tuple[str, dict[str, bool]]:
+    return "asyncio", {"use_uvloop": True}
+
+
+@pytest.mark.parametrize(
+    ("case", "read", "age_s"),
+    [
+        ("waited in vain", (100.0, 101.42, 1.4, True), 8.6),
+        ("waited in vain, response late", (100.0, 104.0, 1.4, True), 8.6),
+        ("ended before its wait", (100.0, 101.2, 1.4, True), 10.0),
+        ("returned a configuration", (100.0, 101.42, 1.4, False), 10.0),
+        ("newest records", (100.0, 100.3, 0.0, False), 10.0),
+        ("no records yet", (100.0, 100.3, 0.0, True), 10.0),
+    ],
+)
+def test_age_after_a_read(
+    case: str, read: tuple[float, float, float, bool], age_s: float
+) -> None:
+    """The store may execute a read at once and respond late, so that the time of the
+    response proves nothing.
+    """
+    known = ConfigFreshness()
+    assert known.age_s(110.0) is None
+    known.record_read(*read)
+    assert known.age_s(110.0) == pytest.approx(age_s)
+
+
+@pytest.mark.parametrize(
+    ("case", "responses", "age_s"),
+    [
+        ("age of the other node", [(109.0, 1.0)], 2.0),
+        ("long exchange", [(105.0, 1.0)], 6.0),
+        ("fresher one later", [(105.0, 1.0), (109.0, 0.5)], 1.5),
+        ("fresher one earlier", [(109.0, 0.5), (109.5, 9.0)], 1.5),
+    ],
+)
+def test_age_after_responses_of_other_nodes(
+    case: str, responses: list[tuple[float, float]], age_s: float
+) -> None:
+    """The duration of the exchange counts, and an age only falls by a proof."""
+    known = ConfigFreshness()
+    for started_s, other_age_s in responses:
+        known.record_response(started_s, other_age_s)
+    assert known.age_s(110.0) == pytest.approx(age_s)
+
+
+def test_message_of_the_earlier_release_tells_no_age() -> None:
+    encoded = msgspec.msgpack.encode(SyncMessage("d", 1, []))
+    fields = msgspec.msgpack.decode(encoded)
+    assert len(fields) == 13
+    earlier = msgspec.msgpack.encode(fields[:12])
+    decoded = msgspec.msgpack.decode(earlier, type=SyncMessage)
+    assert decoded.current_age_ms == -1
+
+
+def ages_s(system: Fleet) -> list[float]:
+    """Return the age at each node, infinite if it is not known."""
+    ages = [m.node.replicator.config_age_s() for m in system.machines.values()]
+    return [float("inf") if age_s is None else age_s for age_s in ages]
+
+
+async def wait_until_known(system: Fleet) -> None:
+    async def known() -> bool:
+        return max(ages_s(system)) < AGE_BOUND_S
+
+    await eventually(known, timeout_s=AGE_BOUND_S)
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    "resources", [(ROUTE,), (ROUTE, tenant("a", "k1"))], ids=["plain", "accounts"]
+)
+@pytest.mark.parametrize("domain_count", [1, 3])
+async def test_age_stays_low_in_normal_operation(
+    resources: tuple[dict[str, object], ...], domain_count: int
+) -> None:
+    """Above the bound, nodes would refuse requests with valid keys without a fault."""
+    async with fleet(*resources) as system:
+        for number in range(9):
+            await system.add(f"n{number}", "jobs", f"d{number % domain_count}")
+        await system.settle()
+        await wait_until_known(system)
+        highest_s = 0.0
+        version, until_s = 1, time.monotonic() + 6.0
+        while time.monotonic() < until_s:
+            await asyncio.sleep(0.05)
+            highest_s = max(highest_s, *ages_s(system))
+            if time.monotonic() > until_s - 3.0 and version == 1:
+                version = 2
+                system.store.put("keyed.op", "config", config(version, *resources))
+        assert highest_s < AGE_BOUND_S
+
+
+@pytest.mark.anyio
+async def test_age_grows_on_all_nodes_while_the_store_is_cut_off() -> None:
+    """Nodes must not renew each other's ages without a read of the store."""
+    async with fleet(ROUTE, tenant("a", "k1")) as system:
+        for number in range(5):
+            await system.add(f"n{number}", "jobs")
+        await system.settle()
+        await wait_until_known(system)
+        system.store.down = True
+        # The stand-in still answers the reads that wait.
+        await asyncio.sleep(CONFIG_WAIT_RANGE_S[1] + 0.1)
+        start_s, lowest_s = time.monotonic(), min(ages_s(system))
+        await asyncio.sleep(2.0)
+        elapsed_s = time.monotonic() - start_s
+        assert min(ages_s(system)) >= lowest_s + elapsed_s - 0.05
+        system.store.down = False
+        await wait_until_known(system)
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("how", ["reset", "503", "silent"])
+async def test_a_node_that_the_store_turns_away_knows_the_age_of_its_neighbours(
+    how: str,
+) -> None:
+    async with fleet(ROUTE, tenant("a", "k1")) as system:
+        for number in range(6):
+            address = await system.store.open_address()
+            await system.add(f"n{number}", "jobs", f"d{number % 2}", address)
+        await system.settle()
+        await wait_until_known(system)
+        # All nodes but one of each domain.
+        for name in ("n0", "n1", "n2", "n3"):
+            system.store.turn_away(system.machines[name].settings.store_address, how)
+        highest_s = 0.0
+        for _ in range(120):
+            await asyncio.sleep(0.05)
+            highest_s = max(highest_s, *ages_s(system))
+        assert highest_s < 4.5
+
+
+@pytest.mark.anyio
+async def test_a_suspended_node_finds_its_age_high_and_is_not_misled_by_pushes(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A push waits in the buffer of a suspended process; the age in it is outdated."""
+    async with fleet(ROUTE, tenant("a", "k1")) as system:
+        machine = await system.add("n1", "jobs")
+        await system.settle()
+        await wait_until_known(system)
+        replicator = machine.node.replicator
+        system.store.down = True
+        await asyncio.sleep(0.05)
+        now_s = replication.now_s
+        for module in (replication, sync):
+            monkeypatch.setattr(module, "now_s", lambda: now_s() + 60.0)
+        before_s = replicator.config_age_s()
+        assert before_s is not None and before_s > 60.0
+        config_id = replicator._replica.config_id
+        push = SyncMessage(
+            "",
+            config_id.version,
+            [],
+            config_era=config_id.era,
+            config_digest=config_id.digest,
+            current_age_ms=0,
+        )
+        request = Request(
+            b"POST", sync.SYNC_PATH, [], msgspec.msgpack.encode(push), now_s()
+        )
+        assert (await replicator.handle(request)).status == 200
+        after_s = replicator.config_age_s()
+        assert after_s is not None and after_s >= before_s
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    ("changes", "is_taken"),
+    [
+        ({}, True),
+        ({"config_version": 0}, False),
+        ({"config_digest": "other"}, False),
+        ({"config_digest": ""}, False),
+        ({"current_age_ms": -1}, False),
+    ],
+)
+async def test_an_age_is_taken_only_from_a_node_with_the_same_configuration(
+    changes: dict[str, object], is_taken: bool
+) -> None:
+    """The age of another configuration says nothing about the one in force."""
+    async with fleet(ROUTE) as system:
+        machine = await system.add("n1", "jobs")
+        await system.settle()
+        replicator = machine.node.replicator
+        await wait_until_known(system)
+        config_id = replicator._replica.config_id
+        response = SyncMessage(
+            "",
+            config_id.version,
+            [],
+            config_era=config_id.era,
+            config_digest=config_id.digest,
+            current_age_ms=0,
+        )
+        replicator._sync._freshness = known = ConfigFreshness()
+        response = msgspec.structs.replace(response, **changes)
+        replicator._sync._confirm_freshness(response, sync.now_s())
+        assert (known.age_s(sync.now_s()) is not None) is is_taken
+
+
+@pytest.mark.anyio
+async def test_a_restarted_node_knows_no_age_before_its_first_read() -> None:
+    async with fleet(ROUTE) as system:
+        await system.add("n1", "jobs")
+        await system.settle()
+        await wait_until_known(system)
+        system.store.down = True
+        machine = await system.restart("n1")
+        await asyncio.sleep(0.5)
+        assert machine.node.replicator.config_age_s() is None
+        system.store.down = False
+        await wait_until_known(system)
+
+
+@pytest.mark.parametrize(("end", "is_complete"), [(2, True), (3, False)])
+def test_a_part_of_the_records_proves_nothing(end: int, is_complete: bool) -> None:
+    """The rest may hold the configuration that withdraws a key."""
+    records = _decode_records(struct.pack(">QQ", end, 0), 2, 1)
+    assert records == Records([], 2, 1, is_complete)
