Serve clients by their accounts

Cause: nodes took no notice of accounts in the configuration, so that keys reached targets, account headers of clients were believed, and nobody was refused. Change: SenderIdentification tells for each request, before admission, whether it is of a client with an account, of a client on a public route or a call of the local target, or answers 401 or 503. The account goes along in a header between nodes to the target; the header is its own, as a node of the earlier release would take a further part of the call header for one of the request id. A route becomes one of clients by a valid key, or as before if it is public. Admission and queues use the rank of account and route priority. A node strips the key from a call of a node that does not have the accounts yet. Without accounts nothing changes.

--- a/src/briardock/mesh/callgraph.py
+++ b/src/briardock/mesh/callgraph.py
@@ -113,6 +113,21 @@
             self._learn(route.name)
         return False
 
+    def knows(self, route: Route) -> bool:
+        """Return whether a route is known to be used by callers.
+
+        :param route: route of a request
+        """
+        return route.name in self._members.entry_routes
+
+    def learn(self, route: Route) -> None:
+        """Learn a route from a request that is known to be of a caller.
+
+        :param route: its route
+        """
+        if route.name not in self._members.entry_routes:
+            self._learn(route.name)
+
     def resume(self, names: list[str]) -> None:
         """Publish the routes that an earlier process of this node learned.
 
--- a/src/briardock/mesh/calls.py
+++ b/src/briardock/mesh/calls.py
@@ -14,10 +14,13 @@
 
 CALL_HEADER = b"briardock-call"
 RESULT_HEADER = b"briardock-result"
+# The account of the client has a header of its own, because a node of the earlier
+# release would take a further part of the call header for one of the request id.
+ACCOUNT_HEADER = b"briardock-account"
 # Headers that nodes add to messages between them. They add no others, so hop-by-hop
 # headers (RFC 9110) need not be looked up here.
 INTERNODE_HEADERS = frozenset(
-    {CALL_HEADER, RESULT_HEADER, b"content-length", b"connection"}
+    {CALL_HEADER, RESULT_HEADER, ACCOUNT_HEADER, b"content-length", b"connection"}
 )
 # Deducted from the remaining time for the transfer to the other node, s.
 HOP_ALLOWANCE_S = 0.002
@@ -39,12 +42,14 @@
     :param target_id: target that has to run it
     :param caller_service: service of the node at which it entered
     :param idempotent: whether it may run more than once
-    :param priority: priority of its route
+    :param priority: rank by the priorities of its account and its route
     :param from_caller: whether it was sent by a caller rather than a target
     :param expires_s: time at which its result is no longer wanted
     :param may_hand_on: whether the sender would rather choose another instance than
         let it wait for a slot
     :param connection: connection on which it was sent from this node
+    :param account: name of the client's account, empty without one, ``None`` if the
+        node at which it entered has no accounts in its configuration
     """
 
     method: bytes
@@ -61,6 +66,7 @@
     expires_s: float
     may_hand_on: bool = False
     connection: ClientConnection | None = None
+    account: str | None = None
 
     @property
     def has_response(self) -> bool:
@@ -145,19 +151,21 @@
         )
     )
     headers = [*call.headers, (CALL_HEADER, info.encode("latin-1"))]
+    if call.account is not None:
+        headers.append((ACCOUNT_HEADER, call.account.encode()))
     return encode_request(call.method, call.target, headers, call.body)
 
 
-def _split_headers(headers: Headers, name: bytes) -> tuple[bytes | None, Headers]:
-    """Return the value of a header between nodes, and the end-to-end headers."""
-    value = None
+def _split_headers(headers: Headers) -> tuple[dict[bytes, bytes], Headers]:
+    """Return the headers between nodes by name, and the end-to-end headers."""
+    internode = {}
     forwarded = []
     for header in headers:
-        if header[0] not in INTERNODE_HEADERS:
+        if header[0] in INTERNODE_HEADERS:
+            internode[header[0]] = header[1]
+        else:
             forwarded.append(header)
-        elif header[0] == name:
-            value = header[1]
-    return value, forwarded
+    return internode, forwarded
 
 
 def decode_call(request: Request) -> Call | None:
@@ -165,7 +173,8 @@
 
     :param request: request on the address for peers
     """
-    info, headers = _split_headers(request.headers, CALL_HEADER)
+    internode, headers = _split_headers(request.headers)
+    info = internode.get(CALL_HEADER)
     if info is None:
         return None
     parts = info.decode("latin-1").split(";", 7)
@@ -179,6 +188,7 @@
         return None
     if min(priority, flags, remaining_ms) < 0:
         return None
+    account = internode.get(ACCOUNT_HEADER)
     return Call(
         method=request.method,
         target=request.target,
@@ -193,6 +203,7 @@
         from_caller=bool(flags & FROM_CALLER),
         expires_s=request.received_s + remaining_ms / 1000,
         may_hand_on=bool(flags & MAY_HAND_ON),
+        account=None if account is None else account.decode("utf-8", "replace"),
     )
 
 
@@ -234,7 +245,8 @@
 
     :param response: response on a connection to a node
     """
-    info, headers = _split_headers(response.headers, RESULT_HEADER)
+    internode, headers = _split_headers(response.headers)
+    info = internode.get(RESULT_HEADER)
     parts = info.decode("latin-1").split(";") if info is not None else []
     if len(parts) != 5:
         return Unknown("response of no node"), None
--- a/src/briardock/mesh/explain.py
+++ b/src/briardock/mesh/explain.py
@@ -10,6 +10,8 @@
 # Events that are not tied to one request but may explain its outcome.
 CONTEXT_EVENTS = frozenset(
     {
+        "accounts-current",
+        "accounts-outdated",
         "config-installed",
         "instance-ejected",
         "level-lowered",
--- a/src/briardock/mesh/forwarder.py
+++ b/src/briardock/mesh/forwarder.py
@@ -7,7 +7,7 @@
 from functools import cached_property
 from typing import TypeVar
 
-from briardock.mesh.callgraph import CalledServices, EntryRoutes
+from briardock.mesh.callgraph import CalledServices
 from briardock.mesh.calls import (
     Call,
     Completed,
@@ -18,6 +18,7 @@
     decode_result,
     encode_call,
 )
+from briardock.mesh.clients import Sender, SenderIdentification
 from briardock.mesh.deadlines import Deadline
 from briardock.mesh.decisions import DecisionLog
 from briardock.mesh.dialect import Dialect
@@ -75,7 +76,8 @@
     :param service: service chosen for it
     :param accepted_s: time at which its handling started
     :param expires_s: latest time of the final response
-    :param from_target: whether the local target may have sent it
+    :param sender: who sent it
+    :param rank: rank by the priorities of its account and its route
     :param caller_waits_until_s: time until which its caller waits
     :param attempts: attempts at instances
     :param age_s: time since the first attempt of its caller, 0 for that one
@@ -88,13 +90,19 @@
     service: str
     accepted_s: float
     expires_s: float
-    from_target: bool
+    sender: Sender
+    rank: int
     caller_waits_until_s: float
     attempts: Attempts
     age_s: float = 0.0
     unresolved: bool = False
     call: Call | None = None
 
+    @property
+    def from_target(self) -> bool:
+        """Whether the local target may have sent it."""
+        return self.sender.from_target
+
     @property
     def passed_on(self) -> bool:
         """Whether a target may have received it."""
@@ -107,7 +115,7 @@
             self.head.request_id,
             self.route.name,
             self.service,
-            self.route.priority,
+            self.rank,
             self.route.objective_s,
             self.caller_waits_until_s - now_s(),
             self.age_s,
@@ -125,7 +133,7 @@
     :param peers: connections to other nodes
     :param thresholds: admission thresholds learned from responses
     :param entry_thresholds: thresholds by which callers' requests are admitted
-    :param entry_routes: distinguishes callers' requests from calls of the local target
+    :param senders: identifies the senders of requests
     :param log: decision log
     :param telemetry: metrics
     :param rng: random source
@@ -141,7 +149,7 @@
         peers: ConnectionPool,
         thresholds: LearnedThresholds,
         entry_thresholds: EntryThresholds,
-        entry_routes: EntryRoutes,
+        senders: SenderIdentification,
         log: DecisionLog,
         telemetry: Telemetry,
         rng: random.Random,
@@ -160,7 +168,7 @@
         self._peers = peers
         self._learned_thresholds = thresholds
         self._entry_thresholds = entry_thresholds
-        self._entry_routes = entry_routes
+        self._senders = senders
         self._log = log
         self._telemetry = telemetry
         self._entry = EntryAdmission(rng)
@@ -211,7 +219,7 @@
 
         :param request: request of a caller or of the local target
         """
-        head = self._dialect.decode_request(request)
+        head = self._dialect.decode_request(request, self._senders.has_accounts)
         if self.routes is None:
             return self._refuse(head, "no configuration", STARTING_RETRY_AFTER_S)
         route = self.routes.match(head.host, request.target)
@@ -223,6 +231,9 @@
                 config=self.routes.version,
             )
             return Response(404)
+        sender = self._senders.identify(head, route, self.routes.longest_timeout_s)
+        if isinstance(sender, Response):
+            return sender
         deadline_s = DEFAULT_DEADLINE_S if head.deadline_s is None else head.deadline_s
         timeout_limit_s = min(deadline_s, route.timeout_s)
         service = self.routes.pick_service(route)
@@ -232,7 +243,8 @@
             service,
             now_s(),
             request.received_s + timeout_limit_s,
-            not self._entry_routes.observe(route, self.routes.longest_timeout_s),
+            sender,
+            self.routes.rank(route, sender),
             request.received_s + deadline_s,
             Attempts(
                 self._balancer,
@@ -297,7 +309,7 @@
                     id=state.head.request_id.decode("latin-1"),
                     route=state.route.name,
                     service=state.service,
-                    priority=state.route.priority,
+                    priority=state.rank,
                     level=round(threshold, 3),
                     usual_share=round(baseline_ratio, 2),
                     age_s=round(state.age_s, 3),
@@ -476,10 +488,11 @@
             target_id=record.target_id,
             caller_service=self.settings.service,
             idempotent=state.route.idempotent,
-            priority=state.route.priority,
+            priority=state.rank,
             from_caller=not state.from_target,
             expires_s=state.expires_s,
             may_hand_on=may_hand_on,
+            account=state.sender.account_name,
         )
         state.call = call
         started_s = now_s()
--- a/src/briardock/mesh/node.py
+++ b/src/briardock/mesh/node.py
@@ -1,6 +1,7 @@
 """One node of the mesh: components, listeners, background tasks and shutdown."""
 
 import asyncio
+import math
 import random
 import signal
 import time
@@ -9,8 +10,10 @@
 from typing import Any
 
 from briardock.exceptions import SettingsError
+from briardock.mesh.accounts import age_limits
 from briardock.mesh.callgraph import EntryRoutes
 from briardock.mesh.calls import LoadReport, NotRun, Result, decode_call, encode_result
+from briardock.mesh.clients import SenderIdentification
 from briardock.mesh.decisions import FLUSH_PERIOD_S, DecisionLog
 from briardock.mesh.descriptors import connection_limits
 from briardock.mesh.dialect import Departure, Dialect, Store, Undecodable
@@ -156,6 +159,14 @@
         self._entry_routes = EntryRoutes(
             self.members, self.target, self._local_record_changed
         )
+        self.senders = SenderIdentification(
+            self._entry_routes,
+            self.replicator.config_age_s,
+            age_limits(settings),
+            dialect,
+            log,
+            self.telemetry,
+        )
         learned_thresholds = LearnedThresholds()
         self._announcer = ThresholdAnnouncer(settings.node_id)
         self.forwarder = Forwarder(
@@ -167,7 +178,7 @@
             self._peer_pool,
             learned_thresholds,
             EntryThresholds(self.members, board, learned_thresholds),
-            self._entry_routes,
+            self.senders,
             log,
             self.telemetry,
             self._rng,
@@ -200,6 +211,7 @@
 
     def _install(self, config: RoutingConfig) -> None:
         self.forwarder.routes = RouteTable(config)
+        self.senders.install(config)
         self._caller_server.limits = config.limits
         self._entry_routes.retain({route.name for route in config.routes})
         self.telemetry.config_version.set(config.version)
@@ -289,6 +301,9 @@
         call = decode_call(request)
         if call is None:
             return Response(400)
+        if call.account is None and self.senders.has_accounts:
+            # The node at which it entered does not have the accounts yet.
+            call.headers = self._dialect.without_identity(call.headers)
         started_s = now_s()
         shutdown = self._shutdown
         if shutdown is None or shutdown.accepts_call(
@@ -341,6 +356,8 @@
         self.telemetry.queued.set(self.target.queued)
         self.telemetry.admission_threshold.set(self.target.threshold(False))
         self.telemetry.store_era.set(self.replicator.store_era)
+        age_s = self.replicator.config_age_s()
+        self.telemetry.config_age.set(math.nan if age_s is None else age_s)
         return Response(
             200, [(b"content-type", b"text/plain")], self.telemetry.render()
         )
@@ -352,6 +369,7 @@
             await asyncio.sleep(CONTROL_PERIOD_S)
             if self.forwarder.routes is None:
                 continue
+            self.senders.check_age()
             before = self.target.threshold(False)
             usage = self.target.update_thresholds(self.forwarder.max_threshold)
             self.forwarder.update_rates(usage.arrivals)
--- a/src/briardock/mesh/routes.py
+++ b/src/briardock/mesh/routes.py
@@ -1,6 +1,8 @@
 """Selection of the route and the service for a request."""
 
+from briardock.mesh.clients import Sender
 from briardock.mesh.model import CallerLimits, Route, RoutingConfig
+from briardock.mesh.ranks import PriorityRanks
 
 
 class RouteTable:
@@ -13,13 +15,30 @@
         self.version = config.version
         self.limits: CallerLimits = config.limits
         self.document = config.document
-        self.priority_count = 1 + max((r.priority for r in config.routes), default=0)
+        self.ranks = PriorityRanks(
+            (route.priority for route in config.routes),
+            (entry.account.priority for entry in config.accounts),
+        )
+        self.priority_count = self.ranks.count
         self.longest_timeout_s = max((r.timeout_s for r in config.routes), default=0.0)
         self._by_host: dict[str, dict[str, Route]] = {}
         self._current_weights: dict[str, list[float]] = {}
         for route in config.routes:
             self._by_host.setdefault(route.host, {})[route.path_prefix] = route
 
+    def rank(self, route: Route, sender: Sender) -> int:
+        """Return the rank of a request by the priorities of its account and its route.
+
+        :param route: its route
+        :param sender: who sent it
+        """
+        if sender.from_target:
+            return self.ranks.of_call(route.priority)
+        account = sender.account
+        return self.ranks.of_client(
+            route.priority, account.priority if account is not None else None
+        )
+
     def match(self, host: str, target: bytes) -> Route | None:
         """Return the route with the longest prefix, or ``None``.
 
--- a/src/briardock/mesh/target.py
+++ b/src/briardock/mesh/target.py
@@ -365,7 +365,11 @@
             self._pool.release(self.address, connection)
             return refusal or NotRun("deadline passed")
         headers = self._dialect.target_headers(
-            call.headers, remaining_s, call.caller_service, call.target_id
+            call.headers,
+            remaining_s,
+            call.caller_service,
+            call.target_id,
+            call.account,
         )
         data = encode_request(call.method, call.target, headers, call.body)
         started_s = now_s()
--- a/src/briardock/mesh/telemetry.py
+++ b/src/briardock/mesh/telemetry.py
@@ -57,6 +57,11 @@
             "Version of the configuration in force",
             registry=self.registry,
         )
+        self.config_age = Gauge(
+            "briardock_config_age_seconds",
+            "Time since the configuration was known to be current",
+            registry=self.registry,
+        )
         self.store_era = Gauge(
             "briardock_store_era",
             "Highest era of the store that is known",
--- a/src/briardock/overload/entry.py
+++ b/src/briardock/overload/entry.py
@@ -26,7 +26,7 @@
     :param request_id: id of the caller's attempt
     :param route: name of its route
     :param service: service that it goes to
-    :param priority: priority of its route
+    :param priority: rank by the priorities of its account and its route
     :param objective_s: latency objective of its route
     :param remaining_s: time for which its caller still waits
     :param age_s: time since the first attempt of its caller, 0 for that one
--- a/src/briardock/overload/waiting.py
+++ b/src/briardock/overload/waiting.py
@@ -29,7 +29,7 @@
 class Waiting:
     """What decides how a call waits.
 
-    :param priority: priority of its route
+    :param priority: rank by the priorities of its account and its route
     :param from_caller: whether it was sent by a caller rather than a target
     :param expires_s: time at which its result is no longer wanted
     :param may_hand_on: whether its sender would rather choose another instance than
--- a/tests/mesh_fakes.py
+++ b/tests/mesh_fakes.py
@@ -366,12 +366,17 @@
     machines: dict[str, Machine] = field(default_factory=dict)
 
     async def add(
-        self, node_id: str, service: str, domain: str = "d1", store_address: str = ""
+        self,
+        node_id: str,
+        service: str,
+        domain: str = "d1",
+        store_address: str = "",
+        **changes: Any,
     ) -> Machine:
         """Start a node and its target, and announce the target."""
         store_address = store_address or self.store.address
         settings = replace(
-            make_settings(node_id, service, store_address), domain=domain
+            make_settings(node_id, service, store_address), domain=domain, **changes
         )
         target = FakeTarget(settings.target_address, target_id=f"i-{node_id}")
         await target.start()
--- a/tests/test_mesh_calls.py
+++ b/tests/test_mesh_calls.py
@@ -6,6 +6,7 @@
 import pytest
 
 from briardock.mesh.calls import (
+    ACCOUNT_HEADER,
     Completed,
     LoadReport,
     NotRun,
@@ -20,8 +21,10 @@
 from mesh_builders import make_call
 
 
-def test_call_is_unchanged_by_encoding_and_decoding() -> None:
-    call = make_call(body=b"x", method=b"POST")
+@pytest.mark.parametrize("account", [None, "", "a", "b;c,d=\u00e9 e"])
+def test_call_is_unchanged_by_encoding_and_decoding(account: str | None) -> None:
+    """A name may hold separators; without accounts there is no header for them."""
+    call = make_call(body=b"x", method=b"POST", account=account)
     data = encode_call(call, call.expires_s - 2.0)
     parsed: list[Request] = []
 
@@ -41,6 +44,8 @@
     parsed.append(Request(parser.get_method(), sink.url, sink.headers, b"x", 50.0))
     decoded = decode_call(parsed[0])
     assert decoded == replace(call, expires_s=decoded.expires_s if decoded else 0.0)
+    names = [name for name, _ in sink.headers]
+    assert (ACCOUNT_HEADER in names) is (account is not None)
     assert 51.9 < decoded.expires_s < 52.0
 
 
--- /dev/null
+++ b/tests/test_mesh_clients.py
@@ -0,0 +1,331 @@
+"""Requests of clients with accounts, from the first node to the target."""
+
+import asyncio
+from typing import Any
+
+import pytest
+
+from briardock.mesh import replication
+from briardock.mesh.http1 import Request, Response
+from briardock.mesh.model import Headers
+from mesh_fakes import (
+    Fleet,
+    Machine,
+    config,
+    eventually,
+    fleet,
+    respond_normally,
+    route,
+    tenant,
+)
+
+KEY = "Bearer k1"
+PRIVATE = route("r", "/jobs/")
+PUBLIC = route("p", "/open/", public=True)
+ACCOUNTS = (PRIVATE, PUBLIC, tenant("acme; caf\u00e9", "k1", "k2"), tenant("b", "k3"))
+NAME = "acme; caf\u00e9".encode()
+STRICT = {"strict_revocation": True, "revoke_s": 5.0}
+
+
+@pytest.fixture
+def anyio_backend() -> tuple[str, dict[str, bool]]:
+    return "asyncio", {"use_uvloop": True}
+
+
+def identity(headers: Headers) -> list[tuple[bytes, bytes]]:
+    """Return the headers that tell a target who the client is."""
+    return [h for h in headers if h[0] in (b"authorization", b"tenant-id")]
+
+
+def received(system: Fleet) -> list[list[tuple[bytes, bytes]]]:
+    """Return these headers of each request that arrived at a target."""
+    return [
+        identity(request.headers)
+        for machine in system.machines.values()
+        for request in machine.target.requests
+    ]
+
+
+def without_node_headers(headers: Headers) -> list[bytes]:
+    return [name for name, _ in headers if name.startswith(b"briardock-")]
+
+
+async def publish(system: Fleet, version: int, *resources: dict[str, Any]) -> None:
+    system.store.put("keyed.op", "config", config(version, *resources))
+
+    async def in_force() -> bool:
+        nodes = [machine.node for machine in system.machines.values()]
+        return {node.replicator.config_version for node in nodes} == {version}
+
+    await eventually(in_force)
+
+
+async def settle(system: Fleet) -> None:
+    """Wait until all nodes have a configuration that they know to be current."""
+    await system.settle()
+
+    async def current() -> bool:
+        ages = [m.node.replicator.config_age_s() for m in system.machines.values()]
+        return all(age_s is not None and age_s < 1.8 for age_s in ages)
+
+    await eventually(current)
+
+
+def learned(machine: Machine) -> set[str]:
+    return machine.node.members.entry_routes
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("entry", ["n1", "n2"])
+@pytest.mark.parametrize(
+    ("path", "headers", "status", "expected"),
+    [
+        ("/jobs/1", {"authorization": KEY}, 200, [(b"tenant-id", NAME)]),
+        ("/jobs/1", {"authorization": "bearer k2"}, 200, [(b"tenant-id", NAME)]),
+        (
+            "/jobs/1",
+            {"authorization": KEY, "tenant_id": "forged"},
+            200,
+            [(b"tenant-id", NAME)],
+        ),
+        ("/open/1", {"authorization": KEY}, 200, [(b"tenant-id", NAME)]),
+        ("/open/1", {"tenant_id": "forged"}, 200, []),
+        # A call of a target that passes on what it received.
+        ("/jobs/1", {"tenant_id": "acme"}, 200, []),
+        ("/jobs/1", {}, 200, []),
+        ("/jobs/1", {"authorization": "Bearer no"}, 401, None),
+        ("/open/1", {"authorization": "Bearer no"}, 401, None),
+    ],
+)
+async def test_target_learns_the_account_and_never_the_key(
+    entry: str,
+    path: str,
+    headers: dict[str, str],
+    status: int,
+    expected: list[tuple[bytes, bytes]] | None,
+) -> None:
+    """Once at the node beside the target, once through another node."""
+    async with fleet(*ACCOUNTS) as system:
+        await system.add("n1", "jobs")
+        await system.add("n2", "portal")
+        await settle(system)
+        response = await system.machines[entry].call(path, **headers)
+        assert response.status == status
+        if status == 401:
+            assert (b"www-authenticate", b"Bearer") in response.headers
+        assert received(system) == ([] if expected is None else [expected])
+        for request in system.machines["n1"].target.requests:
+            assert not without_node_headers(request.headers)
+
+
+@pytest.mark.anyio
+async def test_account_goes_along_to_a_second_instance() -> None:
+    """The first one fails; the retry must not lose the account or regain the key."""
+
+    async def fail(request: Request) -> Response:
+        return Response(500, (await respond_normally(request)).headers)
+
+    async with fleet(*ACCOUNTS) as system:
+        for name, service in (("n1", "jobs"), ("n2", "jobs"), ("n3", "portal")):
+            await system.add(name, service)
+        for machine in system.machines.values():
+            machine.target.behaviour = fail
+        await settle(system)
+        response = await system.machines["n3"].call(
+            "/jobs/1", authorization=KEY, tenant_id="forged"
+        )
+        assert response.status == 500
+        assert received(system) == [[(b"tenant-id", NAME)]] * 2
+        assert {len(m.target.requests) for m in system.machines.values()} == {0, 1}
+
+
+@pytest.mark.anyio
+async def test_without_accounts_the_headers_are_forwarded_unchanged() -> None:
+    async with fleet(PRIVATE) as system:
+        await system.add("n1", "jobs")
+        await system.add("n2", "portal")
+        await settle(system)
+        for name in ("n1", "n2"):
+            response = await system.machines[name].call(
+                "/jobs/1", authorization=KEY, tenant_id="x"
+            )
+            assert response.status == 200
+        expected = [(b"authorization", KEY.encode()), (b"tenant-id", b"x")]
+        assert received(system) == [expected] * 2
+
+
+@pytest.mark.anyio
+async def test_a_call_from_a_node_without_the_accounts_tells_no_key() -> None:
+    """A node may have a configuration without accounts for up to the bound on its
+    distribution, or be of the earlier release.
+    """
+    async with fleet(*ACCOUNTS) as system:
+        await system.add("n1", "jobs")
+        entry = await system.add("n2", "portal")
+        await settle(system)
+        entry.node.senders.has_accounts = False
+        response = await entry.call("/jobs/1", authorization=KEY, tenant_id="forged")
+        assert response.status == 200
+        assert received(system) == [[]]
+
+
+@pytest.mark.anyio
+async def test_routes_of_clients_are_learned_from_valid_keys_only() -> None:
+    """Requests without a key would otherwise turn a route of targets into one of
+    clients, whose calls are then rejected.
+    """
+    async with fleet(*ACCOUNTS) as system:
+        machine = await system.add("n1", "jobs")
+        await settle(system)
+        started_s = machine.node._entry_routes._started_s
+        machine.node._entry_routes._started_s = started_s - 60.0
+        await asyncio.sleep(1.1)
+        for headers in ({}, {"authorization": "Bearer no"}):
+            await machine.call("/jobs/1", **headers)
+            assert not learned(machine)
+            await asyncio.sleep(1.1)
+        assert (await machine.call("/open/1")).status == 200
+        assert learned(machine) == {"p"}
+        assert (await machine.call("/jobs/1", authorization=KEY)).status == 200
+        assert learned(machine) == {"p", "r"}
+        assert (await machine.call("/jobs/1")).status == 401
+        assert (await machine.call("/open/1")).status == 200
+
+
+@pytest.mark.anyio
+async def test_keys_are_rotated_and_withdrawn() -> None:
+    async with fleet(PRIVATE, tenant("a", "old")) as system:
+        machine = await system.add("n1", "jobs")
+        await settle(system)
+
+        async def statuses(*keys: str) -> list[int]:
+            await settle(system)
+            return [
+                (await machine.call("/jobs/1", authorization=f"Bearer {key}")).status
+                for key in keys
+            ]
+
+        assert await statuses("old", "new") == [200, 401]
+        await publish(system, 2, PRIVATE, tenant("a", "old", "new"))
+        assert await statuses("old", "new") == [200, 200]
+        await publish(system, 3, PRIVATE, tenant("a", "new"))
+        assert await statuses("old", "new") == [401, 200]
+        await publish(system, 4, PRIVATE, tenant("b", "k3"))
+        assert await statuses("old", "new", "k3") == [401, 401, 200]
+        held = repr(vars(machine.node.replicator._replica))
+        held += repr(vars(machine.node.senders._accounts))
+        assert "k3" not in held
+
+
+@pytest.mark.anyio
+async def test_store_that_is_cut_off_ends_requests_with_keys_only() -> None:
+    """A withdrawn key must not run anywhere once the bound has passed."""
+    async with fleet(*ACCOUNTS) as system:
+        for name, service in (("n1", "jobs"), ("n2", "jobs"), ("n3", "portal")):
+            await system.add(name, service, **STRICT)
+        await settle(system)
+        entry = system.machines["n3"]
+        system.store.down = True
+        loop = asyncio.get_running_loop()
+        cut_off_s = loop.time()
+        assert (await entry.call("/jobs/1", authorization=KEY)).status == 200
+        # Reads that wait when the store is cut off still complete.
+        last_current_s = cut_off_s + replication.CONFIG_WAIT_RANGE_S[1]
+        while loop.time() < last_current_s + 4.6:
+            await asyncio.sleep(0.1)
+        for machine in system.machines.values():
+            for key in (KEY, "Bearer no"):
+                response = await machine.call("/jobs/1", authorization=key)
+                assert response.status == 503
+                assert dict(response.headers)[b"retry-after"] == b"1.000"
+            assert (await machine.call("/open/1")).status == 200
+        outcomes = entry.node.telemetry.render().decode()
+        assert 'briardock_requests_total{outcome="stale-accounts"} 2.0' in outcomes
+        assert entry.node.senders._is_outdated
+        system.store.down = False
+        await settle(system)
+        assert (await entry.call("/jobs/1", authorization=KEY)).status == 200
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    ("settings", "known_key", "unknown_key"), [({}, 200, 503), (STRICT, 503, 503)]
+)
+async def test_a_suspended_node_finds_itself_outdated(
+    settings: dict[str, object],
+    known_key: int,
+    unknown_key: int,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async with fleet(*ACCOUNTS) as system:
+        machine = await system.add("n1", "jobs", **settings)
+        await settle(system)
+        system.store.down = True
+        now_s = replication.now_s
+        monkeypatch.setattr(replication, "now_s", lambda: now_s() + 6.0)
+        for key, expected in ((KEY, known_key), ("Bearer no", unknown_key)):
+            response = await machine.call("/jobs/1", authorization=key)
+            assert response.status == expected
+        assert (await machine.call("/open/1")).status == 200
+
+
+@pytest.mark.anyio
+async def test_a_node_that_restarts_serves_keys_once_it_has_read_the_store() -> None:
+    async with fleet(*ACCOUNTS) as system:
+        machine = await system.add("n1", "jobs", **STRICT)
+        await settle(system)
+        system.store.down = True
+        machine = await system.restart("n1")
+        assert (await machine.call("/jobs/1", authorization=KEY)).status == 503
+        system.store.down = False
+        await settle(system)
+        await machine.announce()
+
+        async def served() -> bool:
+            return (await machine.call("/jobs/1", authorization=KEY)).status == 200
+
+        await eventually(served)
+
+
+@pytest.mark.anyio
+async def test_only_malformed_accounts_still_need_a_key() -> None:
+    """Routes must not open to clients without keys by a mistake of the operator."""
+    async with fleet(PRIVATE, tenant("a\n", "k1")) as system:
+        machine = await system.add("n1", "jobs")
+        await settle(system)
+        assert (await machine.call("/jobs/1", authorization=KEY)).status == 401
+        assert not received(system)
+
+
+@pytest.mark.anyio
+async def test_account_priority_goes_before_route_priority() -> None:
+    routes = (
+        route("low", "/low/", priority=2),
+        route("high", "/high/", priority=0),
+    )
+    accounts = (
+        tenant("gold", "k1", priority=0),
+        tenant("iron", "k2", priority=3),
+        tenant("none", "k3"),
+    )
+    async with fleet(*routes, *accounts) as system:
+        machine = await system.add("n1", "jobs")
+        await settle(system)
+        ranks = []
+        run = machine.node.target.run
+
+        async def record_rank(call):  # type: ignore[no-untyped-def]
+            ranks.append((call.priority, call.from_caller))
+            return await run(call)
+
+        machine.node.target.run = record_rank  # type: ignore[method-assign]
+        for path in ("/high/1", "/low/1"):
+            # The first two are calls of targets; their routes are not known yet.
+            assert (await machine.call(path)).status == 200
+        for key in ("k1", "k2", "k3"):
+            for path in ("/high/1", "/low/1"):
+                response = await machine.call(path, authorization=f"Bearer {key}")
+                assert response.status == 200
+        assert [rank for rank, _ in ranks] == [1, 3, 0, 1, 2, 3, 2, 3]
+        assert [from_caller for _, from_caller in ranks] == [False] * 2 + [True] * 6
+        assert machine.node.forwarder.max_threshold == 4.0
