Keep the unit of admission thresholds with account priorities

Cause: the control loop of a threshold refuses one unit after the other and pauses at each boundary. With one unit per rank, shedding the same load would take as many times as long as there are account priorities. Change: a unit holds one rank for each account priority, so there are as many units as route priorities; the node at which a request enters scales the threshold to ranks. Bounds of keys are reloaded without a restart. The row of test_ranks without routes expects one level of two ranks, not one rank.

--- a/src/briardock/mesh/accounts.py
+++ b/src/briardock/mesh/accounts.py
@@ -89,7 +89,7 @@
     """
 
     def __init__(self, entries: Iterable[AccountEntry], limits: AgeLimits) -> None:
-        self._limits = limits
+        self.limits = limits
         self._by_digest: dict[bytes, Account] = {}
         for entry in entries:
             for key in entry.keys:
@@ -101,7 +101,7 @@
 
         :param age_s: age of the configuration, ``None`` if it is not known
         """
-        limit_s = self._limits.any_key_s
+        limit_s = self.limits.any_key_s
         return limit_s is not None and (age_s is None or age_s >= limit_s)
 
     def authenticate(
@@ -130,6 +130,6 @@
             return Rejected(503, "configuration may be outdated", name)
         if account is not None:
             return Authenticated(account)
-        if age_s is None or age_s > self._limits.unknown_key_s:
+        if age_s is None or age_s > self.limits.unknown_key_s:
             return KEY_UNKNOWN_STALE
         return KEY_UNKNOWN
--- a/src/briardock/mesh/clients.py
+++ b/src/briardock/mesh/clients.py
@@ -82,6 +82,13 @@
         self.has_accounts = config.has_accounts
         self._accounts = AccountTable(config.accounts, self._limits)
 
+    def set_limits(self, limits: AgeLimits) -> None:
+        """Apply changed limits.
+
+        :param limits: ages of the configuration up to which its accounts are relied on
+        """
+        self._limits = self._accounts.limits = limits
+
     def identify(
         self, head: RequestHead, route: Route, longest_timeout_s: float
     ) -> Sender | Response:
--- a/src/briardock/mesh/forwarder.py
+++ b/src/briardock/mesh/forwarder.py
@@ -299,7 +299,7 @@
         if state.from_target:
             self.called_services.record_call(state.service)
             return None
-        threshold = self._service_threshold(state.service)
+        threshold = self._rank_threshold(state.service)
         match self._entry.decide(state.entry_request, threshold):
             case Admitted():
                 return None
@@ -323,6 +323,11 @@
 
         return _cached(self._service_thresholds, service, determine)
 
+    def _rank_threshold(self, service: str) -> float:
+        """Return the threshold of a service and its callees in ranks."""
+        assert self.routes is not None
+        return self._service_threshold(service) * self.routes.ranks.ranks_per_level
+
     def _has_room_elsewhere(self, service: str) -> bool:
         def determine(now: float) -> bool:
             threshold = self._learned_thresholds.of_instances(service, now)
--- a/src/briardock/mesh/node.py
+++ b/src/briardock/mesh/node.py
@@ -78,6 +78,9 @@
         "retry_ratio",
         "retry_slack",
         "retry_window_s",
+        "config_apply_s",
+        "strict_revocation",
+        "revoke_s",
     }
 )
 
@@ -481,6 +484,7 @@
             self.settings, **{name: getattr(loaded, name) for name in applied}
         )
         self.forwarder.settings = self.settings
+        self.senders.set_limits(age_limits(self.settings))
         if self._shutdown is not None:
             self._set_shutdown(replace(self._shutdown, grace_s=self.settings.grace_s))
         needs_restart = sorted(set(changed) - set(applied))
--- a/src/briardock/mesh/ranks.py
+++ b/src/briardock/mesh/ranks.py
@@ -15,6 +15,10 @@
     priority, so that a priority never puts an account behind one that has none. If no
     account has a priority, the rank is the priority of the route.
 
+    Admission thresholds keep their unit: ``ranks_per_level`` ranks make up one of them.
+    The control loop that sets a threshold refuses one unit after the other, and would
+    take many times as long to shed the same load if a unit were a single rank.
+
     :param route_priorities: priorities of all routes
     :param account_priorities: priorities of all accounts, ``None`` for those without
     """
@@ -26,10 +30,16 @@
     ) -> None:
         self._routes = sorted(set(route_priorities))
         self._accounts = sorted({p for p in account_priorities if p is not None})
+        self.ranks_per_level = max(1, len(self._accounts))
         if self._accounts:
-            self.count = max(1, len(self._accounts) * len(self._routes))
+            self.level_count = max(1, len(self._routes))
         else:
-            self.count = 1 + max(self._routes, default=0)
+            self.level_count = 1 + max(self._routes, default=0)
+
+    @property
+    def count(self) -> int:
+        """Number of ranks."""
+        return self.level_count * self.ranks_per_level
 
     def of_client(self, route_priority: int, account_priority: int | None) -> int:
         """Return the rank of a client's request.
--- a/src/briardock/mesh/routes.py
+++ b/src/briardock/mesh/routes.py
@@ -19,7 +19,7 @@
             (route.priority for route in config.routes),
             (entry.account.priority for entry in config.accounts),
         )
-        self.priority_count = self.ranks.count
+        self.priority_count = self.ranks.level_count
         self.longest_timeout_s = max((r.timeout_s for r in config.routes), default=0.0)
         self._by_host: dict[str, dict[str, Route]] = {}
         self._current_weights: dict[str, list[float]] = {}
--- a/tests/test_mesh_accounts.py
+++ b/tests/test_mesh_accounts.py
@@ -127,20 +127,21 @@
 
 
 @pytest.mark.parametrize(
-    ("accounts", "routes", "client_ranks", "call_ranks", "count"),
+    ("accounts", "routes", "client_ranks", "call_ranks", "levels", "count"),
     [
         # Without account priorities nothing changes, also with gaps.
-        ([], [0, 1, 3], {(None, 0): 0, (None, 3): 3}, {0: 0, 1: 1, 3: 3}, 4),
-        ([None], [0, 3], {(None, 0): 0, (None, 3): 3}, {0: 0, 3: 3}, 4),
-        ([7], [0, 3], {(7, 0): 0, (7, 3): 1, (None, 3): 1}, {0: 0, 3: 1}, 2),
+        ([], [0, 1, 3], {(None, 0): 0, (None, 3): 3}, {0: 0, 1: 1, 3: 3}, 4, 4),
+        ([None], [0, 3], {(None, 0): 0, (None, 3): 3}, {0: 0, 3: 3}, 4, 4),
+        ([7], [0, 3], {(7, 0): 0, (7, 3): 1, (None, 3): 1}, {0: 0, 3: 1}, 2, 2),
         (
             [5, -1, None],
             [2, 0],
             {(-1, 0): 0, (-1, 2): 1, (5, 0): 2, (5, 2): 3, (None, 0): 2, (None, 2): 3},
             {0: 1, 2: 3},
+            2,
             4,
         ),
-        ([0, 1], [], {}, {}, 1),
+        ([0, 1], [], {}, {}, 1, 2),
     ],
 )
 def test_ranks(
@@ -148,10 +149,11 @@
     routes: list[int],
     client_ranks: dict[tuple[int | None, int], int],
     call_ranks: dict[int, int],
+    levels: int,
     count: int,
 ) -> None:
     ranks = PriorityRanks(routes, accounts)
-    assert ranks.count == count
+    assert (ranks.level_count, ranks.count) == (levels, count)
     for (account, route), rank in client_ranks.items():
         assert ranks.of_client(route, account) == rank
     for route, rank in call_ranks.items():
--- a/tests/test_mesh_clients.py
+++ b/tests/test_mesh_clients.py
@@ -1,6 +1,7 @@
 """Requests of clients with accounts, from the first node to the target."""
 
 import asyncio
+from dataclasses import replace
 from typing import Any
 
 import pytest
@@ -297,18 +298,56 @@
         assert not received(system)
 
 
+PRIORITIES = (
+    route("low", "/low/", priority=2),
+    route("high", "/high/", priority=0),
+    tenant("gold", "k1", priority=0),
+    tenant("iron", "k2", priority=3),
+    tenant("none", "k3"),
+)
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    ("threshold", "admitted_count"),
+    [(1_000.0, 4), (2.0, 4), (1.5, 3), (1.0, 2), (0.5, 1), (0.0, 0)],
+)
+async def test_admission_refuses_the_least_important_rank_first(
+    threshold: float, admitted_count: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A threshold covers as many levels as there are route priorities, whatever the
+    number of account priorities, as its control loop goes through them one by one.
+    """
+    async with fleet(*PRIORITIES) as system:
+        machine = await system.add("n1", "jobs")
+        await settle(system)
+        monkeypatch.setattr(
+            machine.node.forwarder, "_service_threshold", lambda service: threshold
+        )
+        statuses = [
+            (await machine.call(path, authorization=f"Bearer {key}")).status
+            for key in ("k1", "k2")
+            for path in ("/high/1", "/low/1")
+        ]
+        assert statuses == [200] * admitted_count + [503] * (4 - admitted_count)
+
+
+@pytest.mark.anyio
+async def test_changed_bounds_apply_without_a_restart() -> None:
+    async with fleet(*ACCOUNTS) as system:
+        machine = await system.add("n1", "jobs")
+        await settle(system)
+        node = machine.node
+        node._load_settings = lambda: replace(
+            node.settings, strict_revocation=True, revoke_s=0.5
+        )
+        node.reload()
+        assert (await machine.call("/jobs/1", authorization=KEY)).status == 503
+
+
 @pytest.mark.anyio
 async def test_account_priority_goes_before_route_priority() -> None:
-    routes = (
-        route("low", "/low/", priority=2),
-        route("high", "/high/", priority=0),
-    )
-    accounts = (
-        tenant("gold", "k1", priority=0),
-        tenant("iron", "k2", priority=3),
-        tenant("none", "k3"),
-    )
-    async with fleet(*routes, *accounts) as system:
+    async with fleet(*PRIORITIES) as system:
         machine = await system.add("n1", "jobs")
         await settle(system)
         ranks = []
@@ -328,4 +367,4 @@
                 assert response.status == 200
         assert [rank for rank, _ in ranks] == [1, 3, 0, 1, 2, 3, 2, 3]
         assert [from_caller for _, from_caller in ranks] == [False] * 2 + [True] * 6
-        assert machine.node.forwarder.max_threshold == 4.0
+        assert machine.node.forwarder.max_threshold == 2.0
