--- a/src/briardock/mesh/node.py
+++ b/src/briardock/mesh/node.py
@@ -1,6 +1,7 @@
 """One node of the mesh: components, listeners, background tasks and shutdown."""
 
 import asyncio
+import math
 import random
 import signal
 import time
@@ -9,8 +10,10 @@
 from typing import Any
 
 from briardock.exceptions import SettingsError
+from briardock.mesh.accounts import age_limits
 from briardock.mesh.callgraph import EntryRoutes
 from briardock.mesh.calls import LoadReport, NotRun, Result, decode_call, encode_result
+from briardock.mesh.clients import SenderIdentification
 from briardock.mesh.decisions import FLUSH_PERIOD_S, DecisionLog
 from briardock.mesh.descriptors import connection_limits
 from briardock.mesh.dialect import Departure, Dialect, Store, Undecodable
@@ -75,6 +78,9 @@
         "retry_ratio",
         "retry_slack",
         "retry_window_s",
+        "config_apply_s",
+        "strict_revocation",
+        "revoke_s",
     }
 )
 
@@ -156,6 +162,14 @@
         self._entry_routes = EntryRoutes(
             self.members, self.target, self._local_record_changed
         )
+        self.senders = SenderIdentification(
+            self._entry_routes,
+            self.replicator.config_age_s,
+            age_limits(settings),
+            dialect,
+            log,
+            self.telemetry,
+        )
         learned_thresholds = LearnedThresholds()
         self._announcer = ThresholdAnnouncer(settings.node_id)
         self.forwarder = Forwarder(
@@ -167,7 +181,7 @@
             self._peer_pool,
             learned_thresholds,
             EntryThresholds(self.members, board, learned_thresholds),
-            self._entry_routes,
+            self.senders,
             log,
             self.telemetry,
             self._rng,
@@ -200,6 +214,7 @@
 
     def _install(self, config: RoutingConfig) -> None:
         self.forwarder.routes = RouteTable(config)
+        self.senders.install(config)
         self._caller_server.limits = config.limits
         self._entry_routes.retain({route.name for route in config.routes})
         self.telemetry.config_version.set(config.version)
@@ -289,6 +304,9 @@
         call = decode_call(request)
         if call is None:
             return Response(400)
+        if call.account is None and self.senders.has_accounts:
+            # The node at which it entered does not have the accounts yet.
+            call.headers = self._dialect.without_identity(call.headers)
         started_s = now_s()
         shutdown = self._shutdown
         if shutdown is None or shutdown.accepts_call(
@@ -341,6 +359,8 @@
         self.telemetry.queued.set(self.target.queued)
         self.telemetry.admission_threshold.set(self.target.threshold(False))
         self.telemetry.store_era.set(self.replicator.store_era)
+        age_s = self.replicator.config_age_s()
+        self.telemetry.config_age.set(math.nan if age_s is None else age_s)
         return Response(
             200, [(b"content-type", b"text/plain")], self.telemetry.render()
         )
@@ -352,6 +372,7 @@
             await asyncio.sleep(CONTROL_PERIOD_S)
             if self.forwarder.routes is None:
                 continue
+            self.senders.check_age()
             before = self.target.threshold(False)
             usage = self.target.update_thresholds(self.forwarder.max_threshold)
             self.forwarder.update_rates(usage.arrivals)
@@ -417,6 +438,7 @@
             for work in (
                 self.replicator.check_readers,
                 self.replicator.watch_config,
+                self.replicator.watch_config_age,
                 self.replicator.watch_nodes,
                 self.replicator.publish,
                 self.replicator.sync_periodically,
@@ -463,6 +485,7 @@
             self.settings, **{name: getattr(loaded, name) for name in applied}
         )
         self.forwarder.settings = self.settings
+        self.senders.set_limits(age_limits(self.settings))
         if self._shutdown is not None:
             self._set_shutdown(replace(self._shutdown, grace_s=self.settings.grace_s))
         needs_restart = sorted(set(changed) - set(applied))
--- a/tests/mesh_fakes.py
+++ b/tests/mesh_fakes.py
@@ -76,7 +76,16 @@
     return {"type-url": "routes", "metadata": {"name": name}, "spec": base | spec}
 
 
-def config(version: int, *routes: dict[str, Any]) -> bytes:
+def tenant(name: str, *keys: str, **spec: Any) -> dict[str, Any]:
+    """Return an account of the operator's configuration."""
+    return {
+        "type-url": "tenants",
+        "metadata": {"name": name},
+        "spec": {"api-keys": list(keys)} | spec,
+    }
+
+
+def config(version: int, *resources: dict[str, Any]) -> bytes:
     """Return a configuration as the operator writes it, with the services of routes."""
     services = [
         {
@@ -84,9 +93,13 @@
             "metadata": {"name": name},
             "spec": {"health-path": HEALTH_PATH, "max-connections": 500},
         }
-        for name in sorted({item["spec"].get("service", "") for item in routes} - {""})
+        for name in sorted(
+            {item["spec"].get("service", "") for item in resources} - {""}
+        )
     ]
-    return json.dumps({"version": version, "resources": [*routes, *services]}).encode()
+    return json.dumps(
+        {"version": version, "resources": [*resources, *services]}
+    ).encode()
 
 
 class FakeStore:
@@ -361,12 +374,17 @@
     machines: dict[str, Machine] = field(default_factory=dict)
 
     async def add(
-        self, node_id: str, service: str, domain: str = "d1", store_address: str = ""
+        self,
+        node_id: str,
+        service: str,
+        domain: str = "d1",
+        store_address: str = "",
+        **changes: Any,
     ) -> Machine:
         """Start a node and its target, and announce the target."""
         store_address = store_address or self.store.address
         settings = replace(
-            make_settings(node_id, service, store_address), domain=domain
+            make_settings(node_id, service, store_address), domain=domain, **changes
         )
         target = FakeTarget(settings.target_address, target_id=f"i-{node_id}")
         await target.start()
