Test freshness against four mutations that no test found

Cause: tests stayed green with keys kept in the replicated configuration, without the duration of an exchange, with a read of a part of the records as a proof, and without questions to neighbours.

--- a/tests/test_mesh_clients.py
+++ b/tests/test_mesh_clients.py
@@ -216,6 +216,9 @@
         held = repr(vars(machine.node.replicator._replica))
         held += repr(vars(machine.node.senders._accounts))
         assert "k3" not in held
+        # The representation of an entry leaves out its keys, so it is checked itself.
+        kept = machine.node.replicator._replica.config
+        assert kept is not None and kept.has_accounts and not kept.accounts
 
 
 @pytest.mark.anyio
--- a/tests/test_mesh_freshness.py
+++ b/tests/test_mesh_freshness.py
@@ -3,21 +3,24 @@
 import asyncio
 import struct
 import time
+from dataclasses import replace
 
 import msgspec
 import pytest
 
 from briardock.mesh import replication, sync
-from briardock.mesh.dialect import Records
+from briardock.mesh.dialect import Records, StoreFailure
 from briardock.mesh.freshness import ConfigFreshness
 from briardock.mesh.http1 import Request
+from briardock.mesh.members import NodeRecord
 from briardock.mesh.replication import (
     CONFIG_WAIT_RANGE_S,
     READER_CHECK_PERIOD_S,
     READER_TIMEOUT_S,
 )
-from briardock.mesh.sync import SyncMessage
-from briardock.platform._store import _decode_records
+from briardock.mesh.sync import PeerSync, SyncMessage
+from briardock.platform._store import PlatformStore, _decode_records
+from mesh_builders import record
 from mesh_fakes import (
     Fleet,
     config,
@@ -212,6 +215,79 @@
         assert highest_s < REVOCATION_LIMIT_S
 
 
+@pytest.mark.anyio
+async def test_a_node_that_only_its_neighbour_reads_for_asks_it(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A node that is to read itself asks no other whether that reads, and the periodic
+    sync may choose nodes that cannot be reached several times in a row.
+    """
+
+    async def skip(self: PeerSync, peer: NodeRecord) -> None:
+        pass
+
+    async with fleet(ROUTE, tenant("a", "k1")) as system:
+        for name in ("n1", "n2"):
+            address = await system.store.open_address()
+            await system.add(name, "jobs", "d1", address)
+        await system.settle()
+        await wait_until_known(system)
+        monkeypatch.setattr(PeerSync, "_sync_in_background", skip)
+        settings = system.machines["n1"].settings
+        system.store.turn_away(settings.store_address, "503")
+        highest_s = 0.0
+        for _ in range(100):
+            await asyncio.sleep(0.05)
+            highest_s = max(highest_s, *ages_s(system))
+        assert highest_s < AGE_BOUND_S
+
+
+@pytest.mark.anyio
+async def test_reads_of_a_part_of_the_records_do_not_count(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    read_newest = PlatformStore.read_newest
+
+    async def read_part(
+        self: PlatformStore, stream: str, *args: object
+    ) -> Records | StoreFailure:
+        await asyncio.sleep(0.05)
+        result = await read_newest(self, stream)
+        if stream == "config" and isinstance(result, Records):
+            return replace(result, is_complete=False)
+        return result
+
+    monkeypatch.setattr(PlatformStore, "read_newest", read_part)
+    monkeypatch.setattr(PlatformStore, "read_from", read_part)
+    async with fleet(ROUTE) as system:
+        await system.add("n1", "jobs")
+        await system.settle()
+        await asyncio.sleep(0.5)
+        assert ages_s(system) == [float("inf")]
+
+
+@pytest.mark.anyio
+async def test_duration_of_an_exchange_counts(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A response may lie in the buffer of a suspended process."""
+    async with fleet(ROUTE) as system:
+        machine = await system.add("n1", "jobs")
+        await system.settle()
+        await wait_until_known(system)
+        peer_sync = machine.node.replicator._sync
+        response = peer_sync._message()
+        response.current_age_ms = 1_000
+        now_s = sync.now_s
+
+        async def respond_late(address: str, message: SyncMessage) -> SyncMessage:
+            monkeypatch.setattr(sync, "now_s", lambda: now_s() + 30.0)
+            return response
+
+        monkeypatch.setattr(peer_sync, "_send", respond_late)
+        peer_sync._freshness = known = ConfigFreshness()
+        await peer_sync._exchange(record("n2"), peer_sync._message())
+        assert known.age_s(sync.now_s()) == pytest.approx(31.0, abs=0.5)
+
+
 @pytest.mark.anyio
 async def test_a_suspended_node_finds_its_age_high_and_is_not_misled_by_pushes(
     monkeypatch: pytest.MonkeyPatch,
