Exchange the quotas of client accounts between nodes

The decisions of overload/quota.py need demand and spare slots of all nodes.

Each node now reports to the aggregator of its failure domain every 0.4 s, after 0.1 s while slots are short, at /.briardock/quotas on the peer address; aggregators exchange the sums. Nothing is sent while no account has a limit. A node that has just started uses only a part of the tolerance, which grows over a window, and none before it has read the records of all nodes. Refused requests are told different times. Refusals are logged (quota-exceeded) and counted by account, both bounded; quota-window, quota-over and quota-slack are optional settings.

Without the growth, the test with a node that starts again and again fails.

--- a/src/briardock/mesh/model.py
+++ b/src/briardock/mesh/model.py
@@ -171,6 +171,10 @@
     :param retry_slack: additional retries in a window that all nodes may send
     :param retry_window_s: length of the window for ratio and slack
     :param max_descriptors: limit on the open descriptors of the process
+    :param quota_window_s: window in which the admissions of an account are bounded
+    :param quota_over_ratio: admissions of an account beyond its limit in a window, as a
+        share of the limit
+    :param quota_slack: the same as a number, in addition
     """
 
     node_id: str
@@ -189,6 +193,9 @@
     retry_slack: float
     retry_window_s: float
     max_descriptors: int = DEFAULT_MAX_DESCRIPTORS
+    quota_window_s: float = 5.0
+    quota_over_ratio: float = 0.1
+    quota_slack: float = 20.0
 
 
 def split_address(address: str) -> tuple[str, int]:
--- a/src/briardock/mesh/node.py
+++ b/src/briardock/mesh/node.py
@@ -29,6 +29,7 @@
     split_address,
 )
 from briardock.mesh.pool import ConnectionPool, PoolSettings
+from briardock.mesh.quotas import QUOTAS_PATH, Quotas
 from briardock.mesh.replication import Replicator
 from briardock.mesh.routes import RouteTable
 from briardock.mesh.sync import SYNC_PATH
@@ -42,6 +43,7 @@
 )
 from briardock.overload.chain import LearnedThresholds
 from briardock.overload.placement import Balancer
+from briardock.overload.quota import QuotaSettings
 from briardock.overload.shutdown import Shutdown, StallMeter
 
 PEER_POOL = PoolSettings(
@@ -158,6 +160,16 @@
         )
         learned_thresholds = LearnedThresholds()
         self._announcer = ThresholdAnnouncer(settings.node_id)
+        self.quotas = Quotas(
+            self.members,
+            self._peer_pool,
+            QuotaSettings(
+                settings.quota_window_s, settings.quota_over_ratio, settings.quota_slack
+            ),
+            lambda: self.replicator.has_read_nodes,
+            log,
+            self.telemetry,
+        )
         self.forwarder = Forwarder(
             settings,
             dialect,
@@ -286,6 +298,8 @@
     async def _handle_peer(self, request: Request) -> Response:
         if request.target == SYNC_PATH:
             return await self.replicator.handle(request)
+        if request.target == QUOTAS_PATH:
+            return await self.quotas.handle(request)
         call = decode_call(request)
         if call is None:
             return Response(400)
@@ -420,6 +434,7 @@
                 self.replicator.watch_nodes,
                 self.replicator.publish,
                 self.replicator.sync_periodically,
+                self.quotas.report_periodically,
                 self._update_thresholds,
                 self._sweep_pools,
                 self._flush_log,
--- a/src/briardock/mesh/replication.py
+++ b/src/briardock/mesh/replication.py
@@ -152,6 +152,11 @@
         """Version in force, -1 for none."""
         return self._replica.config_version
 
+    @property
+    def has_read_nodes(self) -> bool:
+        """Whether the records of all nodes have been read from the store."""
+        return self._nodes_read.is_set()
+
     @property
     def store_era(self) -> int:
         """Highest era of the store that is known, 0 for none."""
--- a/src/briardock/mesh/telemetry.py
+++ b/src/briardock/mesh/telemetry.py
@@ -3,6 +3,9 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 from prometheus_client import generate_latest as render
 
+# Largest number of accounts with a metric of their own; the others share one.
+MAX_ACCOUNTS = 50
+OTHER_ACCOUNTS = "others"
 LATENCY_BUCKETS_S = (0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0)
 
 
@@ -63,6 +66,33 @@
             registry=self.registry,
         )
 
+        self.over_quota = Counter(
+            "briardock_over_quota",
+            "Requests refused because they exceed the quota of their account",
+            ["account"],
+            registry=self.registry,
+        )
+        self._over_quota_by_account: dict[str, Counter] = {}
+        self.quota_reports = Counter(
+            "briardock_quota_reports",
+            "Reports about quotas sent to other nodes",
+            registry=self.registry,
+        )
+
+    def record_over_quota(self, account: str) -> None:
+        """Count a request over the quota of its account.
+
+        :param account: name of the account
+        """
+        counter = self._over_quota_by_account.get(account)
+        if counter is None:
+            if len(self._over_quota_by_account) >= MAX_ACCOUNTS:
+                self.over_quota.labels(OTHER_ACCOUNTS).inc()
+                return
+            counter = self.over_quota.labels(account)
+            self._over_quota_by_account[account] = counter
+        counter.inc()
+
     def render(self) -> bytes:
         """Return the metrics page."""
         return render(self.registry)
--- a/src/briardock/overload/quota.py
+++ b/src/briardock/overload/quota.py
@@ -144,9 +144,19 @@
         self.rate_per_s = limit.rate_per_s / node_count
         self.depth = max(UNEVEN_REQUESTS, limit.burst / node_count)
         self.tokens = self.depth
+        # Latest time that a refused request was told.
+        self.promised_s = 0.0
         # Whether the total demand is near the rate or above it.
         self.is_limited = False
 
+    def promise_s(self, now: float) -> float:
+        """Return the time of a token that no refused request was told of before."""
+        rate_per_s = max(self.rate_per_s, 1e-6)
+        next_s = now + (1.0 - self.tokens) / rate_per_s
+        promised_s = max(next_s, self.promised_s + 1.0 / rate_per_s)
+        self.promised_s = min(promised_s, now + MAX_RETRY_AFTER_S)
+        return self.promised_s
+
     def set_limit(self, limit: QuotaLimit, settings: QuotaSettings) -> None:
         self.limit = limit
         self.tag = limit.tag
@@ -203,6 +213,7 @@
     def __init__(self, node_id: str, settings: QuotaSettings, started_s: float) -> None:
         self._node_id = node_id
         self._settings = settings
+        self._started_s = started_s
         # Time from which no slot that an earlier process used or lent is in use.
         self._steady_s = started_s + settings.window_s + GRANT_LIFETIME_S
         self._accounts: dict[str, _AccountState] = {}
@@ -212,6 +223,8 @@
         # Aggregator that asked for slots which the next report lends.
         self._lends_to = ""
         self.node_count = 1
+        # Whether all nodes have been learned of since the start.
+        self.knows_nodes = True
         # Whether a report is due at once.
         self.is_urgent = False
 
@@ -241,7 +254,11 @@
         return state
 
     def _own_free(self, state: _AccountState, now: float) -> float:
-        slots = state.slots if now >= self._steady_s else state.starting_slots
+        slots = state.slots
+        if now < self._steady_s:
+            # Grows with the age, so that several starts in one window use no more.
+            age_ratio = min(1.0, (now - self._started_s) / self._settings.window_s)
+            slots = state.starting_slots * age_ratio if self.knows_nodes else 0.0
         busy = state.used.amount + state.lent.amount
         return max(0.0, slots / self.node_count - busy)
 
@@ -265,8 +282,7 @@
         if is_unusual or available < needed:
             self.is_urgent = True
         if state.tokens < 1.0:
-            lacking_s = (1.0 - state.tokens) / max(state.rate_per_s, 1e-6)
-            return OverQuota(_clamped(lacking_s))
+            return OverQuota(_clamped(state.promise_s(now) - now))
         if available < 1.0 - 1e-9:
             free_s = [s.first_free_s for s in (state.used, state.lent) if s.amount]
             return OverQuota(_clamped(min(free_s, default=now + 1.0) - now))
--- a/src/briardock/overload/quota_messages.py
+++ b/src/briardock/overload/quota_messages.py
@@ -22,7 +22,7 @@
     lent: float = 0.0
 
 
-class NodeReport(msgspec.Struct, array_like=True):
+class NodeReport(msgspec.Struct, array_like=True, tag="node"):
     """Report of a node to the aggregator of its domain.
 
     :param node_id: name of the node
@@ -81,7 +81,7 @@
     granted: list[tuple[float, float]] = []
 
 
-class DomainReport(msgspec.Struct, array_like=True):
+class DomainReport(msgspec.Struct, array_like=True, tag="domain"):
     """Report of an aggregator to that of another domain, and the response.
 
     :param domain: domain of the sender
--- a/src/briardock/overload/quota_totals.py
+++ b/src/briardock/overload/quota_totals.py
@@ -25,6 +25,8 @@
 EXPECTED_TIME_S = 0.4
 # Remaining lifetime below which slots are not granted, s.
 MIN_REMAINING_S = 0.15
+# Number of lacking slots below which nodes are not asked to lend.
+MIN_LACKING = 0.01
 # Growth of the demand of a domain after which other domains are told at once.
 URGENT_GROWTH = 1.5
 
@@ -67,6 +69,13 @@
             self.ask -= known.ask
             self.spare -= known.spare
 
+    def add_up(self) -> None:
+        """Determine the sums anew, as rounding errors add up over time."""
+        nodes = self.nodes.values()
+        self.demand_per_s = sum(n.demand_per_s for n in nodes)
+        self.ask = sum(n.ask for n in nodes)
+        self.spare = sum(n.spare for n in nodes)
+
     def total_per_s(self) -> float:
         return self.demand_per_s + sum(o.demand_per_s for o in self.others.values())
 
@@ -140,6 +149,7 @@
             for node_id, reported in list(account.nodes.items()):
                 if now - reported.heard_s > NODE_LIFETIME_S:
                     account.forget(node_id)
+            account.add_up()
             for domain, reported in list(account.others.items()):
                 if now - reported.heard_s > self._settings.window_s:
                     del account.others[domain]
@@ -225,7 +235,7 @@
         account.expected.expire(now)
         lacking = account.ask + account.others_ask(now)
         lacking -= account.pool.amount + account.expected.amount
-        if lacking <= 0.0 or spare <= 0.0:
+        if lacking < MIN_LACKING or spare <= 0.0:
             return 0.0
         silent = max(0, len(self._heard_s) - len(account.nodes))
         all_spare = max(spare, account.spare + silent * account.slots_per_node)
--- a/src/briardock/platform/_settings.py
+++ b/src/briardock/platform/_settings.py
@@ -1,5 +1,6 @@
 """Decoding of the platform's settings file."""
 
+import math
 import tomllib
 from pathlib import Path
 from typing import Any
@@ -61,4 +62,22 @@
         retry_slack=float(bounds["budget-slack"]),
         retry_window_s=parse_duration_s(bounds["budget-window"]),
         max_descriptors=int(limits.get("max-fds", DEFAULT_MAX_DESCRIPTORS)),
+        quota_window_s=_positive(
+            "quota-window", parse_duration_s(bounds.get("quota-window", "5s"))
+        ),
+        quota_over_ratio=_not_negative(bounds, "quota-over", 0.1),
+        quota_slack=_not_negative(bounds, "quota-slack", 20.0),
     )
+
+
+def _positive(key: str, value: float) -> float:
+    if not 0.0 < value < math.inf:
+        raise ValueError(f"{key} must be above 0")
+    return value
+
+
+def _not_negative(table: dict[str, Any], key: str, default: float) -> float:
+    value = float(table.get(key, default))
+    if not 0.0 <= value < math.inf:
+        raise ValueError(f"{key} must not be negative")
+    return value
--- a/tests/test_mesh_platform.py
+++ b/tests/test_mesh_platform.py
@@ -244,6 +244,9 @@
         ('service = "jobs"\n', "", "'service' is missing"),
         ('grace = "6s"', 'grace = "soon"', "not a duration"),
         ("[self]", "[self", "node.toml"),
+        ("budget-slack = 49", 'budget-slack = 49\nquota-window = "0s"', "quota-window"),
+        ("budget-slack = 49", "budget-slack = 49\nquota-over = -0.1", "quota-over"),
+        ("budget-slack = 49", "budget-slack = 49\nquota-slack = nan", "quota-slack"),
     ],
 )
 def test_error_for_invalid_settings_states_the_cause(
@@ -255,6 +258,26 @@
         load_settings(path)
 
 
+@pytest.mark.parametrize(
+    ("bounds", "expected"),
+    [
+        ("", (5.0, 0.1, 20.0)),
+        ('quota-window = "4s"\nquota-over = 0.2\nquota-slack = 5', (4.0, 0.2, 5.0)),
+    ],
+)
+def test_bounds_of_quotas_are_optional(
+    tmp_path: Path, bounds: str, expected: tuple[float, float, float]
+) -> None:
+    path = tmp_path / "node.toml"
+    path.write_text(SETTINGS + bounds)
+    decoded = load_settings(path)
+    assert expected == (
+        decoded.quota_window_s,
+        decoded.quota_over_ratio,
+        decoded.quota_slack,
+    )
+
+
 def test_error_for_missing_settings_states_the_remedy(tmp_path: Path) -> None:
     with pytest.raises(SettingsError, match="BRIARDOCK_NODE_FILE"):
         load_settings(tmp_path / "none.toml")
--- a/tests/test_overload_quota.py
+++ b/tests/test_overload_quota.py
@@ -5,6 +5,7 @@
 
 import math
 from collections.abc import Callable
+from itertools import pairwise
 
 import pytest
 from hypothesis import given
@@ -153,6 +154,11 @@
         sim.restart(node)
 
 
+def restart_all_again(sim: Simulation) -> None:
+    for number in range(8):
+        sim.at(0.7 * number, lambda: restart_all(sim))
+
+
 def kill_half(sim: Simulation) -> None:
     for node in sim.nodes[::2]:
         node.state = "dead"
@@ -181,6 +187,7 @@
     freeze_many,
     restart_some,
     restart_all,
+    restart_all_again,
     kill_half,
     kill_and_start,
     cut_and_restart,
@@ -312,6 +319,38 @@
     assert isinstance(later, WithinQuota)
 
 
+def test_refused_requests_are_told_different_times() -> None:
+    """If all came back for the same token, all but one would be refused again."""
+    keeper = started_keeper(QuotaLimit(10.0, 5.0))
+    now = 100.0
+    while isinstance(
+        first := keeper.decide("a", QuotaLimit(10.0, 5.0), now), WithinQuota
+    ):
+        pass
+    told_s = [first.retry_after_s]
+    for _ in range(100):
+        decision = keeper.decide("a", QuotaLimit(10.0, 5.0), now)
+        assert isinstance(decision, OverQuota)
+        told_s.append(decision.retry_after_s)
+    gaps_s = [later - earlier for earlier, later in pairwise(told_s[:40])]
+    assert gaps_s == pytest.approx([0.1] * 39)
+    assert max(told_s) <= SETTINGS.window_s
+
+
+@pytest.mark.parametrize(
+    ("knows_nodes", "age_s", "is_admitted"),
+    [(False, 1.0, False), (True, 1.0, True), (False, 10.0, True)],
+)
+def test_a_node_that_has_just_started_admits_once_it_knows_the_other_nodes(
+    knows_nodes: bool, age_s: float, is_admitted: bool
+) -> None:
+    """Nodes that start together would each take the parts of all."""
+    keeper = QuotaKeeper("n", QuotaSettings(), started_s=100.0)
+    keeper.knows_nodes = knows_nodes
+    decision = keeper.decide("a", LARGE, 100.0 + age_s)
+    assert isinstance(decision, WithinQuota) is is_admitted
+
+
 def test_a_refund_makes_room_for_one_request() -> None:
     """Requests that no target ran would use up the quota."""
     limit = QuotaLimit(0.01, 0.0)
@@ -351,3 +390,23 @@
     aggregator.handle_node(lends, 100.0 + delay_s)
     totals = aggregator.handle_node(asks, 100.0 + delay_s)
     assert bool(totals.accounts[0].granted) is is_granted
+
+
+def test_a_node_that_starts_again_and_again_stays_within_the_bound() -> None:
+    """Each process has forgotten what those before it admitted in the window."""
+    limit = QuotaLimit(10.0, 400.0)
+    admitted: list[float] = []
+    now = 100.0
+    keeper = started_keeper(limit)
+    for _ in range(12):
+        started_s = now
+        while now < started_s + 0.7:
+            now += 0.001
+            if isinstance(keeper.decide("a", limit, now), WithinQuota):
+                admitted.append(now)
+        keeper = QuotaKeeper("n", QuotaSettings(), started_s=now)
+    window_s = SETTINGS.window_s
+    fullest = max(
+        sum(at - window_s < other <= at for other in admitted) for at in admitted
+    )
+    assert fullest <= SETTINGS.bound(limit)
