--- a/src/briardock/mesh/forwarder.py
+++ b/src/briardock/mesh/forwarder.py
@@ -26,6 +26,7 @@
 from briardock.mesh.members import MemberTable, NodeRecord
 from briardock.mesh.model import MeshSettings, RequestHead, Route, now_s
 from briardock.mesh.pool import ConnectionPool
+from briardock.mesh.quotas import Quotas
 from briardock.mesh.routes import RouteTable
 from briardock.mesh.target import Target
 from briardock.mesh.telemetry import Telemetry
@@ -48,6 +49,7 @@
 )
 from briardock.overload.entry import Admitted, EntryAdmission, EntryRequest, TurnedAway
 from briardock.overload.placement import Balancer
+from briardock.overload.quota import OverQuota, WithinQuota
 from briardock.overload.retries import RetryBudget
 from briardock.overload.shutdown import Shutdown
 
@@ -134,6 +136,7 @@
     :param thresholds: admission thresholds learned from responses
     :param entry_thresholds: thresholds by which callers' requests are admitted
     :param senders: identifies the senders of requests
+    :param quotas: quotas of the accounts of clients
     :param log: decision log
     :param telemetry: metrics
     :param rng: random source
@@ -150,6 +153,7 @@
         thresholds: LearnedThresholds,
         entry_thresholds: EntryThresholds,
         senders: SenderIdentification,
+        quotas: Quotas,
         log: DecisionLog,
         telemetry: Telemetry,
         rng: random.Random,
@@ -169,6 +173,7 @@
         self._learned_thresholds = thresholds
         self._entry_thresholds = entry_thresholds
         self._senders = senders
+        self._quotas = quotas
         self._log = log
         self._telemetry = telemetry
         self._entry = EntryAdmission(rng)
@@ -267,8 +272,13 @@
         shutdown = self.shutdown
         if shutdown and not shutdown.accepts(state.expires_s, state.accepted_s):
             return self._refuse_without_run(state, "node is stopping")
+        # The quota goes first: what exceeds it must not use up the room of others.
+        refusal = self._check_quota(state)
+        if refusal is not None:
+            return refusal
         refusal = self._admit(state)
         if refusal is not None:
+            self._refund_quota(state)
             return refusal
         deadline = Deadline(self._loop, state.expires_s)
         self._requests_in_flight[state] = deadline
@@ -290,10 +300,27 @@
                 self._telemetry.completed.inc()
                 return response
             case NotRun(reason) if not state.attempts.may_have_run:
+                self._refund_quota(state)
                 return self._refuse_without_run(state, reason)
             case NotRun(reason) | Unknown(reason):
                 return self._fail_request(state, 502, reason)
 
+    def _check_quota(self, state: RequestState) -> Response | None:
+        """Return a refusal if the account of the client exceeds its quota."""
+        account = state.sender.account
+        if account is None:
+            return None
+        match self._quotas.decide(account.name):
+            case WithinQuota():
+                return None
+            case OverQuota(retry_after_s):
+                self._telemetry.requests.labels("over-quota").inc()
+                return Response(429, self._dialect.refusal_headers(retry_after_s))
+
+    def _refund_quota(self, state: RequestState) -> None:
+        if state.sender.account is not None:
+            self._quotas.record_refund(state.sender.account.name)
+
     def _admit(self, state: RequestState) -> Response | None:
         """Return a refusal if the chain lacks headroom for a caller's request."""
         if state.from_target:
--- a/src/briardock/mesh/model.py
+++ b/src/briardock/mesh/model.py
@@ -212,6 +212,10 @@
     :param strict_revocation: whether requests with keys need a configuration that is
         known to be current
     :param revoke_s: longest time until a withdrawn key is refused if so
+    :param quota_window_s: window in which the admissions of an account are bounded
+    :param quota_over_ratio: admissions of an account beyond its limit in a window, as a
+        share of the limit
+    :param quota_slack: the same as a number, in addition
     """
 
     node_id: str
@@ -233,6 +237,9 @@
     config_apply_s: float = 2.0
     strict_revocation: bool = False
     revoke_s: float = 5.0
+    quota_window_s: float = 5.0
+    quota_over_ratio: float = 0.1
+    quota_slack: float = 20.0
 
 
 def split_address(address: str) -> tuple[str, int]:
--- a/src/briardock/mesh/node.py
+++ b/src/briardock/mesh/node.py
@@ -32,6 +32,7 @@
     split_address,
 )
 from briardock.mesh.pool import ConnectionPool, PoolSettings
+from briardock.mesh.quotas import QUOTAS_PATH, Quotas, quota_limits
 from briardock.mesh.replication import Replicator
 from briardock.mesh.routes import RouteTable
 from briardock.mesh.sync import SYNC_PATH
@@ -45,6 +46,7 @@
 )
 from briardock.overload.chain import LearnedThresholds
 from briardock.overload.placement import Balancer
+from briardock.overload.quota import QuotaSettings
 from briardock.overload.shutdown import Shutdown, StallMeter
 
 PEER_POOL = PoolSettings(
@@ -172,6 +174,16 @@
         )
         learned_thresholds = LearnedThresholds()
         self._announcer = ThresholdAnnouncer(settings.node_id)
+        self.quotas = Quotas(
+            self.members,
+            self._peer_pool,
+            QuotaSettings(
+                settings.quota_window_s, settings.quota_over_ratio, settings.quota_slack
+            ),
+            lambda: self.replicator.has_read_nodes,
+            log,
+            self.telemetry,
+        )
         self.forwarder = Forwarder(
             settings,
             dialect,
@@ -182,6 +194,7 @@
             learned_thresholds,
             EntryThresholds(self.members, board, learned_thresholds),
             self.senders,
+            self.quotas,
             log,
             self.telemetry,
             self._rng,
@@ -215,6 +228,7 @@
     def _install(self, config: RoutingConfig) -> None:
         self.forwarder.routes = RouteTable(config)
         self.senders.install(config)
+        self.quotas.set_limits(quota_limits(config))
         self._caller_server.limits = config.limits
         self._entry_routes.retain({route.name for route in config.routes})
         self.telemetry.config_version.set(config.version)
@@ -301,6 +315,8 @@
     async def _handle_peer(self, request: Request) -> Response:
         if request.target == SYNC_PATH:
             return await self.replicator.handle(request)
+        if request.target == QUOTAS_PATH:
+            return await self.quotas.handle(request)
         call = decode_call(request)
         if call is None:
             return Response(400)
@@ -443,6 +459,7 @@
                 self.replicator.publish,
                 self.replicator.sync_periodically,
                 self.target.loss_watch.watch_losses,
+                self.quotas.report_periodically,
                 self._update_thresholds,
                 self._sweep_pools,
                 self._flush_log,
--- a/src/briardock/platform/_settings.py
+++ b/src/briardock/platform/_settings.py
@@ -1,5 +1,6 @@
 """Decoding of the platform's settings file."""
 
+import math
 import tomllib
 from pathlib import Path
 from typing import Any
@@ -71,4 +72,22 @@
         config_apply_s=parse_duration_s(bounds.get("config-apply", "2s")),
         strict_revocation=_boolean(bounds, "strict-revocation"),
         revoke_s=parse_duration_s(bounds.get("revoke", "5s")),
+        quota_window_s=_positive(
+            "quota-window", parse_duration_s(bounds.get("quota-window", "5s"))
+        ),
+        quota_over_ratio=_not_negative(bounds, "quota-over", 0.1),
+        quota_slack=_not_negative(bounds, "quota-slack", 20.0),
     )
+
+
+def _positive(key: str, value: float) -> float:
+    if not 0.0 < value < math.inf:
+        raise ValueError(f"{key} must be above 0")
+    return value
+
+
+def _not_negative(table: dict[str, Any], key: str, default: float) -> float:
+    value = float(table.get(key, default))
+    if not 0.0 <= value < math.inf:
+        raise ValueError(f"{key} must not be negative")
+    return value
