--- a/tests/test_overload_quota.py
+++ b/tests/test_overload_quota.py
@@ -74,8 +74,8 @@
     rate_per_s = limit_per_node * count
     limit = QuotaLimit(rate_per_s, rate_per_s)
     sim = Simulation(count, limit, evenly(limit, count, factor))
-    if count == 30:
-        # The total of few nodes varies more.
+    if count == 30 and factor > 0.75:
+        # The total of few nodes varies more, and exceeds the rate for short times.
         max_refused *= 2.0
     sim.run(20.0)
     refused = sim.between(102.0, 120.0, sim.refused)
@@ -89,11 +89,10 @@
     [
         ("eight times the usual demand", hot, LARGE, 0.95),
         ("eight times the usual demand", hot, QuotaLimit(500.0, 500.0), 0.95),
-        ("eight times, without burst", hot, QuotaLimit(1000.0, 0.0), 0.9),
+        ("eight times, without burst", hot, QuotaLimit(1000.0, 0.0), 0.95),
         ("moves to one domain", moving, LARGE, 0.95),
-        # With a request per second and node, parts of slots stay unused.
-        ("moves to one domain", moving, QuotaLimit(300.0, 300.0), 0.8),
-        ("all clients at one node", on_one_node, LARGE, 0.93),
+        ("moves to one domain", moving, QuotaLimit(300.0, 300.0), 0.95),
+        ("all clients at one node", on_one_node, LARGE, 0.95),
     ],
 )
 def test_an_account_gets_its_limit_wherever_it_asks(
