Choose instances by expected completion where they report their work

Cause: requests per slot say nothing of cost and speed, so slow targets get as much work as fast ones.

Change: Balancer compares the expected completion at up to three random instances of a service whose nodes report start delay, room and slowness: the reported delay, requests sent since, and the expected work times the slowness and the pace of the target. Old reports give way to what is usual. Other services are placed as before.

--- a/src/briardock/overload/attempts.py
+++ b/src/briardock/overload/attempts.py
@@ -10,6 +10,7 @@
 
 from briardock.mesh.members import NodeRecord
 from briardock.overload.admission import OPEN_THRESHOLD
+from briardock.overload.cost import Kind
 from briardock.overload.placement import Balancer
 from briardock.overload.retries import RetryBudget
 
@@ -73,6 +74,7 @@
     :param service: service of the request
     :param idempotent: whether it may run more than once
     :param max_attempts: largest number of targets that may receive it
+    :param kind: what tells requests of different cost apart
     """
 
     def __init__(
@@ -82,6 +84,7 @@
         service: str,
         idempotent: bool,
         max_attempts: int,
+        kind: Kind | None = None,
     ) -> None:
         self.arrivals = 0
         self.may_have_run = False
@@ -90,6 +93,7 @@
         self._service = service
         self._idempotent = idempotent
         self._max_attempts = max_attempts
+        self.kind = kind
         self._tried_count = 0
         self._excluded: set[str] = set()
         self._busy: list[NodeRecord] = []
@@ -109,9 +113,11 @@
             tried = tried.union(record.node_id for record in busy)
         last_choice = busy if len(busy) >= MAX_HAND_ONS else None
         choose = self._balancer.choose
-        record = choose(self._service, tried, self._idempotent, now, last_choice)
+        kind = self.kind
+        record = choose(self._service, tried, self._idempotent, now, last_choice, kind)
         if record is None and busy:
-            record = choose(self._service, self._excluded, self._idempotent, now)
+            tried = self._excluded
+            record = choose(self._service, tried, self._idempotent, now, None, kind)
         return record
 
     def choose_again(self, now: float) -> NodeRecord | None:
@@ -119,7 +125,9 @@
 
         :param now: current time in s since boot
         """
-        return self._balancer.choose(self._service, set(), self._idempotent, now)
+        return self._balancer.choose(
+            self._service, set(), self._idempotent, now, None, self.kind
+        )
 
     @property
     def may_hand_on(self) -> bool:
--- a/src/briardock/overload/cost.py
+++ b/src/briardock/overload/cost.py
@@ -19,10 +19,16 @@
 BUCKETS_PER_OCTAVE = 2
 # Time constant with which samples are forgotten, s.
 FORGETTING_S = 60.0
+# Age of a weight of 1 from which all weights are reduced, so that they stay finite, s.
+MAX_WEIGHT_AGE_S = 20 * FORGETTING_S
 # Samples from which a kind of request is judged by its own distribution.
 MIN_SAMPLES = 8.0
+# Standard error up to which a mean is precise, as a share of it.
+MAX_MEAN_ERROR = 0.1
+# Relative variance up to which the work of a kind is regular.
+REGULAR_VARIANCE = 0.5
 # Samples after which the tail is computed again.
-TAILREFRESH_SAMPLES = 32
+TAIL_REFRESH_SAMPLES = 32
 # Largest numbers of kinds of requests and of routes.
 MAX_KINDS = 400
 MAX_ROUTES = 100
@@ -37,15 +43,6 @@
 READING_LIFETIME_S = 1.0
 # Weight of the newest reading in the usual slowness.
 READING_WEIGHT = 0.01
-# Ranges of occupancy for which the stretch of run times is learned, the weight of the
-# newest run in each, and the runs from which a range counts.
-OCCUPANCY_RANGES = 10
-STRETCH_WEIGHT = 0.05
-MIN_STRETCH_RUNS = 10
-# Ratio to the stretch at low occupancy from which a target is past its knee, and the
-# smallest share of slots that is used nevertheless.
-KNEE_RATIO = 1.4
-MIN_ROOM_SHARE = 0.5
 
 _VARIABLE = re.compile(rb"[0-9a-fA-F]{8,}|[0-9]+")
 
@@ -75,65 +72,68 @@
 
 
 class WorkDistribution:
-    """Decayed histogram of work on a logarithmic scale.
-
-    Instead of decaying all buckets, the weight of new samples grows with time.
-    """
-
-    __slots__ = ("_origin_s", "_pending", "_sum_s", "_sums_s", "_tail", "_weights")
+    """Histogram of work on a logarithmic scale; newer samples have more weight."""
+
+    __slots__ = (
+        "_pending",
+        "_square_sum_s2",
+        "_sum_s",
+        "_sums_s",
+        "_tail",
+        "_weights",
+        "weight",
+    )
 
     def __init__(self) -> None:
-        self._origin_s: float | None = None
+        # Sum of the weights of all samples.
+        self.weight = 0.0
         self._weights = [0.0] * BUCKETS
         self._sums_s = [0.0] * BUCKETS
-        self._sum_s = 0.0
+        self._sum_s = self._square_sum_s2 = 0.0
         self._pending = 0
         # Weight and work of the samples above each bucket, by bucket.
         self._tail: list[tuple[float, float]] | None = None
 
-    def record(self, work_s: float, now: float) -> None:
-        """Record a sample.
+    def add(self, work_s: float, bucket: int, weight: float) -> None:
+        """Add a sample.
 
         :param work_s: work of a request
-        :param now: current time in s since boot
+        :param bucket: bucket that it belongs to
+        :param weight: its weight
         """
-        if self._origin_s is None:
-            self._origin_s = now
-        elif now - self._origin_s > 20 * FORGETTING_S:
-            self._rebase(now)
-        weight = math.exp((now - self._origin_s) / FORGETTING_S)
-        bucket = _bucket(work_s)
+        weighted_s = weight * work_s
+        self.weight += weight
+        self._sum_s += weighted_s
+        self._square_sum_s2 += weighted_s * work_s
         self._weights[bucket] += weight
-        self._sums_s[bucket] += weight * work_s
-        self._sum_s += weight * work_s
+        self._sums_s[bucket] += weighted_s
         self._pending += 1
-        if self._pending >= TAILREFRESH_SAMPLES:
+        if self._pending >= TAIL_REFRESH_SAMPLES:
             self._tail = None
 
-    def _rebase(self, now: float) -> None:
-        assert self._origin_s is not None
-        decay = math.exp((self._origin_s - now) / FORGETTING_S)
-        self._weights = [decay * weight for weight in self._weights]
-        self._sums_s = [decay * sum_s for sum_s in self._sums_s]
-        self._sum_s = sum(self._sums_s)
-        self._origin_s = now
-        self._tail = None
-
-    def samples(self, now: float) -> float:
-        """Return the number of samples, less those that are forgotten.
+    def decay(self, factor: float) -> None:
+        """Reduce the weight of all samples.
 
-        :param now: current time in s since boot
+        :param factor: ratio to the present weight
         """
-        if self._origin_s is None:
-            return 0.0
-        age = math.exp((self._origin_s - now) / FORGETTING_S)
-        return sum(self._weights) * age
+        self._weights = [factor * weight for weight in self._weights]
+        self._sums_s = [factor * sum_s for sum_s in self._sums_s]
+        self.weight, self._sum_s = sum(self._weights), sum(self._sums_s)
+        self._square_sum_s2 *= factor
+        self._tail = None
 
     @property
     def mean_s(self) -> float:
         """Mean work."""
-        weight = sum(self._weights)
-        return self._sum_s / weight if weight else INITIAL_WORK_S
+        return self._sum_s / self.weight if self.weight else INITIAL_WORK_S
+
+    @property
+    def relative_variance(self) -> float:
+        """Variance divided by the square of the mean."""
+        if not self._sum_s:
+            return 0.0
+        ratio = self._square_sum_s2 * self.weight / (self._sum_s * self._sum_s)
+        return max(0.0, ratio - 1.0)
 
     def remaining_s(self, done_s: float) -> float:
         """Return the expected remaining work of a request that has not ended.
@@ -175,21 +175,39 @@
 
 
 @dataclass(slots=True)
-class _Known:
-    """Distribution of one kind or route, and its mean of some time ago."""
+class Known:
+    """What is known of the work of one kind or route.
+
+    :param distribution: its distribution
+    :param is_kind: whether it is of a kind rather than of a route
+    :param is_precise: whether its mean is hardly a matter of chance
+    :param is_regular: whether single requests are close to the mean
+    :param mean_s: its mean, as of the last refresh
+    :param is_sufficient: whether it had samples enough then
+    :param refreshed_s: time of the refresh
+    """
 
     distribution: WorkDistribution
-    is_sufficient: bool = False
+    is_kind: bool = False
+    is_precise: bool = False
+    is_regular: bool = False
     mean_s: float = INITIAL_WORK_S
+    is_sufficient: bool = False
     refreshed_s: float = -math.inf
 
 
 class CostTable:
-    """Expected work of requests by kind; the route answers for rare kinds."""
+    """Expected work of requests by kind; the route answers for rare kinds.
+
+    Instead of decaying old samples, the weight of new ones grows with time.
+    """
 
     def __init__(self) -> None:
-        self._kinds: OrderedDict[Kind, _Known] = OrderedDict()
-        self._routes: OrderedDict[str, _Known] = OrderedDict()
+        self._kinds: OrderedDict[Kind, Known] = OrderedDict()
+        self._routes: OrderedDict[str, Known] = OrderedDict()
+        # Time at which a sample has weight 1, present weight and time of it.
+        self._origin_s = self._weighed_s = -math.inf
+        self._weight = 1.0
 
     def __len__(self) -> int:
         return len(self._kinds)
@@ -201,9 +219,20 @@
         :param work_s: its work
         :param now: current time in s since boot
         """
-        route = _entry(self._routes, kind[0], MAX_ROUTES)
-        route.distribution.record(work_s, now)
-        _entry(self._kinds, kind, MAX_KINDS).distribution.record(work_s, now)
+        if now - self._weighed_s > REFRESH_S:
+            self._weigh(now)
+        bucket, weight = _bucket(work_s), self._weight
+        _entry(self._routes, kind[0], MAX_ROUTES).add(work_s, bucket, weight)
+        _entry(self._kinds, kind, MAX_KINDS).add(work_s, bucket, weight)
+
+    def _weigh(self, now: float) -> None:
+        if now - self._origin_s > MAX_WEIGHT_AGE_S:
+            factor = math.exp((self._origin_s - now) / FORGETTING_S)
+            for known in (*self._kinds.values(), *self._routes.values()):
+                known.distribution.decay(factor)
+            self._origin_s = now
+        self._weighed_s = now
+        self._weight = math.exp((now - self._origin_s) / FORGETTING_S)
 
     def expected_s(self, kind: Kind, now: float) -> float:
         """Return the expected work of a request.
@@ -211,50 +240,52 @@
         :param kind: what tells it apart
         :param now: current time in s since boot
         """
-        known = self._known(kind, now)
-        return known.mean_s if known is not None else INITIAL_WORK_S
+        return self.lookup(kind, now).mean_s
 
-    def distribution(self, kind: Kind, now: float) -> WorkDistribution:
-        """Return the distribution of the work of a request.
+    def lookup(self, kind: Kind, now: float) -> Known:
+        """Return what is known of the work of a request.
 
         :param kind: what tells it apart
         :param now: current time in s since boot
         """
-        known = self._known(kind, now)
-        return known.distribution if known is not None else _UNKNOWN
-
-    def _known(self, kind: Kind, now: float) -> _Known | None:
         known = self._kinds.get(kind)
         if known is not None:
-            _refresh(known, now)
+            if now - known.refreshed_s > REFRESH_S:
+                self._refresh(known, now)
             if known.is_sufficient:
                 return known
         route = self._routes.get(kind[0])
-        if route is not None:
-            _refresh(route, now)
+        if route is None:
+            return _UNKNOWN
+        if now - route.refreshed_s > REFRESH_S:
+            self._refresh(route, now)
         return route
 
-
-_UNKNOWN = WorkDistribution()
+    def _refresh(self, known: Known, now: float) -> None:
+        self._weigh(now)
+        known.refreshed_s = now
+        known.mean_s = known.distribution.mean_s
+        samples = known.distribution.weight / self._weight
+        known.is_sufficient = samples >= MIN_SAMPLES
+        known.is_precise = known.is_kind and known.is_sufficient
+        if known.is_precise:
+            variance = known.distribution.relative_variance
+            known.is_precise = variance < MAX_MEAN_ERROR * MAX_MEAN_ERROR * samples
+            known.is_regular = variance < REGULAR_VARIANCE
 
 
-def _refresh(known: _Known, now: float) -> None:
-    if now - known.refreshed_s < REFRESH_S:
-        return
-    known.refreshed_s = now
-    known.mean_s = known.distribution.mean_s
-    known.is_sufficient = known.distribution.samples(now) >= MIN_SAMPLES
+_UNKNOWN = Known(WorkDistribution())
 
 
-def _entry(table: OrderedDict[K, _Known], key: K, limit: int) -> _Known:
+def _entry(table: OrderedDict[K, Known], key: K, limit: int) -> WorkDistribution:
     known = table.get(key)
     if known is None:
-        known = table[key] = _Known(WorkDistribution())
+        known = table[key] = Known(WorkDistribution(), isinstance(key, tuple))
         if len(table) > limit:
             table.popitem(last=False)
     else:
         table.move_to_end(key)
-    return known
+    return known.distribution
 
 
 class WorkClock:
@@ -360,33 +391,3 @@
             distribution.remaining_s(work_s - started)
             for distribution, started in self._running.values()
         ]
-
-
-class KneeMeter:
-    """Occupancy from which a target runs all its requests more slowly."""
-
-    def __init__(self) -> None:
-        self._stretch = [1.0] * (OCCUPANCY_RANGES + 1)
-        self._runs = [0] * (OCCUPANCY_RANGES + 1)
-
-    def record_run(self, occupancy: float, stretch: float) -> None:
-        """Record a run that has ended.
-
-        :param occupancy: share of the slots that were busy
-        :param stretch: its run time divided by the expected work
-        """
-        index = min(OCCUPANCY_RANGES, int(occupancy * OCCUPANCY_RANGES))
-        self._runs[index] += 1
-        weight = max(STRETCH_WEIGHT, 1.0 / self._runs[index])
-        self._stretch[index] += weight * (stretch - self._stretch[index])
-
-    def room_share(self) -> float:
-        """Return the share of the slots up to which run times are as usual."""
-        lower: list[float] = []
-        for index, runs in enumerate(self._runs):
-            if runs < MIN_STRETCH_RUNS:
-                continue
-            if lower and self._stretch[index] > KNEE_RATIO * sum(lower) / len(lower):
-                return max(MIN_ROOM_SHARE, index / OCCUPANCY_RANGES)
-            lower.append(self._stretch[index])
-        return 1.0
--- a/src/briardock/overload/placement.py
+++ b/src/briardock/overload/placement.py
@@ -3,14 +3,18 @@
 Load patterns: many nodes of which each sends few requests to each instance, so that
 their own observations are sparse, while some instances are slow, fail or are full
 (``tests/test_overload_placement.py``). The choice combines what this node observed
-with the run time that the node beside an instance publishes.
+with the run time that the node beside an instance publishes. For services whose targets
+state how slow they are, it is made by expected completion (``completion``).
 """
 
 import random
-from dataclasses import dataclass
 from statistics import median
 
 from briardock.mesh.members import MemberTable, NodeRecord
+from briardock.overload.completion import Estimator, ServiceWork
+from briardock.overload.cost import Kind
+from briardock.overload.instance_stats import InstanceStats as InstanceStats
+from briardock.overload.target_work import WorkReport
 
 # Load of the local failure domain above which other domains are considered.
 SPILLOVER_LOAD = 0.6
@@ -19,75 +23,16 @@
 SPILLOVER_MARGIN = 0.05
 # Number of instances above which only two random ones are compared.
 MAX_COMPARED_INSTANCES = 4
+# Number of instances compared by expected completion.
+SAMPLED_BY_COMPLETION = 3
 # Shortest and longest ejection of an unreachable node, s.
 MIN_EJECTION_S = 0.3
 MAX_EJECTION_S = 4.0
-# Time without a response after which a node with requests in flight is suspect: the
-# minimum in s, and the multiple of its mean response time.
-MIN_SILENCE_S = 0.5
-SILENCE_RESPONSE_TIME_FACTOR = 4.0
-# Load added to an instance whose responses are all failures.
-FAILURE_LOAD_PENALTY = 2.0
 # Ratio of an instance's run time to the median of its service from which it counts as
 # slow. Instances of one service differ by up to three times in normal operation.
 SLOW_RATIO = 3.0
 # Weight of the newest observation in the moving averages.
 AVERAGE_WEIGHT = 0.1
-# Age up to which a reported load is used, s.
-LOAD_REPORT_LIFETIME_S = 2.0
-
-
-@dataclass(slots=True)
-class InstanceStats:
-    """Observations of one instance.
-
-    :param in_flight: requests in flight from this node
-    :param reported_in_flight: requests running and queued there, from all nodes
-    :param in_flight_at_report: requests in flight from this node at the report
-    :param reported_s: time of the report
-    :param last_response_s: time of the last response, or of the first request sent
-        since none was in flight
-    :param mean_response_s: moving average of the response time
-    :param failure_ratio: moving average of the share of failed responses
-    :param failures: connection failures since the last response
-    :param ejected_until_s: end of its ejection
-    """
-
-    in_flight: int = 0
-    reported_in_flight: int = 0
-    in_flight_at_report: int = 0
-    reported_s: float = 0.0
-    last_response_s: float = 0.0
-    mean_response_s: float = 0.1
-    failure_ratio: float = 0.0
-    failures: int = 0
-    ejected_until_s: float = 0.0
-
-    def load(self, slots: int, slowness: float, now: float) -> float:
-        """Return the estimated load, in requests per slot, with one more request.
-
-        :param slots: slots of the instance
-        :param slowness: factor by which it is slower than others, 1 if it is not
-        :param now: current time in s since boot
-        """
-        total = self.in_flight
-        if now - self.reported_s < LOAD_REPORT_LIFETIME_S:
-            change = self.in_flight - self.in_flight_at_report
-            total = max(total, self.reported_in_flight + change)
-        load = (total + 1) / max(1, slots) * slowness
-        return load + FAILURE_LOAD_PENALTY * self.failure_ratio
-
-    def is_suspect(self, now: float) -> bool:
-        """Return whether the instance may be unreachable.
-
-        :param now: current time in s since boot
-        """
-        if self.failures:
-            return True
-        limit_s = max(
-            MIN_SILENCE_S, SILENCE_RESPONSE_TIME_FACTOR * self.mean_response_s
-        )
-        return self.in_flight > 0 and now - self.last_response_s > limit_s
 
 
 class Balancer:
@@ -112,6 +57,8 @@
         # ones only.
         self._slowness: dict[str, float] = {}
         self._generation = -1
+        # Services whose instances report their work.
+        self._work: dict[str, ServiceWork] = {}
 
     def stats(self, node_id: str) -> InstanceStats:
         """Return the observations of an instance.
@@ -130,6 +77,7 @@
         idempotent: bool,
         now: float,
         busy: list[NodeRecord] | None = None,
+        kind: Kind | None = None,
     ) -> NodeRecord | None:
         """Return the instance for a request, or ``None``.
 
@@ -139,14 +87,17 @@
         :param now: current time in s since boot
         :param busy: instances that had no free slot for the request; one of them is
             chosen if the other choice is more loaded
+        :param kind: what tells requests of different cost apart
         """
+        work = self._work.get(service)
+        estimator = work.estimator(kind, now) if work is not None else None
         probe = self._choose_probe(service, excluded, now) if idempotent else None
         if probe is not None:
             return probe
-        sampled = self._choose_sampled(service, excluded, now)
+        sampled = self._choose_sampled(service, excluded, now, estimator)
         if busy:
             compared = busy if sampled is None else [*busy, sampled]
-            least_loaded = self._least_loaded(compared, set(), now)
+            least_loaded = self._least_loaded(compared, set(), now, estimator)
             sampled = least_loaded[1] if least_loaded else sampled
         return sampled or self._choose_fallback(service, excluded, now)
 
@@ -175,7 +126,11 @@
         return self._rng.choice(probeable) if probeable else None
 
     def _choose_sampled(
-        self, service: str, excluded: set[str], now: float
+        self,
+        service: str,
+        excluded: set[str],
+        now: float,
+        estimator: Estimator | None,
     ) -> NodeRecord | None:
         """Return the better of a few instances, or ``None`` if none is usable.
 
@@ -183,14 +138,19 @@
         rest of its handling.
         """
         local, remote = self._candidates_by_domain(service)
-        best_local = self._least_loaded(self._sample(local), excluded, now)
-        if best_local is not None and best_local[0] < SPILLOVER_LOAD:
+        spillover = SPILLOVER_LOAD if estimator is None else estimator.spillover
+        sample = self._sample if estimator is None else self._sample_by_completion
+        best_local = self._least_loaded(sample(local), excluded, now, estimator)
+        if best_local is not None and best_local[0] < spillover:
             return best_local[1]
-        best_remote = self._least_loaded(self._sample(remote), excluded, now)
+        best_remote = self._least_loaded(sample(remote), excluded, now, estimator)
         if best_local is None:
             # Other instances of the local domain are preferred to remote ones.
             return best_remote[1] if best_remote and not local else None
-        if best_remote is None or best_remote[0] + SPILLOVER_MARGIN >= best_local[0]:
+        margin = SPILLOVER_MARGIN
+        if estimator is not None:
+            margin = estimator.margin(best_local[0])
+        if best_remote is None or best_remote[0] + margin >= best_local[0]:
             return best_local[1]
         return best_remote[1]
 
@@ -226,6 +186,16 @@
             records[second_index + (second_index >= first_index)],
         ]
 
+    def _sample_by_completion(self, records: list[NodeRecord]) -> list[NodeRecord]:
+        """Return a few random records, so that senders choose different ones."""
+        count = len(records)
+        if count <= SAMPLED_BY_COMPLETION:
+            return records
+        random_float = self._rng.random
+        step = 1 + int(random_float() * (count - 1))
+        first, other = int(random_float() * count), int(random_float() * count)
+        return [records[first], records[(first + step) % count], records[other]]
+
     def _choose_fallback(
         self, service: str, excluded: set[str], now: float
     ) -> NodeRecord | None:
@@ -256,6 +226,7 @@
         records: list[NodeRecord],
         excluded: set[str],
         now: float,
+        estimator: Estimator | None = None,
         include_suspects: bool = False,
     ) -> tuple[float, NodeRecord] | None:
         best: tuple[float, NodeRecord] | None = None
@@ -265,8 +236,11 @@
             stats = self.stats(record.node_id)
             if not include_suspects and stats.is_suspect(now):
                 continue
-            slowness = self._slowness.get(record.node_id, 1.0)
-            load = stats.load(record.slots, slowness, now)
+            if estimator is not None:
+                load = estimator.load(record, stats)
+            else:
+                slowness = self._slowness.get(record.node_id, 1.0)
+                load = stats.load(record.slots, slowness, now)
             if best is None or load < best[0]:
                 best = (load, record)
         return best
@@ -318,6 +292,28 @@
         )
         stats.failure_ratio += AVERAGE_WEIGHT * (failed - stats.failure_ratio)
 
+    def uses_work(self, service: str) -> bool:
+        """Return whether instances of a service report their work.
+
+        :param service: name of the service
+        """
+        return service in self._work
+
+    def record_work(
+        self, record: NodeRecord, report: WorkReport, kind: Kind | None, now: float
+    ) -> None:
+        """Record the work that a response reports; call it after the response.
+
+        :param record: instance that responded
+        :param report: work at its target
+        :param kind: kind of the request
+        :param now: current time in s since boot
+        """
+        work = self._work.get(record.service)
+        if work is None:
+            work = self._work[record.service] = ServiceWork()
+        work.learn(record, self.stats(record.node_id), report, kind, now)
+
     def record_lost_connection(self, node_id: str) -> None:
         """Suspect an instance until it responds on another connection.
 
@@ -368,6 +364,8 @@
         """
         previous = self._stats.pop(node_id, None)
         self._failing.discard(node_id)
+        for work in self._work.values():
+            work.forget(node_id)
         if previous is not None:
             self._stats[node_id] = InstanceStats(
                 in_flight=previous.in_flight, last_response_s=now
--- a/tests/test_overload_cost.py
+++ b/tests/test_overload_cost.py
@@ -7,12 +7,11 @@
 from briardock.overload import cost
 from briardock.overload.cost import (
     CostTable,
-    KneeMeter,
     RemainingWork,
     WorkClock,
-    WorkDistribution,
     request_kind,
 )
+from briardock.overload.knee import MIN_ROOM_SHARE, KneeMeter
 from briardock.overload.target_work import RunWork, TargetWork
 
 
@@ -100,12 +99,12 @@
     done_s: float, low_s: float, high_s: float
 ) -> None:
     """Nine of ten requests take 0.1 s, one takes ten times as long."""
-    distribution = WorkDistribution()
+    table = CostTable()
     rng = random.Random(1)
     for number in range(1000):
         work_s = (0.1 if number % 10 else 1.0) * rng.uniform(0.9, 1.1)
-        distribution.record(work_s, number * 0.01)
-    expected_s = distribution.remaining_s(done_s)
+        table.record(LIGHT, work_s, number * 0.01)
+    expected_s = table.lookup(LIGHT, 10.0).distribution.remaining_s(done_s)
     assert low_s < expected_s < high_s
 
 
@@ -116,7 +115,8 @@
     work.read(1.0, 100.0)
     work.start(1, LIGHT, 1, 8, 100.0)
     work.read(slowness, 100.2)
-    run = work.end(1, True, 100.2 + 0.3 * slowness)
+    ended_s = 100.2 + 0.3 * slowness
+    run = work.record(work.end(1, ended_s), ended_s)
     assert run is not None
     assert run.work_s == pytest.approx(0.5)
 
@@ -133,10 +133,11 @@
 
 
 def test_a_start_is_expected_once_the_first_of_the_running_requests_ends() -> None:
-    distribution = WorkDistribution()
+    table = CostTable()
     rng = random.Random(1)
     for number in range(1000):
-        distribution.record(rng.expovariate(10.0), number * 0.01)
+        table.record(LIGHT, rng.expovariate(10.0), number * 0.01)
+    distribution = table.lookup(LIGHT, 10.0).distribution
     remaining = RemainingWork()
     for key in range(4):
         remaining.start(key, distribution, 0.0)
@@ -153,7 +154,7 @@
 
 
 @pytest.mark.parametrize(
-    ("knee", "room_share"), [(2.0, 1.0), (0.8, 0.8), (0.2, cost.MIN_ROOM_SHARE)]
+    ("knee", "room_share"), [(2.0, 1.0), (0.8, 0.8), (0.2, MIN_ROOM_SHARE)]
 )
 def test_the_knee_is_learned_from_run_times(knee: float, room_share: float) -> None:
     meter = KneeMeter()
@@ -162,7 +163,7 @@
         occupancy = rng.randint(1, 20) / 20
         stretch = rng.lognormvariate(0.0, 0.3) * (2.5 if occupancy >= knee else 1.0)
         meter.record_run(occupancy, stretch)
-    assert meter.room_share() == room_share
+    assert meter.room_share == room_share
 
 
 def test_requests_that_fail_leave_no_work_behind() -> None:
@@ -171,8 +172,9 @@
     work.read(1.0, 100.0)
     for key in range(8):
         work.start(key, LIGHT, key + 1, 8, 100.0)
-        assert work.end(key, False, 100.5) is None
-    assert work.end(99, True, 100.5) is None
+        work.end(key, 100.5)
+    assert work.end(99, 100.5) is None
     assert work.report(8, 7, 0, 100.5, None).start_delay_s == 0.0
     work.start(1, LIGHT, 1, 8, 101.0)
-    assert work.end(1, True, 101.2) == RunWork(pytest.approx(0.2), pytest.approx(0.2))
+    run_work = work.record(work.end(1, 101.2), 101.2)
+    assert run_work == RunWork(pytest.approx(0.2), 0.0)
