Measure work beside targets that state how slow they are, and report it

Cause: the placement by expected completion needs start delay, room and slowness of the targets, which only the node beside each of them knows.

Change: the fourth figure of the load header of a response becomes the slowness; the node then measures the work of runs and adds it to responses between nodes, as a further result header before the one that nodes of the earlier release read. Malformed headers are ignored on both ways. Events work-measured and placement-by-completion, the counter briardock_work_reports and three gauges show it.

--- a/src/briardock/mesh/calls.py
+++ b/src/briardock/mesh/calls.py
@@ -10,10 +10,16 @@
 from briardock.mesh.http_client import ClientConnection
 from briardock.mesh.model import Headers
 from briardock.overload.chain import ChainThreshold, InstanceThresholds
+from briardock.overload.cost import MAX_SEGMENT_BYTES, Kind, request_kind
+from briardock.overload.target_work import RunWork, WorkReport
 from briardock.overload.waiting import Waiting
 
 CALL_HEADER = b"briardock-call"
 RESULT_HEADER = b"briardock-result"
+# Outcome that marks a preceding header of the same name, with the work of the target.
+# Nodes of earlier releases read only the last header of this name.
+WORK = b"work"
+MAX_WORK_BYTES = 100
 # Headers that nodes add to messages between them. They add no others, so hop-by-hop
 # headers (RFC 9110) need not be looked up here.
 INTERNODE_HEADERS = frozenset(
@@ -45,6 +51,7 @@
     :param may_hand_on: whether the sender would rather choose another instance than
         let it wait for a slot
     :param connection: connection on which it was sent from this node
+    :param run_work: its work, once it has run here and if it was measured
     """
 
     method: bytes
@@ -61,12 +68,20 @@
     expires_s: float
     may_hand_on: bool = False
     connection: ClientConnection | None = None
+    run_work: RunWork | None = None
 
     @property
     def has_response(self) -> bool:
         """Whether its response was read, although its task may not have resumed."""
         return self.connection is not None and self.connection.has_response
 
+    @property
+    def kind(self) -> Kind:
+        """What tells it apart from calls of other cost."""
+        segment = self.target.split(b"/", 2)[1:2]
+        route = segment[0][:MAX_SEGMENT_BYTES].decode("latin-1") if segment else ""
+        return request_kind(route, self.target, len(self.body))
+
     @property
     def waiting(self) -> Waiting:
         """What decides how it waits for a slot."""
@@ -81,10 +96,12 @@
 
     :param in_flight: requests running and queued
     :param thresholds: admission thresholds of the instance and its chain
+    :param work: work at the target, if it states how slow it is
     """
 
     in_flight: int
     thresholds: InstanceThresholds
+    work: WorkReport | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -148,16 +165,16 @@
     return encode_request(call.method, call.target, headers, call.body)
 
 
-def _split_headers(headers: Headers, name: bytes) -> tuple[bytes | None, Headers]:
-    """Return the value of a header between nodes, and the end-to-end headers."""
-    value = None
+def _split_headers(headers: Headers, name: bytes) -> tuple[list[bytes], Headers]:
+    """Return the values of a header between nodes, and the end-to-end headers."""
+    values = []
     forwarded = []
     for header in headers:
         if header[0] not in INTERNODE_HEADERS:
             forwarded.append(header)
         elif header[0] == name:
-            value = header[1]
-    return value, forwarded
+            values.append(header[1])
+    return values, forwarded
 
 
 def decode_call(request: Request) -> Call | None:
@@ -165,10 +182,10 @@
 
     :param request: request on the address for peers
     """
-    info, headers = _split_headers(request.headers, CALL_HEADER)
-    if info is None:
+    values, headers = _split_headers(request.headers, CALL_HEADER)
+    if not values:
         return None
-    parts = info.decode("latin-1").split(";", 7)
+    parts = values[-1].decode("latin-1").split(";", 7)
     if len(parts) != 8:
         return None
     service, target_id, caller_service, idempotent = parts[:4]
@@ -207,17 +224,48 @@
         for service, reported in load.thresholds.chain.items()
     )
     load_fields = f"{load.in_flight};{load.thresholds.instance:.3f};{chain}"
+    work = [(RESULT_HEADER, _encode_work(load.work))] if load.work is not None else []
     match result:
         case Completed(response):
             info = f"completed;;{load_fields}"
-            headers = [*response.headers, (RESULT_HEADER, info.encode())]
+            headers = [*response.headers, *work, (RESULT_HEADER, info.encode())]
             return Response(response.status, headers, response.body)
         case NotRun(reason, arrived, busy):
             outcome = "busy" if busy else "rejected" if arrived else "not-run"
             info = f"{outcome};{reason};{load_fields}"
         case Unknown(reason):
             info = f"unknown;{reason};{load_fields}"
-    return Response(502, [(RESULT_HEADER, info.encode())])
+    return Response(502, [*work, (RESULT_HEADER, info.encode())])
+
+
+def _encode_work(work: WorkReport) -> bytes:
+    run = work.run or RunWork(0.0, 0.0)
+    return b"work;%d;%d;%d;%d;%d" % (
+        work.start_delay_s * 1e6,
+        work.room,
+        work.slowness * 100,
+        run.work_s * 1e6,
+        run.expected_s * 1e6,
+    )
+
+
+def _decode_work(values: list[bytes]) -> WorkReport | None:
+    """Return the work in the last header but one, ``None`` without a valid one."""
+    if len(values) < 2 or len(values[-2]) > MAX_WORK_BYTES:
+        return None
+    parts = values[-2].split(b";")
+    if len(parts) != 6 or parts[0] != WORK:
+        return None
+    try:
+        delay_us, room, slowness_percent, work_us, expected_us = map(int, parts[1:])
+    except ValueError:
+        return None
+    if delay_us < 0 or slowness_percent <= 0:
+        return None
+    run = None
+    if work_us > 0 and expected_us >= 0:
+        run = RunWork(work_us / 1e6, expected_us / 1e6)
+    return WorkReport(delay_us / 1e6, room, slowness_percent / 100, run)
 
 
 def _decode_chain(text: str) -> dict[str, ChainThreshold]:
@@ -234,14 +282,14 @@
 
     :param response: response on a connection to a node
     """
-    info, headers = _split_headers(response.headers, RESULT_HEADER)
-    parts = info.decode("latin-1").split(";") if info is not None else []
+    values, headers = _split_headers(response.headers, RESULT_HEADER)
+    parts = values[-1].decode("latin-1").split(";") if values else []
     if len(parts) != 5:
         return Unknown("response of no node"), None
     outcome, reason, in_flight, instance, chain = parts
     try:
         thresholds = InstanceThresholds(float(instance), _decode_chain(chain))
-        load = LoadReport(int(in_flight), thresholds)
+        load = LoadReport(int(in_flight), thresholds, _decode_work(values))
     except ValueError:
         return Unknown("malformed load report"), None
     match outcome:
--- a/src/briardock/mesh/forwarder.py
+++ b/src/briardock/mesh/forwarder.py
@@ -45,6 +45,7 @@
     InstanceThresholds,
     LearnedThresholds,
 )
+from briardock.overload.cost import request_kind
 from briardock.overload.entry import Admitted, EntryAdmission, EntryRequest, TurnedAway
 from briardock.overload.placement import Balancer
 from briardock.overload.retries import RetryBudget
@@ -226,6 +227,9 @@
         deadline_s = DEFAULT_DEADLINE_S if head.deadline_s is None else head.deadline_s
         timeout_limit_s = min(deadline_s, route.timeout_s)
         service = self.routes.pick_service(route)
+        kind = None
+        if self._balancer.uses_work(service):
+            kind = request_kind(route.name, request.target, len(request.body))
         state = RequestState(
             head,
             route,
@@ -240,6 +244,7 @@
                 service,
                 route.idempotent,
                 route.max_attempts,
+                kind,
             ),
         )
         if not state.from_target and head.deadline_s is not None:
@@ -490,7 +495,10 @@
                 result = await self._target.run(call)
                 state.unresolved = False
                 thresholds = self.thresholds(call.from_caller)
-                load: LoadReport | None = LoadReport(self._target.in_flight, thresholds)
+                work = self._target.work_report(call)
+                load: LoadReport | None = LoadReport(
+                    self._target.in_flight, thresholds, work
+                )
             else:
                 result, load = await self._send_to_peer(call, record, state)
         finally:
@@ -517,6 +525,11 @@
             self._balancer.record_response(
                 node_id, now - started_s, load.in_flight, failed, now
             )
+        if load.work is not None:
+            self._telemetry.work_reports.inc()
+            if not self._balancer.uses_work(state.service):
+                self._log.event("placement-by-completion", service=state.service)
+            self._balancer.record_work(record, load.work, state.attempts.kind, now)
         self._learned_thresholds.learn(
             state.service, node_id, load.thresholds, self.max_threshold, now
         )
--- a/src/briardock/mesh/model.py
+++ b/src/briardock/mesh/model.py
@@ -143,12 +143,15 @@
     :param not_run: whether the target states that it did not run the request
     :param wrong_target: whether another target uses the address
     :param idle_timeout_s: time after which the target closes the connection
+    :param slowness: ratio of the run time of work to the usual one, as the target
+        states it
     """
 
     complete_success: bool
     not_run: bool
     wrong_target: bool
     idle_timeout_s: float | None
+    slowness: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/briardock/mesh/node.py
+++ b/src/briardock/mesh/node.py
@@ -299,7 +299,9 @@
             result = NotRun("node is stopping")
         self.telemetry.target_latency.observe(now_s() - started_s)
         thresholds = self.forwarder.thresholds(call.from_caller)
-        return encode_result(result, LoadReport(self.target.in_flight, thresholds))
+        work = self.target.work_report(call)
+        load = LoadReport(self.target.in_flight, thresholds, work)
+        return encode_result(result, load)
 
     async def _handle_ready(self, request: Request) -> Response:
         ready = self.forwarder.routes is not None and not self._stopping.is_set()
@@ -341,6 +343,11 @@
         self.telemetry.queued.set(self.target.queued)
         self.telemetry.admission_threshold.set(self.target.threshold(False))
         self.telemetry.store_era.set(self.replicator.store_era)
+        work = self.target.work_report()
+        if work is not None:
+            self.telemetry.target_slowness.set(work.slowness)
+            self.telemetry.target_room.set(work.room)
+            self.telemetry.target_delay.set(work.start_delay_s)
         return Response(
             200, [(b"content-type", b"text/plain")], self.telemetry.render()
         )
--- a/src/briardock/mesh/target.py
+++ b/src/briardock/mesh/target.py
@@ -21,6 +21,7 @@
 from briardock.mesh.recent_ids import RecentIds
 from briardock.overload.admission import TargetThreshold, Usage
 from briardock.overload.speed import LongestRun, SpeedMeter
+from briardock.overload.target_work import TargetWork, WorkReport
 from briardock.overload.waiting import (
     WaitingQueue,
     latest_start_s,
@@ -98,6 +99,7 @@
         self._speed = SpeedMeter()
         self._longest_run = LongestRun()
         self._run_starts_s: dict[int, float] = {}
+        self._work = TargetWork()
         self._counts_changed_s = self._usage_updated_s = now_s()
         self._sent_ids = RecentIds()
         self._tasks: set[asyncio.Task[Result]] = set()
@@ -305,6 +307,8 @@
         slot_future: asyncio.Future[bool] = self._loop.create_future()
         self._queue.push(waiting, slot_future)
         self._adjust_counts(queued=1)
+        if self._work.is_measured:
+            self._work.wait(id(call), call.kind, now_s())
         has_slot = False
         try:
             with Deadline(self._loop, latest_start_s(waiting, service_time_s, now_s())):
@@ -313,6 +317,7 @@
             return NotRun("too late to run")
         finally:
             self._adjust_counts(queued=-1)
+            self._work.end(id(call), now_s())
             if (
                 slot_future.done()
                 and not slot_future.cancelled()
@@ -370,6 +375,8 @@
         data = encode_request(call.method, call.target, headers, call.body)
         started_s = now_s()
         self._run_starts_s[id(call)] = started_s
+        if self._work.is_measured:
+            self._work.start(id(call), call.kind, self.running, self.slots, started_s)
         call.connection = connection
         try:
             response = await connection.exchange(
@@ -380,6 +387,7 @@
             )
         finally:
             del self._run_starts_s[id(call)]
+            run = self._work.end(id(call), now_s())
         if isinstance(response, ExchangeFailure):
             if not response.sent:
                 return NotRun(response.reason)
@@ -388,6 +396,10 @@
             self._crash_suspects.record_loss(call)
             return Unknown(f"target: {response.reason}")
         decoded = self._dialect.decode_target_response(response)
+        if decoded.slowness is not None:
+            if not self._work.is_measured:
+                self._log.event("work-measured", target=self.target_id)
+            self._work.read(decoded.slowness, now_s())
         if not decoded.not_run:
             # A rejection takes almost no time. Counted as service time, it would
             # overestimate the capacity of a target that rejects many requests.
@@ -395,6 +407,7 @@
                 now_s() - started_s - self._service_time_s
             )
             if response.status < 500:
+                call.run_work = self._work.record(run, now_s())
                 self._speed.record_run(now_s() - started_s, now_s())
                 self._longest_run.record_run(now_s() - started_s, now_s())
         if decoded.idle_timeout_s is not None:
@@ -441,6 +454,21 @@
         """Mean run time of requests, as it is published."""
         return self._speed.published_s
 
+    def work_report(self, call: Call | None = None) -> WorkReport | None:
+        """Return the work at the target, ``None`` if it is not known.
+
+        :param call: call whose result it accompanies
+        """
+        if not self._work.is_measured:
+            return None
+        return self._work.report(
+            self.slots,
+            self.concurrency_limit,
+            self.in_flight,
+            now_s(),
+            call.run_work if call is not None else None,
+        )
+
     @property
     def longest_run_s(self) -> float:
         """Longest run time of the last seconds, 0 if it is not known."""
--- a/src/briardock/mesh/telemetry.py
+++ b/src/briardock/mesh/telemetry.py
@@ -47,6 +47,26 @@
             "Requests that wait for a slot of the target",
             registry=self.registry,
         )
+        self.work_reports = Counter(
+            "briardock_work_reports",
+            "Responses that reported the work at their target",
+            registry=self.registry,
+        )
+        self.target_slowness = Gauge(
+            "briardock_target_slowness",
+            "Ratio of run times at the target to the usual ones, 0 if unknown",
+            registry=self.registry,
+        )
+        self.target_room = Gauge(
+            "briardock_target_room",
+            "Requests that the target can start without a wait or a slowdown",
+            registry=self.registry,
+        )
+        self.target_delay = Gauge(
+            "briardock_target_start_delay_seconds",
+            "Expected time until the target would start one more request",
+            registry=self.registry,
+        )
         self.admission_threshold = Gauge(
             "briardock_admission_level",
             "Level above which entries refuse requests for the target",
--- a/src/briardock/platform/_dialect.py
+++ b/src/briardock/platform/_dialect.py
@@ -27,10 +27,13 @@
 CALLER = b"caller-service"
 RETRY_AFTER = b"retry-after"
 INSTANCE_ID = b"instance-id"
+SERVER_LOAD = b"server-load"
 HEADERS_SET_BY_NODES = frozenset({DEADLINE, EXPECTED_TARGET, CALLER})
 
 _ANNOUNCEMENT = re.compile(rb"^/instances/([^/?]+)/(heartbeat|deregister)$")
 _DURATION = re.compile(r"^(\d+(?:\.\d+)?)(ms|s)$")
+# Running, waiting, slots and the time that work takes in hundredths of the usual one.
+_SERVER_LOAD = re.compile(rb"\d{1,9},\d{1,9},\d{1,9},(\d{1,6})")
 _KEEP_ALIVE = re.compile(rb"timeout=(\d+)")
 
 
@@ -173,6 +176,7 @@
             not_run=NOT_RUN in headers or wrong_target,
             wrong_target=wrong_target,
             idle_timeout_s=float(keep_alive[1]) if keep_alive else None,
+            slowness=_decode_slowness(headers.get(SERVER_LOAD)),
         )
 
     def decode_health(self, response: Response) -> str:
@@ -262,6 +266,12 @@
     )
 
 
+def _decode_slowness(load: bytes | None) -> float | None:
+    """Return how slow a target states that it is, ``None`` if it does not."""
+    matched = _SERVER_LOAD.fullmatch(load.replace(b" ", b"")) if load else None
+    return int(matched[1]) / 100 or None if matched else None
+
+
 def _find_header(headers: Headers, name: bytes) -> bytes | None:
     for key, value in headers:
         if key == name:
--- a/tests/test_mesh_calls.py
+++ b/tests/test_mesh_calls.py
@@ -6,6 +6,7 @@
 import pytest
 
 from briardock.mesh.calls import (
+    RESULT_HEADER,
     Completed,
     LoadReport,
     NotRun,
@@ -17,6 +18,7 @@
 )
 from briardock.mesh.http1 import Request, Response
 from briardock.overload.chain import ChainThreshold, InstanceThresholds
+from briardock.overload.target_work import RunWork, WorkReport
 from mesh_builders import make_call
 
 
@@ -64,5 +66,48 @@
     assert decode_result(response) == (result, load)
 
 
+WORK = WorkReport(0.0125, -3, 2.5, RunWork(0.05, 0.04))
+
+
+@pytest.mark.parametrize("work", [WORK, WorkReport(0.0, 5, 1.0, None)])
+@pytest.mark.parametrize(
+    "result",
+    [Completed(Response(200, [(b"a", b"1")], b"b")), NotRun("full", busy=True)],
+)
+def test_work_is_unchanged_by_encoding_and_decoding(
+    result: Completed | NotRun, work: WorkReport
+) -> None:
+    load = LoadReport(7, InstanceThresholds(1.5, {}), work)
+    assert decode_result(encode_result(result, load)) == (result, load)
+
+
+def test_a_node_of_the_earlier_release_reads_results_with_work() -> None:
+    """It takes the last of the headers between nodes and drops all of that name."""
+    load = LoadReport(7, InstanceThresholds(1.5, {}), WORK)
+    response = encode_result(Completed(Response(200)), load)
+    plain = encode_result(Completed(Response(200)), replace(load, work=None))
+    assert {name for name, _ in response.headers} == {RESULT_HEADER}
+    assert response.headers[-1:] == plain.headers
+
+
+@pytest.mark.parametrize(
+    "work",
+    [
+        b"work;1;2;3",
+        b"work;-1;2;100;0;0",
+        b"work;1;2;0;0;0",
+        b"work;1;x;100;0;0",
+        b"work;" + b"9" * 400 + b";2;100;0;0",
+        b"other;1;2;100;0;0",
+    ],
+)
+def test_malformed_work_is_ignored(work: bytes) -> None:
+    """The result itself is still valid."""
+    load = LoadReport(7, InstanceThresholds(1.5, {}))
+    response = encode_result(Completed(Response(200)), load)
+    response.headers.insert(0, (RESULT_HEADER, work))
+    assert decode_result(response) == (Completed(Response(200)), load)
+
+
 def test_response_without_a_result_is_unknown() -> None:
     assert decode_result(Response(503)) == (Unknown("response of no node"), None)
--- a/tests/test_mesh_path.py
+++ b/tests/test_mesh_path.py
@@ -17,6 +17,7 @@
 from briardock.platform._dialect import PlatformDialect
 from briardock.platform._store import PlatformStore
 from mesh_fakes import (
+    Behaviour,
     config,
     eventually,
     fleet,
@@ -482,3 +483,41 @@
         assert not machine.node.target.running
         await asyncio.sleep(1.0)
         assert [request.target for request in machine.target.requests] == [b"/jobs/0"]
+
+
+@pytest.mark.parametrize(
+    ("fourth_figure", "by_completion"), [(b",%d", True), (b"", False)]
+)
+async def test_requests_avoid_a_target_that_states_that_it_is_slow(
+    fourth_figure: bytes, by_completion: bool
+) -> None:
+    """The report must reach the sender over real connections, and no caller."""
+
+    def behaviour(percent: int) -> Behaviour:
+        figure = fourth_figure % percent if fourth_figure else b""
+
+        async def respond(request: Request) -> Response:
+            response = await respond_normally(request)
+            load = (b"server-load", b"1,0,4" + figure)
+            return Response(response.status, [*response.headers, load], response.body)
+
+        return respond
+
+    async with fleet() as system:
+        entry = await system.add("n1", "portal")
+        slow = await system.add("n2", "jobs")
+        fast = await system.add("n3", "jobs")
+        slow.target.behaviour, fast.target.behaviour = behaviour(300), behaviour(100)
+        await system.settle()
+        for number in range(60):
+            response = await entry.call(f"/jobs/{number}", request_id=f"r{number}")
+            assert response.status == 200
+            assert not [n for n, _ in response.headers if n.startswith(b"briardock")]
+        counts = len(slow.target.requests), len(fast.target.requests)
+        assert sum(counts) == 60
+        assert entry.node.forwarder._balancer.uses_work("jobs") is by_completion
+        if by_completion:
+            assert counts[1] > 50
+        metrics = entry.node.telemetry.render()
+        reports = b"briardock_work_reports_total 60.0" in metrics
+        assert reports is by_completion
--- a/tests/test_mesh_platform.py
+++ b/tests/test_mesh_platform.py
@@ -230,6 +230,30 @@
     )
 
 
+@pytest.mark.parametrize(
+    ("load", "slowness"),
+    [
+        (b"3,0,14,250", 2.5),
+        (b"3, 0, 14, 100", 1.0),
+        (b"3,0,14", None),
+        (b"3,0,14,0", None),
+        (b"3,0,14,-5", None),
+        (b"3,0,14,1e9", None),
+        (b"3,0,14,100,7", None),
+        (b"3,0,14," + b"9" * 5000, None),
+        (b"", None),
+        (b"\xff,0,14,100", None),
+    ],
+)
+def test_slowness_is_the_fourth_figure_of_a_valid_load(
+    load: bytes, slowness: float | None
+) -> None:
+    """A malformed header must not change where requests go."""
+    response = Response(200, [(b"server-load", load)])
+    assert DIALECT.decode_target_response(response).slowness == slowness
+    assert DIALECT.decode_target_response(Response(200)).slowness is None
+
+
 def test_settings(tmp_path: Path) -> None:
     path = tmp_path / "node.toml"
     path.write_text(SETTINGS)
--- a/tests/test_mesh_target.py
+++ b/tests/test_mesh_target.py
@@ -219,6 +219,67 @@
     assert local_target._service_time_s == 0.5
 
 
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    ("load", "slowness"), [(b"1,0,4,250", 2.5), (b"1,0,4", None), (b"junk", None)]
+)
+async def test_work_is_measured_once_the_target_states_how_slow_it_is(
+    load: bytes, slowness: float | None
+) -> None:
+    headers = [(b"response-signature", b"s"), (b"request-id", b"r;1")]
+
+    async def respond(request: Request) -> Response:
+        await asyncio.sleep(0.05)
+        return Response(200, [*headers, (b"server-load", load)])
+
+    fake = FakeTarget(free_address(), respond)
+    await fake.start()
+    local_target = make_target(fake.address)
+    local_target.announce(announcement(address=fake.address))
+    for _ in range(3):
+        call = make_call()
+        assert isinstance(await local_target.run(call), Completed)
+    report = local_target.work_report(call)
+    if slowness is None:
+        assert report is None
+        return
+    assert report is not None
+    assert (report.slowness, report.room, report.start_delay_s) == (slowness, 3, 0.0)
+    assert report.run is not None
+    # The run took 50 ms at 2.5 times the usual run time.
+    assert 0.015 < report.run.work_s < 0.035
+
+
+@pytest.mark.anyio
+async def test_a_full_target_reports_a_delay_and_abandoned_calls_leave_none() -> None:
+    """A target that looked full for ever would get no further requests."""
+    responses: list[asyncio.Future[Response]] = []
+
+    async def respond(request: Request) -> Response:
+        responses.append(asyncio.get_running_loop().create_future())
+        return await responses[-1]
+
+    fake = FakeTarget(free_address(), respond)
+    await fake.start()
+    local_target = make_target(fake.address)
+    local_target.announce(announcement(address=fake.address, slots=4))
+    local_target._work.read(1.0, now_s())
+    tasks = [asyncio.create_task(local_target.run(make_call())) for _ in range(5)]
+    while len(responses) < 3:
+        await asyncio.sleep(0.005)
+    report = local_target.work_report()
+    assert report is not None
+    assert report.room == -2
+    assert report.start_delay_s > 0.0
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    report = local_target.work_report()
+    assert report is not None
+    assert (report.room, report.start_delay_s) == (3, 0.0)
+    assert local_target._work._remaining.total_s(0.0) == 0.0
+
+
 async def run_serial_calls(
     local_target: Target, started_s: float, rng: random.Random
 ) -> tuple[bool, float]:
