--- a/src/briardock/overload/completion.py
+++ b/src/briardock/overload/completion.py
@@ -85,11 +85,13 @@
 
     def __init__(self) -> None:
         self.costs = CostTable()
-        self._reports: dict[str, _Reported] = {}
-        self._slowness = 1.0
-        self._delay_s = 0.0
-        self._room_share = 0.5
-        self._mean_work_s = 0.0
+        # Newest report by node.
+        self.reports: dict[str, _Reported] = {}
+        # What is usual for the service; the room is a share of the slots.
+        self.slowness = 1.0
+        self.delay_s = 0.0
+        self.room_share = 0.5
+        self.mean_work_s = 0.0
 
     def learn(
         self,
@@ -107,9 +109,9 @@
         :param kind: kind of the request
         :param now: current time in s since boot
         """
-        known = self._reports.get(record.node_id)
+        known = self.reports.get(record.node_id)
         if known is None:
-            known = self._reports[record.node_id] = _Reported(
+            known = self.reports[record.node_id] = _Reported(
                 now, 0, 0.0, 0, 1.0, report.slowness
             )
         known.reported_s, known.in_flight = now, stats.in_flight
@@ -118,9 +120,9 @@
         change = report.slowness - known.usual_slowness
         known.usual_slowness += INSTANCE_WEIGHT * change
         share = report.room / max(1, record.slots)
-        self._slowness += SERVICE_WEIGHT * (report.slowness - self._slowness)
-        self._delay_s += SERVICE_WEIGHT * (report.start_delay_s - self._delay_s)
-        self._room_share += SERVICE_WEIGHT * (share - self._room_share)
+        self.slowness += SERVICE_WEIGHT * (report.slowness - self.slowness)
+        self.delay_s += SERVICE_WEIGHT * (report.start_delay_s - self.delay_s)
+        self.room_share += SERVICE_WEIGHT * (share - self.room_share)
         run = report.run
         if run is None or kind is None:
             return
@@ -129,8 +131,8 @@
             return
         usual = self.costs.lookup(kind, now)
         self.costs.record(kind, run.work_s, now)
-        weight = SERVICE_WEIGHT if self._mean_work_s else 1.0
-        self._mean_work_s += weight * (run.work_s - self._mean_work_s)
+        weight = SERVICE_WEIGHT if self.mean_work_s else 1.0
+        self.mean_work_s += weight * (run.work_s - self.mean_work_s)
         if not usual.is_precise or not run.expected_s:
             return
         ratio = min(MAX_PACE, max(1 / MAX_PACE, run.expected_s / usual.mean_s))
@@ -144,7 +146,7 @@
 
         :param node_id: node beside it
         """
-        self._reports.pop(node_id, None)
+        self.reports.pop(node_id, None)
 
     def estimator(self, kind: Kind | None, now: float) -> "Estimator":
         """Return what compares instances for a request.
@@ -152,29 +154,42 @@
         :param kind: kind of the request
         :param now: current time in s since boot
         """
-        work_s = self._mean_work_s if kind is None else self.costs.expected_s(kind, now)
+        work_s = self.mean_work_s if kind is None else self.costs.expected_s(kind, now)
         return Estimator(self, work_s, now)
 
-    def completion_s(
-        self, record: NodeRecord, stats: InstanceStats, work_s: float, now: float
-    ) -> float:
-        """Return the expected time until a request completes at an instance.
+
+class Estimator:
+    """Compares instances for one request.
+
+    :param work: knowledge of the service
+    :param work_s: expected work of the request
+    :param now: current time in s since boot
+    """
+
+    __slots__ = ("_now", "_work", "_work_s", "spillover")
+
+    def __init__(self, work: ServiceWork, work_s: float, now: float) -> None:
+        self._work, self._work_s, self._now = work, work_s, now
+        # Completion from which other domains are considered.
+        self.spillover = SPILLOVER_RATIO * work_s * work.slowness
+
+    def load(self, record: NodeRecord, stats: InstanceStats) -> float:
+        """Return the expected time until the request completes, in s.
 
         :param record: instance
         :param stats: observations of it
-        :param work_s: expected work of the request
-        :param now: current time in s since boot
         """
+        work, now = self._work, self._now
         slots = record.slots or 1
-        usual_room = self._room_share * slots
-        known = self._reports.get(record.node_id)
+        usual_room = work.room_share * slots
+        known = work.reports.get(record.node_id)
         if known is None:
-            delay_s, slowness = self._delay_s, self._slowness
+            delay_s, slowness = work.delay_s, work.slowness
             room = usual_room - stats.in_flight
             excess = 1.0 - room
         else:
             trust = HALF_TRUST_AGE_S / (HALF_TRUST_AGE_S + now - known.reported_s)
-            delay_s = self._delay_s + trust * (known.start_delay_s - self._delay_s)
+            delay_s = work.delay_s + trust * (known.start_delay_s - work.delay_s)
             slowness = known.usual_slowness
             slowness += trust * (known.slowness - slowness)
             if known.paces:
@@ -185,9 +200,9 @@
             excess = 1.0 - room
             if known.room < 1:
                 excess -= 1.0 - known.room
-        run_s = work_s * slowness
+        run_s = self._work_s * slowness
         if excess > 0.0:
-            delay_s += excess * self._mean_work_s * slowness / slots
+            delay_s += excess * work.mean_work_s * slowness / slots
         occupancy = 1.0 - room / slots
         if occupancy > 0.0:
             run_s *= 1.0 + OCCUPANCY_COST * occupancy * occupancy
@@ -196,35 +211,6 @@
             return (delay_s + run_s) * (1.0 + FAILURE_PENALTY * failure_ratio)
         return delay_s + run_s
 
-    @property
-    def usual_slowness(self) -> float:
-        """Slowness that is usual for the service."""
-        return self._slowness
-
-
-class Estimator:
-    """Compares instances for one request.
-
-    :param work: knowledge of the service
-    :param work_s: expected work of the request
-    :param now: current time in s since boot
-    """
-
-    __slots__ = ("_now", "_work", "_work_s", "spillover")
-
-    def __init__(self, work: ServiceWork, work_s: float, now: float) -> None:
-        self._work, self._work_s, self._now = work, work_s, now
-        # Completion from which other domains are considered.
-        self.spillover = SPILLOVER_RATIO * work_s * work.usual_slowness
-
-    def load(self, record: NodeRecord, stats: InstanceStats) -> float:
-        """Return the expected time until the request completes, in s.
-
-        :param record: instance
-        :param stats: observations of it
-        """
-        return self._work.completion_s(record, stats, self._work_s, self._now)
-
     def margin(self, load: float) -> float:
         """Return by how much another domain must be better.
 
--- a/src/briardock/overload/placement.py
+++ b/src/briardock/overload/placement.py
@@ -24,7 +24,7 @@
 # Number of instances above which only two random ones are compared.
 MAX_COMPARED_INSTANCES = 4
 # Number of instances compared by expected completion.
-SAMPLED_BY_COMPLETION = 3
+SAMPLED_BY_COMPLETION = 4
 # Shortest and longest ejection of an unreachable node, s.
 MIN_EJECTION_S = 0.3
 MAX_EJECTION_S = 4.0
@@ -191,10 +191,16 @@
         count = len(records)
         if count <= SAMPLED_BY_COMPLETION:
             return records
+        # Two pairs; a record that is in both costs less than to exclude it.
         random_float = self._rng.random
         step = 1 + int(random_float() * (count - 1))
-        first, other = int(random_float() * count), int(random_float() * count)
-        return [records[first], records[(first + step) % count], records[other]]
+        first, third = int(random_float() * count), int(random_float() * count)
+        return [
+            records[first],
+            records[(first + step) % count],
+            records[third],
+            records[(third + step) % count],
+        ]
 
     def _choose_fallback(
         self, service: str, excluded: set[str], now: float
