Sample distinct instances in an order of each node's own

Cause: two pairs of random instances often overlap among eight, and equal distances in the order of the table of nodes can compare instances that are alike.

Change: four distinct instances at equal distances; the instances of a service that is placed by expected completion are shuffled once for each state of the table.

Run: tests/test_overload_completion.py.

--- a/src/briardock/overload/placement.py
+++ b/src/briardock/overload/placement.py
@@ -170,6 +170,10 @@
                 # Callers of a leaving node may use its local target until it stops.
                 if not record.leaving or record.node_id == local_id:
                     candidates[record.domain != self._domain].append(record)
+            if service in self._work:
+                # Otherwise all senders would compare the same ones with each other.
+                for records in candidates:
+                    self._rng.shuffle(records)
             self._candidates[service] = candidates
             self._slowness.update(_slow_instances(candidates[0] + candidates[1]))
         return candidates
@@ -191,15 +195,14 @@
         count = len(records)
         if count <= SAMPLED_BY_COMPLETION:
             return records
-        # Two pairs; a record that is in both costs less than to exclude it.
-        random_float = self._rng.random
-        step = 1 + int(random_float() * (count - 1))
-        first, third = int(random_float() * count), int(random_float() * count)
+        # Distinct ones at a random distance; random.sample takes six times as long.
+        step = 1 + int(self._rng.random() * ((count - 1) // 3))
+        first = int(self._rng.random() * count)
         return [
             records[first],
             records[(first + step) % count],
-            records[third],
-            records[(third + step) % count],
+            records[(first + 2 * step) % count],
+            records[(first + 3 * step) % count],
         ]
 
     def _choose_fallback(
@@ -318,6 +321,7 @@
         work = self._work.get(record.service)
         if work is None:
             work = self._work[record.service] = ServiceWork()
+            self._candidates.pop(record.service, None)
         work.learn(record, self.stats(record.node_id), report, kind, now)
 
     def record_lost_connection(self, node_id: str) -> None:
