--- a/src/briardock/mesh/calls.py
+++ b/src/briardock/mesh/calls.py
@@ -10,6 +10,8 @@
 from briardock.mesh.http_client import ClientConnection
 from briardock.mesh.model import Headers
 from briardock.overload.chain import ChainThreshold, InstanceThresholds
+from briardock.overload.cost import MAX_SEGMENT_BYTES, Kind, request_kind
+from briardock.overload.target_work import RunWork, WorkReport
 from briardock.overload.waiting import Waiting
 
 CALL_HEADER = b"briardock-call"
@@ -17,6 +19,10 @@
 # The account of the client has a header of its own, because a node of the earlier
 # release would take a further part of the call header for one of the request id.
 ACCOUNT_HEADER = b"briardock-account"
+# Outcome that marks a preceding header of the same name, with the work of the target.
+# Nodes of earlier releases read only the last header of this name.
+WORK = b"work"
+MAX_WORK_BYTES = 100
 # Headers that nodes add to messages between them. They add no others, so hop-by-hop
 # headers (RFC 9110) need not be looked up here.
 INTERNODE_HEADERS = frozenset(
@@ -50,6 +56,7 @@
     :param connection: connection on which it was sent from this node
     :param account: name of the client's account, empty without one, ``None`` if the
         node at which it entered has no accounts in its configuration
+    :param run_work: its work, once it has run here and if it was measured
     """
 
     method: bytes
@@ -67,12 +74,21 @@
     may_hand_on: bool = False
     connection: ClientConnection | None = None
     account: str | None = None
+    run_work: RunWork | None = None
 
     @property
     def has_response(self) -> bool:
         """Whether its response was read, although its task may not have resumed."""
         return self.connection is not None and self.connection.has_response
 
+    @property
+    def kind(self) -> Kind:
+        """What tells it apart from calls of other cost."""
+        segment = self.target.split(b"/", 2)[1:2]
+        route = segment[0][:MAX_SEGMENT_BYTES].decode("latin-1") if segment else ""
+        account = self.account or ""
+        return request_kind(route, self.target, len(self.body), account)
+
     @property
     def waiting(self) -> Waiting:
         """What decides how it waits for a slot."""
@@ -87,10 +103,12 @@
 
     :param in_flight: requests running and queued
     :param thresholds: admission thresholds of the instance and its chain
+    :param work: work at the target, if it states how slow it is
     """
 
     in_flight: int
     thresholds: InstanceThresholds
+    work: WorkReport | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -156,13 +174,13 @@
     return encode_request_head(call.method, call.target, headers, len(call.body))
 
 
-def _split_headers(headers: Headers) -> tuple[dict[bytes, bytes], Headers]:
-    """Return the headers between nodes by name, and the end-to-end headers."""
-    internode = {}
+def _split_headers(headers: Headers) -> tuple[dict[bytes, list[bytes]], Headers]:
+    """Return the values of the headers between nodes by name, and the other headers."""
+    internode: dict[bytes, list[bytes]] = {}
     forwarded = []
     for header in headers:
         if header[0] in INTERNODE_HEADERS:
-            internode[header[0]] = header[1]
+            internode.setdefault(header[0], []).append(header[1])
         else:
             forwarded.append(header)
     return internode, forwarded
@@ -174,10 +192,10 @@
     :param request: request on the address for peers
     """
     internode, headers = _split_headers(request.headers)
-    info = internode.get(CALL_HEADER)
-    if info is None:
+    values = internode.get(CALL_HEADER)
+    if not values:
         return None
-    parts = info.decode("latin-1").split(";", 7)
+    parts = values[-1].decode("latin-1").split(";", 7)
     if len(parts) != 8:
         return None
     service, target_id, caller_service, idempotent = parts[:4]
@@ -188,7 +206,7 @@
         return None
     if min(priority, flags, remaining_ms) < 0:
         return None
-    account = internode.get(ACCOUNT_HEADER)
+    accounts = internode.get(ACCOUNT_HEADER)
     return Call(
         method=request.method,
         target=request.target,
@@ -203,7 +221,7 @@
         from_caller=bool(flags & FROM_CALLER),
         expires_s=request.received_s + remaining_ms / 1000,
         may_hand_on=bool(flags & MAY_HAND_ON),
-        account=None if account is None else account.decode("utf-8", "replace"),
+        account=accounts[-1].decode("utf-8", "replace") if accounts else None,
     )
 
 
@@ -218,17 +236,48 @@
         for service, reported in load.thresholds.chain.items()
     )
     load_fields = f"{load.in_flight};{load.thresholds.instance:.3f};{chain}"
+    work = [(RESULT_HEADER, _encode_work(load.work))] if load.work is not None else []
     match result:
         case Completed(response):
             info = f"completed;;{load_fields}"
-            headers = [*response.headers, (RESULT_HEADER, info.encode())]
+            headers = [*response.headers, *work, (RESULT_HEADER, info.encode())]
             return Response(response.status, headers, response.body)
         case NotRun(reason, arrived, busy):
             outcome = "busy" if busy else "rejected" if arrived else "not-run"
             info = f"{outcome};{reason};{load_fields}"
         case Unknown(reason):
             info = f"unknown;{reason};{load_fields}"
-    return Response(502, [(RESULT_HEADER, info.encode())])
+    return Response(502, [*work, (RESULT_HEADER, info.encode())])
+
+
+def _encode_work(work: WorkReport) -> bytes:
+    run = work.run or RunWork(0.0, 0.0)
+    return b"work;%d;%d;%d;%d;%d" % (
+        work.start_delay_s * 1e6,
+        work.room,
+        work.slowness * 100,
+        run.work_s * 1e6,
+        run.expected_s * 1e6,
+    )
+
+
+def _decode_work(values: list[bytes]) -> WorkReport | None:
+    """Return the work in the last header but one, ``None`` without a valid one."""
+    if len(values) < 2 or len(values[-2]) > MAX_WORK_BYTES:
+        return None
+    parts = values[-2].split(b";")
+    if len(parts) != 6 or parts[0] != WORK:
+        return None
+    try:
+        delay_us, room, slowness_percent, work_us, expected_us = map(int, parts[1:])
+    except ValueError:
+        return None
+    if delay_us < 0 or slowness_percent <= 0:
+        return None
+    run = None
+    if work_us > 0 and expected_us >= 0:
+        run = RunWork(work_us / 1e6, expected_us / 1e6)
+    return WorkReport(delay_us / 1e6, room, slowness_percent / 100, run)
 
 
 def _decode_chain(text: str) -> dict[str, ChainThreshold]:
@@ -246,14 +295,14 @@
     :param response: response on a connection to a node
     """
     internode, headers = _split_headers(response.headers)
-    info = internode.get(RESULT_HEADER)
-    parts = info.decode("latin-1").split(";") if info is not None else []
+    values = internode.get(RESULT_HEADER, [])
+    parts = values[-1].decode("latin-1").split(";") if values else []
     if len(parts) != 5:
         return Unknown("response of no node"), None
     outcome, reason, in_flight, instance, chain = parts
     try:
         thresholds = InstanceThresholds(float(instance), _decode_chain(chain))
-        load = LoadReport(int(in_flight), thresholds)
+        load = LoadReport(int(in_flight), thresholds, _decode_work(values))
     except ValueError:
         return Unknown("malformed load report"), None
     match outcome:
--- a/src/briardock/platform/_dialect.py
+++ b/src/briardock/platform/_dialect.py
@@ -31,6 +31,7 @@
 INSTANCE_ID = b"instance-id"
 AUTHORIZATION = b"authorization"
 ACCOUNT = b"tenant-id"
+SERVER_LOAD = b"server-load"
 HEADERS_SET_BY_NODES = frozenset({DEADLINE, EXPECTED_TARGET, CALLER})
 # Kinds of routes whose requests may run more than once.
 IDEMPOTENT_KINDS = frozenset({"idempotent", "download"})
@@ -38,6 +39,8 @@
 _ANNOUNCEMENT = re.compile(rb"^/instances/([^/?]+)/(heartbeat|deregister)$")
 _DURATION = re.compile(r"^(\d+(?:\.\d+)?)(ms|s)$")
 _CONTROL_CHARACTER = re.compile(r"[\x00-\x1f\x7f]")
+# Running, waiting, slots and the time that work takes in hundredths of the usual one.
+_SERVER_LOAD = re.compile(rb"\d{1,9},\d{1,9},\d{1,9},(\d{1,6})")
 _KEEP_ALIVE = re.compile(rb"timeout=(\d+)")
 
 
@@ -205,6 +208,7 @@
             not_run=NOT_RUN in headers or wrong_target,
             wrong_target=wrong_target,
             idle_timeout_s=float(keep_alive[1]) if keep_alive else None,
+            slowness=_decode_slowness(headers.get(SERVER_LOAD)),
         )
 
     def decode_health(self, response: Response) -> str:
@@ -359,6 +363,12 @@
     return kept, credential
 
 
+def _decode_slowness(load: bytes | None) -> float | None:
+    """Return how slow a target states that it is, ``None`` if it does not."""
+    matched = _SERVER_LOAD.fullmatch(load.replace(b" ", b"")) if load else None
+    return int(matched[1]) / 100 or None if matched else None
+
+
 def _find_header(headers: Headers, name: bytes) -> bytes | None:
     for key, value in headers:
         if key == name:
