Admit requests of small accounts while their demand is within the rate

Cause: a node owns an equal part of the slots of an account. That of an account with nine requests a second is less than one request, and nodes that have just started may use only a small part of it.

Change: aggregators tell whether their totals include all domains and which accounts exceed their rate. While they do not, a node may use four slots beyond its part, 1.5 s after its start at the earliest. When an account exceeds its rate, granted slots first make up for those used beyond the part.

--- a/src/briardock/mesh/node.py
+++ b/src/briardock/mesh/node.py
@@ -46,7 +46,7 @@
 )
 from briardock.overload.chain import LearnedThresholds
 from briardock.overload.placement import Balancer
-from briardock.overload.quota import QuotaSettings
+from briardock.overload.quota_limits import QuotaSettings
 from briardock.overload.shutdown import Shutdown, StallMeter
 
 PEER_POOL = PoolSettings(
--- a/src/briardock/mesh/quotas.py
+++ b/src/briardock/mesh/quotas.py
@@ -23,10 +23,9 @@
     WITHIN_QUOTA,
     OverQuota,
     QuotaKeeper,
-    QuotaLimit,
-    QuotaSettings,
     WithinQuota,
 )
+from briardock.overload.quota_limits import QuotaLimit, QuotaSettings
 from briardock.overload.quota_messages import DomainReport, NodeReport, NodeTotals
 from briardock.overload.quota_totals import QuotaAggregator
 
@@ -190,6 +189,7 @@
         count = self._choice.count_nodes(now_s())
         self.keeper.knows_nodes = self._knows_nodes()
         self.keeper.node_count = self.aggregator.node_count = count
+        self.aggregator.other_domains = len(self._choice.domains)
 
     # Requests
 
--- a/src/briardock/overload/quota.py
+++ b/src/briardock/overload/quota.py
@@ -10,13 +10,11 @@
 
 import math
 from dataclasses import dataclass
-from zlib import crc32
 
+from briardock.overload.quota_limits import DEMAND_TIME_S, QuotaLimit, QuotaSettings
 from briardock.overload.quota_messages import AccountReport, NodeReport, NodeTotals
 from briardock.overload.quota_slots import GRANT_LIFETIME_S, BusySlots, Grants
 
-# Time constant of the demand estimate, s.
-DEMAND_TIME_S = 0.6
 # Rise of the demand that counts at once: the estimate varies that much.
 MAX_RISE = 1.5
 # Time after which other nodes have been told of a demand, s.
@@ -31,10 +29,9 @@
 KEPT_TIME_S = 1.2
 BORROWED_TIME_S = 0.9
 EXTRA_REQUESTS = 1.2
-# Requests that a node may admit at once while the total demand is below this share of
-# the rate: single requests arrive unevenly at a node with a small share.
+# Requests that a node may admit at once while the total demand is within the rate:
+# single requests arrive unevenly at a node with a small share.
 UNEVEN_REQUESTS = 8.0
-LOW_DEMAND_RATIO = 1.2
 # Sum of the shares in relation to the rate while the demand exceeds it: some nodes
 # receive less than their share.
 PACE_RATIO = 1.02
@@ -43,66 +40,19 @@
 # Time for whose admissions it may always admit at once, s: random arrivals at the rate
 # would otherwise lose a part of it.
 EVENNESS_TIME_S = 0.2
-# Part of the tolerance of the bound that is left for nodes that have just started.
-STARTING_RATIO = 0.3
+# Age up to which totals are relied on, s.
+TOTALS_LIFETIME_S = 1.5
+# Time after a start in which the demand is only observed, s. The estimates of all nodes
+# may begin anew with it, and do not show yet that an account is over its rate.
+OBSERVATION_TIME_S = 1.5
+# Requests in a window that a node may admit beyond its part, of an account whose demand
+# is within its rate. The part of a small account may be less than one request.
+UNLIMITED_SLOTS = 4.0
 # Shortest and longest time after which a refused request may come again, s.
 MIN_RETRY_AFTER_S = 0.05
 MAX_RETRY_AFTER_S = 5.0
 
 
-@dataclass(frozen=True, slots=True)
-class QuotaLimit:
-    """Limit of one account over all nodes.
-
-    :param rate_per_s: admitted requests per second
-    :param burst: requests admitted in addition within a short time
-    """
-
-    rate_per_s: float
-    burst: float
-
-    @property
-    def tag(self) -> int:
-        """Distinguishes grants of this limit from those of an earlier one."""
-        return crc32(f"{self.rate_per_s:g} {self.burst:g}".encode())
-
-
-@dataclass(frozen=True, slots=True)
-class QuotaSettings:
-    """Bound on the admissions of an account in a window.
-
-    :param window_s: length of the window
-    :param over_ratio: admissions beyond the limit, as a share of it
-    :param slack: admissions beyond the limit, as a number
-    """
-
-    window_s: float = 5.0
-    over_ratio: float = 0.1
-    slack: float = 20.0
-
-    def bound(self, limit: QuotaLimit) -> float:
-        """Return the largest number of admissions in a window.
-
-        :param limit: limit of the account
-        """
-        within = limit.rate_per_s * self.window_s + limit.burst
-        return within * (1.0 + self.over_ratio) + self.slack
-
-    def slots(self, limit: QuotaLimit, is_starting: bool) -> float:
-        """Return the slots of all nodes together.
-
-        A part of the tolerance is left for nodes that have just started, as what the
-        process before them admitted still counts.
-
-        :param limit: limit of the account
-        :param is_starting: whether they are for nodes that have just started
-        """
-        bound = self.bound(limit)
-        within = limit.rate_per_s * self.window_s + limit.burst
-        for_start = STARTING_RATIO * (bound - within)
-        return for_start if is_starting else bound - for_start
-
-
 @dataclass(frozen=True, slots=True)
 class WithinQuota:
     """The request is admitted and counted."""
@@ -130,6 +80,8 @@
         self.set_limit(limit, settings)
         self.used = BusySlots()
         self.lent = BusySlots()
+        # Granted slots that make up for own ones used beyond the part of the node.
+        self.repaid = BusySlots()
         self.arrivals = 0
         self.demand_per_s = 0.0
         self.reported_per_s = 0.0
@@ -169,6 +121,7 @@
         self.grants.expire(now)
         self.used.expire(now)
         self.lent.expire(now)
+        self.repaid.expire(now)
         elapsed_s = now - self.refilled_s
         self.tokens = min(self.depth, self.tokens + elapsed_s * self.rate_per_s)
         self.refilled_s = now
@@ -196,7 +149,7 @@
             self.rate_per_s = PACE_RATIO * rate_per_s * own_per_s / total_per_s
         at_once = burst + EVENNESS_TIME_S * rate_per_s
         self.depth = MIN_DEPTH + at_once * self.rate_per_s / rate_per_s
-        self.is_limited = total_per_s >= LOW_DEMAND_RATIO * rate_per_s
+        self.is_limited = self.limit.is_exceeded_by(total_per_s)
         if not self.is_limited:
             self.depth = max(self.depth, UNEVEN_REQUESTS)
         self.tokens = min(self.tokens, self.depth)
@@ -222,6 +175,10 @@
         self._stamps_s: dict[str, float] = {}
         # Aggregator that asked for slots which the next report lends.
         self._lends_to = ""
+        # Accounts whose demand exceeds their rate, and the time of the report to which
+        # the totals of all domains responded.
+        self._limited: frozenset[str] = frozenset()
+        self._complete_s = -math.inf
         self.node_count = 1
         # Whether all nodes have been learned of since the start.
         self.knows_nodes = True
@@ -262,6 +219,28 @@
         busy = state.used.amount + state.lent.amount
         return max(0.0, slots / self.node_count - busy)
 
+    def _free(self, account: str, state: _AccountState, now: float) -> float:
+        """Return the slots that the node may use without a grant.
+
+        While the totals of all domains show that the demand of an account is within its
+        rate, the parts of the nodes need not add up to its slots. The tolerance covers
+        what is admitted until the totals show that it no longer is.
+        """
+        is_known = (
+            now - self._complete_s < TOTALS_LIFETIME_S
+            and now - self._started_s > OBSERVATION_TIME_S
+        )
+        if not is_known or account in self._limited:
+            return self._own_free(state, now)
+        part = state.slots / self.node_count + UNLIMITED_SLOTS
+        return max(0.0, part - state.used.amount)
+
+    def _overused(self, state: _AccountState) -> float:
+        """Return the slots that were used beyond the part of the node."""
+        part = state.slots / self.node_count
+        busy = state.used.amount + state.lent.amount - state.repaid.amount
+        return max(0.0, busy - part)
+
     def decide(
         self, account: str, limit: QuotaLimit, now: float
     ) -> WithinQuota | OverQuota:
@@ -275,7 +254,7 @@
         state.advance(now)
         state.arrivals += 1
         state.last_arrival_s = state.touched_s = now
-        own_free = self._own_free(state, now)
+        own_free = self._free(account, state, now)
         available = state.grants.amount + own_free
         is_unusual = not state.is_limited and state.tokens < 0.5 * state.depth
         needed = EXTRA_REQUESTS + BORROWED_TIME_S * state.rate_per_s
@@ -348,6 +327,9 @@
         self, account: str, state: _AccountState, now: float
     ) -> AccountReport:
         available = self._own_free(state, now) + state.grants.amount
+        usable = self._free(account, state, now) + state.grants.amount
+        is_limited = account in self._limited
+        overused = self._overused(state) if is_limited else 0.0
         kept = borrowed = 0.0
         if now - state.last_arrival_s <= ACTIVE_TIME_S:
             paced_per_s = min(state.demand_per_s, state.rate_per_s)
@@ -360,7 +342,7 @@
             account,
             state.tag,
             state.demand_per_s,
-            ask=max(0.0, borrowed - available),
+            ask=max(0.0, borrowed - usable) + overused,
             spare=max(0.0, available - kept),
         )
 
@@ -375,6 +357,9 @@
         :param now: current time in s since boot
         """
         self._stamps_s = {aggregator_id: totals.stamp_s}
+        self._limited = frozenset(totals.limited)
+        if totals.is_complete:
+            self._complete_s = sent_s
         is_asked = False
         for item in totals.accounts:
             if self._tags.get(item.account) != item.tag:
@@ -383,7 +368,9 @@
             state.advance(now)
             state.set_pace(item.demand_per_s, self.node_count)
             for amount, remaining_s in item.granted:
-                state.grants.add(amount, sent_s + remaining_s)
+                repaid = min(amount, self._overused(state))
+                state.repaid.add(repaid, now + self._settings.window_s)
+                state.grants.add(amount - repaid, sent_s + remaining_s)
             state.lend_ratio = min(1.0, item.lend_ratio)
             if state.lend_ratio and self._own_free(state, now) > 0.0:
                 is_asked = True
--- a/src/briardock/overload/quota_messages.py
+++ b/src/briardock/overload/quota_messages.py
@@ -57,10 +57,14 @@
 
     :param stamp_s: time of the response by the clock of the aggregator
     :param accounts: accounts of the report, and those of which slots are needed
+    :param is_complete: whether the totals include all domains
+    :param limited: accounts whose demand exceeds their rate
     """
 
     stamp_s: float
     accounts: list[AccountTotals]
+    is_complete: bool = False
+    limited: list[str] = []
 
 
 class DomainAccount(msgspec.Struct, array_like=True):
--- a/src/briardock/overload/quota_totals.py
+++ b/src/briardock/overload/quota_totals.py
@@ -6,7 +6,8 @@
 
 from dataclasses import dataclass, field
 
-from briardock.overload.quota import QuotaLimit, QuotaSettings
+from briardock.overload.quota import TOTALS_LIFETIME_S
+from briardock.overload.quota_limits import QuotaLimit, QuotaSettings
 from briardock.overload.quota_messages import (
     AccountReport,
     AccountTotals,
@@ -102,7 +103,12 @@
         self._lacking: set[str] = set()
         # Nodes that report, and when they did last.
         self._heard_s: dict[str, float] = {}
+        # Accounts whose demand exceeds their rate.
+        self._limited: set[str] = set()
+        self._domains_heard_s: dict[str, float] = {}
         self.node_count = 1
+        # Number of the other domains.
+        self.other_domains = 0
         # Whether other domains are to be told at once.
         self.is_urgent = False
 
@@ -112,6 +118,7 @@
         :param limits: limits by account
         """
         self._limits = limits
+        self._limited &= limits.keys()
         self._tags = {account: limit.tag for account, limit in limits.items()}
 
     def is_active(self, now: float) -> bool:
@@ -156,7 +163,11 @@
             if not (account.nodes or account.others or account.pool.amount):
                 del self._accounts[name]
                 self._lacking.discard(name)
-            elif account.ask <= 0.0 and account.others_ask(now) <= 0.0:
+                self._limited.discard(name)
+                continue
+            if name in self._limits:
+                self._update_limited(name, account)
+            if account.ask <= 0.0 and account.others_ask(now) <= 0.0:
                 self._lacking.discard(name)
 
     def handle_node(self, report: NodeReport, now: float) -> NodeTotals:
@@ -183,7 +194,20 @@
                     totals.append(
                         AccountTotals(name, account.tag, demand_per_s, lend_ratio=ratio)
                     )
-        return NodeTotals(now, totals)
+        limited = list(self._limited)
+        return NodeTotals(now, totals, self._is_complete(now), limited)
+
+    def _update_limited(self, name: str, account: _Account) -> None:
+        if self._limits[name].is_exceeded_by(account.total_per_s()):
+            self._limited.add(name)
+        else:
+            self._limited.discard(name)
+
+    def _is_complete(self, now: float) -> bool:
+        heard = sum(
+            now - at < TOTALS_LIFETIME_S for at in self._domains_heard_s.values()
+        )
+        return heard >= self.other_domains
 
     def _apply_node(
         self, account: _Account, item: AccountReport, report: NodeReport, now: float
@@ -197,6 +221,7 @@
             report.node_id,
             _Reported(item.demand_per_s, item.ask, item.spare, now),
         )
+        self._update_limited(item.account, account)
         if item.ask > 0.0:
             self._lacking.add(item.account)
         granted = self._take(account, item.ask, account.ask, now)
@@ -266,6 +291,7 @@
         :param report: the report
         :param now: current time in s since boot
         """
+        self._domains_heard_s[report.domain] = now
         items = []
         for item in report.accounts:
             account = self._account(item.account, item.tag)
@@ -297,6 +323,7 @@
         :param sent_s: time at which the report was sent
         :param now: current time in s since boot
         """
+        self._domains_heard_s[response.domain] = sent_s
         for item in response.accounts:
             account = self._account(item.account, item.tag)
             if account is None:
--- a/tests/quota_simulation.py
+++ b/tests/quota_simulation.py
@@ -7,12 +7,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from briardock.overload.quota import (
-    QuotaKeeper,
-    QuotaLimit,
-    QuotaSettings,
-    WithinQuota,
-)
+from briardock.overload.quota import QuotaKeeper, WithinQuota
+from briardock.overload.quota_limits import QuotaLimit, QuotaSettings
 from briardock.overload.quota_totals import QuotaAggregator
 
 SETTINGS = QuotaSettings()
@@ -40,6 +36,7 @@
         self.keeper = QuotaKeeper(self.name, SETTINGS, self.started_s)
         self.aggregator = QuotaAggregator(f"d{self.domain}", SETTINGS)
         self.keeper.node_count = self.aggregator.node_count = self.count
+        self.aggregator.other_domains = 2
 
 
 class Simulation:
--- a/tests/test_mesh_quotas.py
+++ b/tests/test_mesh_quotas.py
@@ -18,12 +18,8 @@
     Quotas,
 )
 from briardock.mesh.telemetry import MAX_ACCOUNTS, OTHER_ACCOUNTS, Telemetry
-from briardock.overload.quota import (
-    OverQuota,
-    QuotaLimit,
-    QuotaSettings,
-    WithinQuota,
-)
+from briardock.overload.quota import OverQuota, WithinQuota
+from briardock.overload.quota_limits import QuotaLimit, QuotaSettings
 from mesh_builders import record
 from mesh_fakes import Fleet, Machine, eventually, fleet, route, send, tenant
 
--- a/tests/test_overload_quota.py
+++ b/tests/test_overload_quota.py
@@ -11,13 +11,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from briardock.overload.quota import (
-    OverQuota,
-    QuotaKeeper,
-    QuotaLimit,
-    QuotaSettings,
-    WithinQuota,
-)
+from briardock.overload.quota import OverQuota, QuotaKeeper, WithinQuota
+from briardock.overload.quota_limits import QuotaLimit, QuotaSettings
 from briardock.overload.quota_messages import (
     AccountReport,
     AccountTotals,
@@ -409,3 +404,45 @@
         sum(at - window_s < other <= at for other in admitted) for at in admitted
     )
     assert fullest <= SETTINGS.bound(limit)
+
+
+def hot_in_one_domain(limit: QuotaLimit, count: int) -> Demand:
+    """Return a demand that rises to eight times the usual one in one domain."""
+    usual = USUAL * limit.rate_per_s / count
+    return lambda node, now: (
+        (24.0 * usual if node.domain == 1 else 0.0) if now > CHANGE_S else usual
+    )
+
+
+SMALL = [QuotaLimit(rate, rate) for rate in (3.0, 9.0, 30.0, 50.0)]
+
+
+@pytest.mark.parametrize("limit", SMALL)
+@pytest.mark.parametrize("fault", [None, lose_aggregator, restart_some, restart_all])
+def test_small_account_within_its_limit_is_admitted_at_each_node(
+    limit: QuotaLimit, fault: Callable[[Simulation], None] | None
+) -> None:
+    """The part of a node was less than one request, so that accounts of a few requests
+    a second were refused everywhere, and all of them for seconds after a restart.
+    """
+    sim = Simulation(79, limit, evenly(limit, 79, USUAL))
+    sim.run(12.0)
+    if fault is not None:
+        fault(sim)
+    sim.run(20.0)
+    refused = sim.between(114.0, 132.0, sim.refused)
+    # Few requests arrive of the smallest account, so that a single one is over 1 %.
+    assert refused <= 1 + 0.01 * sim.between(114.0, 132.0)
+    assert sim.worst <= 0.0
+
+
+@pytest.mark.parametrize("limit", SMALL)
+@pytest.mark.parametrize("demand", [hot, hot_in_one_domain])
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_small_account_that_becomes_hot_stays_within_the_bound(
+    demand: Callable[[QuotaLimit, int], Demand], limit: QuotaLimit, seed: int
+) -> None:
+    """Nodes admit more than their parts until the totals show the demand."""
+    sim = Simulation(79, limit, demand(limit, 79), seed=seed)
+    sim.run(30.0)
+    assert sim.worst <= 0.0
