--- a/src/briardock/mesh/quotas.py
+++ b/src/briardock/mesh/quotas.py
@@ -14,9 +14,10 @@
 import msgspec
 
 from briardock.mesh.decisions import DecisionLog
-from briardock.mesh.http1 import ExchangeFailure, Request, Response, encode_request
+from briardock.mesh.http1 import Request, Response
 from briardock.mesh.members import MemberTable, NodeRecord
 from briardock.mesh.model import RoutingConfig, now_s
+from briardock.mesh.peer_messages import exchange_message
 from briardock.mesh.pool import ConnectionPool
 from briardock.mesh.telemetry import Telemetry
 from briardock.overload.quota import (
@@ -306,7 +307,9 @@
         self._telemetry.quota_reports.inc()
         try:
             async with asyncio.timeout(REPORT_TIMEOUT_S):
-                body = await self._send(record.address, report)
+                body = await exchange_message(
+                    self._peers, record.address, QUOTAS_PATH, report
+                )
             result = None if body is None else decoder.decode(body)
         except TimeoutError:
             # Other idle connections to the node may have gone silent as well.
@@ -320,21 +323,6 @@
             self._log.event("quota-report-lost", peer=record.node_id)
         return result
 
-    async def _send(
-        self, address: str, report: NodeReport | DomainReport
-    ) -> bytes | None:
-        connection = await self._peers.acquire(address)
-        if isinstance(connection, ExchangeFailure):
-            return None
-        body = msgspec.msgpack.encode(report)
-        response = await connection.exchange(
-            encode_request(b"POST", QUOTAS_PATH, [], body)
-        )
-        if isinstance(response, ExchangeFailure):
-            return None
-        self._peers.release(address, connection)
-        return response.body if response.status == 200 else None
-
     async def handle(self, request: Request) -> Response:
         """Return the response to a report of another node.
 
--- a/src/briardock/mesh/sync.py
+++ b/src/briardock/mesh/sync.py
@@ -17,9 +17,10 @@
 
 from briardock.mesh.decisions import DecisionLog
 from briardock.mesh.freshness import ConfigFreshness
-from briardock.mesh.http1 import ExchangeFailure, Request, Response, encode_request
+from briardock.mesh.http1 import Request, Response
 from briardock.mesh.members import NodeRecord
 from briardock.mesh.model import now_s
+from briardock.mesh.peer_messages import exchange_message
 from briardock.mesh.pool import ConnectionPool
 from briardock.mesh.replica import ConfigId, Replica
 from briardock.overload.board import ThresholdBoard, ThresholdNews
@@ -361,20 +362,11 @@
             self._freshness.record_response(started_s, response.current_age_ms / 1000)
 
     async def _send(self, address: str, message: SyncMessage) -> SyncMessage | None:
-        connection = await self._peers.acquire(address)
-        if isinstance(connection, ExchangeFailure):
-            return None
-        body = msgspec.msgpack.encode(message)
-        response = await connection.exchange(
-            encode_request(b"POST", SYNC_PATH, [], body)
-        )
-        if isinstance(response, ExchangeFailure):
-            return None
-        self._peers.release(address, connection)
-        if response.status != 200:
+        body = await exchange_message(self._peers, address, SYNC_PATH, message)
+        if body is None:
             return None
         try:
-            return msgspec.msgpack.decode(response.body, type=SyncMessage)
+            return msgspec.msgpack.decode(body, type=SyncMessage)
         except msgspec.DecodeError as error:
             self._log.event("sync-undecodable", reason=str(error))
             return None
