--- a/src/briardock/mesh/calls.py
+++ b/src/briardock/mesh/calls.py
@@ -24,6 +24,8 @@
 # Flags of a call.
 FROM_CALLER = 1
 MAY_HAND_ON = 2
+# The flags also contain the tag of the route, above this number of bits.
+ROUTE_TAG_SHIFT = 8
 
 
 @dataclass(slots=True)
@@ -45,6 +47,7 @@
     :param may_hand_on: whether the sender would rather choose another instance than
         let it wait for a slot
     :param connection: connection on which it was sent from this node
+    :param route_tag: tag of its route, 0 if the sender did not name it
     """
 
     method: bytes
@@ -61,6 +64,7 @@
     expires_s: float
     may_hand_on: bool = False
     connection: ClientConnection | None = None
+    route_tag: int = 0
 
     @property
     def has_response(self) -> bool:
@@ -132,6 +136,7 @@
     """
     remaining_ms = int((call.expires_s - now - HOP_ALLOWANCE_S) * 1000)
     flags = FROM_CALLER * call.from_caller + MAY_HAND_ON * call.may_hand_on
+    flags |= call.route_tag << ROUTE_TAG_SHIFT
     info = ";".join(
         (
             call.service,
@@ -193,6 +198,7 @@
         from_caller=bool(flags & FROM_CALLER),
         expires_s=request.received_s + remaining_ms / 1000,
         may_hand_on=bool(flags & MAY_HAND_ON),
+        route_tag=flags >> ROUTE_TAG_SHIFT,
     )
 
 
--- a/src/briardock/mesh/routes.py
+++ b/src/briardock/mesh/routes.py
@@ -1,6 +1,7 @@
 """Selection of the route and the service for a request."""
 
 from briardock.mesh.model import CallerLimits, Route, RoutingConfig
+from briardock.overload.attribution import route_tag
 
 
 class RouteTable:
@@ -15,6 +16,7 @@
         self.document = config.document
         self.priority_count = 1 + max((r.priority for r in config.routes), default=0)
         self.longest_timeout_s = max((r.timeout_s for r in config.routes), default=0.0)
+        self.names_by_tag = {route_tag(r.name): r.name for r in config.routes}
         self._by_host: dict[str, dict[str, Route]] = {}
         self._current_weights: dict[str, list[float]] = {}
         for route in config.routes:
--- a/tests/test_mesh_calls.py
+++ b/tests/test_mesh_calls.py
@@ -21,7 +21,7 @@
 
 
 def test_call_is_unchanged_by_encoding_and_decoding() -> None:
-    call = make_call(body=b"x", method=b"POST")
+    call = make_call(body=b"x", method=b"POST", may_hand_on=True, route_tag=0xABCDEF)
     data = encode_call(call, call.expires_s - 2.0)
     parsed: list[Request] = []
 
