Let the less important route give way at a shared service

Cause: the node beside a target had a threshold for callers' requests from a control loop on these alone, and one for calls from a loop on all arrivals. The least important callers were limited only by what they need themselves, so they kept the whole capacity, and the threshold for calls fell to 0 for it: more important requests of other routes that only make a call there were refused. Neither the counting of arrivals nor the order in the queue causes it; utilization is arrivals times the mean run time.

Change: callers' requests that are not more important than what is refused of all arrivals get the threshold of all arrivals (TargetThresholds). The least important priority of callers is remembered until all is admitted again, as refused requests no longer arrive. More important callers go before the calls as they did.

--- a/src/briardock/mesh/target.py
+++ b/src/briardock/mesh/target.py
@@ -19,7 +19,7 @@
 from briardock.mesh.model import Announcement, TargetState, now_s
 from briardock.mesh.pool import ConnectionPool
 from briardock.mesh.recent_ids import RecentIds
-from briardock.overload.admission import TargetThreshold, Usage
+from briardock.overload.admission import TargetThresholds, Usage
 from briardock.overload.attribution import CallAttribution
 from briardock.overload.speed import LongestRun, SpeedMeter
 from briardock.overload.waiting import (
@@ -93,8 +93,7 @@
         self._granted = 0
         self._arrivals = 0
         self._caller_arrivals = 0
-        self._threshold = TargetThreshold()
-        self._caller_threshold = TargetThreshold()
+        self._thresholds = TargetThresholds()
         self._service_time_s = INITIAL_SERVICE_TIME_S
         self._speed = SpeedMeter()
         self._longest_run = LongestRun()
@@ -334,7 +333,9 @@
 
     def _record_arrival(self, call: Call) -> None:
         self._arrivals += 1
-        self._caller_arrivals += call.from_caller
+        if call.from_caller:
+            self._caller_arrivals += 1
+            self._thresholds.record_caller(call.priority)
 
     def _release_slot(self) -> None:
         self._adjust_counts(running=-1)
@@ -460,12 +461,9 @@
     def threshold(self, from_caller: bool) -> float:
         """Return the admission threshold of this target.
 
-        Callers' requests precede calls in the queue, so calls in excess of the
-        capacity do not limit them.
-
         :param from_caller: whether it is for callers' requests or for calls
         """
-        return self._caller_threshold.value if from_caller else self._threshold.value
+        return self._thresholds.value(from_caller)
 
     def update_thresholds(self, max_threshold: float) -> Usage:
         """Update the thresholds after a control period; return the load in it.
@@ -479,8 +477,7 @@
         total_arrivals, caller_arrivals = self._arrivals, self._caller_arrivals
         self._arrivals = self._caller_arrivals = 0
         usage = Usage(elapsed_s, total_arrivals, capacity_per_s, self.queued)
-        self._threshold.update(usage, max_threshold)
         queued = self._queue.retain(lambda slot: not slot.done())
         caller_usage = Usage(elapsed_s, caller_arrivals, capacity_per_s, queued)
-        self._caller_threshold.update(caller_usage, max_threshold)
+        self._thresholds.update(usage, caller_usage, max_threshold)
         return usage
