Count download routes as idempotent

Cause: only the kind `idempotent` was. Section 6 of docs/design/hard-load.md has `download` count as well; a download whose response was lost was not repeated.

--- a/src/briardock/platform/_dialect.py
+++ b/src/briardock/platform/_dialect.py
@@ -27,6 +27,8 @@
 CALLER = b"caller-service"
 RETRY_AFTER = b"retry-after"
 INSTANCE_ID = b"instance-id"
+# Kinds of routes whose requests may run more than once; downloads have large responses.
+IDEMPOTENT_KINDS = frozenset({"idempotent", "download"})
 HEADERS_SET_BY_NODES = frozenset({DEADLINE, EXPECTED_TARGET, CALLER})
 
 _ANNOUNCEMENT = re.compile(rb"^/instances/([^/?]+)/(heartbeat|deregister)$")
@@ -243,7 +245,7 @@
         name=str(resource.metadata.get("name", "")),
         host=spec.host.lower(),
         path_prefix=spec.path_prefix,
-        idempotent=spec.kind == "idempotent",
+        idempotent=spec.kind in IDEMPOTENT_KINDS,
         timeout_s=parse_duration_s(spec.timeout),
         objective_s=parse_duration_s(spec.target_latency),
         priority=spec.priority,
--- a/tests/test_mesh_platform.py
+++ b/tests/test_mesh_platform.py
@@ -154,6 +154,19 @@
     assert [(p.service, p.weight) for p in second.services] == [("x", 9), ("y", 1)]
 
 
+@pytest.mark.parametrize(
+    ("kind", "idempotent"),
+    [("idempotent", True), ("download", True), ("upload", False), ("other", False)],
+)
+def test_kinds_of_routes_whose_requests_may_be_repeated(
+    kind: str, idempotent: bool
+) -> None:
+    """A download whose response was lost was not repeated."""
+    decoded = DIALECT.decode_config(config(7, route("a", "/a/", kind=kind)))
+    assert isinstance(decoded, RoutingConfig)
+    assert decoded.routes[0].idempotent == idempotent
+
+
 @pytest.mark.parametrize(
     ("spec", "health_path"),
     [
