Name the abort of a connection by what it does

close_to_make_room also ended clients that do not read. It is abort now; nothing else changes. test_mesh_http_server.py and the two rows of open connections of callers green, type check clean.

--- a/src/briardock/mesh/http_server.py
+++ b/src/briardock/mesh/http_server.py
@@ -108,7 +108,7 @@
             open=len(self.connections),
         )
         for other in closed:
-            other.close_to_make_room()
+            other.abort()
 
     def close_idle(self, min_idle_s: float = 0.0) -> None:
         """Close the connections without a request being read, pending or in flight.
--- a/src/briardock/mesh/server_connection.py
+++ b/src/briardock/mesh/server_connection.py
@@ -331,7 +331,7 @@
         """
         limits = self._server.limits
         if self._is_blocked(now, limits.idle_timeout_s):
-            self.close_to_make_room()
+            self.abort()
             return
         if self._responding or self._pending_requests or self._has_ended:
             return
@@ -352,7 +352,7 @@
             self._blocked_since_s = now
         return now - self._blocked_since_s > timeout_s
 
-    def close_to_make_room(self) -> None:
+    def abort(self) -> None:
         """Close the connection at once; its request, if any, was not passed on."""
         if self._transport is not None:
             self._transport.abort()
