Run the tests in simulated time as a suite of their own

The 393 tests of the overload decisions need no sockets and no clock, so they now run beside the other 1,350 (1,743 before, the same ids). No test is changed.

--- a/tests/run_all.py
+++ b/tests/run_all.py
@@ -20,6 +20,9 @@
     "tests/test_mesh_hostile_clients.py",
     "tests/test_mesh_upload_memory.py",
 )
+# Tests of decisions in simulated time. They need the processor all the while and
+# neither sockets nor a clock, so they run beside the tests that mostly wait.
+SIMULATED_TESTS = "tests/test_overload_*.py"
 # Each feature suite runs about 12 processes, which are idle most of the time.
 MAX_PARALLEL_SUITES = 6
 SHOWN_CHARS = 4_000
@@ -71,9 +74,14 @@
 
 
 def make_suites(reports: Path) -> list[Suite]:
-    """Return the unit test suite and one suite for each feature file."""
+    """Return the suites of unit tests and one suite for each feature file."""
+    simulated = [str(path) for path in sorted(ROOT.glob(SIMULATED_TESTS))]
     ignored = [f"--ignore={path}" for path in ISOLATED_TESTS]
-    suites = [make_pytest_suite(reports, "unit", *ignored)]
+    ignored.append(f"--ignore-glob={SIMULATED_TESTS}")
+    suites = [
+        make_pytest_suite(reports, "unit", *ignored),
+        make_pytest_suite(reports, "simulated", *simulated),
+    ]
     for path in sorted((ROOT / "features").glob("*.feature")):
         folder = reports / path.stem
         command = [
