--- a/src/briardock/overload/quota_slots.py
+++ b/src/briardock/overload/quota_slots.py
@@ -10,13 +10,29 @@
 MIN_PART = 1e-6
 
 
-class Grants:
-    """Slots granted by other nodes until they expire."""
+class _TimedSlots:
+    """Numbers of slots, each with the time at which it ends."""
 
     def __init__(self) -> None:
+        # Each item holds a time and a number of slots, in the order of the times.
         self._items: deque[list[float]] = deque()
         self.amount = 0.0
 
+    def expire(self, now: float) -> None:
+        """Remove the slots whose time has come.
+
+        :param now: current time in s since boot
+        """
+        items = self._items
+        while items and items[0][0] <= now:
+            self.amount -= items.popleft()[1]
+        if not items:
+            self.amount = 0.0
+
+
+class Grants(_TimedSlots):
+    """Slots granted by other nodes until they expire."""
+
     def add(self, amount: float, expires_s: float) -> None:
         """Add a grant.
 
@@ -33,17 +49,6 @@
         else:
             items.insert(index, [expires_s, amount])
 
-    def expire(self, now: float) -> None:
-        """Remove expired grants.
-
-        :param now: current time in s since boot
-        """
-        items = self._items
-        while items and items[0][0] <= now:
-            self.amount -= items.popleft()[1]
-        if not items:
-            self.amount = 0.0
-
     def take(self, amount: float, now: float) -> list[tuple[float, float]]:
         """Take slots, those that expire first; return the parts and remaining times.
 
@@ -63,13 +68,9 @@
         return parts
 
 
-class BusySlots:
+class BusySlots(_TimedSlots):
     """Own slots that are occupied, by the time at which they become free."""
 
-    def __init__(self) -> None:
-        self._items: deque[list[float]] = deque()
-        self.amount = 0.0
-
     @property
     def first_free_s(self) -> float:
         """Time at which the first of them becomes free."""
@@ -88,17 +89,6 @@
             items.append([free_s + SLOT_PRECISION_S, amount])
         self.amount += amount
 
-    def expire(self, now: float) -> None:
-        """Free the slots whose time has come.
-
-        :param now: current time in s since boot
-        """
-        items = self._items
-        while items and items[0][0] <= now:
-            self.amount -= items.popleft()[1]
-        if not items:
-            self.amount = 0.0
-
     def free_oldest(self, amount: float) -> None:
         """Free the slots that would become free first.
 
