Name the key of a bad duration in a configuration, and reject deep nesting

Operators saw 'config-undecodable' with a reason such as "'soon' is not a duration" that named neither the key nor the entry. A document nested deeper than the decoder recurses ended the task that reads it (RecursionError, then 'task-failed') instead of being rejected, because only decoding errors were caught.

Durations are now reported with their key in the form of the decoder's other messages, and the recursion error is a rejection. Decoding an account is split into a function that raises with the reason and the one that leaves the account out, so that a check of a document can report the reason.

--- a/src/briardock/platform/_dialect.py
+++ b/src/briardock/platform/_dialect.py
@@ -268,14 +268,13 @@
                 elif resource.type_url == "limits":
                     limits = _decode_limits(resource)
                 elif resource.type_url == "services":
-                    service = msgspec.json.decode(resource.spec, type=_ServiceSpec)
                     name = str(resource.metadata.get("name", ""))
-                    health_paths[name] = service.health_path or ""
+                    health_paths[name] = _decode_health_path(resource)
                 elif resource.type_url == "tenants":
                     has_accounts = True
                     if (entry := _decode_account(resource)) is not None:
                         accounts.append(entry)
-        except (msgspec.DecodeError, ValueError) as error:
+        except (msgspec.DecodeError, ValueError, RecursionError) as error:
             return Undecodable(f"configuration: {error}")
         return RoutingConfig(
             decoded.version,
@@ -296,8 +295,8 @@
         host=spec.host.lower(),
         path_prefix=spec.path_prefix,
         idempotent=spec.kind in IDEMPOTENT_KINDS,
-        timeout_s=parse_duration_s(spec.timeout),
-        objective_s=parse_duration_s(spec.target_latency),
+        timeout_s=_duration_s("timeout", spec.timeout),
+        objective_s=_duration_s("target-latency", spec.target_latency),
         priority=spec.priority,
         max_attempts=spec.max_attempts,
         services=parts or (WeightedService(spec.service, 1.0),),
@@ -305,27 +304,51 @@
     )
 
 
+def _duration_s(key: str, text: str) -> float:
+    """Return a duration in s.
+
+    :raises ValueError: that names the key as messages of msgspec do
+    """
+    try:
+        return parse_duration_s(text)
+    except ValueError as error:
+        raise ValueError(f"{error} - at `$.{key}`") from None
+
+
+def _decode_health_path(resource: _Resource) -> str:
+    return msgspec.json.decode(resource.spec, type=_ServiceSpec).health_path or ""
+
+
 def _decode_account(resource: _Resource) -> AccountEntry | None:
     """Return an account, or ``None`` if it cannot be decoded.
 
     The others stay in force, because one malformed account must not keep a key of
     another from being withdrawn.
     """
-    name = resource.metadata.get("name")
     try:
-        spec = _ACCOUNT_DECODER.decode(resource.spec)
-    except msgspec.DecodeError:
+        return _require_account(resource)
+    except (msgspec.DecodeError, ValueError):
         return None
+
+
+def _require_account(resource: _Resource) -> AccountEntry:
+    """Return an account.
+
+    :raises ValueError: if it cannot be decoded; the message has no key of a client
+    """
+    name = resource.metadata.get("name")
+    spec = _ACCOUNT_DECODER.decode(resource.spec)
     if (
         not isinstance(name, str)
         or not name
         or name != name.strip()
         or _CONTROL_CHARACTER.search(name)
     ):
-        return None
+        raise ValueError("Expected printable text, not padded - at `$.name`")
     rate_per_s, burst = spec.rate_per_s or 0.0, spec.burst or 0.0
     if min(rate_per_s, burst) < 0.0:
-        return None
+        key = "rate-per-s" if rate_per_s < 0.0 else "burst"
+        raise ValueError(f"Expected a number of 0 or more - at `$.{key}`")
     account = Account(name, spec.priority, rate_per_s, burst)
     return AccountEntry(account, tuple(spec.api_keys))
 
@@ -335,8 +358,8 @@
     return CallerLimits(
         spec.max_header_bytes,
         spec.max_body_bytes,
-        parse_duration_s(spec.header_timeout),
-        parse_duration_s(spec.idle_timeout),
+        _duration_s("header-timeout", spec.header_timeout),
+        _duration_s("idle-timeout", spec.idle_timeout),
     )
 
 
--- a/tests/test_mesh_platform.py
+++ b/tests/test_mesh_platform.py
@@ -1,6 +1,7 @@
 """Platform adapter: headers, announcements, configuration and settings."""
 
 import json
+import re
 import tomllib
 from pathlib import Path
 
@@ -288,11 +289,28 @@
 
 
 @pytest.mark.parametrize(
-    "document",
-    [b"", b"{}", b'{"version":"x"}', config(1, route("a", "/a/", timeout="soon"))],
+    ("document", "reason"),
+    [
+        (b"", "truncated"),
+        (b"{}", "version"),
+        (b'{"version":"x"}', "$.version"),
+        (config(1, route("a", "/a/", timeout="soon")), "'soon' .* `$.timeout`"),
+        (
+            config(1, route("a", "/a/", **{"target-latency": "1h"})),
+            "'1h' .* `$.target-latency`",
+        ),
+        (
+            b'{"version":1,"resources":[],"x":' + b"[" * 9999 + b"]" * 9999 + b"}",
+            "recursion",
+        ),
+    ],
+    ids=["empty", "no keys", "version", "timeout", "latency", "deep"],
 )
-def test_invalid_configuration_is_rejected(document: bytes) -> None:
-    assert isinstance(DIALECT.decode_config(document), Undecodable)
+def test_invalid_configuration_is_rejected(document: bytes, reason: str) -> None:
+    """The reason names the key; a deeply nested document must not end a task."""
+    undecodable = DIALECT.decode_config(document)
+    assert isinstance(undecodable, Undecodable)
+    assert re.search(reason.replace("$.", r"\$\."), undecodable.reason)
 
 
 @pytest.mark.parametrize(
