Add 'briardock check-platform' for configurations of the users' platform

Operators had no check before they sent a document: nodes kept the configuration in force and logged 'config-undecodable', and entries that never match, limits without effect and misspelt types showed only as missing requests or 401 and 404 responses.

The command reads the document without network or store and reports file, line, key and remedy of each finding, as text or as JSON, and the differences from the document in force. Entries are decoded by the functions that nodes use. Keys of clients are compared, never printed; values under keys that nodes do not know are not printed either, as they may be a misplaced key of a client.

Names of the platform stay in platform/_positions, which decodes the document together with the line of each value; platform_check and platform_compare work on the decoded model.

--- a/src/briardock/cli.py
+++ b/src/briardock/cli.py
@@ -12,6 +12,7 @@
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
+from briardock._platform_command import check_platform
 from briardock.exceptions import (
     BriardockError,
     ConfigurationError,
@@ -31,7 +32,8 @@
     "Exit codes: 0 done; 1 other error or bad usage; 2 bad settings or usage; "
     "3 configuration does not pass its checks; 4 another publish changed the same "
     "file first; 5 log service unavailable or outcome unknown; 6 node unavailable or "
-    "not up to date in time; 70 internal error; 130 interrupted."
+    "not up to date in time; 70 internal error; 130 interrupted. Of check-platform: "
+    "0 no findings; 1 warnings only; 2 errors."
 )
 
 
@@ -247,6 +249,7 @@
     "quarantine": {"list": quarantine_list, "lift": quarantine_lift},
     "settings": settings,
     "explain": explain,
+    "check-platform": check_platform,
 }
 
 
