--- a/src/briardock/mesh/explain.py
+++ b/src/briardock/mesh/explain.py
@@ -58,7 +58,8 @@
         nodes = sorted({str(event.get("node")) for event in events})
         return [
             f"no line of request {request_id} in the logs of {len(nodes)} nodes; "
-            "it completed, its line was omitted, or its node's log is missing"
+            "it completed, exceeded a quota or was not read whole, its line was "
+            "omitted, or its node's log is missing"
         ]
     first_s, last_s = float(request_events[0]["at"]), float(request_events[-1]["at"])
     node_names = {str(event.get("node")) for event in request_events}
--- a/tests/test_mesh_operations.py
+++ b/tests/test_mesh_operations.py
@@ -44,6 +44,28 @@
     assert listed == exposed
 
 
+def refusal_reasons() -> set[str]:
+    """Return the fixed beginnings of reasons why no instance ran a request."""
+    reasons = set()
+    for path in (ROOT / "src/briardock/mesh").glob("*.py"):
+        for node in ast.walk(ast.parse(path.read_text())):
+            if isinstance(node, ast.Call) and node.args:
+                name = getattr(node.func, "attr", getattr(node.func, "id", ""))
+                reason = node.args[1 if name == "_refuse" else 0 :][:1]
+                if name in ("NotRun", "_refuse") and reason:
+                    text = ast.unparse(reason[0]).removeprefix("f").strip("'")
+                    reasons.add(re.split(r": |:?\{", text)[0].strip())
+    return {reason for reason in reasons if reason[:1].isalpha() and " " in reason}
+
+
+def test_page_lists_every_reason_of_a_refusal() -> None:
+    """A reason that the page lacks leaves an operator without the cause."""
+    reasons = refusal_reasons()
+    assert {"no configuration", "crashed its targets"} <= reasons
+    part = PAGE.split("## Why no instance ran a request")[1]
+    assert not [reason for reason in reasons if f"`{reason}" not in part]
+
+
 def line(at: float, node: str, event: str, **fields: object) -> str:
     return json.dumps({"at": at, "node": node, "event": event, **fields})
 
