Split the replication of nodes by subject

Reads on behalf of other nodes (ages, questions, handover) are now in mesh/shared_reads.py, reads that are given up after a restore, their backoff and the log of failures in mesh/store_calls.py, and the set of tasks of PeerSync in mesh/tasks.py. One test imports two constants from their new module.

--- a/src/briardock/mesh/replication.py
+++ b/src/briardock/mesh/replication.py
@@ -3,7 +3,7 @@
 A node reads the records of all nodes when it starts, and writes its own record when
 that changes, and when the store has come back from a copy that may lack it. A few nodes
 of each failure domain read the operator's configuration; the others learn it from them,
-and read it themselves if nobody does.
+and read it themselves if nobody does: see `shared_reads`.
 """
 
 import asyncio
@@ -36,6 +36,12 @@
 )
 from briardock.mesh.readers import ReaderElection
 from briardock.mesh.replica import Replica
+from briardock.mesh.shared_reads import (
+    READER_SEARCH_PERIOD_S,
+    LatestRead,
+    ReaderQuestions,
+)
+from briardock.mesh.store_calls import MAX_BACKOFF_S, Backoff, StoreReads, StoreUses
 from briardock.mesh.sync import PeerSync
 from briardock.overload.board import ThresholdBoard, ThresholdNews
 
@@ -44,21 +50,6 @@
 # learns of a restore from a store that leaves reads open: a configuration written then
 # must be in force within 2 s. A range, as otherwise all readers wait in step.
 CONFIG_WAIT_RANGE_S = (1.35, 1.5)
-# Period at which a node asks the one that reads for it, s, and the period while none
-# has responded.
-READER_CHECK_PERIOD_S = 0.7
-READER_SEARCH_PERIOD_S = 0.1
-# Timeout of this question, s, and the number of nodes asked next after it.
-READER_TIMEOUT_S = 0.4
-NEXT_READERS_ASKED = 2
-# Age of a configuration with accounts above which nodes of the domain are asked for
-# theirs, s, the period at which they are asked, s, and their number.
-NEIGHBOURS_ASKED_AGE_S = 1.8
-NEIGHBOURS_ASKED_PERIOD_S = 0.4
-NEIGHBOURS_ASKED = 3
-# Number of nodes that a reader whose reads fail asks at once to read. The store may
-# turn one of them away too, and a read that it leaves open takes long to fail.
-SUBSTITUTE_READERS = 2
 # Delays between the first reads of the node records while no other node is known, s,
 # and the range of the period of later reads, s.
 INITIAL_READ_DELAYS_S = (0.6, 1.0, 3.0)
@@ -68,9 +59,6 @@
 # Rate at which all nodes together write their records again after a restore, 1/s. The
 # store takes a few hundred writes a second from all nodes.
 REWRITES_PER_S = 200.0
-# First and longest delay before a failed store call is retried, s.
-INITIAL_BACKOFF_S = 0.1
-MAX_BACKOFF_S = 1.5
 
 
 def write_delay_s(rng: random.Random, rewriting_nodes: int) -> float:
@@ -124,6 +112,8 @@
         self._replica.on_store_era = self._store_era_changed
         self.crash_suspects = self._replica.crash_suspects
         self._freshness = ConfigFreshness()
+        self._election = ReaderElection(members)
+        self._latest_read = LatestRead(self._election)
         self._sync = PeerSync(
             self._replica,
             peers,
@@ -131,16 +121,21 @@
             log,
             rng,
             self._freshness,
-            self._read_age_s,
-            self._read_instead,
+            self._latest_read.age_s,
+            self._latest_read.read_instead,
         )
-        self._election = ReaderElection(members)
-        # Latest time at which the store is known to have been read, by whichever node.
-        self._last_read_s: float | None = None
-        # Whether this node reads the configuration and its latest read failed.
-        self._config_read_failed = False
-        # Asks others to read, while that is under way.
-        self._handover: asyncio.Task[None] | None = None
+        self._questions = ReaderQuestions(
+            members,
+            self._election,
+            self._latest_read,
+            self._replica,
+            self._freshness,
+            self._sync,
+            log,
+            rng,
+        )
+        self._reads = StoreReads(store, self._replica)
+        self._uses = StoreUses(log)
         self._publish_due = asyncio.Event()
         self._publish_urgent = asyncio.Event()
         # Whether a write is due because the store was restored.
@@ -152,8 +147,6 @@
         self._nodes_read = asyncio.Event()
         # Set once other nodes are known, or after two reads have found none.
         self._discovered = asyncio.Event()
-        self._failing_uses: set[str] = set()
-        self._open_reads: set[asyncio.Timeout] = set()
 
     @property
     def config_version(self) -> int:
@@ -199,10 +192,7 @@
         self._rewrite_due = self._knows_era
         self._knows_era = True
         self._schedule_rewrite()
-        now = asyncio.get_running_loop().time()
-        for scope in self._open_reads:
-            scope.reschedule(now)
-        self._open_reads.clear()
+        self._reads.give_up()
         self._sync.push_store_era(source)
 
     def tell_thresholds(self, news: ThresholdNews) -> None:
@@ -244,152 +234,32 @@
         """Sync with a random node once per period."""
         await self._sync.sync_periodically()
 
-    async def _read(
-        self, stream: str, position: ReadPosition | None, wait_s: float
-    ) -> Records | Trimmed | StoreFailure:
-        """Read a stream from a position on, or the newest records without one.
-
-        A read is given up once a later era of the store is known: its response may
-        be from before the restore, or not come at all.
-        """
-        result: Records | Trimmed | StoreFailure
-        scope = asyncio.timeout(None)
-        self._open_reads.add(scope)
-        try:
-            async with scope:
-                if position is None:
-                    result = await self._store.read_newest(stream)
-                else:
-                    result = await self._store.read_from(
-                        stream, position.offset, wait_s
-                    )
-        except TimeoutError:
-            result = Trimmed(self._replica.store_era)
-        finally:
-            self._open_reads.discard(scope)
-        self._replica.observe_era(result.era, "store")
-        return result
-
     def _must_retry(self, result: Records | Trimmed | StoreFailure) -> bool:
         """Return whether a read has to be repeated after a delay."""
         return isinstance(result, StoreFailure) or is_outdated(result, self.store_era)
 
     # Configuration
 
-    def _read_age_s(self) -> float | None:
-        """Return the time since the last read that others may rely on.
-
-        A reader whose reads fail must not wait until its last one is too old: the store
-        may turn away all readers and serve the nodes that rely on them.
-        """
-        if self._last_read_s is None or self._config_read_failed:
-            return None
-        return now_s() - self._last_read_s
-
-    def _read_instead(self) -> None:
-        """Read from the store, and vouch only for the reads of this node."""
-        if self._election.read_instead():
-            self._last_read_s = None
-
-    def _config_read_has_failed(self) -> None:
-        """Hand over the reads after the first failure in a row."""
-        if self._config_read_failed:
-            return
-        self._config_read_failed = True
-        if self._handover is None or self._handover.done():
-            self._handover = asyncio.get_running_loop().create_task(
-                self._hand_over_reads()
-            )
-
-    async def _hand_over_reads(self) -> None:
-        """Ask the next nodes of the domain to read, until one of them responds."""
-        successors = self._election.successors()
-        for start in range(0, len(successors), SUBSTITUTE_READERS):
-            asked = successors[start : start + SUBSTITUTE_READERS]
-            answers = await asyncio.gather(*(self._ask_to_read(r) for r in asked))
-            if any(answers):
-                names = [
-                    r.node_id
-                    for r, agreed in zip(asked, answers, strict=True)
-                    if agreed
-                ]
-                self._log.event("reads-handed-over", peers=names)
-                return
-
-    async def _ask_to_read(self, record: NodeRecord) -> bool:
-        try:
-            async with asyncio.timeout(READER_TIMEOUT_S):
-                return await self._sync.ask_to_read(record)
-        except TimeoutError:
-            self._log.event("sync-timeout", peer=record.node_id)
-            return False
-
-    def _record_read(self, read_s: float) -> None:
-        self._last_read_s = max(read_s, self._last_read_s or read_s)
-
     async def check_readers(self) -> None:
         """Ask the node that reads from the store for this one whether it still does."""
         await self._discovered.wait()
-        while True:
-            found = await self._find_reader()
-            period_s = READER_CHECK_PERIOD_S if found else READER_SEARCH_PERIOD_S
-            await asyncio.sleep(period_s * self._rng.uniform(0.7, 1.3))
+        await self._questions.check_readers()
 
     async def watch_config_age(self) -> None:
         """Ask nodes of the domain for the age of their configuration if this one's is
-        high: the store may turn this node away, or the node that reads for it.
+        high.
         """
-        while True:
-            await asyncio.sleep(NEIGHBOURS_ASKED_PERIOD_S * self._rng.uniform(0.7, 1.3))
-            age_s = self.config_age_s()
-            if self._replica.has_accounts and (
-                age_s is None or age_s > NEIGHBOURS_ASKED_AGE_S
-            ):
-                await self._ask_neighbours()
-
-    async def _ask_neighbours(self) -> None:
-        domain = self._members.local_record.domain
-        peers = [r for r in self._members.peers() if r.domain == domain]
-        asked = self._rng.sample(peers, min(NEIGHBOURS_ASKED, len(peers)))
-        await asyncio.gather(*(self._ask_age(record) for record in asked))
-
-    async def _ask_age(self, record: NodeRecord) -> None:
-        try:
-            async with asyncio.timeout(READER_TIMEOUT_S):
-                await self._sync.sync_with(record)
-        except TimeoutError:
-            self._log.event("sync-timeout", peer=record.node_id)
-
-    async def _find_reader(self) -> bool:
-        """Return whether this node or one ahead of it reads from the store."""
-        candidates = self._election.candidates(now_s())
-        if not candidates or await self._ask_reader(candidates[0]):
-            return True
-        following = candidates[1 : 1 + NEXT_READERS_ASKED]
-        answers = await asyncio.gather(*(self._ask_reader(r) for r in following))
-        return any(answers)
-
-    async def _ask_reader(self, record: NodeRecord) -> bool:
-        age_s = None
-        try:
-            async with asyncio.timeout(READER_TIMEOUT_S):
-                age_s = await self._sync.sync_with(record)
-        except TimeoutError:
-            self._log.event("sync-timeout", peer=record.node_id)
-        now = now_s()
-        if age_s is not None:
-            self._record_read(now - age_s)
-        return self._election.record_response(record.node_id, age_s, now)
+        await self._questions.watch_config_age()
 
     async def watch_config(self) -> None:
         """Long-poll the store for new versions of the operator's configuration."""
         await self._discovered.wait()
         position: ReadPosition | None = None
-        backoff_s = INITIAL_BACKOFF_S
+        backoff = Backoff(self._rng)
         must_confirm = False
         while True:
             if not self._election.should_read(now_s()):
-                self._config_read_failed = False
+                self._latest_read.clear_failure()
                 await asyncio.sleep(READER_SEARCH_PERIOD_S)
                 continue
             # Whole ms, as the store is told no more of the wait.
@@ -398,7 +268,7 @@
             if position is None or must_confirm:
                 wait_s = 0.0
             started_s = now_s()
-            result = await self._read(CONFIG_STREAM, position, wait_s)
+            result = await self._reads.read(CONFIG_STREAM, position, wait_s)
             position = next_position(position, result, self.store_era)
             match result:
                 case Records():
@@ -406,21 +276,21 @@
                     # A read that waited for a new configuration proves no more than
                     # one that returned at its start, up to the longest wait ago.
                     must_confirm = bool(result.items) and self._replica.has_accounts
-                    self._record_read(now_s())
+                    self._latest_read.record(now_s())
                     if position is not None and result.is_complete:
                         self._freshness.record_read(
                             started_s, now_s(), wait_s, not result.items
                         )
-                    self._config_read_failed = False
-                    self._record_store_success(CONFIG_STREAM)
+                    self._latest_read.clear_failure()
+                    self._uses.record_success(CONFIG_STREAM)
                 case StoreFailure(reason):
-                    self._record_store_failure(CONFIG_STREAM, reason)
-                    self._config_read_has_failed()
+                    self._uses.record_failure(CONFIG_STREAM, reason)
+                    if self._latest_read.record_failure():
+                        self._questions.hand_over_reads()
             if self._must_retry(result):
-                await asyncio.sleep(backoff_s * self._rng.uniform(0.7, 1.3))
-                backoff_s = min(MAX_BACKOFF_S, 2 * backoff_s)
+                await backoff.wait()
             else:
-                backoff_s = INITIAL_BACKOFF_S
+                backoff.reset()
 
     def _apply_config_records(self, records: Records) -> None:
         for key, value in records.items:
@@ -452,16 +322,16 @@
         position: ReadPosition | None = None
         while True:
             position = valid_position(position, self.store_era)
-            result = await self._read(NODES_STREAM, position, 0.0)
+            result = await self._reads.read(NODES_STREAM, position, 0.0)
             position = next_position(position, result, self.store_era)
             must_retry = self._must_retry(result)
             match result:
                 case Records():
                     self._merge_node_records(result)
                     self._nodes_read.set()
-                    self._record_store_success("nodes")
+                    self._uses.record_success("nodes")
                 case StoreFailure(reason):
-                    self._record_store_failure("nodes", reason)
+                    self._uses.record_failure("nodes", reason)
             if must_retry:
                 delays.insert(0, MAX_BACKOFF_S / 2)
             elif position is None:
@@ -486,7 +356,7 @@
         no other node is known, because others find this one by it.
         """
         await self._nodes_read.wait()
-        backoff_s = INITIAL_BACKOFF_S
+        backoff = Backoff(self._rng)
         if self._members.count == 1:
             self._publish_urgent.set()
         while True:
@@ -503,17 +373,16 @@
             self._replica.observe_era(result.era, "store")
             match result:
                 case Appended():
-                    backoff_s = INITIAL_BACKOFF_S
-                    self._record_store_success("publish")
+                    backoff.reset()
+                    self._uses.record_success("publish")
                     self._stored_order = local_record.order
                     if not self._publish_due.is_set():
                         self._local_record_stored.set()
                 case StoreFailure(reason):
-                    self._record_store_failure("publish", reason)
+                    self._uses.record_failure("publish", reason)
                     self._publish_due.set()
                     self._publish_urgent.set()
-                    await asyncio.sleep(backoff_s * self._rng.uniform(0.7, 1.3))
-                    backoff_s = min(MAX_BACKOFF_S, 2 * backoff_s)
+                    await backoff.wait()
 
     async def _wait_before_write(self) -> None:
         rewriting_nodes = self._members.count if self._rewrite_due else 0
@@ -522,13 +391,3 @@
                 await self._publish_urgent.wait()
         except TimeoutError:
             return
-
-    def _record_store_failure(self, use: str, reason: str) -> None:
-        if use not in self._failing_uses:
-            self._failing_uses.add(use)
-            self._log.event("store-lost", use=use, reason=reason)
-
-    def _record_store_success(self, use: str) -> None:
-        if use in self._failing_uses:
-            self._failing_uses.discard(use)
-            self._log.event("store-regained", use=use)
--- a/src/briardock/mesh/sync.py
+++ b/src/briardock/mesh/sync.py
@@ -10,8 +10,7 @@
 import math
 import random
 from collections import defaultdict
-from collections.abc import Callable, Coroutine
-from typing import Any
+from collections.abc import Callable
 
 import msgspec
 
@@ -23,6 +22,7 @@
 from briardock.mesh.peer_messages import exchange_message
 from briardock.mesh.pool import ConnectionPool
 from briardock.mesh.replica import ConfigId, Replica
+from briardock.mesh.tasks import BackgroundTasks
 from briardock.overload.board import ThresholdBoard, ThresholdNews
 from briardock.quarantine import QuarantineEntry
 
@@ -115,7 +115,7 @@
         self._freshness = freshness
         self._read_age_s = read_age_s
         self._on_asked_to_read = on_asked_to_read
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = BackgroundTasks()
         # News that is due to be pushed, by node id, and whether it also goes to other
         # domains.
         self._records_due: dict[str, NodeRecord] = {}
@@ -180,7 +180,7 @@
         )
         message.thresholds = list(self._thresholds_due.values())
         for record in self._push_receivers(self._push_to_all_domains):
-            self._start_task(self._push_to(record, message))
+            self._tasks.start(self._push_to(record, message))
         self._records_due, self._suspects_due = {}, []
         self._thresholds_due = {}
         self._push_timer, self._push_to_all_domains = None, False
@@ -200,11 +200,6 @@
         if response is not None:
             await self._send_config_if_older(record, response)
 
-    def _start_task(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.get_running_loop().create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
     # Anti-entropy
 
     async def sync_periodically(self) -> None:
@@ -217,7 +212,7 @@
             await asyncio.sleep(SYNC_PERIOD_S * self._rng.uniform(0.7, 1.3))
             peers = self._members.peers()
             if peers:
-                self._start_task(self._sync_in_background(self._rng.choice(peers)))
+                self._tasks.start(self._sync_in_background(self._rng.choice(peers)))
 
     async def _sync_in_background(self, record: NodeRecord) -> None:
         await self.sync_with(record)
--- a/tests/test_mesh_freshness.py
+++ b/tests/test_mesh_freshness.py
@@ -13,11 +13,8 @@
 from briardock.mesh.freshness import ConfigFreshness
 from briardock.mesh.http1 import Request
 from briardock.mesh.members import NodeRecord
-from briardock.mesh.replication import (
-    CONFIG_WAIT_RANGE_S,
-    READER_CHECK_PERIOD_S,
-    READER_TIMEOUT_S,
-)
+from briardock.mesh.replication import CONFIG_WAIT_RANGE_S
+from briardock.mesh.shared_reads import READER_CHECK_PERIOD_S, READER_TIMEOUT_S
 from briardock.mesh.sync import PeerSync, SyncMessage
 from briardock.platform._store import PlatformStore, _decode_records
 from mesh_builders import record
