Split the node of the mesh by subject

- mesh/signals.py: SIGHUP, SIGTERM and SIGINT; SIGHUP was handled in platform/main.py
- mesh/tasks.py: supervised tasks, and sets of tasks that are kept alive, which Node, PeerSync and Quotas had each; Target still has its own

No change of behaviour, except that the event task-failed names the task watch_settings without its underscore. One test patches two constants in their new module.

--- a/src/briardock/mesh/quotas.py
+++ b/src/briardock/mesh/quotas.py
@@ -7,8 +7,8 @@
 
 import asyncio
 import math
-from collections.abc import Callable, Coroutine
-from typing import Any, TypeVar
+from collections.abc import Callable
+from typing import TypeVar
 from zlib import crc32
 
 import msgspec
@@ -19,6 +19,7 @@
 from briardock.mesh.model import RoutingConfig, now_s
 from briardock.mesh.peer_messages import exchange_message
 from briardock.mesh.pool import ConnectionPool
+from briardock.mesh.tasks import BackgroundTasks
 from briardock.mesh.telemetry import Telemetry
 from briardock.overload.quota import (
     WITHIN_QUOTA,
@@ -171,7 +172,7 @@
         self._reported_s = self._told_s = -math.inf
         self._is_reporting = False
         self._reported_accounts = 0
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = BackgroundTasks()
         self._node_decoder = msgspec.msgpack.Decoder(NodeTotals)
         self._domain_decoder = msgspec.msgpack.Decoder(DomainReport)
         self._report_decoder = msgspec.msgpack.Decoder(NodeReport | DomainReport)
@@ -246,7 +247,7 @@
             if not self._is_reporting and _is_due(self._reported_s, is_urgent, now):
                 self._reported_s = now
                 self._update_node_count()
-                self._start_task(self._report())
+                self._tasks.start(self._report())
             if _is_due(self._told_s, self.aggregator.is_urgent, now):
                 self._told_s = now
                 self.aggregator.sweep(now)
@@ -254,11 +255,6 @@
                     self._tell_domains(now)
             await asyncio.sleep(TICK_S)
 
-    def _start_task(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.get_running_loop().create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
     async def _report(self) -> None:
         self._is_reporting = True
         try:
@@ -288,7 +284,7 @@
         report = self.aggregator.report(now)
         for domain in self._choice.domains:
             record = self._choice.choose(domain, now)
-            self._start_task(self._tell_domain(record, report, now))
+            self._tasks.start(self._tell_domain(record, report, now))
 
     async def _tell_domain(
         self, record: NodeRecord, report: DomainReport, sent_s: float
--- a/src/briardock/mesh/tasks.py
+++ b/src/briardock/mesh/tasks.py
@@ -1,9 +1,14 @@
-"""Background tasks that are kept alive until they end."""
+"""Background tasks: kept alive until they end, or started again after an error."""
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any
 
+from briardock.mesh.decisions import DecisionLog
+
+# Delay after which a supervised task that failed is started again, s.
+TASK_RESTART_DELAY_S = 0.2
+
 
 class BackgroundTasks:
     """Tasks that nobody awaits; the event loop keeps only weak references to them."""
@@ -23,3 +28,23 @@
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+
+
+async def supervise(
+    work: Callable[[], Coroutine[Any, Any, None]], log: DecisionLog
+) -> None:
+    """Run a background task, and start it again after an unexpected error.
+
+    :param work: starts the task
+    :param log: decision log
+    """
+    while True:
+        try:
+            return await work()
+        except Exception as error:
+            log.event(
+                "task-failed",
+                task=work.__name__,
+                error=f"{type(error).__name__}: {error}",
+            )
+        await asyncio.sleep(TASK_RESTART_DELAY_S)
--- a/src/briardock/platform/main.py
+++ b/src/briardock/platform/main.py
@@ -1,18 +1,16 @@
 """Entry point of a node on the users' platform."""
 
 import argparse
-import asyncio
 import os
-import signal
 import sys
 from pathlib import Path
-from types import FrameType
 
 import uvloop
 
 from briardock.exceptions import SettingsError
 from briardock.mesh.decisions import DecisionLog
 from briardock.mesh.node import Node
+from briardock.mesh.signals import ignore_reload
 from briardock.platform._dialect import PlatformDialect
 from briardock.platform._settings import SETTINGS_VARIABLE, load_settings
 from briardock.platform._store import PlatformStore
@@ -27,25 +25,9 @@
         DecisionLog(settings.node_id),
         lambda: load_settings(path),
     )
-    _reload_on_signal(node)
     await node.run()
 
 
-def _reload_on_signal(node: Node) -> None:
-    """Reload the settings on SIGHUP.
-
-    A handler of the loop would be removed as the loop is closed, and the signal would
-    then end the process.
-    """
-    loop = asyncio.get_running_loop()
-
-    def handle(signum: int, frame: FrameType | None) -> None:
-        if not loop.is_closed():
-            loop.call_soon_threadsafe(node.reload)
-
-    signal.signal(signal.SIGHUP, handle)
-
-
 def main() -> int:
     """Run a node until a signal stops it; return the exit code."""
     parser = argparse.ArgumentParser(
@@ -62,8 +44,7 @@
         print(error, file=sys.stderr)
         return error.exit_code
     finally:
-        # The interpreter removes other handlers before it exits.
-        signal.signal(signal.SIGHUP, signal.SIG_IGN)
+        ignore_reload()
     return 0
 
 
--- a/tests/test_mesh_stop.py
+++ b/tests/test_mesh_stop.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from briardock.mesh import node as node_module
+from briardock.mesh import stopping
 from briardock.mesh.http1 import ExchangeFailure, Request, Response
 from briardock.mesh.http_client import ClientConnection
 from briardock.mesh.model import now_s, split_address
@@ -239,7 +239,7 @@
         await created.settle()
         for number in range(5):
             assert (await other.call("/jobs/1", f"w{number}")).status == 200
-        monkeypatch.setattr(node_module, "LAST_ANSWERS_S", 4.0)
+        monkeypatch.setattr(stopping, "LAST_ANSWERS_S", 4.0)
         await stop_after(last, GRACE_S / 2 + 0.2)
         assert not last.task.done()
         assert (await other.call("/jobs/2", "late")).status == 503
@@ -252,7 +252,7 @@
 ) -> None:
     """The connection was closed while the request was on its way."""
     # Longer than the pause of this test on a busy machine.
-    monkeypatch.setattr(node_module, "MIN_CLOSED_IDLE_S", 0.5)
+    monkeypatch.setattr(stopping, "MIN_CLOSED_IDLE_S", 0.5)
     async with fleet(LONG) as created:
         machine = await start(created)
         await created.settle()
