Close connections in the middle of a body for others

Seen: 60 clients that sent one byte per second in a body, a chunk or a chunk size, or stopped in one, kept ordinary callers of a node out: each new connection was reset. So did 60 clients for 1 s after they had been refused with 413. A body that stalled held its memory without a limit in time.

Cause: a full listener closed only connections that were idle or in a head. Only heads had a timeout.

Change: a full listener also closes connections whose last response was sent, then those in a body, the furthest behind 64 KiB/s first. Their requests have not run. A body of which nothing arrives for idle-timeout (15 s by default) is refused with 408.

Before: 6 of 11 rows of test_ordinary_request_is_served_beside_a_slow_crowd red (byte per second in a chunk size, chunk and body, stalled body and chunk, length of 2^63), and 4 of 6 rows of test_body_of_which_nothing_arrives_is_refused. After: green. Green before the change: bytes in a head, half-closed connections in a head, body or chunk, and the answers to lengths of 2^63, 2^64 - 1 and 2^70.

--- a/src/briardock/mesh/http_server.py
+++ b/src/briardock/mesh/http_server.py
@@ -82,7 +82,7 @@
             return Response(500, close=True)
 
     async def sweep(self) -> None:
-        """Close connections that are idle or whose request head is late."""
+        """Close connections that are idle or whose request is late."""
         while True:
             await asyncio.sleep(SWEEP_PERIOD_S)
             now = now_s()
--- a/src/briardock/mesh/request_reader.py
+++ b/src/briardock/mesh/request_reader.py
@@ -32,6 +32,8 @@
         self.limits = limits
         self.is_reading = False
         self.received_s = 0.0
+        # Time of the last bytes of a body.
+        self.progressed_s = 0.0
         self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(
             self
         )
@@ -79,6 +81,8 @@
             self._unfinished_bytes = 0
         else:
             self._unfinished_bytes += len(data)
+        if not self.in_head:
+            self.progressed_s = now_s()
         if self.is_reading or self._unfinished_bytes:
             self._refuse(self._exceeded_limit())
 
--- a/src/briardock/mesh/server_connection.py
+++ b/src/briardock/mesh/server_connection.py
@@ -31,6 +31,9 @@
 PIPELINED_REQUEST_BYTES = 1024
 # Time after which a caller refused for lack of memory may come back, s.
 MEMORY_RETRY_AFTER = b"1"
+# Rate of an ordinary upload, bytes/s. Of the connections that a full listener closes in
+# the middle of a body, those furthest behind this rate are the first.
+UPLOAD_BYTES_PER_S = 64 * 1024
 # Longest time for which a connection is read on after its last response was sent, s.
 # The kernel discards what it still holds of a response if the socket is closed with
 # unread bytes.
@@ -104,14 +107,19 @@
         """Sort key by which connections are closed for others, empty if it is not.
 
         Those without a request so far are closed first, then idle ones, then those
-        whose head is not complete.
+        whose head is not complete, then those whose last response was sent, then those
+        whose body is not complete.
         """
+        reader = self._reader
         if self.idle:
             return (int(self._has_responded), self.last_active_s)
-        is_busy = self._responding or self._pending_requests or self._has_ended
-        if is_busy or not self._reader.in_head:
+        if self._has_ended:
+            return () if self.has_unsent_bytes else (3, self.last_active_s)
+        if self._responding or self._pending_requests:
             return ()
-        return (2, self._reader.received_s)
+        if reader.in_head:
+            return (2, reader.received_s)
+        return (4, reader.received_s + reader.held_bytes / UPLOAD_BYTES_PER_S)
 
     @property
     def has_unsent_bytes(self) -> bool:
@@ -325,7 +333,7 @@
             self.close_gracefully()
 
     def enforce_timeouts(self, now: float) -> None:
-        """Close the connection if it is idle, not read or its request head is late.
+        """Close the connection if it is idle, not read or its request is late.
 
         :param now: current time in s since boot
         """
@@ -336,8 +344,12 @@
         if self._responding or self._pending_requests or self._has_ended:
             return
         if self._reader.is_reading:
-            late_s = now - self._reader.received_s - limits.header_timeout_s
-            if self._reader.in_head and late_s > 0:
+            reader = self._reader
+            if reader.in_head:
+                is_late = now - reader.received_s > limits.header_timeout_s
+            else:
+                is_late = now - reader.progressed_s > limits.idle_timeout_s
+            if is_late:
                 self._refuse(408)
         elif now - self.last_active_s > limits.idle_timeout_s:
             self.close_gracefully()
--- a/tests/test_mesh_http_server.py
+++ b/tests/test_mesh_http_server.py
@@ -14,6 +14,7 @@
 LIMITS = CallerLimits(body_bytes=8)
 GET = b"GET /%d HTTP/1.1\r\nhost: h\r\n%s\r\n"
 POST = b"POST /%d HTTP/1.1\r\nhost: h\r\ncontent-length: %d\r\n\r\n%s"
+CHUNKED = b"POST /1 HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n"
 
 
 @pytest.fixture
@@ -180,3 +181,43 @@
         assert late_s < now_s() + 10 * LIMITS.idle_timeout_s
     writer.close()
     server.stop_listening()
+
+
+@pytest.mark.parametrize(
+    ("sent", "silent_s", "status"),
+    [
+        (POST % (1, 8, b"a"), 16.0, b"408"),
+        (POST % (1, 8, b"a"), 14.0, b""),
+        (POST % (1, 8, b""), 16.0, b"408"),
+        (POST % (1, 8, b"a" * 8), 16.0, b"200"),
+        (CHUNKED + b"4\r\nab", 16.0, b"408"),
+        (CHUNKED, 16.0, b"408"),
+    ],
+    ids=["body", "not yet", "no body", "complete", "chunk", "chunk size"],
+)
+async def test_body_of_which_nothing_arrives_is_refused(
+    sent: bytes, silent_s: float, status: bytes
+) -> None:
+    """A client that stopped in a body kept its memory without a limit in time, and
+    larger requests of others were refused for lack of memory meanwhile.
+    """
+    server = HttpServer(
+        lambda request: asyncio.sleep(0, Response(200)), LIMITS, quiet_log()
+    )
+    address = free_address()
+    await server.start(*split_address(address))
+    reader, writer = await asyncio.open_connection(*split_address(address))
+    writer.write(sent)
+    await asyncio.sleep(0.05)
+    for connection in list(server.connections):
+        connection.enforce_timeouts(now_s() + silent_s)
+    received = b""
+    try:
+        async with asyncio.timeout(0.1):
+            received = await reader.readline()
+    except TimeoutError:
+        pass
+    assert received[9:12] == status
+    assert status == b"" or server.memory.used_bytes == 0
+    writer.close()
+    server.stop_listening()
--- /dev/null
+++ b/tests/test_mesh_slow_clients.py
@@ -0,0 +1,200 @@
+"""Clients that send slowly, stop in the middle or close their sending side.
+
+The rows share one node, its target and a store as processes. The crowd and the bounds
+were fixed before the code was changed.
+"""
+
+import asyncio
+import re
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+
+import pytest
+
+from briardock.mesh.model import split_address
+from soak_machines import Machine
+from test_mesh_hostile_clients import (
+    ADDRESSES,
+    CHUNKED,
+    HEAD,
+    MAX_FDS,
+    MEMORY_MB,
+    RESERVED_FDS,
+    count_descriptors,
+    is_served,
+    peak_memory_mb,
+    running_machine,
+)
+
+pytestmark = pytest.mark.anyio
+
+# More than the listener for callers may hold open.
+CONNECTIONS = 60
+# Time for which a crowd sends one byte per second and connection, s.
+TRICKLE_S = 2.0
+ANSWER_TIMEOUT_S = 5.0
+
+POST = b"POST /jobs/1 HTTP/1.1\r\nhost: a.example\r\nrequest-id: r\r\n"
+GET = HEAD + b"request-id: r\r\n"
+UPGRADE = b"connection: upgrade\r\nupgrade: h2c\r\n"
+
+
+@pytest.fixture(scope="module")
+def anyio_backend() -> tuple[str, dict[str, bool]]:
+    return "asyncio", {"use_uvloop": True}
+
+
+@pytest.fixture(scope="module")
+async def machine(tmp_path_factory: pytest.TempPathFactory) -> AsyncIterator[Machine]:
+    async with running_machine(tmp_path_factory.mktemp("slow")) as started:
+        yield started
+
+
+@dataclass(frozen=True)
+class Dawdler:
+    """A client that does not complete its request.
+
+    :param start: sent once
+    :param trickle: sent one byte per second afterwards
+    :param half_closes: whether it shuts down its sending side after the start
+    :param wait_s: time until an ordinary request is sent, s
+    """
+
+    start: bytes
+    trickle: bytes = b""
+    half_closes: bool = False
+    wait_s: float = 0.0
+
+
+CHUNK_START = CHUNKED + b"10\r\nabc"
+DAWDLERS = {
+    "byte per second in a head": Dawdler(HEAD + b"a: ", b"b" * 9),
+    "byte per second in a chunk size": Dawdler(CHUNKED, b"0" * 9),
+    "byte per second in a chunk": Dawdler(CHUNK_START, b"b" * 9),
+    "byte per second in a body": Dawdler(
+        POST + b"content-length: 99\r\n\r\n", b"b" * 9
+    ),
+    "body that stalls": Dawdler(POST + b"content-length: 99\r\n\r\nabc"),
+    "chunk that stalls": Dawdler(CHUNK_START),
+    "half-closed in a head": Dawdler(HEAD, half_closes=True),
+    "half-closed in a body": Dawdler(
+        POST + b"content-length: 99\r\n\r\nabc", half_closes=True
+    ),
+    "half-closed in a chunk": Dawdler(CHUNK_START, half_closes=True),
+    "length of 2^63": Dawdler(POST + b"content-length: %d\r\n\r\nabc" % 2**63),
+    # A listener whose connections all have a request in flight refuses new ones, so the
+    # runs (0.25 s at most) must have ended.
+    "upgrades": Dawdler(GET + UPGRADE + b"\r\n" + b"\x00" * 64, wait_s=1.0),
+}
+CALLER_CASES = [(name, "callers") for name in DAWDLERS]
+
+
+async def dawdle(address: str, what: Dawdler) -> asyncio.StreamWriter:
+    """Send the start without reading; return the connection, which stays open."""
+    _, writer = await asyncio.open_connection(*split_address(address))
+    try:
+        writer.write(what.start)
+        await writer.drain()
+        if what.half_closes:
+            writer.write_eof()
+    except OSError:
+        pass
+    return writer
+
+
+async def trickle(writers: list[asyncio.StreamWriter], what: Dawdler) -> None:
+    """Send one byte per second on each connection for a while."""
+    for number in range(int(TRICKLE_S) if what.trickle else 0):
+        for writer in writers:
+            if not writer.is_closing():
+                writer.write(what.trickle[number : number + 1])
+        await asyncio.sleep(1.0)
+    await asyncio.sleep(what.wait_s)
+
+
+@pytest.mark.parametrize(("name", "address_name"), CALLER_CASES)
+async def test_ordinary_request_is_served_beside_a_slow_crowd(
+    name: str, address_name: str, machine: Machine
+) -> None:
+    """Connections in the middle of a body were never closed for others, so that a crowd
+    of them kept ordinary callers out.
+    """
+    node = machine.processes["node"]
+    address = ADDRESSES.get(address_name, lambda m: m.caller_address)(machine)
+    what = DAWDLERS[name]
+    writers = list(
+        await asyncio.gather(*(dawdle(address, what) for _ in range(CONNECTIONS)))
+    )
+    await trickle(writers, what)
+    descriptor_count = count_descriptors(node.pid)
+    served_beside = await is_served(machine)
+    for writer in writers:
+        writer.transport.abort()
+    served_after = await is_served(machine)
+    assert node.poll() is None
+    assert peak_memory_mb(node.pid) < MEMORY_MB
+    assert descriptor_count < MAX_FDS - RESERVED_FDS
+    assert (served_beside, served_after) == (True, True)
+
+
+@pytest.mark.parametrize(
+    ("sent", "half_closes", "statuses"),
+    [
+        (GET + b"\r\n", True, ["200"]),
+        (POST + b"content-length: 3\r\n\r\nabc", True, ["200"]),
+        ((GET + b"\r\n") * 2, True, ["200", "200"]),
+        ((GET + b"\r\n") * 9, True, ["200"] * 9),
+        (GET + b"\r\n" + HEAD, True, ["200"]),
+        (HEAD, True, []),
+        (POST + b"content-length: 9\r\n\r\nabc", True, []),
+        (GET + UPGRADE + b"\r\n", False, ["200"]),
+        (GET + UPGRADE + b"\r\n" + GET + b"\r\n", False, ["200", "200"]),
+        (
+            POST + UPGRADE + b"content-length: 3\r\n\r\nabc" + GET + b"\r\n",
+            False,
+            ["200", "200"],
+        ),
+        (b"CONNECT a.example:1 HTTP/1.1\r\nhost: a.example\r\n\r\n", False, ["400"]),
+        (POST + b"content-length: %d\r\n\r\n" % 2**63, False, ["413"]),
+        (POST + b"content-length: %d\r\n\r\nabc" % (2**64 - 1), False, ["413"]),
+        (POST + b"content-length: %d\r\n\r\n" % 2**70, False, ["400"]),
+    ],
+    ids=[
+        "GET",
+        "POST",
+        "two pipelined",
+        "nine pipelined",
+        "GET and half a head",
+        "half a head",
+        "half a body",
+        "upgrade",
+        "upgrade and GET",
+        "upgrade with a body and GET",
+        "CONNECT",
+        "length of 2^63",
+        "length of 2^64 - 1",
+        "length of 2^70",
+    ],
+)
+async def test_each_request_has_one_answer(
+    sent: bytes, half_closes: bool, statuses: list[str], machine: Machine
+) -> None:
+    """A caller that shut down its sending side after a request got no answer; a request
+    to upgrade was answered twice, and a length of 2^63 not at all.
+    """
+    reader, writer = await asyncio.open_connection(
+        *split_address(machine.caller_address)
+    )
+    writer.write(sent)
+    if half_closes:
+        writer.write_eof()
+    received = b""
+    try:
+        async with asyncio.timeout(ANSWER_TIMEOUT_S if half_closes else 1.5):
+            while data := await reader.read(65_536):
+                received += data
+    except TimeoutError:
+        assert not half_closes, "the connection stays open"
+    writer.transport.abort()
+    found = re.findall(rb"HTTP/1\.1 (\d+)", received)
+    assert [status.decode() for status in found] == statuses
