Serve requests that ask for another protocol once

Seen: a request with `Connection: Upgrade` was answered twice, with its response and a stray 400, and the next request on the connection not at all. If it had a body, the target got the request without it. CONNECT was answered with 404 and a stray 400.

Cause: the parser takes what follows such a head, also its body, for another protocol and stops; this counted as a malformed request.

Change: a server that supports no other protocol ignores the header (RFC 9110, 7.8). The request goes on in another parser that begins with the headers that delimit the body. CONNECT is refused with 400 and not passed on.

Before: 4 rows of test_each_request_has_one_answer red (statuses 200 and 400 instead of 200, twice instead of 200 and 200, and 404 and 400). After: green; test_mesh_http_server: 20 passed.

--- a/src/briardock/mesh/request_reader.py
+++ b/src/briardock/mesh/request_reader.py
@@ -8,6 +8,8 @@
 # Memory of one parsed header line beside its bytes: the objects of name, value and
 # pair, and the references to them while the request is forwarded.
 HEADER_LINE_BYTES = 256
+# Headers that delimit the body of a request.
+FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
 # Size of a head in memory that is not counted. Ordinary heads are smaller, so that they
 # cost no accounting.
 UNCOUNTED_HEAD_BYTES = 8 * 1024
@@ -37,6 +39,8 @@
         self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(
             self
         )
+        # Whether the open request goes on in a parser that began with another head.
+        self._has_other_head = False
         # Number of elements of messages that were read, and the bytes since the last.
         self._elements = 0
         self._unfinished_bytes = 0
@@ -51,6 +55,7 @@
         self._trailer_bytes = 0
         self._content_length = 0
         self._ends_connection = False
+        self._method = b""
 
     def close(self) -> None:
         """Release the parser, which refers to this reader, and the open request."""
@@ -73,10 +78,9 @@
         if self._parser is None or self.refusal_status:
             return
         elements_before = self._elements
-        try:
-            self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self._refuse(400)
+        rest: bytes | None = data
+        while rest is not None and not self.refusal_status:
+            rest = self._parse(rest)
         if self._elements != elements_before:
             self._unfinished_bytes = 0
         else:
@@ -86,6 +90,38 @@
         if self.is_reading or self._unfinished_bytes:
             self._refuse(self._exceeded_limit())
 
+    def _parse(self, data: bytes) -> bytes | None:
+        """Parse bytes; return those behind the head of a request to upgrade, if any."""
+        assert self._parser is not None
+        try:
+            try:
+                self._parser.feed_data(data)
+            except httptools.HttpParserUpgrade as upgrade:
+                self._ignore_upgrade()
+                return data[upgrade.args[0] :]
+        except httptools.HttpParserError:
+            self._refuse(400)
+        return None
+
+    def _ignore_upgrade(self) -> None:
+        """Go on with the request as one that does not ask for another protocol.
+
+        The parser takes what follows such a head for another protocol. Another parser
+        reads the body, if there is one, after a head that only delimits it.
+        """
+        if self.refusal_status:
+            return
+        self._parser = httptools.HttpRequestParser(self)
+        lines = [
+            name + b": " + value + b"\r\n"
+            for name, value in self._headers
+            if name in FRAMING_HEADERS
+        ]
+        self._has_other_head = True
+        self._parser.feed_data(
+            self._method + b" / HTTP/1.1\r\n" + b"".join(lines) + b"\r\n"
+        )
+
     def _exceeded_limit(self) -> int:
         """Return the status that refuses the request that is read, 0 for none."""
         limits = self.limits
@@ -107,18 +143,24 @@
 
     def on_message_begin(self) -> None:
         """Start a request."""
+        if self._has_other_head:
+            return
         self._elements += 1
         self.is_reading = True
         self.received_s = now_s()
 
     def on_url(self, url: bytes) -> None:
         """Add a part of the request target, which may arrive in several parts."""
+        if self._has_other_head:
+            return
         self._elements += 1
         self._target += url
         self._head_bytes += len(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header; a trailer is counted and dropped."""
+        if self._has_other_head:
+            return
         self._elements += 1
         line_bytes = len(name) + len(value) + 3
         if not self.in_head:
@@ -137,6 +179,7 @@
     def on_headers_complete(self) -> None:
         """End the head."""
         self.in_head = False
+        self._has_other_head = False
 
     def on_chunk_header(self) -> None:
         """Start a chunk of the body."""
@@ -150,14 +193,21 @@
     def on_message_complete(self) -> None:
         """Add the complete request, unless it or an earlier one is refused."""
         self._elements += 1
-        status = self._exceeded_limit()
-        if status:
-            self._refuse(status)
-        if self.refusal_status or self._parser is None:
+        if self._parser is None:
+            return
+        method = self._method or self._parser.get_method()
+        if method == b"CONNECT":
+            self._refuse(400)
+        elif not self._method and self._parser.should_upgrade():
+            # The body, if there is one, is still to come.
+            self._method = method
+            return
+        self._refuse(self._exceeded_limit())
+        if self.refusal_status:
             return
         self.requests.append(
             Request(
-                self._parser.get_method(),
+                method,
                 self._target,
                 self._headers,
                 without_copy(self._body),
