Let a connection for a repeated request id take the place of an idle one

Seen: a caller that sent 20 requests with one id, one after the other, took 20 further descriptors of the node, for 8 s each. 60 clients with one id took a node to 107 descriptors, with a bound of 100.

Cause: a request whose id came before is sent on a new connection, because a late copy of the earlier response may follow on the old one. The pool kept each of them.

Change: the connection that is idle longest is closed for it, so that the number of connections to a target is that of the requests in flight at one time.

Before: test_repeated_request_id_takes_no_further_descriptors red with 19 or 20 instead of at most 5, and the row of upgrades red when it runs after the others (107 of 100). After: green. A first form of the test had a bound on all descriptors, which depended on the rows before it. test_mesh_pool, _target and _recent_ids: 33 passed.

--- a/src/briardock/mesh/pool.py
+++ b/src/briardock/mesh/pool.py
@@ -124,6 +124,16 @@
             limit_s = min(limit_s, connection.idle_timeout_s - IDLE_MARGIN_S)
         return connection.usable and now - connection.idle_since_s < limit_s
 
+    async def replace(self, address: str) -> ClientConnection | ExchangeFailure:
+        """Return a new connection in place of the one that is idle longest, if any.
+
+        :param address: ``host:port``
+        """
+        idle = self._idle.get(address)
+        if idle:
+            idle.pop(0).close()
+        return await self.connect(address)
+
     async def connect(self, address: str) -> ClientConnection | ExchangeFailure:
         """Return a new connection.
 
--- a/src/briardock/mesh/target.py
+++ b/src/briardock/mesh/target.py
@@ -508,7 +508,7 @@
         if self._sent_ids.add(call.request_id):
             # A late copy of the earlier response may follow on its connection, and has
             # the same request id.
-            return await self._pool.connect(self.address)
+            return await self._pool.replace(self.address)
         max_idle_s = None if call.idempotent else MAX_IDLE_NON_IDEMPOTENT_S
         return await self._pool.acquire(self.address, max_idle_s)
 
--- a/tests/test_mesh_slow_clients.py
+++ b/tests/test_mesh_slow_clients.py
@@ -33,6 +33,10 @@
 # Time for which a crowd sends one byte per second and connection, s.
 TRICKLE_S = 2.0
 ANSWER_TIMEOUT_S = 5.0
+# Requests that one caller sends one after the other with the same id, and the number of
+# descriptors that they may take.
+REPEATS = 20
+MAX_TAKEN_DESCRIPTORS = 5
 
 POST = b"POST /jobs/1 HTTP/1.1\r\nhost: a.example\r\nrequest-id: r\r\n"
 GET = HEAD + b"request-id: r\r\n"
@@ -199,3 +203,24 @@
     writer.transport.abort()
     found = re.findall(rb"HTTP/1\.1 (\d+)", received)
     assert [status.decode() for status in found] == statuses
+
+
+async def test_repeated_request_id_takes_no_further_descriptors(
+    machine: Machine,
+) -> None:
+    """Each request with an id that came before opened a connection to the target, which
+    stayed open for 8 s.
+    """
+    node = machine.processes["node"]
+    reader, writer = await asyncio.open_connection(
+        *split_address(machine.caller_address)
+    )
+    count_before = count_descriptors(node.pid)
+    for _ in range(REPEATS):
+        writer.write(GET + b"\r\n")
+        head = await reader.readuntil(b"\r\n\r\n")
+        (size,) = re.findall(rb"content-length: (\d+)", head)
+        await reader.readexactly(int(size))
+    taken_count = count_descriptors(node.pid) - count_before
+    writer.close()
+    assert taken_count <= MAX_TAKEN_DESCRIPTORS
