Count what responses hold in an account sized by the memory of the machine

Seen: a target that flooded 30 connections with short header lines took its node to 194 MB, and with a body without end to 87, 99 and 88 MB (chunks, length of 4 GiB, until the end), on a machine with 75 MB.

Cause: the sum of the bodies that are read was bounded by 32 MiB on any machine. Parsed header lines were not counted, though they take some 256 bytes beside their text, and a read of 256 KB was parsed at once before the limits were checked.

Change: connections to targets, nodes and the store parse in slices, as those of clients do, and count bodies and heads in a MemoryAccount: 32 MiB, or a sixth of memory-mb if that is less (below 192 MB). A response is cut off as before: its outcome is unknown.

Before: with a node for each row, 4 of 22 rows of tests/test_mesh_hostile_targets.py red (bound 75 MB). After: 22 of 22 green, twice, with one node for all rows.

--- a/src/briardock/mesh/http_client.py
+++ b/src/briardock/mesh/http_client.py
@@ -12,6 +12,11 @@
     without_copy,
     write_message,
 )
+from briardock.mesh.memory import (
+    MemoryAccount,
+    counted_head_bytes,
+    response_account,
+)
 from briardock.mesh.model import Headers
 
 # Largest body of one response, bytes.
@@ -22,23 +27,16 @@
 MAX_OVERHEAD_PER_BODY_BYTE = 2
 # Responses to other requests that are skipped in one exchange.
 MAX_SKIPPED_RESPONSES = 8
-# Largest sum of the bodies that are being read by the process, bytes. Beyond it only
-# responses with a body of up to the second number are still read.
-MAX_BUFFERED_BYTES = 32 * 1024 * 1024
-SMALL_BODY_BYTES = 256 * 1024
+# Bytes parsed at a time, outside a body and inside one. The limits are checked in
+# between: 250 header lines fit into the first.
+HEAD_SLICE_BYTES = 1024
+BODY_SLICE_BYTES = 64 * 1024
 # Headers that delimit the body; without one the body ends with the connection.
 LENGTH_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
 
 
-class BodyBuffer:
-    """Sum of the response bodies that are being read."""
-
-    def __init__(self) -> None:
-        self.used_bytes = 0
-
-
-# Shared by all connections of the process, which share its memory.
-_BUFFER = BodyBuffer()
+# Account of the connections for which no other one is given.
+DEFAULT_MEMORY = response_account()
 
 
 class ClientConnection(asyncio.Protocol):
@@ -46,9 +44,13 @@
 
     Peers in trouble may send bytes without end. A response that exceeds a limit ends
     the exchange and the connection.
+
+    :param memory: account of the responses that are read
     """
 
-    def __init__(self) -> None:
+    def __init__(self, memory: MemoryAccount = DEFAULT_MEMORY) -> None:
+        self._memory = memory
+        self._counted_bytes = 0
         self._body = bytearray()
         self._received_bytes = 0
         self._exchange_body_bytes = 0
@@ -58,6 +60,7 @@
         self._waiter: asyncio.Future[Response | ExchangeFailure] | None = None
         self._accept: Callable[[Response], bool] | None = None
         self._reusable = True
+        self._is_aborted = False
         self._loop: asyncio.AbstractEventLoop | None = None
         self.idle_timeout_s: float | None = None
         self.idle_since_s = 0.0
@@ -67,16 +70,25 @@
         self._reset_message()
 
     def _reset_message(self) -> None:
-        self._headers: Headers = []
-        self._discard_body()
+        self._discard()
         self._status = 0
         self._has_length = False
         self._until_eof = False
         self._in_body = False
 
-    def _discard_body(self) -> None:
-        _BUFFER.used_bytes -= len(self._body)
+    def _discard(self) -> None:
+        """Let go of the response that was read."""
+        self._headers: Headers = []
+        self._head_bytes = 0
         self._body = bytearray()
+        self._update_account()
+
+    def _update_account(self) -> None:
+        held_bytes = len(self._body) + counted_head_bytes(
+            self._head_bytes, len(self._headers)
+        )
+        self._memory.used_bytes += held_bytes - self._counted_bytes
+        self._counted_bytes = held_bytes
 
     @property
     def usable(self) -> bool:
@@ -102,41 +114,50 @@
             self._finish()
         else:
             self._fail("connection lost" if exc is None else f"{type(exc).__name__}")
-        self._discard_body()
+        self._discard()
 
     def data_received(self, data: bytes) -> None:
         """Parse a response; close the connection on data outside an exchange."""
         if self._waiter is None or self._waiter.done():
             self.close()
             return
+        start = 0
+        while start < len(data) and not self._is_aborted:
+            if self._waiter.done():
+                # Nothing may follow a response.
+                self._reusable = False
+                return
+            end = start + (BODY_SLICE_BYTES if self._in_body else HEAD_SLICE_BYTES)
+            self._parse(data[start:end])
+            start = end
+
+    def _parse(self, data: bytes) -> None:
         self._received_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._abort("malformed response")
             return
+        self._update_account()
         if self._exceeds_limit():
             self._abort("response exceeds its limit")
 
     def _exceeds_limit(self) -> bool:
-        body_bytes = len(self._body)
         overhead_bytes = self._received_bytes - self._exchange_body_bytes
         return (
-            body_bytes > MAX_BODY_BYTES
+            len(self._body) > MAX_BODY_BYTES
             or overhead_bytes
             > MAX_OVERHEAD_BYTES
             + MAX_OVERHEAD_PER_BODY_BYTE * self._exchange_body_bytes
             or self._skipped > MAX_SKIPPED_RESPONSES
-            or (
-                body_bytes > SMALL_BODY_BYTES
-                and _BUFFER.used_bytes > MAX_BUFFERED_BYTES
-            )
+            or self._memory.refuses(self._counted_bytes)
         )
 
     def _abort(self, reason: str) -> None:
         self._reusable = False
+        self._is_aborted = True
         self._fail(reason)
-        self._discard_body()
+        self._discard()
         if self._transport is not None:
             self._transport.abort()
 
@@ -151,6 +172,7 @@
         if self._in_body:
             # Trailers are no part of the response that is passed on.
             return
+        self._head_bytes += len(name) + len(value)
         name = name.lower()
         self._headers.append((name, value))
         if name in LENGTH_HEADERS:
@@ -166,7 +188,6 @@
         """Add a part of the body."""
         self._body += body
         self._exchange_body_bytes += len(body)
-        _BUFFER.used_bytes += len(body)
 
     def on_message_complete(self) -> None:
         """Complete the exchange, unless the response is informational (1xx)."""
@@ -181,7 +202,7 @@
         if self._waiter is None or self._waiter.done():
             return
         response = Response(self._status, self._headers, without_copy(self._body))
-        self._discard_body()
+        self._discard()
         if self._accept is not None and not self._accept(response):
             # A response to an earlier request. Waits for the next one, but does not
             # reuse the connection.
--- a/src/briardock/mesh/node.py
+++ b/src/briardock/mesh/node.py
@@ -21,7 +21,7 @@
 from briardock.mesh.http1 import Request, Response
 from briardock.mesh.http_server import HttpServer
 from briardock.mesh.members import MemberTable, NodeRecord
-from briardock.mesh.memory import account_for_process
+from briardock.mesh.memory import account_for_process, response_account
 from briardock.mesh.model import (
     Announcement,
     CallerLimits,
@@ -137,8 +137,9 @@
         )
         self.members = MemberTable(local_record)
         self.balancer = Balancer(self.members, settings.domain, self._rng)
-        self._peer_pool = ConnectionPool(PEER_POOL)
-        self._target_pool = ConnectionPool(TARGET_POOL)
+        responses = response_account(settings.memory_bytes)
+        self._peer_pool = ConnectionPool(PEER_POOL, responses)
+        self._target_pool = ConnectionPool(TARGET_POOL, responses)
         board = ThresholdBoard()
         self.replicator = Replicator(
             self.members,
--- a/src/briardock/mesh/pool.py
+++ b/src/briardock/mesh/pool.py
@@ -7,7 +7,8 @@
 from dataclasses import dataclass
 
 from briardock.mesh.http1 import ExchangeFailure, FailureCause
-from briardock.mesh.http_client import ClientConnection
+from briardock.mesh.http_client import DEFAULT_MEMORY, ClientConnection
+from briardock.mesh.memory import MemoryAccount
 from briardock.mesh.model import now_s, split_address
 
 # Margin before the peer's idle timeout within which a connection is not reused, s.
@@ -48,10 +49,14 @@
     """Pool of idle connections to any number of addresses.
 
     :param settings: timeouts
+    :param memory: account of the responses that are read
     """
 
-    def __init__(self, settings: PoolSettings) -> None:
+    def __init__(
+        self, settings: PoolSettings, memory: MemoryAccount = DEFAULT_MEMORY
+    ) -> None:
         self._settings = settings
+        self._memory = memory
         self._idle: dict[str, list[ClientConnection]] = defaultdict(list)
         # Limit on the idle time and when it expires, by address that dropped an idle
         # connection.
@@ -144,7 +149,7 @@
         try:
             async with asyncio.timeout(self._settings.connect_timeout_s):
                 transport, connection = await loop.create_connection(
-                    ClientConnection, host, port
+                    lambda: ClientConnection(self._memory), host, port
                 )
         except TimeoutError:
             return ExchangeFailure("connect timeout", sent=False)
--- a/src/briardock/mesh/request_reader.py
+++ b/src/briardock/mesh/request_reader.py
@@ -3,16 +3,11 @@
 import httptools
 
 from briardock.mesh.http1 import Request, without_copy
+from briardock.mesh.memory import counted_head_bytes
 from briardock.mesh.model import CallerLimits, Headers, now_s
 
-# Memory of one parsed header line beside its bytes: the objects of name, value and
-# pair, and the references to them while the request is forwarded.
-HEADER_LINE_BYTES = 256
 # Headers that delimit the body of a request.
 FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
-# Size of a head in memory that is not counted. Ordinary heads are smaller, so that they
-# cost no accounting.
-UNCOUNTED_HEAD_BYTES = 8 * 1024
 
 
 class RequestReader:
@@ -65,9 +60,7 @@
     @property
     def held_bytes(self) -> int:
         """Memory held by the request that is being read, bytes."""
-        head_bytes = self._head_bytes + HEADER_LINE_BYTES * len(self._headers)
-        if head_bytes <= UNCOUNTED_HEAD_BYTES:
-            return len(self._body)
+        head_bytes = counted_head_bytes(self._head_bytes, len(self._headers))
         return head_bytes + len(self._body)
 
     def feed(self, data: bytes) -> None:
--- a/tests/test_mesh_client_limits.py
+++ b/tests/test_mesh_client_limits.py
@@ -16,11 +16,10 @@
 )
 from briardock.mesh.http_client import (
     MAX_BODY_BYTES,
-    MAX_BUFFERED_BYTES,
     MAX_OVERHEAD_BYTES,
-    SMALL_BODY_BYTES,
     ClientConnection,
 )
+from briardock.mesh.memory import RESPONSE_FLOOR_BYTES, RESPONSE_LIMIT_BYTES
 from briardock.mesh.model import split_address
 from briardock.mesh.server_connection import ServerConnection
 from mesh_fakes import fleet, free_address, respond_normally, route
@@ -121,16 +120,17 @@
         tasks = [asyncio.create_task(exchange_with(address)) for _ in range(50)]
         async with asyncio.timeout(30.0):
             while not all(task.done() for task in tasks):
-                most = max(most, http_client._BUFFER.used_bytes)
+                most = max(most, http_client.DEFAULT_MEMORY.used_bytes)
                 await asyncio.sleep(0.001)
     assert all(isinstance(task.result(), ExchangeFailure) for task in tasks)
-    assert most <= MAX_BUFFERED_BYTES + 50 * (SMALL_BODY_BYTES + 256 * 1024)
-    assert http_client._BUFFER.used_bytes == 0
+    assert most <= RESPONSE_LIMIT_BYTES + 50 * (RESPONSE_FLOOR_BYTES + 256 * 1024)
+    assert http_client.DEFAULT_MEMORY.used_bytes == 0
 
 
+@pytest.mark.parametrize("size_bytes", [256, 8 * 1024, 4 * 1024 * 1024])
 @pytest.mark.parametrize("framing", ["length", "chunks", "end"])
-async def test_a_large_honest_response_passes(framing: str) -> None:
-    body = bytes(range(256)) * 16_384
+async def test_an_honest_response_passes(framing: str, size_bytes: int) -> None:
+    body = bytes(range(256)) * (size_bytes // 256)
 
     async def respond(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
