Parse requests of very many lines by turns

Cause: a connection parsed and answered all that it had received, up to 1 MiB, before it let the event loop go on, if the answers needed no wait; and 30 connections did so in turn. A legal head of 3,500 lines costs some 10 ms, so an ordinary request waited for seconds.

Between pipelined requests a connection lets others go first.

--- a/src/briardock/mesh/http_server.py
+++ b/src/briardock/mesh/http_server.py
@@ -9,6 +9,7 @@
 from briardock.mesh.http1 import Request, Response
 from briardock.mesh.memory import MemoryAccount
 from briardock.mesh.model import CallerLimits, now_s
+from briardock.mesh.parse_pace import ParsePace
 from briardock.mesh.server_connection import ServerConnection
 
 # Share of its connections that a full listener closes at once, so that the search for
@@ -28,6 +29,7 @@
     :param log: decision log
     :param memory: account of what all connections of the process hold
     :param max_connections: largest number of connections
+    :param pace: pace at which all connections of the process parse costly requests
     """
 
     def __init__(
@@ -37,11 +39,13 @@
         log: DecisionLog,
         memory: MemoryAccount | None = None,
         max_connections: int = DEFAULT_MAX_DESCRIPTORS,
+        pace: ParsePace | None = None,
     ) -> None:
         self._handler = handler
         self._max_connections = max_connections
         self.log = log
         self.memory = memory or MemoryAccount()
+        self.pace = pace or ParsePace()
         self.limits = limits
         self.connections: set[ServerConnection] = set()
         self.closing = False
--- a/src/briardock/mesh/node.py
+++ b/src/briardock/mesh/node.py
@@ -31,6 +31,7 @@
     now_s,
     split_address,
 )
+from briardock.mesh.parse_pace import ParsePace
 from briardock.mesh.pool import ConnectionPool, PoolSettings
 from briardock.mesh.quotas import QUOTAS_PATH, Quotas, quota_limits
 from briardock.mesh.replication import Replicator
@@ -202,14 +203,15 @@
         )
         memory = self.memory = account_for_process(settings.memory_bytes)
         limits = connection_limits(settings.max_descriptors)
+        pace = ParsePace()
         self._caller_server = HttpServer(
-            self.forwarder.handle, CallerLimits(), log, memory, limits.callers
+            self.forwarder.handle, CallerLimits(), log, memory, limits.callers, pace
         )
         self._peer_server = HttpServer(
-            self._handle_peer, PEER_LIMITS, log, memory, limits.peers
+            self._handle_peer, PEER_LIMITS, log, memory, limits.peers, pace
         )
         self._ready_server, self._announcement_server, self._metrics_server = (
-            HttpServer(handler, CallerLimits(), log, memory, limits.others)
+            HttpServer(handler, CallerLimits(), log, memory, limits.others, pace)
             for handler in (
                 self._handle_ready,
                 self._handle_announcement,
--- a/src/briardock/mesh/request_reader.py
+++ b/src/briardock/mesh/request_reader.py
@@ -39,6 +39,8 @@
         # Number of elements of messages that were read, and the bytes since the last.
         self._elements = 0
         self._unfinished_bytes = 0
+        # Elements that were read before the last request began.
+        self._earlier_elements = 0
         self._reset_message()
 
     def _reset_message(self) -> None:
@@ -63,6 +65,11 @@
         head_bytes = counted_head_bytes(self._head_bytes, len(self._headers))
         return head_bytes + len(self._body)
 
+    @property
+    def request_elements(self) -> int:
+        """Header lines, chunks and other elements of the request that began last."""
+        return self._elements - self._earlier_elements
+
     def feed(self, data: bytes) -> None:
         """Parse bytes of the connection.
 
@@ -138,6 +145,7 @@
         """Start a request."""
         if self._has_other_head:
             return
+        self._earlier_elements = self._elements
         self._elements += 1
         self.is_reading = True
         self.received_s = now_s()
--- a/src/briardock/mesh/server_connection.py
+++ b/src/briardock/mesh/server_connection.py
@@ -15,6 +15,7 @@
 )
 from briardock.mesh.memory import MemoryAccount
 from briardock.mesh.model import CallerLimits, now_s
+from briardock.mesh.parse_pace import ORDINARY_ELEMENTS, ParsePace, ParseTurn
 from briardock.mesh.request_reader import RequestReader
 
 # Pipelined requests on one connection at which further bytes are kept unparsed, and
@@ -45,6 +46,7 @@
 
     limits: CallerLimits
     memory: MemoryAccount
+    pace: ParsePace
     log: DecisionLog
     closing: bool
     connections: "set[ServerConnection]"
@@ -82,6 +84,7 @@
         self._has_ended = False
         self._unparsed = bytearray()
         self._is_paused = False
+        self._turn = ParseTurn(server.pace, self._go_on_parsing)
         # Time since which no unsent byte was taken, while too many are unsent.
         self._blocked_since_s: float | None = None
         self._unsent_bytes = 0
@@ -170,7 +173,7 @@
         """Parse what the caller sent, or keep it while enough requests wait."""
         if self._refusal_status is not None or self._has_ended:
             return
-        if self._unparsed:
+        if self._unparsed or self._turn.is_awaited:
             self._unparsed += data
         else:
             parsed_bytes = self._parse(data)
@@ -186,7 +189,8 @@
         """Parse bytes until enough requests wait; return the number of bytes."""
         reader = self._reader
         reader.limits = self._server.limits
-        if len(data) <= HEAD_SLICE_BYTES and not self._pending_requests:
+        is_costly = reader.request_elements > ORDINARY_ELEMENTS
+        if not (is_costly or self._pending_requests) and len(data) <= HEAD_SLICE_BYTES:
             reader.feed(bytes(data))
             self._take_requests()
             return len(data)
@@ -195,14 +199,24 @@
             start < len(data)
             and len(self._pending_requests) < MAX_PIPELINED_REQUESTS
             and self._refusal_status is None
+            and self._turn.may_parse(reader.request_elements)
         ):
             slice_bytes = HEAD_SLICE_BYTES if reader.in_head else BODY_SLICE_BYTES
             end = min(len(data), start + slice_bytes)
+            elements_before = reader.request_elements
             reader.feed(bytes(data[start:end]))
+            self._turn.record(elements_before, reader.request_elements)
             start = end
             self._take_requests()
         return start
 
+    def _go_on_parsing(self) -> bool:
+        """Parse what was kept; return whether the connection is open."""
+        if self._transport is None or self._transport.is_closing():
+            return False
+        self._parse_kept()
+        return True
+
     def _take_requests(self) -> None:
         """Queue the requests that were read for the task of the connection."""
         reader = self._reader
@@ -233,6 +247,9 @@
                 await self._waiter
             if not await self._serve_request(self._pending_requests.popleft()):
                 return
+            if self._pending_requests:
+                # Responses that need no wait would keep other connections waiting.
+                await asyncio.sleep(0)
             if self._blocked_since_s is not None:
                 # The next response is not produced while the last one is not read.
                 self._drained = loop.create_future()
