--- a/tests/run_all.py
+++ b/tests/run_all.py
@@ -18,6 +18,7 @@
 # Tests of the memory of a process, which run apart from other load.
 ISOLATED_TESTS = (
     "tests/test_mesh_hostile_clients.py",
+    "tests/test_mesh_full_output.py",
     "tests/test_mesh_hostile_targets.py",
     "tests/test_mesh_slow_clients.py",
     "tests/test_mesh_upload_memory.py",
