--- a/src/briardock/mesh/listeners.py
+++ b/src/briardock/mesh/listeners.py
@@ -6,6 +6,7 @@
 from briardock.mesh.http_server import Handler, HttpServer
 from briardock.mesh.memory import MemoryAccount
 from briardock.mesh.model import CallerLimits, MeshSettings, split_address
+from briardock.mesh.parse_pace import ParsePace
 
 # Limits for peers, which are trusted; their connections may stay idle longer.
 PEER_LIMITS = CallerLimits(header_bytes=64 * 1024, idle_timeout_s=30.0)
@@ -37,10 +38,13 @@
     ) -> None:
         self._settings = settings
         limits = connection_limits(settings.max_descriptors)
-        self.callers = HttpServer(callers, CallerLimits(), log, memory, limits.callers)
-        self.peers = HttpServer(peers, PEER_LIMITS, log, memory, limits.peers)
+        pace = ParsePace()
+        self.callers = HttpServer(
+            callers, CallerLimits(), log, memory, limits.callers, pace
+        )
+        self.peers = HttpServer(peers, PEER_LIMITS, log, memory, limits.peers, pace)
         self.ready, self.announcements, self.metrics = (
-            HttpServer(handler, CallerLimits(), log, memory, limits.others)
+            HttpServer(handler, CallerLimits(), log, memory, limits.others, pace)
             for handler in (ready, announcements, metrics)
         )
 
