Search for an instance once per request, not once per attempt

Trace: until a node has run for the longest timeout of its routes, it takes a caller's request for a possible call of its target, and searches for an instance for 0.3 of the remaining time. After each refusal a new search began, so the call went to the refusing instance about every 50 ms until its deadline. The caller got 503 if the deadline passed during a pause and 504 if it passed during an attempt, which is likelier on a busy machine.

The time of the search now counts from its first begin. The new test delays a refusal close to the deadline: 504 before, 503 after.

--- a/src/briardock/mesh/forwarder.py
+++ b/src/briardock/mesh/forwarder.py
@@ -86,6 +86,8 @@
     :param age_s: time since the first attempt of its caller, 0 for that one
     :param unresolved: whether it was sent to an instance that has not responded yet
     :param call: call of the attempt under way
+    :param search_until_s: time until which an instance is searched for again, ``None``
+        before the first search
     """
 
     head: RequestHead
@@ -100,6 +102,7 @@
     age_s: float = 0.0
     unresolved: bool = False
     call: Call | None = None
+    search_until_s: float | None = None
 
     @property
     def from_target(self) -> bool:
@@ -463,13 +466,20 @@
         return target_response or result
 
     async def _choose_instance(self, state: RequestState) -> NodeRecord | None:
-        """Return an instance; a call of the local target waits a while for one."""
+        """Return an instance; a call of the local target waits a while for one.
+
+        One search covers all attempts. If each attempt began a new one, a call that
+        every instance refuses would be under way at its deadline, and its caller
+        could not know that it was not run.
+        """
         record = state.attempts.choose(now_s())
         if record is not None or not state.from_target:
             return record
-        now = now_s()
-        until_s = now + INSTANCE_SEARCH_SHARE * (state.expires_s - now)
-        while record is None and now_s() < until_s:
+        if state.search_until_s is None:
+            now = now_s()
+            remaining_s = state.expires_s - now
+            state.search_until_s = now + INSTANCE_SEARCH_SHARE * remaining_s
+        while record is None and now_s() < state.search_until_s:
             await asyncio.sleep(INSTANCE_SEARCH_PERIOD_S)
             record = state.attempts.choose_again(now_s())
         return record
