Keep a stall of the process from failing a connection to a peer

A caller sees a call that fails unsent and goes to another instance; further calls fail for the 50 ms until the next attempt.

Trace: after a connect, the loop runs twice before the task that waits for it goes on. If the process is held up for more than the timeout of 0.5 s meanwhile, the timer expires first and the attempt counts as failed.

The timeout now runs in ten parts, one after the other, so that a stall uses up one of them. The handshake did not fail under such a stall and is unchanged.

--- a/src/briardock/_link.py
+++ b/src/briardock/_link.py
@@ -14,6 +14,7 @@
     expect_hello,
 )
 from briardock._http import STREAM_ERRORS
+from briardock._waiting import fail_after
 from briardock.clock import Clock
 from briardock.events import Event, emit
 from briardock.messages import Answer, Cancel, LinkMessage
@@ -126,7 +127,7 @@
     async def _connect_and_read(self) -> str:
         """Return why the link ended."""
         try:
-            with anyio.fail_after(CONNECT_TIMEOUT_S):
+            with fail_after(CONNECT_TIMEOUT_S):
                 stream = await anyio.connect_tcp(
                     self.peer.host, self.peer.port, local_host=self._owner.source_host
                 )
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,5 +1,9 @@
 """Links between nodes: outcomes of calls, faulty peers, Cancel and limits."""
 
+import asyncio
+import time
+from typing import Any
+
 import anyio
 import anyio.abc
 import msgspec
@@ -43,6 +47,9 @@
     with_handshake,
 )
 
+# Longer than the timeout of a connection attempt, s.
+STALL_S = _link.CONNECT_TIMEOUT_S + 0.1
+
 pytestmark = pytest.mark.anyio
 
 
@@ -361,6 +368,36 @@
         assert isinstance(await client.call(), Answer)
 
 
+async def test_stall_of_this_process_is_not_taken_for_an_unreachable_peer(
+    monkeypatch: pytest.MonkeyPatch,
+):
+    """Guards against calls that fail unsent because this process was held up."""
+    connect_tcp = anyio.connect_tcp
+
+    async def connect(*args: Any, **options: Any) -> anyio.abc.SocketStream:
+        asyncio.get_running_loop().call_soon(time.sleep, STALL_S)
+        return await connect_tcp(*args, **options)
+
+    monkeypatch.setattr(_link.anyio, "connect_tcp", connect)
+    async with client_for(echo) as client:
+        assert isinstance(await client.call(), Answer)
+
+
+async def test_connection_attempt_without_an_end_fails(
+    monkeypatch: pytest.MonkeyPatch,
+):
+    """Guards against calls that wait for a peer whose machine does not respond."""
+
+    async def connect(*args: Any, **options: Any) -> anyio.abc.SocketStream:
+        return await anyio.sleep_forever()
+
+    monkeypatch.setattr(_link.anyio, "connect_tcp", connect)
+    monkeypatch.setattr(_link, "CONNECT_TIMEOUT_S", 0.05)
+    async with client_for(echo) as client:
+        failure = await client.call()
+        assert failure == LinkFailure(False, "connection failed: TimeoutError()")
+
+
 async def test_call_without_running_links():
     """Guards against calls that wait although the links are not running."""
     links = make_peer_links("a", 1, ManualClock(), Metrics(), None, 1)
