--- a/tests/test_mesh_exit.py
+++ b/tests/test_mesh_exit.py
@@ -11,7 +11,7 @@
 from soak_machines import ROOT, FleetPlan, SoakFleet
 
 START_TIMEOUT_S = 60.0
-# Grace period of the node, and time that clearing up its interpreter is made to take, s.
+# Grace period of the node, and time that its interpreter is made to take to end, s.
 GRACE_S = 2.0
 CLEANUP_S = 20.0
 # Network beyond those of the fleets in other tests.
