Bound what a request sends beside its body

Seen: 120 clients that sent chunks of two bytes to the peer, readiness, metrics and announcement addresses kept a node busy; an ordinary request had no response 11 s later, within its deadline of 10 s (8.97 s for the whole row in another run). 300 such clients of callers' requests took a node of 150 MB to 153.9 MB.

Cause: each chunk costs two calls of the parser's owner whatever its size, and 4 MiB of such chunks are 600,000. Only the body counted towards a limit.

Change: as for responses, what is sent beside the body is bounded, by 128 KiB and the size of the body (413). Chunks of 5 bytes or more never meet the bound.

--- a/src/briardock/mesh/request_reader.py
+++ b/src/briardock/mesh/request_reader.py
@@ -6,6 +6,12 @@
 from briardock.mesh.memory import counted_head_bytes
 from briardock.mesh.model import CallerLimits, Headers, now_s
 
+# Largest number of bytes that a request sends after its head beside its body (chunk
+# sizes, their extensions and trailers), as a constant and per byte of the body. Parsing
+# chunks of a few bytes takes a hundred times as long as parsing the body alone. What is
+# counted includes up to 64 KiB of earlier requests.
+MAX_FRAMING_BYTES = 128 * 1024
+MAX_FRAMING_PER_BODY_BYTE = 1
 # Headers that delimit the body of a request.
 FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
 
@@ -48,6 +54,7 @@
         self._body = bytearray()
         self._head_bytes = 0
         self._trailer_bytes = 0
+        self._received_bytes = 0
         self._content_length = 0
         self._ends_connection = False
         self._method = b""
@@ -80,6 +87,7 @@
             self._unfinished_bytes += len(data)
         if not self.in_head:
             self.progressed_s = now_s()
+            self._received_bytes += len(data)
         if self.is_reading or self._unfinished_bytes:
             self._refuse(self._exceeded_limit())
 
@@ -119,7 +127,14 @@
         """Return the status that refuses the request that is read, 0 for none."""
         limits = self.limits
         max_body_bytes, max_head_bytes = limits.body_bytes, limits.header_bytes
-        if self._content_length > max_body_bytes or len(self._body) > max_body_bytes:
+        body_bytes = len(self._body)
+        framing_bytes = self._received_bytes - body_bytes
+        if (
+            self._content_length > max_body_bytes
+            or body_bytes > max_body_bytes
+            or framing_bytes
+            > MAX_FRAMING_BYTES + MAX_FRAMING_PER_BODY_BYTE * body_bytes
+        ):
             return 413
         if (
             self._head_bytes > max_head_bytes
--- a/tests/run_all.py
+++ b/tests/run_all.py
@@ -20,6 +20,7 @@
     "tests/test_mesh_hostile_clients.py",
     "tests/test_mesh_full_output.py",
     "tests/test_mesh_hostile_targets.py",
+    "tests/test_mesh_large_crowds.py",
     "tests/test_mesh_slow_clients.py",
     "tests/test_mesh_upload_memory.py",
 )
--- a/tests/test_mesh_hostile_clients.py
+++ b/tests/test_mesh_hostile_clients.py
@@ -93,22 +93,30 @@
     """A fleet of one machine with given limits."""
 
     memory_mb = MEMORY_MB
+    max_fds = MAX_FDS
 
     def write_settings(self, machine: Machine) -> Path:
         """Write settings with lowered limits."""
         path = super().write_settings(machine)
-        limits = f"memory-mb = {self.memory_mb}\nmax-fds = {MAX_FDS}"
+        limits = f"memory-mb = {self.memory_mb}\nmax-fds = {self.max_fds}"
         path.write_text(re.sub("memory-mb = .*", limits, path.read_text()))
         return path
 
 
 @asynccontextmanager
 async def running_machine(
-    folder: Path, memory_mb: int = MEMORY_MB
+    folder: Path,
+    memory_mb: int = MEMORY_MB,
+    max_fds: int = MAX_FDS,
+    network: int = 0,
 ) -> AsyncIterator[Machine]:
-    """Run a store, a node and its target until the node serves requests."""
-    fleet = LimitedFleet(folder, FleetPlan(services={"jobs": 1}))
-    fleet.memory_mb = memory_mb
+    """Run a store, a node and its target until the node serves requests.
+
+    Machines that run at the same time need distinct networks.
+    """
+    plan = FleetPlan(services={"jobs": 1}, first_network=network)
+    fleet = LimitedFleet(folder, plan)
+    fleet.memory_mb, fleet.max_fds = memory_mb, max_fds
     fleet.start()
     try:
         (machine,) = fleet.machines
@@ -137,14 +145,16 @@
     return response.status == 200
 
 
-async def flood(address: str, what: Flood) -> asyncio.StreamWriter:
+async def flood(
+    address: str, what: Flood, max_bytes: int = SENT_BYTES
+) -> asyncio.StreamWriter:
     """Send without reading; return the connection, which stays open."""
     _, writer = await asyncio.open_connection(*split_address(address))
     block = what.part * max(1, BLOCK_BYTES // len(what.part))
     sent_bytes = 0
     try:
         writer.write(what.start)
-        while sent_bytes < SENT_BYTES:
+        while sent_bytes < max_bytes:
             writer.write(block)
             sent_bytes += len(block)
             async with asyncio.timeout(BLOCKED_S):
--- a/tests/test_mesh_http_server.py
+++ b/tests/test_mesh_http_server.py
@@ -7,6 +7,7 @@
 from briardock.mesh.http1 import Request, Response
 from briardock.mesh.http_server import HttpServer
 from briardock.mesh.model import CallerLimits, now_s, split_address
+from briardock.mesh.request_reader import RequestReader
 from mesh_fakes import free_address, quiet_log
 
 pytestmark = pytest.mark.anyio
@@ -221,3 +222,27 @@
     assert status == b"" or server.memory.used_bytes == 0
     writer.close()
     server.stop_listening()
+
+
+@pytest.mark.parametrize(
+    ("part", "count", "status"),
+    [
+        (b"1\r\na\r\n", 20_000, 0),
+        (b"1\r\na\r\n", 40_000, 413),
+        (b"2\r\naa\r\n", 40_000, 0),
+        (b"2\r\naa\r\n", 50_000, 413),
+        (b"5\r\naaaaa\r\n", 200_000, 0),
+        (b"1;" + b"x" * 500 + b"\r\na\r\n", 200, 0),
+        (b"1;" + b"x" * 500 + b"\r\na\r\n", 400, 413),
+    ],
+)
+def test_chunks_of_a_few_bytes_are_bounded(
+    part: bytes, count: int, status: int
+) -> None:
+    """120 clients that sent chunks of two bytes kept a node busy for over 10 s."""
+    reader = RequestReader(CallerLimits())
+    data = CHUNKED + part * count + b"0\r\n\r\n"
+    for start in range(0, len(data), 16 * 1024):
+        reader.feed(data[start : start + 16 * 1024])
+    assert reader.refusal_status == status
+    assert len(reader.requests) == (not status)
