Leave room for the interpreter beside one large request and one response

Cause: a response that holds most of what is held may use 8/3 of its account, thus 0.44 of the memory with an account of a sixth. Together with the largest request (0.4) that left 30 MB of 200 MB, less than an interpreter with the modules of a node takes (some 45 MB).

Change: the account of responses is an eighth of the memory.

--- a/src/briardock/mesh/memory.py
+++ b/src/briardock/mesh/memory.py
@@ -10,8 +10,10 @@
 # cost no accounting.
 UNCOUNTED_HEAD_BYTES = 8 * 1024
 # Limit on the responses that are read, as a share of the memory of the process and
-# in bytes, and what one of them may hold in any case, bytes.
-RESPONSE_SHARE = 1 / 6
+# in bytes, and what one of them may hold in any case, bytes. A single request and a
+# single response that use up both accounts leave a quarter of the memory, 50 MB of the
+# smallest machines, for the interpreter.
+RESPONSE_SHARE = 1 / 8
 RESPONSE_LIMIT_BYTES = 32 * 1024 * 1024
 RESPONSE_FLOOR_BYTES = 256 * 1024
 # What one connection may hold although the account is used up, bytes. Ordinary requests
