Extend the soak to client accounts

The soak had no request with a key, so that faults were never played against accounts, revocation and quotas. Each node now has two more callers: one with a key that stays valid, one that is revoked during the run and an unknown one, and one with the key of an account that sends more than its quota. Checks over the ledgers: no run for an unknown key; none for the revoked key later than 5 s after the acknowledgement of its revocation; at most (10 x 5 + 10) x 1.1 + 20 requests of the account with a quota in any 5 s; no 401 for a valid key; and each of them must have had something to judge. None makes an exception for faults. If the restore of the store loses the revocation, its time counts from the configuration that is written again. Nodes of the soak run with strict-revocation, and its other routes are public.

--- a/tests/mesh_soak.py
+++ b/tests/mesh_soak.py
@@ -21,10 +21,18 @@
 import uvloop
 
 from mesh_fakes import send
+from soak_accounts import (
+    KEPT_KEY,
+    KEYED_PATH,
+    LIMITED_KEY,
+    LIMITED_PATH,
+    REVOKED_KEY,
+    UNKNOWN_KEY,
+)
 from soak_callers import CallerConnection, CallerRequest, connect
 from soak_checks import SoakResults
 from soak_faults import Faults
-from soak_machines import LONG_PATHS, TIMEOUTS_S, Machine, SoakFleet
+from soak_machines import LONG_PATHS, TIMEOUTS_S, FleetPlan, Machine, SoakFleet
 from soak_programs import CHAIN_PATH
 
 # Limit on the start of all processes, sufficient on a busy machine, s.
@@ -55,11 +63,15 @@
     :param paths: paths that it chooses from
     :param pipelined: largest number of requests that it sends at once
     :param leaves_s: range of the time after which it closes its connection, s
+    :param keys: keys of accounts that it chooses from, empty for none
+    :param period_s: mean pause between its requests, s
     """
 
     paths: tuple[str, ...] = SHORT_PATHS
     pipelined: int = 1
     leaves_s: tuple[float, float] | None = None
+    keys: tuple[str, ...] = ("",)
+    period_s: float = CLIENT_PERIOD_S
 
 
 # Six pipelined requests are more than a node reads ahead.
@@ -68,6 +80,9 @@
     Role(LONG_PATHS),
     Role(SHORT_PATHS + LONG_PATHS, pipelined=6),
     Role(SHORT_PATHS + LONG_PATHS, pipelined=6, leaves_s=(0.05, 0.8)),
+    # A key is checked on routes that need none as well.
+    Role((KEYED_PATH, *SHORT_PATHS), keys=(KEPT_KEY, REVOKED_KEY, UNKNOWN_KEY)),
+    Role((LIMITED_PATH,), pipelined=6, keys=(LIMITED_KEY,), period_s=0.2),
 )
 
 
@@ -76,9 +91,13 @@
 
     def __init__(self, seed: int, folder: Path) -> None:
         self.seed = seed
-        self.fleet = SoakFleet(folder)
-        restore_rng = random.Random(f"{seed} restore")
-        self.faults = Faults(self.fleet, random.Random(seed), restore_rng)
+        self.fleet = SoakFleet(folder, FleetPlan(has_accounts=True))
+        self.faults = Faults(
+            self.fleet,
+            random.Random(seed),
+            random.Random(f"{seed} restore"),
+            random.Random(f"{seed} revoke"),
+        )
         self.results = SoakResults()
         self._request_count = 0
         # Time for which this process itself was stalled, s.
@@ -93,16 +112,20 @@
         role = ROLES[number]
         rng = random.Random(f"{self.seed} {machine.name} {number}")
         while not self._stopping:
-            await asyncio.sleep(CLIENT_PERIOD_S * rng.uniform(0.5, 1.5))
+            await asyncio.sleep(role.period_s * rng.uniform(0.5, 1.5))
             if connection is None or not connection.usable:
                 connection = await connect(machine, rng.random() < 0.5)
                 if connection is None:
                     continue
             paths = rng.choices(role.paths, k=rng.randint(1, role.pipelined))
+            # Other callers draw as they did before there were keys.
+            key = rng.choice(role.keys) if len(role.keys) > 1 else role.keys[0]
             leaves_after_s = rng.uniform(*role.leaves_s) if role.leaves_s else None
             await asyncio.gather(
                 *(
-                    self._send_request(machine, connection, path, place, leaves_after_s)
+                    self._send_request(
+                        machine, connection, path, place, leaves_after_s, key
+                    )
                     for place, path in enumerate(paths)
                 )
             )
@@ -114,6 +137,7 @@
         path: str,
         place: int,
         leaves_after_s: float | None,
+        key: str,
     ) -> None:
         """Send one request.
 
@@ -122,6 +146,7 @@
         :param path: path before the id
         :param place: number of requests before it in the pipeline
         :param leaves_after_s: time after which the caller leaves, if it does
+        :param key: key of an account, empty for none
         """
         self._request_count += 1
         timeout_s = next(
@@ -135,6 +160,7 @@
             path.startswith("/once/"),
             timeout_s + DEADLINE_ALLOWANCE_S,
             leaves_after_s or limit_s,
+            key,
         )
         stalled_before_s = self._stalled_s
         outcome = await connection.exchange(machine, request)
@@ -232,6 +258,9 @@
             self._stopping = True
             await asyncio.gather(*tasks, restart_task)
             self.results.check_ledgers(self.fleet.folder, self.fleet.machines)
+            self.results.check_accounts(
+                self.fleet.folder, self.fleet.machines, self.fleet.revoked_s
+            )
         finally:
             self.fleet.stop()
 
@@ -260,12 +289,16 @@
             for path in paths:
                 if await _status(machine.caller_address, path) != 200:
                     return False
+            if await _status(machine.caller_address, f"{KEYED_PATH}p", KEPT_KEY) != 200:
+                return False
         return True
 
 
-async def _status(address: str, path: str) -> int:
+async def _status(address: str, path: str, key: str = "") -> int:
     """Return the status of a request on a new connection, 0 without a response."""
     headers = [(b"host", b"a.example"), (b"request-id", b"probe")]
+    if key:
+        headers.append((b"authorization", f"Bearer {key}".encode()))
     try:
         async with asyncio.timeout(2.0):
             return (await send(address, path, b"", headers)).status
--- a/tests/soak_callers.py
+++ b/tests/soak_callers.py
@@ -25,6 +25,7 @@
     :param once: whether it must run at most once
     :param timeout_s: deadline that it names, s
     :param leaves_after_s: time after which the caller closes the connection, s
+    :param key: key of an account, empty for none
     """
 
     request_id: str
@@ -32,6 +33,7 @@
     once: bool
     timeout_s: float
     leaves_after_s: float
+    key: str = ""
 
     def encode(self) -> bytes:
         headers = [
@@ -39,6 +41,8 @@
             (b"request-id", self.request_id.encode()),
             (b"deadline-ms", b"%d" % (self.timeout_s * 1000)),
         ]
+        if self.key:
+            headers.append((b"authorization", f"Bearer {self.key}".encode()))
         method, body = (b"POST", ONCE_BODY) if self.once else (b"GET", b"")
         path = f"{self.prefix}{self.request_id}".encode()
         return encode_request(method, path, headers, body)
@@ -154,6 +158,7 @@
             request.timeout_s,
             None if status else self.closed_s,
             not status and (has_left or self.left),
+            request.key,
         )
 
 
--- a/tests/soak_checks.py
+++ b/tests/soak_checks.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 from typing import Any
 
+from soak_accounts import KeyedRequest, account_violations
 from soak_machines import Machine
 from soak_programs import CALL_DEADLINE_MS, DRAIN_S
 
@@ -41,6 +42,7 @@
     :param timeout_s: deadline of the caller or timeout of the route
     :param closed_s: time at which the connection was closed without a response
     :param left: whether the caller closed it
+    :param key: key of an account that the request carried, empty for none
     """
 
     request_id: str
@@ -53,6 +55,7 @@
     timeout_s: float = 0.0
     closed_s: float | None = None
     left: bool = False
+    key: str = ""
 
 
 @dataclass(slots=True)
@@ -247,6 +250,28 @@
                 if text is not None:
                     self.violations.append(text)
 
+    def check_accounts(
+        self, folder: Path, machines: list[Machine], revoked_s: float | None
+    ) -> None:
+        """Check what ran with the keys of accounts.
+
+        :param folder: folder of the ledgers
+        :param machines: machines of the targets
+        :param revoked_s: time at which the revocation of a key was acknowledged
+        """
+        runs = read_runs(folder, machines)
+        requests = [
+            KeyedRequest(
+                outcome.request_id,
+                outcome.key,
+                outcome.status,
+                [run.started_s for run in runs.get(outcome.request_id, [])],
+            )
+            for outcome in self.outcomes
+            if outcome.key
+        ]
+        self.violations += account_violations(requests, revoked_s)
+
     def _stalled_s_near(self, at: float) -> float:
         return sum(stall_s for end_s, stall_s in self.stalls if abs(end_s - at) < 3.0)
 
--- a/tests/soak_faults.py
+++ b/tests/soak_faults.py
@@ -50,6 +50,8 @@
 # after which the operator writes the configuration again, s.
 COPY_AGE_RANGE_S = (1.0, 5.0)
 REWRITE_DELAY_RANGE_S = (0.2, 1.5)
+# Range of the time at which a key is revoked, s.
+REVOCATION_RANGE_S = (2.0, FAULT_PHASE_S)
 
 
 class Faults:
@@ -59,13 +61,19 @@
     :param rng: random source of kinds, times and machines
     :param restore_rng: random source of the restore of the store, of its own so that
         the other faults of a seed stay the same
+    :param revoke_rng: random source of the revocation of a key, likewise
     """
 
     def __init__(
-        self, fleet: SoakFleet, rng: random.Random, restore_rng: random.Random
+        self,
+        fleet: SoakFleet,
+        rng: random.Random,
+        restore_rng: random.Random,
+        revoke_rng: random.Random,
     ) -> None:
         self._fleet = fleet
         self._rng = rng
+        self._revoke_rng = revoke_rng
         self._restore_rng = restore_rng
         self._restore_actions: list[Callable[[], Awaitable[None]]] = []
         self._tasks: list[asyncio.Task[None]] = []
@@ -143,9 +151,18 @@
         """Restore the store from a copy; the operator writes again a moment later."""
         age_ms = int(self._restore_rng.uniform(*COPY_AGE_RANGE_S) * 1000)
         self.fault_log.append(f"{time.time():.2f} store restored, {age_ms} ms lost")
+        revoked_s = self._fleet.revoked_s
         await send(self._fleet.store_address, f"{RESTORE_PATH}?age-ms={age_ms}")
+        lost_s = time.time() - age_ms / 1000
         await asyncio.sleep(self._restore_rng.uniform(*REWRITE_DELAY_RANGE_S))
         await self._fleet.write_config()
+        # No node may know of a revocation that the store lost.
+        if revoked_s is not None and revoked_s > lost_s:
+            self._fleet.revoked_s = time.time()
+
+    async def _revoke(self) -> None:
+        await self._fleet.revoke()
+        self.fault_log.append(f"{time.time():.2f} key revoked")
 
     async def _freeze(
         self, process: ManagedProcess, harmed: Machine | None = None
@@ -175,6 +192,9 @@
         )
         restore_s = self._restore_rng.uniform(0.0, FAULT_PHASE_S)
         await self._schedule(restore_s, self._restore_store)
+        await self._schedule(
+            self._revoke_rng.uniform(*REVOCATION_RANGE_S), self._revoke
+        )
         started = time.monotonic()
         for at_s in times:
             await asyncio.sleep(max(0.0, started + at_s - time.monotonic()))
--- a/tests/soak_machines.py
+++ b/tests/soak_machines.py
@@ -15,6 +15,7 @@
 from briardock.mesh.model import split_address
 from briardock_standins._processes import ManagedProcess, PortPool
 from mesh_fakes import config, route, send
+from soak_accounts import KEYED_PATH, LIMITED_PATH, LIMITED_RUN_RANGE_S, tenants
 from soak_programs import DRAIN_S, TargetPlan
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -24,21 +25,33 @@
 SERVICES = {"jobs": 3, "maps": 3}
 LONG_PATHS = ("/jobs/long/", "/once/long/", "/maps/long/")
 LONG_TIMEOUT_S = 4.0
-LONG_RUN_RANGE_S = (0.5, 2.0)
+RUN_RANGES_S = {
+    **dict.fromkeys(LONG_PATHS, (0.5, 2.0)),
+    LIMITED_PATH: LIMITED_RUN_RANGE_S,
+}
+
+
+def _public_route(name: str, prefix: str, **spec: str) -> dict[str, Any]:
+    """Return a route that needs no key, whether there are accounts or not."""
+    return route(name, prefix, public=True, **spec)
+
+
 ROUTES = (
-    route("jobs", "/jobs/", timeout="1200ms"),
-    route("once", "/once/", kind="non_idempotent", timeout="1200ms"),
-    route("maps", "/maps/", service="maps", timeout="1000ms"),
-    route("jobs-long", "/jobs/long/", timeout="4s"),
-    route("once-long", "/once/long/", kind="non_idempotent", timeout="4s"),
-    route("maps-long", "/maps/long/", service="maps", timeout="4s"),
+    _public_route("jobs", "/jobs/", timeout="1200ms"),
+    _public_route("once", "/once/", kind="non_idempotent", timeout="1200ms"),
+    _public_route("maps", "/maps/", service="maps", timeout="1000ms"),
+    _public_route("jobs-long", "/jobs/long/", timeout="4s"),
+    _public_route("once-long", "/once/long/", kind="non_idempotent", timeout="4s"),
+    _public_route("maps-long", "/maps/long/", service="maps", timeout="4s"),
 )
+KEYED_ROUTE = route("keyed", KEYED_PATH, timeout="1200ms")
 # Timeouts of these routes by path prefix, s.
 TIMEOUTS_S = {
     **dict.fromkeys(LONG_PATHS, LONG_TIMEOUT_S),
     "/maps/": 1.0,
     "/jobs/": 1.2,
     "/once/": 1.2,
+    KEYED_PATH: 1.2,
 }
 
 
@@ -49,6 +62,7 @@
     :param services: number of machines by service
     :param routes: routes of all versions of the configuration
     :param run_ranges_s: shortest and longest run of the targets by path prefix
+    :param has_accounts: whether there are client accounts and a route that needs a key
     :param first_network: third part of the address of the first machine; fleets that
         run at the same time need distinct ones
     """
@@ -56,9 +70,10 @@
     services: Mapping[str, int] = field(default_factory=lambda: SERVICES)
     routes: Sequence[dict[str, Any]] = ROUTES
     run_ranges_s: Mapping[str, tuple[float, float]] = field(
-        default_factory=lambda: dict.fromkeys(LONG_PATHS, LONG_RUN_RANGE_S)
+        default_factory=lambda: RUN_RANGES_S
     )
     first_network: int = 0
+    has_accounts: bool = False
 
 
 @dataclass
@@ -119,6 +134,7 @@
 budget-ratio = 0.2
 budget-window = "10s"
 budget-slack = 49
+strict-revocation = true
 """
 
     def may_be_affected_at(self, at: float) -> bool:
@@ -183,6 +199,10 @@
         self.folder = folder
         self.plan = plan or FleetPlan()
         self.version = 0
+        # Whether the newest configuration lacks the key that is revoked, and the time
+        # at which the store acknowledged that.
+        self.is_revoked = False
+        self.revoked_s: float | None = None
         self.programs: dict[str, ManagedProcess] = {}
         self._ports = PortPool()
         self.store_address = self._new_address()
@@ -309,10 +329,19 @@
         self.version += 1
         await self.write_config()
 
+    async def revoke(self) -> None:
+        """Publish a configuration that lacks the key that is revoked."""
+        self.is_revoked = True
+        await self.publish()
+        self.revoked_s = time.time()
+
     async def write_config(self) -> None:
         """Write the newest configuration, also if it was written before."""
-        routes = [*self.plan.routes, route("version", f"/v{self.version}/")]
-        document = config(self.version, *routes)
+        version_route = _public_route("version", f"/v{self.version}/")
+        resources = [*self.plan.routes, version_route]
+        if self.plan.has_accounts:
+            resources += [KEYED_ROUTE, *tenants(self.is_revoked)]
+        document = config(self.version, *resources)
         record = b"\x06config" + document
         body = len(record).to_bytes(4, "big") + record
         await send(self.store_address, "/log-append?topic=keyed.op&part=0", body)
