Charge a shortage only to routes whose requests need the service

Cause: a request that arrives at a node on a route not yet known as a route of callers counts as a call of the local target. Clients of all routes send to the nodes of all services, so CalledServices confirmed services that a target never calls, within 3 s of the start of traffic and for 30 s at least. EntryThresholds charged the shortage of all services along this graph to all routes of a service, and responses passed it on as well. A replay of four services shows it: `archives` counts as calling `board`, the entry uses the threshold of `board` (0.0 to 0.68) for downloads.

Change: the node beside a target counts the runs that start by route (the tag of the route travels in the upper bits of the flags of a call, which earlier versions ignore) and possible calls by service and route. It regresses the differences of calls on those of runs and publishes calls per request with their standard error, and the rates, in its record. Readers combine the estimates of the nodes of a service by accuracy; what arrives just as often at nodes of other services, or on a route known to be of callers, is no call; calls that the estimates do not explain are charged to all routes of the service, as before. A restarted node uses what its earlier process published until it knows better.

--- a/src/briardock/mesh/callgraph.py
+++ b/src/briardock/mesh/callgraph.py
@@ -8,9 +8,10 @@
 
 from collections.abc import Callable
 
-from briardock.mesh.members import MemberTable
+from briardock.mesh.members import CallCounts, MemberTable, RouteCalls
 from briardock.mesh.model import Route, now_s
 from briardock.mesh.target import Target
+from briardock.overload.attribution import CallAttribution, calls_callee
 
 # Idle time of the target after which calls of a cancelled request are excluded, s.
 MIN_TARGET_IDLE_S = 1.0
@@ -29,11 +30,18 @@
 class CalledServices:
     """Services that the local target calls, derived from request rates.
 
-    Callers' requests on routes that are not known yet look like calls, but are few in
-    proportion to the requests that the target runs.
+    Callers' requests on routes that are not known yet look like calls. Calls follow the
+    runs of the target; until these have varied, a service that is called often in
+    proportion to them counts as called.
+
+    :param attribution: attributes calls to the routes of the target's runs
     """
 
-    def __init__(self) -> None:
+    def __init__(self, attribution: CallAttribution | None = None) -> None:
+        self._attribution = attribution or CallAttribution()
+        # Calls that an earlier process published, by route.
+        self._resumed: dict[str, RouteCalls] = {}
+        self._resumed_periods = 0
         self._calls: dict[str, int] = {}
         self._rates: dict[str, float] = {}
         self._request_rate = 0.0
@@ -43,11 +51,13 @@
         # Control periods since a service began, or ceased, to be called.
         self._periods: dict[str, int] = {}
 
-    def record_call(self, service: str) -> None:
+    def record_call(self, service: str, route: str = "") -> None:
         """Count a request that may be a call of the local target.
 
         :param service: service of the request
+        :param route: name of its route
         """
+        self._attribution.record_call(service, route)
         self._calls[service] = self._calls.get(service, 0) + 1
 
     def update(self, target_arrivals: int) -> None:
@@ -61,10 +71,66 @@
             rate = self._rates.get(service, 0.0)
             rate += RATE_WEIGHT * (calls.get(service, 0) - rate)
             self._rates[service] = rate
-        min_rate = MIN_CALLS_PER_REQUEST * self._request_rate
-        self.names = [s for s, rate in self._rates.items() if rate > min_rate > 0.0]
+        self._attribution.update()
+        if self._resumed_periods:
+            self._resumed_periods -= 1
+        else:
+            self._resumed.clear()
+        estimates = [
+            *self._attribution.estimates.values(),
+            *(resumed.estimate() for resumed in self._resumed.values()),
+        ]
+        attributed = {
+            service
+            for estimate in estimates
+            for (service, _), (rate, error) in estimate.calls.items()
+            if calls_callee(rate, error)
+        }
+        if not self._attribution.has_evidence:
+            min_rate = MIN_CALLS_PER_REQUEST * self._request_rate
+            attributed.update(s for s, r in self._rates.items() if r > min_rate > 0.0)
+        self.names = sorted(attributed)
         self._update_confirmed()
 
+    def call_counts(self, routes_by_tag: dict[int, str]) -> CallCounts:
+        """Return runs and possible calls, as they are published.
+
+        :param routes_by_tag: names of the configured routes by tag
+        """
+        runs = self._attribution.published_runs_per_s.items()
+        calls = self._attribution.published_calls_per_s.items()
+        return CallCounts(
+            [(routes_by_tag.get(tag, ""), per_s) for tag, per_s in runs],
+            [(service, route, per_s) for (service, route), per_s in calls],
+        )
+
+    def resume(self, route_calls: dict[str, RouteCalls]) -> None:
+        """Use the calls that an earlier process published until they are known again.
+
+        Nodes that restart under load would otherwise not know for seconds which
+        services their requests need.
+
+        :param route_calls: calls by route in the previous record
+        """
+        self._resumed = dict(route_calls)
+        self._resumed_periods = WITHDRAWING_PERIODS
+
+    def route_calls(self, routes_by_tag: dict[int, str]) -> dict[str, RouteCalls]:
+        """Return the calls by route, as they are published.
+
+        :param routes_by_tag: names of the configured routes by tag
+        """
+        configured = set(routes_by_tag.values())
+        published = {r: c for r, c in self._resumed.items() if r in configured}
+        for tag, estimate in self._attribution.estimates.items():
+            if tag in routes_by_tag:
+                calls = [
+                    (service, route, rate, error)
+                    for (service, route), (rate, error) in estimate.calls.items()
+                ]
+                published[routes_by_tag[tag]] = RouteCalls(estimate.error, calls)
+        return published
+
     def _update_confirmed(self) -> None:
         for service in self.confirmed.union(self.names):
             is_called = service in self.names
@@ -80,6 +146,21 @@
             del self._periods[service]
 
 
+def called_routes(route_calls: dict[str, RouteCalls]) -> dict[str, list[str]]:
+    """Return the services and routes that the requests of each route are shown to call.
+
+    :param route_calls: calls by route, as they are published
+    """
+    return {
+        name: sorted(
+            f"{service}/{route}"
+            for service, route, rate, error in calls.calls
+            if calls_callee(rate, error)
+        )
+        for name, calls in route_calls.items()
+    }
+
+
 class EntryRoutes:
     """Learns the routes of callers and publishes them in the node's record.
 
--- a/src/briardock/mesh/calls.py
+++ b/src/briardock/mesh/calls.py
@@ -33,6 +33,8 @@
 # Flags of a call.
 FROM_CALLER = 1
 MAY_HAND_ON = 2
+# The flags also contain the tag of the route, above this number of bits.
+ROUTE_TAG_SHIFT = 8
 
 
 @dataclass(slots=True)
@@ -57,6 +59,7 @@
     :param account: name of the client's account, empty without one, ``None`` if the
         node at which it entered has no accounts in its configuration
     :param run_work: its work, once it has run here and if it was measured
+    :param route_tag: tag of its route, 0 if the sender did not name it
     """
 
     method: bytes
@@ -75,6 +78,7 @@
     connection: ClientConnection | None = None
     account: str | None = None
     run_work: RunWork | None = None
+    route_tag: int = 0
 
     @property
     def has_response(self) -> bool:
@@ -156,6 +160,7 @@
     """
     remaining_ms = int((call.expires_s - now - HOP_ALLOWANCE_S) * 1000)
     flags = FROM_CALLER * call.from_caller + MAY_HAND_ON * call.may_hand_on
+    flags |= call.route_tag << ROUTE_TAG_SHIFT
     info = ";".join(
         (
             call.service,
@@ -222,6 +227,7 @@
         expires_s=request.received_s + remaining_ms / 1000,
         may_hand_on=bool(flags & MAY_HAND_ON),
         account=accounts[-1].decode("utf-8", "replace") if accounts else None,
+        route_tag=flags >> ROUTE_TAG_SHIFT,
     )
 
 
--- a/src/briardock/mesh/forwarder.py
+++ b/src/briardock/mesh/forwarder.py
@@ -41,6 +41,7 @@
     Succeeded,
     has_room_elsewhere,
 )
+from briardock.overload.attribution import route_tag
 from briardock.overload.board import EntryThresholds
 from briardock.overload.chain import (
     ChainThreshold,
@@ -68,6 +69,7 @@
 
 
 T = TypeVar("T")
+K = TypeVar("K")
 
 
 @dataclass(slots=True, eq=False)
@@ -160,7 +162,7 @@
         rng: random.Random,
     ) -> None:
         self.routes: RouteTable | None = None
-        self.called_services = CalledServices()
+        self.called_services = CalledServices(target.attribution)
         # Set at the stop signal.
         self.shutdown: Shutdown | None = None
         self._requests_in_flight: dict[RequestState, Deadline] = {}
@@ -180,8 +182,8 @@
         self._entry = EntryAdmission(rng)
         self._budgets: dict[str, RetryBudget] = {}
         self._chain: dict[str, ChainThreshold] = {}
-        # Threshold by service and the time at which it was determined.
-        self._service_thresholds: dict[str, tuple[float, float]] = {}
+        # Threshold by service and route, and the time at which it was determined.
+        self._chain_thresholds: dict[tuple[str, str], tuple[float, float]] = {}
         # Whether full instances may hand on, by service, and when that was determined.
         self._room_elsewhere: dict[str, tuple[bool, float]] = {}
         self._chain_updated_s = 0.0
@@ -205,7 +207,8 @@
         if now - self._chain_updated_s > CHAIN_CACHE_S:
             self._chain_updated_s = now
             self._chain = self._learned_thresholds.along_chain(
-                self.called_services.names,
+                sorted(self._entry_thresholds.called_by(self.settings.service))
+                or self.called_services.names,
                 self.settings.service,
                 self.max_threshold,
                 now,
@@ -334,9 +337,9 @@
     def _admit(self, state: RequestState) -> Response | None:
         """Return a refusal if the chain lacks headroom for a caller's request."""
         if state.from_target:
-            self.called_services.record_call(state.service)
+            self.called_services.record_call(state.service, state.route.name)
             return None
-        threshold = self._rank_threshold(state.service)
+        threshold = self._rank_threshold(state.service, state.route.name)
         match self._entry.decide(state.entry_request, threshold):
             case Admitted():
                 return None
@@ -354,16 +357,19 @@
                 self._telemetry.requests.labels("refused-overload").inc()
                 return Response(503, self._dialect.refusal_headers(retry_after_s))
 
-    def _service_threshold(self, service: str) -> float:
+    def _chain_threshold(self, service: str, route: str) -> float:
         def determine(now: float) -> float:
-            return self._entry_thresholds.of_chain(service, self.max_threshold, now)
+            return self._entry_thresholds.of_chain(
+                service, route, self.max_threshold, now
+            )
 
-        return _cached(self._service_thresholds, service, determine)
+        return _cached(self._chain_thresholds, (service, route), determine)
 
-    def _rank_threshold(self, service: str) -> float:
-        """Return the threshold of a service and its callees in ranks."""
+    def _rank_threshold(self, service: str, route: str) -> float:
+        """Return the threshold of the services that a route needs, in ranks."""
         assert self.routes is not None
-        return self._service_threshold(service) * self.routes.ranks.ranks_per_level
+        threshold = self._chain_threshold(service, route)
+        return threshold * self.routes.ranks.ranks_per_level
 
     def _has_room_elsewhere(self, service: str) -> bool:
         def determine(now: float) -> bool:
@@ -451,7 +457,8 @@
             outcome = _outcome(result)
             overloaded = (
                 isinstance(outcome, MayHaveRun)
-                and self._service_threshold(state.service) < OPEN_THRESHOLD
+                and self._chain_threshold(state.service, state.route.name)
+                < OPEN_THRESHOLD
             )
             retry = attempts.record(
                 record, outcome, overloaded, self._members.count, now_s()
@@ -535,6 +542,7 @@
             expires_s=state.expires_s,
             may_hand_on=may_hand_on,
             account=state.sender.account_name,
+            route_tag=route_tag(state.route.name),
         )
         state.call = call
         started_s = now_s()
@@ -624,15 +632,15 @@
 
 
 def _cached(
-    cache: dict[str, tuple[T, float]], service: str, determine: Callable[[float], T]
+    cache: dict[K, tuple[T, float]], key: K, determine: Callable[[float], T]
 ) -> T:
-    """Return the cached value of a service, determined again once it is outdated."""
+    """Return the cached value of a key, determined again once it is outdated."""
     now = now_s()
-    known = cache.get(service)
+    known = cache.get(key)
     if known is not None and now - known[1] < CHAIN_CACHE_S:
         return known[0]
     value = determine(now)
-    cache[service] = value, now
+    cache[key] = value, now
     return value
 
 
--- a/src/briardock/mesh/members.py
+++ b/src/briardock/mesh/members.py
@@ -6,17 +6,60 @@
 
 import hashlib
 from collections import defaultdict
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 from zlib import crc32
 
 import msgspec
 
 from briardock.mesh.model import TargetState
+from briardock.overload.attribution import CallEstimate, CallRates
 
 # Parts of the table with a digest each, so that a sync sends only what differs.
 BUCKET_COUNT = 16
 
 
+class RouteCalls(msgspec.Struct, frozen=True, array_like=True):
+    """Calls that the requests of one route make, as published by a node.
+
+    :param error: standard error for services and routes that are missing in ``calls``
+    :param calls: service, route, calls per request and their standard error
+    """
+
+    error: float
+    calls: list[tuple[str, str, float, float]]
+
+    def estimate(self, caller_routes: Container[str] = ()) -> CallEstimate:
+        """Return the calls as an estimate.
+
+        :param caller_routes: routes of callers, whose requests are no calls
+        """
+        calls = {
+            (service, route): (rate, error)
+            for service, route, rate, error in self.calls
+            if route not in caller_routes
+        }
+        return CallEstimate(self.error, calls)
+
+
+class CallCounts(msgspec.Struct, frozen=True, array_like=True):
+    """Rates of runs and of possible calls, as published by a node.
+
+    :param runs: route and runs that start per s
+    :param calls: service, route and calls per s
+    """
+
+    runs: list[tuple[str, float]] = []
+    calls: list[tuple[str, str, float]] = []
+
+    def rates(self, caller_routes: Container[str] = ()) -> CallRates:
+        """Return the counts as rates.
+
+        :param caller_routes: routes of callers, whose requests are no calls
+        """
+        calls = {(s, r): rate for s, r, rate in self.calls if r not in caller_routes}
+        return CallRates(dict(self.runs), calls)
+
+
 class NodeRecord(msgspec.Struct, frozen=True, array_like=True):
     """State of one node and its target, as published by the node.
 
@@ -34,6 +77,9 @@
     :param entry_routes: routes on which this node observed requests of callers
     :param run_time_ms: mean run time of requests at the target, 0 if it is not known
     :param called_services: services that the target calls
+    :param route_calls: calls by route of the requests that the target has run; routes
+        of which nothing is known are missing
+    :param call_counts: runs and possible calls of the target
     """
 
     node_id: str
@@ -50,6 +96,8 @@
     entry_routes: list[str] = []
     run_time_ms: int = 0
     called_services: list[str] = []
+    route_calls: dict[str, RouteCalls] = {}
+    call_counts: CallCounts = CallCounts()
 
     @property
     def order(self) -> tuple[int, int]:
--- a/src/briardock/mesh/node.py
+++ b/src/briardock/mesh/node.py
@@ -11,7 +11,7 @@
 
 from briardock.exceptions import SettingsError
 from briardock.mesh.accounts import age_limits
-from briardock.mesh.callgraph import EntryRoutes
+from briardock.mesh.callgraph import EntryRoutes, called_routes
 from briardock.mesh.calls import LoadReport, NotRun, Result, decode_call, encode_result
 from briardock.mesh.clients import SenderIdentification
 from briardock.mesh.decisions import FLUSH_PERIOD_S, DecisionLog
@@ -255,6 +255,7 @@
         if called != self.members.local_record.called_services:
             self.members.update_local(called_services=called)
             self.replicator.local_record_changed()
+        self._tell_route_calls()
         news = self._announcer.update(
             self.settings.service,
             self.target.threshold(from_caller=True),
@@ -267,6 +268,23 @@
         if news is not None:
             self.replicator.tell_thresholds(news)
 
+    def _tell_route_calls(self) -> None:
+        """Tell other nodes which services the requests of each route need."""
+        if self.forwarder.routes is None:
+            return
+        names_by_tag = self.forwarder.routes.names_by_tag
+        route_calls = self.forwarder.called_services.route_calls(names_by_tag)
+        counts = self.forwarder.called_services.call_counts(names_by_tag)
+        known = self.members.local_record
+        if (route_calls, counts) == (known.route_calls, known.call_counts):
+            return
+        self.members.update_local(route_calls=route_calls, call_counts=counts)
+        if called_routes(route_calls) == called_routes(known.route_calls):
+            self.replicator.run_time_changed()
+            return
+        self.replicator.local_record_changed()
+        self.log.event("route-calls", routes=called_routes(route_calls))
+
     def _restore_previous_record(self, record: NodeRecord) -> None:
         """Restore the state that an earlier process of this node published.
 
@@ -275,6 +293,7 @@
         self._entry_routes.resume(record.entry_routes)
         if record.service != self.settings.service:
             return
+        self.forwarder.called_services.resume(record.route_calls)
         if record.state is TargetState.READY:
             self._unconfirmed_record = record
             self._check_restored_target()
--- a/src/briardock/mesh/replication.py
+++ b/src/briardock/mesh/replication.py
@@ -215,7 +215,8 @@
     def run_time_changed(self) -> None:
         """Push the record of this node to peers only.
 
-        The store keeps what has to outlive all processes; a run time does not.
+        The store keeps what has to outlive all processes; a run time and the accuracy
+        of estimates do not.
         """
         self._sync.push_local_record()
 
--- a/src/briardock/mesh/routes.py
+++ b/src/briardock/mesh/routes.py
@@ -3,6 +3,7 @@
 from briardock.mesh.clients import Sender
 from briardock.mesh.model import CallerLimits, Route, RoutingConfig
 from briardock.mesh.ranks import PriorityRanks
+from briardock.overload.attribution import route_tag
 
 
 class RouteTable:
@@ -21,6 +22,7 @@
         )
         self.priority_count = self.ranks.level_count
         self.longest_timeout_s = max((r.timeout_s for r in config.routes), default=0.0)
+        self.names_by_tag = {route_tag(r.name): r.name for r in config.routes}
         self._by_host: dict[str, dict[str, Route]] = {}
         self._current_weights: dict[str, list[float]] = {}
         for route in config.routes:
--- a/src/briardock/mesh/target.py
+++ b/src/briardock/mesh/target.py
@@ -28,6 +28,7 @@
 from briardock.mesh.pool import ConnectionPool
 from briardock.mesh.recent_ids import RecentIds
 from briardock.overload.admission import TargetThreshold, Usage
+from briardock.overload.attribution import CallAttribution
 from briardock.overload.speed import LongestRun, SpeedMeter
 from briardock.overload.target_work import TargetWork, WorkReport
 from briardock.overload.waiting import (
@@ -111,6 +112,7 @@
         self._service_time_s = INITIAL_SERVICE_TIME_S
         self._speed = SpeedMeter()
         self._longest_run = LongestRun()
+        self.attribution = CallAttribution()
         self._run_starts_s: dict[int, float] = {}
         self._work = TargetWork()
         self._counts_changed_s = self._usage_updated_s = now_s()
@@ -413,6 +415,7 @@
                 slot.set_result(True)
 
     async def _run_in_slot(self, call: Call) -> Result:
+        self.attribution.record_run(call.route_tag)
         try:
             with Deadline(self._loop, call.expires_s + DEADLINE_ALLOWANCE_S):
                 return await self._exchange(call)
--- a/src/briardock/overload/board.py
+++ b/src/briardock/overload/board.py
@@ -14,6 +14,7 @@
 from briardock.mesh.members import MemberTable
 from briardock.overload.admission import OPEN_THRESHOLD
 from briardock.overload.chain import OPEN_MARGIN, LearnedThresholds
+from briardock.overload.needs import RouteNeeds
 
 # Shortest time between two pieces of news of one instance, s, and the same for each
 # instance of its service: the rate of news of a service does not grow with it.
@@ -188,22 +189,6 @@
         return admitted / total_per_s if total_per_s else max_threshold
 
 
-def along_chain(service: str, called_services: dict[str, set[str]]) -> set[str]:
-    """Return the services that a service calls, directly and indirectly.
-
-    :param service: name of the service
-    :param called_services: services that each service calls directly
-    """
-    found: set[str] = set()
-    pending = [service]
-    while pending:
-        for called in called_services.get(pending.pop(), ()):
-            if called not in found and called != service:
-                found.add(called)
-                pending.append(called)
-    return found
-
-
 class EntryThresholds:
     """Thresholds by which an entry node admits callers' requests.
 
@@ -218,25 +203,36 @@
         self, members: MemberTable, board: ThresholdBoard, learned: LearnedThresholds
     ) -> None:
         self._members = members
+        self._needs = RouteNeeds(members)
         self._board = board
         self._learned = learned
 
-    def of_chain(self, service: str, max_threshold: float, now: float) -> float:
-        """Return the lowest threshold of a service and its callees.
+    def of_chain(
+        self, service: str, route: str, max_threshold: float, now: float
+    ) -> float:
+        """Return the lowest threshold of the services that a request needs.
 
-        :param service: name of the service
+        :param service: service that runs the request
+        :param route: route of the request
         :param max_threshold: threshold above all priorities
         :param now: current time in s since boot
         """
-        called = along_chain(service, self._members.called_services())
+        called = self._needs.of_route(service, route)
         told = [self._told(service, True, max_threshold, now)]
         told += [self._told(name, False, max_threshold, now) for name in called]
         known = [threshold for threshold in told if threshold is not None]
         if not known:
-            return self._learned.of_service(service, max_threshold, now)
+            return self._learned.of_service(service, max_threshold, now, called)
         lowest = min(known)
         return OPEN_THRESHOLD if lowest > max_threshold - OPEN_MARGIN else lowest
 
+    def called_by(self, service: str) -> set[str]:
+        """Return the services that the requests of a service are known to call.
+
+        :param service: name of the service
+        """
+        return self._needs.called_by(service)
+
     def _told(
         self, service: str, from_caller: bool, max_threshold: float, now: float
     ) -> float | None:
--- a/src/briardock/overload/chain.py
+++ b/src/briardock/overload/chain.py
@@ -178,12 +178,19 @@
         known = self._services.get(service)
         return OPEN_THRESHOLD if known is None else _instance_threshold(known, now)
 
-    def of_service(self, service: str, max_threshold: float, now: float) -> float:
+    def of_service(
+        self,
+        service: str,
+        max_threshold: float,
+        now: float,
+        needed: set[str] | None = None,
+    ) -> float:
         """Return the lowest threshold of a service and its callees.
 
         :param service: name of the service
         :param max_threshold: threshold above all priorities
         :param now: current time in s since boot
+        :param needed: callees that count, all if ``None``
         """
         known = self._services.get(service)
         if known is None:
@@ -191,7 +198,9 @@
         threshold = _raised_by_age(
             _instance_threshold(known, now), now - known.last_response_s
         )
-        for average in known.chain.values():
+        for name, average in known.chain.items():
+            if needed is not None and name not in needed:
+                continue
             threshold = min(
                 threshold, _raised_by_age(average.threshold, now - average.reported_s)
             )
--- a/src/briardock_standins/replay/instances.py
+++ b/src/briardock_standins/replay/instances.py
@@ -6,11 +6,11 @@
 
 import random
 from collections.abc import Generator
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any, cast
 
 import simpy
 
+from briardock.mesh.callgraph import CalledServices
 from briardock.mesh.members import MemberTable, NodeRecord
 from briardock.mesh.model import TargetState
 from briardock.overload.admission import (
@@ -29,6 +29,7 @@
     Succeeded,
     has_room_elsewhere,
 )
+from briardock.overload.attribution import CallAttribution, route_tag
 from briardock.overload.board import (
     EntryThresholds,
     ThresholdAnnouncer,
@@ -46,10 +47,8 @@
     should_hand_on,
     usable_slots,
 )
-from briardock_standins.replay.pattern import (
-    CallerRoute,
-    parse_calls,
-)
+from briardock_standins.replay.parts import Condition, ReplayCall, Slot
+from briardock_standins.replay.pattern import CallerRoute, parse_calls
 
 if TYPE_CHECKING:
     from briardock_standins.replay.simulation import Simulation
@@ -64,40 +63,6 @@
 SERVICE_TIME_WEIGHT = 0.02
 
 
-@dataclass(slots=True)
-class _Slot:
-    """A call that waits for a slot."""
-
-    granted: simpy.Event
-    abandoned: bool = False
-
-
-@dataclass(slots=True)
-class Condition:
-    """Disturbances of one instance.
-
-    :param slow_factor: factor of its run times
-    :param fail_share: share of its runs that fail at their end
-    :param reject_share: share of requests that it rejects
-    :param lost_share: share of its responses that are lost
-    :param away: whether the instance and its node are gone
-    """
-
-    slow_factor: float = 1.0
-    fail_share: float = 0.0
-    reject_share: float = 0.0
-    lost_share: float = 0.0
-    away: bool = False
-
-
-@dataclass(slots=True)
-class ReplayCall:
-    """A request at one instance, from a caller or from a target."""
-
-    operation: str
-    waiting: Waiting
-
-
 class Instance:
     """A target, the node beside it and what that node knows.
 
@@ -128,7 +93,9 @@
             state=TargetState.READY,
             slots=self.slots,
             leaving=False,
-            called_services=sorted(set(world.called_services[service])),
+            called_services=[]
+            if pattern.general.learn_calls
+            else sorted(set(world.called_services[service])),
         )
         self.members = MemberTable(self.record)
         self.begin()
@@ -142,6 +109,8 @@
         self.balancer = Balancer(self.members, self.domain, rng)
         self.entry = EntryAdmission(rng)
         self.learned = LearnedThresholds()
+        self.attribution = CallAttribution()
+        self.called = CalledServices(self.attribution)
         self.board = ThresholdBoard()
         self.announcer = ThresholdAnnouncer(self.node_id)
         self.entry_thresholds = EntryThresholds(self.members, self.board, self.learned)
@@ -153,7 +122,7 @@
         }
         self.threshold, self.caller_threshold = TargetThreshold(), TargetThreshold()
         self.speed = SpeedMeter()
-        self.queue: WaitingQueue[_Slot] = WaitingQueue()
+        self.queue: WaitingQueue[Slot] = WaitingQueue()
         self.running = self.queued = self.granted = 0
         self.arrivals = self.caller_arrivals = 0
         self.service_time_s = INITIAL_SERVICE_TIME_S
@@ -172,6 +141,8 @@
             CONTROL_PERIOD_S, self.caller_arrivals, capacity_per_s, waiting_callers
         )
         self.caller_threshold.update(caller_usage, highest)
+        if self.world.pattern.general.learn_calls:
+            self._learn_calls()
         self.arrivals = self.caller_arrivals = 0
         self.entry.update_rates()
         now = self.world.env.now
@@ -191,10 +162,25 @@
             run_time_ms = round(self.speed.published_s * 1000)
             self.world.publish(self, run_time_ms=run_time_ms)
 
+    def _learn_calls(self) -> None:
+        self.called.update(self.arrivals)
+        called = sorted(self.called.confirmed)
+        route_calls = self.called.route_calls(self.world.names_by_tag)
+        changes = {
+            "called_services": called,
+            "route_calls": route_calls,
+            "call_counts": self.called.call_counts(self.world.names_by_tag),
+        }
+        if any(getattr(self.record, name) != new for name, new in changes.items()):
+            self.world.publish(self, **changes)
+
     def thresholds(self, from_caller: bool) -> InstanceThresholds:
         """Return the thresholds that a response carries."""
+        learns = self.world.pattern.general.learn_calls
         chain = self.learned.along_chain(
-            self.world.called_services[self.service],
+            sorted(self.entry_thresholds.called_by(self.service)) or self.called.names
+            if learns
+            else self.world.called_services[self.service],
             self.service,
             self.world.max_threshold,
             self.world.env.now,
@@ -218,7 +204,7 @@
         self.arrivals += 1
         self.caller_arrivals += waiting.from_caller
         if must_wait:
-            slot = _Slot(env.event())
+            slot = Slot(env.event())
             self.queue.push(waiting, slot)
             self.queued += 1
             latest_s = latest_start_s(waiting, self.service_time_s, env.now)
@@ -230,6 +216,7 @@
             self.granted -= 1
         self.running += 1
         started_s = self.started_s
+        self.attribution.record_run(route_tag(call.route))
         try:
             return (yield from self._run_in_slot(call))
         finally:
@@ -286,11 +273,11 @@
         env = self.world.env
         names = parse_calls(operation.calls)
         if operation.together:
-            calls = [env.process(self.send(n, call.waiting, False)) for n in names]
+            calls = [env.process(self.send(n, n, call.waiting, False)) for n in names]
             outcomes = yield env.all_of(calls)
             return all(isinstance(o, Succeeded) for o in outcomes.values())
         for name in names:
-            outcome = yield env.process(self.send(name, call.waiting, False))
+            outcome = yield env.process(self.send(name, name, call.waiting, False))
             if not isinstance(outcome, Succeeded):
                 return False
         return True
@@ -300,6 +287,7 @@
     def send(
         self,
         operation: str,
+        route: str,
         parent: Waiting,
         from_caller: bool,
         idempotent: bool = True,
@@ -309,6 +297,8 @@
         service = operation.partition(".")[0]
         budget = self.budgets[service]
         budget.record_request(env.now)
+        if not from_caller:
+            self.called.record_call(service, route)
         attempts = Attempts(self.balancer, budget, service, idempotent, MAX_ATTEMPTS)
         outcome: Outcome = NotReached()
         while (record := attempts.choose(env.now)) is not None:
@@ -320,13 +310,15 @@
                 parent.priority, from_caller, parent.expires_s, may_hand_on
             )
             self.balancer.record_start(record.node_id, env.now)
-            attempt = env.process(self._attempt(record, ReplayCall(operation, waiting)))
+            attempt = env.process(
+                self._attempt(record, ReplayCall(operation, route, waiting))
+            )
             yield attempt | env.timeout(max(0.0, parent.expires_s - env.now))
             self.balancer.record_end(record.node_id)
             if not attempt.triggered:
                 return MayHaveRun(responded=False)
             outcome = cast(Outcome, attempt.value)
-            overloaded = self._chain_threshold(service) < OPEN_THRESHOLD
+            overloaded = self._chain_threshold(service, route) < OPEN_THRESHOLD
             count = len(self.world.instances)
             if not attempts.record(record, outcome, overloaded, count, env.now):
                 break
@@ -368,9 +360,9 @@
         )
         return outcome
 
-    def _chain_threshold(self, service: str) -> float:
+    def _chain_threshold(self, service: str, route: str) -> float:
         return self.entry_thresholds.of_chain(
-            service, self.world.max_threshold, self.world.env.now
+            service, route, self.world.max_threshold, self.world.env.now
         )
 
     def enter(self, name: str, route: CallerRoute, remaining_s: float) -> Process:
@@ -389,13 +381,15 @@
             remaining_s,
             self.entry.age_s(name, round(remaining_s, 3), begun_s),
         )
-        decision = self.entry.decide(request, self._chain_threshold(service))
-        if isinstance(decision, TurnedAway):
-            return decision
+        from_caller = self.world.routes_known
+        if from_caller:
+            decision = self.entry.decide(request, self._chain_threshold(service, name))
+            if isinstance(decision, TurnedAway):
+                return decision
         timeout_s = min(remaining_s, route.timeout_ms / 1000)
-        parent = Waiting(route.priority, True, begun_s + timeout_s, False)
+        parent = Waiting(route.priority, from_caller, begun_s + timeout_s, False)
         outcome = yield env.process(
-            self.send(route.operation, parent, True, route.idempotent)
+            self.send(route.operation, name, parent, from_caller, route.idempotent)
         )
         if isinstance(outcome, Succeeded):
             self.entry.record_success(name, env.now - begun_s)
--- a/src/briardock_standins/replay/pattern.py
+++ b/src/briardock_standins/replay/pattern.py
@@ -39,6 +39,10 @@
     :param retry_ratio: retries per request to a service
     :param retry_slack: additional retries in a window
     :param seed: seed of all random numbers
+    :param learn_calls: whether nodes learn the calls of their targets instead of
+        knowing them from the start
+    :param routes_known_s: time from the first request until nodes know the routes of
+        callers; before it callers' requests count as calls of targets
     """
 
     description: str
@@ -49,6 +53,8 @@
     retry_ratio: _NotNegative = 0.2
     retry_slack: _NotNegative = 50.0
     seed: int = 1
+    learn_calls: bool = False
+    routes_known_s: _NotNegative = 0.0
 
 
 class Service(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/src/briardock_standins/replay/simulation.py
+++ b/src/briardock_standins/replay/simulation.py
@@ -15,16 +15,17 @@
 from briardock.overload.attempts import (
     Succeeded,
 )
+from briardock.overload.attribution import route_tag
 from briardock.overload.board import (
     ThresholdNews,
 )
 from briardock.overload.entry import TurnedAway
 from briardock_standins.replay.instances import (
     LOCAL_HOP_S,
-    Condition,
     Instance,
     Process,
 )
+from briardock_standins.replay.parts import Condition
 from briardock_standins.replay.pattern import (
     CallerRoute,
     Event,
@@ -62,6 +63,10 @@
         self.surge_factor = 1.0
         routes = self.pattern.routes.values()
         self.max_threshold = 1.0 + max(route.priority for route in routes)
+        self.names_by_tag = {
+            route_tag(name): name
+            for name in (*self.pattern.routes, *self.pattern.operations)
+        }
         self.called_services: dict[str, list[str]] = {
             name: [] for name in self.pattern.services
         }
@@ -84,6 +89,12 @@
             return LOCAL_HOP_S
         return self.pattern.general.hop_ms / 1000
 
+    @property
+    def routes_known(self) -> bool:
+        """Whether nodes tell callers' requests from calls of their targets."""
+        known_s = START_S + SETTLING_S + self.pattern.general.routes_known_s
+        return bool(self.env.now >= known_s)
+
     def publish(self, instance: Instance, **changes: object) -> None:
         """Tell all nodes about a change of an instance."""
         version = instance.record.version + 1
@@ -102,6 +113,7 @@
     def run(self) -> ReplayReport:
         """Replay the pattern and return what callers were told."""
         self.env.process(self._control())
+        self.env.process(self._learn_routes())
         for name, route in self.pattern.routes.items():
             self.env.process(self._arrivals(name, route))
         for event in self.pattern.events.values():
@@ -116,6 +128,13 @@
                 if not instance.condition.away:
                     instance.control()
 
+    def _learn_routes(self) -> Process:
+        """Tell all nodes the routes of callers once they are known."""
+        yield self.env.timeout(SETTLING_S + self.pattern.general.routes_known_s)
+        if self.pattern.general.routes_known_s:
+            for instance in self.instances.values():
+                self.publish(instance, entry_routes=list(self.pattern.routes))
+
     def _arrivals(self, name: str, route: CallerRoute) -> Process:
         yield self.env.timeout(SETTLING_S)
         entries = list(self.instances.values())
--- a/tests/test_mesh_callgraph.py
+++ b/tests/test_mesh_callgraph.py
@@ -1,7 +1,8 @@
 """Entry routes and called services."""
 
 from briardock.mesh.callgraph import CalledServices, EntryRoutes
-from briardock.mesh.members import MemberTable
+from briardock.mesh.members import MemberTable, RouteCalls
+from briardock.overload.attribution import route_tag
 from mesh_builders import FakeClock, make_route, make_target, record
 
 
@@ -44,3 +45,20 @@
             called.record_call("jobs")
         called.update(target_arrivals=10)
     assert called.names == ["maps"]
+
+
+def test_calls_of_an_earlier_process_are_used_until_they_are_known_again() -> None:
+    """Nodes that restarted under load knew for seconds of no service that their
+    requests need.
+    """
+    called = CalledServices()
+    names_by_tag = {route_tag("r"): "r"}
+    resumed = {"r": RouteCalls(0.1, [("maps", "m", 1.0, 0.1)])}
+    called.resume(resumed | {"gone": RouteCalls(0.1, [])})
+    called.update(target_arrivals=0)
+    assert called.names == ["maps"]
+    assert called.route_calls(names_by_tag) == resumed
+    for _ in range(300):
+        called.update(target_arrivals=0)
+    assert called.names == []
+    assert called.route_calls(names_by_tag) == {}
--- a/tests/test_mesh_calls.py
+++ b/tests/test_mesh_calls.py
@@ -26,7 +26,7 @@
 @pytest.mark.parametrize("account", [None, "", "a", "b;c,d=\u00e9 e"])
 def test_call_is_unchanged_by_encoding_and_decoding(account: str | None) -> None:
     """A name may hold separators; without accounts there is no header for them."""
-    call = make_call(body=b"x", method=b"POST", account=account)
+    call = make_call(body=b"x", method=b"POST", account=account, route_tag=0xABCDEF)
     data = encode_call_head(call, call.expires_s - 2.0) + call.body
     parsed: list[Request] = []
 
--- a/tests/test_mesh_path.py
+++ b/tests/test_mesh_path.py
@@ -151,8 +151,8 @@
         for owner in owners:
             owner.target.behaviour = lambda r: fail_with(500)
         thresholds = entry.node.forwarder._entry_thresholds
-        thresholds.of_chain = lambda service, limit, now: threshold  # type: ignore[method-assign]
-        entry.node.forwarder._service_thresholds.clear()
+        thresholds.of_chain = lambda service, route, limit, now: threshold  # type: ignore[method-assign]
+        entry.node.forwarder._chain_thresholds.clear()
         response = await entry.call("/jobs/7")
         assert response.status == 500
         assert sum(len(o.target.requests) for o in owners) == arrivals
--- a/tests/test_overload_board.py
+++ b/tests/test_overload_board.py
@@ -13,10 +13,10 @@
     ThresholdAnnouncer,
     ThresholdBoard,
     ThresholdNews,
-    along_chain,
     news_period_s,
 )
 from briardock.overload.chain import InstanceThresholds, LearnedThresholds
+from briardock.overload.needs import along_chain
 from mesh_builders import record
 
 MAX_THRESHOLD = 3.0
@@ -121,17 +121,17 @@
 def test_news_of_the_deepest_service_reaches_an_entry_without_responses() -> None:
     entry, board, _ = make_entry()
     board.record(news("m", 1.25), 50.0)
-    assert entry.of_chain("jobs", MAX_THRESHOLD, 50.1) == 1.25
-    assert entry.of_chain("portal", MAX_THRESHOLD, 50.1) == OPEN_THRESHOLD
+    assert entry.of_chain("jobs", "r", MAX_THRESHOLD, 50.1) == 1.25
+    assert entry.of_chain("portal", "r", MAX_THRESHOLD, 50.1) == OPEN_THRESHOLD
 
 
 def test_news_goes_before_what_responses_have_told() -> None:
     """A response from before the end of an overload kept an entry closed for 3 s."""
     entry, board, learned = make_entry()
     learned.learn("jobs", "j", InstanceThresholds(0.5), MAX_THRESHOLD, 50.0)
-    assert entry.of_chain("jobs", MAX_THRESHOLD, 50.1) == 0.5
+    assert entry.of_chain("jobs", "r", MAX_THRESHOLD, 50.1) == 0.5
     board.record(news("m", OPEN_THRESHOLD), 50.2)
-    assert entry.of_chain("jobs", MAX_THRESHOLD, 50.3) == OPEN_THRESHOLD
+    assert entry.of_chain("jobs", "r", MAX_THRESHOLD, 50.3) == OPEN_THRESHOLD
 
 
 @pytest.mark.parametrize("instances", [3, 12, 98, 1_000])
--- a/tests/test_overload_replay.py
+++ b/tests/test_overload_replay.py
@@ -122,6 +122,15 @@
     assert report.share("in_time", route, 6.0, 14.0) >= GOODPUT
 
 
+def test_routes_that_do_not_need_a_full_service_are_served() -> None:
+    """Callers' requests at the nodes of `archives` counted as calls of `board`, and
+    from second 6 on all downloads were refused for its sake.
+    """
+    _, report = replayed("full-service")
+    assert report.share("refused", "archive-download", 0.0, 24.0) <= 0.01
+    assert report.share("in_time", "archive-download", 0.0, 23.0) >= IMPORTANT_SERVED
+
+
 def test_report_counts_each_request_once() -> None:
     _, report = replayed("overload-2")
     for route in ("sheet", "issue"):
