Merge the calls of one service at a time

Cause: each change of any record had the calls of all services merged anew at the next request. Records change many times a second in a large fleet, and the merge blocks the event loop.

Change: the calls of a service are merged when they are first needed, then at most every 2 s, and one service per 0.1 s. Estimates are pooled in one pass.

Tests: test_overload_needs, test_overload_board and test_overload_attribution are green. One row is new; before, it counts 500 merges instead of 3.

--- a/src/briardock/mesh/forwarder.py
+++ b/src/briardock/mesh/forwarder.py
@@ -207,7 +207,7 @@
         if now - self._chain_updated_s > CHAIN_CACHE_S:
             self._chain_updated_s = now
             self._chain = self._learned_thresholds.along_chain(
-                sorted(self._entry_thresholds.called_by(self.settings.service))
+                sorted(self._entry_thresholds.called_by(self.settings.service, now))
                 or self.called_services.names,
                 self.settings.service,
                 self.max_threshold,
--- a/src/briardock/overload/attribution.py
+++ b/src/briardock/overload/attribution.py
@@ -127,17 +127,24 @@
 
     :param estimates: estimates of the nodes of one service
     """
+    weights = [_weight(item.error) for item in estimates]
+    total = sum(weights)
+    weight_changes: dict[Callee, float] = {}
+    products: dict[Callee, float] = {}
+    for estimate, default in zip(estimates, weights, strict=True):
+        for callee, (rate, error) in estimate.calls.items():
+            weight = _weight(error)
+            weight_changes[callee] = weight_changes.get(callee, 0.0) + weight - default
+            products[callee] = products.get(callee, 0.0) + weight * rate
     calls = {}
-    for callee in {callee for item in estimates for callee in item.calls}:
-        weights = rates = 0.0
-        for estimate in estimates:
-            rate, error = estimate.of_callee(callee)
-            weight = 1.0 / max(MIN_ERROR, error) ** 2
-            weights += weight
-            rates += rate * weight
-        calls[callee] = rates / weights, 1.0 / math.sqrt(weights)
-    weights = sum(1.0 / max(MIN_ERROR, item.error) ** 2 for item in estimates)
-    return CallEstimate(1.0 / math.sqrt(weights), calls)
+    for callee, product in products.items():
+        weight = total + weight_changes[callee]
+        calls[callee] = product / weight, 1.0 / math.sqrt(weight)
+    return CallEstimate(1.0 / math.sqrt(total), calls)
+
+
+def _weight(error: float) -> float:
+    return 1.0 / max(MIN_ERROR, error) ** 2
 
 
 class CallAttribution:
--- a/src/briardock/overload/board.py
+++ b/src/briardock/overload/board.py
@@ -217,7 +217,7 @@
         :param max_threshold: threshold above all priorities
         :param now: current time in s since boot
         """
-        called = self._needs.of_route(service, route)
+        called = self._needs.of_route(service, route, now)
         told = [self._told(service, True, max_threshold, now)]
         told += [self._told(name, False, max_threshold, now) for name in called]
         known = [threshold for threshold in told if threshold is not None]
@@ -226,12 +226,13 @@
         lowest = min(known)
         return OPEN_THRESHOLD if lowest > max_threshold - OPEN_MARGIN else lowest
 
-    def called_by(self, service: str) -> set[str]:
+    def called_by(self, service: str, now: float) -> set[str]:
         """Return the services that the requests of a service are known to call.
 
         :param service: name of the service
+        :param now: current time in s since boot
         """
-        return self._needs.called_by(service)
+        return self._needs.called_by(service, now)
 
     def _told(
         self, service: str, from_caller: bool, max_threshold: float, now: float
--- a/src/briardock/overload/needs.py
+++ b/src/briardock/overload/needs.py
@@ -4,7 +4,9 @@
 not be refused for that (``tests/test_overload_needs.py``).
 """
 
+import math
 from collections import defaultdict
+from collections.abc import Callable
 
 from briardock.mesh.members import MemberTable
 from briardock.overload.attribution import (
@@ -24,6 +26,14 @@
 MIN_EXCESS = 3.0
 # Share of the calls of a service that has to be attributed to routes.
 MIN_EXPLAINED_SHARE = 0.5
+# Time for which what the records of a service show together is used, and the shortest
+# time between two merges, s. In a fleet of 300 nodes a record changes many times a
+# second, and merging all of them at once would delay requests by tens of milliseconds.
+MERGE_PERIOD_S = 2.0
+MERGE_GAP_S = 0.1
+
+# Calls per request by route, and by service and route called.
+CallsByRoute = dict[str, dict[Callee, float]]
 
 
 def along_chain(service: str, called_services: dict[str, set[str]]) -> set[str]:
@@ -45,7 +55,7 @@
 def needed_services(
     service: str,
     route: str,
-    route_calls: dict[str, dict[str, dict[Callee, float]]],
+    calls_of: Callable[[str], CallsByRoute | None],
     called_services: dict[str, set[str]],
 ) -> set[str]:
     """Return the services that a request calls, directly and indirectly.
@@ -56,8 +66,8 @@
 
     :param service: service that runs the request
     :param route: route of the request
-    :param route_calls: calls per request by service, route, and service and route
-        called
+    :param calls_of: returns the calls per request of a service, ``None`` if it has
+        published none
     :param called_services: services that each service calls directly
     """
     found: set[str] = set()
@@ -65,7 +75,7 @@
     pending: list[tuple[Callee, float]] = [((service, route), 1.0)]
     while pending:
         (running, running_route), rate = pending.pop()
-        routes = route_calls.get(running)
+        routes = calls_of(running)
         if routes is None:
             found |= along_chain(running, called_services)
             continue
@@ -173,59 +183,81 @@
 
     def __init__(self, members: MemberTable) -> None:
         self._members = members
-        self._generation = -1
-        self._route_calls: dict[str, dict[str, dict[Callee, float]]] = {}
+        # Calls of each service, when they were merged, and from which generation.
+        self._merged: dict[str, tuple[CallsByRoute | None, float, int]] = {}
+        self._next_merge_s = -math.inf
+        # Possible calls of all services, and when they were merged.
+        self._means: dict[str, CallRates] = {}
+        self._means_s = -math.inf
+        # Services needed by service and route, and how long they are used.
         self._needed: dict[tuple[str, str], set[str]] = {}
+        self._needed_until_s = -math.inf
 
-    def of_route(self, service: str, route: str) -> set[str]:
+    def of_route(self, service: str, route: str, now: float) -> set[str]:
         """Return the services that the requests of a route call.
 
         :param service: service that runs the requests
         :param route: name of the route
+        :param now: current time in s since boot
         """
-        self._refresh()
+        if now >= self._needed_until_s:
+            self._needed.clear()
+            self._needed_until_s = now + MERGE_GAP_S
         needed = self._needed.get((service, route))
         if needed is None:
             needed = self._needed[service, route] = needed_services(
-                service, route, self._route_calls, self._members.called_services()
+                service,
+                route,
+                lambda name: self._calls_of(name, now),
+                self._members.called_services(),
             )
         return needed
 
-    def called_by(self, service: str) -> set[str]:
+    def called_by(self, service: str, now: float) -> set[str]:
         """Return the services that the requests of a service call directly.
 
         :param service: name of the service
+        :param now: current time in s since boot
         """
-        self._refresh()
-        routes = self._route_calls.get(service, {})
+        routes = self._calls_of(service, now) or {}
         return {called for calls in routes.values() for called, _ in calls} - {service}
 
-    def _refresh(self) -> None:
-        if self._generation != self._members.generation:
-            self._generation = self._members.generation
-            self._needed.clear()
-            self._route_calls = self._merge_calls()
-
-    def _merge_calls(self) -> dict[str, dict[str, dict[Callee, float]]]:
-        """Return the calls per request that the records show together."""
+    def _calls_of(self, service: str, now: float) -> CallsByRoute | None:
+        known = self._merged.get(service)
+        generation = self._members.generation
+        if known is not None:
+            calls, merged_s, merged_generation = known
+            is_recent = now - merged_s < MERGE_PERIOD_S or now < self._next_merge_s
+            if is_recent or merged_generation == generation:
+                return calls
+        self._next_merge_s = now + MERGE_GAP_S
+        calls = self._merge_calls(service, now)
+        self._merged[service] = calls, now, generation
+        return calls
+
+    def _merge_calls(self, service: str, now: float) -> CallsByRoute | None:
+        """Return the calls per request that the records of a service show together."""
         callers = self._members.entry_routes
-        estimates: dict[str, dict[str, list[CallEstimate]]] = defaultdict(
-            lambda: defaultdict(list)
+        estimates: dict[str, list[CallEstimate]] = defaultdict(list)
+        for record in self._members.records:
+            if record.service == service:
+                for route, calls in record.route_calls.items():
+                    estimates[route].append(calls.estimate(callers))
+        if not estimates:
+            return None
+        if now - self._means_s >= MERGE_PERIOD_S:
+            self._means_s, self._means = now, self._merge_rates()
+        means = self._means.get(service)
+        return attribute_calls(
+            {route: pooled_estimate(items) for route, items in estimates.items()},
+            means.runs if means is not None else {},
+            service_calls(self._means).get(service, {}),
         )
+
+    def _merge_rates(self) -> dict[str, CallRates]:
+        callers = self._members.entry_routes
         rates: dict[str, list[CallRates]] = defaultdict(list)
         for record in self._members.records:
-            for route, calls in record.route_calls.items():
-                estimate = calls.estimate(callers)
-                estimates[record.service][route].append(estimate)
             if record.call_counts.runs:
                 rates[record.service].append(record.call_counts.rates(callers))
-        means = {service: mean_rates(of_nodes) for service, of_nodes in rates.items()}
-        calls_by_service = service_calls(means)
-        return {
-            service: attribute_calls(
-                {route: pooled_estimate(items) for route, items in routes.items()},
-                means[service].runs if service in means else {},
-                calls_by_service.get(service, {}),
-            )
-            for service, routes in estimates.items()
-        }
+        return {service: mean_rates(of_nodes) for service, of_nodes in rates.items()}
--- a/src/briardock_standins/replay/instances.py
+++ b/src/briardock_standins/replay/instances.py
@@ -177,7 +177,8 @@
         """Return the thresholds that a response carries."""
         learns = self.world.pattern.general.learn_calls
         chain = self.learned.along_chain(
-            sorted(self.entry_thresholds.called_by(self.service)) or self.called.names
+            sorted(self.entry_thresholds.called_by(self.service, self.world.env.now))
+            or self.called.names
             if learns
             else self.world.called_services[self.service],
             self.service,
--- a/tests/test_overload_needs.py
+++ b/tests/test_overload_needs.py
@@ -4,7 +4,7 @@
 
 from briardock.mesh.members import CallCounts, MemberTable, RouteCalls
 from briardock.overload.admission import OPEN_THRESHOLD
-from briardock.overload.attribution import CallEstimate, CallRates
+from briardock.overload.attribution import CallEstimate, CallRates, pooled_estimate
 from briardock.overload.board import EntryThresholds, ThresholdBoard, ThresholdNews
 from briardock.overload.chain import (
     ChainThreshold,
@@ -48,7 +48,7 @@
 ) -> None:
     """All routes of a service were charged with all that its targets call."""
     called = {"older": {"board"}, "board": {"replay"}}
-    assert needed_services(service, route, ROUTE_CALLS, called) == expected
+    assert needed_services(service, route, ROUTE_CALLS.get, called) == expected
 
 
 def test_requests_that_arrive_at_all_nodes_are_not_calls() -> None:
@@ -134,7 +134,28 @@
     """What nodes published before that must not outlast it."""
     members = make_members()
     needs = RouteNeeds(members)
-    assert needs.of_route("replay", "history") == {"board"}
-    assert needs.called_by("replay") == {"board"}
+    assert needs.of_route("replay", "history", 50.0) == {"board"}
+    assert needs.called_by("replay", 50.0) == {"board"}
     members.merge(record("b", version=2, service="board", entry_routes=["check"]))
-    assert needs.of_route("replay", "history") == set()
+    assert needs.of_route("replay", "history", 52.0) == set()
+
+
+def test_records_of_a_service_are_merged_at_most_every_two_seconds(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Merging the records of all nodes with each change of one of them took the time
+    of the requests that were admitted meanwhile.
+    """
+    members = make_members()
+    needs = RouteNeeds(members)
+    pooled: list[int] = []
+
+    def count(estimates: list[CallEstimate]) -> CallEstimate:
+        pooled.append(len(estimates))
+        return pooled_estimate(estimates)
+
+    monkeypatch.setattr("briardock.overload.needs.pooled_estimate", count)
+    for step in range(500):
+        members.merge(record("b", version=2 + step, service="board"))
+        needs.of_route("replay", "history", 50.0 + step / 100)
+    assert len(pooled) == 3
