Decide on retries by the measured share of retries along the chain

Operators saw a deep service get 0.05 retries per request where 0.2 are allowed, and the bound exceeded where demand fell as retries began.

Cause: each hop used a fixed quarter of the ratio, whatever the other hops did, and could spend at once what it had saved up in a window.

The new values are not connected to calls yet.

--- /dev/null
+++ b/src/briardock/overload/retry_reports.py
@@ -0,0 +1,107 @@
+"""Reports about the retries that arrive at a service and at those downstream of it."""
+
+from dataclasses import dataclass
+
+# Age from which a report no longer counts, s.
+MAX_REPORT_AGE_S = 1.0
+# Time for which sums and reports are kept, s; a node handles up to thousands of calls a
+# second.
+CACHE_S = 0.02
+
+
+@dataclass(frozen=True, slots=True)
+class RetryReport:
+    """Retries in the last window, as one instance reports them.
+
+    :param requests: arrivals at the instance that are no retries
+    :param retries: arrivals that are, less its part of the slack
+    :param recent_requests: the same in the newest part of the window. The arrivals
+        that are no retries may have become fewer.
+    :param recent_retries: the same in the newest part of the window
+    :param downstream_share: largest ratio of retries to requests at the services that
+        it calls, directly and indirectly, ``None`` if it has made no calls of late
+    :param calls: largest number of calls of one of these per run
+    """
+
+    requests: float
+    retries: float
+    recent_requests: float
+    recent_retries: float
+    downstream_share: float | None
+    calls: float
+
+
+@dataclass(frozen=True, slots=True)
+class RetryLoad:
+    """Retries in the last window at one service and downstream of it.
+
+    :param own_share: ratio of retries to requests at the service
+    :param downstream_share: largest ratio at the services that it calls
+    """
+
+    own_share: float
+    downstream_share: float
+
+
+class ServiceReports:
+    """Newest reports of the instances of one service."""
+
+    def __init__(self) -> None:
+        # Largest number of calls of one service downstream per run. It depends on the
+        # targets, not on the load, and is kept when the reports become outdated.
+        self.calls = 1.0
+        self._by_node: dict[str, tuple[RetryReport | None, float]] = {}
+        self._load: RetryLoad | None = None
+        self._load_s = -1.0
+
+    def learn(self, node_id: str, report: RetryReport | None, now: float) -> None:
+        """Record what a response of an instance reports.
+
+        :param node_id: node beside the instance
+        :param report: its report, ``None`` if it has none
+        :param now: current time in s since boot
+        """
+        self._by_node[node_id] = (report, now)
+
+    def load(self, now: float) -> RetryLoad | None:
+        """Return the retries at the service, ``None`` if they are not known.
+
+        They are unknown if no instance has reported within the last second, or one has
+        responded without a report.
+
+        :param now: current time in s since boot
+        """
+        if not 0.0 <= now - self._load_s < CACHE_S:
+            self._load, self._load_s = self._determine(now), now
+        return self._load
+
+    def _determine(self, now: float) -> RetryLoad | None:
+        oldest_s = now - MAX_REPORT_AGE_S
+        for node_id in [n for n, (_, at_s) in self._by_node.items() if at_s < oldest_s]:
+            del self._by_node[node_id]
+        known = [report for report, _ in self._by_node.values() if report is not None]
+        if not known or len(known) < len(self._by_node):
+            return None
+        share = _ratio(
+            sum(report.retries for report in known),
+            sum(report.requests for report in known),
+        )
+        recent_share = _ratio(
+            sum(report.recent_retries for report in known),
+            sum(report.recent_requests for report in known),
+        )
+        downstream_shares = [
+            report.downstream_share
+            for report in known
+            if report.downstream_share is not None
+        ]
+        self.calls = max(1.0, *(report.calls for report in known))
+        return RetryLoad(
+            max(share, recent_share),
+            # Instances that reject everything make no calls and know nothing of them.
+            sum(downstream_shares) / max(1, len(downstream_shares)),
+        )
+
+
+def _ratio(retries: float, requests: float) -> float:
+    return max(0.0, retries) / max(1.0, requests)
