Carry the share of retries in calls and report it with results

Operators saw 1 of 100 chains complete while all instances of the deepest service rejected half of their calls: each upstream hop repeated whole chains, which used up the budget of the hop that could have repeated a single call.

Cause: nodes knew nothing of retries at other hops.

Change: a call carries the share of it that is a retry, in six bits of its flags that earlier releases ignore. A result carries what arrived at the instance, the largest ratio downstream, the calls per run and the share of failing calls downstream, in a header of the kind that earlier releases skip. A failure is no longer repeated while the calls of its service fail downstream: they are repeated there. The replay uses the same decisions. Operators see retries-stopped, the cause in not-repeated, briardock_not_repeated_total, briardock_retry_ratio and briardock_arrived_retry_ratio.

--- a/src/briardock/mesh/calls.py
+++ b/src/briardock/mesh/calls.py
@@ -9,8 +9,15 @@
 from briardock.mesh.http1 import Request, Response, encode_request_head
 from briardock.mesh.http_client import ClientConnection
 from briardock.mesh.model import Headers
+from briardock.mesh.retry_encoding import (
+    decode_retries,
+    decode_share,
+    encode_retries,
+    encode_share,
+)
 from briardock.overload.chain import ChainThreshold, InstanceThresholds
 from briardock.overload.cost import MAX_SEGMENT_BYTES, Kind, request_kind
+from briardock.overload.retry_reports import RetryReport
 from briardock.overload.target_work import RunWork, WorkReport
 from briardock.overload.waiting import Waiting
 
@@ -21,7 +28,7 @@
 ACCOUNT_HEADER = b"briardock-account"
 # Outcome that marks a preceding header of the same name, with the work of the target.
 # Nodes of earlier releases read only the last header of this name.
-WORK = b"work"
+WORK = b"work;"
 MAX_WORK_BYTES = 100
 # Headers that nodes add to messages between them. They add no others, so hop-by-hop
 # headers (RFC 9110) need not be looked up here.
@@ -33,6 +40,9 @@
 # Flags of a call.
 FROM_CALLER = 1
 MAY_HAND_ON = 2
+# The flags also contain the share of a call that is a retry, above this number of bits
+# and below the tag of the route, where earlier releases ignore it.
+RETRY_SHARE_SHIFT = 2
 # The flags also contain the tag of the route, above this number of bits.
 ROUTE_TAG_SHIFT = 8
 
@@ -60,6 +70,8 @@
         node at which it entered has no accounts in its configuration
     :param run_work: its work, once it has run here and if it was measured
     :param route_tag: tag of its route, 0 if the sender did not name it
+    :param retry_share: share of it that is a retry: 1 if it was sent before, otherwise
+        that of the executions of its sender; ``None`` if the sender did not state it
     """
 
     method: bytes
@@ -79,6 +91,7 @@
     account: str | None = None
     run_work: RunWork | None = None
     route_tag: int = 0
+    retry_share: float | None = None
 
     @property
     def has_response(self) -> bool:
@@ -108,11 +121,13 @@
     :param in_flight: requests running and queued
     :param thresholds: admission thresholds of the instance and its chain
     :param work: work at the target, if it states how slow it is
+    :param retries: retries there, ``None`` if the node did not state them
     """
 
     in_flight: int
     thresholds: InstanceThresholds
     work: WorkReport | None = None
+    retries: RetryReport | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -161,6 +176,7 @@
     remaining_ms = int((call.expires_s - now - HOP_ALLOWANCE_S) * 1000)
     flags = FROM_CALLER * call.from_caller + MAY_HAND_ON * call.may_hand_on
     flags |= call.route_tag << ROUTE_TAG_SHIFT
+    flags |= encode_share(call.retry_share) << RETRY_SHARE_SHIFT
     info = ";".join(
         (
             call.service,
@@ -228,6 +244,7 @@
         may_hand_on=bool(flags & MAY_HAND_ON),
         account=accounts[-1].decode("utf-8", "replace") if accounts else None,
         route_tag=flags >> ROUTE_TAG_SHIFT,
+        retry_share=decode_share(flags >> RETRY_SHARE_SHIFT),
     )
 
 
@@ -242,18 +259,22 @@
         for service, reported in load.thresholds.chain.items()
     )
     load_fields = f"{load.in_flight};{load.thresholds.instance:.3f};{chain}"
-    work = [(RESULT_HEADER, _encode_work(load.work))] if load.work is not None else []
+    added = []
+    if load.retries is not None:
+        added.append((RESULT_HEADER, encode_retries(load.retries)))
+    if load.work is not None:
+        added.append((RESULT_HEADER, _encode_work(load.work)))
     match result:
         case Completed(response):
             info = f"completed;;{load_fields}"
-            headers = [*response.headers, *work, (RESULT_HEADER, info.encode())]
+            headers = [*response.headers, *added, (RESULT_HEADER, info.encode())]
             return Response(response.status, headers, response.body)
         case NotRun(reason, arrived, busy):
             outcome = "busy" if busy else "rejected" if arrived else "not-run"
             info = f"{outcome};{reason};{load_fields}"
         case Unknown(reason):
             info = f"unknown;{reason};{load_fields}"
-    return Response(502, [*work, (RESULT_HEADER, info.encode())])
+    return Response(502, [*added, (RESULT_HEADER, info.encode())])
 
 
 def _encode_work(work: WorkReport) -> bytes:
@@ -269,10 +290,12 @@
 
 def _decode_work(values: list[bytes]) -> WorkReport | None:
     """Return the work in the last header but one, ``None`` without a valid one."""
-    if len(values) < 2 or len(values[-2]) > MAX_WORK_BYTES:
+    if len(values) < 2 or not values[-2].startswith(WORK):
+        return None
+    if len(values[-2]) > MAX_WORK_BYTES:
         return None
     parts = values[-2].split(b";")
-    if len(parts) != 6 or parts[0] != WORK:
+    if len(parts) != 6:
         return None
     try:
         delay_us, room, slowness_percent, work_us, expected_us = map(int, parts[1:])
@@ -308,7 +331,12 @@
     outcome, reason, in_flight, instance, chain = parts
     try:
         thresholds = InstanceThresholds(float(instance), _decode_chain(chain))
-        load = LoadReport(int(in_flight), thresholds, _decode_work(values))
+        load = LoadReport(
+            int(in_flight),
+            thresholds,
+            _decode_work(values),
+            decode_retries(values),
+        )
     except ValueError:
         return Unknown("malformed load report"), None
     match outcome:
--- a/src/briardock/mesh/explain.py
+++ b/src/briardock/mesh/explain.py
@@ -16,6 +16,7 @@
         "instance-ejected",
         "level-lowered",
         "lines-omitted",
+        "retries-stopped",
         "store-lost",
         "store-regained",
         "target-changed",
--- a/src/briardock/mesh/forwarder.py
+++ b/src/briardock/mesh/forwarder.py
@@ -52,8 +52,9 @@
 from briardock.overload.entry import Admitted, EntryAdmission, EntryRequest, TurnedAway
 from briardock.overload.placement import Balancer
 from briardock.overload.quota import OverQuota, WithinQuota
-from briardock.overload.retries import RetryBudget
+from briardock.overload.retry_reports import RetryReport
 from briardock.overload.shutdown import Shutdown
+from briardock.overload.target_retries import TargetRetries
 
 # Deadline of a request whose caller names none, s.
 DEFAULT_DEADLINE_S = 30.0
@@ -135,6 +136,7 @@
     :param members: records of all nodes
     :param balancer: chooses instances
     :param target: target beside the node
+    :param retries: retry budgets, and the retries at the target
     :param peers: connections to other nodes
     :param thresholds: admission thresholds learned from responses
     :param entry_thresholds: thresholds by which callers' requests are admitted
@@ -152,6 +154,7 @@
         members: MemberTable,
         balancer: Balancer,
         target: Target,
+        retries: TargetRetries,
         peers: ConnectionPool,
         thresholds: LearnedThresholds,
         entry_thresholds: EntryThresholds,
@@ -172,6 +175,8 @@
         self._members = members
         self._balancer = balancer
         self._target = target
+        self.retries = retries
+        self._retry_report: RetryReport | None = None
         self._peers = peers
         self._learned_thresholds = thresholds
         self._entry_thresholds = entry_thresholds
@@ -180,7 +185,6 @@
         self._log = log
         self._telemetry = telemetry
         self._entry = EntryAdmission(rng)
-        self._budgets: dict[str, RetryBudget] = {}
         self._chain: dict[str, ChainThreshold] = {}
         # Threshold by service and route, and the time at which it was determined.
         self._chain_thresholds: dict[tuple[str, str], tuple[float, float]] = {}
@@ -213,8 +217,19 @@
                 self.max_threshold,
                 now,
             )
+            instances = self._members.candidates(self.settings.service)
+            self._retry_report = self.retries.report(len(instances), now)
         return InstanceThresholds(self._target.threshold(from_caller), self._chain)
 
+    def load_report(self, call: Call) -> LoadReport:
+        """Return the load that is reported with the result of a call.
+
+        :param call: call that has ended at the local target
+        """
+        thresholds = self.thresholds(call.from_caller)
+        work = self._target.work_report(call)
+        return LoadReport(self._target.in_flight, thresholds, work, self._retry_report)
+
     def update_rates(self, target_arrivals: int) -> None:
         """Update the rates of demand and of the local target's calls.
 
@@ -222,6 +237,13 @@
         """
         self.called_services.update(target_arrivals)
         self._entry.update_rates()
+        for service, load in self.retries.newly_stopped(now_s()).items():
+            self._log.event(
+                "retries-stopped",
+                service=service,
+                share=round(load.own_share, 3),
+                downstream_share=round(load.downstream_share, 3),
+            )
 
     async def handle(self, request: Request) -> Response:
         """Return the response to a request.
@@ -265,7 +287,7 @@
             request.received_s + deadline_s,
             Attempts(
                 self._balancer,
-                self._budget(service),
+                self.retries.budget(service),
                 service,
                 route.idempotent,
                 route.max_attempts,
@@ -440,7 +462,7 @@
         return ended_count
 
     async def _try_instances(self, request: Request, state: RequestState) -> Result:
-        self._budget(state.service).record_request(now_s())
+        self.retries.record_request(state.service, state.from_target, now_s())
         attempts = state.attempts
         target_response: Completed | None = None
         result: Result = NotRun("no instance")
@@ -500,6 +522,7 @@
     def _log_retry(
         self, state: RequestState, record: NodeRecord, reason: str, allowed: bool
     ) -> None:
+        no_retry = state.attempts.no_retry
         self._log.event(
             "repeated" if allowed else "not-repeated",
             id=state.head.request_id.decode("latin-1"),
@@ -507,18 +530,12 @@
             instance=record.node_id,
             reason=reason,
             arrivals=state.attempts.arrivals,
+            cause=no_retry or "",
         )
         if allowed:
             self._telemetry.retries.labels(reason.partition(":")[0]).inc()
-
-    def _budget(self, service: str) -> RetryBudget:
-        budget = self._budgets.get(service)
-        if budget is None:
-            settings = self.settings
-            budget = self._budgets[service] = RetryBudget(
-                settings.retry_ratio, settings.retry_slack, settings.retry_window_s
-            )
-        return budget
+        elif no_retry is not None:
+            self._telemetry.not_repeated.labels(no_retry).inc()
 
     async def _send(
         self,
@@ -543,6 +560,9 @@
             may_hand_on=may_hand_on,
             account=state.sender.account_name,
             route_tag=route_tag(state.route.name),
+            retry_share=self.retries.inherited(
+                state.from_target, state.attempts.arrivals > 0, now_s()
+            ),
         )
         state.call = call
         started_s = now_s()
@@ -552,11 +572,7 @@
                 state.unresolved = True
                 result = await self._target.run(call)
                 state.unresolved = False
-                thresholds = self.thresholds(call.from_caller)
-                work = self._target.work_report(call)
-                load: LoadReport | None = LoadReport(
-                    self._target.in_flight, thresholds, work
-                )
+                load: LoadReport | None = self.load_report(call)
             else:
                 result, load = await self._send_to_peer(call, record, state)
         finally:
@@ -577,12 +593,16 @@
         now = now_s()
         node_id = record.node_id
         if isinstance(result, NotRun) and result.busy:
+            failed = False
             self._balancer.record_busy(node_id, load.in_flight, now)
         else:
             failed = not isinstance(result, Completed) or result.response.status >= 500
             self._balancer.record_response(
                 node_id, now - started_s, load.in_flight, failed, now
             )
+        self.retries.record_result(
+            state.service, node_id, state.from_target, failed, load.retries, now
+        )
         if load.work is not None:
             self._telemetry.work_reports.inc()
             if not self._balancer.uses_work(state.service):
--- a/src/briardock/mesh/node.py
+++ b/src/briardock/mesh/node.py
@@ -12,7 +12,7 @@
 from briardock.exceptions import SettingsError
 from briardock.mesh.accounts import age_limits
 from briardock.mesh.callgraph import EntryRoutes, called_routes
-from briardock.mesh.calls import LoadReport, NotRun, Result, decode_call, encode_result
+from briardock.mesh.calls import NotRun, Result, decode_call, encode_result
 from briardock.mesh.clients import SenderIdentification
 from briardock.mesh.decisions import FLUSH_PERIOD_S, DecisionLog
 from briardock.mesh.descriptors import connection_limits
@@ -48,6 +48,7 @@
 from briardock.overload.placement import Balancer
 from briardock.overload.quota_limits import QuotaSettings
 from briardock.overload.shutdown import Shutdown, StallMeter
+from briardock.overload.target_retries import TargetRetries
 
 PEER_POOL = PoolSettings(
     connect_timeout_s=0.5, idle_timeout_s=20.0, unacknowledged_timeout_s=1.0
@@ -152,6 +153,9 @@
             lambda node_id: self.balancer.reinstate(node_id, now_s()),
             self._restore_previous_record,
         )
+        retries = TargetRetries(
+            settings.retry_ratio, settings.retry_slack, settings.retry_window_s
+        )
         self.target = Target(
             settings.target_address,
             settings.service,
@@ -160,6 +164,7 @@
             log,
             self.replicator.crash_suspects,
             self._target_changed,
+            retries,
         )
         self._entry_routes = EntryRoutes(
             self.members, self.target, self._local_record_changed
@@ -190,6 +195,7 @@
             self.members,
             self.balancer,
             self.target,
+            retries,
             self._peer_pool,
             learned_thresholds,
             EntryThresholds(self.members, board, learned_thresholds),
@@ -351,10 +357,7 @@
         else:
             result = NotRun("node is stopping")
         self.telemetry.target_latency.observe(now_s() - started_s)
-        thresholds = self.forwarder.thresholds(call.from_caller)
-        work = self.target.work_report(call)
-        load = LoadReport(self.target.in_flight, thresholds, work)
-        return encode_result(result, load)
+        return encode_result(result, self.forwarder.load_report(call))
 
     async def _handle_ready(self, request: Request) -> Response:
         ready = self.forwarder.routes is not None and not self._stopping.is_set()
@@ -398,6 +401,12 @@
         self.telemetry.store_era.set(self.replicator.store_era)
         age_s = self.replicator.config_age_s()
         self.telemetry.config_age.set(math.nan if age_s is None else age_s)
+        now = now_s()
+        retries = self.forwarder.retries
+        self.telemetry.arrived_retry_ratio.set(retries.arrived_ratio(now))
+        for service, budget in retries.budgets.items():
+            ratio = round(budget.ratio(now), 4)
+            self.telemetry.retry_ratio.labels(service).set(ratio)
         work = self.target.work_report()
         if work is not None:
             self.telemetry.target_slowness.set(work.slowness)
--- a/src/briardock/mesh/target.py
+++ b/src/briardock/mesh/target.py
@@ -30,6 +30,7 @@
 from briardock.overload.admission import TargetThresholds, Usage
 from briardock.overload.attribution import CallAttribution
 from briardock.overload.speed import LongestRun, SpeedMeter
+from briardock.overload.target_retries import TargetRetries
 from briardock.overload.target_work import TargetWork, WorkReport
 from briardock.overload.waiting import (
     WaitingQueue,
@@ -67,6 +68,7 @@
     :param log: decision log
     :param crash_suspects: requests suspected of crashing targets
     :param on_change: called after a change of id, start, slots or state
+    :param retries: counts the retries among the requests that the target receives
     """
 
     def __init__(
@@ -78,6 +80,7 @@
         log: DecisionLog,
         crash_suspects: CrashSuspects,
         on_change: Callable[[], None],
+        retries: TargetRetries | None = None,
     ) -> None:
         self.address = address
         self.service = service
@@ -112,6 +115,7 @@
         self._speed = SpeedMeter()
         self._longest_run = LongestRun()
         self.attribution = CallAttribution()
+        self._retries = retries
         self._run_starts_s: dict[int, float] = {}
         self._work = TargetWork()
         self._counts_changed_s = self._usage_updated_s = now_s()
@@ -417,6 +421,8 @@
 
     async def _run_in_slot(self, call: Call) -> Result:
         self.attribution.record_run(call.route_tag)
+        if self._retries is not None:
+            self._retries.record_arrival(call.retry_share, now_s())
         try:
             with Deadline(self._loop, call.expires_s + DEADLINE_ALLOWANCE_S):
                 return await self._exchange(call)
--- a/src/briardock/mesh/telemetry.py
+++ b/src/briardock/mesh/telemetry.py
@@ -26,6 +26,23 @@
             ["reason"],
             registry=self.registry,
         )
+        self.not_repeated = Counter(
+            "briardock_not_repeated",
+            "Requests that did not succeed and were not repeated by reason",
+            ["reason"],
+            registry=self.registry,
+        )
+        self.retry_ratio = Gauge(
+            "briardock_retry_ratio",
+            "Retries per request that the node may send to a service at present",
+            ["service"],
+            registry=self.registry,
+        )
+        self.arrived_retry_ratio = Gauge(
+            "briardock_arrived_retry_ratio",
+            "Retries per request at the target in the last window",
+            registry=self.registry,
+        )
         self.handed_on = Counter(
             "briardock_handed_on",
             "Requests that left an instance because it had no free slot",
--- a/src/briardock/overload/attempts.py
+++ b/src/briardock/overload/attempts.py
@@ -4,9 +4,12 @@
 (``tests/test_overload_waiting.py``). What certainly has not run may go to another
 instance; what may have run only if it is idempotent; and what failed for lack of
 capacity further along the chain is not repeated, as that would add to the load there.
+Nor is what failed while attempts further along the chain fail: these are repeated
+there, at less cost.
 """
 
 from dataclasses import dataclass
+from enum import StrEnum
 
 from briardock.mesh.members import NodeRecord
 from briardock.overload.admission import OPEN_THRESHOLD
@@ -54,6 +57,15 @@
 Outcome = Succeeded | Busy | NotReached | Rejected | MayHaveRun
 
 
+class NoRetry(StrEnum):
+    """Why a request that did not succeed is not repeated."""
+
+    MAY_HAVE_RUN = "may-have-run"
+    DOWNSTREAM = "downstream"
+    ATTEMPTS = "attempts"
+    BUDGET = "budget"
+
+
 def has_room_elsewhere(balancer: Balancer, service: str, threshold: float) -> bool:
     """Return whether a busy instance may leave requests to others of its service.
 
@@ -88,6 +100,7 @@
     ) -> None:
         self.arrivals = 0
         self.may_have_run = False
+        self.no_retry: NoRetry | None = None
         self._balancer = balancer
         self._budget = budget
         self._service = service
@@ -164,12 +177,15 @@
                 return False
             case MayHaveRun(responded):
                 self.may_have_run = True
-                if responded and overloaded:
+                if responded and (overloaded or self._budget.fails_downstream(now)):
                     self.arrivals += 1
+                    self.no_retry = NoRetry.DOWNSTREAM
                     return False
         self.arrivals += 1
-        return (
-            (self._idempotent or not self.may_have_run)
-            and self.arrivals < self._max_attempts
-            and self._budget.spend(node_count, now)
-        )
+        if self.may_have_run and not self._idempotent:
+            self.no_retry = NoRetry.MAY_HAVE_RUN
+        elif self.arrivals >= self._max_attempts:
+            self.no_retry = NoRetry.ATTEMPTS
+        elif not self._budget.spend(node_count, now):
+            self.no_retry = NoRetry.BUDGET
+        return self.no_retry is None
--- a/src/briardock/overload/retries.py
+++ b/src/briardock/overload/retries.py
@@ -21,9 +21,9 @@
 # Retries above the budget that a part of the window may hold: the budget of many nodes
 # is less than one retry each.
 ROUNDING_RETRIES = 1.0
-# Share of retries downstream from which a failure is taken for one that was repeated
-# there.
-MIN_DOWNSTREAM_SHARE = 0.02
+# Share of failing attempts downstream from which a failure is taken for one that comes
+# from there.
+MIN_FAILURES = 0.2
 
 
 @dataclass(slots=True)
@@ -163,17 +163,16 @@
         self.window.record_retry(now)
         return True
 
-    def is_repeated_downstream(self, now: float) -> bool:
-        """Return whether calls of the service are repeated at the hops after it.
+    def fails_downstream(self, now: float) -> bool:
+        """Return whether failures of the service come from the hops after it.
 
-        A repetition here would repeat all of these calls.
+        A retry here would repeat all calls, and use up the budget of the hop next to
+        the failures.
 
         :param now: current time in s since boot
         """
         load = self.reports.load(now)
-        return load is not None and (
-            load.downstream_share > load.own_share + MIN_DOWNSTREAM_SHARE
-        )
+        return load is not None and load.failures >= MIN_FAILURES
 
     def ratio(self, now: float) -> float:
         """Return the retries per request that are allowed at present.
--- a/src/briardock/overload/retry_reports.py
+++ b/src/briardock/overload/retry_reports.py
@@ -21,6 +21,7 @@
     :param downstream_share: largest ratio of retries to requests at the services that
         it calls, directly and indirectly, ``None`` if it has made no calls of late
     :param calls: largest number of calls of one of these per run
+    :param failures: largest share of attempts that fail at one of these
     """
 
     requests: float
@@ -29,6 +30,7 @@
     recent_retries: float
     downstream_share: float | None
     calls: float
+    failures: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,18 +39,20 @@
 
     :param own_share: ratio of retries to requests at the service
     :param downstream_share: largest ratio at the services that it calls
+    :param failures: largest share of attempts that fail at one of these
     """
 
     own_share: float
     downstream_share: float
+    failures: float
 
 
 class ServiceReports:
     """Newest reports of the instances of one service."""
 
     def __init__(self) -> None:
-        # Largest number of calls of one service downstream per run. It depends on the
-        # targets, not on the load, and is kept when the reports become outdated.
+        # Mean number of calls of one service downstream per run, at least 1. It depends
+        # on the targets, not on the load, and is kept when the reports become outdated.
         self.calls = 1.0
         self._by_node: dict[str, tuple[RetryReport | None, float]] = {}
         self._load: RetryLoad | None = None
@@ -82,24 +86,21 @@
         known = [report for report, _ in self._by_node.values() if report is not None]
         if not known or len(known) < len(self._by_node):
             return None
-        share = _ratio(
-            sum(report.retries for report in known),
-            sum(report.requests for report in known),
-        )
+        requests = sum(report.requests for report in known)
+        share = _ratio(sum(report.retries for report in known), requests)
         recent_share = _ratio(
             sum(report.recent_retries for report in known),
             sum(report.recent_requests for report in known),
         )
-        downstream_shares = [
-            report.downstream_share
-            for report in known
-            if report.downstream_share is not None
-        ]
-        self.calls = max(1.0, *(report.calls for report in known))
+        # Instances that reject everything make no calls and know nothing of them.
+        calling = [r for r in known if r.downstream_share is not None]
+        count = max(1, len(calling))
+        calls = sum(report.calls * report.requests for report in known)
+        self.calls = max(1.0, calls / max(1.0, requests))
         return RetryLoad(
             max(share, recent_share),
-            # Instances that reject everything make no calls and know nothing of them.
-            sum(downstream_shares) / max(1, len(downstream_shares)),
+            sum(report.downstream_share or 0.0 for report in calling) / count,
+            sum(report.failures for report in calling) / count,
         )
 
 
--- a/src/briardock/overload/target_retries.py
+++ b/src/briardock/overload/target_retries.py
@@ -1,11 +1,23 @@
 """Retries that arrive at the local target, and what the node reports about them."""
 
 from briardock.overload.retries import USABLE_SLACK_SHARE, RetryBudget, RetryWindow
-from briardock.overload.retry_reports import CACHE_S, MAX_REPORT_AGE_S, RetryReport
+from briardock.overload.retry_reports import (
+    CACHE_S,
+    MAX_REPORT_AGE_S,
+    RetryLoad,
+    RetryReport,
+)
 
 # Time over which the share of retries among the executions is determined that calls
 # carry, s. At the onset of retries a longer one still consists of first attempts.
 EXECUTION_TIME_S = 0.5
+# Weight of the newest attempt in the share of failing ones. A single failure is no sign
+# that a service fails, two in succession are.
+FAILURE_WEIGHT = 0.125
+# Share of retries that is taken for a rounding error.
+MIN_SHARE = 1e-6
+# Time after which a service whose retries are stopped is stated again, s.
+STOPPED_REPEAT_S = 10.0
 # Newest part of the window that is reported on its own, and its part of the slack.
 RECENT_SHARE = 0.3
 RECENT_SLACK_SHARE = 0.5
@@ -26,11 +38,15 @@
         # Calls of the local target by service, and the time of the last one.
         self._calls: dict[str, RetryWindow] = {}
         self._called_s: dict[str, float] = {}
+        # Moving average of the share of attempts at these services that fail.
+        self._failures: dict[str, float] = {}
         self._share: float | None = 0.0
         self._share_s = -1.0
         self._report: RetryReport | None = None
         self._report_s = -1.0
         self._executions = RetryWindow(EXECUTION_TIME_S)
+        # Time at which the retries of a service were last stated to be stopped.
+        self._stopped_s: dict[str, float] = {}
 
     @property
     def budgets(self) -> dict[str, RetryBudget]:
@@ -73,6 +89,29 @@
         calls.record(0.0, now)
         self._called_s[service] = now
 
+    def record_result(
+        self,
+        service: str,
+        node_id: str,
+        from_target: bool,
+        failed: bool,
+        report: RetryReport | None,
+        now: float,
+    ) -> None:
+        """Record the response of an instance to an attempt.
+
+        :param service: its service
+        :param node_id: node beside it
+        :param from_target: whether the local target may have sent the request
+        :param failed: whether the instance rejected it or failed
+        :param report: report in the response, ``None`` if it has none
+        :param now: current time in s since boot
+        """
+        self.budget(service).reports.learn(node_id, report, now)
+        if from_target:
+            known = self._failures.get(service, 0.0)
+            self._failures[service] = known + FAILURE_WEIGHT * (failed - known)
+
     def inherited(
         self, from_target: bool, sent_before: bool, now: float
     ) -> float | None:
@@ -97,12 +136,37 @@
             if total.unknown:
                 self._share = None
             elif executions:
-                self._share = total.inherited / executions
+                share = total.inherited / executions
+                self._share = share if share > MIN_SHARE else 0.0
             elif self._share is None:
                 self._share = 0.0
             self._share_s = now
         return self._share
 
+    def arrived_ratio(self, now: float) -> float:
+        """Return the ratio of retries to requests that arrived at the local target.
+
+        :param now: current time in s since boot
+        """
+        total = self._arrivals.total(now)
+        return max(0.0, total.inherited) / max(1.0, total.first)
+
+    def newly_stopped(self, now: float) -> dict[str, RetryLoad]:
+        """Return the services whose retries are stopped and that were not stated yet.
+
+        :param now: current time in s since boot
+        """
+        found = {}
+        for service, budget in self._budgets.items():
+            load = budget.reports.load(now)
+            if load is None or budget.ratio(now) > 0.0:
+                continue
+            if now - self._stopped_s.get(service, -STOPPED_REPEAT_S) < STOPPED_REPEAT_S:
+                continue
+            self._stopped_s[service] = now
+            found[service] = load
+        return found
+
     def report(self, instance_count: int, now: float) -> RetryReport | None:
         """Return the report of this instance, ``None`` if it lacks one that it needs.
 
@@ -120,7 +184,7 @@
             return None
         runs = max(1.0, arrived.first + arrived.inherited)
         downstream_share: float | None = None
-        calls_per_run = 0.0
+        calls_per_run = failures = 0.0
         for service, called_s in self._called_s.items():
             if now - called_s > MAX_REPORT_AGE_S:
                 continue
@@ -133,9 +197,10 @@
             per_run = self._calls[service].total(now).first / runs
             calls = per_run * self.budget(service).reports.calls
             calls_per_run = max(calls_per_run, calls)
+            failures = max(failures, load.failures, self._failures.get(service, 0.0))
         slack = self._limits[1] * USABLE_SLACK_SHARE / max(1, instance_count)
         recent = arrived
-        if arrived.inherited:
+        if arrived.inherited > MIN_SHARE:
             recent = self._arrivals.since(now - RECENT_SHARE * self._limits[2])
         return RetryReport(
             arrived.first,
@@ -144,4 +209,5 @@
             recent.inherited - slack * RECENT_SLACK_SHARE,
             downstream_share,
             calls_per_run,
+            failures,
         )
--- a/src/briardock_standins/replay/instances.py
+++ b/src/briardock_standins/replay/instances.py
@@ -5,10 +5,7 @@
 """
 
 import random
-from collections.abc import Generator
-from typing import TYPE_CHECKING, Any, cast
-
-import simpy
+from typing import TYPE_CHECKING, cast
 
 from briardock.mesh.callgraph import CalledServices
 from briardock.mesh.members import MemberTable, NodeRecord
@@ -38,8 +35,8 @@
 from briardock.overload.chain import InstanceThresholds, LearnedThresholds
 from briardock.overload.entry import EntryAdmission, EntryRequest, TurnedAway
 from briardock.overload.placement import Balancer
-from briardock.overload.retries import RetryBudget
 from briardock.overload.speed import SpeedMeter
+from briardock.overload.target_retries import TargetRetries
 from briardock.overload.waiting import (
     Waiting,
     WaitingQueue,
@@ -47,15 +44,12 @@
     should_hand_on,
     usable_slots,
 )
-from briardock_standins.replay.parts import Condition, ReplayCall, Slot
+from briardock_standins.replay.parts import Condition, Process, ReplayCall, Slot
 from briardock_standins.replay.pattern import CallerRoute, parse_calls
 
 if TYPE_CHECKING:
     from briardock_standins.replay.simulation import Simulation
 
-Process = Generator[simpy.Event, Any, Any]
-# Time between two nodes of one failure domain, s.
-LOCAL_HOP_S = 0.0002
 # Largest number of attempts at targets for one request.
 MAX_ATTEMPTS = 2
 RETRY_WINDOW_S = 10.0
@@ -114,12 +108,8 @@
         self.board = ThresholdBoard()
         self.announcer = ThresholdAnnouncer(self.node_id)
         self.entry_thresholds = EntryThresholds(self.members, self.board, self.learned)
-        self.budgets = {
-            service: RetryBudget(
-                general.retry_ratio, general.retry_slack, RETRY_WINDOW_S
-            )
-            for service in self.world.pattern.services
-        }
+        budget = general.retry_ratio, general.retry_slack, RETRY_WINDOW_S
+        self.retries = TargetRetries(*budget)
         self.target_thresholds = TargetThresholds()
         self.speed = SpeedMeter()
         self.queue: WaitingQueue[Slot] = WaitingQueue()
@@ -217,6 +207,7 @@
         self.running += 1
         started_s = self.started_s
         self.attribution.record_run(route_tag(call.route))
+        self.retries.record_arrival(call.retry_share, env.now)
         try:
             return (yield from self._run_in_slot(call))
         finally:
@@ -295,8 +286,8 @@
         """Forward a request; return its outcome, ``MayHaveRun`` after its timeout."""
         env = self.world.env
         service = operation.partition(".")[0]
-        budget = self.budgets[service]
-        budget.record_request(env.now)
+        budget = self.retries.budget(service)
+        self.retries.record_request(service, not from_caller, env.now)
         if not from_caller:
             self.called.record_call(service, route)
         attempts = Attempts(self.balancer, budget, service, idempotent, MAX_ATTEMPTS)
@@ -310,9 +301,10 @@
                 parent.priority, from_caller, parent.expires_s, may_hand_on
             )
             self.balancer.record_start(record.node_id, env.now)
-            attempt = env.process(
-                self._attempt(record, ReplayCall(operation, route, waiting))
-            )
+            is_retry = attempts.arrivals > 0
+            share = self.retries.inherited(not from_caller, is_retry, env.now)
+            call = ReplayCall(operation, route, waiting, share)
+            attempt = env.process(self._attempt(record, call))
             yield attempt | env.timeout(max(0.0, parent.expires_s - env.now))
             self.balancer.record_end(record.node_id)
             if not attempt.triggered:
@@ -351,6 +343,15 @@
                 not isinstance(outcome, Succeeded),
                 now,
             )
+        instance_count = len(self.members.candidates(instance.service))
+        self.retries.record_result(
+            instance.service,
+            record.node_id,
+            not call.waiting.from_caller,
+            not isinstance(outcome, Succeeded | Busy),
+            instance.retries.report(instance_count, now),
+            now,
+        )
         self.learned.learn(
             instance.service,
             record.node_id,
--- a/src/briardock_standins/replay/parts.py
+++ b/src/briardock_standins/replay/parts.py
@@ -1,11 +1,15 @@
 """Small parts of the instances of a replay."""
 
+from collections.abc import Generator
 from dataclasses import dataclass
+from typing import Any
 
 import simpy
 
 from briardock.overload.waiting import Waiting
 
+Process = Generator[simpy.Event, Any, Any]
+
 
 @dataclass(slots=True)
 class Slot:
@@ -35,8 +39,12 @@
 
 @dataclass(slots=True)
 class ReplayCall:
-    """A request at one instance, from a caller or from a target."""
+    """A request at one instance, from a caller or from a target.
+
+    :param retry_share: share of it that is a retry, ``None`` if it is not known
+    """
 
     operation: str
     route: str
     waiting: Waiting
+    retry_share: float | None
--- a/src/briardock_standins/replay/simulation.py
+++ b/src/briardock_standins/replay/simulation.py
@@ -20,12 +20,8 @@
     ThresholdNews,
 )
 from briardock.overload.entry import TurnedAway
-from briardock_standins.replay.instances import (
-    LOCAL_HOP_S,
-    Instance,
-    Process,
-)
-from briardock_standins.replay.parts import Condition
+from briardock_standins.replay.instances import Instance
+from briardock_standins.replay.parts import Condition, Process
 from briardock_standins.replay.pattern import (
     CallerRoute,
     Event,
@@ -35,6 +31,8 @@
 )
 from briardock_standins.replay.report import ReplayReport, Told
 
+# Time between two nodes of one failure domain, s.
+LOCAL_HOP_S = 0.0002
 # Time from a caller to its node, s.
 CALLER_HOP_S = 0.003
 # Simulated time before the first request, s. The clock does not start at 0, because
--- a/tests/retry_simulation.py
+++ b/tests/retry_simulation.py
@@ -170,10 +170,10 @@
                 instance, hop, stated, is_retry or attempt > 1
             )
             yield self.env.timeout(0.002)
-            self._report(sender, instance, name)
+            self._report(sender, instance, name, from_target, not succeeded)
             if succeeded:
                 return True
-            if has_run and budget.is_repeated_downstream(self.env.now):
+            if has_run and budget.fails_downstream(self.env.now):
                 return False
             if attempt == MAX_ATTEMPTS:
                 return False
@@ -198,7 +198,14 @@
         failed = self._is_disturbed and self.rng.random() < here.failed
         return True, not failed
 
-    def _report(self, sender: Node, instance: Node, service: str) -> None:
+    def _report(
+        self,
+        sender: Node,
+        instance: Node,
+        service: str,
+        from_target: bool,
+        failed: bool,
+    ) -> None:
         load, now = self.load, self.env.now
         if sender.is_earlier:
             return
@@ -210,12 +217,12 @@
             count = len(self.instances[instance.hop])
             report = instance.retries.report(count, now)
         delay_s = self.rng.uniform(0.0, load.report_delay_s)
-        self.env.process(self._deliver(sender, instance, service, report, delay_s))
+        result = (service, instance.node_id, from_target, failed, report)
+        self.env.process(self._deliver(sender, result, delay_s))
 
     def _deliver(
-        self, sender: Node, instance: Node, service: str, report: Any, delay_s: float
+        self, sender: Node, result: tuple[Any, ...], delay_s: float
     ) -> Generator[simpy.Event, Any, None]:
         if delay_s:
             yield self.env.timeout(delay_s)
-        reports = sender.retries.budget(service).reports
-        reports.learn(instance.node_id, report, self.env.now)
+        sender.retries.record_result(*result, self.env.now)
--- a/tests/test_mesh_calls.py
+++ b/tests/test_mesh_calls.py
@@ -7,7 +7,9 @@
 
 from briardock.mesh.calls import (
     ACCOUNT_HEADER,
+    CALL_HEADER,
     RESULT_HEADER,
+    Call,
     Completed,
     LoadReport,
     NotRun,
@@ -19,6 +21,7 @@
 )
 from briardock.mesh.http1 import Request, Response
 from briardock.overload.chain import ChainThreshold, InstanceThresholds
+from briardock.overload.retry_reports import RetryReport
 from briardock.overload.target_work import RunWork, WorkReport
 from mesh_builders import make_call
 
@@ -95,6 +98,83 @@
     assert response.headers[-1:] == plain.headers
 
 
+RETRIES = RetryReport(120.5, -8.3, 30.0, 1.5, 0.125, 4.0, 0.25)
+
+
+@pytest.mark.parametrize("work", [None, WORK])
+@pytest.mark.parametrize(
+    "retries", [RETRIES, replace(RETRIES, downstream_share=None, calls=0.0)]
+)
+@pytest.mark.parametrize(
+    "result",
+    [Completed(Response(200, [(b"a", b"1")], b"b")), NotRun("full", arrived=True)],
+)
+def test_retries_are_unchanged_by_encoding_and_decoding(
+    result: Completed | NotRun, retries: RetryReport, work: WorkReport | None
+) -> None:
+    load = LoadReport(7, InstanceThresholds(1.5, {}), work, retries)
+    assert decode_result(encode_result(result, load)) == (result, load)
+
+
+def test_a_node_of_the_earlier_release_reads_results_with_retries() -> None:
+    """It takes the last header between nodes, and the work from the one before it."""
+    load = LoadReport(7, InstanceThresholds(1.5, {}), WORK, RETRIES)
+    response = encode_result(Completed(Response(200)), load)
+    plain = encode_result(Completed(Response(200)), replace(load, retries=None))
+    assert {name for name, _ in response.headers} == {RESULT_HEADER}
+    assert response.headers[-2:] == plain.headers
+
+
+@pytest.mark.parametrize(
+    "retries",
+    [
+        b"retries;1;2;3",
+        b"retries;1;2;3;4;5;6;7;8",
+        b"retries;-1;2;3;4;5;6;7",
+        b"retries;1;2;3;4;-2;6;7",
+        b"retries;1;2;x;4;5;6;7",
+        b"retries;" + b"9" * 400 + b";2;3;4;5;6;7",
+    ],
+)
+def test_malformed_retries_are_no_report(retries: bytes) -> None:
+    """The result itself is still valid."""
+    load = LoadReport(7, InstanceThresholds(1.5, {}))
+    response = encode_result(Completed(Response(200)), load)
+    response.headers.insert(0, (RESULT_HEADER, retries))
+    assert decode_result(response) == (Completed(Response(200)), load)
+
+
+@pytest.mark.parametrize("share", [None, 0.0, 0.001, 0.05, 0.15, 0.5, 1.0])
+def test_share_of_retries_is_carried_where_the_earlier_release_ignores_it(
+    share: float | None,
+) -> None:
+    """It reads the lowest two bits of the flags and those from the eighth on."""
+    plain = make_call(route_tag=0xABCDEF, may_hand_on=True)
+    call = replace(plain, retry_share=share)
+    parts, plain_parts = (
+        dict(_headers(item))[CALL_HEADER].split(b";") for item in (call, plain)
+    )
+    flags, plain_flags = int(parts[5]), int(plain_parts[5])
+    assert flags & 3 == plain_flags & 3
+    assert flags >> 8 == plain_flags >> 8
+    assert parts[:5] + parts[6:] == plain_parts[:5] + plain_parts[6:]
+    request = Request(b"GET", b"/a/1", _headers(call), b"", 50.0)
+    decoded = decode_call(request)
+    assert decoded is not None
+    if share is None:
+        assert decoded.retry_share is None
+    else:
+        assert decoded.retry_share == pytest.approx(share, rel=0.07, abs=0.001)
+
+
+def _headers(call: Call) -> list[tuple[bytes, bytes]]:
+    """Return the headers of an encoded call, with names in lower case."""
+    head = encode_call_head(call, call.expires_s - 2.0)
+    lines = head.split(b"\r\n\r\n")[0].split(b"\r\n")[1:]
+    pairs = (line.split(b": ", 1) for line in lines)
+    return [(name.lower(), value) for name, value in pairs]
+
+
 @pytest.mark.parametrize(
     "work",
     [
--- a/tests/test_overload_retries.py
+++ b/tests/test_overload_retries.py
@@ -1,15 +1,19 @@
 """Retry budget, alone and of all nodes in simulated time."""
 
+import random
 from dataclasses import replace
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from briardock.mesh.members import MemberTable
+from briardock.overload.attempts import Attempts, MayHaveRun, NoRetry, Rejected
+from briardock.overload.placement import Balancer
 from briardock.overload.retries import RetryBudget
 from briardock.overload.retry_reports import RetryReport
 from briardock.overload.target_retries import TargetRetries
-from mesh_builders import FakeClock
+from mesh_builders import FakeClock, record
 from retry_simulation import ONSET_S, Chain, Hop, Load
 
 
@@ -142,7 +146,7 @@
     assert shares[0] <= retries / first <= shares[1]
 
 
-REPORT = RetryReport(100.0, 0.0, 30.0, 0.0, None, 0.0)
+REPORT = RetryReport(100.0, 0.0, 30.0, 0.0, None, 0.0, 0.0)
 
 
 @pytest.mark.parametrize(
@@ -184,7 +188,7 @@
         retries.record_request("maps", True, clock.now)
     assert not retries.budget("maps").spend(1, clock.now)
     report = retries.report(1, clock.now)
-    assert report == RetryReport(3.0, 1.0, 3.0, 1.0, 0.0, 100.0)
+    assert report == RetryReport(3.0, 1.0, 3.0, 1.0, 0.0, 100.0, 0.0)
 
 
 def test_arrivals_from_the_earlier_release_prevent_a_report(clock: FakeClock) -> None:
@@ -195,3 +199,37 @@
     retries.record_arrival(None, clock.now)
     assert retries.share(clock.now + 0.1) is None
     assert retries.report(3, clock.now + 0.1) is None
+
+
+@pytest.mark.parametrize(
+    ("failures", "outcome", "reason"),
+    [
+        (0.0, MayHaveRun(responded=True), None),
+        (0.3, MayHaveRun(responded=True), NoRetry.DOWNSTREAM),
+        (0.3, MayHaveRun(responded=False), None),
+        (0.3, Rejected(), None),
+    ],
+)
+def test_failures_from_downstream_are_not_repeated(
+    failures: float, outcome: MayHaveRun | Rejected, reason: NoRetry | None
+) -> None:
+    """Retries of whole chains took the budget of the hop next to the rejections."""
+    members = MemberTable(record("n0"))
+    budget = RetryBudget(0.2, 96.0, 10.0)
+    report = replace(REPORT, downstream_share=0.0, failures=failures)
+    budget.reports.learn("n1", report, 1_000.0)
+    balancer = Balancer(members, "a", random.Random(1))
+    attempts = Attempts(balancer, budget, "jobs", idempotent=True, max_attempts=2)
+    retry = attempts.record(record("n1"), outcome, False, 3, 1_000.0)
+    assert (retry, attempts.no_retry) == (reason is None, reason)
+
+
+def test_stopped_retries_are_stated_once_per_window(clock: FakeClock) -> None:
+    retries = TargetRetries(0.2, 96.0, 10.0)
+    reports = retries.budget("maps").reports
+    found = []
+    for _ in range(120):
+        reports.learn("n1", replace(REPORT, retries=20.0), clock.now)
+        found += retries.newly_stopped(clock.now)
+        clock.now += 0.1
+    assert found == ["maps", "maps"]
