--- a/tests/test_mesh_large_crowds.py
+++ b/tests/test_mesh_large_crowds.py
@@ -24,7 +24,7 @@
     peak_memory_mb,
     running_machine,
 )
-from test_mesh_slow_clients import DAWDLERS, dawdle, trickle
+from test_mesh_slow_clients import SLOW_CLIENTS, connect_slowly, send_slow_bytes
 
 pytestmark = pytest.mark.anyio
 
@@ -108,18 +108,18 @@
     await check(small, writers, MEMORY_MB, MAX_FDS)
 
 
-@pytest.mark.parametrize("name", DAWDLERS)
+@pytest.mark.parametrize("name", SLOW_CLIENTS)
 async def test_node_withstands_slow_clients_at_its_other_addresses(
     name: str, small: Machine
 ) -> None:
     """Connections in the middle of a request were not closed for others."""
     crowd = (
-        dawdle(address(small), DAWDLERS[name])
+        connect_slowly(address(small), SLOW_CLIENTS[name])
         for address in ADDRESSES.values()
         for _ in range(CONNECTIONS)
     )
     writers = list(await asyncio.gather(*crowd))
-    await trickle(writers, DAWDLERS[name])
+    await send_slow_bytes(writers, SLOW_CLIENTS[name])
     # The crowd is still connected.
     async with asyncio.timeout(SERVED_TIMEOUT_S):
         answered = [
--- a/tests/test_mesh_slow_clients.py
+++ b/tests/test_mesh_slow_clients.py
@@ -32,7 +32,7 @@
 # More than the listener for callers may hold open.
 CONNECTIONS = 60
 # Time for which a crowd sends one byte per second and connection, s.
-TRICKLE_S = 2.0
+SLOW_BYTES_S = 2.0
 ANSWER_TIMEOUT_S = 5.0
 # Time in which a further answer would follow, s.
 STRAY_ANSWER_S = 0.5
@@ -58,45 +58,45 @@
 
 
 @dataclass(frozen=True)
-class Dawdler:
+class SlowClient:
     """A client that does not complete its request.
 
     :param start: sent once
-    :param trickle: sent one byte per second afterwards
+    :param slow_bytes: sent one byte per second afterwards
     :param half_closes: whether it shuts down its sending side after the start
     :param wait_s: time until an ordinary request is sent, s
     """
 
     start: bytes
-    trickle: bytes = b""
+    slow_bytes: bytes = b""
     half_closes: bool = False
     wait_s: float = 0.0
 
 
 CHUNK_START = CHUNKED + b"10\r\nabc"
-DAWDLERS = {
-    "byte per second in a head": Dawdler(HEAD + b"a: ", b"b" * 9),
-    "byte per second in a chunk size": Dawdler(CHUNKED, b"0" * 9),
-    "byte per second in a chunk": Dawdler(CHUNK_START, b"b" * 9),
-    "byte per second in a body": Dawdler(
+SLOW_CLIENTS = {
+    "byte per second in a head": SlowClient(HEAD + b"a: ", b"b" * 9),
+    "byte per second in a chunk size": SlowClient(CHUNKED, b"0" * 9),
+    "byte per second in a chunk": SlowClient(CHUNK_START, b"b" * 9),
+    "byte per second in a body": SlowClient(
         POST + b"content-length: 99\r\n\r\n", b"b" * 9
     ),
-    "body that stalls": Dawdler(POST + b"content-length: 99\r\n\r\nabc"),
-    "chunk that stalls": Dawdler(CHUNK_START),
-    "half-closed in a head": Dawdler(HEAD, half_closes=True),
-    "half-closed in a body": Dawdler(
+    "body that stalls": SlowClient(POST + b"content-length: 99\r\n\r\nabc"),
+    "chunk that stalls": SlowClient(CHUNK_START),
+    "half-closed in a head": SlowClient(HEAD, half_closes=True),
+    "half-closed in a body": SlowClient(
         POST + b"content-length: 99\r\n\r\nabc", half_closes=True
     ),
-    "half-closed in a chunk": Dawdler(CHUNK_START, half_closes=True),
-    "length of 2^63": Dawdler(POST + b"content-length: %d\r\n\r\nabc" % 2**63),
+    "half-closed in a chunk": SlowClient(CHUNK_START, half_closes=True),
+    "length of 2^63": SlowClient(POST + b"content-length: %d\r\n\r\nabc" % 2**63),
     # A listener whose connections all have a request in flight refuses new ones, so the
     # runs (0.25 s at most) must have ended.
-    "upgrades": Dawdler(GET + UPGRADE + b"\r\n" + b"\x00" * 64, wait_s=1.0),
+    "upgrades": SlowClient(GET + UPGRADE + b"\r\n" + b"\x00" * 64, wait_s=1.0),
 }
-CALLER_CASES = [(name, "callers") for name in DAWDLERS]
+CALLER_CASES = [(name, "callers") for name in SLOW_CLIENTS]
 
 
-async def dawdle(address: str, what: Dawdler) -> asyncio.StreamWriter:
+async def connect_slowly(address: str, what: SlowClient) -> asyncio.StreamWriter:
     """Send the start without reading; return the connection, which stays open."""
     _, writer = await asyncio.open_connection(*split_address(address))
     try:
@@ -109,12 +109,14 @@
     return writer
 
 
-async def trickle(writers: list[asyncio.StreamWriter], what: Dawdler) -> None:
+async def send_slow_bytes(
+    writers: list[asyncio.StreamWriter], what: SlowClient
+) -> None:
     """Send one byte per second on each connection for a while."""
-    for number in range(int(TRICKLE_S) if what.trickle else 0):
+    for number in range(int(SLOW_BYTES_S) if what.slow_bytes else 0):
         for writer in writers:
             if not writer.is_closing():
-                writer.write(what.trickle[number : number + 1])
+                writer.write(what.slow_bytes[number : number + 1])
         await asyncio.sleep(1.0)
     await asyncio.sleep(what.wait_s)
 
@@ -128,11 +130,13 @@
     """
     node = machine.processes["node"]
     address = ADDRESSES.get(address_name, lambda m: m.caller_address)(machine)
-    what = DAWDLERS[name]
+    what = SLOW_CLIENTS[name]
     writers = list(
-        await asyncio.gather(*(dawdle(address, what) for _ in range(CONNECTIONS)))
+        await asyncio.gather(
+            *(connect_slowly(address, what) for _ in range(CONNECTIONS))
+        )
     )
-    await trickle(writers, what)
+    await send_slow_bytes(writers, what)
     descriptor_count = count_descriptors(node.pid)
     served_beside = await is_served(machine)
     for writer in writers:
