Fix the read delays in the test of a record that an older one replaced

Cause: the test shortens the period of reads, but a node that knows no other one first reads after 0.6, 1.0 and 3.0 s. Alone the older record is put 0.7 to 1.2 s after the start, before the second read; on a busy machine after it, and the third comes up to 3.9 s later.

The bound of 3 s stays. The product is not changed.

--- a/tests/test_mesh_store_restore.py
+++ b/tests/test_mesh_store_restore.py
@@ -467,6 +467,8 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """The store executed an append seconds late, over the newer record."""
+    # A node that knows no other one reads first after these delays.
+    monkeypatch.setattr(replication, "INITIAL_READ_DELAYS_S", (0.3, 0.3, 0.3))
     monkeypatch.setattr(replication, "NODES_READ_PERIOD_RANGE_S", (0.3, 0.4))
     async with fleet() as system:
         machine = await system.add("n1", "jobs")
