Take no evidence about a target from a response without memory for it

Seen (by reading): a response that was cut off because the account of all responses was used up, or because its body found no memory, counted against its sender. At the own target the request became a suspect of a death within 3 s, the port was checked, idle connections were reused for a shorter time, and the instance counted as failed (failure ratio 0.1 after one). Another node was suspected until its next response. Nothing was ejected, and no death was recorded from it alone.

Cause: ClientConnection ended all of these as "response exceeds its limit" or "malformed response" with FailureCause.OTHER. An error of take() in connection_lost left the exchange without a result until its deadline.

Change: both are OWN_SHORTAGE, reason "own shortage: memory". A response that exceeds its own limits stays OTHER, also while the account is used up. Target and Forwarder record nothing from it; Unknown.own_shortage keeps it out of the statistics of the local instance. The request may have run, so it is repeated and answered as before. The field is not sent to other nodes: for them the instance includes its node.

Cost: requests of a target that uses up the account by itself and then dies are suspected only if they were cut off by a limit of their own.

Before (with Unknown.own_shortage added to a copy of the code): 11 rows of test_mesh_shortage red. After: all 27 green; client_limits, hostile_targets, calls, target and path green (130 tests).

--- a/src/briardock/mesh/calls.py
+++ b/src/briardock/mesh/calls.py
@@ -141,9 +141,12 @@
     """The request may have run.
 
     :param reason: why its result is not known
+    :param own_shortage: whether this process lacked memory for the response, which
+        tells nothing about the target; it is not passed to other nodes
     """
 
     reason: str
+    own_shortage: bool = False
 
 
 Result = Completed | NotRun | Unknown
--- a/src/briardock/mesh/forwarder.py
+++ b/src/briardock/mesh/forwarder.py
@@ -580,7 +580,7 @@
         node_id = record.node_id
         if isinstance(result, NotRun) and result.busy:
             self._balancer.record_busy(node_id, load.in_flight, now)
-        else:
+        elif not (isinstance(result, Unknown) and result.own_shortage):
             failed = not isinstance(result, Completed) or result.response.status >= 500
             self._balancer.record_response(
                 node_id, now - started_s, load.in_flight, failed, now
@@ -614,6 +614,8 @@
         )
         state.unresolved = False
         if isinstance(response, ExchangeFailure):
+            if response.cause is FailureCause.OWN_SHORTAGE:
+                return Unknown(response.reason, own_shortage=True), None
             self._balancer.record_lost_connection(record.node_id)
             if response.sent:
                 return Unknown(f"node: {response.reason}"), None
--- a/src/briardock/mesh/http1.py
+++ b/src/briardock/mesh/http1.py
@@ -71,7 +71,8 @@
     """What a failed exchange tells about the peer.
 
     ``REFUSED``: nothing listens at its port.
-    ``OWN_SHORTAGE``: nothing, because this process lacked resources for a connection.
+    ``OWN_SHORTAGE``: nothing, because this process lacked resources for a connection
+    or memory for the response.
     """
 
     REFUSED = enum.auto()
--- a/src/briardock/mesh/http_client.py
+++ b/src/briardock/mesh/http_client.py
@@ -7,7 +7,12 @@
 import httptools
 
 from briardock.mesh.body_buffer import Body, BodyBuffer
-from briardock.mesh.http1 import ExchangeFailure, Response, write_message
+from briardock.mesh.http1 import (
+    ExchangeFailure,
+    FailureCause,
+    Response,
+    write_message,
+)
 from briardock.mesh.memory import (
     MemoryAccount,
     counted_head_bytes,
@@ -107,7 +112,10 @@
         """End the exchange; a clean close completes a response without a length."""
         self._reusable = False
         if self._until_eof and self._in_body and exc is None:
-            self._finish()
+            try:
+                self._finish()
+            except (OSError, MemoryError):
+                self._abort_for_shortage()
         else:
             self._fail("connection lost" if exc is None else f"{type(exc).__name__}")
         self._discard()
@@ -131,12 +139,21 @@
         self._received_bytes += len(data)
         try:
             self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self._abort("malformed response")
+        except MemoryError:
+            self._abort_for_shortage()
+            return
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            # The parser wraps the errors of the callbacks that store the response.
+            if isinstance(error.__context__, (OSError, MemoryError)):
+                self._abort_for_shortage()
+            else:
+                self._abort("malformed response")
             return
         self._update_account()
         if self._exceeds_limit():
             self._abort("response exceeds its limit")
+        elif self._memory.refuses(self._counted_bytes):
+            self._abort_for_shortage()
 
     def _exceeds_limit(self) -> bool:
         overhead_bytes = self._received_bytes - self._exchange_body_bytes
@@ -146,13 +163,15 @@
             > MAX_OVERHEAD_BYTES
             + MAX_OVERHEAD_PER_BODY_BYTE * self._exchange_body_bytes
             or self._skipped > MAX_SKIPPED_RESPONSES
-            or self._memory.refuses(self._counted_bytes)
         )
 
-    def _abort(self, reason: str) -> None:
+    def _abort_for_shortage(self) -> None:
+        self._abort("own shortage: memory", FailureCause.OWN_SHORTAGE)
+
+    def _abort(self, reason: str, cause: FailureCause = FailureCause.OTHER) -> None:
         self._reusable = False
         self._is_aborted = True
-        self._fail(reason)
+        self._fail(reason, cause)
         self._discard()
         if self._transport is not None:
             self._transport.abort()
@@ -209,9 +228,9 @@
             return
         self._waiter.set_result(response)
 
-    def _fail(self, reason: str) -> None:
+    def _fail(self, reason: str, cause: FailureCause = FailureCause.OTHER) -> None:
         if self._waiter is not None and not self._waiter.done():
-            self._waiter.set_result(ExchangeFailure(reason, sent=True))
+            self._waiter.set_result(ExchangeFailure(reason, True, cause))
 
     async def exchange(
         self,
--- a/src/briardock/mesh/target.py
+++ b/src/briardock/mesh/target.py
@@ -462,6 +462,8 @@
         if isinstance(response, ExchangeFailure):
             if not response.sent:
                 return NotRun(response.reason)
+            if response.cause is FailureCause.OWN_SHORTAGE:
+                return Unknown(response.reason, own_shortage=True)
             if now_s() - started_s < STALE_CONNECTION_RESET_S:
                 self._pool.reduce_idle_time(self.address, connection)
             self._crash_suspects.record_loss(call, incarnation)
