Give a connection attempt the time that the event loop lost

Seen (by reading; the test shows it): a node whose event loop stalls for longer than the connect timeout (0.5 s; SIGSTOP, busy processor) reported "connect timeout" for a connection that was established meanwhile. It then took its own target as absent until the next announcement, and ejected the other node.

Cause: one timer bounds the attempt, and a loop handles timers that are due before the input that arrived during the stall.

Change: PartedTimer runs the time in ten parts, so that a stall uses up one of them. A part that ends late by more than its length is not counted, at most ten times, so that the timer expires also if the loop is late all the time. The timer of briardock/_waiting.py has parts alone; it is not used here, as modules of the mesh import no anyio.

--- a/src/briardock/mesh/pool.py
+++ b/src/briardock/mesh/pool.py
@@ -10,6 +10,7 @@
 from briardock.mesh.http_client import DEFAULT_MEMORY, ClientConnection
 from briardock.mesh.memory import MemoryAccount
 from briardock.mesh.model import now_s, split_address
+from briardock.mesh.parted_timer import PartedTimer
 
 # Margin before the peer's idle timeout within which a connection is not reused, s.
 IDLE_MARGIN_S = 1.0
@@ -34,7 +35,8 @@
 class PoolSettings:
     """Timeouts of the connections of one pool.
 
-    :param connect_timeout_s: longest time to establish a connection
+    :param connect_timeout_s: longest time to establish a connection, without stalls of
+        the event loop
     :param idle_timeout_s: time after which an idle connection is closed
     :param unacknowledged_timeout_s: time for which sent bytes may stay unacknowledged
         before the kernel closes the connection (TCP_USER_TIMEOUT)
@@ -147,10 +149,18 @@
         host, port = split_address(address)
         loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(self._settings.connect_timeout_s):
-                transport, connection = await loop.create_connection(
-                    lambda: ClientConnection(self._memory), host, port
+            async with asyncio.timeout(None) as scope:
+                timer = PartedTimer(
+                    loop,
+                    self._settings.connect_timeout_s,
+                    lambda: scope.reschedule(loop.time()),
                 )
+                try:
+                    transport, connection = await loop.create_connection(
+                        lambda: ClientConnection(self._memory), host, port
+                    )
+                finally:
+                    timer.stop()
         except TimeoutError:
             return ExchangeFailure("connect timeout", sent=False)
         except OSError as error:
--- a/tests/test_mesh_pool.py
+++ b/tests/test_mesh_pool.py
@@ -1,14 +1,21 @@
-"""Reuse of connections to targets that silently drop idle ones."""
+"""Attempts to connect, and reuse of connections to targets that drop idle ones."""
 
 import asyncio
 import itertools
+import socket
+import threading
+import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from typing import Any
 
 import pytest
 
 from briardock.mesh.calls import Completed, Result, Unknown
+from briardock.mesh.http1 import ExchangeFailure
+from briardock.mesh.http_client import ClientConnection
 from briardock.mesh.model import split_address
+from briardock.mesh.pool import ConnectionPool, PoolSettings
 from briardock.mesh.target import MAX_IDLE_NON_IDEMPOTENT_S, Target
 from mesh_builders import make_call, make_target
 from mesh_fakes import announcement, free_address
@@ -84,3 +91,80 @@
         assert isinstance(await run_after(target, 0.0), Completed)
         assert isinstance(await run_after(target, pause_s, False), Completed)
         assert len(target._pool._idle[target.address]) == 2
+
+
+CONNECT_TIMEOUT_S = 0.2
+STALL_S = 3 * CONNECT_TIMEOUT_S
+
+
+async def connect_after(
+    established_after_s: float | None,
+    stall_after_s: float | None,
+    monkeypatch: pytest.MonkeyPatch,
+) -> ClientConnection | ExchangeFailure:
+    """Return the result of a connection attempt.
+
+    A thread tells when the peer accepts, since the loop may stall meanwhile.
+
+    :param established_after_s: time after which the peer accepts, ``None`` for never
+    :param stall_after_s: time after which the loop stalls, ``None`` for never
+    """
+    loop = asyncio.get_running_loop()
+    create_connection = loop.create_connection
+    receiving, sending = socket.socketpair()
+    receiving.setblocking(False)
+
+    async def create_late(*args: Any) -> Any:
+        await loop.sock_recv(receiving, 1)
+        return await create_connection(*args)
+
+    monkeypatch.setattr(loop, "create_connection", create_late)
+    address = free_address()
+    server = await asyncio.start_server(_reset_when_idle, *split_address(address))
+    pool = ConnectionPool(PoolSettings(CONNECT_TIMEOUT_S, 5.0, 1.0))
+    timer = threading.Timer(established_after_s or 0.0, sending.send, (b"x",))
+    with receiving, sending:
+        async with server:
+            if established_after_s is not None:
+                timer.start()
+            if stall_after_s is not None:
+                loop.call_later(stall_after_s, time.sleep, STALL_S)
+            result = await pool.connect(address)
+            if isinstance(result, ClientConnection):
+                result.close()
+        timer.cancel()
+        if established_after_s is not None:
+            await asyncio.to_thread(timer.join)
+    return result
+
+
+@pytest.mark.parametrize("start_share", [0.0, 0.25, 0.5, 0.75, 0.97])
+async def test_a_stall_of_the_loop_does_not_fail_an_attempt_to_connect(
+    start_share: float, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The timer expired before the node saw the connection that was established while
+    its loop was stalled, and a healthy target or node was avoided as unreachable.
+    """
+    start_s = start_share * CONNECT_TIMEOUT_S
+    result = await connect_after(start_s + STALL_S / 2, start_s, monkeypatch)
+    assert isinstance(result, ClientConnection)
+
+
+@pytest.mark.parametrize("stall_s", [0.0, 0.03])
+async def test_an_attempt_to_connect_without_an_end_times_out(
+    stall_s: float, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Also while the loop is late all the time: callers wait for the next attempt."""
+
+    async def stall_again_and_again() -> None:
+        while True:
+            time.sleep(stall_s)
+            await asyncio.sleep(0.001)
+
+    stalling = asyncio.create_task(stall_again_and_again())
+    started_s = time.monotonic()
+    result = await connect_after(None, None, monkeypatch)
+    stalling.cancel()
+    assert isinstance(result, ExchangeFailure)
+    assert (result.reason, result.sent) == ("connect timeout", False)
+    assert CONNECT_TIMEOUT_S <= time.monotonic() - started_s < 10 * CONNECT_TIMEOUT_S
