Allow for the clock of the event loop in the test of the connect timeout

Seen: test_an_attempt_to_connect_without_an_end_times_out[0.0] red once in one run of test_mesh_pool beside other work (load 12), green in 6 of 6 runs after it. Cause: the test asked for at least 0.2 s by the monotonic clock, but the loop's own clock counts milliseconds, and the time is measured in ten parts.

The lower bound is now 0.19 s, which a timer that skips one part misses.

--- a/tests/test_mesh_pool.py
+++ b/tests/test_mesh_pool.py
@@ -15,6 +15,7 @@
 from briardock.mesh.http1 import ExchangeFailure
 from briardock.mesh.http_client import ClientConnection
 from briardock.mesh.model import split_address
+from briardock.mesh.parted_timer import PARTS
 from briardock.mesh.pool import ConnectionPool, PoolSettings
 from briardock.mesh.target import MAX_IDLE_NON_IDEMPOTENT_S, Target
 from mesh_builders import make_call, make_target
@@ -95,6 +96,8 @@
 
 CONNECT_TIMEOUT_S = 0.2
 STALL_S = 3 * CONNECT_TIMEOUT_S
+# The clock of uvloop counts milliseconds, so each part may end that much early.
+LOOP_CLOCK_RESOLUTION_S = 0.001
 
 
 async def connect_after(
@@ -167,4 +170,6 @@
     stalling.cancel()
     assert isinstance(result, ExchangeFailure)
     assert (result.reason, result.sent) == ("connect timeout", False)
-    assert CONNECT_TIMEOUT_S <= time.monotonic() - started_s < 10 * CONNECT_TIMEOUT_S
+    elapsed_s = time.monotonic() - started_s
+    assert elapsed_s > CONNECT_TIMEOUT_S - PARTS * LOOP_CLOCK_RESOLUTION_S
+    assert elapsed_s < 10 * CONNECT_TIMEOUT_S
