Send the end of an idle connection at once when it is closed

Seen: features/leaving.feature @1.1 was red once beside load. A booking on a kept connection to the draining node failed with BrokenResourceError, outcome unknown, and its repeats found the port closed.

Cause: the listener checks an idle connection for input a last time and then calls aclose, which closes the socket a turn of the event loop later. A request that arrives in that turn is reset, although the caller could not see the close. On a busy machine, or with many connections that end in one turn, this takes milliseconds. A delay in the client, between its check of the connection and its write, gives another error instead (RemoteProtocolError), so the recorded failure is that of the node.

Change: after the last check the listener shuts down its side of the connection in the same turn. Callers check for the end before they reuse a connection.

Left: a request that a caller sends within the microseconds between the check and the shutdown, or between its own check and its write, is still reset, as HTTP/1.1 allows.

--- a/src/briardock/_httpconnection.py
+++ b/src/briardock/_httpconnection.py
@@ -14,6 +14,7 @@
     end_to_end,
     find_header,
     has_input,
+    send_end,
 )
 from briardock.clock import Clock
 from briardock.events import Event, emit
@@ -188,7 +189,7 @@
         is still served.
         """
         await self._serve_until_cancelled()
-        while self.scope.cancelled_caught and self._has_waiting_request():
+        while self.scope.cancelled_caught and not self._end_if_unused():
             self.scope = anyio.CancelScope()
             await self._serve_until_cancelled()
 
@@ -201,14 +202,23 @@
                 if not self.idle:
                     self._context.metrics.count("listener.disconnects")
 
-    def _has_waiting_request(self) -> bool:
-        return self.idle and not self.disconnected and has_input(self._stream)
+    def _end_if_unused(self) -> bool:
+        """Send the end of the stream unless a request waits; return whether none does.
+
+        The caller must see the end at once: a later request would get no response.
+        """
+        if not self.idle or self.disconnected:
+            return True
+        if has_input(self._stream):
+            return False
+        send_end(self._stream, self._peer)
+        return True
 
     async def _serve_request(self) -> bool:
         """Serve one request; return whether the connection stays open."""
         # The last response may have been sent without Connection: close.
         is_closing = self.idle and self._context.stopping and not self.unused
-        if is_closing and not self._has_waiting_request():
+        if is_closing and self._end_if_unused():
             return False
         try:
             request = await self._read_request()
