Inject the faults of a drain only once the drain has begun

The step sent the drain in the background and froze the node at the same time. On an idle machine the node froze first, and the drain was dropped with its connection. On a busy one the drain began first; its requester gave up after 25 s, and the node then refused all requests without ever ending.

Change: the step waits until the node drains, or has exited, before it injects the fault. So the scenario no longer depends on which of the two is faster, and tests what its name says.

--- a/features/steps/matrix.py
+++ b/features/steps/matrix.py
@@ -79,12 +79,22 @@
         bench.deployment.resume(probe.issuer)
 
 
+def has_begun_to_drain(bench: Bench, name: str) -> bool:
+    """Return whether a node drains, or has exited after its drain."""
+    if not bench.deployment.processes[name].is_running():
+        return True
+    return bool(bench.deployment.status(name)["state"] != "serving")
+
+
 @when('"{fault}" is injected while the running instance drains')
 def inject_during_drain(context: Context, fault: str) -> None:
     bench = context.bench
     send_probe(context)
     running_node = bench.wait_for_run_start(context.probe, BOOKING)
     bench.run_in_background(lambda: bench.drain(running_node))
+    bench.deployment.wait_until(
+        f"{running_node} to drain", lambda: has_begun_to_drain(bench, running_node)
+    )
     inject_fault(context, fault, running_node)
 
 
