Bound the memory of responses that clients do not read

Seen: 30 clients that ask for a response of 4 MB and do not read it took a node that may use 75 MB to 154 MB (test_mesh_unread_responses, red in 2 of 2 runs). Such clients are closed only after idle-timeout without progress.

Cause: a response that was written but not taken by the kernel was in no account, and its whole body is held until the last byte is sent.

Change: such a response counts with its whole body in the account of memory from 64 KiB of unsent bytes on. If those of a listener take up more than half of the account, the connections without progress for longest are closed and logged (`unread-closed`). Clients that read make progress between two checks and keep theirs, which a test shows. Clients whose responses are below 64 KiB or who read meet no limit.

Tried: counting only the unsent bytes (peak 68 to 90 MB, since the kernel had taken 2.9 of each 4 MB, which the node still held); the whole account instead of half of it (70 MB, too near to the bound of 75).

What connections know of the listener moved to server_interface.py.

--- a/src/briardock/mesh/http_server.py
+++ b/src/briardock/mesh/http_server.py
@@ -11,6 +11,7 @@
 from briardock.mesh.model import CallerLimits, now_s
 from briardock.mesh.parse_pace import ParsePace
 from briardock.mesh.server_connection import ServerConnection
+from briardock.mesh.unread import close_unread
 
 # Share of its connections that a full listener closes at once, so that the search for
 # those that are idle is rare.
@@ -70,6 +71,16 @@
             lambda: ServerConnection(self), host, port, backlog=1024
         )
 
+    def limit_unread(self) -> None:
+        """Close connections with unread responses if these use too much memory."""
+        count = close_unread(list(self.connections), self.memory, now_s())
+        if count:
+            self.log.event(
+                "unread-closed",
+                connections=count,
+                all_held_bytes=self.memory.used_bytes,
+            )
+
     async def respond(self, request: Request) -> Response:
         """Return the handler's response, or 500 if it raises an exception.
 
--- a/src/briardock/mesh/server_connection.py
+++ b/src/briardock/mesh/server_connection.py
@@ -3,9 +3,8 @@
 import asyncio
 import select
 from collections import deque
-from typing import Protocol, cast
+from typing import cast
 
-from briardock.mesh.decisions import DecisionLog
 from briardock.mesh.http1 import (
     Request,
     Response,
@@ -13,10 +12,11 @@
     encode_response_head,
     write_message,
 )
-from briardock.mesh.memory import MemoryAccount
-from briardock.mesh.model import CallerLimits, now_s
-from briardock.mesh.parse_pace import ORDINARY_ELEMENTS, ParsePace, ParseTurn
+from briardock.mesh.model import now_s
+from briardock.mesh.parse_pace import ORDINARY_ELEMENTS, ParseTurn
 from briardock.mesh.request_reader import RequestReader
+from briardock.mesh.server_interface import Server
+from briardock.mesh.unread import UnreadResponses
 
 # Pipelined requests on one connection at which further bytes are kept unparsed, and
 # the number of these bytes at which reading is paused. While it is paused, the node
@@ -41,25 +41,6 @@
 LINGER_S = 1.0
 
 
-class Server(Protocol):
-    """Listener of a connection."""
-
-    limits: CallerLimits
-    memory: MemoryAccount
-    pace: ParsePace
-    log: DecisionLog
-    closing: bool
-    connections: "set[ServerConnection]"
-
-    def add_connection(self, connection: "ServerConnection") -> None:
-        """Add a connection that was just accepted."""
-        ...
-
-    async def respond(self, request: Request) -> Response:
-        """Return the response to a request."""
-        ...
-
-
 class ServerConnection(asyncio.Protocol):
     """One connection to the server.
 
@@ -85,10 +66,7 @@
         self._unparsed = bytearray()
         self._is_paused = False
         self._turn = ParseTurn(server.pace, self._go_on_parsing)
-        # Time since which no unsent byte was taken, while too many are unsent.
-        self._blocked_since_s: float | None = None
-        self._unsent_bytes = 0
-        self._drained: asyncio.Future[None] | None = None
+        self.unread = UnreadResponses()
         # Bytes of the request in flight, and of it and the pending ones.
         self._in_flight_bytes = 0
         self._requests_bytes = 0
@@ -127,12 +105,13 @@
     @property
     def has_unsent_bytes(self) -> bool:
         """Whether bytes of a response have not been handed to the kernel yet."""
-        return bool(self._transport and self._transport.get_write_buffer_size())
+        return bool(self.unread.size_bytes)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the task that serves this connection."""
         # uvloop's transports do not derive from those of asyncio.
         self._transport = cast(asyncio.Transport, transport)
+        self.unread.start(self._transport)
         socket = transport.get_extra_info("socket")
         self._disconnect_poll.register(socket.fileno(), select.POLLRDHUP)
         self._server.add_connection(self)
@@ -140,19 +119,27 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the requests of a caller that has disconnected."""
+        self._give_up()
+        if self._task is not None:
+            self._task.cancel()
+
+    def _give_up(self) -> None:
+        """Release what the connection holds."""
         self._server.connections.discard(self)
         self._pending_requests.clear()
         self._unparsed.clear()
         self._requests_bytes = 0
         # The parser and its reader refer to each other.
         self._reader.close()
+        self.unread = UnreadResponses()
         self._update_account()
-        if self._task is not None:
-            self._task.cancel()
 
     def _update_account(self) -> None:
         held_bytes = (
-            self._requests_bytes + len(self._unparsed) + self._reader.held_bytes
+            self._requests_bytes
+            + len(self._unparsed)
+            + self._reader.held_bytes
+            + self.unread.counted_bytes
         )
         self._server.memory.used_bytes += held_bytes - self._counted_bytes
         self._counted_bytes = held_bytes
@@ -250,10 +237,8 @@
             if self._pending_requests:
                 # Responses that need no wait would keep other connections waiting.
                 await asyncio.sleep(0)
-            if self._blocked_since_s is not None:
-                # The next response is not produced while the last one is not read.
-                self._drained = loop.create_future()
-                await self._drained
+            # The next response is not produced while the last one is not read.
+            await self.unread.wait_until_few()
 
     async def _serve_request(self, request: Request) -> bool:
         """Respond to a request; return whether the connection goes on."""
@@ -277,6 +262,13 @@
             return False
         body = b"" if request.method == b"HEAD" else response.body
         write_message(self._transport, encode_response_head(response), body)
+        if self.has_unsent_bytes:
+            self.unread.add(len(body), now_s())
+            self._update_account()
+            if self.unread.counted_bytes:
+                self._server.limit_unread()
+            if self._transport.is_closing():
+                return False
         self._responding = False
         self._has_responded = True
         self._in_flight_bytes = 0
@@ -294,13 +286,20 @@
 
     def pause_writing(self) -> None:
         """Note that the client does not read its responses."""
-        self._blocked_since_s = now_s()
+        self.unread.pause(now_s())
 
     def resume_writing(self) -> None:
         """Go on with the next request."""
-        self._blocked_since_s = None
-        if self._drained is not None and not self._drained.done():
-            self._drained.set_result(None)
+        self.unread.resume()
+        self.update_unread(now_s())
+
+    def update_unread(self, now: float) -> None:
+        """Count the bytes of responses that the client has not read.
+
+        :param now: current time in s since boot
+        """
+        self.unread.update(now)
+        self._update_account()
 
     def _parse_kept(self) -> None:
         """Parse bytes that were kept while enough requests waited."""
@@ -355,7 +354,7 @@
         :param now: current time in s since boot
         """
         limits = self._server.limits
-        if self._is_blocked(now, limits.idle_timeout_s):
+        if self.unread.is_blocked(now, limits.idle_timeout_s):
             self.abort()
             return
         if self._responding or self._pending_requests or self._has_ended:
@@ -371,21 +370,11 @@
         elif now - self.last_active_s > limits.idle_timeout_s:
             self.close_gracefully()
 
-    def _is_blocked(self, now: float, timeout_s: float) -> bool:
-        """Return whether the client has read nothing of its responses for a time."""
-        if self._blocked_since_s is None or self._transport is None:
-            return False
-        unsent_bytes = self._transport.get_write_buffer_size()
-        if unsent_bytes != self._unsent_bytes:
-            self._unsent_bytes = unsent_bytes
-            self._blocked_since_s = now
-        return now - self._blocked_since_s > timeout_s
-
     def abort(self) -> None:
-        """Close the connection at once; its request, if any, was not passed on."""
+        """Close the connection at once and release what it holds."""
         if self._transport is not None:
             self._transport.abort()
-        self._server.connections.discard(self)
+        self._give_up()
 
     def close_gracefully(self) -> None:
         """Close the connection after sending buffered data."""
--- a/tests/run_all.py
+++ b/tests/run_all.py
@@ -22,6 +22,7 @@
     "tests/test_mesh_hostile_targets.py",
     "tests/test_mesh_large_crowds.py",
     "tests/test_mesh_slow_clients.py",
+    "tests/test_mesh_unread_responses.py",
     "tests/test_mesh_upload_memory.py",
 )
 # Tests of decisions in simulated time. They need the processor all the while and
--- a/tests/test_mesh_hostile_targets.py
+++ b/tests/test_mesh_hostile_targets.py
@@ -175,7 +175,7 @@
 
 @asynccontextmanager
 async def running_target(
-    folder: Path, network: int = 0
+    folder: Path, network: int = 0, kind: type[FloodingTarget] = FloodingTarget
 ) -> AsyncIterator[FloodingTarget]:
     """Run a store, a node, and its target in this process.
 
@@ -185,7 +185,7 @@
     fleet = TargetlessFleet(folder, plan)
     fleet.start()
     (machine,) = fleet.machines
-    target = FloodingTarget(machine)
+    target = kind(machine)
     server = await asyncio.start_server(
         target.serve, *split_address(machine.target_address)
     )
