Divide what an entry admits between client accounts

Cause: an entry admits one share of the requests of each service and rank, the same for all accounts. An account that sends eight times its usual load in a burst takes room from the others in proportion to its demand.

Change: with accounts in the configuration, the total that the threshold leaves is divided between accounts by water filling over the demand of the last 5 s (overload/account_shares.py). Thresholds, the control loop and the factor of the baseline are unchanged, and differences from the total are made up for. Requests without an account count as one account. Retry-After follows from the share of the account, which refused-overload shows (account, account_share).

--- a/src/briardock/mesh/forwarder.py
+++ b/src/briardock/mesh/forwarder.py
@@ -125,6 +125,7 @@
             self.route.objective_s,
             self.caller_waits_until_s - now_s(),
             self.age_s,
+            self.sender.account_name,
         )
 
 
@@ -343,7 +344,11 @@
         match self._entry.decide(state.entry_request, threshold):
             case Admitted():
                 return None
-            case TurnedAway(retry_after_s, baseline_ratio):
+            case TurnedAway(retry_after_s, baseline_ratio, account_share):
+                account_fields: dict[str, object] = {}
+                if account_share is not None:
+                    account_fields["account"] = state.sender.account_name
+                    account_fields["account_share"] = round(account_share, 3)
                 self._log.event(
                     "refused-overload",
                     id=state.head.request_id.decode("latin-1"),
@@ -353,6 +358,7 @@
                     level=round(threshold, 3),
                     usual_share=round(baseline_ratio, 2),
                     age_s=round(state.age_s, 3),
+                    **account_fields,
                 )
                 self._telemetry.requests.labels("refused-overload").inc()
                 return Response(503, self._dialect.refusal_headers(retry_after_s))
--- a/src/briardock/overload/entry.py
+++ b/src/briardock/overload/entry.py
@@ -7,6 +7,7 @@
 import random
 from dataclasses import dataclass
 
+from briardock.overload.account_shares import AccountShares
 from briardock.overload.admission import DemandMeter, admitted_share, is_sampled
 from briardock.overload.returns import (
     AttemptAge,
@@ -30,6 +31,8 @@
     :param objective_s: latency objective of its route
     :param remaining_s: time for which its caller still waits
     :param age_s: time since the first attempt of its caller, 0 for that one
+    :param account: name of the client's account, empty without one, ``None`` if the
+        configuration has no accounts
     """
 
     request_id: bytes
@@ -39,6 +42,7 @@
     objective_s: float
     remaining_s: float
     age_s: float
+    account: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,10 +56,13 @@
 
     :param retry_after_s: time after which the caller is to come back
     :param baseline_ratio: baseline demand by recent demand at this node
+    :param account_share: share of the first attempts of its account that is admitted,
+        ``None`` if the configuration has no accounts
     """
 
     retry_after_s: float
     baseline_ratio: float
+    account_share: float | None = None
 
 
 class EntryAdmission:
@@ -67,6 +74,7 @@
     def __init__(self, rng: random.Random) -> None:
         self._rng = rng
         self._demand_meters: dict[tuple[str, int], DemandMeter] = {}
+        self._account_shares = AccountShares()
         self._attempt_ages: dict[str, AttemptAge] = {}
         self._response_times_s: dict[str, float] = {}
 
@@ -74,6 +82,7 @@
         """Update the rates of demand after a control period."""
         for meter in self._demand_meters.values():
             meter.update()
+        self._account_shares.update()
 
     def age_s(self, route: str, deadline_s: float, now: float) -> float:
         """Return the time since the first attempt of a request, in s.
@@ -98,16 +107,24 @@
         meter.record()
         baseline_ratio = meter.baseline_ratio
         first_share = admitted_share(request.priority, threshold, baseline_ratio)
+        account_share = None
+        if request.account is not None:
+            account_share = first_share = self._account_shares.decide(
+                key, request.account, request.age_s > 0.0, first_share
+            )
         share = return_share(first_share) if request.age_s else first_share
         if is_sampled(request.request_id, share):
             return Admitted()
-        return TurnedAway(self.retry_after_s(request, first_share), baseline_ratio)
+        return TurnedAway(
+            self.retry_after_s(request, first_share), baseline_ratio, account_share
+        )
 
     def retry_after_s(self, request: EntryRequest, share: float) -> float:
         """Return the time after which the caller of a refused request is to come back.
 
         :param request: the request
-        :param share: share of the requests of its priority that is admitted
+        :param share: share of the first attempts of its priority and account that is
+            admitted
         """
         refused = Refused(
             request.objective_s,
--- a/tests/test_mesh_clients.py
+++ b/tests/test_mesh_clients.py
@@ -140,6 +140,75 @@
         assert {len(m.target.requests) for m in system.machines.values()} == {0, 1}
 
 
+def hold_threshold(machine: Machine, threshold: float) -> list[dict[str, object]]:
+    """Have an entry admit by a threshold; return the refusals that it will log."""
+    forwarder = machine.node.forwarder
+    forwarder._entry_thresholds.of_chain = (  # type: ignore[method-assign]
+        lambda service, limit, now: threshold
+    )
+    forwarder._service_thresholds.clear()
+    refusals: list[dict[str, object]] = []
+
+    def record(event_name: str, **fields: object) -> None:
+        if event_name == "refused-overload":
+            refusals.append(fields)
+
+    forwarder._log.event = record  # type: ignore[method-assign]
+    return refusals
+
+
+@pytest.mark.anyio
+async def test_a_hot_account_is_refused_before_others_and_calls_of_targets() -> None:
+    """One account sends eight times what another does while the entry admits half. The
+    log shows its share, and calls that carry no key keep their place.
+    """
+    async with fleet(*ACCOUNTS) as system:
+        await system.add("n1", "jobs")
+        entry = await system.add("n2", "portal")
+        await settle(system)
+        calls = [await entry.call("/jobs/c", request_id=f"c{n}") for n in range(5)]
+        routes = entry.node.forwarder.routes
+        assert routes is not None
+        matched = routes.match("a.example", b"/jobs/1")
+        assert matched is not None
+        rank = routes.ranks.of_client(matched.priority, None)
+        refusals = hold_threshold(entry, rank + 0.5)
+        calls += [await entry.call("/jobs/c", request_id=f"d{n}") for n in range(5)]
+        assert {response.status for response in calls} == {200}
+        statuses: dict[str, list[int]] = {"k1": [], "k3": []}
+        for number in range(180):
+            key = "k3" if number % 9 == 0 else "k1"
+            response = await entry.call(
+                "/jobs/1", authorization=f"Bearer {key}", request_id=f"r{number}"
+            )
+            statuses[key].append(response.status)
+            if number % 18 == 17:
+                entry.node.forwarder.update_rates(0)
+        assert set(statuses["k1"]) == {200, 503}
+        assert statuses["k3"].count(200) >= 17
+        hot = [line for line in refusals if line["account"] == NAME.decode()]
+        assert len(hot) == statuses["k1"].count(503)
+        assert all(0.0 < line["account_share"] < 1.0 for line in hot)  # type: ignore[operator]
+
+
+@pytest.mark.anyio
+async def test_without_accounts_a_refusal_names_no_share() -> None:
+    """The log of deployments without accounts stays as it was."""
+    async with fleet(PRIVATE) as system:
+        await system.add("n1", "jobs")
+        entry = await system.add("n2", "portal")
+        await settle(system)
+        routes = entry.node.forwarder.routes
+        assert routes is not None
+        matched = routes.match("a.example", b"/jobs/1")
+        assert matched is not None
+        entry.node._entry_routes.learn(matched)
+        refusals = hold_threshold(entry, 0.0)
+        assert (await entry.call("/jobs/1", authorization=KEY)).status == 503
+        assert refusals
+        assert not {"account", "account_share"} & set(refusals[0])
+
+
 @pytest.mark.anyio
 async def test_without_accounts_the_headers_are_forwarded_unchanged() -> None:
     async with fleet(PRIVATE) as system:
