Keep a route of targets open beside a few requests with keys

Seen: in a configuration with accounts, one request with a valid key on a route that only targets call marked it as a route of callers. From then on each call of the targets there got 401. The mark reached the other nodes in the record of the node and outlived its restart.

Cause: EntryRoutes.learn took each request with a key as proof, and the marks of all nodes were in force everywhere.

Change: a node counts requests without a key on a route that needs none yet, unless its target is idle, as then it makes no calls. From 30 calls on, the record of the node lists the route in the new field called_routes: no node marks it then, and marks of others do not apply at the nodes of that service. The list outlives a restart of the node.

--- a/src/briardock/mesh/clients.py
+++ b/src/briardock/mesh/clients.py
@@ -104,16 +104,18 @@
             is_caller = entry_routes.observe(route, longest_timeout_s)
             return _CLIENT if is_caller else _TARGET
         match self._accounts.authenticate(
-            head.credential, route, entry_routes.knows(route), self._config_age_s()
+            head.credential, route, entry_routes.needs_key(route), self._config_age_s()
         ):
             case Authenticated(account):
-                entry_routes.learn(route)
+                entry_routes.record_key(route)
                 return Sender(False, account, account.name)
             case Anonymous():
                 # A request without a key teaches no route that needs one.
-                is_caller = route.public and entry_routes.observe(
-                    route, longest_timeout_s
-                )
+                is_caller = False
+                if route.public:
+                    is_caller = entry_routes.observe(route, longest_timeout_s)
+                else:
+                    entry_routes.record_call(route, longest_timeout_s)
                 return _CLIENT_WITHOUT_ACCOUNT if is_caller else _TARGET_WITH_ACCOUNTS
             case Rejected() as rejected:
                 return self._reject(head, route, rejected)
--- a/src/briardock/mesh/members.py
+++ b/src/briardock/mesh/members.py
@@ -34,6 +34,7 @@
     :param entry_routes: routes on which this node observed requests of callers
     :param run_time_ms: mean run time of requests at the target, 0 if it is not known
     :param called_services: services that the target calls
+    :param called_routes: routes on which the target makes calls without a key
     """
 
     node_id: str
@@ -50,6 +51,7 @@
     entry_routes: list[str] = []
     run_time_ms: int = 0
     called_services: list[str] = []
+    called_routes: list[str] = []
 
     @property
     def order(self) -> tuple[int, int]:
@@ -80,6 +82,7 @@
         self._node_ids_by_address: dict[str, set[str]] = defaultdict(set)
         self._bucket_digests = [0] * BUCKET_COUNT
         self._called_services: dict[str, set[str]] = {}
+        self._called_routes: dict[str, set[str]] = {}
         self._called_generation = -1
         self._add(local_record)
 
@@ -117,13 +120,25 @@
 
     def called_services(self) -> dict[str, set[str]]:
         """Return the services that the targets of each service call."""
-        if self._called_generation != self.generation:
-            self._called_generation = self.generation
-            self._called_services = defaultdict(set)
-            for record in self._records.values():
-                self._called_services[record.service].update(record.called_services)
+        self._update_called()
         return self._called_services
 
+    def called_routes(self) -> dict[str, set[str]]:
+        """Return the routes on which the targets of each service make calls."""
+        self._update_called()
+        return self._called_routes
+
+    def _update_called(self) -> None:
+        if self._called_generation == self.generation:
+            return
+        self._called_generation = self.generation
+        self._called_services = defaultdict(set)
+        self._called_routes = defaultdict(set)
+        for record in self._records.values():
+            self._called_services[record.service].update(record.called_services)
+            if record.called_routes:
+                self._called_routes[record.service].update(record.called_routes)
+
     @property
     def bucket_digests(self) -> list[int]:
         """Digest of each part of the table."""
--- a/src/briardock/mesh/node.py
+++ b/src/briardock/mesh/node.py
@@ -231,6 +231,7 @@
         self._entry_routes.resume(record.entry_routes)
         if record.service != self.settings.service:
             return
+        self._entry_routes.resume_calls(record.called_routes)
         self._restored_target.restore(record)
 
     def _local_record_changed(self) -> None:
@@ -287,6 +288,7 @@
             if self.forwarder.routes is None:
                 continue
             self.senders.check_age()
+            self._entry_routes.update_calls()
             before = self.target.threshold(False)
             usage = self.target.update_thresholds(self.forwarder.max_threshold)
             self.forwarder.update_rates(usage.arrivals)
