Serve a request that has arrived on an idle connection before closing it

Seen: features/leaving.feature @1.1 was red for the listener of the own interface. By reading, the listener of the mesh has the same fault: a node that ends, and one whose idle timeout has passed, closed connections by what it had read, and a request that waited in the socket was reset. To the caller its outcome is unknown.

Change: an idle connection with unread input is left open; the request is read in the same turn of the event loop, and the connection is closed after its response or by the next check. Otherwise the end is sent in the same turn, so that the caller sees it before it sends another request.

Before: the four rows of the new test are red, two with ConnectionResetError and two without an end when the caller could send. Left: a request that is sent within the microseconds between the check and the end is still reset, as HTTP/1.1 allows.

--- a/src/briardock/mesh/http_server.py
+++ b/src/briardock/mesh/http_server.py
@@ -133,7 +133,7 @@
         latest_active_s = now_s() - min_idle_s
         for connection in list(self.connections):
             if connection.idle and connection.last_active_s <= latest_active_s:
-                connection.close_gracefully()
+                connection.close_if_unused()
 
     def stop_listening(self) -> None:
         """Refuse new connections."""
--- a/src/briardock/mesh/server_connection.py
+++ b/src/briardock/mesh/server_connection.py
@@ -10,6 +10,7 @@
     Response,
     encode_response,
     encode_response_head,
+    send_end,
     write_message,
 )
 from briardock.mesh.model import now_s
@@ -54,6 +55,7 @@
         self._transport: asyncio.Transport | None = None
         self._task: asyncio.Task[None] | None = None
         self._disconnect_poll = select.poll()
+        self._input_poll = select.poll()
         self._pending_requests: deque[Request] = deque()
         self._waiter: asyncio.Future[None] | None = None
         self._responding = False
@@ -112,8 +114,9 @@
         # uvloop's transports do not derive from those of asyncio.
         self._transport = cast(asyncio.Transport, transport)
         self.unread.start(self._transport)
-        socket = transport.get_extra_info("socket")
-        self._disconnect_poll.register(socket.fileno(), select.POLLRDHUP)
+        descriptor = transport.get_extra_info("socket").fileno()
+        self._disconnect_poll.register(descriptor, select.POLLRDHUP)
+        self._input_poll.register(descriptor, select.POLLIN)
         self._server.add_connection(self)
         self._task = asyncio.get_running_loop().create_task(self._serve())
 
@@ -368,7 +371,7 @@
             if is_late:
                 self._refuse(408)
         elif now - self.last_active_s > limits.idle_timeout_s:
-            self.close_gracefully()
+            self.close_if_unused()
 
     def abort(self) -> None:
         """Close the connection at once and release what it holds."""
@@ -376,6 +379,16 @@
             self._transport.abort()
         self._give_up()
 
+    def close_if_unused(self) -> None:
+        """Close the idle connection unless a request has arrived on it.
+
+        A request that the process has not read yet would be reset.
+        """
+        transport = self._transport
+        if transport and not transport.is_closing() and not self._input_poll.poll(0):
+            send_end(transport)
+            transport.close()
+
     def close_gracefully(self) -> None:
         """Close the connection after sending buffered data."""
         if self._transport is not None:
--- a/tests/test_mesh_http_server.py
+++ b/tests/test_mesh_http_server.py
@@ -1,6 +1,10 @@
 """HTTP server of the mesh: requests read from a connection, and its closing."""
 
 import asyncio
+import os
+import select
+import socket
+from collections.abc import Callable
 
 import pytest
 
@@ -246,3 +250,57 @@
         reader.feed(data[start : start + 16 * 1024])
     assert reader.refusal_status == status
     assert len(reader.requests) == (not status)
+
+
+async def connect_idle(
+    server: HttpServer, address: str
+) -> tuple[socket.socket, asyncio.StreamReader, asyncio.StreamWriter]:
+    """Open a connection on which one request was answered."""
+    reader, writer = await asyncio.open_connection(*split_address(address))
+    writer.write(GET % (0, b""))
+    assert b"200 OK" in await reader.readuntil(b"\r\n\r\n")
+    (connection,) = server.connections
+    while not connection.idle:
+        await asyncio.sleep(0)
+    duplicate = socket.socket(fileno=os.dup(writer.get_extra_info("socket").fileno()))
+    return duplicate, reader, writer
+
+
+def close_idle(server: HttpServer) -> None:
+    server.close_idle()
+
+
+def exceed_idle_timeout(server: HttpServer) -> None:
+    (connection,) = server.connections
+    connection.enforce_timeouts(now_s() + LIMITS.idle_timeout_s + 1.0)
+
+
+@pytest.mark.parametrize("close", [close_idle, exceed_idle_timeout])
+@pytest.mark.parametrize("is_sent", [True, False], ids=["sent", "not sent"])
+async def test_request_that_waits_is_served_before_an_idle_connection_closes(
+    close: Callable[[HttpServer], None], is_sent: bool
+) -> None:
+    """A request that arrived on an idle connection was reset if the node closed it
+    before it had read it, and the caller could not see the end when it sent one.
+    """
+
+    async def handle(request: Request) -> Response:
+        return Response(200)
+
+    server = HttpServer(handle, LIMITS, quiet_log())
+    address = free_address()
+    await server.start(*split_address(address))
+    raw, reader, writer = await connect_idle(server, address)
+    with raw:
+        if is_sent:
+            raw.send(GET % (1, b""))
+        close(server)
+        end = select.poll()
+        end.register(raw.fileno(), select.POLLRDHUP)
+        assert bool(end.poll(0)) == (not is_sent)
+        if is_sent:
+            assert b"200 OK" in await reader.readuntil(b"\r\n\r\n")
+        else:
+            assert await reader.read() == b""
+    writer.close()
+    server.stop_listening()
