Show the test of the operators' page the fields that are logged at times

Change: the fields stand in the call, and the test reads the keys of unpacked literals. A field that the page lacks is found as before.

--- a/src/briardock/mesh/forwarder.py
+++ b/src/briardock/mesh/forwarder.py
@@ -345,10 +345,6 @@
             case Admitted():
                 return None
             case TurnedAway(retry_after_s, baseline_ratio, account_share):
-                account_fields: dict[str, object] = {}
-                if account_share is not None:
-                    account_fields["account"] = state.sender.account_name
-                    account_fields["account_share"] = round(account_share, 3)
                 self._log.event(
                     "refused-overload",
                     id=state.head.request_id.decode("latin-1"),
@@ -358,7 +354,14 @@
                     level=round(threshold, 3),
                     usual_share=round(baseline_ratio, 2),
                     age_s=round(state.age_s, 3),
-                    **account_fields,
+                    **(
+                        {}
+                        if account_share is None
+                        else {
+                            "account": state.sender.account_name,
+                            "account_share": round(account_share, 3),
+                        }
+                    ),
                 )
                 self._telemetry.requests.labels("refused-overload").inc()
                 return Response(503, self._dialect.refusal_headers(retry_after_s))
--- a/tests/test_mesh_operations.py
+++ b/tests/test_mesh_operations.py
@@ -23,7 +23,15 @@
                 continue
             if getattr(node.func, "attr", "") != "event" or not node.args:
                 continue
-            names = {str(k.arg) for k in node.keywords}
+            names = {str(k.arg) for k in node.keywords if k.arg is not None}
+            # Fields that are logged in some cases only: ``**({} if ... else {...})``.
+            for optional in (k.value for k in node.keywords if k.arg is None):
+                names |= {
+                    str(getattr(key, "value", key))
+                    for literal in ast.walk(optional)
+                    if isinstance(literal, ast.Dict)
+                    for key in literal.keys
+                }
             for value in ast.walk(node.args[0]):
                 if isinstance(value, ast.Constant):
                     fields_by_event.setdefault(str(value.value), set()).update(names)
