Collect bodies in plain buffers, which the allocator setting keeps in place

Change: bodies are bytearrays again and a large one is passed on as it was collected, typed as such. What the removed code could raise (OSError of a mapping) is no longer handled; a lack of memory is a MemoryError, with the same results as before (503, own shortage).

Where the C library has no mallopt, bodies are copied as they grow.

--- a/src/briardock/mesh/allocator.py
+++ b/src/briardock/mesh/allocator.py
@@ -11,9 +11,10 @@
 def map_large_blocks() -> bool:
     """Give each large block a mapping of its own; return whether that is in force.
 
-    Reads of up to 256 KB are such blocks. By default glibc takes blocks of a size that
-    was freed once from the heap. Small objects then follow them there and keep the
-    heap from shrinking, so that each crowd of clients takes more memory.
+    Bodies and reads of up to 256 KB are such blocks. By default glibc takes blocks of a
+    size that was freed once from the heap. There a growing body is copied from place to
+    place, and the small objects that follow a block keep the heap from shrinking, so
+    that each crowd of clients takes more memory. A mapping grows without a copy.
     """
     try:
         mallopt = ctypes.CDLL(None).mallopt
--- a/src/briardock/mesh/calls.py
+++ b/src/briardock/mesh/calls.py
@@ -6,8 +6,7 @@
 
 from dataclasses import dataclass
 
-from briardock.mesh.body_buffer import Body
-from briardock.mesh.http1 import Request, Response, encode_request_head
+from briardock.mesh.http1 import Body, Request, Response, encode_request_head
 from briardock.mesh.http_client import ClientConnection
 from briardock.mesh.model import Headers
 from briardock.overload.chain import ChainThreshold, InstanceThresholds
--- a/src/briardock/mesh/http1.py
+++ b/src/briardock/mesh/http1.py
@@ -12,7 +12,6 @@
 from dataclasses import dataclass, field
 from http import HTTPStatus
 
-from briardock.mesh.body_buffer import LARGE_BODY_BYTES, Body
 from briardock.mesh.model import Headers
 
 # Hop-by-hop headers (RFC 9110, 7.6.1) and those that each hop writes itself.
@@ -29,8 +28,13 @@
         b"expect",
     }
 )
+# Size from which a body is neither copied nor joined with its head.
+LARGE_BODY_BYTES = 64 * 1024
 REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
 
+# Body of a message. A large one is passed on as it was collected.
+Body = bytes | bytearray
+
 
 @dataclass(slots=True)
 class Request:
@@ -189,6 +193,14 @@
         transport.writelines((head, body))
 
 
+def without_copy(body: bytearray) -> Body:
+    """Return a body as it is if it is large, or else as bytes.
+
+    :param body: body that nothing changes any more
+    """
+    return bytes(body) if len(body) < LARGE_BODY_BYTES else body
+
+
 def send_end(transport: Transport) -> None:
     """Tell the peer of a transport without unsent bytes at once that it closes.
 
--- a/src/briardock/mesh/http_client.py
+++ b/src/briardock/mesh/http_client.py
@@ -6,11 +6,12 @@
 
 import httptools
 
-from briardock.mesh.body_buffer import Body, BodyBuffer
 from briardock.mesh.http1 import (
+    Body,
     ExchangeFailure,
     FailureCause,
     Response,
+    without_copy,
     write_message,
 )
 from briardock.mesh.memory import (
@@ -52,7 +53,7 @@
     def __init__(self, memory: MemoryAccount = DEFAULT_MEMORY) -> None:
         self._memory = memory
         self._counted_bytes = 0
-        self._body = BodyBuffer()
+        self._body = bytearray()
         self._received_bytes = 0
         self._exchange_body_bytes = 0
         self._skipped = 0
@@ -81,7 +82,7 @@
         """Let go of the response that was read."""
         self._headers: Headers = []
         self._head_bytes = 0
-        self._body.clear()
+        self._body = bytearray()
         self._update_account()
 
     def _update_account(self) -> None:
@@ -114,7 +115,7 @@
         if self._until_eof and self._in_body and exc is None:
             try:
                 self._finish()
-            except (OSError, MemoryError):
+            except MemoryError:
                 self._abort_for_shortage()
         else:
             self._fail("connection lost" if exc is None else f"{type(exc).__name__}")
@@ -144,7 +145,7 @@
             return
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             # The parser wraps the errors of the callbacks that store the response.
-            if isinstance(error.__context__, (OSError, MemoryError)):
+            if isinstance(error.__context__, MemoryError):
                 self._abort_for_shortage()
             else:
                 self._abort("malformed response")
@@ -201,7 +202,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Add a part of the body."""
-        self._body.append(body)
+        self._body += body
         self._exchange_body_bytes += len(body)
 
     def on_message_complete(self) -> None:
@@ -216,7 +217,7 @@
         self._in_body = False
         if self._waiter is None or self._waiter.done():
             return
-        response = Response(self._status, self._headers, self._body.take())
+        response = Response(self._status, self._headers, without_copy(self._body))
         self._discard()
         if self._accept is not None and not self._accept(response):
             # A response to an earlier request. Waits for the next one, but does not
--- a/src/briardock/mesh/request_reader.py
+++ b/src/briardock/mesh/request_reader.py
@@ -2,8 +2,7 @@
 
 import httptools
 
-from briardock.mesh.body_buffer import BodyBuffer
-from briardock.mesh.http1 import Request
+from briardock.mesh.http1 import Request, without_copy
 from briardock.mesh.memory import counted_head_bytes
 from briardock.mesh.model import CallerLimits, Headers, now_s
 
@@ -54,7 +53,7 @@
         self.in_head = True
         self._target = b""
         self._headers: Headers = []
-        self._body = BodyBuffer()
+        self._body = bytearray()
         self._head_bytes = 0
         self._trailer_bytes = 0
         self._received_bytes = 0
@@ -206,8 +205,8 @@
         """Add a part of the body."""
         self._elements += 1
         try:
-            self._body.append(body)
-        except OSError:
+            self._body += body
+        except MemoryError:
             # There is no memory for the body.
             self._refuse(503)
 
@@ -226,16 +225,15 @@
         self._refuse(self._exceeded_limit())
         if self.refusal_status:
             return
-        held_bytes = self.held_bytes
         self.requests.append(
             Request(
                 method,
                 self._target,
                 self._headers,
-                self._body.take(),
+                without_copy(self._body),
                 self.received_s,
                 self._ends_connection,
-                held_bytes,
+                self.held_bytes,
             )
         )
         self.is_reading = False
--- a/src/briardock/quarantine.py
+++ b/src/briardock/quarantine.py
@@ -366,7 +366,7 @@
         del entry.deaths[oldest]
 
 
-def fingerprint(operation: str, path: str, body: bytes | memoryview) -> str:
+def fingerprint(operation: str, path: str, body: bytes | bytearray) -> str:
     """Return the digest of a request, 32 hexadecimal characters.
 
     :param operation: full name of the operation
