Set the allocator where a node starts

Found in the read-through: the entry point of the platform, which only translates, decided how the process of a node uses its memory. Any entry point that runs a node needs it, so that Node.run sets it now.

Before and after: test_mesh_large_crowds and test_mesh_shutdown green.

--- a/src/briardock/mesh/node.py
+++ b/src/briardock/mesh/node.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from briardock.mesh.accounts import age_limits
+from briardock.mesh.allocator import map_large_blocks
 from briardock.mesh.announcements import Announcements
 from briardock.mesh.callgraph import EntryRoutes
 from briardock.mesh.calls import LoadReport, NotRun, Result, decode_call, encode_result
@@ -318,6 +319,7 @@
 
         :raises SettingsError: if an address cannot be bound
         """
+        map_large_blocks()
         loop = asyncio.get_running_loop()
         handle_signals(self._stop.request, self.reload)
         await self._listeners.start()
--- a/src/briardock/platform/main.py
+++ b/src/briardock/platform/main.py
@@ -9,7 +9,6 @@
 import uvloop
 
 from briardock.exceptions import SettingsError
-from briardock.mesh.allocator import map_large_blocks
 from briardock.mesh.decisions import DecisionLog
 from briardock.mesh.node import Node
 from briardock.mesh.signals import ignore_reload
@@ -41,7 +40,6 @@
     if not options.settings:
         parser.error(f"give --settings or set {SETTINGS_VARIABLE}")
     try:
-        map_large_blocks()
         uvloop.run(_run(Path(options.settings)))
     except SettingsError as error:
         print(error, file=sys.stderr)
