--- a/src/briardock/mesh/pool.py
+++ b/src/briardock/mesh/pool.py
@@ -10,8 +10,11 @@
 from briardock.mesh.http_client import DEFAULT_MEMORY, ClientConnection
 from briardock.mesh.memory import MemoryAccount
 from briardock.mesh.model import now_s, split_address
-from briardock.mesh.parted_timer import PartedTimer
+from briardock.parted_timer import PartedTimer
 
+# Parts of the timeout of a connection attempt that are not counted if the loop was
+# stalled as they ended, such as the last one.
+MAX_UNCOUNTED_PARTS = 10
 # Margin before the peer's idle timeout within which a connection is not reused, s.
 IDLE_MARGIN_S = 1.0
 # Reduced limit on the idle time for an address that silently drops idle connections, s.
@@ -154,6 +157,7 @@
                     loop,
                     self._settings.connect_timeout_s,
                     lambda: scope.reschedule(loop.time()),
+                    MAX_UNCOUNTED_PARTS,
                 )
                 try:
                     transport, connection = await loop.create_connection(
--- a/src/briardock/mesh/parted_timer.py
+++ b/src/briardock/parted_timer.py
@@ -3,11 +3,9 @@
 import asyncio
 from collections.abc import Callable
 
-# Parts into which a timeout is divided. The loop handles input between two of them.
+# Parts into which a timeout is divided. A stall, however long, uses up one of them,
+# since the loop handles input between two of them.
 PARTS = 10
-# Parts that are not counted because the loop was stalled as they ended. Without a limit
-# a loop that is late all the time would never let the timer expire.
-MAX_UNCOUNTED_PARTS = 10
 
 
 class PartedTimer:
@@ -15,11 +13,14 @@
 
     A single timer that expires during a stall (a suspended process, a busy processor)
     is handled before the input that arrived meanwhile. Here a stall uses up one part of
-    the time, and none if the part ended during the stall.
+    the time, and none if the part ended during the stall and may be left out.
 
     :param loop: running event loop
     :param timeout_s: time after which the timer expires, s
     :param on_expiry: called then
+    :param max_uncounted_parts: largest number of parts that are not counted because the
+        loop was stalled as they ended; without a limit a loop that is late all the time
+        would never let the timer expire
     """
 
     def __init__(
@@ -27,12 +28,13 @@
         loop: asyncio.AbstractEventLoop,
         timeout_s: float,
         on_expiry: Callable[[], None],
+        max_uncounted_parts: int = 0,
     ) -> None:
         self._loop = loop
         self._part_s = timeout_s / PARTS
         self._on_expiry = on_expiry
         self._remaining_parts = PARTS
-        self._uncounted_parts = 0
+        self._uncountable_parts = max_uncounted_parts
         self._start_part()
 
     def _start_part(self) -> None:
@@ -41,8 +43,8 @@
 
     def _end_part(self) -> None:
         was_stalled = self._loop.time() - self._due_s > self._part_s
-        if was_stalled and self._uncounted_parts < MAX_UNCOUNTED_PARTS:
-            self._uncounted_parts += 1
+        if was_stalled and self._uncountable_parts:
+            self._uncountable_parts -= 1
         else:
             self._remaining_parts -= 1
         if self._remaining_parts:
--- a/tests/test_mesh_pool.py
+++ b/tests/test_mesh_pool.py
@@ -15,9 +15,9 @@
 from briardock.mesh.http1 import ExchangeFailure
 from briardock.mesh.http_client import ClientConnection
 from briardock.mesh.model import split_address
-from briardock.mesh.parted_timer import PARTS
 from briardock.mesh.pool import ConnectionPool, PoolSettings
 from briardock.mesh.target import MAX_IDLE_NON_IDEMPOTENT_S, Target
+from briardock.parted_timer import PARTS
 from mesh_builders import make_call, make_target
 from mesh_fakes import announcement, free_address
 
