Send the end of a connection by one function

Found in the read-through: the listeners of both interfaces show the end of an idle connection at once, each by a function of its own that duplicates the descriptor and shuts it down. Both use sockets.send_end now.

--- a/src/briardock/_http.py
+++ b/src/briardock/_http.py
@@ -1,6 +1,5 @@
 """Parts shared by the HTTP server and the HTTP client of a node."""
 
-import contextlib
 import os
 import select
 import socket
@@ -163,24 +162,6 @@
     return getattr(protocol, "read_queue", ())
 
 
-def send_end(stream: anyio.abc.SocketStream, peer: str) -> None:
-    """Tell the peer of a stream at once that nothing more is sent to it.
-
-    Streams are closed a turn of the event loop after ``aclose`` is called. What arrives
-    in that turn is reset, although the peer could not know of the close.
-
-    :param stream: stream without unsent bytes
-    :param peer: numeric address of its peer, ``host:port``; the descriptor of a failed
-        stream may be that of another connection by now
-    """
-    with contextlib.suppress(OSError):
-        raw = socket.fromfd(stream_fd(stream), socket.AF_INET, socket.SOCK_STREAM)
-        with raw:
-            host, port = raw.getpeername()[:2]
-            if f"{host}:{port}" == peer:
-                raw.shutdown(socket.SHUT_WR)
-
-
 class IdleProbe:
     """Checks whether an idle connection has unread input, was closed or failed.
 
--- a/src/briardock/_httpconnection.py
+++ b/src/briardock/_httpconnection.py
@@ -14,12 +14,13 @@
     end_to_end,
     find_header,
     has_input,
-    send_end,
+    stream_fd,
 )
 from briardock.clock import Clock
 from briardock.events import Event, emit
 from briardock.metrics import Metrics
 from briardock.outcomes import REASONS, Headers, Reason
+from briardock.sockets import send_end
 
 HEADERS_TOO_LARGE = 431
 NOT_IMPLEMENTED = 501
@@ -211,7 +212,7 @@
             return True
         if has_input(self._stream):
             return False
-        send_end(self._stream, self._peer)
+        send_end(stream_fd(self._stream), self._peer)
         return True
 
     async def _serve_request(self) -> bool:
--- a/src/briardock/mesh/http1.py
+++ b/src/briardock/mesh/http1.py
@@ -4,11 +4,8 @@
 path because each read through them costs more CPU time than the whole exchange.
 """
 
-import contextlib
 import enum
-import os
-import socket
-from asyncio import Transport, WriteTransport
+from asyncio import WriteTransport
 from dataclasses import dataclass, field
 from http import HTTPStatus
 
@@ -199,18 +196,3 @@
     :param body: body that nothing changes any more
     """
     return bytes(body) if len(body) < LARGE_BODY_BYTES else body
-
-
-def send_end(transport: Transport) -> None:
-    """Tell the peer of a transport without unsent bytes at once that it closes.
-
-    A transport closes a turn of the event loop later than it is told to. What the peer
-    sends in that turn is reset, although it could not know of the close.
-
-    :param transport: transport of the connection
-    """
-    # Without a free descriptor, the peer learns of the end when the transport closes.
-    with contextlib.suppress(OSError):
-        descriptor = os.dup(transport.get_extra_info("socket").fileno())
-        with socket.socket(fileno=descriptor) as duplicate:
-            duplicate.shutdown(socket.SHUT_WR)
--- a/src/briardock/mesh/server_connection.py
+++ b/src/briardock/mesh/server_connection.py
@@ -10,7 +10,6 @@
     Response,
     encode_response,
     encode_response_head,
-    send_end,
     write_message,
 )
 from briardock.mesh.model import now_s
@@ -18,6 +17,7 @@
 from briardock.mesh.request_reader import RequestReader
 from briardock.mesh.server_interface import Server
 from briardock.mesh.unread import UnreadResponses
+from briardock.sockets import send_end
 
 # Pipelined requests on one connection at which further bytes are kept unparsed, and
 # the number of these bytes at which reading is paused. While it is paused, the node
@@ -386,7 +386,7 @@
         """
         transport = self._transport
         if transport and not transport.is_closing() and not self._input_poll.poll(0):
-            send_end(transport)
+            send_end(transport.get_extra_info("socket").fileno())
             transport.close()
 
     def close_gracefully(self) -> None:
