Keep once what connections and listeners kept or did twice

Found in the read-through: - Each connection held a second poll object for the rare check of unread input, which the own interface does by a function; both use that now. - A client connection noted that it was aborted, which its completed exchange shows already. - Which connections with unread responses to close was chosen beside their state, by way of an interface made for it. The listener chooses, as it does when it is full.

--- a/src/briardock/_http.py
+++ b/src/briardock/_http.py
@@ -9,6 +9,7 @@
 import anyio.abc
 from anyio.streams.stapled import MultiListener
 
+from briardock import sockets
 from briardock.events import Event, emit
 from briardock.outcomes import Headers
 
@@ -149,11 +150,7 @@
 
 def has_input(stream: anyio.abc.SocketStream) -> bool:
     """Return whether a stream without a reader has unread input or was closed."""
-    if _read_ahead(stream):
-        return True
-    poll = select.poll()
-    poll.register(stream_fd(stream), select.POLLIN | select.POLLRDHUP)
-    return bool(poll.poll(0))
+    return bool(_read_ahead(stream)) or sockets.has_input(stream_fd(stream))
 
 
 def _read_ahead(stream: anyio.abc.SocketStream) -> Sequence[bytes]:
--- a/src/briardock/mesh/http_client.py
+++ b/src/briardock/mesh/http_client.py
@@ -62,7 +62,6 @@
         self._waiter: asyncio.Future[Response | ExchangeFailure] | None = None
         self._accept: Callable[[Response], bool] | None = None
         self._reusable = True
-        self._is_aborted = False
         self._loop: asyncio.AbstractEventLoop | None = None
         self.idle_timeout_s: float | None = None
         self.idle_since_s = 0.0
@@ -127,9 +126,9 @@
             self.close()
             return
         start = 0
-        while start < len(data) and not self._is_aborted:
+        while start < len(data):
             if self._waiter.done():
-                # Nothing may follow a response.
+                # Nothing may follow a response, and nothing is read after a failure.
                 self._reusable = False
                 return
             end = start + (BODY_SLICE_BYTES if self._in_body else HEAD_SLICE_BYTES)
@@ -171,7 +170,6 @@
 
     def _abort(self, reason: str, cause: FailureCause = FailureCause.OTHER) -> None:
         self._reusable = False
-        self._is_aborted = True
         self._fail(reason, cause)
         self._discard()
         if self._transport is not None:
--- a/src/briardock/mesh/http_server.py
+++ b/src/briardock/mesh/http_server.py
@@ -11,8 +11,10 @@
 from briardock.mesh.model import CallerLimits, now_s
 from briardock.mesh.parse_pace import ParsePace
 from briardock.mesh.server_connection import ServerConnection
-from briardock.mesh.unread import close_unread
 
+# Share of the account that the unread responses of a listener may take up. The rest is
+# for requests.
+MAX_UNREAD_SHARE = 0.5
 # Share of its connections that a full listener closes at once, so that the search for
 # those that are idle is rare.
 CLOSED_SHARE = 1 / 32
@@ -72,12 +74,31 @@
         )
 
     def limit_unread(self) -> None:
-        """Close connections with unread responses if these use too much memory."""
-        count = close_unread(list(self.connections), self.memory, now_s())
-        if count:
+        """Close connections with unread responses if these use too much memory.
+
+        Those without progress for longest are closed first, so that clients which read
+        keep theirs.
+        """
+        now = now_s()
+        blocked = []
+        for connection in self.connections:
+            connection.update_unread(now)
+            since_s = connection.unread.blocked_since_s
+            if since_s is not None and connection.unread.counted_bytes:
+                blocked.append((since_s, connection))
+        excess_bytes = sum(other.unread.counted_bytes for _, other in blocked)
+        excess_bytes -= int(MAX_UNREAD_SHARE * self.memory.limit_bytes)
+        closed = 0
+        for _, connection in sorted(blocked, key=lambda item: item[0]):
+            if excess_bytes <= 0:
+                break
+            excess_bytes -= connection.unread.counted_bytes
+            connection.abort()
+            closed += 1
+        if closed:
             self.log.event(
                 "unread-closed",
-                connections=count,
+                connections=closed,
                 all_held_bytes=self.memory.used_bytes,
             )
 
--- a/src/briardock/mesh/server_connection.py
+++ b/src/briardock/mesh/server_connection.py
@@ -17,7 +17,7 @@
 from briardock.mesh.request_reader import RequestReader
 from briardock.mesh.server_interface import Server
 from briardock.mesh.unread import UnreadResponses
-from briardock.sockets import send_end
+from briardock.sockets import has_input, send_end
 
 # Pipelined requests on one connection at which further bytes are kept unparsed, and
 # the number of these bytes at which reading is paused. While it is paused, the node
@@ -54,8 +54,8 @@
         self._reader = RequestReader(server.limits)
         self._transport: asyncio.Transport | None = None
         self._task: asyncio.Task[None] | None = None
+        self._descriptor = -1
         self._disconnect_poll = select.poll()
-        self._input_poll = select.poll()
         self._pending_requests: deque[Request] = deque()
         self._waiter: asyncio.Future[None] | None = None
         self._responding = False
@@ -114,9 +114,8 @@
         # uvloop's transports do not derive from those of asyncio.
         self._transport = cast(asyncio.Transport, transport)
         self.unread.start(self._transport)
-        descriptor = transport.get_extra_info("socket").fileno()
-        self._disconnect_poll.register(descriptor, select.POLLRDHUP)
-        self._input_poll.register(descriptor, select.POLLIN)
+        self._descriptor = transport.get_extra_info("socket").fileno()
+        self._disconnect_poll.register(self._descriptor, select.POLLRDHUP)
         self._server.add_connection(self)
         self._task = asyncio.get_running_loop().create_task(self._serve())
 
@@ -385,8 +384,10 @@
         A request that the process has not read yet would be reset.
         """
         transport = self._transport
-        if transport and not transport.is_closing() and not self._input_poll.poll(0):
-            send_end(transport.get_extra_info("socket").fileno())
+        if not transport or transport.is_closing():
+            return
+        if not has_input(self._descriptor):
+            send_end(self._descriptor)
             transport.close()
 
     def close_gracefully(self) -> None:
--- a/src/briardock/mesh/unread.py
+++ b/src/briardock/mesh/unread.py
@@ -1,14 +1,7 @@
 """Response bytes that clients have not read yet."""
 
 import asyncio
-from collections.abc import Iterable
-from typing import Protocol
 
-from briardock.mesh.memory import MemoryAccount
-
-# Share of the account that the unread responses of a listener may take up. The rest is
-# for requests.
-MAX_SHARE = 0.5
 # Size of the unsent bytes that is not counted. Ordinary responses are smaller.
 UNCOUNTED_BYTES = 64 * 1024
 
@@ -94,48 +87,3 @@
         return self.blocked_since_s is not None and now - self.blocked_since_s > (
             timeout_s
         )
-
-
-class Connection(Protocol):
-    """Connection whose responses may be unread."""
-
-    unread: UnreadResponses
-
-    def update_unread(self, now: float) -> None:
-        """Count its unread bytes in the account."""
-        ...
-
-    def abort(self) -> None:
-        """Close the connection and give up what it holds."""
-        ...
-
-
-def close_unread(
-    connections: Iterable[Connection], memory: MemoryAccount, now: float
-) -> int:
-    """Close connections whose clients do not read until the others take up their share.
-
-    Those without progress for longest are closed first, so that clients which read keep
-    theirs. Return the number of connections closed.
-
-    :param connections: connections of a listener
-    :param memory: account of the process
-    :param now: current time in s since boot
-    """
-    blocked = []
-    unread_bytes = 0
-    for connection in connections:
-        connection.update_unread(now)
-        since_s = connection.unread.blocked_since_s
-        if since_s is not None and connection.unread.counted_bytes:
-            blocked.append((since_s, connection))
-            unread_bytes += connection.unread.counted_bytes
-    blocked.sort(key=lambda item: item[0])
-    closed = 0
-    for _, connection in blocked:
-        if unread_bytes <= MAX_SHARE * memory.limit_bytes:
-            break
-        unread_bytes -= connection.unread.counted_bytes
-        connection.abort()
-        closed += 1
-    return closed
--- a/src/briardock/sockets.py
+++ b/src/briardock/sockets.py
@@ -1,9 +1,20 @@
 """Operations on the sockets of streams that an event loop owns."""
 
 import contextlib
+import select
 import socket
 
 
+def has_input(descriptor: int) -> bool:
+    """Return whether a connection has unread input or was closed by its peer.
+
+    :param descriptor: descriptor of the connection
+    """
+    poll = select.poll()
+    poll.register(descriptor, select.POLLIN | select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
 def send_end(descriptor: int, peer: str | None = None) -> None:
     """Tell the peer of a connection at once that nothing more is sent to it.
 
