Split the forwarder by subject

Moved without a change of behaviour: - request_state: state of one request, and the call made of it; - instance_sender: one call to one instance and what its result shows; - chain_thresholds: thresholds that are told and admitted by, with caches; - request_recorder: log lines and metrics of requests. Whether the node sends nothing more is kept by the sender only.

--- a/tests/mesh_fakes.py
+++ b/tests/mesh_fakes.py
@@ -442,7 +442,7 @@
                 and len(versions) == 1
                 and versions != {-1}
                 and all(
-                    n.forwarder._service_threshold(other.settings.service)
+                    n.forwarder._thresholds.of_service(other.settings.service)
                     == OPEN_THRESHOLD
                     for n in nodes
                     for other in nodes
--- a/tests/test_mesh_clients.py
+++ b/tests/test_mesh_clients.py
@@ -143,10 +143,10 @@
 def hold_threshold(machine: Machine, threshold: float) -> list[dict[str, object]]:
     """Have an entry admit by a threshold; return the refusals that it will log."""
     forwarder = machine.node.forwarder
-    forwarder._entry_thresholds.of_chain = (  # type: ignore[method-assign]
+    forwarder._thresholds._of_entry.of_chain = (  # type: ignore[method-assign]
         lambda service, limit, now: threshold
     )
-    forwarder._service_thresholds.clear()
+    forwarder._thresholds._by_service.clear()
     refusals: list[dict[str, object]] = []
 
     def record(event_name: str, **fields: object) -> None:
@@ -393,9 +393,8 @@
     async with fleet(*PRIORITIES) as system:
         machine = await system.add("n1", "jobs")
         await settle(system)
-        monkeypatch.setattr(
-            machine.node.forwarder, "_service_threshold", lambda service: threshold
-        )
+        thresholds = machine.node.forwarder._thresholds
+        monkeypatch.setattr(thresholds, "of_service", lambda service: threshold)
         statuses = [
             (await machine.call(path, authorization=f"Bearer {key}")).status
             for key in ("k1", "k2")
--- a/tests/test_mesh_path.py
+++ b/tests/test_mesh_path.py
@@ -150,9 +150,9 @@
         await system.settle()
         for owner in owners:
             owner.target.behaviour = lambda r: fail_with(500)
-        thresholds = entry.node.forwarder._entry_thresholds
+        thresholds = entry.node.forwarder._thresholds._of_entry
         thresholds.of_chain = lambda service, limit, now: threshold  # type: ignore[method-assign]
-        entry.node.forwarder._service_thresholds.clear()
+        entry.node.forwarder._thresholds._by_service.clear()
         response = await entry.call("/jobs/7")
         assert response.status == 500
         assert sum(len(o.target.requests) for o in owners) == arrivals
@@ -358,7 +358,7 @@
         entry = await system.add("n1", "portal")
         await system.add("n2", "jobs")
         await system.settle()
-        pool = entry.node.forwarder._peers
+        pool = entry.node.forwarder._sender._peers
 
         async def hang(address: str) -> NoReturn:
             await asyncio.sleep(5.0)
