Log and count the services chosen for routes with weights

The logs of the landed code can't tell apart the hypotheses of the incident: which service was chosen for a request shows only if it fails.

services-chosen has, for each route with several services, the requests since the configuration took effect by the service chosen, and those of them that reached no instance; briardock_weighted_requests_total counts the same. No logic changes.

--- a/src/briardock/mesh/forwarder.py
+++ b/src/briardock/mesh/forwarder.py
@@ -20,6 +20,7 @@
 from briardock.mesh.request_recorder import RequestRecorder
 from briardock.mesh.request_state import RequestState
 from briardock.mesh.routes import RouteTable
+from briardock.mesh.service_choices import ServiceChoices
 from briardock.mesh.target import Target
 from briardock.mesh.telemetry import Telemetry
 from briardock.overload.admission import OPEN_THRESHOLD
@@ -87,6 +88,7 @@
     ) -> None:
         self.routes: RouteTable | None = None
         self.called_services = CalledServices()
+        self.service_choices = ServiceChoices(log, telemetry)
         # Set at the stop signal.
         self.shutdown: Shutdown | None = None
         self._requests_in_flight: dict[RequestState, Deadline] = {}
@@ -150,23 +152,25 @@
         :param request: request of a caller or of the local target
         """
         head = self._dialect.decode_request(request, self._senders.has_accounts)
-        if self.routes is None:
+        routes = self.routes
+        if routes is None:
             return self._refuse(head, "no configuration", STARTING_RETRY_AFTER_S)
-        route = self.routes.match(head.host, request.target)
+        route = routes.match(head.host, request.target)
         if route is None:
             self._log.event(
                 "no-route",
                 id=head.request_id.decode("latin-1"),
                 host=head.host,
-                config=self.routes.version,
+                config=routes.version,
             )
             return Response(404)
-        sender = self._senders.identify(head, route, self.routes.longest_timeout_s)
+        sender = self._senders.identify(head, route, routes.longest_timeout_s)
         if isinstance(sender, Response):
             return sender
         deadline_s = DEFAULT_DEADLINE_S if head.deadline_s is None else head.deadline_s
         timeout_limit_s = min(deadline_s, route.timeout_s)
-        service = self.routes.pick_service(route)
+        service = routes.pick_service(route)
+        self.service_choices.record_choice(routes, route, service)
         kind = None
         if self._balancer.uses_work(service):
             kind = request_kind(
@@ -182,7 +186,7 @@
             now_s(),
             request.received_s + timeout_limit_s,
             sender,
-            self.routes.rank(route, sender),
+            routes.rank(route, sender),
             request.received_s + deadline_s,
             Attempts(
                 self._balancer,
@@ -196,6 +200,8 @@
         if not state.from_target and head.deadline_s is not None:
             state.age_s = self._entry.age_s(route.name, deadline_s, request.received_s)
         response = await self._forward(request, state)
+        if not (state.passed_on or state.attempts.arrivals):
+            self.service_choices.record_not_sent(routes, route, service)
         response_time_s = now_s() - request.received_s
         self._telemetry.latency.observe(response_time_s)
         if response.status < 300:
--- a/src/briardock/mesh/node.py
+++ b/src/briardock/mesh/node.py
@@ -337,6 +337,7 @@
                 self.replicator.sync_periodically,
                 self.target.loss_watch.watch_losses,
                 self.quotas.report_periodically,
+                self.forwarder.service_choices.log_periodically,
                 self._update_thresholds,
                 self._sweep_pools,
                 self._flush_log,
--- a/src/briardock/mesh/telemetry.py
+++ b/src/briardock/mesh/telemetry.py
@@ -91,6 +91,12 @@
             registry=self.registry,
         )
 
+        self.weighted_requests = Counter(
+            "briardock_weighted_requests",
+            "Requests of routes with several services by the service chosen",
+            ["route", "service", "outcome"],
+            registry=self.registry,
+        )
         self.over_quota = Counter(
             "briardock_over_quota",
             "Requests refused because they exceed the quota of their account",
