Show that new route tables of many nodes begin with the same service

The users' line: the weights of a route are not kept. A table is made at each start and each configuration, at every node, and all begin in the same state, so that the first requests of all nodes go to the same service.

The test makes as many tables as a fleet has and gives each a few requests; bounds are those of the users: 0.2 off the weight over 200 requests, 0.1 over 300.

--- a/tests/test_mesh_routes.py
+++ b/tests/test_mesh_routes.py
@@ -43,3 +43,31 @@
     for weighted_service in weighted_services:
         share = picks.count(weighted_service.service) / count
         assert abs(share - weighted_service.weight / sum(weights)) <= 0.1
+
+
+@pytest.mark.parametrize(
+    ("weights", "tables", "requests_per_table", "bound"),
+    [
+        pytest.param((75, 25), 200, 1, 0.2, id="one request each"),
+        pytest.param((75, 25), 100, 2, 0.2, id="two requests each"),
+        pytest.param((60, 25, 15), 300, 1, 0.1, id="three services"),
+        pytest.param((50, 50), 300, 1, 0.1, id="equal weights"),
+        pytest.param((1, 0), 300, 1, 0.1, id="no weight"),
+        pytest.param((90, 10), 79, 5, 0.1, id="five requests each"),
+    ],
+)
+def test_tables_of_many_nodes_do_not_begin_with_the_same_service(
+    weights: tuple[float, ...], tables: int, requests_per_table: int, bound: float
+) -> None:
+    """Each node, start and configuration has a table of its own."""
+    weighted_services = [
+        WeightedService(str(i), float(w)) for i, w in enumerate(weights)
+    ]
+    route = make_route("r", "/a/", *weighted_services)
+    picks: list[str] = []
+    for _ in range(tables):
+        routes = make_route_table(route)
+        picks += [routes.pick_service(route) for _ in range(requests_per_table)]
+    for weighted_service in weighted_services:
+        share = picks.count(weighted_service.service) / len(picks)
+        assert abs(share - weighted_service.weight / sum(weights)) <= bound
