Reject responses with a status below 100

Cause: the parser accepts any three digits as a status, and all below 200 counted as interim. A status below 100 is in no class, so the exchange now fails at once and the connection closes; the request may have run.

--- a/src/briardock/mesh/http_client.py
+++ b/src/briardock/mesh/http_client.py
@@ -33,6 +33,8 @@
 # between: 250 header lines fit into the first.
 HEAD_SLICE_BYTES = 1024
 BODY_SLICE_BYTES = 64 * 1024
+# Lowest status of a response. The parser accepts any three digits.
+LOWEST_STATUS = 100
 # Headers that delimit the body; without one the body ends with the connection.
 LENGTH_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
 
@@ -193,8 +195,13 @@
             self._has_length = True
 
     def on_headers_complete(self) -> None:
-        """Determine how the body is delimited."""
+        """Determine how the body is delimited.
+
+        :raises ValueError: if the status is in no class, which ends the exchange
+        """
         self._status = self._parser.get_status_code()
+        if self._status < LOWEST_STATUS:
+            raise ValueError(f"status {self._status:03}")
         self._in_body = True
         self._until_eof = not self._has_length and self._status not in (204, 304)
 
--- a/tests/test_target.py
+++ b/tests/test_target.py
@@ -1,6 +1,7 @@
 """Tests of the target client: outcomes, connection reuse and cancellation."""
 
 import socket
+import struct
 
 import anyio
 import anyio.abc
@@ -135,6 +136,16 @@
         pytest.param(
             respond_with(b"garbage\r\n\r\n"), "malformed response", id="not-http"
         ),
+        pytest.param(
+            respond_with(b"HTTP/1.1 000 X\r\n\r\nok", then_close=True),
+            "malformed response",
+            id="status-000",
+        ),
+        pytest.param(
+            respond_with(b"HTTP/1.1 099 X\r\nContent-Length: 2\r\n\r\nok"),
+            "malformed response",
+            id="status-099",
+        ),
         pytest.param(
             respond_with(b"HTTP/1.1 101 Switching\r\nUpgrade: x\r\n\r\n"),
             "",
@@ -167,6 +178,28 @@
         assert first != second
 
 
+@pytest.mark.parametrize("reset_after_s", [0.0, 0.02, 0.05])
+@pytest.mark.parametrize("body_bytes", [0, 100_000, 8_000_000])
+async def test_response_that_is_reset_during_an_upload_is_lost(
+    body_bytes: int, reset_after_s: float
+):
+    """Guards against returning the first part of a body without length."""
+
+    async def reset(
+        target: Target, stream: anyio.abc.SocketStream, data: bytes
+    ) -> None:
+        await stream.send(b"HTTP/1.1 200 OK\r\n\r\npart")
+        await anyio.sleep(reset_after_s)
+        raw_socket = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        linger = struct.pack("ii", 1, 0)
+        raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        await anyio.aclose_forcefully(stream)
+
+    async with target_harness(reset) as harness:
+        lost = await harness.run("POST", body=b"x" * body_bytes)
+        assert isinstance(lost, Lost), lost
+
+
 @pytest.mark.parametrize("listens", [True, False])
 async def test_death_of_the_target(listens: bool):
     """Guards against counting a lost connection of a running target as its death."""
