Fall back to any of the least used instances

Where all instances of a service are in use, ejected or being probed, Router took the first of those that are used equally little, in an order that all nodes share. Callers of nodes that have just started, or that lost their instances together, would all go to one instance.

Before: 200 routers with four new instances, each in full use, all choose n0 (Counter({'n0': 200}), test red). After: each of the four within 0.2 of a quarter.

--- a/src/briardock/routing.py
+++ b/src/briardock/routing.py
@@ -197,13 +197,16 @@
     def _choose_least_used(
         self, service: ServiceInstances, exclude: Container[str]
     ) -> TrackedInstance | None:
-        """Return the least used instance, even if it is ejected or being probed."""
+        """Return one of the least used instances, also if ejected or being probed."""
         for entries in (service.local, service.remote):
             candidates = [
                 item for item in entries if item.instance.node_id not in exclude
             ]
             if candidates:
-                return min(candidates, key=lambda item: item.in_flight)
+                least = min(item.in_flight for item in candidates)
+                return self._rng.choice(
+                    [item for item in candidates if item.in_flight == least]
+                )
         return None
 
     def record_dispatch(self, node_id: str) -> None:
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -30,9 +30,9 @@
     return Instance(node_id, incarnation, "map", domain, "127.0.0.1", 7000)
 
 
-def make(*instances: Instance) -> tuple[Router, ManualClock]:
+def make(*instances: Instance, seed: int = 3) -> tuple[Router, ManualClock]:
     clock = ManualClock()
-    router = make_router(RoutingSettings(), "a", clock, make_random(3), Metrics())
+    router = make_router(RoutingSettings(), "a", clock, make_random(seed), Metrics())
     router.update(instances)
     return router, clock
 
@@ -205,6 +205,19 @@
     assert choose(router) == "n1"
 
 
+def test_callers_do_not_all_fall_back_to_the_same_instance() -> None:
+    """Guards against the first of equals at every node when all are in use."""
+    count = RoutingSettings().new_instance_max_in_flight
+    chosen: Counter[str] = Counter()
+    for seed in range(200):
+        router, _ = make(*[instance(f"n{i}") for i in range(4)], seed=seed)
+        for node_id in ("n0", "n1", "n2", "n3") * count:
+            router.record_dispatch(node_id)
+        chosen[choose(router)] += 1
+    assert all(abs(n / 200 - 1 / 4) <= 0.2 for n in chosen.values()), chosen
+    assert len(chosen) == 4
+
+
 @given(st.integers(2, 12), st.lists(st.tuples(st.integers(0, 11), st.booleans())))
 def test_ejected_share_is_capped(
     count: int, observations: list[tuple[int, bool]]
