Send requests of a route with two services in the soak

The soak had no route with weights, one reason why the incident was not found. A ninth caller of each node sends few requests of one; the services that all node processes chose must lie within 0.2 of the weights over 200 requests or more.

The callers that were there draw as before. It is no reproduction of the fault: a node gets about eight requests between two configurations.

--- a/tests/mesh_soak.py
+++ b/tests/mesh_soak.py
@@ -32,8 +32,17 @@
 from soak_callers import CallerConnection, CallerRequest, connect
 from soak_checks import SoakResults
 from soak_faults import Faults
-from soak_machines import LONG_PATHS, TIMEOUTS_S, FleetPlan, Machine, SoakFleet
+from soak_machines import (
+    LONG_PATHS,
+    ROUTES,
+    SPLIT_ROUTE,
+    TIMEOUTS_S,
+    FleetPlan,
+    Machine,
+    SoakFleet,
+)
 from soak_programs import CHAIN_PATH
+from soak_shares import SPLIT_PATH, share_violations
 
 # Limit on the start of all processes, sufficient on a busy machine, s.
 START_TIMEOUT_S = 60.0
@@ -85,6 +94,8 @@
     # A key is checked on routes that need none as well.
     Role((KEYED_PATH, *SHORT_PATHS), keys=(KEPT_KEY, REVOKED_KEY, UNKNOWN_KEY)),
     Role((LIMITED_PATH,), pipelined=6, keys=(LIMITED_KEY,), period_s=0.2),
+    # Few requests between two configurations or starts of a node.
+    Role((SPLIT_PATH,), period_s=0.5),
 )
 
 
@@ -93,7 +104,8 @@
 
     def __init__(self, seed: int, folder: Path) -> None:
         self.seed = seed
-        self.fleet = SoakFleet(folder, FleetPlan(has_accounts=True))
+        plan = FleetPlan(routes=(*ROUTES, SPLIT_ROUTE), has_accounts=True)
+        self.fleet = SoakFleet(folder, plan)
         self.faults = Faults(
             self.fleet,
             random.Random(seed),
@@ -270,6 +282,7 @@
             self.results.check_accounts(
                 self.fleet.folder, self.fleet.machines, self.fleet.revoked_s
             )
+            self.results.violations += share_violations(self.fleet.folder)
         finally:
             self.fleet.stop()
 
@@ -323,8 +336,9 @@
     """
     with tempfile.TemporaryDirectory(prefix="briardock-soak-") as temporary:
         folder = keep_folder or Path(temporary)
-        # Removes old ledgers: targets append to them, and a seed reuses its ids.
-        for path in folder.glob("*.ledger"):
+        # Removes old ledgers, to which targets append, and logs of processes that this
+        # run may not start: a seed reuses its ids.
+        for path in (*folder.glob("*.ledger"), *folder.glob("*-node*.out")):
             path.unlink()
         soak = Soak(seed, folder)
         uvloop.run(soak.run())
--- a/tests/soak_checks.py
+++ b/tests/soak_checks.py
@@ -8,6 +8,7 @@
 from soak_accounts import KeyedRequest, account_violations
 from soak_machines import Machine
 from soak_programs import CALL_DEADLINE_MS, DRAIN_S
+from soak_shares import SPLIT_PATH
 
 # Statuses that guarantee that a request was not run and will not be.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
@@ -278,7 +279,10 @@
     def _check_run(
         self, machine: Machine, line: dict[str, Any], departed_s: dict[str, float]
     ) -> None:
-        if line["path"].startswith("/maps/") != (machine.service == "maps"):
+        is_split = line["path"].startswith(SPLIT_PATH)
+        if not is_split and (
+            line["path"].startswith("/maps/") != (machine.service == "maps")
+        ):
             self.violations.append(
                 f"{line['id']}: run by a target of {machine.service}"
             )
--- a/tests/soak_machines.py
+++ b/tests/soak_machines.py
@@ -17,6 +17,7 @@
 from mesh_fakes import config, route, send
 from soak_accounts import KEYED_PATH, LIMITED_PATH, LIMITED_RUN_RANGE_S, tenants
 from soak_programs import DRAIN_S, TargetPlan
+from soak_shares import SPLIT_PATH, split_spec
 
 ROOT = Path(__file__).resolve().parent.parent
 HOST = "127.0.0.1"
@@ -31,7 +32,7 @@
 }
 
 
-def _public_route(name: str, prefix: str, **spec: str) -> dict[str, Any]:
+def _public_route(name: str, prefix: str, **spec: Any) -> dict[str, Any]:
     """Return a route that needs no key, whether there are accounts or not."""
     return route(name, prefix, public=True, **spec)
 
@@ -44,6 +45,7 @@
     _public_route("once-long", "/once/long/", kind="non_idempotent", timeout="4s"),
     _public_route("maps-long", "/maps/long/", service="maps", timeout="4s"),
 )
+SPLIT_ROUTE = _public_route("split", SPLIT_PATH, timeout="1200ms", **split_spec())
 KEYED_ROUTE = route("keyed", KEYED_PATH, timeout="1200ms")
 # Timeouts of these routes by path prefix, s.
 TIMEOUTS_S = {
@@ -52,6 +54,7 @@
     "/jobs/": 1.2,
     "/once/": 1.2,
     KEYED_PATH: 1.2,
+    SPLIT_PATH: 1.2,
 }
 
 
