Bound the metrics of routes with weights

Found in the read-through: each route with several services that an operator ever sent added series for good. As for accounts, the first 50 have one of their own and the others share one; the log line names every route. Test: 150 routes, 100 counted as others.

--- a/src/briardock/mesh/service_choices.py
+++ b/src/briardock/mesh/service_choices.py
@@ -62,7 +62,7 @@
     ) -> None:
         counts.setdefault(route, Counter())[service] += 1
         self._changed.add(route)
-        self._telemetry.weighted_requests.labels(route.name, service, outcome).inc()
+        self._telemetry.record_weighted_request(route.name, service, outcome)
 
     def log_counts(self) -> None:
         """Log the counts of the routes that had requests since they were logged."""
--- a/src/briardock/mesh/telemetry.py
+++ b/src/briardock/mesh/telemetry.py
@@ -6,6 +6,9 @@
 # Largest number of accounts with a metric of their own; the others share one.
 MAX_ACCOUNTS = 50
 OTHER_ACCOUNTS = "others"
+# The same for routes with several services.
+MAX_WEIGHTED_ROUTES = 50
+OTHER_ROUTES = "others"
 LATENCY_BUCKETS_S = (0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0)
 
 
@@ -97,6 +100,7 @@
             ["route", "service", "outcome"],
             registry=self.registry,
         )
+        self._weighted_routes: set[str] = set()
         self.over_quota = Counter(
             "briardock_over_quota",
             "Requests refused because they exceed the quota of their account",
@@ -124,6 +128,21 @@
             self._over_quota_by_account[account] = counter
         counter.inc()
 
+    def record_weighted_request(self, route: str, service: str, outcome: str) -> None:
+        """Count a request of a route with several services.
+
+        :param route: name of the route
+        :param service: service chosen for the request
+        :param outcome: ``chosen`` for each request, ``not-sent`` for those that reached
+            no instance
+        """
+        if route not in self._weighted_routes:
+            if len(self._weighted_routes) >= MAX_WEIGHTED_ROUTES:
+                route = OTHER_ROUTES
+            else:
+                self._weighted_routes.add(route)
+        self.weighted_requests.labels(route, service, outcome).inc()
+
     def render(self) -> bytes:
         """Return the metrics page."""
         return render(self.registry)
--- a/tests/test_mesh_service_choices.py
+++ b/tests/test_mesh_service_choices.py
@@ -9,7 +9,11 @@
 from briardock.mesh.model import CallerLimits, Route, RoutingConfig, WeightedService
 from briardock.mesh.routes import RouteTable
 from briardock.mesh.service_choices import ServiceChoices
-from briardock.mesh.telemetry import Telemetry
+from briardock.mesh.telemetry import (
+    MAX_WEIGHTED_ROUTES,
+    OTHER_ROUTES,
+    Telemetry,
+)
 from mesh_builders import make_route
 
 SPLIT = make_route("r", "/a/", WeightedService("x", 3.0), WeightedService("y", 1.0))
@@ -61,3 +65,14 @@
         name = "briardock_weighted_requests_total"
         counted = telemetry.registry.get_sample_value(name, labels) or 0
         assert counted == sum(chosen.get(service, 0) for _, chosen, _ in expected)
+
+
+def test_metrics_of_many_routes_are_bounded() -> None:
+    telemetry = Telemetry()
+    for number in range(3 * MAX_WEIGHTED_ROUTES):
+        telemetry.record_weighted_request(f"r{number}", "x", "chosen")
+    counted = telemetry.registry.get_sample_value(
+        "briardock_weighted_requests_total",
+        {"route": OTHER_ROUTES, "service": "x", "outcome": "chosen"},
+    )
+    assert counted == 2 * MAX_WEIGHTED_ROUTES
