--- a/review/lib2/stand.py
+++ b/review/lib2/stand.py
@@ -31,11 +31,21 @@
     """The case could not be run, which says nothing about the rule."""
 
 
+# Below the range from which the kernel takes the ports of outgoing connections.
+PORTS = range(10_000, 30_000)
+_given_ports: set[int] = set()
+
+
 def free_port(ip: str) -> int:
-    """Return a port that is free on an address."""
-    with socket.socket() as sock:
-        sock.bind((ip, 0))
-        return int(sock.getsockname()[1])
+    """Return a port that is free on an address, another one at each call."""
+    while True:
+        port = random.choice(PORTS)
+        if port in _given_ports:
+            continue
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind((ip, port))
+            _given_ports.add(port)
+            return port
 
 
 @dataclass
