--- a/review/8/case.py
+++ b/review/8/case.py
@@ -70,7 +70,7 @@
 
 
 async def case(deployment: stand.Deployment) -> bool:
-    """Replace a server by one that leaves soon; look for requests that it gets later."""
+    """Replace a server by one that leaves soon; look for its later requests."""
     machines = [deployment.add(f"sidecar-{n}", "bookings") for n in range(3)]
     servers = [LeavingServer(deployment, machine, SLOTS) for machine in machines]
     routes = [stand.route("book", "/book/", "non_idempotent", "bookings")]
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -79,7 +79,7 @@
 
 
 async def case(deployment: stand.Deployment) -> bool:
-    """Let a server leave during an outage; look for requests that it gets afterwards."""
+    """Let a server leave during an outage; look for its later requests."""
     store = deployment.store
     store.__class__ = Store
     assert isinstance(store, Store)
--- a/review/lib/stand.py
+++ b/review/lib/stand.py
@@ -100,7 +100,9 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body
 
 
-def encode_request(method: str, path: str, headers: Headers, body: bytes = b"") -> bytes:
+def encode_request(
+    method: str, path: str, headers: Headers, body: bytes = b""
+) -> bytes:
     """Return an encoded request."""
     lines = [f"{method} {path} HTTP/1.1"]
     lines += [f"{name}: {value}" for name, value in headers.items()]
@@ -548,7 +550,12 @@
 
 
 def route(
-    name: str, prefix: str, kind: str, service: str, timeout_ms: int = 3000, **more: object
+    name: str,
+    prefix: str,
+    kind: str,
+    service: str,
+    timeout_ms: int = 3000,
+    **more: object,
 ) -> dict:
     """Return a route of the configuration."""
     spec = {
