--- a/review/lib/stand.py
+++ b/review/lib/stand.py
@@ -223,16 +223,12 @@
     :param zone: its zone
     :param service: service of its server
     :param ip: its loopback address
-    :param bounds: further lines of its settings, below the bounds
-    :param store_address: where it reaches the store, if not at the store itself
     """
 
     name: str
     zone: str
     service: str
     ip: str
-    bounds: str = ""
-    store_address: str = ""
     ports: dict[str, int] = field(default_factory=dict)
     process: subprocess.Popen | None = None
 
@@ -317,7 +313,6 @@
 budget-window = "10s"
 budget-slack = 49
 recover = "15s"
-{m.bounds}
 """
 
 
@@ -353,7 +348,7 @@
                 outbound=machine.address("outbound"),
                 ready=machine.address("ready"),
                 control=machine.address("control-plane"),
-                store=machine.store_address or self.store.address,
+                store=self.store.address,
             )
         )
         environment = {
@@ -384,10 +379,6 @@
                     raise CannotRun(f"{machine.name} is not ready")
                 await asyncio.sleep(0.1)
 
-    def log_of(self, machine: Machine) -> str:
-        """Return what a node has logged."""
-        return (self.folder / f"{machine.name}.log").read_text(errors="replace")
-
     def close(self) -> None:
         """End all processes and remove the temporary folder."""
         for machine in self.machines:
