Tell calls from messages of nodes by a header that only nodes write

Cause: calls and messages of nodes arrive at one address, and a node told them apart by the path, which a call takes over from its client. For the same reason a target's header briardock-result counted as the work that its node had measured.

Change: a request with the header of a call is a call, whatever its path. Headers that begin with briardock- are dropped where headers of clients and of targets are read; so far only those of clients were.

--- a/src/briardock/mesh/calls.py
+++ b/src/briardock/mesh/calls.py
@@ -189,6 +189,16 @@
     return internode, forwarded
 
 
+def is_call(request: Request) -> bool:
+    """Return whether a request of another node is a call.
+
+    Its path is the one that a client has chosen and tells nothing.
+
+    :param request: request on the address for peers
+    """
+    return any(name == CALL_HEADER for name, _ in request.headers)
+
+
 def decode_call(request: Request) -> Call | None:
     """Return the call in a request of another node, or ``None`` if it is malformed.
 
--- a/src/briardock/mesh/http1.py
+++ b/src/briardock/mesh/http1.py
@@ -25,6 +25,9 @@
         b"expect",
     }
 )
+# Names of headers that nodes add for each other or for callers. Clients and targets may
+# not send any: theirs would be taken for those of a node.
+NODE_HEADER_PREFIX = b"briardock-"
 # Size from which a body is neither copied nor joined with its head.
 LARGE_BODY_BYTES = 64 * 1024
 REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
@@ -99,7 +102,9 @@
 
 
 def end_to_end(headers: Headers) -> Headers:
-    """Return the end-to-end headers, which are forwarded.
+    """Return the end-to-end headers of a client or target, which are forwarded.
+
+    Headers with names that only nodes use are dropped.
 
     :param headers: headers with names in lower case
     """
@@ -108,7 +113,8 @@
     for header in headers:
         name = header[0]
         if name not in HOP_BY_HOP:
-            kept.append(header)
+            if not name.startswith(NODE_HEADER_PREFIX):
+                kept.append(header)
         elif name == b"connection":
             connection_headers.update(
                 part.strip().lower() for part in header[1].split(b",")
--- a/src/briardock/mesh/node.py
+++ b/src/briardock/mesh/node.py
@@ -9,13 +9,20 @@
 from briardock.mesh.allocator import map_large_blocks
 from briardock.mesh.announcements import Announcements
 from briardock.mesh.callgraph import EntryRoutes
-from briardock.mesh.calls import LoadReport, NotRun, Result, decode_call, encode_result
+from briardock.mesh.calls import (
+    LoadReport,
+    NotRun,
+    Result,
+    decode_call,
+    encode_result,
+    is_call,
+)
 from briardock.mesh.clients import SenderIdentification
 from briardock.mesh.decisions import FLUSH_PERIOD_S, DecisionLog
 from briardock.mesh.dialect import Dialect, Store
 from briardock.mesh.forwarder import Forwarder
 from briardock.mesh.http1 import Request, Response
-from briardock.mesh.http_server import HttpServer
+from briardock.mesh.http_server import Handler, HttpServer
 from briardock.mesh.listeners import Listeners
 from briardock.mesh.members import MemberTable, NodeRecord
 from briardock.mesh.memory import account_for_process, response_account
@@ -171,6 +178,10 @@
             announcements.handle,
             self._handle_metrics,
         )
+        self._message_handlers: dict[bytes, Handler] = {
+            SYNC_PATH: self.replicator.handle,
+            QUOTAS_PATH: self.quotas.handle,
+        }
         self._caller_server = self._listeners.callers
         self._peer_server = self._listeners.peers
         self._stop = NodeStop(
@@ -249,10 +260,9 @@
     # Requests
 
     async def _handle_peer(self, request: Request) -> Response:
-        if request.target == SYNC_PATH:
-            return await self.replicator.handle(request)
-        if request.target == QUOTAS_PATH:
-            return await self.quotas.handle(request)
+        handle_message = self._message_handlers.get(request.target)
+        if handle_message is not None and not is_call(request):
+            return await handle_message(request)
         call = decode_call(request)
         if call is None:
             return Response(400)
--- a/src/briardock/platform/_dialect.py
+++ b/src/briardock/platform/_dialect.py
@@ -151,7 +151,7 @@
             if name in HEADERS_SET_BY_NODES:
                 if name == DEADLINE and value.isdigit():
                     deadline_s = int(value) / 1000
-            elif not name.startswith(b"briardock-"):
+            else:
                 forwarded.append(header)
                 if name == REQUEST_ID:
                     request_id = value
