Keep the departure of a target that its node does not know yet

Its first heartbeat arrived after its departure.

Cause: a departure was dropped if the node knew another target, though it was acknowledged; one slot kept it if the node knew none. Evidence: target-departed for the successor, no change of state, then its heartbeat makes it ready.

A departed target that started after the known one takes its place, so the store has the departure before it is acknowledged.

--- a/src/briardock/mesh/target.py
+++ b/src/briardock/mesh/target.py
@@ -13,6 +13,7 @@
 from briardock.mesh.crashes import CrashSuspects
 from briardock.mesh.deadlines import Deadline
 from briardock.mesh.decisions import DecisionLog
+from briardock.mesh.departures import Departures
 from briardock.mesh.dialect import Dialect
 from briardock.mesh.http1 import (
     ExchangeFailure,
@@ -87,8 +88,7 @@
         self.running = 0
         self.queued = 0
         self._sequence = -1
-        # Id and latest start of a target that departed before it was known here.
-        self._departed: tuple[str, int] | None = None
+        self._departures = Departures()
         self._pool = pool
         self._dialect = dialect
         self._log = log
@@ -161,7 +161,7 @@
     def announce(self, announcement: Announcement) -> bool:
         """Apply an announcement; return ``False`` if it is outdated.
 
-        A target that is leaving keeps that state until it restarts, because the
+        A target that has departed stays so until it is started again, because its
         departure has been acknowledged.
 
         :param announcement: decoded announcement
@@ -179,14 +179,12 @@
             self._record_restart()
         self._alive_s = now_s()
         self._sequence = announcement.sequence
-        leaving = self.state is TargetState.LEAVING and not restarted
-        if leaving or self._has_departed(announcement.target_id, announcement.born_ms):
-            state = TargetState.LEAVING
-        else:
-            state = announcement.state
-        self._change_state(
-            announcement.target_id, announcement.born_ms, announcement.slots, state
-        )
+        target_id, born_ms = announcement.target_id, announcement.born_ms
+        if announcement.state is TargetState.LEAVING:
+            self._departures.record(target_id, born_ms)
+        departed = self._departures.cover(target_id, born_ms)
+        state = TargetState.LEAVING if departed else announcement.state
+        self._change_state(target_id, born_ms, announcement.slots, state)
         return True
 
     async def accepts_requests(self, target_id: str, health_path: str) -> bool:
@@ -223,7 +221,7 @@
         :param slots: its slots
         """
         if not self.target_id and target_id:
-            departed = self._has_departed(target_id, born_ms)
+            departed = self._departures.cover(target_id, born_ms)
             state = TargetState.LEAVING if departed else TargetState.READY
             self._alive_s = now_s()
             self._change_state(target_id, born_ms, slots, state)
@@ -231,21 +229,21 @@
     def leave(self, target_id: str, born_ms: int) -> None:
         """Stop sending requests to a target that leaves.
 
-        A node that has just started may learn of the departure before it knows the
-        target; it then must not adopt the target as ready from an earlier record.
+        Its heartbeats may arrive later than its departure, or never. If it started
+        after the known target, that one has ended, and the state of this one has to
+        outlive the process.
 
         :param target_id: id of the target
         :param born_ms: start of the target, Unix time in ms, or 0 if unknown
         """
-        if not self.target_id:
-            self._departed = (target_id, born_ms or int(time.time() * 1000))
-        elif target_id == self.target_id and born_ms in (0, self.born_ms):
+        self._departures.record(target_id, born_ms or int(time.time() * 1000))
+        if target_id == self.target_id and born_ms in (0, self.born_ms):
             self._change_state(target_id, self.born_ms, self.slots, TargetState.LEAVING)
-
-    def _has_departed(self, target_id: str, born_ms: int) -> bool:
-        if self._departed is None or self._departed[0] != target_id:
-            return False
-        return born_ms <= self._departed[1]
+        elif not self.target_id or born_ms > self.born_ms:
+            if self.born_ms:
+                self._record_restart()
+            self._sequence = -1
+            self._change_state(target_id, born_ms, 1, TargetState.LEAVING)
 
     def _change_state(
         self, target_id: str, born_ms: int, slots: int, state: TargetState
