Check what a started node first learns of its target, announcements too

A heartbeat from before the departure had arrived after the restart.

Cause: the record of an earlier process was checked by a health check, as it may be older than a departure; an announcement may be just as old, but was taken for true. Evidence: in the log of the case target-changed to ready follows the heartbeat, before the store is back and without a health path.

Change: both are claims until a health check confirms one; the first confirmed target ends that for the process. A check without a statement (rejected, no answer) is repeated. A target whose check is denied is used once it has gone on announcing itself for 6 s, as one that has departed is silent.

Test replaced: the last lines of test_restarted_node_uses_only_a_target_... asked that one announcement makes a target ready whose check was denied, which is this fault. They now ask that one does not, and that lasting ones do.

--- a/src/briardock/mesh/announcements.py
+++ b/src/briardock/mesh/announcements.py
@@ -6,6 +6,7 @@
 from briardock.mesh.model import Announcement, TargetState
 from briardock.mesh.replication import Replicator
 from briardock.mesh.target import Target
+from briardock.mesh.target_confirmation import TargetConfirmation
 
 # Longest time for which the acknowledgement of a departure waits for the store, s. A
 # target treats an acknowledgement that takes more than 1 s as missing.
@@ -16,15 +17,22 @@
     """Handles what the target beside a node announces.
 
     :param target: the target
+    :param confirmation: applies announcements
     :param replicator: writes departures to the store
     :param dialect: decodes announcements
     :param log: decision log
     """
 
     def __init__(
-        self, target: Target, replicator: Replicator, dialect: Dialect, log: DecisionLog
+        self,
+        target: Target,
+        confirmation: TargetConfirmation,
+        replicator: Replicator,
+        dialect: Dialect,
+        log: DecisionLog,
     ) -> None:
         self._target = target
+        self._confirmation = confirmation
         self._replicator = replicator
         self._dialect = dialect
         self._log = log
@@ -59,7 +67,7 @@
                         target=announcement.target_id,
                     )
                     return Response(400)
-                self._target.announce(announcement)
+                self._confirmation.announce(announcement)
                 if self._target.state is TargetState.LEAVING:
                     await self._store_departure(announcement.target_id)
         return Response(200, [(b"content-type", b"application/json")], b"{}")
--- a/src/briardock/mesh/node.py
+++ b/src/briardock/mesh/node.py
@@ -32,12 +32,12 @@
 from briardock.mesh.quotas import QUOTAS_PATH, Quotas, quota_limits
 from briardock.mesh.reload import SettingsReload
 from briardock.mesh.replication import Replicator
-from briardock.mesh.restored_target import RestoredTarget
 from briardock.mesh.routes import RouteTable
 from briardock.mesh.signals import handle_signals
 from briardock.mesh.stopping import NodeStop
 from briardock.mesh.sync import SYNC_PATH
 from briardock.mesh.target import Target
+from briardock.mesh.target_confirmation import TargetConfirmation
 from briardock.mesh.tasks import supervise
 from briardock.mesh.telemetry import Telemetry
 from briardock.overload.admission import CONTROL_PERIOD_S, Usage
@@ -127,7 +127,7 @@
             self.replicator.crash_suspects,
             self._target_changed,
         )
-        self._restored_target = RestoredTarget(self.target, log)
+        self.confirmation = TargetConfirmation(self.target, log)
         self._entry_routes = EntryRoutes(
             self.members, self.target, self._local_record_changed
         )
@@ -167,7 +167,9 @@
             self._rng,
         )
         memory = self.memory = account_for_process(settings.memory_bytes)
-        announcements = Announcements(self.target, self.replicator, dialect, log)
+        announcements = Announcements(
+            self.target, self.confirmation, self.replicator, dialect, log
+        )
         self._listeners = Listeners(
             settings,
             memory,
@@ -201,7 +203,7 @@
         self._caller_server.limits = config.limits
         self._entry_routes.retain({route.name for route in config.routes})
         self.telemetry.config_version.set(config.version)
-        self._restored_target.set_health_paths(config.health_paths)
+        self.confirmation.set_health_paths(config.health_paths)
 
     def _target_changed(self) -> None:
         target = self.target
@@ -243,7 +245,7 @@
         self._entry_routes.resume(record.entry_routes)
         if record.service != self.settings.service:
             return
-        self._restored_target.restore(record)
+        self.confirmation.restore(record)
 
     def _local_record_changed(self) -> None:
         self.replicator.local_record_changed()
--- a/src/briardock/mesh/target.py
+++ b/src/briardock/mesh/target.py
@@ -182,31 +182,43 @@
         target_id, born_ms = announcement.target_id, announcement.born_ms
         if announcement.state is TargetState.LEAVING:
             self._departures.record(target_id, born_ms)
-        departed = self._departures.cover(target_id, born_ms)
+        departed = self.has_departed(target_id, born_ms)
         state = TargetState.LEAVING if departed else announcement.state
         self._change_state(target_id, born_ms, announcement.slots, state)
         return True
 
-    async def accepts_requests(self, target_id: str, health_path: str) -> bool:
+    def has_departed(self, target_id: str, born_ms: int) -> bool:
+        """Return whether the departure of a target is known.
+
+        :param target_id: id of the target
+        :param born_ms: start of the target, Unix time in ms, or 0 if unknown
+        """
+        return self._departures.cover(target_id, born_ms)
+
+    async def accepts_requests(self, target_id: str, health_path: str) -> bool | None:
         """Return whether a target states in a health check that it is not leaving.
 
         :param target_id: id of the target
         :param health_path: path of the health check
+        :return: ``None`` if nothing was stated, as the check has failed or was rejected
         """
         connection = await self._pool.connect(self.address)
         if isinstance(connection, ExchangeFailure):
-            return False
+            return False if connection.cause is FailureCause.REFUSED else None
         headers = [(b"host", self.address.encode())]
         data = encode_request(b"GET", health_path.encode(), headers, b"")
         try:
             async with asyncio.timeout(HEALTH_CHECK_TIMEOUT_S):
                 response = await connection.exchange(data)
         except TimeoutError:
-            return False
+            return None
         # The check bears no request id, so its connection is not reused.
         connection.close()
-        if isinstance(response, ExchangeFailure):
-            return False
+        if (
+            isinstance(response, ExchangeFailure)
+            or self._dialect.decode_target_response(response).not_run
+        ):
+            return None
         return self._dialect.decode_health(response) == target_id
 
     def adopt(self, target_id: str, born_ms: int, slots: int) -> None:
@@ -221,7 +233,7 @@
         :param slots: its slots
         """
         if not self.target_id and target_id:
-            departed = self._departures.cover(target_id, born_ms)
+            departed = self.has_departed(target_id, born_ms)
             state = TargetState.LEAVING if departed else TargetState.READY
             self._alive_s = now_s()
             self._change_state(target_id, born_ms, slots, state)
--- a/tests/mesh_fakes.py
+++ b/tests/mesh_fakes.py
@@ -448,6 +448,7 @@
                     for other in nodes
                 )
                 and all(n.target.threshold(True) == OPEN_THRESHOLD for n in nodes)
+                and not any(n.confirmation.is_pending for n in nodes)
             )
 
         await eventually(settled)
--- a/tests/test_mesh_departure.py
+++ b/tests/test_mesh_departure.py
@@ -5,6 +5,7 @@
 import msgspec
 import pytest
 
+from briardock.mesh import target_confirmation
 from briardock.mesh.http1 import Request, Response
 from briardock.mesh.members import NodeRecord
 from briardock.mesh.model import TargetState
@@ -137,9 +138,11 @@
     ],
 )
 async def test_restarted_node_uses_only_a_target_that_states_that_it_is_ready(
-    answer: Response | None, state: TargetState
+    answer: Response | None, state: TargetState, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """The record of the earlier process may be from before a departure (DRAIN)."""
+    """The record of the earlier process, and one announcement, may be from before a
+    departure (DRAIN). A target whose health check is wrong goes on announcing itself.
+    """
     async with fleet() as system:
         machine = await system.add("n1", "jobs")
         await system.settle()
@@ -154,6 +157,11 @@
         await asyncio.sleep(0.7)
         assert restarted.node.target.state is state
         await restarted.announce()
+        await system.settle()
+        assert restarted.node.target.state is state
+        monkeypatch.setattr(target_confirmation, "MIN_ANNOUNCED_S", 0.1)
+        await asyncio.sleep(0.1)
+        await restarted.announce()
         assert restarted.node.target.state is TargetState.READY
 
 
@@ -197,3 +205,65 @@
         await eventually(all_known, timeout_s=5.0)
         await system.restart("n1")
         await eventually(all_known, timeout_s=5.0)
+
+
+@pytest.mark.parametrize("call", ["heartbeat", "deregister"])
+@pytest.mark.parametrize(
+    "is_late_before_configuration", [True, False], ids=["early", "later"]
+)
+async def test_late_announcement_after_a_restart_does_not_undo_a_departure(
+    call: str, is_late_before_configuration: bool
+) -> None:
+    """Requests reached a departed target: all nodes were killed while the store was
+    down, and a heartbeat from before the departure arrived after that (DRAIN).
+    """
+    names = ["n1", "n2", "n3"]
+    async with fleet() as system:
+        for name in names:
+            await system.add(name, "jobs")
+        await system.settle()
+        owner = system.machines["n1"]
+        assert await owner.node.replicator.wait_until_stored(2.0)
+        system.store.down = True
+        assert await announce_departure(owner, call) == 200
+        await system.restart_together(names)
+        restarted = system.machines["n1"]
+        if is_late_before_configuration:
+            assert await restarted.announce() == 200
+        system.store.down = False
+        await system.settle()
+        if not is_late_before_configuration:
+            assert await restarted.announce() == 200
+        until_s = asyncio.get_running_loop().time() + 1.0
+        while asyncio.get_running_loop().time() < until_s:
+            assert restarted.node.target.state is not TargetState.READY
+            await asyncio.sleep(0.05)
+
+
+async def test_target_started_after_a_confirmed_one_is_used_without_a_check() -> None:
+    """Each check costs the target a slot."""
+    async with fleet() as system:
+        machine = await system.add("n1", "jobs")
+        await system.settle()
+        machine.target.leaving = True
+        await machine.announce(born_ms=2_000)
+        assert machine.node.target.state is TargetState.READY
+
+
+async def test_target_started_again_after_a_lost_departure_is_used() -> None:
+    """The departure of an earlier incarnation must not hold back the next one."""
+    async with fleet() as system:
+        owner = await system.add("n1", "jobs")
+        await system.settle()
+        assert await owner.node.replicator.wait_until_stored(2.0)
+        system.store.down = True
+        assert await announce_departure(owner, "deregister") == 200
+        restarted = await system.restart("n1")
+        await restarted.announce()
+        system.store.down = False
+        await system.settle()
+        assert restarted.node.target.state is TargetState.ABSENT
+        restarted.target.leaving = False
+        assert await restarted.announce(born_ms=2_000) == 200
+        await system.settle()
+        assert restarted.node.target.state is TargetState.READY
