Read calls from other nodes up to the limits on clients

Callers saw: a request within max-header-bytes or max-body-bytes was answered 502 if these exceed 64 KiB or 64 MiB and another node's target was to run it.

Cause: the limits for peers were constants, while those on clients follow the configuration. The other node refused the call with 431 or 413, which the entry node took for a response of no node.

Change: the limits for peers follow those on clients, with 8 KiB for what a node adds to a head.

--- a/src/briardock/mesh/listeners.py
+++ b/src/briardock/mesh/listeners.py
@@ -1,5 +1,7 @@
 """Addresses at which a node listens, with the limits for the clients of each."""
 
+from dataclasses import replace
+
 from briardock.exceptions import SettingsError
 from briardock.mesh.decisions import DecisionLog
 from briardock.mesh.descriptors import connection_limits
@@ -10,6 +12,22 @@
 
 # Limits for peers, which are trusted; their connections may stay idle longer.
 PEER_LIMITS = CallerLimits(header_bytes=64 * 1024, idle_timeout_s=30.0)
+# Room for what a node adds to the head of a client's request, bytes.
+CALL_HEAD_BYTES = 8 * 1024
+
+
+def peer_limits(callers: CallerLimits) -> CallerLimits:
+    """Return the limits for peers, which forward requests within those on callers.
+
+    :param callers: limits on callers
+    """
+    return replace(
+        PEER_LIMITS,
+        header_bytes=max(
+            PEER_LIMITS.header_bytes, callers.header_bytes + CALL_HEAD_BYTES
+        ),
+        body_bytes=max(PEER_LIMITS.body_bytes, callers.body_bytes),
+    )
 
 
 class Listeners:
--- a/src/briardock/mesh/node.py
+++ b/src/briardock/mesh/node.py
@@ -23,7 +23,7 @@
 from briardock.mesh.forwarder import Forwarder
 from briardock.mesh.http1 import Request, Response
 from briardock.mesh.http_server import Handler, HttpServer
-from briardock.mesh.listeners import Listeners
+from briardock.mesh.listeners import Listeners, peer_limits
 from briardock.mesh.members import MemberTable, NodeRecord
 from briardock.mesh.memory import account_for_process, response_account
 from briardock.mesh.metrics_page import metrics_page
@@ -201,6 +201,7 @@
         self.senders.install(config)
         self.quotas.set_limits(quota_limits(config))
         self._caller_server.limits = config.limits
+        self._peer_server.limits = peer_limits(config.limits)
         self._entry_routes.retain({route.name for route in config.routes})
         self.telemetry.config_version.set(config.version)
         self.confirmation.set_health_paths(config.health_paths)
--- a/tests/test_mesh_internode.py
+++ b/tests/test_mesh_internode.py
@@ -1,10 +1,13 @@
 """What a stranger sends is never taken for what another node wrote."""
 
+from typing import Any
+
 import msgspec
 import pytest
 
 from briardock.mesh.http1 import Request, Response
 from briardock.mesh.members import NodeRecord
+from briardock.mesh.model import CallerLimits
 from briardock.mesh.quotas import QUOTAS_PATH
 from briardock.mesh.sync import SYNC_PATH, SyncMessage
 from briardock.overload.quota_messages import NodeReport
@@ -101,6 +104,44 @@
         assert not keys
 
 
+def limits(header_bytes: int, body_bytes: int) -> dict[str, Any]:
+    """Return the limits on clients as the operator writes them."""
+    spec = {
+        "max-header-bytes": header_bytes,
+        "max-body-bytes": body_bytes,
+        "header-timeout": "3s",
+        "idle-timeout": "15s",
+    }
+    return {"type-url": "limits", "metadata": {}, "spec": spec}
+
+
+@pytest.mark.parametrize(
+    ("header_bytes", "body_bytes"),
+    [
+        pytest.param(60 * 1024, 10, id="head-as-large-as-a-node-reads"),
+        pytest.param(64 * 1024, 10, id="head-with-the-call-is-larger"),
+        pytest.param(200 * 1024, 10, id="head-is-larger"),
+        pytest.param(1024, 65 * 1024 * 1024, id="body-is-larger"),
+    ],
+)
+async def test_node_reads_calls_as_large_as_the_limits_on_clients(
+    header_bytes: int, body_bytes: int
+) -> None:
+    """A request within the limits was answered 502, as the other node refused it."""
+    accepted = limits(header_bytes, body_bytes)
+    async with fleet(route("r", "/", timeout="9s"), accepted) as system:
+        entry = await start(system)
+        for machine in system.machines.values():
+            machine.target.server.limits = CallerLimits(2**20, 2**30)
+        # The request line and the other headers are less than 512 bytes.
+        padding = "a" * (header_bytes - 512)
+        response = await entry.call("/x", body=b"b" * body_bytes, padding=padding)
+        assert response.status == 200
+        (request,) = [r for m in system.machines.values() for r in m.target.requests]
+        assert dict(request.headers)[b"padding"] == padding.encode()
+        assert len(request.body) == body_bytes
+
+
 @pytest.mark.parametrize("header", ["briardock-result", "Briardock-Result"])
 async def test_target_cannot_tell_the_load_of_its_instance(header: str) -> None:
     """A target's own header would have stood for the work that its node measured."""
