Soak: late heartbeats, departures without notice, forged messages

Three of ten heartbeats of a target now arrive late, half of the targets that leave send a deregistration only, targets stay longer than they must, and each node gets requests with the path and body of a message between nodes.

--- a/tests/mesh_soak.py
+++ b/tests/mesh_soak.py
@@ -18,9 +18,11 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+import msgspec
 import uvloop
 
-from mesh_fakes import send
+from briardock.mesh.sync import SYNC_PATH, SyncMessage
+from mesh_fakes import config, route, send
 from soak_accounts import (
     KEPT_KEY,
     KEYED_PATH,
@@ -65,6 +67,12 @@
 # Time after the timeout of a route within which a running node must respond or close
 # the connection, s.
 RESPONSE_ALLOWANCE_S = 1.8
+# Period at which a caller sends each node what looks like a message of a node, s.
+FORGERY_PERIOD_S = 0.5
+# Configuration in it, which would be in force for good.
+FORGED_MESSAGE = msgspec.msgpack.encode(
+    SyncMessage("", -1, [], config(10**6, route("forged", "/", service="maps")))
+)
 
 
 @dataclass(frozen=True)
@@ -213,6 +221,16 @@
                     max(version, highest[1] if start == highest[0] else 0),
                 )
 
+    async def _forge_messages(self, machine: Machine) -> None:
+        """Send requests with the path and body of a message between nodes.
+
+        If one were taken for a message, no other configuration would come into force.
+        """
+        path = SYNC_PATH.decode()
+        while not self._stopping:
+            await asyncio.sleep(FORGERY_PERIOD_S)
+            await _status(machine.caller_address, path, body=FORGED_MESSAGE)
+
     async def _measure_stalls(self) -> None:
         while not self._stopping:
             started = time.monotonic()
@@ -267,7 +285,9 @@
                 for m in self.fleet.machines
             ]
             tasks += [
-                asyncio.create_task(self._probe_target(m)) for m in self.fleet.machines
+                asyncio.create_task(work(machine))
+                for work in (self._probe_target, self._forge_messages)
+                for machine in self.fleet.machines
             ]
             tasks.append(asyncio.create_task(self._measure_stalls()))
             restart_task = asyncio.create_task(self._restart_ended())
@@ -316,14 +336,14 @@
         return True
 
 
-async def _status(address: str, path: str, key: str = "") -> int:
+async def _status(address: str, path: str, key: str = "", body: bytes = b"") -> int:
     """Return the status of a request on a new connection, 0 without a response."""
     headers = [(b"host", b"a.example"), (b"request-id", b"probe")]
     if key:
         headers.append((b"authorization", f"Bearer {key}".encode()))
     try:
         async with asyncio.timeout(REQUEST_TIMEOUT_S):
-            return (await send(address, path, b"", headers)).status
+            return (await send(address, path, body, headers)).status
     except (OSError, TimeoutError):
         return 0
 
--- a/tests/soak_machines.py
+++ b/tests/soak_machines.py
@@ -43,6 +43,7 @@
     _public_route("maps", "/maps/", service="maps", timeout="1000ms"),
     _public_route("jobs-long", "/jobs/long/", timeout="4s"),
     _public_route("once-long", "/once/long/", kind="non_idempotent", timeout="4s"),
+    _public_route("messages", "/.briardock/", timeout="1200ms"),
     _public_route("maps-long", "/maps/long/", service="maps", timeout="4s"),
 )
 SPLIT_ROUTE = _public_route("split", SPLIT_PATH, timeout="1200ms", **split_spec())
--- a/tests/soak_programs.py
+++ b/tests/soak_programs.py
@@ -23,6 +23,7 @@
 from briardock.mesh.http1 import Request, Response
 from briardock.mesh.http_server import HttpServer
 from briardock.mesh.model import CallerLimits, split_address
+from briardock.mesh.tasks import BackgroundTasks
 from mesh_fakes import HEALTH_PATH, FakeStore, quiet_log, send
 
 HEARTBEAT_PERIOD_S = 0.5
@@ -30,6 +31,13 @@
 DRAIN_S = 2.0
 # Time after which a target exits without an acknowledgement of its departure, s.
 UNACKNOWLEDGED_EXIT_S = 4.0
+# Share of the heartbeats that arrive late, and the range of their delay, s.
+LATE_SHARE = 0.3
+LATE_RANGE_S = (0.5, 5.0)
+# Share of the targets that leave without a heartbeat that says so, and the longest time
+# for which a target stays after the time that it has to, s.
+SILENT_SHARE = 0.5
+MAX_STAY_S = 4.0
 RUN_RANGE_S = (0.05, 0.25)
 SLOTS = 32
 CHAIN_PATH = "/jobs/chain/"
@@ -73,6 +81,7 @@
         self._exiting = False
         self._sequence = 0
         self._leaving = asyncio.Event()
+        self._late = BackgroundTasks()
 
     def _append_to_ledger(self, event: str, **fields: object) -> None:
         line = {"at": time.time(), "event": event, "target": self._target_id, **fields}
@@ -144,7 +153,7 @@
             )
         return 200 if status == 200 else 500
 
-    async def _announce(self, call: str) -> bool:
+    def _encode_announcement(self) -> bytes:
         state = "draining" if self._leaving.is_set() else "ready"
         self._sequence += 1
         body = {
@@ -158,16 +167,23 @@
             "sequence": self._sequence,
             "born": self._born_ms,
         }
+        return json.dumps(body).encode()
+
+    async def _announce(self, call: str, delay_s: float = 0.0) -> bool:
+        """Send a heartbeat or deregistration, which may be on its way for a while."""
+        body = self._encode_announcement()
+        await asyncio.sleep(delay_s)
         path = f"/instances/{self._target_id}/{call}"
         try:
             async with asyncio.timeout(1.0):
-                response = await send(
-                    self._plan.announce_address, path, json.dumps(body).encode()
-                )
+                response = await send(self._plan.announce_address, path, body)
         except (OSError, TimeoutError):
             return False
         return response.status == 200
 
+    async def _announce_late(self) -> None:
+        await self._announce("heartbeat", random.uniform(*LATE_RANGE_S))
+
     async def run(self) -> None:
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self._leaving.set)
@@ -176,7 +192,10 @@
         server = HttpServer(self.handle, limits, quiet_log())
         await server.start(*split_address(self._plan.listen_address))
         while not self._leaving.is_set():
-            await self._announce("heartbeat")
+            if random.random() < LATE_SHARE:
+                self._late.start(self._announce_late())
+            else:
+                await self._announce("heartbeat")
             try:
                 async with asyncio.timeout(HEARTBEAT_PERIOD_S):
                     await self._leaving.wait()
@@ -187,13 +206,15 @@
 
     async def _depart(self) -> None:
         deadline_s = time.monotonic() + UNACKNOWLEDGED_EXIT_S
-        while not await self._announce("heartbeat"):
+        call = "deregister" if random.random() < SILENT_SHARE else "heartbeat"
+        while not await self._announce(call):
             if time.monotonic() > deadline_s:
                 return
             await asyncio.sleep(0.1)
         self._append_to_ledger("left")
-        await asyncio.sleep(DRAIN_S)
-        await self._announce("deregister")
+        await asyncio.sleep(DRAIN_S + random.uniform(0.0, MAX_STAY_S))
+        if call == "heartbeat":
+            await self._announce("deregister")
 
 
 async def serve_store(address: str) -> None:
