Adopt a restored target that started after a departed one

A node that starts learns of its target from the record of an earlier process, unless it knows a target. A late departure of a predecessor now makes that one known, and the target would have waited for its next heartbeat, up to 1.5 s.

Change: a restored target that started later than the known one takes its place, as an announced one does.

Before: 1 of 28 rows of tests/test_mesh_departures.py red (successor-restored). After: 28 green.

--- a/src/briardock/mesh/target.py
+++ b/src/briardock/mesh/target.py
@@ -232,10 +232,11 @@
         :param born_ms: start of the target, Unix time in ms
         :param slots: its slots
         """
-        if not self.target_id and target_id:
+        if target_id and (not self.target_id or born_ms > self.born_ms):
             departed = self.has_departed(target_id, born_ms)
             state = TargetState.LEAVING if departed else TargetState.READY
             self._alive_s = now_s()
+            self._sequence = -1
             self._change_state(target_id, born_ms, slots, state)
 
     def leave(self, target_id: str, born_ms: int) -> None:
--- a/tests/test_mesh_departures.py
+++ b/tests/test_mesh_departures.py
@@ -50,12 +50,20 @@
     born_ms: int
 
 
+@dataclass(frozen=True)
+class Restored:
+    """A health check confirms the record of an earlier process."""
+
+    target_id: str
+    born_ms: int
+
+
 @dataclass(frozen=True)
 class Reload:
     """Settings are reloaded; the target has another address and then the first one."""
 
 
-Step = Beat | Departure | Reload
+Step = Beat | Departure | Restored | Reload
 
 
 def apply(target: Target, step: Step) -> None:
@@ -71,6 +79,8 @@
             )
         case Departure(target_id, born_ms):
             target.leave(target_id, born_ms)
+        case Restored(target_id, born_ms):
+            target.adopt(target_id, born_ms, 4)
         case Reload():
             address, service = target.address, target.service
             target.reconfigure("127.0.0.1:2", service)
@@ -141,6 +151,15 @@
         pytest.param(
             [FIRST, SECOND_LEFT, Beat("i-3", 3_000)], READY, id="next-successor"
         ),
+        pytest.param(
+            [SECOND_LEFT, Restored("i-2", 2_000)], LEAVING, id="restored-after-it-left"
+        ),
+        pytest.param(
+            [SECOND_LEFT, Restored("i-1", 1_000)], LEAVING, id="predecessor-restored"
+        ),
+        pytest.param(
+            [FIRST_LEFT, Restored("i-2", 2_000)], READY, id="successor-restored"
+        ),
     ],
 )
 def test_acknowledged_departure_is_kept(
