Take the announcement of a target that answers no health checks

Callers would have seen: for 6 s after each start of a node, its target takes no requests if it answers 400, 404, 405 or 501 to health checks.

Cause: a check that tells nothing about the target counted like one that is denied. Change: health checks have a module of their own, which tells apart what a target states, that it states nothing now, and that it never does. An announcement of the last kind is taken as before; a record is not.

--- a/src/briardock/mesh/node.py
+++ b/src/briardock/mesh/node.py
@@ -21,6 +21,7 @@
 from briardock.mesh.decisions import FLUSH_PERIOD_S, DecisionLog
 from briardock.mesh.dialect import Dialect, Store
 from briardock.mesh.forwarder import Forwarder
+from briardock.mesh.health_check import HealthCheck
 from briardock.mesh.http1 import Request, Response
 from briardock.mesh.http_server import Handler, HttpServer
 from briardock.mesh.listeners import Listeners, peer_limits
@@ -127,7 +128,9 @@
             self.replicator.crash_suspects,
             self._target_changed,
         )
-        self.confirmation = TargetConfirmation(self.target, log)
+        self.confirmation = TargetConfirmation(
+            self.target, HealthCheck(self._target_pool, dialect), log
+        )
         self._entry_routes = EntryRoutes(
             self.members, self.target, self._local_record_changed
         )
--- a/src/briardock/mesh/target.py
+++ b/src/briardock/mesh/target.py
@@ -19,7 +19,6 @@
     ExchangeFailure,
     FailureCause,
     Response,
-    encode_request,
     encode_request_head,
     end_to_end,
 )
@@ -48,9 +47,6 @@
 # reset interrupts a request that was running.
 STALE_CONNECTION_RESET_S = 0.02
 
-# Timeout of a health check, s.
-HEALTH_CHECK_TIMEOUT_S = 0.5
-
 # Assumed service time before the first request, s, and the weight of the newest request
 # in the moving average.
 INITIAL_SERVICE_TIME_S = 0.02
@@ -195,32 +191,6 @@
         """
         return self._departures.cover(target_id, born_ms)
 
-    async def accepts_requests(self, target_id: str, health_path: str) -> bool | None:
-        """Return whether a target states in a health check that it is not leaving.
-
-        :param target_id: id of the target
-        :param health_path: path of the health check
-        :return: ``None`` if nothing was stated, as the check has failed or was rejected
-        """
-        connection = await self._pool.connect(self.address)
-        if isinstance(connection, ExchangeFailure):
-            return False if connection.cause is FailureCause.REFUSED else None
-        headers = [(b"host", self.address.encode())]
-        data = encode_request(b"GET", health_path.encode(), headers, b"")
-        try:
-            async with asyncio.timeout(HEALTH_CHECK_TIMEOUT_S):
-                response = await connection.exchange(data)
-        except TimeoutError:
-            return None
-        # The check bears no request id, so its connection is not reused.
-        connection.close()
-        if (
-            isinstance(response, ExchangeFailure)
-            or self._dialect.decode_target_response(response).not_run
-        ):
-            return None
-        return self._dialect.decode_health(response) == target_id
-
     def adopt(self, target_id: str, born_ms: int, slots: int) -> None:
         """Use the target that an earlier process of this node published.
 
--- a/src/briardock/mesh/target_confirmation.py
+++ b/src/briardock/mesh/target_confirmation.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass
 
 from briardock.mesh.decisions import DecisionLog
+from briardock.mesh.health_check import HealthCheck, HealthStatement
 from briardock.mesh.members import NodeRecord
 from briardock.mesh.model import Announcement, TargetState, now_s
 from briardock.mesh.target import Target
@@ -74,11 +75,15 @@
     """Applies announcements and records of earlier processes once they are confirmed.
 
     :param target: the target beside this node
+    :param health_check: makes health checks of it
     :param log: decision log
     """
 
-    def __init__(self, target: Target, log: DecisionLog) -> None:
+    def __init__(
+        self, target: Target, health_check: HealthCheck, log: DecisionLog
+    ) -> None:
         self._target = target
+        self._health_check = health_check
         self._log = log
         # Paths of health checks by service, ``None`` without a configuration.
         self._health_paths: dict[str, str] | None = None
@@ -159,23 +164,33 @@
         assert self._health_paths is not None
         health_path = self._health_paths.get(self._target.service)
         is_announced = isinstance(claim, Announcement)
-        if not health_path:
-            return is_announced
-        checks = 1
-        accepts = await self._target.accepts_requests(claim.target_id, health_path)
-        while accepts is None and checks < MAX_CHECKS and self._claim is None:
-            checks += 1
-            await asyncio.sleep(CHECK_PERIOD_S)
-            accepts = await self._target.accepts_requests(claim.target_id, health_path)
-        if not accepts:
-            self._log.event(
-                "target-unconfirmed",
-                target=claim.target_id,
-                announced=is_announced,
-                stated=accepts is not None,
-                checks=checks,
+        statement = HealthStatement.UNSUPPORTED
+        if health_path:
+            statement = await self._check(claim.target_id, health_path)
+        match statement:
+            case HealthStatement.ACCEPTING:
+                return True
+            case HealthStatement.UNSUPPORTED if is_announced:
+                return True
+        self._log.event(
+            "target-unconfirmed",
+            target=claim.target_id,
+            announced=is_announced,
+            stated=statement.name.lower(),
+        )
+        return False
+
+    async def _check(self, target_id: str, health_path: str) -> HealthStatement:
+        """Return what the target states, after several checks if need be."""
+        for checks in range(1, MAX_CHECKS + 1):
+            statement = await self._health_check.check(
+                self._target.address, health_path, target_id
             )
-        return bool(accepts)
+            is_final = statement is not HealthStatement.NOTHING
+            if is_final or checks == MAX_CHECKS or self._claim is not None:
+                break
+            await asyncio.sleep(CHECK_PERIOD_S)
+        return statement
 
     def _accept(self, claim: Claim) -> None:
         self._is_confirmed = True
