--- a/src/briardock/mesh/announcements.py
+++ b/src/briardock/mesh/announcements.py
@@ -48,14 +48,13 @@
                 self._log.event("announcement-refused", reason=reason)
                 return Response(400)
             case Departure():
-                known = self._target
                 self._log.event(
                     "target-departed",
                     target=announcement.target_id,
                     born_ms=announcement.born_ms,
-                    known=known.target_id,
-                    known_born_ms=known.born_ms,
-                    state=known.state.value,
+                    known=self._target.target_id,
+                    known_born_ms=self._target.born_ms,
+                    state=self._target.state.value,
                 )
                 self._target.leave(announcement.target_id, announcement.born_ms)
                 await self._store_departure(announcement.target_id)
--- a/src/briardock/mesh/departures.py
+++ b/src/briardock/mesh/departures.py
@@ -1,4 +1,4 @@
-"""Departures of the targets beside a node that were acknowledged."""
+"""Departures that a node has acknowledged to the targets beside it."""
 
 # Targets beside a node follow one another, and each leaves once. Announcements arrive
 # seconds late, so none arrives after this many later departures.
@@ -28,7 +28,7 @@
         if len(self._latest_born_ms) > MAX_DEPARTURES:
             del self._latest_born_ms[next(iter(self._latest_born_ms))]
 
-    def cover(self, target_id: str, born_ms: int) -> bool:
+    def include(self, target_id: str, born_ms: int) -> bool:
         """Return whether a target has departed, and was not started again since.
 
         :param target_id: id of the target
--- a/src/briardock/mesh/target.py
+++ b/src/briardock/mesh/target.py
@@ -189,7 +189,7 @@
         :param target_id: id of the target
         :param born_ms: start of the target, Unix time in ms, or 0 if unknown
         """
-        return self._departures.cover(target_id, born_ms)
+        return self._departures.include(target_id, born_ms)
 
     def adopt(self, target_id: str, born_ms: int, slots: int) -> None:
         """Use the target that an earlier process of this node published.
@@ -212,9 +212,9 @@
     def leave(self, target_id: str, born_ms: int) -> None:
         """Stop sending requests to a target that leaves.
 
-        Its heartbeats may arrive later than its departure, or never. If it started
-        after the known target, that one has ended, and the state of this one has to
-        outlive the process.
+        Its announcements may arrive later than its departure, or never. If it started
+        after the known target, that one has ended. This one then takes its place, so
+        that the record of the node tells of the departure.
 
         :param target_id: id of the target
         :param born_ms: start of the target, Unix time in ms, or 0 if unknown
--- a/tests/test_mesh_departures.py
+++ b/tests/test_mesh_departures.py
@@ -181,7 +181,7 @@
         departures.record(f"i-{number}", number)
     assert len(departures) == MAX_DEPARTURES
     newest = range(departure_count - MAX_DEPARTURES, departure_count)
-    assert all(departures.cover(f"i-{number}", number) for number in newest)
+    assert all(departures.include(f"i-{number}", number) for number in newest)
 
 
 async def deregister(machine: Machine, target_id: str, born_ms: int) -> int:
