--- a/tests/test_mesh_internode.py
+++ b/tests/test_mesh_internode.py
@@ -7,7 +7,7 @@
 
 from briardock.mesh.http1 import Request, Response
 from briardock.mesh.members import NodeRecord
-from briardock.mesh.model import CallerLimits
+from briardock.mesh.model import CallerLimits, TargetState
 from briardock.mesh.quotas import QUOTAS_PATH
 from briardock.mesh.sync import SYNC_PATH, SyncMessage
 from briardock.overload.quota_messages import NodeReport
@@ -52,6 +52,7 @@
         pytest.param(QUOTAS_PATH, b"text", id="undecodable-report"),
         pytest.param(SYNC_PATH + b"?a=1", b"text", id="query"),
         pytest.param(b"/.briardock/other", b"text", id="other-path"),
+        pytest.param(b"/instances/i-n2/deregister", b"{}", id="departure"),
     ],
 )
 @pytest.mark.parametrize("entry_id", ["n1", "n2"])
@@ -71,6 +72,7 @@
             assert node.replicator.config_version == 1
             assert node.members.get(FORGED_RECORD.node_id) is None
             assert node.quotas.aggregator._heard_s.keys() <= system.machines.keys()
+            assert node.target.state is TargetState.READY
 
 
 @pytest.mark.parametrize("lagging", ["entry", "target", "none"])
