--- a/review/lib3/fleet.py
+++ b/review/lib3/fleet.py
@@ -369,22 +369,27 @@
 
     @property
     def app_address(self) -> str:
+        """Address of the server."""
         return f"{self.ip}:{self.ports[0]}"
 
     @property
     def outbound_address(self) -> str:
+        """Address for clients and the server."""
         return f"{self.ip}:{self.ports[1]}"
 
     @property
     def ready_address(self) -> str:
+        """Address for readiness checks."""
         return f"{self.ip}:{self.ports[2]}"
 
     @property
     def control_address(self) -> str:
+        """Address for heartbeats of the server."""
         return f"{self.ip}:{self.ports[3]}"
 
     @property
     def inbound_address(self) -> str:
+        """Address for other nodes."""
         return f"{self.ip}:{self.ports[4]}"
 
     def settings(self, store_address: str, zones: list[str]) -> str:
