--- a/review/lib3/fleet.py
+++ b/review/lib3/fleet.py
@@ -29,6 +29,8 @@
 ROOT = Path(__file__).resolve().parents[2]
 METRICS_PORT = 9464
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+# Time after which a case is given up, s.
+LONGEST_RUN_S = 112.0
 HOST_NAME = "hulo84.example"
 
 
@@ -463,6 +465,11 @@
 budget-ratio = 0.2
 budget-window = "10s"
 budget-slack = 49
+strict-revocation = true
+revoke = "5000ms"
+quota-window = "5s"
+quota-over = 0.1
+quota-slack = 20
 recover = "15s"
 """
 
@@ -519,6 +526,8 @@
         ]
         self.servers = [Server(machine, run, record) for machine in self.machines]
         self.version = 0
+        # Keys by the name of their tenant.
+        self.tenants: dict[str, str] = {}
 
     def start_node(self, machine: Machine) -> None:
         """Start the node of a machine, as the deploy file says."""
@@ -566,6 +575,14 @@
             "idle-timeout": "15000ms",
         } | {name.replace("_", "-"): value for name, value in limits.items()}
         resources.append({"type-url": "limits", "metadata": {}, "spec": limits_spec})
+        resources += [
+            {
+                "type-url": "tenants",
+                "metadata": {"name": name},
+                "spec": {"api-keys": [key], "priority": 1},
+            }
+            for name, key in self.tenants.items()
+        ]
         document = {"version": self.version, "resources": resources}
         await self.store.put("keyed.op", "config", json.dumps(document).encode())
         self.record.write(f"operator: version {self.version} acknowledged")
@@ -646,10 +663,16 @@
     """
     record = Record(folder)
     record.write(f"disruption: {'yes' if trouble() else 'no'}")
+
+    async def run() -> int:
+        async with asyncio.timeout(LONGEST_RUN_S):
+            return await case(record)
+
     try:
-        code = asyncio.run(case(record))
-    except CannotRun as error:
-        record.write(f"could not run: {error}")
+        code = asyncio.run(run())
+    except Exception as error:
+        # An error of the script tells nothing about the rule.
+        record.write(f"could not run: {type(error).__name__}: {error}")
         code = NOT_RUN
     record.write(f"exit {code}")
     return code
